Serve a request end to end through separate processes

Cause: the repository was empty. Change: a workspace with a crate for each area; an operator's fleet file is checked, appended to the log, folded by two entry instances, and a caller's task runs on a backend server. Each duty is a thread of its own, joined to the others by bounded rings; decisions are plain objects driven by (now, event). Conclusion: the folders, core types and one whole path are in place for the areas to grow into.

--- /dev/null
+++ b/crates/base/src/event.rs
@@ -0,0 +1,52 @@
+//! Numbered log events; `docs/EVENTS.md` is their catalogue.
+
+use strum::{AsRefStr, EnumIter, EnumMessage};
+
+/// Number of a log event; each number keeps its meaning for ever.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, AsRefStr, EnumIter, EnumMessage)]
+#[repr(u16)]
+pub enum EventCode {
+    /// An entry instance serves callers.
+    #[strum(message = "An entry instance serves callers.")]
+    EntryStarted = 100,
+    /// An entry instance begins its graceful shutdown.
+    #[strum(message = "An entry instance begins its graceful shutdown.")]
+    EntryStopping = 101,
+    /// An entry instance has finished its graceful shutdown.
+    #[strum(message = "An entry instance has finished its graceful shutdown.")]
+    EntryStopped = 102,
+    /// A configuration came into force.
+    #[strum(message = "A configuration came into force.")]
+    FleetAccepted = 200,
+    /// A log record was rejected by the fold.
+    #[strum(message = "A log record was rejected by the fold.")]
+    RecordRejected = 201,
+    /// A log record could not be decoded and was skipped.
+    #[strum(message = "A log record could not be decoded and was skipped.")]
+    RecordMalformed = 202,
+    /// The platform's log cannot be reached.
+    #[strum(message = "The platform's log cannot be reached.")]
+    LogUnreachable = 203,
+    /// The platform's instance list cannot be reached.
+    #[strum(message = "The platform's instance list cannot be reached.")]
+    InstancesUnreachable = 204,
+    /// A caller's connection ended with an error.
+    #[strum(message = "A caller's connection ended with an error.")]
+    CallerFailed = 300,
+    /// A backend server's answer was discarded because it was not whole or not the task's own.
+    #[strum(message = "A backend server's answer was discarded.")]
+    AnswerDiscarded = 400,
+    /// A backend server could not be reached or broke the connection.
+    #[strum(message = "A backend server could not be reached or broke the connection.")]
+    BackendFailed = 401,
+    /// A stand-in of a platform service listens.
+    #[strum(message = "A stand-in of a platform service listens.")]
+    StandinStarted = 900,
+}
+
+impl EventCode {
+    /// Returns the number that logs and the catalogue show.
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+}
--- /dev/null
+++ b/crates/base/src/id.rs
@@ -0,0 +1,30 @@
+//! Type aliases for the identifiers of the fleet.
+
+use std::sync::Arc;
+
+/// Name of a fleet; entries and peers of another fleet are refused.
+pub type FleetId = Arc<str>;
+/// Name of an availability zone.
+pub type ZoneId = Arc<str>;
+/// Name of a rack, unique within its availability zone.
+pub type RackId = Arc<str>;
+/// Name of a pool.
+pub type PoolId = Arc<str>;
+/// Name of a team.
+pub type TeamId = Arc<str>;
+/// Name of a team's key; the secret itself is never stored.
+pub type KeyId = Arc<str>;
+/// Name of a queue.
+pub type QueueId = Arc<str>;
+/// Name of a worker instance.
+pub type WorkerId = Arc<str>;
+/// Name of an entry instance; a replacement takes a new name.
+pub type EntryId = Arc<str>;
+/// Random identity of one task, unique across the fleet.
+pub type TaskId = u128;
+/// Random identity of one log record; an append that is repeated keeps it.
+pub type RecordId = u128;
+/// Position of a record in the platform's log, counted from 0.
+pub type LogOffset = u64;
+/// Number of accepted configurations before this one; the empty fleet is revision 0.
+pub type FleetRevision = u64;
--- /dev/null
+++ b/crates/entry/src/admin_duty.rs
@@ -0,0 +1,93 @@
+//! The duty that serves health checks, status and metrics.
+
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::future::{self, BoxedLocal, FutureExt};
+use http_types::{Request, Response, StatusCode};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use pw_base::prelude::*;
+use pw_link::prelude::*;
+use pw_ring::prelude::*;
+
+use crate::message::{DeskMessage, DeskStatus};
+
+/// Longest wait for the dispatch duty's status.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Serves `/healthz`, `/readyz`, `/status` and `/metrics` until the listener fails.
+pub async fn run(listener: TcpListener, spawner: TaskSpawner, desk: RingSender<DeskMessage>) {
+    // Only the first node of a process installs the recorder; further ones share it.
+    let metrics = PrometheusBuilder::new().install_recorder().ok();
+    let handler = Rc::new(AdminHandler { desk, metrics });
+    if let Err(error) = serve_http(listener, spawner, handler).await {
+        tracing::error!(event = EventCode::CallerFailed.number(), %error, "listener failed");
+    }
+}
+
+#[derive(Clone)]
+struct AdminHandler {
+    desk: RingSender<DeskMessage>,
+    metrics: Option<PrometheusHandle>,
+}
+
+impl HttpHandler for AdminHandler {
+    fn handle(&self, request: Request) -> BoxedLocal<Response> {
+        let handler = self.clone();
+        async move {
+            match request.url().path() {
+                "/healthz" => Response::new(StatusCode::Ok),
+                "/readyz" => handler.readiness().await,
+                "/status" => handler.status().await,
+                "/metrics" => handler.render_metrics(),
+                _ => Response::new(StatusCode::NotFound),
+            }
+        }
+        .boxed_local()
+    }
+}
+
+impl AdminHandler {
+    async fn readiness(&self) -> Response {
+        let ready = self.ask().await.is_some_and(|status| status.revision > 0);
+        Response::new(if ready {
+            StatusCode::Ok
+        } else {
+            StatusCode::ServiceUnavailable
+        })
+    }
+
+    async fn status(&self) -> Response {
+        let Some(status) = self.ask().await else {
+            return Response::new(StatusCode::ServiceUnavailable);
+        };
+        let mut response = Response::new(StatusCode::Ok);
+        match http_types::Body::from_json(&status) {
+            Ok(body) => response.set_body(body),
+            Err(_) => response.set_status(StatusCode::InternalServerError),
+        }
+        response
+    }
+
+    fn render_metrics(&self) -> Response {
+        let mut response = Response::new(StatusCode::Ok);
+        response.set_body(
+            self.metrics
+                .as_ref()
+                .map_or_else(String::new, PrometheusHandle::render),
+        );
+        response
+    }
+
+    async fn ask(&self) -> Option<DeskStatus> {
+        let (reply, replies) = ring("status", 1);
+        self.desk.offer(DeskMessage::Report(reply)).ok()?;
+        let late = async {
+            Timer::after(STATUS_TIMEOUT).await;
+            None
+        };
+        future::or(replies.recv(), late).await
+    }
+}
--- /dev/null
+++ b/crates/entry/src/dispatch_duty.rs
@@ -0,0 +1,114 @@
+//! The duty that runs the dispatch desk.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use pw_base::prelude::*;
+use pw_dispatch::prelude::*;
+use pw_link::prelude::*;
+use pw_ring::prelude::*;
+
+use crate::message::{DeskMessage, DeskStatus, TaskReply};
+
+struct OpenTask {
+    payload: Arc<[u8]>,
+    reply: RingSender<TaskReply>,
+    answer: Vec<u8>,
+}
+
+struct DeskShell {
+    desk: DispatchDesk,
+    clock: Arc<dyn ClockSource>,
+    open: HashMap<TaskId, OpenTask>,
+    runs: RingSender<RunStart>,
+}
+
+/// Feeds the desk with messages and carries out its commands until all senders are gone.
+pub async fn run(
+    desk: DispatchDesk,
+    clock: Arc<dyn ClockSource>,
+    messages: RingReceiver<DeskMessage>,
+    runs: RingSender<RunStart>,
+) {
+    let mut shell = DeskShell {
+        desk,
+        clock,
+        open: HashMap::new(),
+        runs,
+    };
+    while let Ok(message) = messages.recv_until(shell.desk.next_deadline()).await {
+        match message {
+            Some(message) => shell.take(message),
+            None => shell.feed(DispatchEvent::TimePassed),
+        }
+    }
+}
+
+impl DeskShell {
+    fn take(&mut self, message: DeskMessage) {
+        match message {
+            DeskMessage::Submit {
+                request,
+                payload,
+                reply,
+            } => {
+                let task = OpenTask {
+                    payload,
+                    reply,
+                    answer: Vec::new(),
+                };
+                self.open.insert(request.id, task);
+                self.feed(DispatchEvent::TaskSubmitted(request));
+            }
+            DeskMessage::RunEnded { task, result } => {
+                if let Some(open) = self.open.get_mut(&task) {
+                    open.answer = result.answer;
+                }
+                let report = result.report;
+                self.feed(DispatchEvent::TaskEnded { task, report });
+            }
+            DeskMessage::Event(event) => self.feed(event),
+            DeskMessage::Report(reply) => _ = reply.offer(self.status()),
+        }
+    }
+
+    fn status(&self) -> DeskStatus {
+        DeskStatus {
+            revision: self.desk.revision(),
+            open_tasks: self.desk.open_tasks(),
+        }
+    }
+
+    fn feed(&mut self, event: DispatchEvent) {
+        let mut commands = self.desk.handle(self.clock.now(), event);
+        while let Some(command) = commands.pop() {
+            match command {
+                DispatchCommand::StartTask(start) => {
+                    let task = start.task;
+                    if !self.start(start) {
+                        let report = RunReport::NotRun;
+                        let event = DispatchEvent::TaskEnded { task, report };
+                        commands.extend(self.desk.handle(self.clock.now(), event));
+                    }
+                }
+                DispatchCommand::CloseTask { task, verdict } => self.close(task, verdict),
+            }
+        }
+    }
+
+    /// Passes the start on; returns whether there was room in the ring.
+    fn start(&self, start: TaskStart) -> bool {
+        let Some(open) = self.open.get(&start.task) else {
+            return false;
+        };
+        let payload = Arc::clone(&open.payload);
+        self.runs.offer(RunStart { start, payload }).is_ok()
+    }
+
+    fn close(&mut self, task: TaskId, verdict: TaskVerdict) {
+        if let Some(OpenTask { reply, answer, .. }) = self.open.remove(&task) {
+            // A caller that has gone needs no reply.
+            _ = reply.offer(TaskReply { verdict, answer });
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/instance_duty.rs
@@ -0,0 +1,34 @@
+//! The duty that reads the platform's instance list.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use pw_base::prelude::*;
+use pw_dispatch::prelude::*;
+use pw_link::prelude::*;
+use pw_ring::prelude::*;
+
+use crate::message::DeskMessage;
+
+/// Reads the list every `poll` and passes it to the desk.
+pub async fn run(
+    source: Box<dyn InstanceSource + Send>,
+    poll: Duration,
+    desk: RingSender<DeskMessage>,
+) {
+    loop {
+        match source.list().await {
+            Ok(list) => {
+                let event = DispatchEvent::InstancesListed(list);
+                if desk.send(DeskMessage::Event(event)).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                let event = EventCode::InstancesUnreachable;
+                tracing::warn!(event = event.number(), %error, "instance list unreachable");
+            }
+        }
+        Timer::after(poll).await;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,21 @@
+//! The entry daemon: one thread for each duty, joined by bounded rings.
+//!
+//! Decisions are made by the [`DispatchDesk`](pw_dispatch::desk::DispatchDesk) on the dispatch
+//! duty; the other duties turn sockets into events and commands into requests.
+
+pub mod admin_duty;
+pub mod backend_duty;
+pub mod caller_duty;
+pub mod daemon;
+pub mod dispatch_duty;
+pub mod instance_duty;
+pub mod log_duty;
+pub mod message;
+pub mod node;
+pub mod settings;
+
+/// The names that most users of this crate need.
+pub mod prelude {
+    pub use crate::node::{EntryNode, NodeLinks};
+    pub use crate::settings::EntrySettings;
+}
--- /dev/null
+++ b/crates/entry/src/message.rs
@@ -0,0 +1,52 @@
+//! Messages in the rings between duties.
+
+use std::sync::Arc;
+
+use pw_base::prelude::*;
+use pw_dispatch::prelude::*;
+use pw_link::prelude::*;
+use pw_ring::prelude::*;
+use serde::Serialize;
+
+/// Message to the dispatch duty.
+#[derive(Debug)]
+pub enum DeskMessage {
+    /// A caller submitted a task.
+    Submit {
+        /// What the decision needs.
+        request: TaskRequest,
+        /// What the backend server needs.
+        payload: Arc<[u8]>,
+        /// Takes the reply.
+        reply: RingSender<TaskReply>,
+    },
+    /// A run has ended.
+    RunEnded {
+        /// Identity of the task.
+        task: TaskId,
+        /// How it ended, with its answer.
+        result: RunResult,
+    },
+    /// An event that concerns no payload.
+    Event(DispatchEvent),
+    /// The admin duty wants the status.
+    Report(RingSender<DeskStatus>),
+}
+
+/// Reply to a caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TaskReply {
+    /// How the task ended.
+    pub verdict: TaskVerdict,
+    /// The whole answer; empty for a refusal.
+    pub answer: Vec<u8>,
+}
+
+/// Status of the dispatch duty.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct DeskStatus {
+    /// Revision of the configuration in force; 0 before the first one.
+    pub revision: FleetRevision,
+    /// Tasks that wait or run.
+    pub open_tasks: usize,
+}
--- /dev/null
+++ b/crates/entry/src/node.rs
@@ -0,0 +1,102 @@
+//! An entry instance with all its duties.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+
+use pw_base::prelude::*;
+use pw_dispatch::prelude::*;
+use pw_link::prelude::*;
+use pw_log::prelude::*;
+use pw_ring::prelude::*;
+
+use crate::settings::EntrySettings;
+use crate::{admin_duty, backend_duty, caller_duty, dispatch_duty, instance_duty, log_duty};
+
+/// Outside systems of an entry instance; tests put small fakes in their place.
+pub struct NodeLinks {
+    /// The platform's log.
+    pub log: Box<dyn LogStore + Send>,
+    /// The platform's instance list.
+    pub instances: Box<dyn InstanceSource + Send>,
+    /// The backend servers.
+    pub backends: Box<dyn BackendGateway + Send>,
+    /// The clock.
+    pub clock: Arc<dyn ClockSource>,
+}
+
+/// A running entry instance.
+#[derive(Debug)]
+pub struct EntryNode {
+    callers: SocketAddr,
+    admin: SocketAddr,
+}
+
+impl NodeLinks {
+    /// Returns links to the services that the settings name, over HTTP.
+    pub fn over_http(settings: &EntrySettings) -> Self {
+        Self {
+            log: Box::new(HttpLog::new(settings.log)),
+            instances: Box::new(HttpInstances::new(settings.instances)),
+            backends: Box::new(HttpBackend),
+            clock: Arc::new(SystemClock),
+        }
+    }
+}
+
+impl EntryNode {
+    /// Binds the addresses and starts a thread for each duty.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be bound or a thread can't be started.
+    pub fn start(settings: &EntrySettings, links: NodeLinks) -> io::Result<Self> {
+        let caller_listener = TcpListener::bind(settings.callers)?;
+        let admin_listener = TcpListener::bind(settings.admin)?;
+        let callers = caller_listener.local_addr()?;
+        let admin = admin_listener.local_addr()?;
+        let (desk_sender, desk_receiver) = ring("desk", settings.ring_capacity);
+        let (run_sender, run_receiver) = ring("runs", settings.ring_capacity);
+        let NodeLinks {
+            log,
+            instances,
+            backends,
+            clock,
+        } = links;
+        let desk = DispatchDesk::new(DeskSettings::default());
+        let dispatch_clock = Arc::clone(&clock);
+        DutyThread::spawn("dispatch", move |_| {
+            dispatch_duty::run(desk, dispatch_clock, desk_receiver, run_sender)
+        })?;
+        let sender = desk_sender.clone();
+        DutyThread::spawn("backends", move |spawner| {
+            backend_duty::run(backends, spawner, run_receiver, sender)
+        })?;
+        let sender = desk_sender.clone();
+        DutyThread::spawn("log", move |_| log_duty::run(log, sender))?;
+        let sender = desk_sender.clone();
+        let poll = settings.instance_poll;
+        DutyThread::spawn("instances", move |_| {
+            instance_duty::run(instances, poll, sender)
+        })?;
+        let sender = desk_sender.clone();
+        DutyThread::spawn("admin", move |spawner| {
+            admin_duty::run(admin_listener, spawner, sender)
+        })?;
+        let max_payload = settings.max_payload;
+        DutyThread::spawn("callers", move |spawner| {
+            caller_duty::run(caller_listener, spawner, clock, max_payload, desk_sender)
+        })?;
+        Ok(Self { callers, admin })
+    }
+
+    /// Returns the address for callers.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Returns the address for health checks and metrics.
+    pub fn admin(&self) -> SocketAddr {
+        self.admin
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/spec.rs
@@ -0,0 +1,43 @@
+//! A whole fleet as operators declare it.
+
+use pw_base::prelude::*;
+use pw_pool::prelude::*;
+use pw_team::prelude::*;
+use pw_worker::prelude::*;
+use pw_zone::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// Declared fleet; operators apply it as a whole.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetSpec {
+    /// Name of the fleet.
+    pub fleet: FleetId,
+    /// Availability zones.
+    #[serde(default)]
+    pub zones: Vec<ZoneSpec>,
+    /// Workers.
+    #[serde(default)]
+    pub workers: Vec<WorkerSpec>,
+    /// Pools.
+    #[serde(default)]
+    pub pools: Vec<PoolSpec>,
+    /// Teams.
+    #[serde(default)]
+    pub teams: Vec<TeamSpec>,
+    /// Queues.
+    #[serde(default)]
+    pub queues: Vec<QueueSpec>,
+}
+
+impl FleetSpec {
+    /// Returns the availability zone called `id`.
+    pub fn zone(&self, id: &str) -> Option<&ZoneSpec> {
+        self.zones.iter().find(|zone| &*zone.id == id)
+    }
+
+    /// Returns the queue called `id`.
+    pub fn queue(&self, id: &str) -> Option<&QueueSpec> {
+        self.queues.iter().find(|queue| &*queue.id == id)
+    }
+}
--- /dev/null
+++ b/crates/link/src/log_service.rs
@@ -0,0 +1,101 @@
+//! The platform's log service over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use futures_lite::future::{BoxedLocal, FutureExt};
+use http_types::{Method, Request, StatusCode};
+use pw_base::prelude::*;
+use pw_log::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::http_call::{WholeResponse, call_http};
+
+/// Longest wait for the log service beyond the wait that was asked for.
+const LOG_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// One record as the log service writes it in JSON.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireEntry {
+    /// Position of the record.
+    pub offset: LogOffset,
+    /// Encoded record in base64.
+    pub record: String,
+}
+
+/// Client of the platform's log service.
+#[derive(Debug, Clone)]
+pub struct HttpLog {
+    address: SocketAddr,
+}
+
+#[derive(Debug, Deserialize)]
+struct AppendReply {
+    offset: LogOffset,
+}
+
+impl HttpLog {
+    /// Creates a client of the log service at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address }
+    }
+}
+
+impl LogStore for HttpLog {
+    fn append(&self, bytes: Vec<u8>) -> BoxedLocal<Result<LogOffset, LogError>> {
+        let address = self.address;
+        async move {
+            let url = format!("http://{address}/v1/log");
+            let mut request = Request::new(Method::Post, url.as_str());
+            request.set_body(bytes);
+            let response = call_http(address, request, LOG_TIMEOUT)
+                .await
+                .map_err(unreachable)?;
+            let reply: AppendReply = parse_reply(&response)?;
+            Ok(reply.offset)
+        }
+        .boxed_local()
+    }
+
+    fn read(&self, from: LogOffset, wait: Duration) -> BoxedLocal<Result<Vec<LogEntry>, LogError>> {
+        let address = self.address;
+        async move {
+            let wait_ms = wait.as_millis();
+            let url = format!("http://{address}/v1/log?from={from}&wait_ms={wait_ms}");
+            let request = Request::new(Method::Get, url.as_str());
+            let response = call_http(address, request, wait + LOG_TIMEOUT)
+                .await
+                .map_err(unreachable)?;
+            let entries: Vec<WireEntry> = parse_reply(&response)?;
+            entries.into_iter().map(unwrap_entry).collect()
+        }
+        .boxed_local()
+    }
+}
+
+fn unreachable(error: impl ToString) -> LogError {
+    LogError::Unreachable(error.to_string())
+}
+
+fn parse_reply<T: serde::de::DeserializeOwned>(response: &WholeResponse) -> Result<T, LogError> {
+    match response.status() {
+        StatusCode::Ok | StatusCode::Created => {
+            serde_json::from_slice(&response.body).map_err(unreachable)
+        }
+        StatusCode::Gone => {
+            let first = serde_json::from_slice(&response.body).map_err(unreachable)?;
+            Err(LogError::Expired { first })
+        }
+        status => Err(LogError::Refused(status.to_string())),
+    }
+}
+
+fn unwrap_entry(entry: WireEntry) -> Result<LogEntry, LogError> {
+    let bytes = BASE64_STANDARD.decode(entry.record).map_err(unreachable)?;
+    Ok(LogEntry {
+        offset: entry.offset,
+        bytes,
+    })
+}
--- /dev/null
+++ b/crates/log/src/codec.rs
@@ -0,0 +1,71 @@
+//! Encoding of log records: a format version, then the record in bincode.
+
+use bincode::config::{self, Configuration, Limit, LittleEndian};
+use thiserror::Error;
+
+use crate::record::LogRecord;
+
+/// Version of the record format that this build writes.
+const FORMAT_VERSION: u8 = 1;
+/// Largest record in bytes.
+const MAX_RECORD_BYTES: usize = 4 * 1024 * 1024;
+
+/// Why bytes are not a log record.
+#[derive(Debug, Error)]
+pub enum CodecError {
+    /// The record was written by a newer or unknown build.
+    #[error("record format version {0} is not known")]
+    UnknownVersion(u8),
+    /// The record is empty.
+    #[error("record is empty")]
+    Empty,
+    /// The record is larger than the bound.
+    #[error("record of {0} bytes is larger than {MAX_RECORD_BYTES} bytes")]
+    TooLarge(usize),
+    /// The bytes after the version are malformed.
+    #[error("record is malformed: {0}")]
+    Malformed(String),
+}
+
+/// Encodes a record.
+///
+/// # Errors
+///
+/// Fails when the record is larger than the bound.
+pub fn encode_record(record: &LogRecord) -> Result<Vec<u8>, CodecError> {
+    let body = bincode::serde::encode_to_vec(record, body_config())
+        .map_err(|error| CodecError::Malformed(error.to_string()))?;
+    if body.len() > MAX_RECORD_BYTES {
+        return Err(CodecError::TooLarge(body.len()));
+    }
+    Ok([&[FORMAT_VERSION], body.as_slice()].concat())
+}
+
+/// Decodes a record.
+///
+/// # Errors
+///
+/// Fails on an unknown version, on malformed bytes and on bytes left over.
+pub fn decode_record(bytes: &[u8]) -> Result<LogRecord, CodecError> {
+    let (version, body) = bytes.split_first().ok_or(CodecError::Empty)?;
+    if *version != FORMAT_VERSION {
+        return Err(CodecError::UnknownVersion(*version));
+    }
+    if body.len() > MAX_RECORD_BYTES {
+        return Err(CodecError::TooLarge(body.len()));
+    }
+    let (record, used) = bincode::serde::decode_from_slice(body, body_config())
+        .map_err(|error| CodecError::Malformed(error.to_string()))?;
+    if used == body.len() {
+        Ok(record)
+    } else {
+        Err(CodecError::Malformed(format!(
+            "{} bytes left over",
+            body.len() - used
+        )))
+    }
+}
+
+fn body_config() -> Configuration<LittleEndian, config::Varint, Limit<MAX_RECORD_BYTES>> {
+    config::standard().with_limit::<MAX_RECORD_BYTES>()
+}
--- /dev/null
+++ b/crates/log/src/lib.rs
@@ -0,0 +1,17 @@
+//! The platform's log as the only arbiter: records, their codec, and the fold over them.
+//!
+//! Every decision that needs agreement is a proposal appended to the log. Each instance folds
+//! the same records in the same order and so accepts or rejects each proposal alike.
+
+pub mod codec;
+pub mod fold;
+pub mod record;
+pub mod store;
+
+/// The names that most users of this crate need.
+pub mod prelude {
+    pub use crate::codec::{CodecError, decode_record, encode_record};
+    pub use crate::fold::{FleetFold, FleetState, FoldOutcome, RejectReason};
+    pub use crate::record::{FleetProposal, LogRecord, RecordBody};
+    pub use crate::store::{LogEntry, LogError, LogStore};
+}
--- /dev/null
+++ b/crates/pool/src/spec.rs
@@ -0,0 +1,59 @@
+//! Pools and queues as operators declare them.
+
+use std::time::Duration;
+
+use pw_base::prelude::*;
+use serde::{Deserialize, Serialize};
+use strum::Display;
+
+/// Declared pool.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PoolSpec {
+    /// Name of the pool.
+    pub id: PoolId,
+    /// Workers that the pool starts with.
+    pub workers: Vec<WorkerId>,
+    /// Availability budget: how many of its workers may be unavailable at once.
+    pub max_unavailable: u32,
+    /// Whether other pools borrow workers from it.
+    #[serde(default)]
+    pub spare: bool,
+}
+
+/// Declared queue.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct QueueSpec {
+    /// Name of the queue.
+    pub id: QueueId,
+    /// Pool that serves the queue.
+    pub pool: PoolId,
+    /// Whether callers wait for the answer.
+    #[serde(default)]
+    pub kind: QueueKind,
+    /// Whether tasks need no key.
+    #[serde(default)]
+    pub open: bool,
+    /// Whether a task may run more than once.
+    #[serde(default)]
+    pub idempotent: bool,
+    /// Longest time that a task may run.
+    #[serde(with = "humantime_serde")]
+    pub run_timeout: Duration,
+    /// Longest time from acceptance to the answer.
+    #[serde(with = "humantime_serde")]
+    pub deadline: Duration,
+}
+
+/// Whether callers wait for the answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize, Display)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum QueueKind {
+    /// The caller waits.
+    #[default]
+    Interactive,
+    /// The caller asks for the answer later.
+    Deferred,
+}
--- /dev/null
+++ b/crates/standin/src/daemon.rs
@@ -0,0 +1,117 @@
+//! Arguments and life cycle of the stand-ins' process.
+
+use std::io::Write;
+use std::net::SocketAddr;
+
+use anyhow::Context;
+use argh::FromArgs;
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use pw_base::prelude::*;
+use pw_worker::prelude::*;
+
+use crate::backend_server::{BackendServer, ServerSettings};
+use crate::instance_list::InstanceList;
+use crate::log_service::LogService;
+
+/// Runs one stand-in of a platform service until it is told to stop.
+#[derive(FromArgs)]
+pub struct StandinArgs {
+    #[argh(subcommand)]
+    service: ServiceChoice,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum ServiceChoice {
+    Log(LogArgs),
+    Instances(InstancesArgs),
+    Backend(BackendArgs),
+}
+
+/// Runs a log service.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "log")]
+struct LogArgs {
+    /// address to listen at
+    #[argh(option)]
+    listen: SocketAddr,
+}
+
+/// Runs an instance list.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "instances")]
+struct InstancesArgs {
+    /// address to listen at
+    #[argh(option)]
+    listen: SocketAddr,
+    /// a live instance as WORKER=ADDRESS; may be repeated
+    #[argh(option, from_str_fn(parse_instance))]
+    instance: Vec<InstanceEntry>,
+}
+
+/// Runs a backend server.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "backend")]
+struct BackendArgs {
+    /// address to listen at
+    #[argh(option)]
+    listen: SocketAddr,
+    /// worker that it stands for
+    #[argh(option)]
+    worker: String,
+    /// tasks that it runs at the same time
+    #[argh(option, default = "8")]
+    slots: u32,
+}
+
+/// Runs the chosen stand-in until SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Fails when the address can't be bound.
+pub fn run_standin(args: StandinArgs) -> anyhow::Result<()> {
+    tracing_subscriber::fmt()
+        .with_writer(std::io::stderr)
+        .init();
+    let address = start_service(args.service).context("stand-in can't start")?;
+    tracing::info!(event = EventCode::StandinStarted.number(), %address, "stand-in listens");
+    writeln!(std::io::stdout(), "listening {address}")?;
+    wait_for_signal()
+}
+
+fn start_service(service: ServiceChoice) -> std::io::Result<SocketAddr> {
+    Ok(match service {
+        ServiceChoice::Log(args) => LogService::start(args.listen)?.address(),
+        ServiceChoice::Instances(args) => {
+            InstanceList::start(args.listen, args.instance)?.address()
+        }
+        ServiceChoice::Backend(args) => {
+            let settings = ServerSettings {
+                address: args.listen,
+                worker: args.worker.into(),
+                slots: args.slots,
+            };
+            BackendServer::start(&settings)?.address()
+        }
+    })
+}
+
+/// Waits for SIGTERM or SIGINT.
+fn wait_for_signal() -> anyhow::Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    futures_lite::future::block_on(signals.next());
+    Ok(())
+}
+
+fn parse_instance(text: &str) -> Result<InstanceEntry, String> {
+    let (worker, address) = text.split_once('=').ok_or("expected WORKER=ADDRESS")?;
+    let address = address
+        .parse()
+        .map_err(|error| format!("address {address:?}: {error}"))?;
+    Ok(InstanceEntry {
+        worker: worker.into(),
+        address,
+        state: InstanceState::Live,
+    })
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,14 @@
+//! Small stand-ins for the platform's services, for tests and for trying things by hand.
+
+pub mod backend_server;
+pub mod daemon;
+pub mod instance_list;
+pub mod log_service;
+mod reply;
+
+/// The names that most users of this crate need.
+pub mod prelude {
+    pub use crate::backend_server::{BackendServer, ServerSettings};
+    pub use crate::instance_list::InstanceList;
+    pub use crate::log_service::LogService;
+}
--- /dev/null
+++ b/src/bin/primrosewheel.rs
@@ -0,0 +1,7 @@
+//! The operators' command.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    pw_cli::run_command(argh::from_env())
+}
--- /dev/null
+++ b/src/bin/standin.rs
@@ -0,0 +1,5 @@
+//! Stand-ins of the platform's services.
+
+fn main() -> anyhow::Result<()> {
+    pw_standin::daemon::run_standin(argh::from_env())
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,32 @@
+//! Fleet capacity and maintenance manager.
+//!
+//! Operators apply declarative fleet files; entry instances take tasks from callers, place them on
+//! workers and keep the promises of the fleet. Each area is a crate of its own, re-exported here.
+
+pub use pw_base as base;
+pub use pw_dispatch as dispatch;
+pub use pw_entry as entry;
+pub use pw_fleet as fleet;
+pub use pw_link as link;
+pub use pw_log as log;
+pub use pw_pool as pool;
+pub use pw_ring as ring;
+pub use pw_standin as standin;
+pub use pw_team as team;
+pub use pw_worker as worker;
+pub use pw_zone as zone;
+
+/// The names that most users need, of all areas.
+pub mod prelude {
+    pub use pw_base::prelude::*;
+    pub use pw_dispatch::prelude::*;
+    pub use pw_entry::prelude::*;
+    pub use pw_fleet::prelude::*;
+    pub use pw_link::prelude::*;
+    pub use pw_log::prelude::*;
+    pub use pw_pool::prelude::*;
+    pub use pw_ring::prelude::*;
+    pub use pw_team::prelude::*;
+    pub use pw_worker::prelude::*;
+    pub use pw_zone::prelude::*;
+}
