--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -4,6 +4,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
 use anyhow::{Context, bail};
@@ -110,7 +111,10 @@
         id,
         author: args.operator,
         written: SystemTime::now(),
-        body: RecordBody::Fleet(FleetProposal { base, spec }),
+        body: RecordBody::Fleet(FleetProposal {
+            base,
+            spec: Arc::new(spec),
+        }),
     };
     store.append(encode_record(&record)?).await?;
     match fold_until(&store, &mut fold, id).await? {
@@ -136,8 +140,8 @@
         }
         for entry in entries {
             match decode_record(&entry.bytes) {
-                Ok(record) => _ = fold.advance(entry.offset, record),
-                Err(_) => fold.skip(entry.offset),
+                Ok(record) => _ = fold.advance(entry.offset, &record),
+                Err(_) => fold.skip_to(entry.offset + 1),
             }
         }
     }
@@ -155,11 +159,11 @@
             .await?;
         for entry in entries {
             let Ok(record) = decode_record(&entry.bytes) else {
-                fold.skip(entry.offset);
+                fold.skip_to(entry.offset + 1);
                 continue;
             };
             let is_own = record.id == id;
-            let outcome = fold.advance(entry.offset, record);
+            let outcome = fold.advance(entry.offset, &record);
             if is_own {
                 return Ok(outcome);
             }
--- /dev/null
+++ b/crates/contract/src/even_split.rs
@@ -0,0 +1,67 @@
+//! The simplest way to keep limits: each entry instance has the same part of each limit.
+
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use pw_base::prelude::*;
+use pw_team::prelude::*;
+
+use crate::gate::{PermitGate, PermitKind, TaskPermit};
+
+/// Gate that splits each limit evenly among a fixed number of entry instances.
+///
+/// It needs no agreement and wastes the parts of entry instances without demand.
+#[derive(Debug, Clone)]
+pub struct EvenSplit {
+    entries: u32,
+    parts: IndexMap<TeamId, TeamPart>,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct TeamPart {
+    limit: u32,
+    running: u32,
+}
+
+impl EvenSplit {
+    /// Creates a gate for one of `entries` entry instances; 0 counts as 1.
+    pub fn new(entries: u32) -> Self {
+        Self {
+            entries: entries.max(1),
+            parts: IndexMap::new(),
+        }
+    }
+
+    /// Sets the limits; tasks that run keep running above a lowered one.
+    pub fn set_teams(&mut self, teams: &[TeamSpec]) {
+        self.parts.values_mut().for_each(|part| part.limit = 0);
+        for team in teams {
+            let part = self.parts.entry(team.id.clone()).or_default();
+            part.limit = team.limit / self.entries;
+        }
+        self.parts
+            .retain(|id, part| part.running > 0 || teams.iter().any(|team| team.id == *id));
+    }
+}
+
+impl PermitGate for EvenSplit {
+    fn take(&mut self, _now: Instant, team: &TeamId, _zone: &ZoneId) -> Option<TaskPermit> {
+        let part = self.parts.get_mut(team)?;
+        if part.running >= part.limit {
+            return None;
+        }
+        part.running += 1;
+        Some(TaskPermit {
+            team: team.clone(),
+            kind: PermitKind::Float,
+        })
+    }
+
+    fn give_back(&mut self, _now: Instant, permit: TaskPermit) {
+        if let Some(part) = self.parts.get_mut(&permit.team) {
+            part.running = part.running.saturating_sub(1);
+        }
+    }
+
+    fn set_demand(&mut self, _now: Instant, _team: &TeamId, _waiting: u32) {}
+}
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -8,14 +8,15 @@
 use indexmap::IndexMap;
 use pw_base::prelude::*;
 use pw_fleet::prelude::*;
+use pw_log::prelude::*;
 use pw_pool::prelude::*;
 use pw_team::prelude::*;
 use pw_worker::prelude::*;
 use pw_zone::prelude::*;
 
 use crate::message::{
-    DispatchCommand, DispatchEvent, RefusalReason, RunCertainty, RunReport, TaskRequest, TaskStart,
-    TaskVerdict,
+    DispatchCommand, DispatchEvent, LogReading, RefusalReason, RunCertainty, RunReport,
+    TaskRequest, TaskStart, TaskVerdict,
 };
 
 /// Bounds of a dispatch desk.
@@ -31,6 +32,7 @@
 #[derive(Debug)]
 pub struct DispatchDesk {
     settings: DeskSettings,
+    fold: FleetFold,
     fleet: Option<FleetView>,
     instances: IndexMap<WorkerId, InstanceEntry>,
     tasks: IndexMap<TaskId, TaskState>,
@@ -100,6 +102,7 @@
     pub fn new(settings: DeskSettings) -> Self {
         Self {
             settings,
+            fold: FleetFold::default(),
             fleet: None,
             instances: IndexMap::new(),
             tasks: IndexMap::new(),
@@ -112,7 +115,7 @@
     pub fn handle(&mut self, now: Instant, event: DispatchEvent) -> Vec<DispatchCommand> {
         let mut commands = Vec::new();
         match event {
-            DispatchEvent::FleetChanged { revision, spec } => self.change_fleet(revision, spec),
+            DispatchEvent::LogRead(reading) => self.read_log(&reading),
             DispatchEvent::InstancesListed(list) => self.list_instances(list),
             DispatchEvent::TaskSubmitted(request) => {
                 commands.extend(self.submit(now, request));
@@ -144,13 +147,18 @@
         self.tasks.len()
     }
 
-    fn change_fleet(&mut self, revision: FleetRevision, spec: Arc<FleetSpec>) {
-        if self
-            .fleet
-            .as_ref()
-            .is_none_or(|fleet| fleet.revision < revision)
-        {
-            self.fleet = Some(FleetView::new(revision, spec));
+    fn read_log(&mut self, reading: &LogReading) {
+        for (offset, record) in &reading.records {
+            self.fold.advance(*offset, record);
+        }
+        self.fold.skip_to(reading.next_offset);
+        let state = self.fold.state();
+        if self.revision() < state.revision {
+            let revision = state.revision;
+            self.fleet = state
+                .spec
+                .clone()
+                .map(|spec| FleetView::new(revision, spec));
         }
     }
 
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use pw_base::prelude::*;
-use pw_fleet::prelude::*;
+use pw_log::prelude::*;
 use pw_team::prelude::*;
 use pw_worker::prelude::*;
 use strum::{AsRefStr, Display};
@@ -23,16 +23,22 @@
     pub deadline: Option<Instant>,
 }
 
+/// Records that one read of the platform's log brought, possibly none.
+#[derive(Debug, Clone)]
+pub struct LogReading {
+    /// When the read was sent; the records are at least as new as this.
+    pub asked: Instant,
+    /// The decoded records with their positions.
+    pub records: Vec<(LogOffset, Arc<LogRecord>)>,
+    /// Position after the last record, decoded or not.
+    pub next_offset: LogOffset,
+}
+
 /// What happened outside the desk.
 #[derive(Debug, Clone)]
 pub enum DispatchEvent {
-    /// A configuration came into force.
-    FleetChanged {
-        /// Its revision; older ones are ignored.
-        revision: FleetRevision,
-        /// The whole fleet.
-        spec: Arc<FleetSpec>,
-    },
+    /// The platform's log was read.
+    LogRead(LogReading),
     /// The platform's instance list was read.
     InstancesListed(Vec<InstanceEntry>),
     /// A caller submitted a task.
--- a/crates/entry/src/log_duty.rs
+++ b/crates/entry/src/log_duty.rs
@@ -1,6 +1,7 @@
 //! The duty that follows the platform's log.
 
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use pw_base::prelude::*;
@@ -11,21 +12,25 @@
 use crate::message::DeskMessage;
 
 /// Longest wait of one read while the log has nothing new.
-const READ_WAIT: Duration = Duration::from_secs(1);
+const READ_WAIT: Duration = Duration::from_millis(500);
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
-/// Folds the log and tells the desk of each accepted configuration.
-pub async fn run(store: Box<dyn LogStore + Send>, desk: RingSender<DeskMessage>) {
-    let mut fold = FleetFold::default();
+/// Passes what the log says on to the desk, with the time at which each read was sent.
+pub async fn run(
+    store: Box<dyn LogStore + Send>,
+    clock: Arc<dyn ClockSource>,
+    desk: RingSender<DeskMessage>,
+) {
+    let mut next_offset = 0;
     loop {
-        match store.read(fold.state().next_offset, READ_WAIT).await {
+        let asked = clock.now();
+        match store.read(next_offset, READ_WAIT).await {
             Ok(entries) => {
-                let before = fold.state().revision;
-                entries
-                    .into_iter()
-                    .for_each(|entry| advance(&mut fold, entry));
-                if fold.state().revision > before && announce(&fold, &desk).await.is_err() {
+                let reading = decode_entries(asked, next_offset, entries);
+                next_offset = reading.next_offset;
+                let event = DispatchEvent::LogRead(reading);
+                if desk.send(DeskMessage::Event(event)).await.is_err() {
                     return;
                 }
             }
@@ -38,34 +43,24 @@
     }
 }
 
-fn advance(fold: &mut FleetFold, entry: LogEntry) {
+fn decode_entries(asked: Instant, from: LogOffset, entries: Vec<LogEntry>) -> LogReading {
+    let next_offset = entries.last().map_or(from, |entry| entry.offset + 1);
+    let records = entries.iter().filter_map(decode_entry).collect();
+    LogReading {
+        asked,
+        records,
+        next_offset,
+    }
+}
+
+fn decode_entry(entry: &LogEntry) -> Option<(LogOffset, Arc<LogRecord>)> {
     let offset = entry.offset;
-    let record = match decode_record(&entry.bytes) {
-        Ok(record) => record,
+    match decode_record(&entry.bytes) {
+        Ok(record) => Some((offset, Arc::new(record))),
         Err(error) => {
             let event = EventCode::RecordMalformed;
             tracing::warn!(event = event.number(), offset, %error, "record skipped");
-            return fold.skip(offset);
+            None
         }
-    };
-    let author = record.author.clone();
-    if let FoldOutcome::Rejected(reason) = fold.advance(offset, record) {
-        let event = EventCode::RecordRejected;
-        tracing::warn!(event = event.number(), offset, author, %reason, "record rejected");
     }
 }
-
-async fn announce(fold: &FleetFold, desk: &RingSender<DeskMessage>) -> Result<(), RingClosed> {
-    let state = fold.state();
-    let Some(spec) = state.spec.clone() else {
-        return Ok(());
-    };
-    let revision = state.revision;
-    tracing::info!(
-        event = EventCode::FleetAccepted.number(),
-        revision,
-        "configuration in force"
-    );
-    let event = DispatchEvent::FleetChanged { revision, spec };
-    desk.send(DeskMessage::Event(event)).await
-}
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -73,7 +73,8 @@
             backend_duty::run(backends, spawner, run_receiver, sender)
         })?;
         let sender = desk_sender.clone();
-        DutyThread::spawn("log", move |_| log_duty::run(log, sender))?;
+        let log_clock = Arc::clone(&clock);
+        DutyThread::spawn("log", move |_| log_duty::run(log, log_clock, sender))?;
         let sender = desk_sender.clone();
         let poll = settings.instance_poll;
         DutyThread::spawn("instances", move |_| {
--- a/crates/log/src/fold.rs
+++ b/crates/log/src/fold.rs
@@ -54,26 +54,26 @@
         &self.state
     }
 
-    /// Skips the record at `offset` because it could not be decoded.
-    pub fn skip(&mut self, offset: LogOffset) {
-        self.state.next_offset = self.state.next_offset.max(offset + 1);
+    /// Moves the next offset to `next_offset` past records that could not be decoded.
+    pub fn skip_to(&mut self, next_offset: LogOffset) {
+        self.state.next_offset = self.state.next_offset.max(next_offset);
     }
 
     /// Folds the record at `offset`; records before the next offset change nothing.
-    pub fn advance(&mut self, offset: LogOffset, record: LogRecord) -> FoldOutcome {
+    pub fn advance(&mut self, offset: LogOffset, record: &LogRecord) -> FoldOutcome {
         if offset < self.state.next_offset {
             return FoldOutcome::Repeated;
         }
-        self.skip(offset);
+        self.skip_to(offset + 1);
         if !self.seen.insert(record.id) {
             return FoldOutcome::Repeated;
         }
-        match record.body {
+        match &record.body {
             RecordBody::Fleet(proposal) => self.advance_fleet(proposal),
         }
     }
 
-    fn advance_fleet(&mut self, proposal: FleetProposal) -> FoldOutcome {
+    fn advance_fleet(&mut self, proposal: &FleetProposal) -> FoldOutcome {
         if proposal.base != self.state.revision {
             return FoldOutcome::Rejected(RejectReason::StaleRevision);
         }
@@ -82,7 +82,7 @@
             return FoldOutcome::Rejected(RejectReason::OtherFleet);
         }
         self.state.revision += 1;
-        self.state.spec = Some(Arc::new(proposal.spec));
+        self.state.spec = Some(Arc::clone(&proposal.spec));
         FoldOutcome::Accepted
     }
 }
--- a/crates/log/src/record.rs
+++ b/crates/log/src/record.rs
@@ -1,5 +1,6 @@
 //! Records that operators and entry instances append to the log.
 
+use std::sync::Arc;
 use std::time::SystemTime;
 
 use pw_base::prelude::*;
@@ -32,5 +33,5 @@
     /// Revision that the change was made from.
     pub base: FleetRevision,
     /// The whole fleet after the change.
-    pub spec: FleetSpec,
+    pub spec: Arc<FleetSpec>,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! workers and keep the promises of the fleet. Each area is a crate of its own, re-exported here.
 
 pub use pw_base as base;
+pub use pw_contract as contract;
 pub use pw_dispatch as dispatch;
 pub use pw_entry as entry;
 pub use pw_fleet as fleet;
@@ -19,6 +20,7 @@
 /// The names that most users need, of all areas.
 pub mod prelude {
     pub use pw_base::prelude::*;
+    pub use pw_contract::prelude::*;
     pub use pw_dispatch::prelude::*;
     pub use pw_entry::prelude::*;
     pub use pw_fleet::prelude::*;
