--- /dev/null
+++ b/crates/link/tests/fuzz_http.rs
@@ -0,0 +1,113 @@
+//! Property tests of the HTTP server: no bytes of a caller stop it or make it answer nonsense.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+
+use futures_lite::future::{BoxedLocal, FutureExt};
+use http_types::{Request, Response, StatusCode};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::sample::{Index, select};
+use proptest::test_runner::{RngSeed, TestRunner};
+use pw_link::prelude::*;
+use pw_ring::prelude::*;
+
+const SEED: u64 = 0x0000_4177;
+const GOOD_REQUEST: &[u8] =
+    b"POST /queues/a/tasks HTTP/1.1\r\nHost: entry\r\nContent-Length: 4\r\n\r\nplan";
+
+struct EchoHandler;
+
+impl HttpHandler for EchoHandler {
+    fn handle(&self, mut request: Request) -> BoxedLocal<Response> {
+        async move {
+            let body = request.body_bytes().await.unwrap_or_default();
+            let mut response = Response::new(StatusCode::Ok);
+            response.set_body(body);
+            response
+        }
+        .boxed_local()
+    }
+}
+
+fn start_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback address");
+    let address = listener.local_addr().expect("bound address");
+    DutyThread::spawn("http", move |spawner| async move {
+        let handler: Rc<dyn HttpHandler> = Rc::new(EchoHandler);
+        serve_http(listener, spawner, handler)
+            .await
+            .expect("listener");
+    })
+    .expect("thread");
+    address
+}
+
+/// Sends `bytes`, ends the stream, and returns all that the server says before it closes.
+fn exchange(address: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let mut stream = TcpStream::connect(address).expect("server listens");
+    let mut answer = Vec::new();
+    // The server may close early on bytes that it refuses.
+    if stream.write_all(bytes).is_ok() && stream.shutdown(Shutdown::Write).is_ok() {
+        _ = stream.read_to_end(&mut answer);
+    }
+    answer
+}
+
+fn assert_serves(address: SocketAddr) {
+    let answer = exchange(address, GOOD_REQUEST);
+    assert!(answer.starts_with(b"HTTP/1.1 200"), "server is gone");
+    assert!(answer.ends_with(b"plan"), "answer is not the request's own");
+}
+
+fn bad_bytes() -> impl Strategy<Value = Vec<u8>> {
+    let tokens = select(vec![
+        "GET ",
+        "POST ",
+        "\u{0}",
+        "/",
+        "/queues/%ff",
+        " HTTP/1.1\r\n",
+        " HTTP/9.9\r\n",
+        "\r\n",
+        "Host: a\r\n",
+        "Content-Length: 99999999999999999999\r\n",
+        "Content-Length: -1\r\n",
+        "Content-Length: 5\r\n",
+        "Transfer-Encoding: chunked\r\n",
+        "ffffffffffffffff\r\n",
+        "Authorization: Bearer \u{7f}\r\n",
+        "Expect: 100-continue\r\n",
+        "\r\n\r\n",
+        ":\r\n",
+    ]);
+    let heads = vec(tokens, 0..16).prop_map(|tokens| tokens.concat().into_bytes());
+    let mutations = (any::<Index>(), any::<u8>()).prop_map(|(at, byte)| {
+        let mut bytes = GOOD_REQUEST.to_vec();
+        let at = at.index(bytes.len());
+        bytes[at] = byte;
+        bytes
+    });
+    let truncations =
+        any::<Index>().prop_map(|at| GOOD_REQUEST[..at.index(GOOD_REQUEST.len())].to_vec());
+    prop_oneof![vec(any::<u8>(), 0..300), heads, mutations, truncations]
+}
+
+#[test]
+fn bad_requests_do_not_stop_the_server() {
+    let address = start_server();
+    let mut runner = TestRunner::new(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    });
+    runner
+        .run(&bad_bytes(), |bytes| {
+            exchange(address, &bytes);
+            assert_serves(address);
+            Ok(())
+        })
+        .expect("server survives");
+}
