--- a/crates/base/src/finding.rs
+++ b/crates/base/src/finding.rs
@@ -20,29 +20,43 @@
 pub struct FileFinding {
     /// Where it is.
     pub place: FilePlace,
-    /// Stable code, such as `F002`.
-    pub code: &'static str,
+    /// Stable code, such as `F007`.
+    pub code: String,
     /// What is wrong.
     pub message: String,
     /// What to do about it.
     pub hint: String,
 }
 
-impl FilePlace {
-    /// Returns the place of the byte `offset` in `text`.
-    pub fn at(file: &str, text: &str, offset: usize) -> Self {
-        let before = text.get(..offset).unwrap_or(text);
-        let column = before
-            .rsplit('\n')
-            .next()
-            .unwrap_or_default()
-            .chars()
-            .count()
-            + 1;
+/// Finds lines and columns in one text.
+#[derive(Debug, Clone)]
+pub struct LineIndex<'a> {
+    file: &'a str,
+    text: &'a str,
+    starts: Vec<usize>,
+}
+
+impl<'a> LineIndex<'a> {
+    /// Indexes `text`; `file` names it in the places.
+    pub fn new(file: &'a str, text: &'a str) -> Self {
+        let after_breaks = text.match_indices('\n').map(|(offset, _)| offset + 1);
         Self {
-            file: file.to_owned(),
-            line: before.matches('\n').count() + 1,
-            column,
+            file,
+            text,
+            starts: std::iter::once(0).chain(after_breaks).collect(),
+        }
+    }
+
+    /// Returns the place of the byte at `offset`; an offset past the end counts as the end.
+    pub fn place(&self, offset: usize) -> FilePlace {
+        let offset = offset.min(self.text.len());
+        let line = self.starts.partition_point(|start| *start <= offset);
+        let start = self.starts[line - 1];
+        let before = self.text.get(start..offset).unwrap_or_default();
+        FilePlace {
+            file: self.file.to_owned(),
+            line,
+            column: before.chars().count() + 1,
         }
     }
 }
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -9,6 +9,6 @@
 pub mod prelude {
     pub use crate::clock::{ClockSource, ManualClock, SystemClock};
     pub use crate::event::EventCode;
-    pub use crate::finding::{FileFinding, FilePlace};
+    pub use crate::finding::{FileFinding, FilePlace, LineIndex};
     pub use crate::id::*;
 }
--- a/crates/fleet/src/check.rs
+++ b/crates/fleet/src/check.rs
@@ -1,144 +1,127 @@
 //! Checks of a fleet file; every finding is reported, not only the first.
 
-use std::collections::HashSet;
-
-use indexmap::IndexMap;
 use pw_base::prelude::*;
+use strum::{AsRefStr, EnumIter, EnumMessage};
 
+use crate::document::FleetDocument;
+use crate::rules::{FleetSections, check_rules};
 use crate::spec::FleetSpec;
 
-/// Code of a file that is not TOML or does not have the shape of a fleet.
-const SYNTAX_CODE: &str = "F001";
-/// Code of an identifier that stands twice.
-const DUPLICATE_CODE: &str = "F002";
-/// Code of a name that nothing declares.
-const DANGLING_CODE: &str = "F003";
-/// Code of a worker that more than one pool claims.
-const CLAIMED_TWICE_CODE: &str = "F004";
+/// Largest fleet file in bytes.
+pub const MAX_FLEET_BYTES: usize = 16 * 1024 * 1024;
+
+/// Stable code of a kind of finding in a fleet file.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, AsRefStr, EnumIter, EnumMessage)]
+pub enum FindingCode {
+    /// The file is not TOML.
+    #[strum(serialize = "F001", message = "The file is not TOML.")]
+    Syntax,
+    /// The file is not UTF-8.
+    #[strum(serialize = "F002", message = "The file is not UTF-8.")]
+    Encoding,
+    /// The file is larger than the bound.
+    #[strum(serialize = "F003", message = "The file is larger than the bound.")]
+    TooLarge,
+    /// A field is unknown or its value has the wrong type or range.
+    #[strum(
+        serialize = "F004",
+        message = "A field is unknown or its value is malformed."
+    )]
+    Field,
+    /// A required field is missing.
+    #[strum(serialize = "F005", message = "A required field is missing.")]
+    Missing,
+    /// A name has characters that are not allowed, or is empty or too long.
+    #[strum(serialize = "F006", message = "A name is malformed.")]
+    Name,
+    /// Two things of the same kind have the same name.
+    #[strum(serialize = "F007", message = "A name is declared twice.")]
+    Duplicate,
+    /// A name refers to nothing.
+    #[strum(serialize = "F008", message = "A name refers to nothing.")]
+    Dangling,
+    /// More than one pool claims a worker, or one pool claims it twice.
+    #[strum(serialize = "F009", message = "A worker is claimed more than once.")]
+    ClaimedTwice,
+    /// No pool claims a worker.
+    #[strum(serialize = "F010", message = "A worker is in no pool.")]
+    Unclaimed,
+    /// An availability budget can't be kept or allows no maintenance.
+    #[strum(serialize = "F011", message = "An availability budget is impossible.")]
+    Budget,
+    /// A team's upper limit is under what its share entitles it to.
+    #[strum(
+        serialize = "F012",
+        message = "An upper limit is under the team's share."
+    )]
+    LimitUnderShare,
+    /// Two keys have the same digest.
+    #[strum(serialize = "F013", message = "A key is granted twice.")]
+    KeyTwice,
+    /// A number or duration must be above 0.
+    #[strum(serialize = "F014", message = "A number or duration must be above 0.")]
+    Zero,
+    /// A queue's tasks can't finish before its deadline.
+    #[strum(
+        serialize = "F015",
+        message = "A queue's deadline is shorter than its run timeout."
+    )]
+    Deadline,
+    /// A rack stands in two availability zones.
+    #[strum(
+        serialize = "F016",
+        message = "A rack stands in two availability zones."
+    )]
+    RackSplit,
+}
 
-/// Reads and checks the fleet file `text`; `file` names it in the findings.
+/// Reads and checks the bytes of a fleet file; `file` names it in the findings.
 ///
 /// # Errors
 ///
 /// Returns all findings, at least one, ordered by place.
-pub fn check_fleet(file: &str, text: &str) -> Result<FleetSpec, Vec<FileFinding>> {
-    let spec: FleetSpec = toml::from_str(text).map_err(|error| {
-        let offset = error.span().map_or(0, |span| span.start);
-        vec![FileFinding {
-            place: FilePlace::at(file, text, offset),
-            code: SYNTAX_CODE,
-            message: error.message().to_owned(),
-            hint: String::new(),
-        }]
-    })?;
-    let mut sheet = FindingSheet {
-        file,
-        text,
-        findings: Vec::new(),
-    };
-    check_duplicates(&spec, &mut sheet);
-    check_names(&spec, &mut sheet);
-    check_membership(&spec, &mut sheet);
-    sheet.findings.sort();
-    if sheet.findings.is_empty() {
-        Ok(spec)
-    } else {
-        Err(sheet.findings)
-    }
-}
-
-struct FindingSheet<'a> {
-    file: &'a str,
-    text: &'a str,
-    findings: Vec<FileFinding>,
-}
-
-impl FindingSheet<'_> {
-    /// Adds a finding at the last place where `name` stands in quotes.
-    fn add(&mut self, name: &str, code: &'static str, message: String, hint: &str) {
-        let offset = self.text.rfind(&format!("\"{name}\"")).unwrap_or(0);
-        self.findings.push(FileFinding {
-            place: FilePlace::at(self.file, self.text, offset),
-            code,
-            message,
-            hint: hint.to_owned(),
-        });
-    }
-}
-
-fn check_duplicates(spec: &FleetSpec, sheet: &mut FindingSheet<'_>) {
-    let lists: [(&str, Vec<&str>); 5] = [
-        ("zone", spec.zones.iter().map(|zone| &*zone.id).collect()),
-        (
-            "worker",
-            spec.workers.iter().map(|worker| &*worker.id).collect(),
-        ),
-        ("pool", spec.pools.iter().map(|pool| &*pool.id).collect()),
-        ("team", spec.teams.iter().map(|team| &*team.id).collect()),
-        (
-            "queue",
-            spec.queues.iter().map(|queue| &*queue.id).collect(),
-        ),
-    ];
-    for (kind, ids) in lists {
-        let mut seen = HashSet::new();
-        for id in ids.into_iter().filter(|id| !seen.insert(*id)) {
-            let message = format!("{kind} \"{id}\" is declared twice");
-            sheet.add(id, DUPLICATE_CODE, message, "remove or rename one of them");
+pub fn check_bytes(file: &str, bytes: &[u8]) -> Result<FleetSpec, Vec<FileFinding>> {
+    match std::str::from_utf8(bytes) {
+        Ok(text) => check_fleet(file, text),
+        Err(error) => {
+            let valid = String::from_utf8_lossy(&bytes[..error.valid_up_to()]);
+            Err(vec![FileFinding {
+                place: LineIndex::new(file, &valid).place(valid.len()),
+                code: FindingCode::Encoding.as_ref().to_owned(),
+                message: "the file is not UTF-8 from here on".to_owned(),
+                hint: "save the file as UTF-8".to_owned(),
+            }])
         }
     }
 }
 
-fn check_names(spec: &FleetSpec, sheet: &mut FindingSheet<'_>) {
-    let zones: HashSet<&str> = spec.zones.iter().map(|zone| &*zone.id).collect();
-    let workers: HashSet<&str> = spec.workers.iter().map(|worker| &*worker.id).collect();
-    let pools: HashSet<&str> = spec.pools.iter().map(|pool| &*pool.id).collect();
-    let mut dangling = |kind: &str, name: &str| {
-        let message = format!("{kind} \"{name}\" does not exist");
-        sheet.add(
-            name,
-            DANGLING_CODE,
-            message,
-            "declare it or correct the name",
-        );
-    };
-    for worker in spec
-        .workers
-        .iter()
-        .filter(|worker| !zones.contains(&*worker.zone))
-    {
-        dangling("zone", &worker.zone);
-    }
-    for id in spec.pools.iter().flat_map(|pool| &pool.workers) {
-        if !workers.contains(&**id) {
-            dangling("worker", id);
-        }
+/// Reads and checks the text of a fleet file; `file` names it in the findings.
+///
+/// # Errors
+///
+/// Returns all findings, at least one, ordered by place.
+pub fn check_fleet(file: &str, text: &str) -> Result<FleetSpec, Vec<FileFinding>> {
+    if text.len() > MAX_FLEET_BYTES {
+        return Err(vec![FileFinding {
+            place: LineIndex::new(file, "").place(0),
+            code: FindingCode::TooLarge.as_ref().to_owned(),
+            message: format!(
+                "the file has {} bytes, more than {MAX_FLEET_BYTES}",
+                text.len()
+            ),
+            hint: "split the fleet".to_owned(),
+        }]);
     }
-    for queue in spec
-        .queues
-        .iter()
-        .filter(|queue| !pools.contains(&*queue.pool))
-    {
-        dangling("pool", &queue.pool);
+    let mut document = FleetDocument::parse(file, text);
+    if document.is_malformed() {
+        return Err(document.into_findings());
     }
-}
-
-fn check_membership(spec: &FleetSpec, sheet: &mut FindingSheet<'_>) {
-    let mut owners: IndexMap<&str, &str> = IndexMap::new();
-    for pool in &spec.pools {
-        for id in &pool.workers {
-            if let Some(owner) = owners.insert(id, &pool.id) {
-                let message = format!(
-                    "worker \"{id}\" is claimed by pools \"{owner}\" and \"{}\"",
-                    pool.id
-                );
-                sheet.add(
-                    id,
-                    CLAIMED_TWICE_CODE,
-                    message,
-                    "list it in exactly one pool",
-                );
-            }
-        }
+    let sections = FleetSections::read(&mut document);
+    check_rules(&sections, &mut document);
+    let findings = document.into_findings();
+    if findings.is_empty() {
+        Ok(sections.into_spec())
+    } else {
+        Err(findings)
     }
 }
--- a/tools/ci/run_tests.py
+++ b/tools/ci/run_tests.py
@@ -11,7 +11,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
-RESULT = re.compile(r"^test (\S+)(?: - should panic)? \.\.\. (ok|FAILED|ignored)", re.MULTILINE)
+RESULT = re.compile(r"^test (\S+)(?: - should panic)?\s+\.\.\. (ok|FAILED|ignored)", re.MULTILINE)
 LIBTEST_FAILURE = 101
 
 
