Give operators check, diff, apply, status, audit and digest

Cause: the command could only check and apply, and an append whose answer was lost ended it. Change: an action a module; tables for people, JSON for machines; an append is repeated with the same identity until the fold has judged it, so a lost answer applies a file once; the loser of a race is told why and at which revision the fleet is. Measured: tests with a log that loses three answers after the effect, and with two operators.

--- /dev/null
+++ b/crates/cli/src/command.rs
@@ -0,0 +1,81 @@
+//! Arguments of the command and the choice of an action.
+
+use std::process::ExitCode;
+
+use argh::{EarlyExit, FromArgs};
+
+use crate::apply::ApplyArgs;
+use crate::audit::AuditArgs;
+use crate::check::CheckArgs;
+use crate::diff::DiffArgs;
+use crate::digest::DigestArgs;
+use crate::status::StatusArgs;
+use crate::{apply, audit, check, diff, digest, status};
+
+/// Checks and applies fleet files, and shows what became of them.
+#[derive(Debug, FromArgs)]
+pub struct FleetArgs {
+    #[argh(subcommand)]
+    action: ActionChoice,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum ActionChoice {
+    Check(CheckArgs),
+    Diff(DiffArgs),
+    Apply(ApplyArgs),
+    Status(StatusArgs),
+    Audit(AuditArgs),
+    Digest(DigestArgs),
+}
+
+/// What the exit code of the command says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub enum ExitStatus {
+    /// Done.
+    Done = 0,
+    /// The files have findings, or the change was rejected and nothing changed.
+    Rejected = 1,
+    /// Wrong usage, or the action could not be carried out.
+    Failed = 2,
+}
+
+impl From<ExitStatus> for ExitCode {
+    fn from(status: ExitStatus) -> Self {
+        Self::from(status as u8)
+    }
+}
+
+/// Parses the arguments of the process, runs the chosen action and returns the exit code.
+pub fn run_command() -> ExitCode {
+    let args: Vec<String> = std::env::args().collect();
+    let words: Vec<&str> = args.iter().map(String::as_str).collect();
+    let (command, rest) = words.split_first().unwrap_or((&"primrosewheel", &[]));
+    match FleetArgs::from_args(&[command], rest) {
+        Ok(args) => run_action(args).unwrap_or_else(|error| {
+            eprintln!("error: {error:#}");
+            ExitStatus::Failed
+        }),
+        Err(EarlyExit { output, status }) => {
+            match status {
+                Ok(()) => println!("{output}"),
+                Err(()) => eprintln!("{output}"),
+            }
+            status.map_or(ExitStatus::Failed, |()| ExitStatus::Done)
+        }
+    }
+    .into()
+}
+
+fn run_action(args: FleetArgs) -> anyhow::Result<ExitStatus> {
+    match args.action {
+        ActionChoice::Check(args) => check::run(&args),
+        ActionChoice::Diff(args) => async_io::block_on(diff::run(args)),
+        ActionChoice::Apply(args) => async_io::block_on(apply::run(args)),
+        ActionChoice::Status(args) => async_io::block_on(status::run(args)),
+        ActionChoice::Audit(args) => async_io::block_on(audit::run(args)),
+        ActionChoice::Digest(args) => digest::run(&args),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/follow.rs
@@ -0,0 +1,107 @@
+//! Reading and folding the platform's log.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pw_base::prelude::*;
+use pw_fleet::prelude::*;
+use pw_link::prelude::*;
+use pw_log::prelude::*;
+
+/// Follows the platform's log and folds each record.
+pub struct LogFollower {
+    store: Box<dyn LogStore>,
+    fold: FleetFold,
+}
+
+/// A folded record with the fleet before and after it.
+#[derive(Debug, Clone)]
+pub struct FoldedRecord {
+    /// Position in the log.
+    pub offset: LogOffset,
+    /// The record.
+    pub record: Arc<LogRecord>,
+    /// What the fold did with it.
+    pub outcome: FoldOutcome,
+    /// The fleet before the record.
+    pub before: FleetState,
+    /// The fleet after the record.
+    pub after: FleetState,
+}
+
+impl LogFollower {
+    /// Creates a follower of the log service at `address`.
+    pub fn over_http(address: SocketAddr) -> Self {
+        Self::new(Box::new(HttpLog::new(address)))
+    }
+
+    /// Creates a follower of `store` that has read nothing yet.
+    pub fn new(store: Box<dyn LogStore>) -> Self {
+        Self {
+            store,
+            fold: FleetFold::default(),
+        }
+    }
+
+    /// Returns the log itself.
+    pub fn store(&self) -> &dyn LogStore {
+        &*self.store
+    }
+
+    /// Returns the fleet after the records so far.
+    pub fn state(&self) -> &FleetState {
+        self.fold.state()
+    }
+
+    /// Returns the configuration in force, if there is one.
+    pub fn spec(&self) -> Option<&FleetSpec> {
+        self.state().spec.as_deref()
+    }
+
+    /// Reads once, waiting up to `wait` for a record, and returns what was folded.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the log can't be read.
+    pub async fn advance(&mut self, wait: Duration) -> Result<Vec<FoldedRecord>, LogError> {
+        let entries = self.store.read(self.state().next_offset, wait).await?;
+        Ok(entries
+            .into_iter()
+            .filter_map(|entry| self.fold_entry(&entry))
+            .collect())
+    }
+
+    /// Reads to the end of the log and returns all that was folded.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the log can't be read.
+    pub async fn catch_up(&mut self) -> Result<Vec<FoldedRecord>, LogError> {
+        let mut folded = Vec::new();
+        loop {
+            let from = self.state().next_offset;
+            folded.extend(self.advance(Duration::ZERO).await?);
+            if self.state().next_offset == from {
+                return Ok(folded);
+            }
+        }
+    }
+
+    fn fold_entry(&mut self, entry: &LogEntry) -> Option<FoldedRecord> {
+        let offset = entry.offset;
+        let Ok(record) = decode_record(&entry.bytes) else {
+            self.fold.skip_to(offset + 1);
+            return None;
+        };
+        let before = self.state().clone();
+        let outcome = self.fold.advance(offset, &record);
+        Some(FoldedRecord {
+            offset,
+            record: Arc::new(record),
+            outcome,
+            before,
+            after: self.state().clone(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/cli/src/status.rs
@@ -0,0 +1,190 @@
+//! `status`: shows the fleet in force and the entry instances that serve it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::{Context, ensure};
+use argh::FromArgs;
+use http_types::{Method, Request, StatusCode};
+use pw_base::prelude::*;
+use pw_fleet::prelude::*;
+use pw_link::prelude::*;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::command::ExitStatus;
+use crate::follow::LogFollower;
+use crate::output::{print_json, print_lines, print_table};
+
+/// Longest wait for an entry instance's status.
+const ENTRY_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Shows the fleet in force and the entry instances that serve it.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct StatusArgs {
+    /// address of the platform's log service
+    #[argh(option)]
+    log: SocketAddr,
+    /// admin address of an entry instance; may be repeated
+    #[argh(option)]
+    entry: Vec<SocketAddr>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Status of a fleet.
+#[derive(Debug, Clone, Serialize)]
+pub struct FleetStatus {
+    /// Revision in force; 0 before the first one.
+    pub revision: FleetRevision,
+    /// The fleet in force.
+    pub spec: Option<FleetSpec>,
+    /// Status of each entry instance that was asked.
+    pub entries: Vec<EntryStatus>,
+}
+
+/// Status of one entry instance.
+#[derive(Debug, Clone, Serialize)]
+pub struct EntryStatus {
+    /// Admin address.
+    pub admin: SocketAddr,
+    /// What it reported.
+    pub report: Option<Value>,
+    /// Why there is no report.
+    pub error: Option<String>,
+}
+
+/// Reads the log and the entry instances and prints their status.
+///
+/// # Errors
+///
+/// Fails when the log can't be read.
+pub async fn run(args: StatusArgs) -> anyhow::Result<ExitStatus> {
+    let mut follower = LogFollower::over_http(args.log);
+    follower.catch_up().await?;
+    let mut entries = Vec::new();
+    for admin in args.entry {
+        entries.push(ask_entry(admin).await);
+    }
+    let status = FleetStatus {
+        revision: follower.state().revision,
+        spec: follower.spec().cloned(),
+        entries,
+    };
+    if args.json {
+        print_json(&status)?;
+    } else {
+        print_status(&status)?;
+    }
+    Ok(ExitStatus::Done)
+}
+
+async fn ask_entry(admin: SocketAddr) -> EntryStatus {
+    let result = read_report(admin).await;
+    let error = result.as_ref().err().map(|error| format!("{error:#}"));
+    EntryStatus {
+        admin,
+        report: result.ok(),
+        error,
+    }
+}
+
+async fn read_report(admin: SocketAddr) -> anyhow::Result<Value> {
+    let url = format!("http://{admin}/status");
+    let request = Request::new(Method::Get, url.as_str());
+    let response = call_http(admin, request, ENTRY_TIMEOUT).await?;
+    ensure!(
+        response.status() == StatusCode::Ok,
+        "status {}",
+        response.status()
+    );
+    serde_json::from_slice(&response.body).context("malformed status")
+}
+
+fn print_status(status: &FleetStatus) -> anyhow::Result<()> {
+    let Some(spec) = &status.spec else {
+        return print_lines(["no fleet is in force".to_owned()]);
+    };
+    print_lines([
+        format!("fleet {} at revision {}", spec.fleet, status.revision),
+        String::new(),
+    ])?;
+    print_table(&["ZONE", "REGION", "STATUS", "WORKERS"], zone_rows(spec))?;
+    print_lines([String::new()])?;
+    print_table(
+        &["POOL", "WORKERS", "SLOTS", "MAX UNAVAILABLE", "SPARE"],
+        pool_rows(spec),
+    )?;
+    print_lines([String::new()])?;
+    print_table(&["TEAM", "SHARE", "LIMIT", "KEYS"], team_rows(spec))?;
+    print_lines([String::new()])?;
+    print_table(
+        &["ENTRY", "REPORT"],
+        status.entries.iter().map(entry_row).collect(),
+    )
+}
+
+fn zone_rows(spec: &FleetSpec) -> Vec<Vec<String>> {
+    let workers = |zone: &str| {
+        spec.workers
+            .iter()
+            .filter(|worker| &*worker.zone == zone)
+            .count()
+    };
+    spec.zones
+        .iter()
+        .map(|zone| {
+            let status = zone.status.to_string();
+            vec![
+                zone.id.to_string(),
+                zone.region.clone(),
+                status,
+                workers(&zone.id).to_string(),
+            ]
+        })
+        .collect()
+}
+
+fn pool_rows(spec: &FleetSpec) -> Vec<Vec<String>> {
+    let slots = |ids: &[WorkerId]| -> u32 {
+        let workers = spec
+            .workers
+            .iter()
+            .filter(|worker| ids.contains(&worker.id));
+        workers.map(|worker| worker.slots).sum()
+    };
+    spec.pools
+        .iter()
+        .map(|pool| {
+            vec![
+                pool.id.to_string(),
+                pool.workers.len().to_string(),
+                slots(&pool.workers).to_string(),
+                pool.max_unavailable.to_string(),
+                if pool.spare { "yes" } else { "no" }.to_owned(),
+            ]
+        })
+        .collect()
+}
+
+fn team_rows(spec: &FleetSpec) -> Vec<Vec<String>> {
+    spec.teams
+        .iter()
+        .map(|team| {
+            let keys: Vec<&str> = team.keys.iter().map(|key| &*key.id).collect();
+            let numbers = [team.share.to_string(), team.limit.to_string()];
+            let [share, limit] = numbers;
+            vec![team.id.to_string(), share, limit, keys.join(" ")]
+        })
+        .collect()
+}
+
+fn entry_row(entry: &EntryStatus) -> Vec<String> {
+    let report = match (&entry.report, &entry.error) {
+        (Some(report), _) => report.to_string(),
+        (None, error) => format!("no answer: {}", error.as_deref().unwrap_or("unknown")),
+    };
+    vec![entry.admin.to_string(), report]
+}
--- /dev/null
+++ b/crates/cli/tests/apply.rs
@@ -0,0 +1,115 @@
+//! Applying fleet files while operators race and the log loses answers.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_lite::future::{BoxedLocal, FutureExt, block_on};
+use pw_cli::apply::{ApplyReport, apply_spec};
+use pw_cli::audit::audit_line;
+use pw_cli::follow::LogFollower;
+use pw_fleet::prelude::*;
+use pw_log::prelude::*;
+
+/// A log in memory that can lose the answers of appends after they took effect.
+#[derive(Clone, Default)]
+struct FakeLog {
+    records: Rc<RefCell<Vec<Vec<u8>>>>,
+    lost_answers: Rc<Cell<u32>>,
+}
+
+impl LogStore for FakeLog {
+    fn append(&self, bytes: Vec<u8>) -> BoxedLocal<Result<u64, LogError>> {
+        self.records.borrow_mut().push(bytes);
+        let offset = self.records.borrow().len() as u64 - 1;
+        let lost = self.lost_answers.get();
+        self.lost_answers.set(lost.saturating_sub(1));
+        let unreachable = LogError::Unreachable("answer lost".to_owned());
+        async move {
+            if lost > 0 {
+                Err(unreachable)
+            } else {
+                Ok(offset)
+            }
+        }
+        .boxed_local()
+    }
+
+    fn read(&self, from: u64, _wait: Duration) -> BoxedLocal<Result<Vec<LogEntry>, LogError>> {
+        let records = self.records.borrow();
+        let entries = records
+            .iter()
+            .enumerate()
+            .skip(from as usize)
+            .map(|(offset, bytes)| LogEntry {
+                offset: offset as u64,
+                bytes: bytes.clone(),
+            })
+            .collect();
+        async move { Ok(entries) }.boxed_local()
+    }
+}
+
+fn fleet(zone: &str) -> FleetSpec {
+    let text = format!("fleet = \"f\"\n[[zones]]\nid = \"{zone}\"\n");
+    check_fleet("fleet.toml", &text).expect("clean")
+}
+
+fn apply(follower: &mut LogFollower, operator: &str, zone: &str) -> ApplyReport {
+    let diff = FleetDiff::default();
+    block_on(apply_spec(follower, operator, None, fleet(zone), &diff)).expect("outcome is known")
+}
+
+fn follower(log: &FakeLog) -> LogFollower {
+    LogFollower::new(Box::new(log.clone()))
+}
+
+#[test]
+fn loser_of_a_race_is_told_and_changes_nothing() {
+    let log = FakeLog::default();
+    let (mut first, mut second) = (follower(&log), follower(&log));
+    block_on(first.catch_up()).expect("read");
+    block_on(second.catch_up()).expect("read");
+    assert!(apply(&mut first, "ane", "a").accepted);
+    let report = apply(&mut second, "bert", "b");
+    assert!(!report.accepted);
+    assert_eq!(report.reason.as_deref(), Some("stale-revision"));
+    assert_eq!(second.spec(), Some(&fleet("a")));
+}
+
+#[test]
+fn lost_answers_apply_a_file_once() {
+    let log = FakeLog::default();
+    log.lost_answers.set(3);
+    let report = apply(&mut follower(&log), "ane", "a");
+    assert!(report.accepted);
+    let mut reader = follower(&log);
+    let folded = block_on(reader.catch_up()).expect("read");
+    assert_eq!(reader.state().revision, 1);
+    assert_eq!(folded.iter().filter_map(audit_line).count(), 1);
+}
+
+#[test]
+fn audit_names_operator_revision_and_changes() {
+    let log = FakeLog::default();
+    let mut ane = follower(&log);
+    apply(&mut ane, "ane", "a");
+    apply(&mut ane, "bert", "b");
+    let folded = block_on(follower(&log).catch_up()).expect("read");
+    let lines: Vec<_> = folded.iter().filter_map(audit_line).collect();
+    let last = lines.last().expect("a line");
+    assert_eq!(
+        (last.author.as_str(), last.base, last.revision),
+        ("bert", 1, 2)
+    );
+    let kinds: Vec<_> = last
+        .diff
+        .changes
+        .iter()
+        .map(|change| (change.kind, &*change.id))
+        .collect();
+    assert_eq!(
+        kinds,
+        [(ChangeKind::Removed, "a"), (ChangeKind::Added, "b")]
+    );
+}
--- a/crates/fleet/src/spec.rs
+++ b/crates/fleet/src/spec.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Declared fleet; operators apply it as a whole.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FleetSpec {
     /// Name of the fleet.
--- a/src/bin/primrosewheel.rs
+++ b/src/bin/primrosewheel.rs
@@ -3,5 +3,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    pw_cli::run_command(argh::from_env())
+    pw_cli::run_command()
 }
