Check racing operators and followers of the log by exhaustive search

Cause: the folds' promises (no lost update, the same configuration everywhere, a true outcome for the operator) were argued, not checked. Change: the crate pw_model searches the states of production objects breadth first with pathfinding and prints the shortest trace to a broken property. Its first world holds two operators and two followers with lost answers, repeated appends, relays and replacements. Four seeded mistakes are kept as tests. Found while writing: a record that is folded ahead of the own position makes the fold skip the records between, so a relayed record ahead of it has to be dropped.

--- /dev/null
+++ b/crates/model/src/config.rs
@@ -0,0 +1,467 @@
+//! Operators who race, and entry instances that follow the log.
+//!
+//! Each operator reads the log, adds a zone of its own to the configuration that it read, and
+//! appends the whole. Followers read the log or get records relayed by each other. Answers are
+//! lost after the effect, appends are repeated, operators and followers are replaced.
+
+use std::sync::Arc;
+use std::time::SystemTime;
+
+use pw_base::prelude::*;
+use pw_fleet::prelude::*;
+use pw_log::prelude::*;
+use pw_zone::prelude::*;
+use strum::{Display, EnumIter};
+
+use crate::search::{BrokenProperty, ModelWorld};
+
+/// An accepted change is in every later configuration.
+pub const NO_LOST_UPDATE: &str = "no lost update";
+/// Whoever has folded the same records holds the same configuration.
+pub const SAME_FOLD: &str = "same fold";
+/// No follower ever goes back to an earlier configuration.
+pub const NEVER_REVERTS: &str = "never reverts";
+/// An operator is told what became of its own change.
+pub const TRUE_OUTCOME: &str = "true outcome";
+
+/// Marks the new identity of a repeated append.
+const REPEAT_BIT: RecordId = 1 << 32;
+
+/// A mistake that is put into the protocol on purpose.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+pub enum ConfigMistake {
+    /// A repeated append gets a new identity.
+    RepeatUnderNewIdentity,
+    /// The fold takes proposals from any base revision.
+    ApplyWithoutBaseRevision,
+    /// A relayed record is folded without regard to the records before it.
+    RelaySkipsRecords,
+    /// An operator takes an answered append for an accepted one.
+    AnswerTakenForOutcome,
+}
+
+/// Size of a [`ConfigWorld`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConfigSettings {
+    /// Operators.
+    pub operators: usize,
+    /// Entry instances that follow.
+    pub followers: usize,
+    /// Changes that each operator makes.
+    pub changes: usize,
+    /// Faults in all: lost answers and replacements.
+    pub faults: usize,
+    /// The mistake, if any.
+    pub mistake: Option<ConfigMistake>,
+}
+
+/// The log, its operators and its followers.
+#[derive(Debug, Clone)]
+pub struct ConfigWorld {
+    settings: ConfigSettings,
+    base: Arc<FleetSpec>,
+    log: Vec<Arc<LogRecord>>,
+    /// What the accepted records should add up to, after each record.
+    expected: Vec<ExpectedFleet>,
+    operators: Vec<OperatorState>,
+    followers: Vec<LogFollower>,
+    faults: usize,
+    broken: Option<BrokenProperty>,
+}
+
+/// A step of an operator, a follower or a fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConfigAction {
+    /// An operator folds the next record.
+    OperatorReads(usize),
+    /// An operator makes a change from what it has read.
+    OperatorChanges(usize),
+    /// An operator's append takes effect and is answered.
+    AppendAnswered(usize),
+    /// An operator's append takes effect and the answer is lost.
+    AnswerLost(usize),
+    /// An operator's command ends without a result and is started again.
+    OperatorRestarts(usize),
+    /// A follower folds the next record.
+    FollowerReads(usize),
+    /// A follower gets the record at an offset from another one.
+    RecordRelayed {
+        /// Who gets it.
+        follower: usize,
+        /// Position of the record.
+        offset: LogOffset,
+    },
+    /// A follower is replaced by an empty one.
+    FollowerReplaced(usize),
+}
+
+/// What a log prefix adds up to by the specification, computed without the production fold.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+struct ExpectedFleet {
+    revision: FleetRevision,
+    zones: Vec<ZoneId>,
+    accepted: Vec<RecordId>,
+    folded: Vec<RecordId>,
+}
+
+#[derive(Debug, Clone)]
+struct OperatorState {
+    reader: LogFollower,
+    attempts: u128,
+    changes: usize,
+    phase: OperatorPhase,
+}
+
+#[derive(Debug, Clone)]
+enum OperatorPhase {
+    Reading,
+    Appending(Arc<LogRecord>),
+    Awaiting(RecordId),
+}
+
+#[derive(Debug, Clone, Default)]
+struct LogFollower {
+    fold: FleetFold,
+    /// Offsets in the order in which they were folded.
+    folded: Vec<LogOffset>,
+}
+
+impl Default for ConfigSettings {
+    fn default() -> Self {
+        Self {
+            operators: 2,
+            followers: 2,
+            changes: 1,
+            faults: 2,
+            mistake: None,
+        }
+    }
+}
+
+impl ConfigWorld {
+    /// Creates a world with an empty log.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the smallest fleet file is not accepted.
+    pub fn new(settings: ConfigSettings) -> Self {
+        let base = check_fleet("model.toml", "fleet = \"model\"").expect("smallest fleet file");
+        let operator = OperatorState {
+            reader: LogFollower::default(),
+            attempts: 0,
+            changes: 0,
+            phase: OperatorPhase::Reading,
+        };
+        Self {
+            settings,
+            base: Arc::new(base),
+            log: Vec::new(),
+            expected: vec![ExpectedFleet::default()],
+            operators: vec![operator; settings.operators],
+            followers: vec![LogFollower::default(); settings.followers],
+            faults: 0,
+            broken: None,
+        }
+    }
+
+    fn mistaken(&self, mistake: ConfigMistake) -> bool {
+        self.settings.mistake == Some(mistake)
+    }
+
+    fn break_property(&mut self, name: &'static str, seen: String) {
+        self.broken.get_or_insert(BrokenProperty { name, seen });
+    }
+
+    fn append(&mut self, record: Arc<LogRecord>) {
+        let last = self.expected.last().cloned().unwrap_or_default();
+        self.expected.push(last.after(&record));
+        self.log.push(record);
+    }
+
+    fn change(&mut self, operator: usize) {
+        let state = &mut self.operators[operator];
+        state.attempts += 1;
+        let zone = format!("zone-{operator}-{}", state.attempts);
+        let read = state.reader.fold.state();
+        let mut spec = FleetSpec::clone(read.spec.as_ref().unwrap_or(&self.base));
+        spec.zones.push(ZoneSpec {
+            id: zone.into(),
+            region: String::new(),
+            status: ZoneStatus::InService,
+        });
+        let record = LogRecord {
+            id: ((operator as u128) << 64) | state.attempts,
+            author: format!("operator-{operator}"),
+            written: SystemTime::UNIX_EPOCH,
+            body: RecordBody::Fleet(FleetProposal {
+                base: read.revision,
+                spec: Arc::new(spec),
+            }),
+        };
+        state.phase = OperatorPhase::Appending(Arc::new(record));
+    }
+
+    fn append_of(&mut self, operator: usize, answered: bool) {
+        let OperatorPhase::Appending(record) = self.operators[operator].phase.clone() else {
+            return;
+        };
+        self.append(Arc::clone(&record));
+        if answered {
+            self.operators[operator].phase = OperatorPhase::Awaiting(record.id);
+            if self.mistaken(ConfigMistake::AnswerTakenForOutcome) {
+                self.end_change(operator, record.id, FoldOutcome::Accepted);
+            }
+        } else if self.mistaken(ConfigMistake::RepeatUnderNewIdentity) {
+            let mut record = LogRecord::clone(&record);
+            record.id |= REPEAT_BIT;
+            self.operators[operator].phase = OperatorPhase::Appending(Arc::new(record));
+        }
+    }
+
+    fn operator_reads(&mut self, operator: usize) {
+        let offset = self.operators[operator].reader.next_offset();
+        let Some(record) = self.log.get(offset as usize).cloned() else {
+            return;
+        };
+        let outcome = self.fold(offset, &record, |world| {
+            &mut world.operators[operator].reader
+        });
+        if let OperatorPhase::Awaiting(id) = self.operators[operator].phase
+            && id == record.id
+        {
+            self.end_change(operator, id, outcome);
+        }
+    }
+
+    fn end_change(&mut self, operator: usize, id: RecordId, outcome: FoldOutcome) {
+        let is_own = |accepted: &RecordId| accepted & !REPEAT_BIT == id & !REPEAT_BIT;
+        let accepted = self
+            .expected
+            .iter()
+            .any(|fleet| fleet.accepted.iter().any(is_own));
+        if accepted != (outcome == FoldOutcome::Accepted) {
+            let seen = format!("operator {operator} was told {outcome:?}, accepted: {accepted}");
+            self.break_property(TRUE_OUTCOME, seen);
+        }
+        let state = &mut self.operators[operator];
+        state.phase = OperatorPhase::Reading;
+        state.changes += 1;
+    }
+
+    /// Folds a record and compares the result with what the specification expects.
+    fn fold(
+        &mut self,
+        offset: LogOffset,
+        record: &LogRecord,
+        reader: impl Fn(&mut Self) -> &mut LogFollower,
+    ) -> FoldOutcome {
+        let any_base = self.mistaken(ConfigMistake::ApplyWithoutBaseRevision);
+        let reader = reader(self);
+        let before = reader.fold.state().revision;
+        let mut record = record.clone();
+        if any_base && let RecordBody::Fleet(proposal) = &mut record.body {
+            proposal.base = before;
+        }
+        let outcome = reader.advance(offset, &record);
+        let after = reader.fold.state().clone();
+        if after.revision < before {
+            let seen = format!("revision {} after {before}", after.revision);
+            self.break_property(NEVER_REVERTS, seen);
+        }
+        self.compare(&after);
+        outcome
+    }
+
+    fn compare(&mut self, state: &FleetState) {
+        let expected = &self.expected[state.next_offset as usize];
+        let zones = zones_of(state.spec.as_deref());
+        if (expected.revision, &expected.zones) == (state.revision, &zones) {
+            return;
+        }
+        let seen = format!(
+            "revision {} with {zones:?} at offset {} where revision {} with {:?} is in force",
+            state.revision, state.next_offset, expected.revision, expected.zones
+        );
+        let lost = expected.zones.iter().any(|zone| !zones.contains(zone));
+        let name = if lost && state.revision > expected.revision {
+            NO_LOST_UPDATE
+        } else {
+            SAME_FOLD
+        };
+        self.break_property(name, seen);
+    }
+
+    /// Returns the records that another follower may pass on: those that it has folded itself.
+    ///
+    /// A record ahead of the receiver's own position is dropped there.
+    fn relays_to(&self, follower: usize) -> Vec<ConfigAction> {
+        let next = self.followers[follower].next_offset();
+        let known = self.followers.iter().map(LogFollower::next_offset).max();
+        let drops_ahead = !self.mistaken(ConfigMistake::RelaySkipsRecords);
+        (0..known.unwrap_or_default())
+            .filter(|offset| !drops_ahead || *offset <= next)
+            .map(|offset| ConfigAction::RecordRelayed { follower, offset })
+            .collect()
+    }
+
+    fn relay(&mut self, follower: usize, offset: LogOffset) {
+        let record = Arc::clone(&self.log[offset as usize]);
+        let next = self.followers[follower].next_offset();
+        if self.mistaken(ConfigMistake::RelaySkipsRecords) && offset > next {
+            self.followers[follower].fold.skip_to(offset);
+        }
+        self.fold(offset, &record, |world| &mut world.followers[follower]);
+    }
+}
+
+impl ModelWorld for ConfigWorld {
+    type Action = ConfigAction;
+    type Key = String;
+
+    fn key(&self) -> String {
+        let log: Vec<_> = self.log.iter().map(|record| summary(record)).collect();
+        let operators: Vec<_> = self
+            .operators
+            .iter()
+            .map(|operator| {
+                let phase = match &operator.phase {
+                    OperatorPhase::Reading => "reading".to_owned(),
+                    OperatorPhase::Appending(record) => summary(record),
+                    OperatorPhase::Awaiting(id) => format!("awaiting {id}"),
+                };
+                (
+                    &operator.reader.folded,
+                    operator.attempts,
+                    operator.changes,
+                    phase,
+                )
+            })
+            .collect();
+        let followers: Vec<_> = self.followers.iter().map(LogFollower::summary).collect();
+        format!(
+            "{log:?} {operators:?} {followers:?} {} {:?}",
+            self.faults, self.broken
+        )
+    }
+
+    fn actions(&self) -> Vec<ConfigAction> {
+        let mut actions = Vec::new();
+        let end = self.log.len() as LogOffset;
+        let may_fail = self.faults < self.settings.faults;
+        for (index, operator) in self.operators.iter().enumerate() {
+            let appends = matches!(operator.phase, OperatorPhase::Appending(_));
+            if !appends && operator.reader.next_offset() < end {
+                actions.push(ConfigAction::OperatorReads(index));
+            }
+            match operator.phase {
+                OperatorPhase::Reading if operator.changes < self.settings.changes => {
+                    actions.push(ConfigAction::OperatorChanges(index));
+                }
+                OperatorPhase::Appending(_) => {
+                    actions.push(ConfigAction::AppendAnswered(index));
+                    if may_fail {
+                        actions.push(ConfigAction::AnswerLost(index));
+                        actions.push(ConfigAction::OperatorRestarts(index));
+                    }
+                }
+                _ => {}
+            }
+        }
+        for (index, follower) in self.followers.iter().enumerate() {
+            if follower.next_offset() < end {
+                actions.push(ConfigAction::FollowerReads(index));
+            }
+            actions.extend(self.relays_to(index));
+            if may_fail && follower.next_offset() > 0 {
+                actions.push(ConfigAction::FollowerReplaced(index));
+            }
+        }
+        actions
+    }
+
+    fn act(&mut self, action: &ConfigAction) {
+        match *action {
+            ConfigAction::OperatorReads(operator) => self.operator_reads(operator),
+            ConfigAction::OperatorChanges(operator) => self.change(operator),
+            ConfigAction::AppendAnswered(operator) => self.append_of(operator, true),
+            ConfigAction::AnswerLost(operator) => {
+                self.faults += 1;
+                self.append_of(operator, false);
+            }
+            ConfigAction::OperatorRestarts(operator) => {
+                self.faults += 1;
+                let state = &mut self.operators[operator];
+                state.reader = LogFollower::default();
+                state.phase = OperatorPhase::Reading;
+            }
+            ConfigAction::FollowerReads(follower) => {
+                let offset = self.followers[follower].next_offset();
+                let record = Arc::clone(&self.log[offset as usize]);
+                self.fold(offset, &record, |world| &mut world.followers[follower]);
+            }
+            ConfigAction::RecordRelayed { follower, offset } => self.relay(follower, offset),
+            ConfigAction::FollowerReplaced(follower) => {
+                self.faults += 1;
+                self.followers[follower] = LogFollower::default();
+            }
+        }
+    }
+
+    fn broken(&self) -> Option<BrokenProperty> {
+        self.broken.clone()
+    }
+}
+
+impl ExpectedFleet {
+    /// Returns what the log adds up to with `record`, by the specification.
+    fn after(&self, record: &LogRecord) -> Self {
+        let mut next = self.clone();
+        let RecordBody::Fleet(proposal) = &record.body;
+        let known = next.folded.contains(&record.id);
+        next.folded.push(record.id);
+        if !known && proposal.base == next.revision {
+            next.revision += 1;
+            next.zones = zones_of(Some(&proposal.spec));
+            next.accepted.push(record.id);
+        }
+        next
+    }
+}
+
+impl LogFollower {
+    fn next_offset(&self) -> LogOffset {
+        self.fold.state().next_offset
+    }
+
+    fn advance(&mut self, offset: LogOffset, record: &LogRecord) -> FoldOutcome {
+        let before = self.next_offset();
+        let outcome = self.fold.advance(offset, record);
+        if self.next_offset() > before {
+            self.folded.push(offset);
+        }
+        outcome
+    }
+
+    fn summary(&self) -> String {
+        let state = self.fold.state();
+        let zones = zones_of(state.spec.as_deref());
+        format!(
+            "{:?} {} {} {zones:?}",
+            self.folded, state.next_offset, state.revision
+        )
+    }
+}
+
+fn zones_of(spec: Option<&FleetSpec>) -> Vec<ZoneId> {
+    spec.into_iter()
+        .flat_map(|spec| &spec.zones)
+        .map(|zone| Arc::clone(&zone.id))
+        .collect()
+}
+
+fn summary(record: &LogRecord) -> String {
+    let RecordBody::Fleet(proposal) = &record.body;
+    let zones = zones_of(Some(&proposal.spec));
+    format!("{}@{} {zones:?}", record.id, proposal.base)
+}
--- /dev/null
+++ b/crates/model/src/search.rs
@@ -0,0 +1,209 @@
+//! Breadth-first search over the reachable states of a world.
+
+use std::cell::Cell;
+use std::fmt;
+use std::hash::{Hash, Hasher};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use pathfinding::directed::bfs::bfs;
+
+/// A system under check: production objects, what is under way between them, and spent faults.
+pub trait ModelWorld: Clone {
+    /// One step of one part of the system or one fault.
+    type Action: Clone + fmt::Debug;
+    /// What tells two states apart.
+    type Key: Clone + Eq + Hash;
+
+    /// Returns what tells this state from others.
+    fn key(&self) -> Self::Key;
+
+    /// Returns the actions that are possible in this state.
+    fn actions(&self) -> Vec<Self::Action>;
+
+    /// Carries out an action.
+    fn act(&mut self, action: &Self::Action);
+
+    /// Returns the first property that does not hold in this state.
+    fn broken(&self) -> Option<BrokenProperty>;
+}
+
+/// A property that does not hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BrokenProperty {
+    /// Name of the property in `docs/SPEC.md`.
+    pub name: &'static str,
+    /// What was seen.
+    pub seen: String,
+}
+
+/// Bounds of a search; without them, time alone makes the states infinite.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SearchBound {
+    /// Most actions from the start.
+    pub max_depth: usize,
+    /// Most states that are expanded.
+    pub max_states: usize,
+}
+
+/// What a search has found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SearchReport {
+    /// States that were expanded.
+    pub states: usize,
+    /// Actions from the start to the farthest state.
+    pub depth: usize,
+    /// Whether a state was left out because of [`SearchBound::max_states`].
+    pub cut_off: bool,
+    /// Time that the search took.
+    pub elapsed: Duration,
+    /// The first broken property, with the shortest trace to it.
+    pub finding: Option<SearchFinding>,
+}
+
+/// A broken property with the actions that lead to it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SearchFinding {
+    /// The property that does not hold.
+    pub property: BrokenProperty,
+    /// The actions, in order.
+    pub trace: Vec<String>,
+}
+
+impl Default for SearchBound {
+    fn default() -> Self {
+        Self {
+            max_depth: usize::MAX,
+            max_states: 1_000_000,
+        }
+    }
+}
+
+impl fmt::Display for SearchReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (states, depth) = (self.states, self.depth);
+        write!(f, "{states} states, depth {depth}, {:.1?}", self.elapsed)?;
+        if self.cut_off {
+            write!(f, ", cut off")?;
+        }
+        match &self.finding {
+            None => write!(f, ", every property holds"),
+            Some(finding) => write!(f, "\n{finding}"),
+        }
+    }
+}
+
+impl fmt::Display for SearchFinding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.property.name, self.property.seen)?;
+        self.trace
+            .iter()
+            .enumerate()
+            .try_for_each(|(index, action)| write!(f, "\n{:3}. {action}", index + 1))
+    }
+}
+
+/// Visits every state that is reachable from `start` within `bound`.
+///
+/// The search stops at the first broken property; its trace is a shortest one.
+pub fn search<W: ModelWorld>(start: W, bound: SearchBound) -> SearchReport {
+    let started = Instant::now();
+    let states = Cell::new(0);
+    let depth = Cell::new(0);
+    let cut_off = Cell::new(false);
+    let path = bfs(
+        &SearchNode::start(start),
+        |node| {
+            if node.depth >= bound.max_depth {
+                return Vec::new();
+            }
+            if states.get() >= bound.max_states {
+                cut_off.set(true);
+                return Vec::new();
+            }
+            states.set(states.get() + 1);
+            depth.set(depth.get().max(node.depth));
+            node.successors()
+        },
+        |node| node.broken().is_some(),
+    );
+    SearchReport {
+        states: states.get(),
+        depth: depth.get(),
+        cut_off: cut_off.get(),
+        elapsed: started.elapsed(),
+        finding: path.as_deref().and_then(finding_of),
+    }
+}
+
+fn finding_of<W: ModelWorld>(path: &[SearchNode<W>]) -> Option<SearchFinding> {
+    let property = path.last()?.broken()?;
+    let actions = path.iter().filter_map(|node| node.action.as_ref());
+    let trace = actions.map(|action| format!("{action:?}")).collect();
+    Some(SearchFinding { property, trace })
+}
+
+/// A state with the action that first led to it; states of equal keys are one.
+struct SearchNode<W: ModelWorld> {
+    key: W::Key,
+    world: Rc<W>,
+    action: Option<W::Action>,
+    depth: usize,
+}
+
+impl<W: ModelWorld> SearchNode<W> {
+    fn start(world: W) -> Self {
+        Self {
+            key: world.key(),
+            world: Rc::new(world),
+            action: None,
+            depth: 0,
+        }
+    }
+
+    fn successors(&self) -> Vec<Self> {
+        let actions = self.world.actions();
+        actions
+            .into_iter()
+            .map(|action| {
+                let mut world = W::clone(&self.world);
+                world.act(&action);
+                Self {
+                    key: world.key(),
+                    world: Rc::new(world),
+                    action: Some(action),
+                    depth: self.depth + 1,
+                }
+            })
+            .collect()
+    }
+
+    fn broken(&self) -> Option<BrokenProperty> {
+        self.world.broken()
+    }
+}
+
+impl<W: ModelWorld> Clone for SearchNode<W> {
+    fn clone(&self) -> Self {
+        Self {
+            key: self.key.clone(),
+            world: Rc::clone(&self.world),
+            action: self.action.clone(),
+            depth: self.depth,
+        }
+    }
+}
+
+impl<W: ModelWorld> PartialEq for SearchNode<W> {
+    fn eq(&self, other: &Self) -> bool {
+        self.key == other.key
+    }
+}
+
+impl<W: ModelWorld> Eq for SearchNode<W> {}
+
+impl<W: ModelWorld> Hash for SearchNode<W> {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.key.hash(state);
+    }
+}
--- /dev/null
+++ b/crates/model/tests/config.rs
@@ -0,0 +1,45 @@
+//! Exhaustive search over racing operators and followers of the log.
+
+use pw_model::config;
+use pw_model::prelude::*;
+
+#[test]
+fn every_configuration_property_holds() {
+    let report = search(
+        ConfigWorld::new(ConfigSettings::default()),
+        SearchBound::default(),
+    );
+    println!("configuration: {report}");
+    assert_eq!(report.finding.map(|finding| finding.to_string()), None);
+    assert!(!report.cut_off);
+    assert!(
+        report.states > 1_000,
+        "the search is too small: {}",
+        report.states
+    );
+}
+
+#[test]
+fn seeded_mistakes_are_found() {
+    let cases = [
+        (ConfigMistake::RepeatUnderNewIdentity, config::TRUE_OUTCOME),
+        (
+            ConfigMistake::ApplyWithoutBaseRevision,
+            config::NO_LOST_UPDATE,
+        ),
+        (ConfigMistake::RelaySkipsRecords, config::SAME_FOLD),
+        (ConfigMistake::AnswerTakenForOutcome, config::TRUE_OUTCOME),
+    ];
+    for (mistake, property) in cases {
+        let settings = ConfigSettings {
+            mistake: Some(mistake),
+            ..ConfigSettings::default()
+        };
+        let report = search(ConfigWorld::new(settings), SearchBound::default());
+        println!("{mistake}: {report}");
+        let finding = report
+            .finding
+            .unwrap_or_else(|| panic!("{mistake} was not found"));
+        assert_eq!(finding.property.name, property, "{mistake}: {finding}");
+    }
+}
