Keep pools, drains and availability budgets in the fold

Cause: nothing said which pool an instance is in right now, and nothing kept a drain, a move or a reboot from breaking an availability budget.

Ruled out: a leader that decides alone (a paused one still has to be fenced by the log), and whole new states in place of steps (two planners would overwrite each other).

Change: PoolLedger judges each step by the records before it: the state that it was made from, the planner's term, the phase, the route of a move, and the budget with failed instances, half-failed racks and zones out of service counted. Several steps share one record, so that a rack costs one append. PoolSpec gains `min_workers` (default 0): what lending leaves in a spare pool.

Seen failing first, each by breaking its rule in a scratch copy (22 rules): budget, failures, returning instances, correlated failures, zone out, zone return, base offset, term, move without or during a drain, move from another pool, reboot during a drain, reboot that did not happen, replacement, membership index, loans from other pools or below the minimum, staged return, admission to a zone that is out, wave out of turn, removed worker. Breaking the membership index failed no test at first; the test of starts and membership now looks at it.

--- a/crates/log/src/record.rs
+++ b/crates/log/src/record.rs
@@ -5,6 +5,7 @@
 
 use pw_base::prelude::*;
 use pw_fleet::prelude::*;
+use pw_pool::prelude::*;
 use serde::{Deserialize, Serialize};
 
 /// One record of the log.
@@ -25,6 +26,8 @@
 pub enum RecordBody {
     /// Change of the declared fleet.
     Fleet(FleetProposal),
+    /// Change of pools, drains or the planner duty.
+    Pool(PoolProposal),
 }
 
 /// Proposal to change the declared fleet.
