--- a/crates/log/src/record.rs
+++ b/crates/log/src/record.rs
@@ -7,6 +7,7 @@
 use pw_fleet::prelude::*;
 use pw_pool::prelude::*;
 use serde::{Deserialize, Serialize};
+use strum::Display;
 
 /// One record of the log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,7 +23,8 @@
 }
 
 /// Proposal of a record, by area.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Display)]
+#[strum(serialize_all = "kebab-case")]
 pub enum RecordBody {
     /// Change of the declared fleet.
     Fleet(FleetProposal),
