--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -39,6 +39,9 @@
     /// A backend server could not be reached or broke the connection.
     #[strum(message = "A backend server could not be reached or broke the connection.")]
     BackendFailed = 401,
+    /// A worker did not answer a request for a lease or its renewal.
+    #[strum(message = "A worker did not answer a request for a lease or its renewal.")]
+    LeaseUnanswered = 402,
     /// A stand-in of a platform service listens.
     #[strum(message = "A stand-in of a platform service listens.")]
     StandinStarted = 900,
--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -34,3 +34,7 @@
 pub type PlannerTerm = u64;
 /// Number of a maintenance wave, counted from 1; 0 before the first one.
 pub type WaveNumber = u64;
+/// Random identity of a lease that a worker granted.
+pub type LeaseId = u128;
+/// Number of renewals of a lease so far.
+pub type RenewalCount = u64;
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -120,7 +120,7 @@
             DispatchEvent::TaskSubmitted(request) => {
                 commands.extend(self.submit(now, request));
             }
-            DispatchEvent::TaskAbandoned(task) => self.abandon(task),
+            DispatchEvent::TaskAbandoned(task) => commands.extend(self.abandon(task)),
             DispatchEvent::TaskEnded { task, report } => commands.extend(self.end(task, report)),
             DispatchEvent::TimePassed => {}
         }
@@ -197,14 +197,12 @@
         None
     }
 
-    fn abandon(&mut self, id: TaskId) {
-        if self
-            .tasks
-            .get(&id)
-            .is_some_and(|task| task.worker.is_none())
-        {
-            self.tasks.swap_remove(&id);
+    fn abandon(&mut self, id: TaskId) -> Option<DispatchCommand> {
+        if self.tasks.get(&id)?.worker.is_some() {
+            return Some(DispatchCommand::StopTask(id));
         }
+        self.tasks.swap_remove(&id);
+        None
     }
 
     fn end(&mut self, id: TaskId, report: RunReport) -> Option<DispatchCommand> {
@@ -224,6 +222,7 @@
                 verdict: TaskVerdict::Answered,
             },
             RunReport::NotRun => refuse(id, RefusalReason::BackendFailed, RunCertainty::NotRun),
+            RunReport::Failed => refuse(id, RefusalReason::BackendFailed, RunCertainty::Ran),
             RunReport::Unknown => refuse(id, RefusalReason::BackendFailed, RunCertainty::Unknown),
         })
     }
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -56,7 +56,7 @@
     TimePassed,
 }
 
-/// How a started task ended, as far as its entry instance knows.
+/// How a started task ended, as far as its entry instance knows; it can't run any more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
 #[strum(serialize_all = "kebab-case")]
 pub enum RunReport {
@@ -64,6 +64,8 @@
     Answered,
     /// The backend server certainly did not run it.
     NotRun,
+    /// The backend server ran it, and there is no whole answer.
+    Failed,
     /// The backend server may have run it.
     Unknown,
 }
@@ -73,6 +75,8 @@
 pub enum DispatchCommand {
     /// Start a task on a backend server.
     StartTask(TaskStart),
+    /// Stop a started task; its end is reported as always.
+    StopTask(TaskId),
     /// Tell the caller how its task ended.
     CloseTask {
         /// Identity of the task.
--- a/crates/entry/src/backend_duty.rs
+++ b/crates/entry/src/backend_duty.rs
@@ -1,28 +1,316 @@
 //! The duty that runs tasks on backend servers.
 
+use std::cell::RefCell;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
+use async_io::Timer;
+use futures_lite::future;
+use indexmap::IndexMap;
+use pw_base::prelude::*;
+use pw_dispatch::prelude::*;
 use pw_link::prelude::*;
 use pw_ring::prelude::*;
+use pw_worker::prelude::*;
 
-use crate::message::DeskMessage;
+use crate::message::{BackendMessage, DeskMessage, RunResult};
 
-/// Starts each run and reports its end to the desk.
+/// Pause between two tries to stop a task whose end is not known.
+const STOP_PAUSE: Duration = Duration::from_millis(250);
+/// Events of leases that wait for the duty.
+const LEASE_RING_CAPACITY: usize = 256;
+
+/// What the duty needs besides its ring.
+pub struct BackendLinks {
+    /// Way to the backend servers.
+    pub gateway: Box<dyn BackendGateway + Send>,
+    /// The clock.
+    pub clock: Arc<dyn ClockSource>,
+    /// Name of this entry instance.
+    pub entry: EntryId,
+    /// Ring to the dispatch duty.
+    pub desk: RingSender<DeskMessage>,
+}
+
+/// Starts each run under a lease and reports its end, until all senders of `messages` are gone.
+///
+/// An end is reported only when the task can't run any more.
 pub async fn run(
-    gateway: Box<dyn BackendGateway + Send>,
+    links: BackendLinks,
     spawner: TaskSpawner,
-    runs: RingReceiver<RunStart>,
-    desk: RingSender<DeskMessage>,
+    messages: RingReceiver<BackendMessage>,
 ) {
-    let gateway: Rc<dyn BackendGateway> = Rc::from(gateway as Box<dyn BackendGateway>);
-    while let Some(run) = runs.recv().await {
-        let gateway = Rc::clone(&gateway);
-        let desk = desk.clone();
-        spawner.spawn(async move {
-            let task = run.start.task;
-            let result = gateway.run(run).await;
-            // Without a desk the node is stopping and nobody waits for the result.
-            _ = desk.send(DeskMessage::RunEnded { task, result }).await;
+    let (events, event_receiver) = ring("leases", LEASE_RING_CAPACITY);
+    let shell = Rc::new(BackendShell {
+        gateway: Rc::from(links.gateway as Box<dyn BackendGateway>),
+        clock: links.clock,
+        entry: links.entry,
+        desk: links.desk,
+        spawner,
+        events,
+        book: RefCell::default(),
+        runs: RefCell::default(),
+    });
+    while let Some(input) = shell.next_input(&messages, &event_receiver).await {
+        match input {
+            BackendInput::Message(BackendMessage::Start(run)) => shell.take(run),
+            BackendInput::Message(BackendMessage::Stop(task)) => shell.stop(task),
+            BackendInput::Lease(event) => shell.feed(event),
+        }
+    }
+}
+
+enum BackendInput {
+    Message(BackendMessage),
+    Lease(LeaseEvent),
+}
+
+struct BackendShell {
+    gateway: Rc<dyn BackendGateway>,
+    clock: Arc<dyn ClockSource>,
+    entry: EntryId,
+    desk: RingSender<DeskMessage>,
+    spawner: TaskSpawner,
+    events: RingSender<LeaseEvent>,
+    book: RefCell<LeaseBook>,
+    runs: RefCell<RunTable>,
+}
+
+#[derive(Default)]
+struct RunTable {
+    /// Runs that wait for a lease.
+    waiting: IndexMap<WorkerId, Vec<RunStart>>,
+    /// Runs that were sent, with their way to be stopped.
+    sent: IndexMap<TaskId, SentRun>,
+    /// Last known addresses of workers with leases.
+    addresses: IndexMap<WorkerId, BackendAddress>,
+}
+
+struct SentRun {
+    backend: BackendAddress,
+    lease: LeaseId,
+}
+
+impl BackendShell {
+    async fn next_input(
+        &self,
+        messages: &RingReceiver<BackendMessage>,
+        events: &RingReceiver<LeaseEvent>,
+    ) -> Option<BackendInput> {
+        let event = async {
+            let deadline = self.book.borrow().next_deadline();
+            let event = events.recv_until(deadline).await.ok()?;
+            Some(BackendInput::Lease(event.unwrap_or(LeaseEvent::TimePassed)))
+        };
+        let message = async { messages.recv().await.map(BackendInput::Message) };
+        future::or(event, message).await
+    }
+
+    /// Starts a run under the lease on its worker, or lets it wait for one.
+    fn take(self: &Rc<Self>, run: RunStart) {
+        let backend = backend_of(&run);
+        let worker = Arc::clone(&backend.worker);
+        let usable = self.book.borrow().usable(self.clock.now(), &worker);
+        {
+            let mut runs = self.runs.borrow_mut();
+            runs.addresses.insert(Arc::clone(&worker), backend);
+        }
+        match usable {
+            Some(grant) => self.start(run, grant),
+            None => {
+                let mut runs = self.runs.borrow_mut();
+                runs.waiting
+                    .entry(Arc::clone(&worker))
+                    .or_default()
+                    .push(run);
+                drop(runs);
+                self.feed(LeaseEvent::LeaseWanted(worker));
+            }
+        }
+    }
+
+    fn start(self: &Rc<Self>, run: RunStart, grant: LeaseGrant) {
+        let sent = SentRun {
+            backend: backend_of(&run),
+            lease: grant.lease,
+        };
+        let worker = Arc::clone(&run.start.worker);
+        self.runs.borrow_mut().sent.insert(run.start.task, sent);
+        self.feed(LeaseEvent::RunStarted(worker));
+        let shell = Rc::clone(self);
+        self.spawner
+            .spawn(async move { shell.follow(run, grant).await });
+    }
+
+    /// Follows a run to its certain end and reports it.
+    async fn follow(self: Rc<Self>, run: RunStart, grant: LeaseGrant) {
+        let task = run.start.task;
+        let backend = backend_of(&run);
+        let worker = Arc::clone(&backend.worker);
+        let outcome = self.gateway.run(run, grant).await;
+        if outcome == RunOutcome::LeaseEnded {
+            let lease = grant.lease;
+            let worker = Arc::clone(&worker);
+            self.notify(LeaseEvent::LeaseEnded { worker, lease }).await;
+        }
+        let result = match outcome {
+            RunOutcome::Answered(answer) => RunResult::answered(answer),
+            RunOutcome::NotRun | RunOutcome::LeaseEnded => RunReport::NotRun.into(),
+            RunOutcome::Failed => RunReport::Failed.into(),
+            RunOutcome::Lost => self.settle(backend, task, grant.lease).await.into(),
+        };
+        self.runs.borrow_mut().sent.swap_remove(&task);
+        self.notify(LeaseEvent::RunEnded(worker)).await;
+        // Without a desk the node is stopping and nobody waits for the result.
+        _ = self.desk.send(DeskMessage::RunEnded { task, result }).await;
+    }
+
+    /// Stops a run whose outcome is lost until it certainly runs no more.
+    async fn settle(&self, backend: BackendAddress, task: TaskId, lease: LeaseId) -> RunReport {
+        let mut over_by = self.clock.now() + 2 * WORKER_LEASE_TTL;
+        loop {
+            match self.gateway.stop(backend.clone(), task, lease).await {
+                Ok(StopOutcome::NeverStarted) => return RunReport::NotRun,
+                Ok(StopOutcome::Ended) => return RunReport::Failed,
+                Ok(StopOutcome::Gone) => return RunReport::Unknown,
+                Err(error) => {
+                    let event = EventCode::BackendFailed;
+                    tracing::warn!(event = event.number(), worker = %backend.worker, %error, "stop failed");
+                }
+            }
+            let held = self.book.borrow().over_by(&backend.worker, lease);
+            over_by = held.unwrap_or(over_by);
+            if self.clock.now() >= over_by {
+                return RunReport::Unknown;
+            }
+            Timer::after(STOP_PAUSE).await;
+        }
+    }
+
+    /// Stops a task that is no longer wanted; its run then ends by itself.
+    fn stop(self: &Rc<Self>, task: TaskId) {
+        if self.drop_waiting(task) {
+            self.report_not_run(vec![task]);
+            return;
+        }
+        let runs = self.runs.borrow();
+        let Some(sent) = runs.sent.get(&task) else {
+            return;
+        };
+        let stop = self.gateway.stop(sent.backend.clone(), task, sent.lease);
+        self.spawner.spawn(async move {
+            if let Err(error) = stop.await {
+                let event = EventCode::BackendFailed;
+                tracing::warn!(event = event.number(), %error, "stop failed");
+            }
+        });
+    }
+
+    fn drop_waiting(&self, task: TaskId) -> bool {
+        let mut runs = self.runs.borrow_mut();
+        runs.waiting.values_mut().any(|waiting| {
+            let before = waiting.len();
+            waiting.retain(|run| run.start.task != task);
+            waiting.len() < before
+        })
+    }
+
+    fn feed(self: &Rc<Self>, event: LeaseEvent) {
+        let now = self.clock.now();
+        let commands = self.book.borrow_mut().handle(now, event);
+        for command in commands {
+            self.carry_out(now, command);
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, now: Instant, command: LeaseCommand) {
+        match command {
+            LeaseCommand::TakeLease(worker) => self.ask(worker, None),
+            LeaseCommand::RenewLease {
+                worker,
+                lease,
+                renewal,
+            } => self.ask(worker, Some((lease, renewal))),
+            LeaseCommand::StartWaiting(worker) => self.start_waiting(now, &worker),
+            LeaseCommand::RefuseWaiting(worker) => {
+                let runs = self.take_waiting(&worker);
+                self.report_not_run(runs.iter().map(|run| run.start.task).collect());
+            }
+        }
+    }
+
+    fn start_waiting(self: &Rc<Self>, now: Instant, worker: &WorkerId) {
+        let runs = self.take_waiting(worker);
+        let usable = self.book.borrow().usable(now, worker);
+        match usable {
+            Some(grant) => runs.into_iter().for_each(|run| self.start(run, grant)),
+            None => self.report_not_run(runs.iter().map(|run| run.start.task).collect()),
+        }
+    }
+
+    fn take_waiting(&self, worker: &WorkerId) -> Vec<RunStart> {
+        let mut runs = self.runs.borrow_mut();
+        runs.waiting.swap_remove(worker).unwrap_or_default()
+    }
+
+    fn report_not_run(&self, tasks: Vec<TaskId>) {
+        let desk = self.desk.clone();
+        self.spawner.spawn(async move {
+            for task in tasks {
+                let result = RunReport::NotRun.into();
+                // Without a desk the node is stopping and nobody waits for the result.
+                _ = desk.send(DeskMessage::RunEnded { task, result }).await;
+            }
+        });
+    }
+
+    /// Takes a new lease, or renews the given one.
+    fn ask(self: &Rc<Self>, worker: WorkerId, held: Option<(LeaseId, RenewalCount)>) {
+        let backend = self.runs.borrow().addresses.get(&worker).cloned();
+        let shell = Rc::clone(self);
+        self.spawner.spawn(async move {
+            let Some(backend) = backend else {
+                return shell.notify(LeaseEvent::LeaseUnanswered(worker)).await;
+            };
+            let asked = shell.clock.now();
+            let grant = match held {
+                None => shell.gateway.take_lease(backend, Arc::clone(&shell.entry)),
+                Some((lease, renewal)) => shell.gateway.renew_lease(backend, lease, renewal),
+            };
+            let event = match (grant.await, held) {
+                (Ok(grant), _) => LeaseEvent::LeaseGranted {
+                    worker,
+                    asked,
+                    grant,
+                },
+                (Err(LeaseError::Missed(renewal)), Some((lease, _))) => LeaseEvent::RenewalMissed {
+                    worker,
+                    lease,
+                    renewal,
+                },
+                (Err(LeaseError::Ended), Some((lease, _))) => {
+                    LeaseEvent::LeaseEnded { worker, lease }
+                }
+                (Err(error), _) => {
+                    let event = EventCode::LeaseUnanswered;
+                    tracing::warn!(event = event.number(), %worker, %error, "no lease");
+                    LeaseEvent::LeaseUnanswered(worker)
+                }
+            };
+            shell.notify(event).await;
         });
     }
+
+    async fn notify(&self, event: LeaseEvent) {
+        // The duty holds the receiver for as long as this future runs.
+        _ = self.events.send(event).await;
+    }
+}
+
+fn backend_of(run: &RunStart) -> BackendAddress {
+    BackendAddress {
+        worker: Arc::clone(&run.start.worker),
+        address: run.start.address,
+    }
 }
--- a/crates/entry/src/dispatch_duty.rs
+++ b/crates/entry/src/dispatch_duty.rs
@@ -8,7 +8,7 @@
 use pw_link::prelude::*;
 use pw_ring::prelude::*;
 
-use crate::message::{DeskMessage, DeskStatus, TaskReply};
+use crate::message::{BackendMessage, DeskMessage, DeskStatus, TaskReply};
 
 struct OpenTask {
     payload: Arc<[u8]>,
@@ -20,7 +20,7 @@
     desk: DispatchDesk,
     clock: Arc<dyn ClockSource>,
     open: HashMap<TaskId, OpenTask>,
-    runs: RingSender<RunStart>,
+    runs: RingSender<BackendMessage>,
 }
 
 /// Feeds the desk with messages and carries out its commands until all senders are gone.
@@ -28,7 +28,7 @@
     desk: DispatchDesk,
     clock: Arc<dyn ClockSource>,
     messages: RingReceiver<DeskMessage>,
-    runs: RingSender<RunStart>,
+    runs: RingSender<BackendMessage>,
 ) {
     let mut shell = DeskShell {
         desk,
@@ -91,6 +91,7 @@
                         commands.extend(self.desk.handle(self.clock.now(), event));
                     }
                 }
+                DispatchCommand::StopTask(task) => self.stop(task),
                 DispatchCommand::CloseTask { task, verdict } => self.close(task, verdict),
             }
         }
@@ -102,7 +103,13 @@
             return false;
         };
         let payload = Arc::clone(&open.payload);
-        self.runs.offer(RunStart { start, payload }).is_ok()
+        let run = RunStart { start, payload };
+        self.runs.offer(BackendMessage::Start(run)).is_ok()
+    }
+
+    /// Passes a stop on; without room in the ring the task runs to its end.
+    fn stop(&self, task: TaskId) {
+        _ = self.runs.offer(BackendMessage::Stop(task));
     }
 
     fn close(&mut self, task: TaskId, verdict: TaskVerdict) {
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -33,6 +33,24 @@
     Report(RingSender<DeskStatus>),
 }
 
+/// Message to the backends duty.
+#[derive(Debug)]
+pub enum BackendMessage {
+    /// Run a task.
+    Start(RunStart),
+    /// Stop a task; its run then ends as every other one.
+    Stop(TaskId),
+}
+
+/// How a run ended, with the whole answer when there is one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunResult {
+    /// How it ended.
+    pub report: RunReport,
+    /// The whole answer; empty unless the report says answered.
+    pub answer: Vec<u8>,
+}
+
 /// Reply to a caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TaskReply {
@@ -50,3 +68,23 @@
     /// Tasks that wait or run.
     pub open_tasks: usize,
 }
+
+impl RunResult {
+    /// Returns the result of a run with a whole answer.
+    pub fn answered(answer: Vec<u8>) -> Self {
+        Self {
+            report: RunReport::Answered,
+            answer,
+        }
+    }
+}
+
+impl From<RunReport> for RunResult {
+    /// Returns a result without an answer.
+    fn from(report: RunReport) -> Self {
+        Self {
+            report,
+            answer: Vec::new(),
+        }
+    }
+}
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -10,6 +10,7 @@
 use pw_log::prelude::*;
 use pw_ring::prelude::*;
 
+use crate::backend_duty::BackendLinks;
 use crate::settings::EntrySettings;
 use crate::{admin_duty, backend_duty, caller_duty, dispatch_duty, instance_duty, log_duty};
 
@@ -35,11 +36,13 @@
 impl NodeLinks {
     /// Returns links to the services that the settings name, over HTTP.
     pub fn over_http(settings: &EntrySettings) -> Self {
+        let clock: Arc<dyn ClockSource> = Arc::new(SystemClock);
+        let pool = HttpPool::new(PoolBounds::default(), Arc::clone(&clock));
         Self {
             log: Box::new(HttpLog::new(settings.log)),
             instances: Box::new(HttpInstances::new(settings.instances)),
-            backends: Box::new(HttpBackend),
-            clock: Arc::new(SystemClock),
+            backends: Box::new(HttpBackend::new(pool)),
+            clock,
         }
     }
 }
@@ -68,9 +71,14 @@
         DutyThread::spawn("dispatch", move |_| {
             dispatch_duty::run(desk, dispatch_clock, desk_receiver, run_sender)
         })?;
-        let sender = desk_sender.clone();
+        let backend_links = BackendLinks {
+            gateway: backends,
+            clock: Arc::clone(&clock),
+            entry: Arc::clone(&settings.entry),
+            desk: desk_sender.clone(),
+        };
         DutyThread::spawn("backends", move |spawner| {
-            backend_duty::run(backends, spawner, run_receiver, sender)
+            backend_duty::run(backend_links, spawner, run_receiver)
         })?;
         let sender = desk_sender.clone();
         let log_clock = Arc::clone(&clock);
--- /dev/null
+++ b/crates/entry/tests/backend_duty.rs
@@ -0,0 +1,182 @@
+//! The backends duty reports a run only when it has certainly ended, and only what is proved.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use futures_lite::future::{BoxedLocal, FutureExt};
+use pw_base::prelude::*;
+use pw_dispatch::prelude::*;
+use pw_entry::backend_duty::{self, BackendLinks};
+use pw_entry::message::{BackendMessage, DeskMessage};
+use pw_link::lease_wire::FenceReply;
+use pw_link::prelude::*;
+use pw_ring::prelude::*;
+use pw_worker::prelude::*;
+
+const TASK: TaskId = 1;
+
+/// Gateway that answers from scripts; an empty script breaks the test.
+#[derive(Clone)]
+struct FakeGateway {
+    leases: Script<Result<LeaseGrant, LeaseError>>,
+    runs: Script<RunOutcome>,
+    stops: Script<Option<StopOutcome>>,
+}
+
+type Script<T> = Arc<Mutex<Vec<T>>>;
+
+fn script<T>(mut lines: Vec<T>) -> Script<T> {
+    lines.reverse();
+    Arc::new(Mutex::new(lines))
+}
+
+fn next<T: 'static>(script: &Script<T>) -> T {
+    script.lock().expect("script").pop().expect("another line")
+}
+
+fn broken() -> CallError {
+    CallError::Broken {
+        address: address(),
+        error: "fake".to_owned(),
+    }
+}
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+impl BackendGateway for FakeGateway {
+    fn run(&self, _: RunStart, _: LeaseGrant) -> BoxedLocal<RunOutcome> {
+        let outcome = next(&self.runs);
+        async move { outcome }.boxed_local()
+    }
+
+    fn stop(
+        &self,
+        _: BackendAddress,
+        _: TaskId,
+        _: LeaseId,
+    ) -> BoxedLocal<Result<StopOutcome, CallError>> {
+        let outcome = next(&self.stops);
+        async move { outcome.ok_or_else(broken) }.boxed_local()
+    }
+
+    fn take_lease(
+        &self,
+        _: BackendAddress,
+        _: EntryId,
+    ) -> BoxedLocal<Result<LeaseGrant, LeaseError>> {
+        let grant = next(&self.leases);
+        async move { grant }.boxed_local()
+    }
+
+    fn renew_lease(
+        &self,
+        _: BackendAddress,
+        _: LeaseId,
+        _: RenewalCount,
+    ) -> BoxedLocal<Result<LeaseGrant, LeaseError>> {
+        async { Err(LeaseError::Ended) }.boxed_local()
+    }
+
+    fn fence_entry(
+        &self,
+        _: BackendAddress,
+        _: EntryId,
+    ) -> BoxedLocal<Result<FenceReply, CallError>> {
+        async { Err(broken()) }.boxed_local()
+    }
+}
+
+fn lease() -> Result<LeaseGrant, LeaseError> {
+    Ok(LeaseGrant {
+        lease: 7,
+        renewal: 0,
+        ttl: WORKER_LEASE_TTL,
+    })
+}
+
+fn start() -> BackendMessage {
+    BackendMessage::Start(RunStart {
+        start: TaskStart {
+            task: TASK,
+            worker: "cutting-01".into(),
+            address: address(),
+            run_timeout: WORKER_LEASE_TTL,
+        },
+        payload: Arc::from(b"".as_slice()),
+    })
+}
+
+/// Sends `starts` runs, one after the other, and returns their reports.
+fn reports(gateway: &FakeGateway, starts: usize) -> Vec<RunReport> {
+    let (runs, run_receiver) = ring("runs", 8);
+    let (desk, desk_receiver) = ring("desk", 8);
+    let links = BackendLinks {
+        gateway: Box::new(gateway.clone()),
+        clock: Arc::new(ManualClock::default()),
+        entry: "entry-1".into(),
+        desk,
+    };
+    let duty = DutyThread::spawn("backends", move |spawner| {
+        backend_duty::run(links, spawner, run_receiver)
+    })
+    .expect("thread");
+    let reports = (0..starts).map(|_| {
+        runs.offer(start()).expect("room");
+        match async_io::block_on(desk_receiver.recv()) {
+            Some(DeskMessage::RunEnded { task: TASK, result }) => result.report,
+            other => panic!("{other:?}"),
+        }
+    });
+    let reports = reports.collect();
+    drop(runs);
+    assert!(duty.join(), "the duty ends with its ring");
+    reports
+}
+
+#[test]
+fn lost_run_is_reported_by_what_the_stop_proves() {
+    let lines = [
+        (vec![Some(StopOutcome::NeverStarted)], RunReport::NotRun),
+        (vec![Some(StopOutcome::Ended)], RunReport::Failed),
+        (vec![Some(StopOutcome::Gone)], RunReport::Unknown),
+        (
+            vec![None, Some(StopOutcome::NeverStarted)],
+            RunReport::NotRun,
+        ),
+    ];
+    for (stops, expected) in lines {
+        let gateway = FakeGateway {
+            leases: script(vec![lease()]),
+            runs: script(vec![RunOutcome::Lost]),
+            stops: script(stops.clone()),
+        };
+        assert_eq!(reports(&gateway, 1), [expected], "{stops:?}");
+        assert!(
+            gateway.stops.lock().expect("script").is_empty(),
+            "{stops:?}"
+        );
+    }
+}
+
+#[test]
+fn run_without_a_lease_is_not_run() {
+    let gateway = FakeGateway {
+        leases: script(vec![Err(LeaseError::Unanswered("fake".to_owned()))]),
+        runs: script(vec![]),
+        stops: script(vec![]),
+    };
+    assert_eq!(reports(&gateway, 1), [RunReport::NotRun]);
+}
+
+#[test]
+fn ended_lease_is_replaced_for_the_next_run() {
+    let gateway = FakeGateway {
+        leases: script(vec![lease(), lease()]),
+        runs: script(vec![RunOutcome::LeaseEnded, RunOutcome::Answered(vec![1])]),
+        stops: script(vec![]),
+    };
+    let expected = [RunReport::NotRun, RunReport::Answered];
+    assert_eq!(reports(&gateway, 2), expected);
+}
--- a/crates/link/src/backend.rs
+++ b/crates/link/src/backend.rs
@@ -1,5 +1,6 @@
 //! Backend servers, which run tasks under leases.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,15 +8,22 @@
 use http_types::{Method, Request, StatusCode};
 use pw_base::prelude::*;
 use pw_dispatch::prelude::*;
+use pw_worker::prelude::*;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
 
-use crate::http_call::{CallError, WholeResponse, call_http};
+use crate::http_connection::{CallError, WholeResponse};
+use crate::http_pool::HttpPool;
+use crate::lease_wire::{
+    FenceReply, LEASE_HEADER, LeaseReply, LeaseRequest, RENEWAL_HEADER, RUN_TIMEOUT_HEADER,
+    RenewRequest, StopReply, StopState, TASK_HEADER,
+};
 
-/// Header that carries the identity of a task, in both directions.
-pub const TASK_HEADER: &str = "Task-Id";
-/// Header that carries the length of the lease in milliseconds.
-pub const LEASE_HEADER: &str = "Lease-Ms";
-/// Time for the answer's way back after the lease has ended.
+/// Time for the answer's way back after the task's time is over.
 const ANSWER_GRACE: Duration = Duration::from_millis(500);
+/// Longest wait for the answer to a request about a lease or a stop.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A task with its payload, on its way to a backend server.
 #[derive(Debug, Clone)]
@@ -26,78 +34,231 @@
     pub payload: Arc<[u8]>,
 }
 
-/// How a run ended, with the whole answer when there is one.
+/// Backend server of a worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RunResult {
-    /// How it ended.
-    pub report: RunReport,
-    /// The whole answer; empty unless the report says answered.
-    pub answer: Vec<u8>,
+pub struct BackendAddress {
+    /// Worker that it runs on.
+    pub worker: WorkerId,
+    /// Address that it accepts tasks at.
+    pub address: SocketAddr,
 }
 
-/// Runs tasks on backend servers.
+/// How a run ended, as far as its request tells.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RunOutcome {
+    /// The whole answer arrived.
+    Answered(Vec<u8>),
+    /// The task certainly did not run.
+    NotRun,
+    /// The task certainly did not run, because its lease had ended.
+    LeaseEnded,
+    /// The task ran and has ended without an answer.
+    Failed,
+    /// The task may have run and may still run.
+    Lost,
+}
+
+/// What became of a task that was to be stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopOutcome {
+    /// It has not run and never will.
+    NeverStarted,
+    /// It ran and has ended.
+    Ended,
+    /// It does not run; whether it ever did is not known.
+    Gone,
+}
+
+/// Why a lease was not granted or renewed.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum LeaseError {
+    /// The renewal named another number than the last one; an answer was lost.
+    #[error("the worker expects renewal {0}")]
+    Missed(RenewalCount),
+    /// The lease has ended.
+    #[error("the lease has ended")]
+    Ended,
+    /// There was no usable answer; the request may have taken effect.
+    #[error("no usable answer: {0}")]
+    Unanswered(String),
+}
+
+/// Runs tasks on backend servers, under leases that it takes there.
 pub trait BackendGateway {
-    /// Runs one task to its end.
-    fn run(&self, run: RunStart) -> BoxedLocal<RunResult>;
+    /// Runs one task to its end under the lease of `grant`.
+    fn run(&self, run: RunStart, grant: LeaseGrant) -> BoxedLocal<RunOutcome>;
+
+    /// Stops a task that was or may have been started under `lease`.
+    fn stop(
+        &self,
+        backend: BackendAddress,
+        task: TaskId,
+        lease: LeaseId,
+    ) -> BoxedLocal<Result<StopOutcome, CallError>>;
+
+    /// Takes a new lease for `entry`.
+    fn take_lease(
+        &self,
+        backend: BackendAddress,
+        entry: EntryId,
+    ) -> BoxedLocal<Result<LeaseGrant, LeaseError>>;
+
+    /// Renews `lease`; `renewal` is the number of its last renewal.
+    fn renew_lease(
+        &self,
+        backend: BackendAddress,
+        lease: LeaseId,
+        renewal: RenewalCount,
+    ) -> BoxedLocal<Result<LeaseGrant, LeaseError>>;
+
+    /// Ends all leases of `entry` for ever.
+    fn fence_entry(
+        &self,
+        backend: BackendAddress,
+        entry: EntryId,
+    ) -> BoxedLocal<Result<FenceReply, CallError>>;
 }
 
 /// Gateway to backend servers over HTTP.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct HttpBackend;
-
-impl RunResult {
-    fn without_answer(report: RunReport) -> Self {
-        Self {
-            report,
-            answer: Vec::new(),
-        }
+#[derive(Clone)]
+pub struct HttpBackend {
+    pool: HttpPool,
+}
+
+impl HttpBackend {
+    /// Creates a gateway that keeps its connections in `pool`.
+    pub fn new(pool: HttpPool) -> Self {
+        Self { pool }
+    }
+
+    /// Sends a request about leases or a stop.
+    fn control(
+        &self,
+        address: SocketAddr,
+        request: Request,
+    ) -> BoxedLocal<Result<WholeResponse, CallError>> {
+        let pool = self.pool.clone();
+        async move { pool.call(address, request, CONTROL_TIMEOUT).await }.boxed_local()
     }
 }
 
 impl BackendGateway for HttpBackend {
-    fn run(&self, run: RunStart) -> BoxedLocal<RunResult> {
+    fn run(&self, run: RunStart, grant: LeaseGrant) -> BoxedLocal<RunOutcome> {
+        let pool = self.pool.clone();
         async move {
             let RunStart { start, payload } = run;
-            let request = build_request(&start, &payload);
+            let request = run_request(&start, &payload, grant);
             let timeout = start.run_timeout + ANSWER_GRACE;
-            match call_http(start.address, request, timeout).await {
-                Ok(response) => judge_response(&start, response),
-                Err(error) => {
-                    let event = EventCode::BackendFailed;
-                    tracing::warn!(event = event.number(), worker = %start.worker, %error, "run failed");
-                    RunResult::without_answer(match error {
-                        CallError::NotSent { .. } => RunReport::NotRun,
-                        CallError::Broken { .. } => RunReport::Unknown,
-                    })
-                }
+            match pool.call(start.address, request, timeout).await {
+                Ok(response) => judge_run(&start, response),
+                Err(error) => judge_failure(&start, &error),
             }
         }
         .boxed_local()
     }
+
+    fn stop(
+        &self,
+        backend: BackendAddress,
+        task: TaskId,
+        lease: LeaseId,
+    ) -> BoxedLocal<Result<StopOutcome, CallError>> {
+        let address = backend.address;
+        let path = format!("/v1/tasks/{task:032x}");
+        let mut request = build_request(Method::Delete, address, &path);
+        request.insert_header(LEASE_HEADER, format!("{lease:032x}"));
+        let call = self.control(address, request);
+        async move { judge_stop(address, &call.await?) }.boxed_local()
+    }
+
+    fn take_lease(
+        &self,
+        backend: BackendAddress,
+        entry: EntryId,
+    ) -> BoxedLocal<Result<LeaseGrant, LeaseError>> {
+        let ttl_ms = millis(WORKER_LEASE_TTL);
+        let body = LeaseRequest { entry, ttl_ms };
+        let request = json_request(backend.address, "/v1/leases", &body);
+        let call = self.control(backend.address, request);
+        async move { judge_lease(call.await) }.boxed_local()
+    }
+
+    fn renew_lease(
+        &self,
+        backend: BackendAddress,
+        lease: LeaseId,
+        renewal: RenewalCount,
+    ) -> BoxedLocal<Result<LeaseGrant, LeaseError>> {
+        let path = format!("/v1/leases/{lease:032x}/renewals");
+        let request = json_request(backend.address, &path, &RenewRequest { renewal });
+        let call = self.control(backend.address, request);
+        async move { judge_lease(call.await) }.boxed_local()
+    }
+
+    fn fence_entry(
+        &self,
+        backend: BackendAddress,
+        entry: EntryId,
+    ) -> BoxedLocal<Result<FenceReply, CallError>> {
+        let address = backend.address;
+        let path = format!("/v1/entries/{entry}/fence");
+        let call = self.control(address, build_request(Method::Post, address, &path));
+        async move {
+            let response = call.await?;
+            parse_reply(address, &response)
+        }
+        .boxed_local()
+    }
+}
+
+fn build_request(method: Method, address: SocketAddr, path: &str) -> Request {
+    let url = format!("http://{address}{path}");
+    Request::new(method, url.as_str())
+}
+
+fn json_request(address: SocketAddr, path: &str, body: &impl Serialize) -> Request {
+    let mut request = build_request(Method::Post, address, path);
+    // These bodies have only fields that JSON can hold.
+    request.set_body(serde_json::to_vec(body).unwrap_or_default());
+    request
 }
 
-fn build_request(start: &TaskStart, payload: &[u8]) -> Request {
-    let url = format!("http://{}/v1/tasks", start.address);
-    let mut request = Request::new(Method::Post, url.as_str());
+fn run_request(start: &TaskStart, payload: &[u8], grant: LeaseGrant) -> Request {
+    let mut request = build_request(Method::Post, start.address, "/v1/tasks");
     request.insert_header(TASK_HEADER, format!("{:032x}", start.task));
-    request.insert_header(LEASE_HEADER, start.run_timeout.as_millis().to_string());
+    request.insert_header(LEASE_HEADER, format!("{:032x}", grant.lease));
+    request.insert_header(RENEWAL_HEADER, grant.renewal.to_string());
+    request.insert_header(RUN_TIMEOUT_HEADER, millis(start.run_timeout).to_string());
     request.set_body(payload);
     request
 }
 
-fn judge_response(start: &TaskStart, response: WholeResponse) -> RunResult {
-    match response.status() {
-        StatusCode::Ok if is_answer_of(start.task, &response) => RunResult {
-            report: RunReport::Answered,
-            answer: response.body,
-        },
-        StatusCode::ServiceUnavailable | StatusCode::Conflict => {
-            RunResult::without_answer(RunReport::NotRun)
-        }
-        status => {
+/// Judges a whole response; one without the task's identity belongs to another request.
+fn judge_run(start: &TaskStart, response: WholeResponse) -> RunOutcome {
+    let status = response.status();
+    let known = is_answer_of(start.task, &response);
+    match status {
+        StatusCode::Ok if known => RunOutcome::Answered(response.body),
+        StatusCode::PreconditionFailed if known => RunOutcome::LeaseEnded,
+        StatusCode::ServiceUnavailable | StatusCode::Gone if known => RunOutcome::NotRun,
+        StatusCode::InternalServerError | StatusCode::GatewayTimeout if known => RunOutcome::Failed,
+        _ => {
+            metrics::counter!("pw_answers_discarded_total", "cause" => "foreign").increment(1);
             let event = EventCode::AnswerDiscarded;
             tracing::warn!(event = event.number(), worker = %start.worker, %status, "answer discarded");
-            RunResult::without_answer(RunReport::Unknown)
+            RunOutcome::Lost
+        }
+    }
+}
+
+fn judge_failure(start: &TaskStart, error: &CallError) -> RunOutcome {
+    let event = EventCode::BackendFailed;
+    tracing::warn!(event = event.number(), worker = %start.worker, %error, "run failed");
+    match error {
+        CallError::NotSent { .. } => RunOutcome::NotRun,
+        CallError::Broken { .. } => {
+            metrics::counter!("pw_answers_discarded_total", "cause" => "incomplete").increment(1);
+            RunOutcome::Lost
         }
     }
 }
@@ -106,3 +267,47 @@
     let id = response.header(TASK_HEADER);
     id.and_then(|id| TaskId::from_str_radix(id, 16).ok()) == Some(task)
 }
+
+fn judge_stop(address: SocketAddr, response: &WholeResponse) -> Result<StopOutcome, CallError> {
+    if response.status() == StatusCode::PreconditionFailed {
+        return Ok(StopOutcome::Gone);
+    }
+    let reply: StopReply = parse_reply(address, response)?;
+    Ok(match reply.outcome {
+        StopState::NeverStarted => StopOutcome::NeverStarted,
+        StopState::Stopped | StopState::Finished => StopOutcome::Ended,
+    })
+}
+
+fn judge_lease(call: Result<WholeResponse, CallError>) -> Result<LeaseGrant, LeaseError> {
+    let response = call.map_err(|error| LeaseError::Unanswered(error.to_string()))?;
+    let reply = || {
+        serde_json::from_slice::<LeaseReply>(&response.body)
+            .map_err(|error| LeaseError::Unanswered(error.to_string()))
+    };
+    match response.status() {
+        StatusCode::Ok | StatusCode::Created => reply().map(|reply| LeaseGrant {
+            lease: reply.lease,
+            renewal: reply.renewal,
+            ttl: Duration::from_millis(reply.ttl_ms),
+        }),
+        StatusCode::Conflict => Err(LeaseError::Missed(reply()?.renewal)),
+        StatusCode::Gone => Err(LeaseError::Ended),
+        status => Err(LeaseError::Unanswered(format!("status {status}"))),
+    }
+}
+
+fn parse_reply<T: DeserializeOwned>(
+    address: SocketAddr,
+    response: &WholeResponse,
+) -> Result<T, CallError> {
+    let broken = |error: String| CallError::Broken { address, error };
+    if response.status() != StatusCode::Ok {
+        return Err(broken(format!("status {}", response.status())));
+    }
+    serde_json::from_slice(&response.body).map_err(|error| broken(error.to_string()))
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -4,14 +4,21 @@
 
 pub mod backend;
 pub mod http_call;
+pub mod http_connection;
+pub mod http_pool;
 pub mod http_server;
 pub mod instances;
+pub mod lease_wire;
 pub mod log_service;
 
 /// The names that most users of this crate need.
 pub mod prelude {
-    pub use crate::backend::{BackendGateway, HttpBackend, RunResult, RunStart};
-    pub use crate::http_call::{CallError, WholeResponse, call_http};
+    pub use crate::backend::{
+        BackendAddress, BackendGateway, HttpBackend, LeaseError, RunOutcome, RunStart, StopOutcome,
+    };
+    pub use crate::http_call::call_http;
+    pub use crate::http_connection::{CallError, HttpConnection, HttpExchange, WholeResponse};
+    pub use crate::http_pool::{ConnectionUsage, HttpPool, PoolBounds};
     pub use crate::http_server::{HttpHandler, serve_http};
     pub use crate::instances::{HttpInstances, InstanceSource};
     pub use crate::log_service::{HttpLog, WireEntry};
--- a/crates/link/src/log_service.rs
+++ b/crates/link/src/log_service.rs
@@ -11,7 +11,8 @@
 use pw_log::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::http_call::{WholeResponse, call_http};
+use crate::http_call::call_http;
+use crate::http_connection::WholeResponse;
 
 /// Longest wait for the log service beyond the wait that was asked for.
 const LOG_TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/standin/src/backend_server.rs
+++ b/crates/standin/src/backend_server.rs
@@ -1,21 +1,29 @@
 //! Stand-in of a backend server on a worker.
 
-use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::cell::RefCell;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
-use futures_lite::future::{BoxedLocal, FutureExt};
-use http_types::{Request, Response, StatusCode};
+use futures_lite::future::{self, BoxedLocal, FutureExt};
+use http_types::{Method, Request, Response, StatusCode};
+use indexmap::IndexMap;
 use pw_base::prelude::*;
-use pw_link::backend::{LEASE_HEADER, TASK_HEADER};
+use pw_link::lease_wire::{
+    LEASE_HEADER, LeaseReply, LeaseRequest, RENEWAL_HEADER, RUN_TIMEOUT_HEADER, RenewRequest,
+    StopReply, TASK_HEADER,
+};
 use pw_link::prelude::*;
 use pw_ring::prelude::*;
+use pw_worker::prelude::*;
 use serde::Deserialize;
 
+use crate::journal::{JournalEvent, RunJournal};
+use crate::lease_table::{GrantError, LeaseTable, NamedLease, StartError};
+use crate::reply::json_reply;
+
 /// How a stand-in backend server behaves.
 #[derive(Debug, Clone)]
 pub struct ServerSettings {
@@ -29,7 +37,8 @@
 
 /// A backend server that runs made-up tasks.
 ///
-/// The payload may be JSON with `work_ms`; the answer is the payload again.
+/// The payload may be JSON with `work_ms` and `marker`; the answer is the payload again.
+/// `GET /v1/journal` tells what ran.
 #[derive(Debug)]
 pub struct BackendServer {
     address: SocketAddr,
@@ -39,13 +48,29 @@
 struct WorkOrder {
     #[serde(default)]
     work_ms: u64,
+    #[serde(default)]
+    marker: Option<String>,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 struct TaskHandler {
-    slots: u32,
-    running: Rc<Cell<u32>>,
-    known: Rc<RefCell<HashSet<TaskId>>>,
+    slots: usize,
+    state: Rc<RefCell<ServerState>>,
+}
+
+#[derive(Default)]
+struct ServerState {
+    leases: LeaseTable,
+    journal: RunJournal,
+    /// Wakes running tasks, so that they look whether they may go on.
+    wakers: IndexMap<TaskId, RingSender<()>>,
+}
+
+/// Headers of a start.
+struct StartHead {
+    task: TaskId,
+    named: NamedLease,
+    run_timeout: Duration,
 }
 
 impl Default for ServerSettings {
@@ -67,20 +92,15 @@
     pub fn start(settings: &ServerSettings) -> io::Result<Self> {
         let listener = TcpListener::bind(settings.address)?;
         let address = listener.local_addr()?;
-        let slots = settings.slots;
-        DutyThread::spawn(
-            &format!("standin-{}", settings.worker),
-            move |spawner| async move {
-                let handler = Rc::new(TaskHandler {
-                    slots,
-                    running: Rc::default(),
-                    known: Rc::default(),
-                });
-                if let Err(error) = serve_http(listener, spawner, handler).await {
-                    tracing::error!(%error, "backend server failed");
-                }
-            },
-        )?;
+        let slots = settings.slots as usize;
+        let name = format!("standin-{}", settings.worker);
+        DutyThread::spawn(&name, move |spawner| async move {
+            let state = Rc::default();
+            let handler = Rc::new(TaskHandler { slots, state });
+            if let Err(error) = serve_http(listener, spawner, handler).await {
+                tracing::error!(%error, "backend server failed");
+            }
+        })?;
         Ok(Self { address })
     }
 
@@ -93,45 +113,210 @@
 impl HttpHandler for TaskHandler {
     fn handle(&self, request: Request) -> BoxedLocal<Response> {
         let handler = self.clone();
-        async move { handler.run(request).await }.boxed_local()
+        async move { handler.route(request).await }.boxed_local()
     }
 }
 
 impl TaskHandler {
-    async fn run(&self, mut request: Request) -> Response {
-        let (Some(task), Some(lease)) = (task_header(&request), lease_header(&request)) else {
+    async fn route(&self, request: Request) -> Response {
+        let path = request.url().path().to_owned();
+        let parts: Vec<&str> = path.split('/').skip(1).collect();
+        match (request.method(), parts.as_slice()) {
+            (Method::Post, ["v1", "tasks"]) => self.run(request).await,
+            (Method::Delete, ["v1", "tasks", task]) => self.stop(&request, task),
+            (Method::Post, ["v1", "leases"]) => self.take_lease(request).await,
+            (Method::Post, ["v1", "leases", lease, "renewals"]) => {
+                self.renew_lease(request, lease).await
+            }
+            (Method::Post, ["v1", "entries", entry, "fence"]) => self.fence(entry),
+            (Method::Get, ["v1", "journal"]) => {
+                json_reply(StatusCode::Ok, self.state.borrow().journal.entries())
+            }
+            _ => Response::new(StatusCode::NotFound),
+        }
+    }
+
+    async fn take_lease(&self, mut request: Request) -> Response {
+        let Ok(body) = request.body_json::<LeaseRequest>().await else {
             return Response::new(StatusCode::BadRequest);
         };
-        let Ok(payload) = request.body_bytes().await else {
+        let lease = uuid::Uuid::new_v4().as_u128();
+        let ttl = Duration::from_millis(body.ttl_ms).min(WORKER_LEASE_TTL);
+        let mut state = self.state.borrow_mut();
+        let grant = state.leases.take(Instant::now(), lease, body.entry, ttl);
+        grant_reply(StatusCode::Created, grant)
+    }
+
+    async fn renew_lease(&self, mut request: Request, lease: &str) -> Response {
+        let (Some(lease), Ok(body)) = (parse_id(lease), request.body_json::<RenewRequest>().await)
+        else {
             return Response::new(StatusCode::BadRequest);
         };
-        if self.running.get() >= self.slots {
-            return Response::new(StatusCode::ServiceUnavailable);
-        }
-        if !self.known.borrow_mut().insert(task) {
-            return Response::new(StatusCode::Conflict);
-        }
+        let mut state = self.state.borrow_mut();
+        let grant = state.leases.renew(Instant::now(), lease, body.renewal);
+        grant_reply(StatusCode::Ok, grant)
+    }
+
+    fn fence(&self, entry: &str) -> Response {
+        let mut state = self.state.borrow_mut();
+        let reply = state.leases.fence(Instant::now(), entry.into());
+        state.wake_all();
+        json_reply(StatusCode::Ok, &reply)
+    }
+
+    fn stop(&self, request: &Request, task: &str) -> Response {
+        let (Some(task), Some(lease)) = (parse_id(task), id_header(request, LEASE_HEADER)) else {
+            return Response::new(StatusCode::BadRequest);
+        };
+        let mut state = self.state.borrow_mut();
+        let Some(outcome) = state.leases.stop(Instant::now(), lease, task) else {
+            return Response::new(StatusCode::PreconditionFailed);
+        };
+        state.wake(task);
+        json_reply(StatusCode::Ok, &StopReply { outcome })
+    }
+
+    async fn run(&self, mut request: Request) -> Response {
+        let Some(head) = StartHead::of(&request) else {
+            return Response::new(StatusCode::BadRequest);
+        };
+        let mut response = match request.body_bytes().await {
+            Ok(payload) => self.run_whole(&head, payload).await,
+            Err(_) => Response::new(StatusCode::BadRequest),
+        };
+        response.insert_header(TASK_HEADER, format!("{:032x}", head.task));
+        response
+    }
+
+    /// Runs a task whose payload has arrived.
+    async fn run_whole(&self, head: &StartHead, payload: Vec<u8>) -> Response {
         let order: WorkOrder = serde_json::from_slice(&payload).unwrap_or_default();
+        let woken = match self.begin(head, order.marker) {
+            Ok(woken) => woken,
+            Err(error) => return Response::new(start_status(error)),
+        };
         let work = Duration::from_millis(order.work_ms);
-        self.running.set(self.running.get() + 1);
-        Timer::after(work.min(lease)).await;
-        self.running.set(self.running.get() - 1);
-        if work > lease {
+        let whole = async {
+            Timer::after(work.min(head.run_timeout)).await;
+            work <= head.run_timeout
+        };
+        let done = future::or(self.until_stopped(head, &woken), whole).await;
+        if !self.finish(head, done) {
             return Response::new(StatusCode::GatewayTimeout);
         }
         let mut response = Response::new(StatusCode::Ok);
-        response.insert_header(TASK_HEADER, format!("{task:032x}"));
         response.set_body(payload);
         response
     }
+
+    fn begin(
+        &self,
+        head: &StartHead,
+        marker: Option<String>,
+    ) -> Result<RingReceiver<()>, StartError> {
+        let mut state = self.state.borrow_mut();
+        let now = Instant::now();
+        state.leases.start(now, head.named, head.task, self.slots)?;
+        state.journal.add(head.task, marker, JournalEvent::Started);
+        let (waker, woken) = ring("stop", 1);
+        state.wakers.insert(head.task, waker);
+        Ok(woken)
+    }
+
+    /// Notes the end of a task; returns whether its answer is whole.
+    fn finish(&self, head: &StartHead, done: bool) -> bool {
+        let mut state = self.state.borrow_mut();
+        state.wakers.swap_remove(&head.task);
+        let allowed = state
+            .leases
+            .may_run(Instant::now(), head.named.lease, head.task);
+        state.leases.end(head.named.lease, head.task);
+        let finished = done && allowed;
+        let event = if finished {
+            JournalEvent::Finished
+        } else {
+            JournalEvent::Stopped
+        };
+        state.journal.add(head.task, None, event);
+        finished
+    }
+
+    /// Waits until the task may no longer run.
+    async fn until_stopped(&self, head: &StartHead, woken: &RingReceiver<()>) -> bool {
+        loop {
+            let ends = {
+                let state = self.state.borrow();
+                let allowed = state
+                    .leases
+                    .may_run(Instant::now(), head.named.lease, head.task);
+                state.leases.ends(head.named.lease).filter(|_| allowed)
+            };
+            let Some(ends) = ends else {
+                return false;
+            };
+            // Either the lease may have ended or a stop may have come.
+            _ = woken.recv_until(Some(ends)).await;
+        }
+    }
+}
+
+impl ServerState {
+    fn wake(&self, task: TaskId) {
+        if let Some(waker) = self.wakers.get(&task) {
+            // A full ring wakes the task as well.
+            _ = waker.offer(());
+        }
+    }
+
+    fn wake_all(&self) {
+        self.wakers.keys().for_each(|task| self.wake(*task));
+    }
+}
+
+impl StartHead {
+    fn of(request: &Request) -> Option<Self> {
+        Some(Self {
+            task: id_header(request, TASK_HEADER)?,
+            named: NamedLease {
+                lease: id_header(request, LEASE_HEADER)?,
+                renewal: number_header(request, RENEWAL_HEADER)?,
+            },
+            run_timeout: Duration::from_millis(number_header(request, RUN_TIMEOUT_HEADER)?),
+        })
+    }
+}
+
+fn grant_reply(status: StatusCode, grant: Result<LeaseGrant, GrantError>) -> Response {
+    let reply = |grant: LeaseGrant| LeaseReply {
+        lease: grant.lease,
+        renewal: grant.renewal,
+        ttl_ms: u64::try_from(grant.ttl.as_millis()).unwrap_or(u64::MAX),
+    };
+    match grant {
+        Ok(grant) => json_reply(status, &reply(grant)),
+        Err(GrantError::Missed(grant)) => json_reply(StatusCode::Conflict, &reply(grant)),
+        Err(GrantError::Ended) => Response::new(StatusCode::Gone),
+        Err(GrantError::Fenced) => Response::new(StatusCode::Forbidden),
+    }
+}
+
+fn start_status(error: StartError) -> StatusCode {
+    match error {
+        StartError::LeaseEnded => StatusCode::PreconditionFailed,
+        StartError::Delayed | StartError::Stopped => StatusCode::Gone,
+        StartError::Known => StatusCode::Conflict,
+        StartError::NoSlot => StatusCode::ServiceUnavailable,
+    }
+}
+
+fn id_header(request: &Request, name: &str) -> Option<u128> {
+    parse_id(request.header(name)?.last().as_str())
 }
 
-fn task_header(request: &Request) -> Option<TaskId> {
-    let text = request.header(TASK_HEADER)?.last().as_str();
-    TaskId::from_str_radix(text, 16).ok()
+fn number_header(request: &Request, name: &str) -> Option<u64> {
+    request.header(name)?.last().as_str().parse().ok()
 }
 
-fn lease_header(request: &Request) -> Option<Duration> {
-    let text = request.header(LEASE_HEADER)?.last().as_str();
-    text.parse().ok().map(Duration::from_millis)
+fn parse_id(text: &str) -> Option<u128> {
+    u128::from_str_radix(text, 16).ok()
 }
--- /dev/null
+++ b/crates/standin/src/lease_table.rs
@@ -0,0 +1,250 @@
+//! The leases that a stand-in backend server has granted and the tasks under them.
+
+use std::time::{Duration, Instant};
+
+use indexmap::{IndexMap, IndexSet};
+use pw_base::prelude::*;
+use pw_link::lease_wire::{FenceReply, StopState};
+use pw_worker::prelude::*;
+
+/// Grants leases, and decides which starts may run under them.
+///
+/// A start names the lease and its last renewal. The table takes the current renewal and the one
+/// before it, and remembers the identities of tasks for as long, so that no start runs twice.
+#[derive(Debug, Default)]
+pub struct LeaseTable {
+    leases: IndexMap<LeaseId, TaskLease>,
+    fenced: IndexSet<EntryId>,
+}
+
+/// Lease as a start names it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NamedLease {
+    /// Identity of the lease.
+    pub lease: LeaseId,
+    /// Number of its last renewal that the holder knew.
+    pub renewal: RenewalCount,
+}
+
+/// Why a lease was not granted or renewed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GrantError {
+    /// The entry instance is fenced.
+    Fenced,
+    /// The lease has ended.
+    Ended,
+    /// The renewal named another number; this is the state of the lease.
+    Missed(LeaseGrant),
+}
+
+/// Why a start was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartError {
+    /// The lease has ended.
+    LeaseEnded,
+    /// The start names a renewal that is too old: it was delayed.
+    Delayed,
+    /// The task was stopped before it started.
+    Stopped,
+    /// The identity is known: the task runs or has run.
+    Known,
+    /// All slots are taken.
+    NoSlot,
+}
+
+#[derive(Debug)]
+struct TaskLease {
+    entry: EntryId,
+    grant: LeaseGrant,
+    ends: Instant,
+    tasks: IndexMap<TaskId, KnownTask>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct KnownTask {
+    phase: TaskPhase,
+    /// Renewal at which its identity came up last.
+    renewal: RenewalCount,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum TaskPhase {
+    Barred,
+    Running,
+    Ended,
+}
+
+impl LeaseTable {
+    /// Grants a new lease with the identity `lease`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the entry instance is fenced.
+    pub fn take(
+        &mut self,
+        now: Instant,
+        lease: LeaseId,
+        entry: EntryId,
+        ttl: Duration,
+    ) -> Result<LeaseGrant, GrantError> {
+        self.drop_ended(now);
+        if self.fenced.contains(&entry) {
+            return Err(GrantError::Fenced);
+        }
+        let grant = LeaseGrant {
+            lease,
+            renewal: 0,
+            ttl,
+        };
+        let state = TaskLease {
+            entry,
+            grant,
+            ends: now + ttl,
+            tasks: IndexMap::new(),
+        };
+        self.leases.insert(lease, state);
+        Ok(grant)
+    }
+
+    /// Renews a lease when `renewal` is the number of its last renewal.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the lease has ended or another renewal came first.
+    pub fn renew(
+        &mut self,
+        now: Instant,
+        lease: LeaseId,
+        renewal: RenewalCount,
+    ) -> Result<LeaseGrant, GrantError> {
+        self.drop_ended(now);
+        let state = self.leases.get_mut(&lease).ok_or(GrantError::Ended)?;
+        if state.grant.renewal != renewal {
+            return Err(GrantError::Missed(state.grant));
+        }
+        state.grant.renewal += 1;
+        state.ends = now + state.grant.ttl;
+        state.forget_tasks();
+        Ok(state.grant)
+    }
+
+    /// Marks a task as running when it may start under `lease` on one of `slots` slots.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it may not start; only [`StartError::Known`] leaves open whether it ran.
+    pub fn start(
+        &mut self,
+        now: Instant,
+        named: NamedLease,
+        task: TaskId,
+        slots: usize,
+    ) -> Result<(), StartError> {
+        self.drop_ended(now);
+        self.check_identity(task)?;
+        let free = self.running_tasks() < slots;
+        let state = self
+            .leases
+            .get_mut(&named.lease)
+            .ok_or(StartError::LeaseEnded)?;
+        if named.renewal + 1 < state.grant.renewal {
+            return Err(StartError::Delayed);
+        }
+        if !free {
+            return Err(StartError::NoSlot);
+        }
+        state.set_phase(task, TaskPhase::Running);
+        Ok(())
+    }
+
+    /// Notes that a task has ended.
+    pub fn end(&mut self, lease: LeaseId, task: TaskId) {
+        if let Some(state) = self.leases.get_mut(&lease) {
+            state.set_phase(task, TaskPhase::Ended);
+        }
+    }
+
+    /// Stops a task under `lease`, or bars a late start of it; `None` when the lease has ended.
+    pub fn stop(&mut self, now: Instant, lease: LeaseId, task: TaskId) -> Option<StopState> {
+        self.drop_ended(now);
+        let state = self.leases.get_mut(&lease)?;
+        let known = state.tasks.get(&task).map(|known| known.phase);
+        let (phase, outcome) = match known {
+            None | Some(TaskPhase::Barred) => (TaskPhase::Barred, StopState::NeverStarted),
+            Some(TaskPhase::Running) => (TaskPhase::Ended, StopState::Stopped),
+            Some(TaskPhase::Ended) => (TaskPhase::Ended, StopState::Finished),
+        };
+        state.set_phase(task, phase);
+        Some(outcome)
+    }
+
+    /// Ends all leases of `entry` and grants it no further one.
+    pub fn fence(&mut self, now: Instant, entry: EntryId) -> FenceReply {
+        self.drop_ended(now);
+        let before = self.leases.len();
+        self.leases.retain(|_, state| state.entry != entry);
+        self.fenced.insert(entry);
+        FenceReply {
+            ended_leases: u32::try_from(before - self.leases.len()).unwrap_or(u32::MAX),
+            // Ending a lease stops its tasks before this answer.
+            running_tasks: 0,
+        }
+    }
+
+    /// Returns when a lease ends unless it is renewed; `None` when it has ended.
+    pub fn ends(&self, lease: LeaseId) -> Option<Instant> {
+        self.leases.get(&lease).map(|state| state.ends)
+    }
+
+    /// Returns whether the task may go on under `lease`.
+    pub fn may_run(&self, now: Instant, lease: LeaseId, task: TaskId) -> bool {
+        let running = |known: &KnownTask| known.phase == TaskPhase::Running;
+        self.leases
+            .get(&lease)
+            .filter(|state| now < state.ends)
+            .and_then(|state| state.tasks.get(&task))
+            .is_some_and(running)
+    }
+
+    /// Returns how many tasks run under leases that have not ended.
+    pub fn running_tasks(&self) -> usize {
+        self.leases
+            .values()
+            .flat_map(|state| state.tasks.values())
+            .filter(|known| known.phase == TaskPhase::Running)
+            .count()
+    }
+
+    fn check_identity(&self, task: TaskId) -> Result<(), StartError> {
+        let known = self
+            .leases
+            .values()
+            .filter_map(|state| state.tasks.get(&task));
+        let phases: Vec<TaskPhase> = known.map(|known| known.phase).collect();
+        match phases.as_slice() {
+            [] => Ok(()),
+            phases if phases.iter().all(|phase| *phase == TaskPhase::Barred) => {
+                Err(StartError::Stopped)
+            }
+            _ => Err(StartError::Known),
+        }
+    }
+
+    fn drop_ended(&mut self, now: Instant) {
+        self.leases.retain(|_, state| now < state.ends);
+    }
+}
+
+impl TaskLease {
+    fn set_phase(&mut self, task: TaskId, phase: TaskPhase) {
+        let renewal = self.grant.renewal;
+        self.tasks.insert(task, KnownTask { phase, renewal });
+    }
+
+    /// Forgets the identities that no start may name any more.
+    fn forget_tasks(&mut self) {
+        let renewal = self.grant.renewal;
+        self.tasks
+            .retain(|_, known| known.phase == TaskPhase::Running || renewal <= known.renewal + 1);
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,8 @@
 pub mod backend_server;
 pub mod daemon;
 pub mod instance_list;
+pub mod journal;
+pub mod lease_table;
 pub mod log_service;
 mod reply;
 
@@ -10,5 +12,7 @@
 pub mod prelude {
     pub use crate::backend_server::{BackendServer, ServerSettings};
     pub use crate::instance_list::InstanceList;
+    pub use crate::journal::{JournalEntry, JournalEvent, RunJournal};
+    pub use crate::lease_table::{GrantError, LeaseTable, NamedLease, StartError};
     pub use crate::log_service::LogService;
 }
--- a/crates/standin/src/reply.rs
+++ b/crates/standin/src/reply.rs
@@ -3,7 +3,7 @@
 use http_types::{Response, StatusCode};
 use serde::Serialize;
 
-pub(crate) fn json_reply(status: StatusCode, value: &impl Serialize) -> Response {
+pub(crate) fn json_reply(status: StatusCode, value: &(impl Serialize + ?Sized)) -> Response {
     let mut response = Response::new(status);
     match serde_json::to_vec(value) {
         Ok(body) => {
