--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -39,6 +39,15 @@
     /// A backend server could not be reached or broke the connection.
     #[strum(message = "A backend server could not be reached or broke the connection.")]
     BackendFailed = 401,
+    /// A worker failed too often and gets no tasks for a while.
+    #[strum(message = "A worker failed too often and gets no tasks for a while.")]
+    WorkerEjected = 402,
+    /// A task failed as often as it may and was given up.
+    #[strum(message = "A task failed as often as it may and was given up.")]
+    TaskGivenUp = 403,
+    /// A retry was refused because the retry budget is spent.
+    #[strum(message = "A retry was refused because the retry budget is spent.")]
+    RetryRefused = 404,
     /// A stand-in of a platform service listens.
     #[strum(message = "A stand-in of a platform service listens.")]
     StandinStarted = 900,
--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -28,9 +28,3 @@
 pub type LogOffset = u64;
 /// Number of accepted configurations before this one; the empty fleet is revision 0.
 pub type FleetRevision = u64;
-/// Random identity of one boot of a worker instance; a reboot or a replacement takes a new one.
-pub type BootId = u128;
-/// Number of a planner's term, counted from 1; 0 before the first claim.
-pub type PlannerTerm = u64;
-/// Number of a maintenance wave, counted from 1; 0 before the first one.
-pub type WaveNumber = u64;
--- a/crates/contract/src/even_split.rs
+++ b/crates/contract/src/even_split.rs
@@ -31,9 +31,10 @@
             parts: IndexMap::new(),
         }
     }
+}
 
-    /// Sets the limits; tasks that run keep running above a lowered one.
-    pub fn set_teams(&mut self, teams: &[TeamSpec]) {
+impl PermitGate for EvenSplit {
+    fn set_teams(&mut self, teams: &[TeamSpec]) {
         self.parts.values_mut().for_each(|part| part.limit = 0);
         for team in teams {
             let part = self.parts.entry(team.id.clone()).or_default();
@@ -42,9 +43,7 @@
         self.parts
             .retain(|id, part| part.running > 0 || teams.iter().any(|team| team.id == *id));
     }
-}
 
-impl PermitGate for EvenSplit {
     fn take(&mut self, _now: Instant, team: &TeamId, _zone: &ZoneId) -> Option<TaskPermit> {
         let part = self.parts.get_mut(team)?;
         if part.running >= part.limit {
--- a/crates/contract/src/gate.rs
+++ b/crates/contract/src/gate.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use pw_base::prelude::*;
+use pw_team::prelude::*;
 use serde::{Deserialize, Serialize};
 use strum::Display;
 
@@ -27,6 +28,9 @@
 
 /// Hands out permits to start tasks.
 pub trait PermitGate: Send {
+    /// Sets the teams with their limits; tasks that run keep running above a lowered one.
+    fn set_teams(&mut self, teams: &[TeamSpec]);
+
     /// Takes a permit to start a task of `team` on a worker in `zone`.
     fn take(&mut self, now: Instant, team: &TeamId, zone: &ZoneId) -> Option<TaskPermit>;
 
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -1,145 +1,198 @@
 //! The decision object that accepts, places and closes tasks.
 
-use std::collections::VecDeque;
-use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use pw_base::prelude::*;
+use pw_contract::prelude::*;
 use pw_fleet::prelude::*;
 use pw_log::prelude::*;
+use pw_place::prelude::*;
 use pw_pool::prelude::*;
 use pw_team::prelude::*;
 use pw_worker::prelude::*;
-use pw_zone::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
+use crate::admission::{AdmissionRules, AdmittedTask};
+use crate::backlog::WaitReason;
+use crate::history::QueueHistory;
+use crate::lingering::LingeringPermits;
 use crate::message::{
-    DispatchCommand, DispatchEvent, LogReading, RefusalReason, RunCertainty, RunReport,
-    TaskRequest, TaskStart, TaskVerdict,
+    DeskNotice, DispatchCommand, DispatchEvent, LogReading, RefusalReason, RunCertainty, RunReport,
+    ShareReport, TaskRequest, TaskVerdict, TeamShare,
 };
+use crate::pool_desk::{LeadSettings, PoolDesk};
+use crate::retry::{RetryBudget, RetrySettings};
+use crate::task::{OpenTask, TaskPhase, TaskRun, TaskTable};
+use crate::timer::TimerHeap;
+
+/// Part of a queue's deadline that is kept as slack when a deferred task is put off.
+const DEFERRED_SLACK: u32 = 4;
 
 /// Bounds of a dispatch desk.
 #[derive(Debug, Clone)]
 pub struct DeskSettings {
+    /// Name of the entry instance.
+    pub entry: EntryId,
+    /// Availability zone of the entry instance.
+    pub home: ZoneId,
     /// Tasks that may wait at the same time.
     pub max_waiting: usize,
-    /// Starts of one task before it is given up; only certain failures are tried again.
-    pub max_starts: u32,
+    /// Tasks of a team that may wait for a pool whatever their expected wait.
+    pub min_waiting: u32,
+    /// Longest time that the start of a task may be under way to its worker.
+    pub delivery_bound: Duration,
+    /// Time between two reports to the peers while tasks wait.
+    pub report_interval: Duration,
+    /// When failed tasks are tried again.
+    pub retry: RetrySettings,
+    /// How service is measured against shares.
+    pub share: ShareSettings,
+    /// How a full pool is shared with the other entry instances.
+    pub lead: LeadSettings,
+    /// How workers are judged.
+    pub table: TableSettings,
+    /// Seed of the random generators.
+    pub seed: u64,
 }
 
 /// Accepts tasks, places them on workers and closes them.
-#[derive(Debug)]
 pub struct DispatchDesk {
-    settings: DeskSettings,
+    pub(crate) settings: DeskSettings,
     fold: FleetFold,
-    fleet: Option<FleetView>,
-    instances: IndexMap<WorkerId, InstanceEntry>,
-    tasks: IndexMap<TaskId, TaskState>,
-    waiting: VecDeque<TaskId>,
-    running: IndexMap<WorkerId, u32>,
-}
-
-#[derive(Debug)]
-struct FleetView {
     revision: FleetRevision,
-    spec: Arc<FleetSpec>,
-    key_teams: IndexMap<KeyDigest, TeamId>,
-}
-
-#[derive(Debug)]
-struct TaskState {
-    request: TaskRequest,
-    deadline: Instant,
-    starts: u32,
-    worker: Option<WorkerId>,
+    pub(crate) rules: AdmissionRules,
+    pub(crate) shares: Vec<(TeamId, u32)>,
+    pub(crate) pools: IndexMap<PoolId, PoolDesk>,
+    pub(crate) workers: WorkerTable,
+    pub(crate) tasks: TaskTable,
+    pub(crate) histories: IndexMap<QueueId, QueueHistory>,
+    pub(crate) picker: Box<dyn WorkerPicker>,
+    pub(crate) gate: Box<dyn PermitGate>,
+    pub(crate) permit_waits: IndexMap<TeamId, IndexSet<PoolId>>,
+    pub(crate) touched: IndexSet<PoolId>,
+    pub(crate) share_pauses: TimerHeap<PoolId>,
+    pub(crate) budget: RetryBudget,
+    demand: IndexMap<TeamId, u32>,
+    lingering: LingeringPermits,
+    deadlines: TimerHeap<TaskId>,
+    pauses: TimerHeap<TaskId>,
+    next_report: Option<Instant>,
+    is_stopping: bool,
+    random: SmallRng,
 }
 
 impl Default for DeskSettings {
     fn default() -> Self {
         Self {
+            entry: EntryId::from("entry"),
+            home: ZoneId::from(""),
             max_waiting: 10_000,
-            max_starts: 3,
+            min_waiting: 8,
+            delivery_bound: Duration::from_secs(5),
+            report_interval: Duration::from_millis(500),
+            retry: RetrySettings::default(),
+            share: ShareSettings::default(),
+            lead: LeadSettings::default(),
+            table: TableSettings::default(),
+            seed: 1,
         }
     }
 }
 
-impl FleetView {
-    fn new(revision: FleetRevision, spec: Arc<FleetSpec>) -> Self {
-        let key_teams = spec
-            .teams
-            .iter()
-            .flat_map(|team| {
-                team.keys
-                    .iter()
-                    .map(|key| (key.sha256, Arc::clone(&team.id)))
-            })
-            .collect();
-        Self {
-            revision,
-            spec,
-            key_teams,
-        }
+impl DispatchDesk {
+    /// Creates a desk that knows no fleet yet; `gate` keeps the teams' upper limits.
+    pub fn new(settings: DeskSettings, gate: Box<dyn PermitGate>) -> Self {
+        let picker = TwoChoices::new(TwoChoicesSettings {
+            home: settings.home.clone(),
+            seed: settings.seed,
+            ..TwoChoicesSettings::default()
+        });
+        Self::with_picker(settings, gate, Box::new(picker))
     }
 
-    /// Returns the queue when the task may use it.
-    fn admit(&self, request: &TaskRequest) -> Result<&QueueSpec, RefusalReason> {
-        let queue = self
-            .spec
-            .queue(&request.queue)
-            .ok_or(RefusalReason::UnknownQueue)?;
-        let known = |key: &KeyDigest| self.key_teams.contains_key(key);
-        if queue.open || request.key.as_ref().is_some_and(known) {
-            Ok(queue)
-        } else {
-            Err(RefusalReason::KeyRejected)
-        }
-    }
-}
-
-impl DispatchDesk {
-    /// Creates a desk that knows no fleet yet.
-    pub fn new(settings: DeskSettings) -> Self {
+    /// Creates a desk whose workers are chosen by `picker`.
+    pub fn with_picker(
+        settings: DeskSettings,
+        gate: Box<dyn PermitGate>,
+        picker: Box<dyn WorkerPicker>,
+    ) -> Self {
         Self {
-            settings,
             fold: FleetFold::default(),
-            fleet: None,
-            instances: IndexMap::new(),
-            tasks: IndexMap::new(),
-            waiting: VecDeque::new(),
-            running: IndexMap::new(),
+            revision: 0,
+            rules: AdmissionRules::default(),
+            shares: Vec::new(),
+            pools: IndexMap::new(),
+            workers: WorkerTable::new(settings.table.clone()),
+            tasks: TaskTable::default(),
+            histories: IndexMap::new(),
+            picker,
+            gate,
+            permit_waits: IndexMap::new(),
+            touched: IndexSet::new(),
+            share_pauses: TimerHeap::default(),
+            budget: RetryBudget::new(settings.retry),
+            demand: IndexMap::new(),
+            lingering: LingeringPermits::new(settings.delivery_bound),
+            deadlines: TimerHeap::default(),
+            pauses: TimerHeap::default(),
+            next_report: None,
+            is_stopping: false,
+            random: SmallRng::seed_from_u64(settings.seed),
+            settings,
         }
     }
 
     /// Takes one event and returns what is to be done.
     pub fn handle(&mut self, now: Instant, event: DispatchEvent) -> Vec<DispatchCommand> {
         let mut commands = Vec::new();
+        self.pass_time(now, &mut commands);
         match event {
-            DispatchEvent::LogRead(reading) => self.read_log(&reading),
-            DispatchEvent::InstancesListed(list) => self.list_instances(list),
+            DispatchEvent::LogRead(reading) => self.read_log(now, &reading, &mut commands),
+            DispatchEvent::InstancesListed(list) => {
+                self.workers.set_instances(now, list);
+                self.touch_all();
+            }
+            DispatchEvent::UsageReported(reports) => self.note_usage(reports),
+            DispatchEvent::SharesHeard(report) => self.hear_shares(now, report),
             DispatchEvent::TaskSubmitted(request) => {
-                commands.extend(self.submit(now, request));
+                let id = request.id;
+                if let Err(reason) = self.submit(now, request) {
+                    commands.push(refuse(id, reason, RunCertainty::NotRun));
+                }
+            }
+            DispatchEvent::TaskAbandoned(id) => {
+                self.close_waiting(now, id, RefusalReason::Cancelled, &mut commands);
+            }
+            DispatchEvent::TaskEnded { task, report } => {
+                self.end(now, task, report, &mut commands);
             }
-            DispatchEvent::TaskAbandoned(task) => self.abandon(task),
-            DispatchEvent::TaskEnded { task, report } => commands.extend(self.end(task, report)),
+            DispatchEvent::ShutdownBegan => self.is_stopping = true,
             DispatchEvent::TimePassed => {}
         }
-        self.place_waiting(now, &mut commands);
+        self.start_ready(now, &mut commands);
         commands
     }
 
     /// Returns when the desk wants [`DispatchEvent::TimePassed`] at the latest.
     pub fn next_deadline(&self) -> Option<Instant> {
-        self.waiting
-            .iter()
-            .filter_map(|id| self.tasks.get(id))
-            .map(|task| task.deadline)
-            .min()
+        [
+            self.deadlines.next(),
+            self.pauses.next(),
+            self.share_pauses.next(),
+            self.lingering.next_deadline(),
+            self.workers.next_deadline(),
+            self.next_report,
+        ]
+        .into_iter()
+        .flatten()
+        .min()
     }
 
     /// Returns the revision of the configuration in force; 0 before the first one.
     pub fn revision(&self) -> FleetRevision {
-        self.fleet.as_ref().map_or(0, |fleet| fleet.revision)
+        self.revision
     }
 
     /// Returns how many tasks wait or run.
@@ -147,170 +200,503 @@
         self.tasks.len()
     }
 
-    fn read_log(&mut self, reading: &LogReading) {
+    /// Returns how many tasks do not run.
+    pub fn waiting_tasks(&self) -> usize {
+        self.tasks.waiting()
+    }
+
+    /// Returns why a task does not start; `None` when it runs or is not open.
+    pub fn explain(&self, id: TaskId) -> Option<WaitReason> {
+        let task = self.tasks.get(id)?;
+        match task.phase {
+            TaskPhase::Running(_) => None,
+            TaskPhase::Pausing => Some(WaitReason::Retry),
+            TaskPhase::Waiting => Some(self.explain_waiting(task)),
+        }
+    }
+
+    /// Returns how many tasks do not start, by reason.
+    pub fn explain_all(&self) -> IndexMap<WaitReason, usize> {
+        let mut reasons = IndexMap::new();
+        for (id, _) in self.tasks.not_running() {
+            if let Some(reason) = self.explain(id) {
+                *reasons.entry(reason).or_default() += 1;
+            }
+        }
+        reasons
+    }
+
+    fn explain_waiting(&self, task: &OpenTask) -> WaitReason {
+        let AdmittedTask { queue, team } = &task.admitted;
+        let held = self.pools.get(&queue.pool);
+        if let Some(reason) = held.and_then(|pool| pool.backlog.held(team)) {
+            return reason;
+        }
+        match self.workers.roster(&queue.pool) {
+            Some(roster) if roster.slots() > 0 && roster.open_count() == 0 => WaitReason::Slots,
+            Some(roster) if roster.slots() > 0 && queue.kind == QueueKind::Deferred => {
+                WaitReason::Reserve
+            }
+            Some(roster) if roster.slots() > 0 => WaitReason::Turn,
+            _ => WaitReason::Zone,
+        }
+    }
+
+    fn pass_time(&mut self, now: Instant, commands: &mut Vec<DispatchCommand>) {
+        while let Some(id) = self.deadlines.pop_due(now) {
+            self.close_waiting(now, id, RefusalReason::DeadlinePassed, commands);
+        }
+        while let Some(id) = self.pauses.pop_due(now) {
+            if self.tasks.resume(id) {
+                self.enqueue(now, id, true);
+            }
+        }
+        while let Some(permit) = self.lingering.take_ended(now) {
+            self.give_back(now, permit);
+        }
+        while let Some(pool) = self.share_pauses.pop_due(now) {
+            if let Some(desk) = self.pools.get_mut(&pool) {
+                let is_over = |reason| reason == WaitReason::Share;
+                desk.backlog.release_where(is_over);
+                self.touched.insert(pool);
+            }
+        }
+        self.touched.extend(self.workers.wake(now));
+        self.tell_peers(now, commands);
+    }
+
+    fn read_log(
+        &mut self,
+        now: Instant,
+        reading: &LogReading,
+        commands: &mut Vec<DispatchCommand>,
+    ) {
         for (offset, record) in &reading.records {
             self.fold.advance(*offset, record);
         }
         self.fold.skip_to(reading.next_offset);
         let state = self.fold.state();
-        if self.revision() < state.revision {
-            let revision = state.revision;
-            self.fleet = state
-                .spec
-                .clone()
-                .map(|spec| FleetView::new(revision, spec));
+        if let Some(spec) = state.spec.clone()
+            && self.revision < state.revision
+        {
+            self.revision = state.revision;
+            self.set_fleet(now, &spec, commands);
+        }
+        if !reading.records.is_empty() {
+            self.release_permit_holds();
         }
     }
 
-    fn list_instances(&mut self, list: Vec<InstanceEntry>) {
-        self.instances = list
-            .into_iter()
-            .map(|instance| (Arc::clone(&instance.worker), instance))
+    fn set_fleet(&mut self, now: Instant, spec: &FleetSpec, commands: &mut Vec<DispatchCommand>) {
+        self.rules = AdmissionRules::new(spec);
+        self.gate.set_teams(&spec.teams);
+        self.workers.set_fleet(now, spec);
+        let teams = spec.teams.iter();
+        self.shares = teams.map(|team| (team.id.clone(), team.share)).collect();
+        let shares = &self.shares;
+        for (id, pool) in &mut self.pools {
+            let named = shares.iter().map(|(team, share)| (team, *share));
+            pool.shares.set_shares(named);
+            pool.has_callers = has_callers(spec, id);
+        }
+        for pool in &spec.pools {
+            if !self.pools.contains_key(&pool.id) {
+                let mut book = ShareBook::new(self.settings.share.clone());
+                book.set_shares(shares.iter().map(|(team, share)| (team, *share)));
+                let mut desk = PoolDesk::new(book);
+                desk.has_callers = has_callers(spec, &pool.id);
+                self.pools.insert(pool.id.clone(), desk);
+            }
+        }
+        self.readmit(now, commands);
+        self.touch_all();
+    }
+
+    /// Applies the rules in force to the tasks that do not run.
+    fn readmit(&mut self, now: Instant, commands: &mut Vec<DispatchCommand>) {
+        let changed: Vec<(TaskId, Result<AdmittedTask, RefusalReason>)> = self
+            .tasks
+            .not_running()
+            .map(|(id, task)| (id, self.rules.admit(&task.request), &task.admitted))
+            .filter(|(_, admitted, known)| {
+                !matches!(admitted, Ok(new) if new.team == known.team && new.queue == known.queue)
+            })
+            .map(|(id, admitted, _)| (id, admitted))
             .collect();
+        for (id, admitted) in changed {
+            match admitted {
+                Err(reason) => self.close_waiting(now, id, reason, commands),
+                Ok(admitted) => self.move_waiting(now, id, admitted),
+            }
+        }
+    }
+
+    /// Moves a task that does not run to another team, queue or pool.
+    fn move_waiting(&mut self, now: Instant, id: TaskId, admitted: AdmittedTask) {
+        let is_pausing = !self.tasks.is_waiting(id);
+        let Some(mut task) = self.remove_waiting(now, id) else {
+            return;
+        };
+        task.admitted = admitted;
+        self.tasks.insert(task);
+        if is_pausing {
+            self.tasks.pause(id);
+        } else {
+            self.enqueue(now, id, false);
+        }
+    }
+
+    fn note_usage(&mut self, reports: Vec<WorkerUsage>) {
+        for report in reports {
+            for usage in &report.tasks {
+                if let Some(task) = self.tasks.get(usage.task) {
+                    let queue = task.request.queue.clone();
+                    let history = self.histories.entry(queue).or_default();
+                    history.note_size(&usage.used);
+                }
+            }
+            if let Some(pool) = self.workers.pool_of(&report.worker).cloned() {
+                self.release_resource_holds(&pool);
+                self.touched.insert(pool);
+            }
+            self.workers.set_usage(report);
+        }
+    }
+
+    fn hear_shares(&mut self, now: Instant, report: ShareReport) {
+        if report.entry == self.settings.entry {
+            return;
+        }
+        for service in report.pools {
+            let Some(pool) = self.pools.get_mut(&service.pool) else {
+                continue;
+            };
+            let teams = service.teams.into_iter().map(|share| {
+                let TeamShare {
+                    team,
+                    served,
+                    running,
+                    waiting,
+                } = share;
+                (team, TeamService::reported(served, running, waiting))
+            });
+            pool.shares.hear(now, &report.entry, teams);
+            self.touched.insert(service.pool);
+        }
+        self.next_report.get_or_insert(now);
     }
 
-    fn submit(&mut self, now: Instant, request: TaskRequest) -> Option<DispatchCommand> {
+    fn tell_peers(&mut self, now: Instant, commands: &mut Vec<DispatchCommand>) {
+        if self.next_report.is_none_or(|at| now < at) {
+            return;
+        }
+        for pool in self.pools.values_mut() {
+            pool.shares.forget_silent(now);
+        }
+        let pools: Vec<_> = self
+            .pools
+            .iter()
+            .filter_map(|(id, pool)| pool.report(now, id))
+            .collect();
+        if pools.is_empty() {
+            self.next_report = None;
+            return;
+        }
+        self.next_report = Some(now + self.settings.report_interval);
+        let entry = self.settings.entry.clone();
+        commands.push(DispatchCommand::TellPeers(ShareReport { entry, pools }));
+    }
+
+    fn submit(&mut self, now: Instant, request: TaskRequest) -> Result<(), RefusalReason> {
         let id = request.id;
-        if self.tasks.contains_key(&id) {
-            return None;
+        if self.tasks.get(id).is_some() {
+            return Ok(());
         }
-        let Some(fleet) = &self.fleet else {
-            return Some(refuse(id, RefusalReason::NotReady, RunCertainty::NotRun));
-        };
-        let queue = match fleet.admit(&request) {
-            Ok(queue) => queue,
-            Err(reason) => return Some(refuse(id, reason, RunCertainty::NotRun)),
-        };
-        if self.waiting.len() >= self.settings.max_waiting {
-            return Some(refuse(id, RefusalReason::Overloaded, RunCertainty::NotRun));
+        if self.is_stopping {
+            return Err(RefusalReason::ShuttingDown);
+        }
+        if self.revision == 0 {
+            return Err(RefusalReason::NotReady);
         }
-        let latest = now + queue.deadline;
+        let admitted = self.rules.admit(&request)?;
+        let latest = now + admitted.queue.deadline;
         let deadline = request.deadline.map_or(latest, |asked| asked.min(latest));
-        let task = TaskState {
+        self.check_room(now, &request, &admitted, deadline)?;
+        self.tasks.insert(OpenTask {
             request,
+            admitted,
+            accepted: now,
             deadline,
-            starts: 0,
-            worker: None,
-        };
-        self.tasks.insert(id, task);
-        self.waiting.push_back(id);
-        None
+            failures: 0,
+            may_have_run: false,
+            avoid: None,
+            phase: TaskPhase::Waiting,
+        });
+        self.deadlines.push(deadline, id);
+        let tasks = &self.tasks;
+        self.deadlines
+            .compact(tasks.waiting(), |id| tasks.is_not_running(*id));
+        self.enqueue(now, id, false);
+        Ok(())
     }
 
-    fn abandon(&mut self, id: TaskId) {
-        if self
-            .tasks
-            .get(&id)
-            .is_some_and(|task| task.worker.is_none())
-        {
-            self.tasks.swap_remove(&id);
+    /// Checks that the task can be expected to start before its deadline.
+    fn check_room(
+        &self,
+        now: Instant,
+        request: &TaskRequest,
+        admitted: &AdmittedTask,
+        deadline: Instant,
+    ) -> Result<(), RefusalReason> {
+        let AdmittedTask { queue, team } = admitted;
+        if deadline <= now {
+            return Err(RefusalReason::DeadlinePassed);
+        }
+        let roster = self.workers.roster(&queue.pool);
+        let size = self.expected_size(request, queue);
+        if roster.is_some_and(|roster| !roster.could_run(&size)) {
+            return Err(RefusalReason::Unplaceable);
         }
+        let room = self
+            .settings
+            .max_waiting
+            .saturating_sub(self.tasks.waiting());
+        let pool = self.pools.get(&queue.pool);
+        let waiting = pool.map_or(0, |pool| pool.backlog.waiting_of(team));
+        // A team may fill as much of the backlog as it leaves free, so that none fills it all.
+        if waiting as usize >= room {
+            return Err(RefusalReason::Overloaded);
+        }
+        if queue.kind == QueueKind::Interactive && waiting >= self.settings.min_waiting {
+            let wait = pool.map_or(Duration::ZERO, |pool| pool.backlog.expected_wait(now, team));
+            let history = self.histories.get(&queue.id);
+            let run = history.map_or(Duration::ZERO, QueueHistory::usual_run);
+            if wait.saturating_add(run) > deadline - now {
+                return Err(RefusalReason::Overloaded);
+            }
+        }
+        Ok(())
     }
 
-    fn end(&mut self, id: TaskId, report: RunReport) -> Option<DispatchCommand> {
-        let worker = self.tasks.get_mut(&id)?.worker.take()?;
-        if let Some(running) = self.running.get_mut(&worker) {
-            *running = running.saturating_sub(1);
+    /// Puts a task that waits into the backlog of its pool.
+    pub(crate) fn enqueue(&mut self, now: Instant, id: TaskId, is_retry: bool) {
+        let Some(task) = self.tasks.get(id) else {
+            return;
+        };
+        let AdmittedTask { queue, team } = task.admitted.clone();
+        let slack = queue.run_timeout + queue.deadline / DEFERRED_SLACK;
+        let latest_start = task.deadline.checked_sub(slack).unwrap_or(task.accepted);
+        let pool = self.pools.entry(queue.pool.clone()).or_default();
+        pool.backlog
+            .push(&team, id, queue.kind, latest_start, is_retry);
+        pool.note_waiting(now, &team);
+        self.touched.insert(queue.pool.clone());
+        self.change_demand(now, &team, true);
+        self.next_report
+            .get_or_insert(now + self.settings.report_interval);
+    }
+
+    pub(crate) fn change_demand(&mut self, now: Instant, team: &ShareTeam, is_more: bool) {
+        let Some(team) = team else {
+            return;
+        };
+        let demand = self.demand.entry(team.clone()).or_default();
+        *demand = if is_more {
+            *demand + 1
+        } else {
+            demand.saturating_sub(1)
+        };
+        self.gate.set_demand(now, team, *demand);
+    }
+
+    /// Takes a task that does not run out of the desk.
+    fn remove_waiting(&mut self, now: Instant, id: TaskId) -> Option<OpenTask> {
+        let was_queued = self.tasks.is_waiting(id);
+        let task = self.tasks.remove_waiting(id)?;
+        let AdmittedTask { queue, team } = &task.admitted;
+        if was_queued && let Some(pool) = self.pools.get_mut(&queue.pool) {
+            pool.backlog.forget(team, &self.tasks);
+            pool.note_waiting(now, team);
+            self.change_demand(now, team, false);
         }
-        let starts = self.tasks.get(&id)?.starts;
-        if report == RunReport::NotRun && starts < self.settings.max_starts {
-            self.waiting.push_front(id);
-            return None;
+        Some(task)
+    }
+
+    pub(crate) fn close_waiting(
+        &mut self,
+        now: Instant,
+        id: TaskId,
+        reason: RefusalReason,
+        commands: &mut Vec<DispatchCommand>,
+    ) {
+        if let Some(task) = self.remove_waiting(now, id) {
+            commands.push(refuse(id, reason, task.certainty()));
         }
-        self.tasks.swap_remove(&id);
-        Some(match report {
-            RunReport::Answered => DispatchCommand::CloseTask {
+    }
+
+    fn end(
+        &mut self,
+        now: Instant,
+        id: TaskId,
+        report: RunReport,
+        commands: &mut Vec<DispatchCommand>,
+    ) {
+        let Some((mut task, run)) = self.tasks.finish(id) else {
+            return;
+        };
+        self.settle_run(now, id, &task, &run, report, commands);
+        task.may_have_run |= report == RunReport::Unknown;
+        match report {
+            RunReport::Answered => commands.push(DispatchCommand::CloseTask {
                 task: id,
                 verdict: TaskVerdict::Answered,
+            }),
+            RunReport::Busy => {
+                task.avoid = Some(run.worker);
+                self.tasks.insert(task);
+                self.enqueue(now, id, true);
+            }
+            RunReport::Unknown if !task.admitted.queue.idempotent => {
+                commands.push(refuse(id, RefusalReason::BackendFailed, task.certainty()));
+            }
+            RunReport::NotRun | RunReport::Unknown => {
+                task.avoid = Some(run.worker);
+                self.retry(now, task, commands);
+            }
+        }
+    }
+
+    /// Gives back what the run held, and notes what it says about its worker and queue.
+    fn settle_run(
+        &mut self,
+        now: Instant,
+        id: TaskId,
+        task: &OpenTask,
+        run: &TaskRun,
+        report: RunReport,
+        commands: &mut Vec<DispatchCommand>,
+    ) {
+        let AdmittedTask { queue, team } = &task.admitted;
+        let length = now.saturating_duration_since(run.started);
+        let history = self.histories.entry(queue.id.clone()).or_default();
+        let outcome = match report {
+            RunReport::Answered => RunOutcome::Done {
+                pace: history.pace(length),
             },
-            RunReport::NotRun => refuse(id, RefusalReason::BackendFailed, RunCertainty::NotRun),
-            RunReport::Unknown => refuse(id, RefusalReason::BackendFailed, RunCertainty::Unknown),
-        })
+            RunReport::Busy => RunOutcome::Busy,
+            RunReport::Unknown if now >= run.lease_end => RunOutcome::Neutral,
+            RunReport::NotRun | RunReport::Unknown => RunOutcome::Failed,
+        };
+        if report == RunReport::Answered {
+            history.note_run(length);
+        }
+        if self
+            .workers
+            .release_slot(now, &run.worker, &run.size, outcome)
+        {
+            let notice = DeskNotice::WorkerEjected(run.worker.clone());
+            commands.push(DispatchCommand::Note(notice));
+        }
+        if let Some(permit) = run.permit.clone() {
+            match report {
+                RunReport::Unknown => self.lingering.keep(id, permit, run.lease_end),
+                _ => self.give_back(now, permit),
+            }
+        }
+        let is_deferred = queue.kind == QueueKind::Deferred;
+        if let Some(pool) = self.pools.get_mut(&queue.pool) {
+            pool.note_end(now, team, is_deferred);
+            self.touched.insert(queue.pool.clone());
+        }
+        self.release_slot_holds(&queue.pool, &run.worker);
     }
 
-    /// Starts each waiting task that has a place, and refuses those that may no longer start.
-    fn place_waiting(&mut self, now: Instant, commands: &mut Vec<DispatchCommand>) {
-        for _ in 0..self.waiting.len() {
-            let Some(id) = self.waiting.pop_front() else {
-                return;
-            };
-            match self.place(now, id) {
-                Placement::Gone => {}
-                Placement::Refused(reason) => {
-                    self.tasks.swap_remove(&id);
-                    commands.push(refuse(id, reason, RunCertainty::NotRun));
+    fn retry(&mut self, now: Instant, mut task: OpenTask, commands: &mut Vec<DispatchCommand>) {
+        let id = task.request.id;
+        task.failures += 1;
+        let pause = self.budget.pause(task.failures, &mut self.random);
+        let at = now + pause;
+        let is_spent = task.failures >= self.settings.retry.max_failures;
+        let notice = if is_spent {
+            Some(DeskNotice::TaskGivenUp(id))
+        } else if at >= task.deadline {
+            None
+        } else if !self.budget.take(now) {
+            Some(DeskNotice::RetryRefused(id))
+        } else {
+            self.tasks.insert(task);
+            self.tasks.pause(id);
+            self.pauses.push(at, id);
+            return;
+        };
+        commands.extend(notice.map(DispatchCommand::Note));
+        commands.push(refuse(id, RefusalReason::BackendFailed, task.certainty()));
+    }
+
+    fn give_back(&mut self, now: Instant, permit: TaskPermit) {
+        let team = permit.team.clone();
+        self.gate.give_back(now, permit);
+        for pool in self.permit_waits.swap_remove(&team).unwrap_or_default() {
+            if let Some(desk) = self.pools.get_mut(&pool) {
+                let team = Some(team.clone());
+                desk.backlog.release(&team, WaitReason::Permit);
+                desk.backlog.release(&team, WaitReason::RemotePermit);
+                desk.note_waiting(now, &team);
+            }
+            self.touched.insert(pool);
+        }
+    }
+
+    /// Lets every team that waits for permits ask again.
+    fn release_permit_holds(&mut self) {
+        let is_over = |reason| matches!(reason, WaitReason::Permit | WaitReason::RemotePermit);
+        for (_, pools) in self.permit_waits.drain(..) {
+            for pool in pools {
+                if let Some(desk) = self.pools.get_mut(&pool) {
+                    desk.backlog.release_where(is_over);
                 }
-                Placement::Started(start) => commands.push(DispatchCommand::StartTask(start)),
-                Placement::Waits => self.waiting.push_back(id),
+                self.touched.insert(pool);
             }
         }
     }
 
-    fn place(&mut self, now: Instant, id: TaskId) -> Placement {
-        let (Some(task), Some(fleet)) = (self.tasks.get(&id), &self.fleet) else {
-            return Placement::Gone;
-        };
-        if task.deadline <= now {
-            return Placement::Refused(RefusalReason::DeadlinePassed);
+    fn release_resource_holds(&mut self, pool: &PoolId) {
+        if let Some(desk) = self.pools.get_mut(pool) {
+            let is_over = |reason| reason == WaitReason::Resources;
+            desk.backlog.release_where(is_over);
         }
-        let queue = match fleet.admit(&task.request) {
-            Ok(queue) => queue,
-            Err(reason) => return Placement::Refused(reason),
-        };
-        let Some((worker, address)) = self.pick_worker(&fleet.spec, queue) else {
-            return Placement::Waits;
-        };
-        let run_timeout = queue.run_timeout.min(task.deadline - now);
-        self.start(id, worker, address, run_timeout)
     }
 
-    fn start(
-        &mut self,
-        id: TaskId,
-        worker: WorkerId,
-        address: SocketAddr,
-        run_timeout: Duration,
-    ) -> Placement {
-        if let Some(task) = self.tasks.get_mut(&id) {
-            task.starts += 1;
-            task.worker = Some(Arc::clone(&worker));
-        }
-        *self.running.entry(Arc::clone(&worker)).or_default() += 1;
-        Placement::Started(TaskStart {
-            task: id,
-            worker,
-            address,
-            run_timeout,
-        })
-    }
-
-    /// Returns the live worker of the queue's pool with the most free slots.
-    fn pick_worker(&self, spec: &FleetSpec, queue: &QueueSpec) -> Option<(WorkerId, SocketAddr)> {
-        let pool = spec.pools.iter().find(|pool| pool.id == queue.pool)?;
-        spec.workers
-            .iter()
-            .filter(|worker| pool.workers.contains(&worker.id))
-            .filter(|worker| {
-                let zone = spec.zone(&worker.zone);
-                zone.is_some_and(|zone| zone.status == ZoneStatus::InService)
-            })
-            .filter_map(|worker| {
-                let instance = self.instances.get(&worker.id)?;
-                let running = self.running.get(&worker.id).copied().unwrap_or_default();
-                let free = worker.slots.saturating_sub(running);
-                let usable = instance.state == InstanceState::Live && free > 0;
-                usable.then_some((free, worker, instance.address))
-            })
-            .max_by_key(|(free, ..)| *free)
-            .map(|(_, worker, address)| (Arc::clone(&worker.id), address))
+    /// Releases the holds that a slot freed on `worker` may end.
+    fn release_slot_holds(&mut self, pool: &PoolId, worker: &WorkerId) {
+        let worker = self.workers.worker(worker);
+        let is_home = worker.is_some_and(|worker| worker.spec().zone == self.settings.home);
+        if let Some(desk) = self.pools.get_mut(pool) {
+            desk.backlog.release_where(|reason| match reason {
+                WaitReason::Resources => true,
+                WaitReason::RemotePermit => is_home,
+                _ => false,
+            });
+        }
+    }
+
+    fn touch_all(&mut self) {
+        for (id, pool) in &mut self.pools {
+            let is_over =
+                |reason| matches!(reason, WaitReason::Resources | WaitReason::RemotePermit);
+            pool.backlog.release_where(is_over);
+            if pool.backlog.waiting() > 0 {
+                self.touched.insert(id.clone());
+            }
+        }
     }
 }
 
-enum Placement {
-    Gone,
-    Refused(RefusalReason),
-    Started(TaskStart),
-    Waits,
+fn has_callers(spec: &FleetSpec, pool: &PoolId) -> bool {
+    let queues = spec.queues.iter();
+    queues
+        .filter(|queue| queue.pool == *pool)
+        .any(|queue| queue.kind == QueueKind::Interactive)
 }
 
 fn refuse(task: TaskId, reason: RefusalReason, certainty: RunCertainty) -> DispatchCommand {
--- /dev/null
+++ b/crates/dispatch/src/history.rs
@@ -0,0 +1,83 @@
+//! What earlier tasks of a queue needed, since declared sizes and run times are far off.
+
+use std::time::Duration;
+
+use pw_worker::prelude::*;
+
+/// Weight of a new observation against the earlier ones.
+const NEW_WEIGHT: f64 = 0.1;
+/// Deviations above the mean that a size is expected to stay under.
+const SIZE_DEVIATIONS: f64 = 2.0;
+
+/// Run times and sizes that were observed on one queue.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct QueueHistory {
+    run: MovingAverage,
+    millicores: MovingAverage,
+    memory_mib: MovingAverage,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct MovingAverage {
+    is_started: bool,
+    mean: f64,
+    deviation: f64,
+}
+
+impl MovingAverage {
+    fn note(&mut self, value: f64) {
+        if self.is_started {
+            let error = value - self.mean;
+            self.mean += NEW_WEIGHT * error;
+            self.deviation += NEW_WEIGHT * (error.abs() - self.deviation);
+        } else {
+            self.is_started = true;
+            self.mean = value;
+        }
+    }
+
+    /// Returns an amount that most observations stay under, or `declared` before the first one.
+    fn upper(&self, declared: u32) -> u32 {
+        if self.is_started {
+            (self.mean + SIZE_DEVIATIONS * self.deviation).ceil() as u32
+        } else {
+            declared
+        }
+    }
+}
+
+impl QueueHistory {
+    /// Notes how long a task ran.
+    pub fn note_run(&mut self, length: Duration) {
+        self.run.note(length.as_secs_f64());
+    }
+
+    /// Notes what a task used.
+    pub fn note_size(&mut self, used: &ResourceSize) {
+        self.millicores.note(f64::from(used.millicores));
+        self.memory_mib.note(f64::from(used.memory_mib));
+    }
+
+    /// Returns the usual run time; zero before the first run.
+    pub fn usual_run(&self) -> Duration {
+        Duration::from_secs_f64(self.run.mean.max(0.0))
+    }
+
+    /// Returns `length` divided by the usual run time.
+    pub fn pace(&self, length: Duration) -> f64 {
+        if self.run.mean > 0.0 {
+            length.as_secs_f64() / self.run.mean
+        } else {
+            1.0
+        }
+    }
+
+    /// Returns the size that a task is expected to need; accelerators are as declared.
+    pub fn expected_size(&self, declared: &ResourceSize) -> ResourceSize {
+        ResourceSize {
+            millicores: self.millicores.upper(declared.millicores),
+            memory_mib: self.memory_mib.upper(declared.memory_mib),
+            accelerators: declared.accelerators,
+        }
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,14 +3,27 @@
 //! [`DispatchDesk`](desk::DispatchDesk) takes `(now, event)` and returns commands. It knows
 //! nothing of sockets, HTTP or encodings, so that any front end can drive it.
 
+pub mod admission;
+pub mod backlog;
 pub mod desk;
+pub mod drain;
+pub mod history;
+pub mod lingering;
 pub mod message;
+pub mod pool_desk;
+pub mod retry;
+mod starting;
+pub mod task;
+pub mod timer;
 
 /// The names that most users of this crate need.
 pub mod prelude {
+    pub use crate::backlog::WaitReason;
     pub use crate::desk::{DeskSettings, DispatchDesk};
     pub use crate::message::{
-        DispatchCommand, DispatchEvent, LogReading, RefusalReason, RunCertainty, RunReport,
-        TaskRequest, TaskStart, TaskVerdict,
+        DeskNotice, DispatchCommand, DispatchEvent, LogReading, PoolService, RefusalReason,
+        RunCertainty, RunReport, ShareReport, TaskRequest, TaskStart, TaskVerdict, TeamShare,
     };
+    pub use crate::pool_desk::LeadSettings;
+    pub use crate::retry::RetrySettings;
 }
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -8,6 +8,7 @@
 use pw_log::prelude::*;
 use pw_team::prelude::*;
 use pw_worker::prelude::*;
+use serde::{Deserialize, Serialize};
 use strum::{AsRefStr, Display};
 
 /// A task as its caller submitted it; the payload stays with the front end.
@@ -21,6 +22,8 @@
     pub key: Option<KeyDigest>,
     /// Latest time for the answer, where the caller set one.
     pub deadline: Option<Instant>,
+    /// Resources that the caller declares; all zero when it declares none.
+    pub size: ResourceSize,
 }
 
 /// Records that one read of the platform's log brought, possibly none.
@@ -41,6 +44,10 @@
     LogRead(LogReading),
     /// The platform's instance list was read.
     InstancesListed(Vec<InstanceEntry>),
+    /// Workers reported their load.
+    UsageReported(Vec<WorkerUsage>),
+    /// A peer reported the service that its teams have had.
+    SharesHeard(ShareReport),
     /// A caller submitted a task.
     TaskSubmitted(TaskRequest),
     /// A caller no longer waits for its task.
@@ -52,24 +59,59 @@
         /// How it ended.
         report: RunReport,
     },
+    /// The entry instance shuts down and takes no more tasks.
+    ShutdownBegan,
     /// Time has passed.
     TimePassed,
 }
 
+/// Service that one entry instance has given, pool by pool, for its peers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ShareReport {
+    /// Entry instance that reports.
+    pub entry: EntryId,
+    /// Pools for which tasks wait.
+    pub pools: Vec<PoolService>,
+}
+
+/// Service that one entry instance has given on one pool.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PoolService {
+    /// Pool that gave the service.
+    pub pool: PoolId,
+    /// Service by team.
+    pub teams: Vec<TeamShare>,
+}
+
+/// Service that one team has had from one pool through one entry instance.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TeamShare {
+    /// Team; `None` for the callers of open queues without a key.
+    pub team: ShareTeam,
+    /// Decayed slot-seconds.
+    pub served: f64,
+    /// Tasks that run.
+    pub running: u32,
+    /// Tasks that wait and could use a slot.
+    pub waiting: u32,
+}
+
 /// How a started task ended, as far as its entry instance knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
 #[strum(serialize_all = "kebab-case")]
 pub enum RunReport {
     /// The whole answer is there.
     Answered,
-    /// The backend server certainly did not run it.
+    /// The backend server had no free slot and certainly did not run it.
+    Busy,
+    /// The backend server failed and certainly did not run it.
     NotRun,
     /// The backend server may have run it.
     Unknown,
 }
 
 /// What the desk wants done.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum DispatchCommand {
     /// Start a task on a backend server.
     StartTask(TaskStart),
@@ -80,6 +122,21 @@
         /// How it ended.
         verdict: TaskVerdict,
     },
+    /// Tell the peers what service the teams have had.
+    TellPeers(ShareReport),
+    /// Write down something that operators want to know.
+    Note(DeskNotice),
+}
+
+/// Something that operators want to know.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DeskNotice {
+    /// A worker failed too often and gets no tasks for a while.
+    WorkerEjected(WorkerId),
+    /// A task failed as often as it may and was given up.
+    TaskGivenUp(TaskId),
+    /// A retry was refused to keep an outage from growing.
+    RetryRefused(TaskId),
 }
 
 /// Start of a task on a backend server.
@@ -131,8 +188,12 @@
     UnknownQueue,
     /// The key is missing, unknown or withdrawn.
     KeyRejected,
-    /// Too many tasks wait.
+    /// Too many tasks wait, or the task could not start before its deadline.
     Overloaded,
+    /// No worker of the pool is large enough for the task.
+    Unplaceable,
+    /// The caller cancelled the task.
+    Cancelled,
     /// The deadline passed before the task could start.
     DeadlinePassed,
     /// The backend server failed.
--- /dev/null
+++ b/crates/dispatch/src/pool_desk.rs
@@ -0,0 +1,140 @@
+//! One pool's backlog, shares and running deferred tasks.
+
+use std::time::{Duration, Instant};
+
+use pw_base::prelude::*;
+use pw_place::prelude::*;
+use pw_team::prelude::*;
+
+use crate::backlog::{PoolBacklog, TaskClass, WaitReason};
+use crate::message::{PoolService, TeamShare};
+use crate::task::TaskTable;
+
+/// Part of a pool's slots that is kept for tasks whose callers wait.
+const URGENT_RESERVE: f64 = 0.1;
+
+/// How a full pool is shared with the other entry instances.
+#[derive(Debug, Clone)]
+pub struct LeadSettings {
+    /// Tasks by which a team may be ahead of the team that is furthest behind elsewhere.
+    pub max_lead: f64,
+    /// Longest time for which free slots are left to other entry instances.
+    pub max_hold: Duration,
+    /// Pause before a held team is looked at again.
+    pub pause: Duration,
+}
+
+/// What a desk keeps for one pool.
+#[derive(Debug, Default)]
+pub struct PoolDesk {
+    /// Tasks that wait.
+    pub backlog: PoolBacklog,
+    /// Service of each team.
+    pub shares: ShareBook,
+    /// Whether a queue of the pool has callers who wait.
+    pub has_callers: bool,
+    running_deferred: u32,
+    held_since: Option<Instant>,
+}
+
+impl Default for LeadSettings {
+    fn default() -> Self {
+        Self {
+            max_lead: 2.0,
+            max_hold: Duration::from_millis(300),
+            pause: Duration::from_millis(10),
+        }
+    }
+}
+
+impl PoolDesk {
+    /// Creates a pool without tasks.
+    pub fn new(shares: ShareBook) -> Self {
+        Self {
+            shares,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the next task to start.
+    pub fn next(
+        &mut self,
+        now: Instant,
+        tasks: &TaskTable,
+        roster: &PoolRoster,
+    ) -> Option<(ShareTeam, TaskId)> {
+        let may_relax = self.may_start_relaxed(roster);
+        self.backlog
+            .next(now, tasks, &self.shares, |class| match class {
+                TaskClass::Urgent => true,
+                TaskClass::Relaxed => may_relax,
+            })
+    }
+
+    /// Counts a start.
+    pub fn note_start(&mut self, now: Instant, team: &ShareTeam, is_deferred: bool) {
+        self.shares.note_start(now, team);
+        self.running_deferred += u32::from(is_deferred);
+        self.held_since = None;
+    }
+
+    /// Counts the end of a run.
+    pub fn note_end(&mut self, now: Instant, team: &ShareTeam, is_deferred: bool) {
+        self.shares.note_end(now, team);
+        self.running_deferred = self.running_deferred.saturating_sub(u32::from(is_deferred));
+    }
+
+    /// Brings the shares in line with how many tasks of `team` could use a slot.
+    pub fn note_waiting(&mut self, now: Instant, team: &ShareTeam) {
+        let is_limited = matches!(
+            self.backlog.held(team),
+            Some(WaitReason::Permit | WaitReason::RemotePermit)
+        );
+        let waiting = if is_limited {
+            0
+        } else {
+            self.backlog.waiting_of(team)
+        };
+        self.shares.set_waiting(now, team, waiting);
+    }
+
+    /// Returns whether `team` has to leave the free slots to a team that waits elsewhere.
+    pub fn must_yield(&mut self, now: Instant, team: &ShareTeam, lead: &LeadSettings) -> bool {
+        if !self.shares.has_peers() {
+            return false;
+        }
+        let allowed = lead.max_lead / self.shares.weight(team);
+        let score = self.shares.score(now, team);
+        let floor = self.shares.floor(now).unwrap_or(score);
+        if score <= floor + allowed {
+            return false;
+        }
+        let since = *self.held_since.get_or_insert(now);
+        now < since + lead.max_hold
+    }
+
+    /// Returns this entry instance's service on the pool for its peers, if they need it.
+    pub fn report(&self, now: Instant, pool: &PoolId) -> Option<PoolService> {
+        self.shares.floor(now)?;
+        let teams = self.shares.report(now).into_iter();
+        let teams = teams.map(|(team, service)| TeamShare {
+            team,
+            served: service.served,
+            running: service.running,
+            waiting: service.waiting,
+        });
+        Some(PoolService {
+            pool: pool.clone(),
+            teams: teams.collect(),
+        })
+    }
+
+    fn may_start_relaxed(&self, roster: &PoolRoster) -> bool {
+        let kept = if self.has_callers {
+            (f64::from(roster.slots()) * URGENT_RESERVE).ceil() as u32
+        } else {
+            0
+        };
+        self.running_deferred + kept < roster.slots()
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/retry.rs
@@ -0,0 +1,83 @@
+//! When a failed task is tried again.
+
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+/// Bounds of retries.
+#[derive(Debug, Clone, Copy)]
+pub struct RetrySettings {
+    /// Failed attempts after which a task is given up.
+    pub max_failures: u32,
+    /// Retries that each first attempt adds to the budget.
+    pub ratio: f64,
+    /// Retries per second that are allowed whatever the load.
+    pub floor: f64,
+    /// Most retries that the budget saves up.
+    pub burst: f64,
+    /// Pause before the first retry; each further one doubles it.
+    pub first_pause: Duration,
+    /// Longest pause before a retry.
+    pub max_pause: Duration,
+}
+
+/// Retries that are still allowed, so that they cannot amplify an outage.
+#[derive(Debug, Clone)]
+pub struct RetryBudget {
+    settings: RetrySettings,
+    tokens: f64,
+    filled: Option<Instant>,
+}
+
+impl Default for RetrySettings {
+    fn default() -> Self {
+        Self {
+            max_failures: 3,
+            ratio: 0.1,
+            floor: 1.0,
+            burst: 20.0,
+            first_pause: Duration::from_millis(20),
+            max_pause: Duration::from_secs(2),
+        }
+    }
+}
+
+impl RetryBudget {
+    /// Creates a full budget.
+    pub fn new(settings: RetrySettings) -> Self {
+        Self {
+            tokens: settings.burst,
+            settings,
+            filled: None,
+        }
+    }
+
+    /// Adds what a first attempt earns.
+    pub fn note_first_attempt(&mut self) {
+        self.add(self.settings.ratio);
+    }
+
+    /// Takes a retry out of the budget; returns whether there was one.
+    pub fn take(&mut self, now: Instant) -> bool {
+        let last = self.filled.replace(now).unwrap_or(now);
+        let elapsed = now.saturating_duration_since(last).as_secs_f64();
+        self.add(elapsed * self.settings.floor);
+        let is_allowed = self.tokens >= 1.0;
+        if is_allowed {
+            self.tokens -= 1.0;
+        }
+        is_allowed
+    }
+
+    /// Returns the pause before the retry after `failures` failed attempts, half of it random.
+    pub fn pause(&self, failures: u32, random: &mut SmallRng) -> Duration {
+        let doubled = self.settings.first_pause * 2u32.pow(failures.saturating_sub(1).min(16));
+        let longest = doubled.min(self.settings.max_pause);
+        longest.mul_f64(random.random_range(0.5..=1.0))
+    }
+
+    fn add(&mut self, tokens: f64) {
+        self.tokens = (self.tokens + tokens).min(self.settings.burst);
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/starting.rs
@@ -0,0 +1,219 @@
+//! How the desk starts the tasks that can start.
+
+use std::time::Instant;
+
+use pw_base::prelude::*;
+use pw_contract::prelude::*;
+use pw_place::prelude::*;
+use pw_pool::prelude::*;
+use pw_team::prelude::*;
+use pw_worker::prelude::*;
+
+use crate::admission::AdmittedTask;
+use crate::backlog::WaitReason;
+use crate::desk::DispatchDesk;
+use crate::history::QueueHistory;
+use crate::message::{DispatchCommand, RefusalReason, TaskRequest, TaskStart};
+use crate::task::TaskRun;
+
+/// Part of the usual run time that has to be left before the deadline for a start to make sense.
+const MIN_RUN_LEFT: f64 = 0.5;
+
+/// A worker and the permit to start one task there.
+struct StartSlot {
+    worker: WorkerId,
+    permit: Option<TaskPermit>,
+}
+
+impl DispatchDesk {
+    /// Starts the tasks of the pools in which something has changed.
+    pub(crate) fn start_ready(&mut self, now: Instant, commands: &mut Vec<DispatchCommand>) {
+        while let Some(pool) = self.touched.pop() {
+            while self.start_next(now, &pool, commands) {}
+        }
+    }
+
+    /// Starts, refuses or holds the next task of a pool; returns whether there may be another.
+    fn start_next(
+        &mut self,
+        now: Instant,
+        pool: &PoolId,
+        commands: &mut Vec<DispatchCommand>,
+    ) -> bool {
+        let Some(desk) = self.pools.get_mut(pool) else {
+            return false;
+        };
+        let Some(roster) = self.workers.roster(pool) else {
+            return false;
+        };
+        if desk.backlog.waiting() == 0 || roster.open_count() == 0 {
+            return false;
+        }
+        let Some((team, id)) = desk.next(now, &self.tasks, roster) else {
+            return false;
+        };
+        if desk.must_yield(now, &team, &self.settings.lead) {
+            desk.backlog.hold(&team, WaitReason::Share);
+            let again = now + self.settings.lead.pause;
+            self.share_pauses.push(again, pool.clone());
+            return true;
+        }
+        match self.check_start(now, id) {
+            Err(reason) => self.close_waiting(now, id, reason, commands),
+            Ok(size) => match self.find_slot(now, id, pool, &team, size) {
+                Ok(slot) => commands.extend(self.start(now, id, size, slot)),
+                Err(reason) => self.hold(now, pool, &team, reason),
+            },
+        }
+        true
+    }
+
+    /// Checks key, queue and deadline once more, and returns the expected size.
+    fn check_start(&self, now: Instant, id: TaskId) -> Result<ResourceSize, RefusalReason> {
+        let task = self.tasks.get(id).ok_or(RefusalReason::Cancelled)?;
+        let AdmittedTask { queue, .. } = self.rules.admit(&task.request)?;
+        let history = self.histories.get(&queue.id);
+        let run = history.map_or_else(Default::default, QueueHistory::usual_run);
+        if task.deadline <= now + run.mul_f64(MIN_RUN_LEFT) {
+            return Err(RefusalReason::DeadlinePassed);
+        }
+        Ok(self.expected_size(&task.request, &queue))
+    }
+
+    /// Returns the size that a task is expected to need, from what earlier ones used.
+    pub(crate) fn expected_size(&self, request: &TaskRequest, queue: &QueueSpec) -> ResourceSize {
+        let learned = self
+            .histories
+            .get(&queue.id)
+            .map_or(request.size, |history| history.expected_size(&request.size));
+        let roster = self.workers.roster(&queue.pool);
+        if roster.is_none_or(|roster| roster.could_run(&learned)) {
+            learned
+        } else {
+            request.size
+        }
+    }
+
+    fn find_slot(
+        &mut self,
+        now: Instant,
+        id: TaskId,
+        pool: &PoolId,
+        team: &ShareTeam,
+        size: ResourceSize,
+    ) -> Result<StartSlot, WaitReason> {
+        let worker = self
+            .pick(now, id, pool, size, false)
+            .ok_or(WaitReason::Resources)?;
+        let Some(team) = team else {
+            return Ok(StartSlot {
+                worker,
+                permit: None,
+            });
+        };
+        if let Some(permit) = self.take_permit(now, team, &worker) {
+            let permit = Some(permit);
+            return Ok(StartSlot { worker, permit });
+        }
+        if self.is_at_home(&worker) {
+            return Err(WaitReason::Permit);
+        }
+        let worker = self
+            .pick(now, id, pool, size, true)
+            .ok_or(WaitReason::RemotePermit)?;
+        let permit = self
+            .take_permit(now, team, &worker)
+            .ok_or(WaitReason::Permit)?;
+        let permit = Some(permit);
+        Ok(StartSlot { worker, permit })
+    }
+
+    fn pick(
+        &mut self,
+        now: Instant,
+        id: TaskId,
+        pool: &PoolId,
+        size: ResourceSize,
+        at_home: bool,
+    ) -> Option<WorkerId> {
+        let avoid = self.tasks.get(id).and_then(|task| task.avoid.as_ref());
+        let mut request = PickRequest {
+            pool,
+            size,
+            avoid,
+            zone: at_home.then_some(&self.settings.home),
+        };
+        let worker = self.picker.pick(now, &request, &self.workers);
+        if worker.is_none() && avoid.is_some() {
+            // A worker that failed before is better than none.
+            request.avoid = None;
+            return self.picker.pick(now, &request, &self.workers);
+        }
+        worker
+    }
+
+    fn take_permit(
+        &mut self,
+        now: Instant,
+        team: &TeamId,
+        worker: &WorkerId,
+    ) -> Option<TaskPermit> {
+        let zone = &self.workers.worker(worker)?.spec().zone;
+        self.gate.take(now, team, zone)
+    }
+
+    fn is_at_home(&self, worker: &WorkerId) -> bool {
+        let worker = self.workers.worker(worker);
+        worker.is_some_and(|worker| worker.spec().zone == self.settings.home)
+    }
+
+    fn hold(&mut self, now: Instant, pool: &PoolId, team: &ShareTeam, reason: WaitReason) {
+        let is_limit = matches!(reason, WaitReason::Permit | WaitReason::RemotePermit);
+        if let Some(team) = team.as_ref().filter(|_| is_limit) {
+            let pools = self.permit_waits.entry(team.clone()).or_default();
+            pools.insert(pool.clone());
+        }
+        if let Some(desk) = self.pools.get_mut(pool) {
+            desk.backlog.hold(team, reason);
+            desk.note_waiting(now, team);
+        }
+    }
+
+    fn start(
+        &mut self,
+        now: Instant,
+        id: TaskId,
+        size: ResourceSize,
+        slot: StartSlot,
+    ) -> Option<DispatchCommand> {
+        let StartSlot { worker, permit } = slot;
+        let address = self.workers.worker(&worker)?.address()?;
+        let task = self.tasks.get(id)?;
+        let AdmittedTask { queue, team } = task.admitted.clone();
+        let run_timeout = queue.run_timeout.min(task.deadline - now);
+        if task.failures == 0 {
+            self.budget.note_first_attempt();
+        }
+        self.workers.take_slot(now, &worker, &size);
+        let run = TaskRun {
+            worker: worker.clone(),
+            started: now,
+            lease_end: now + run_timeout,
+            size,
+            permit,
+        };
+        if let Some(pool) = self.pools.get_mut(&queue.pool) {
+            pool.backlog.take(now, &team, id, true);
+            pool.note_start(now, &team, queue.kind == QueueKind::Deferred);
+            pool.note_waiting(now, &team);
+        }
+        self.tasks.start(id, run);
+        self.change_demand(now, &team, false);
+        Some(DispatchCommand::StartTask(TaskStart {
+            task: id,
+            worker,
+            address,
+            run_timeout,
+        }))
+    }
+}
--- a/crates/entry/src/caller_duty.rs
+++ b/crates/entry/src/caller_duty.rs
@@ -13,6 +13,7 @@
 use pw_link::prelude::*;
 use pw_ring::prelude::*;
 use pw_team::prelude::*;
+use pw_worker::prelude::*;
 use serde_json::json;
 
 use crate::message::{DeskMessage, TaskReply};
@@ -84,6 +85,7 @@
             queue,
             key: bearer_of(&http).map(digest_key),
             deadline: self.deadline_of(&http)?,
+            size: ResourceSize::default(),
         };
         let payload = self.read_payload(&mut http).await?;
         let (reply, replies) = ring("reply", 1);
@@ -160,6 +162,8 @@
             RefusalReason::UnknownQueue => StatusCode::NotFound,
             RefusalReason::KeyRejected => StatusCode::Unauthorized,
             RefusalReason::Overloaded => StatusCode::TooManyRequests,
+            RefusalReason::Unplaceable => StatusCode::UnprocessableEntity,
+            RefusalReason::Cancelled => StatusCode::Gone,
             RefusalReason::DeadlinePassed => StatusCode::GatewayTimeout,
             RefusalReason::BackendFailed => StatusCode::BadGateway,
             RefusalReason::NotReady | RefusalReason::ShuttingDown => StatusCode::ServiceUnavailable,
--- a/crates/entry/src/dispatch_duty.rs
+++ b/crates/entry/src/dispatch_duty.rs
@@ -1,6 +1,6 @@
 //! The duty that runs the dispatch desk.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
 use pw_base::prelude::*;
@@ -80,18 +80,20 @@
     }
 
     fn feed(&mut self, event: DispatchEvent) {
-        let mut commands = self.desk.handle(self.clock.now(), event);
-        while let Some(command) = commands.pop() {
+        let mut commands = VecDeque::from(self.desk.handle(self.clock.now(), event));
+        while let Some(command) = commands.pop_front() {
             match command {
                 DispatchCommand::StartTask(start) => {
                     let task = start.task;
                     if !self.start(start) {
-                        let report = RunReport::NotRun;
+                        let report = RunReport::Busy;
                         let event = DispatchEvent::TaskEnded { task, report };
                         commands.extend(self.desk.handle(self.clock.now(), event));
                     }
                 }
                 DispatchCommand::CloseTask { task, verdict } => self.close(task, verdict),
+                DispatchCommand::Note(notice) => note(&notice),
+                DispatchCommand::TellPeers(_) => {}
             }
         }
     }
@@ -112,3 +114,21 @@
         }
     }
 }
+
+/// Writes a notice of the desk to the log of events.
+fn note(notice: &DeskNotice) {
+    match notice {
+        DeskNotice::WorkerEjected(worker) => {
+            let event = EventCode::WorkerEjected.number();
+            tracing::warn!(event, %worker, "worker gets no tasks for a while");
+        }
+        DeskNotice::TaskGivenUp(task) => {
+            let event = EventCode::TaskGivenUp.number();
+            tracing::warn!(event, task = format!("{task:032x}"), "task given up");
+        }
+        DeskNotice::RetryRefused(task) => {
+            let event = EventCode::RetryRefused.number();
+            tracing::warn!(event, task = format!("{task:032x}"), "retry refused");
+        }
+    }
+}
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use pw_base::prelude::*;
+use pw_contract::prelude::*;
 use pw_dispatch::prelude::*;
 use pw_link::prelude::*;
 use pw_log::prelude::*;
@@ -13,6 +14,9 @@
 use crate::settings::EntrySettings;
 use crate::{admin_duty, backend_duty, caller_duty, dispatch_duty, instance_duty, log_duty};
 
+/// Entry instances among which the upper limits are split.
+const SPLIT_ENTRIES: u32 = 9;
+
 /// Outside systems of an entry instance; tests put small fakes in their place.
 pub struct NodeLinks {
     /// The platform's log.
@@ -63,7 +67,13 @@
             backends,
             clock,
         } = links;
-        let desk = DispatchDesk::new(DeskSettings::default());
+        let desk_settings = DeskSettings {
+            entry: settings.entry.clone(),
+            home: settings.zone.clone(),
+            ..DeskSettings::default()
+        };
+        let gate = EvenSplit::new(SPLIT_ENTRIES);
+        let desk = DispatchDesk::new(desk_settings, Box::new(gate));
         let dispatch_clock = Arc::clone(&clock);
         DutyThread::spawn("dispatch", move |_| {
             dispatch_duty::run(desk, dispatch_clock, desk_receiver, run_sender)
--- a/crates/link/src/backend.rs
+++ b/crates/link/src/backend.rs
@@ -91,9 +91,8 @@
             report: RunReport::Answered,
             answer: response.body,
         },
-        StatusCode::ServiceUnavailable | StatusCode::Conflict => {
-            RunResult::without_answer(RunReport::NotRun)
-        }
+        StatusCode::ServiceUnavailable => RunResult::without_answer(RunReport::Busy),
+        StatusCode::Conflict => RunResult::without_answer(RunReport::NotRun),
         status => {
             let event = EventCode::AnswerDiscarded;
             tracing::warn!(event = event.number(), worker = %start.worker, %status, "answer discarded");
--- a/crates/log/src/fold.rs
+++ b/crates/log/src/fold.rs
@@ -5,7 +5,6 @@
 
 use pw_base::prelude::*;
 use pw_fleet::prelude::*;
-use pw_pool::prelude::*;
 use strum::Display;
 
 use crate::record::{FleetProposal, LogRecord, RecordBody};
@@ -14,7 +13,6 @@
 #[derive(Debug, Clone, Default)]
 pub struct FleetFold {
     state: FleetState,
-    pools: PoolLedger,
     seen: HashSet<RecordId>,
 }
 
@@ -48,8 +46,6 @@
     StaleRevision,
     /// The proposal is for another fleet.
     OtherFleet,
-    /// The pool ledger rejected it.
-    Pool(PoolRejection),
 }
 
 impl FleetFold {
@@ -58,11 +54,6 @@
         &self.state
     }
 
-    /// Returns the pools with their instances.
-    pub fn pools(&self) -> &PoolLedger {
-        &self.pools
-    }
-
     /// Moves the next offset to `next_offset` past records that could not be decoded.
     pub fn skip_to(&mut self, next_offset: LogOffset) {
         self.state.next_offset = self.state.next_offset.max(next_offset);
@@ -78,15 +69,11 @@
             return FoldOutcome::Repeated;
         }
         match &record.body {
-            RecordBody::Fleet(proposal) => self.advance_fleet(offset, proposal),
-            RecordBody::Pool(proposal) => match self.pools.advance(offset, proposal) {
-                PoolVerdict::Accepted { .. } => FoldOutcome::Accepted,
-                PoolVerdict::Rejected(reason) => FoldOutcome::Rejected(RejectReason::Pool(reason)),
-            },
+            RecordBody::Fleet(proposal) => self.advance_fleet(proposal),
         }
     }
 
-    fn advance_fleet(&mut self, offset: LogOffset, proposal: &FleetProposal) -> FoldOutcome {
+    fn advance_fleet(&mut self, proposal: &FleetProposal) -> FoldOutcome {
         if proposal.base != self.state.revision {
             return FoldOutcome::Rejected(RejectReason::StaleRevision);
         }
@@ -96,12 +83,6 @@
         }
         self.state.revision += 1;
         self.state.spec = Some(Arc::clone(&proposal.spec));
-        let fleet = DeclaredFleet {
-            zones: &proposal.spec.zones,
-            workers: &proposal.spec.workers,
-            pools: &proposal.spec.pools,
-        };
-        self.pools.apply_fleet(offset, fleet);
         FoldOutcome::Accepted
     }
 }
--- a/crates/log/src/record.rs
+++ b/crates/log/src/record.rs
@@ -5,9 +5,7 @@
 
 use pw_base::prelude::*;
 use pw_fleet::prelude::*;
-use pw_pool::prelude::*;
 use serde::{Deserialize, Serialize};
-use strum::Display;
 
 /// One record of the log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,13 +21,10 @@
 }
 
 /// Proposal of a record, by area.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Display)]
-#[strum(serialize_all = "kebab-case")]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RecordBody {
     /// Change of the declared fleet.
     Fleet(FleetProposal),
-    /// Change of pools, drains or the planner duty.
-    Pool(PoolProposal),
 }
 
 /// Proposal to change the declared fleet.
--- /dev/null
+++ b/crates/place/src/lib.rs
@@ -0,0 +1,22 @@
+//! Chooses the worker that runs a task.
+//!
+//! A [`WorkerTable`](table::WorkerTable) knows the workers of the fleet and keeps, for each pool
+//! and availability zone, the set of those that can take a task now. A
+//! [`WorkerPicker`](picker::WorkerPicker) chooses one of them in constant time.
+
+pub mod membership;
+pub mod picker;
+pub mod record;
+pub mod roster;
+pub mod table;
+pub mod two_choices;
+
+/// The names that most users of this crate need.
+pub mod prelude {
+    pub use crate::membership::PoolMembership;
+    pub use crate::picker::{PickRequest, RoundRobin, WorkerPicker};
+    pub use crate::record::{RunOutcome, WorkerRecord};
+    pub use crate::roster::PoolRoster;
+    pub use crate::table::{TableSettings, WorkerTable};
+    pub use crate::two_choices::{TwoChoices, TwoChoicesSettings};
+}
--- /dev/null
+++ b/crates/place/src/roster.rs
@@ -0,0 +1,115 @@
+//! The workers of one pool.
+
+use indexmap::{IndexMap, IndexSet};
+use pw_base::prelude::*;
+use pw_worker::prelude::*;
+
+/// Counts of a pool's workers, and the sets of those that can take a task now.
+#[derive(Debug, Clone, Default)]
+pub struct PoolRoster {
+    open: IndexMap<ZoneId, IndexSet<WorkerId>>,
+    open_count: u32,
+    rack_tasks: IndexMap<RackId, u32>,
+    sizes: IndexMap<ResourceSize, u32>,
+    members: u32,
+    ejected: u32,
+    slots: u32,
+    in_flight: u32,
+}
+
+impl PoolRoster {
+    /// Returns how many workers belong to the pool.
+    pub fn members(&self) -> u32 {
+        self.members
+    }
+
+    /// Returns how many workers get no tasks because of their failures.
+    pub fn ejected(&self) -> u32 {
+        self.ejected
+    }
+
+    /// Returns the slots of the workers that are live and whose availability zone is in service.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Returns the tasks that this entry instance has in flight to the pool.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns how many workers can take a task now.
+    pub fn open_count(&self) -> u32 {
+        self.open_count
+    }
+
+    /// Returns the workers of `zone` that can take a task now.
+    pub fn open_in(&self, zone: &str) -> Option<&IndexSet<WorkerId>> {
+        self.open.get(zone).filter(|open| !open.is_empty())
+    }
+
+    /// Iterates over the availability zones and their workers that can take a task now.
+    pub fn open_zones(&self) -> impl Iterator<Item = (&ZoneId, &IndexSet<WorkerId>)> {
+        self.open.iter().filter(|(_, open)| !open.is_empty())
+    }
+
+    /// Returns the tasks that this entry instance has in flight to the pool's workers in `rack`.
+    pub fn tasks_in(&self, rack: &str) -> u32 {
+        self.rack_tasks.get(rack).copied().unwrap_or_default()
+    }
+
+    /// Returns whether a task of `size` could run on any worker of the pool if that were empty.
+    ///
+    /// A pool without workers rules nothing out, because it may get some.
+    pub fn could_run(&self, size: &ResourceSize) -> bool {
+        self.sizes.is_empty() || self.sizes.keys().any(|room| size.fits_into(room))
+    }
+
+    pub(crate) fn add_member(&mut self, size: ResourceSize) {
+        self.members += 1;
+        *self.sizes.entry(size).or_default() += 1;
+    }
+
+    pub(crate) fn remove_member(&mut self, size: &ResourceSize) {
+        self.members = self.members.saturating_sub(1);
+        if let Some(count) = self.sizes.get_mut(size) {
+            *count -= 1;
+            if *count == 0 {
+                self.sizes.swap_remove(size);
+            }
+        }
+    }
+
+    pub(crate) fn add_slots(&mut self, slots: u32) {
+        self.slots += slots;
+    }
+
+    pub(crate) fn remove_slots(&mut self, slots: u32) {
+        self.slots = self.slots.saturating_sub(slots);
+    }
+
+    pub(crate) fn set_open(&mut self, worker: &WorkerId, zone: &ZoneId, is_open: bool) {
+        let open = self.open.entry(zone.clone()).or_default();
+        if is_open && open.insert(worker.clone()) {
+            self.open_count += 1;
+        } else if !is_open && open.swap_remove(worker) {
+            self.open_count -= 1;
+        }
+    }
+
+    pub(crate) fn set_ejected(&mut self, was_ejected: bool, is_ejected: bool) {
+        self.ejected = self.ejected + u32::from(is_ejected) - u32::from(was_ejected);
+    }
+
+    pub(crate) fn add_tasks(&mut self, rack: &RackId, tasks: u32) {
+        self.in_flight += tasks;
+        *self.rack_tasks.entry(rack.clone()).or_default() += tasks;
+    }
+
+    pub(crate) fn remove_tasks(&mut self, rack: &RackId, tasks: u32) {
+        self.in_flight = self.in_flight.saturating_sub(tasks);
+        if let Some(count) = self.rack_tasks.get_mut(rack) {
+            *count = count.saturating_sub(tasks);
+        }
+    }
+}
--- /dev/null
+++ b/crates/place/src/table.rs
@@ -0,0 +1,352 @@
+//! The workers of the fleet as an entry instance sees them.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use pw_base::prelude::*;
+use pw_fleet::prelude::*;
+use pw_worker::prelude::*;
+use pw_zone::prelude::*;
+
+use crate::membership::PoolMembership;
+use crate::record::{RosterEntry, RunOutcome, WorkerRecord};
+use crate::roster::PoolRoster;
+
+/// Bounds of a worker table.
+#[derive(Debug, Clone)]
+pub struct TableSettings {
+    /// When a failing worker is ejected.
+    pub health: HealthSettings,
+    /// How the tasks in flight to a worker are limited.
+    pub concurrency: ConcurrencySettings,
+    /// Largest part of a pool's workers that may be ejected at the same time.
+    pub max_ejected: f64,
+    /// Pause after a worker had no free slot; each further one in a row doubles it.
+    pub busy_pause: Duration,
+    /// Longest pause after a worker had no free slot.
+    pub max_busy_pause: Duration,
+}
+
+/// Workers, availability zones and pools, indexed for constant-time choices.
+#[derive(Debug, Default)]
+pub struct WorkerTable {
+    settings: TableSettings,
+    zones: IndexMap<ZoneId, ZoneStatus>,
+    workers: IndexMap<WorkerId, WorkerRecord>,
+    instances: IndexMap<WorkerId, InstanceEntry>,
+    membership: PoolMembership,
+    rosters: IndexMap<PoolId, PoolRoster>,
+    wakeups: BinaryHeap<Reverse<(Instant, WorkerId)>>,
+}
+
+impl Default for TableSettings {
+    fn default() -> Self {
+        Self {
+            health: HealthSettings::default(),
+            concurrency: ConcurrencySettings::default(),
+            max_ejected: 0.3,
+            busy_pause: Duration::from_millis(5),
+            max_busy_pause: Duration::from_millis(80),
+        }
+    }
+}
+
+impl WorkerTable {
+    /// Creates a table without workers.
+    pub fn new(settings: TableSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the worker called `id`.
+    pub fn worker(&self, id: &str) -> Option<&WorkerRecord> {
+        self.workers.get(id)
+    }
+
+    /// Returns the workers of `pool`.
+    pub fn roster(&self, pool: &str) -> Option<&PoolRoster> {
+        self.rosters.get(pool)
+    }
+
+    /// Returns the pool of `worker`.
+    pub fn pool_of(&self, worker: &str) -> Option<&PoolId> {
+        self.membership.pool_of(worker)
+    }
+
+    /// Returns whether tasks may start in `zone`.
+    pub fn is_in_service(&self, zone: &str) -> bool {
+        self.zones.get(zone) == Some(&ZoneStatus::InService)
+    }
+
+    /// Returns when [`WorkerTable::wake`] wants to be called at the latest.
+    pub fn next_deadline(&self) -> Option<Instant> {
+        self.wakeups.peek().map(|Reverse((at, _))| *at)
+    }
+
+    /// Takes the declared zones, workers and pools; workers that are gone give no new slots.
+    pub fn set_fleet(&mut self, now: Instant, spec: &FleetSpec) {
+        let zones = spec.zones.iter();
+        self.zones = zones.map(|zone| (zone.id.clone(), zone.status)).collect();
+        let declared: IndexMap<&WorkerId, &WorkerSpec> = spec
+            .workers
+            .iter()
+            .map(|worker| (&worker.id, worker))
+            .collect();
+        self.remove_undeclared(&declared);
+        for worker in declared.values() {
+            self.declare(worker);
+        }
+        let pools = spec.pools.iter();
+        let membership = pools
+            .flat_map(|pool| {
+                let workers = pool.workers.iter().cloned();
+                workers.map(|worker| (worker, pool.id.clone()))
+            })
+            .collect();
+        self.set_membership(now, membership);
+    }
+
+    /// Takes the pool of each worker.
+    pub fn set_membership(&mut self, now: Instant, membership: PoolMembership) {
+        self.membership = membership;
+        for index in 0..self.workers.len() {
+            self.refresh_at(now, index);
+        }
+    }
+
+    /// Moves `worker` into `pool`.
+    pub fn move_worker(&mut self, now: Instant, worker: &WorkerId, pool: PoolId) {
+        self.membership.assign(worker.clone(), pool);
+        self.refresh(now, worker);
+    }
+
+    /// Takes the platform's instance list; workers that it does not name get no tasks.
+    pub fn set_instances(&mut self, now: Instant, list: Vec<InstanceEntry>) {
+        self.instances = list
+            .into_iter()
+            .map(|instance| (instance.worker.clone(), instance))
+            .collect();
+        for index in 0..self.workers.len() {
+            let record = &mut self.workers[index];
+            let instance = self.instances.get(&record.spec.id);
+            if record.instance.as_ref() != instance {
+                record.instance = instance.cloned();
+                self.refresh_at(now, index);
+            }
+        }
+    }
+
+    /// Takes a worker's report of its load.
+    pub fn set_usage(&mut self, usage: WorkerUsage) {
+        if let Some(record) = self.workers.get_mut(&usage.worker) {
+            let is_newer = |known: &WorkerUsage| known.measured <= usage.measured;
+            if record.usage.as_ref().is_none_or(is_newer) {
+                record.usage = Some(usage);
+            }
+        }
+    }
+
+    /// Counts a task of `size` that starts on `worker`.
+    pub fn take_slot(&mut self, now: Instant, worker: &WorkerId, size: &ResourceSize) {
+        if let Some(record) = self.workers.get_mut(worker) {
+            record.in_flight += 1;
+            record.reserved = record.reserved.plus(size);
+            if let Some(entry) = &record.entered {
+                let roster = self.rosters.entry(entry.pool.clone()).or_default();
+                roster.add_tasks(&record.spec.rack, 1);
+            }
+            self.refresh(now, worker);
+        }
+    }
+
+    /// Counts a task of `size` that has ended on `worker`; returns whether that ejected it.
+    pub fn release_slot(
+        &mut self,
+        now: Instant,
+        worker: &WorkerId,
+        size: &ResourceSize,
+        outcome: RunOutcome,
+    ) -> bool {
+        let Some(record) = self.workers.get_mut(worker) else {
+            return false;
+        };
+        record.in_flight = record.in_flight.saturating_sub(1);
+        record.reserved = record.reserved.minus(size);
+        let pool = record.entered.as_ref().map(|entry| entry.pool.clone());
+        if let Some(roster) = pool.and_then(|pool| self.rosters.get_mut(&pool)) {
+            roster.remove_tasks(&record.spec.rack, 1);
+        }
+        let was_ejected = self.note_outcome(now, worker, outcome);
+        self.refresh(now, worker);
+        was_ejected
+    }
+
+    /// Opens the workers whose pause has ended and returns their pools.
+    pub fn wake(&mut self, now: Instant) -> Vec<PoolId> {
+        let mut pools = Vec::new();
+        while let Some(Reverse((at, _))) = self.wakeups.peek() {
+            if *at > now {
+                break;
+            }
+            if let Some(Reverse((_, worker))) = self.wakeups.pop() {
+                self.refresh(now, &worker);
+                pools.extend(self.membership.pool_of(&worker).cloned());
+            }
+        }
+        pools
+    }
+
+    fn declare(&mut self, spec: &WorkerSpec) {
+        let Some(record) = self.workers.get_mut(&spec.id) else {
+            let mut record = WorkerRecord::new(spec.clone());
+            record.instance = self.instances.get(&spec.id).cloned();
+            self.workers.insert(spec.id.clone(), record);
+            return;
+        };
+        if record.spec != *spec {
+            leave(&mut self.rosters, record);
+            record.limit.set_slots(spec.slots);
+            record.size = ResourceSize::from(spec);
+            record.spec = spec.clone();
+        }
+    }
+
+    fn remove_undeclared(&mut self, declared: &IndexMap<&WorkerId, &WorkerSpec>) {
+        let rosters = &mut self.rosters;
+        self.workers.retain(|id, record| {
+            let is_declared = declared.contains_key(id);
+            if !is_declared {
+                leave(rosters, record);
+            }
+            is_declared
+        });
+    }
+
+    fn note_outcome(&mut self, now: Instant, worker: &WorkerId, outcome: RunOutcome) -> bool {
+        let Some(record) = self.workers.get_mut(worker) else {
+            return false;
+        };
+        if outcome != RunOutcome::Busy {
+            record.busy_streak = 0;
+        }
+        match outcome {
+            RunOutcome::Done { pace } => {
+                record.health.note_success();
+                let settings = &self.settings.concurrency;
+                record.limit.note_success(now, pace, settings);
+            }
+            RunOutcome::Busy => {
+                let pause = self.settings.busy_pause * 2u32.pow(record.busy_streak.min(8));
+                let until = now + pause.min(self.settings.max_busy_pause);
+                record.busy_streak += 1;
+                record.busy_until = Some(until);
+                self.wakeups.push(Reverse((until, worker.clone())));
+            }
+            RunOutcome::Failed => {
+                record.health.note_failure();
+                record.limit.note_failure(now, &self.settings.concurrency);
+                return self.eject_failing(now, worker);
+            }
+            RunOutcome::Neutral => {}
+        }
+        false
+    }
+
+    /// Ejects the worker when it keeps failing and its pool can do without it.
+    fn eject_failing(&mut self, now: Instant, worker: &WorkerId) -> bool {
+        let Some(record) = self.workers.get_mut(worker) else {
+            return false;
+        };
+        let settings = &self.settings.health;
+        if record.health.is_ejected(now) || !record.health.is_failing(settings) {
+            return false;
+        }
+        let entry = record.entered.as_ref();
+        let Some(roster) = entry.and_then(|entry| self.rosters.get(&entry.pool)) else {
+            return false;
+        };
+        let allowed = self.settings.max_ejected * f64::from(roster.members());
+        if f64::from(roster.ejected() + 1) > allowed.max(1.0) || roster.members() < 2 {
+            return false;
+        }
+        let until = record.health.eject(now, settings);
+        record.limit.restart();
+        self.wakeups.push(Reverse((until, worker.clone())));
+        true
+    }
+
+    fn refresh(&mut self, now: Instant, worker: &str) {
+        if let Some(index) = self.workers.get_index_of(worker) {
+            self.refresh_at(now, index);
+        }
+    }
+
+    /// Brings the roster in line with the worker's state.
+    fn refresh_at(&mut self, now: Instant, index: usize) {
+        let Some((id, record)) = self.workers.get_index_mut(index) else {
+            return;
+        };
+        let in_service = self.zones.get(&record.spec.zone) == Some(&ZoneStatus::InService);
+        let wanted = self.membership.pool_of(id).map(|pool| RosterEntry {
+            pool: pool.clone(),
+            slots: if in_service && record.is_live() {
+                record.spec.slots
+            } else {
+                0
+            },
+            is_open: in_service && record.has_slot(now),
+            is_ejected: record.health.is_ejected(now),
+        });
+        if record.entered == wanted {
+            return;
+        }
+        let pool = |entry: &Option<RosterEntry>| entry.as_ref().map(|entry| entry.pool.clone());
+        if pool(&record.entered) != pool(&wanted) {
+            leave(&mut self.rosters, record);
+        }
+        if let Some(wanted) = wanted {
+            enter(&mut self.rosters, record, wanted);
+        }
+    }
+}
+
+/// Takes the worker out of the roster that it stands in.
+fn leave(rosters: &mut IndexMap<PoolId, PoolRoster>, record: &mut WorkerRecord) {
+    let Some(entry) = record.entered.take() else {
+        return;
+    };
+    if let Some(roster) = rosters.get_mut(&entry.pool) {
+        roster.set_open(&record.spec.id, &record.spec.zone, false);
+        roster.set_ejected(entry.is_ejected, false);
+        roster.remove_slots(entry.slots);
+        roster.remove_tasks(&record.spec.rack, record.in_flight);
+        roster.remove_member(&record.size);
+    }
+}
+
+/// Puts the worker into a roster, or brings its entry there up to date.
+fn enter(
+    rosters: &mut IndexMap<PoolId, PoolRoster>,
+    record: &mut WorkerRecord,
+    wanted: RosterEntry,
+) {
+    let roster = rosters.entry(wanted.pool.clone()).or_default();
+    match &record.entered {
+        Some(entry) => {
+            roster.remove_slots(entry.slots);
+            roster.set_ejected(entry.is_ejected, wanted.is_ejected);
+        }
+        None => {
+            roster.add_member(record.size);
+            roster.add_tasks(&record.spec.rack, record.in_flight);
+            roster.set_ejected(false, wanted.is_ejected);
+        }
+    }
+    roster.add_slots(wanted.slots);
+    roster.set_open(&record.spec.id, &record.spec.zone, wanted.is_open);
+    record.entered = Some(wanted);
+}
--- a/crates/team/src/lib.rs
+++ b/crates/team/src/lib.rs
@@ -1,10 +1,12 @@
 //! Teams: customers with keys, a share for when all is full, and an upper limit.
 
 pub mod key;
+pub mod share;
 pub mod spec;
 
 /// The names that most users of this crate need.
 pub mod prelude {
     pub use crate::key::{KeyDigest, digest_key};
+    pub use crate::share::{ShareBook, ShareSettings, ShareTeam, TeamService};
     pub use crate::spec::{KeySpec, TeamSpec};
 }
--- /dev/null
+++ b/crates/team/src/share.rs
@@ -0,0 +1,239 @@
+//! Service that each team has had from one pool, measured against its share.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use pw_base::prelude::*;
+
+/// Team whose service is measured; `None` stands for the callers of open queues without a key.
+pub type ShareTeam = Option<TeamId>;
+
+/// Settings of a share book.
+#[derive(Debug, Clone)]
+pub struct ShareSettings {
+    /// Time after which past service counts 1/e of its slot-seconds.
+    pub memory: Duration,
+    /// Time for which a running task counts ahead of its service.
+    pub horizon: Duration,
+    /// Share of the callers of open queues without a key.
+    pub open_share: u32,
+    /// Age at which a peer's report no longer counts.
+    pub peer_timeout: Duration,
+}
+
+/// Decayed slot-seconds of each team on one pool, here and at peers.
+///
+/// Service is counted while tasks run, so neither declared nor estimated run times matter.
+#[derive(Debug, Clone, Default)]
+pub struct ShareBook {
+    settings: ShareSettings,
+    weights: IndexMap<ShareTeam, f64>,
+    teams: IndexMap<ShareTeam, TeamService>,
+    peers: IndexMap<EntryId, PeerService>,
+    elsewhere: IndexMap<ShareTeam, TeamService>,
+}
+
+/// Slot-seconds that a team has had, decayed, with the tasks that run now.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct TeamService {
+    /// Decayed slot-seconds.
+    pub served: f64,
+    /// Tasks that run.
+    pub running: u32,
+    /// Tasks that wait.
+    pub waiting: u32,
+    as_of: Option<Instant>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct PeerService {
+    heard: Option<Instant>,
+    teams: IndexMap<ShareTeam, TeamService>,
+}
+
+impl Default for ShareSettings {
+    fn default() -> Self {
+        Self {
+            memory: Duration::from_secs(10),
+            horizon: Duration::from_secs(1),
+            open_share: 10,
+            peer_timeout: Duration::from_secs(3),
+        }
+    }
+}
+
+impl TeamService {
+    /// Creates the service that a peer reported: decayed slot-seconds and tasks.
+    pub fn reported(served: f64, running: u32, waiting: u32) -> Self {
+        Self {
+            served,
+            running,
+            waiting,
+            as_of: None,
+        }
+    }
+
+    /// Returns the decayed slot-seconds at `now`, with those of the running tasks so far.
+    fn served_at(&self, now: Instant, memory: Duration) -> f64 {
+        let elapsed = self
+            .as_of
+            .map_or(Duration::ZERO, |as_of| now.saturating_duration_since(as_of));
+        let kept = (-elapsed.as_secs_f64() / memory.as_secs_f64()).exp();
+        self.served * kept + f64::from(self.running) * memory.as_secs_f64() * (1.0 - kept)
+    }
+
+    fn settle(&mut self, now: Instant, memory: Duration) {
+        self.served = self.served_at(now, memory);
+        self.as_of = Some(now);
+    }
+}
+
+impl ShareBook {
+    /// Creates a book without service.
+    pub fn new(settings: ShareSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Sets the shares; a team that is not named has the share of open queues.
+    pub fn set_shares<'a>(&mut self, shares: impl Iterator<Item = (&'a TeamId, u32)>) {
+        self.weights = shares
+            .map(|(team, share)| (Some(team.clone()), f64::from(share.max(1))))
+            .collect();
+        let is_used = |service: &TeamService| service.running > 0 || service.waiting > 0;
+        let weights = &self.weights;
+        self.teams
+            .retain(|team, service| is_used(service) || weights.contains_key(team));
+    }
+
+    /// Counts a task that starts.
+    pub fn note_start(&mut self, now: Instant, team: &ShareTeam) {
+        self.settled(now, team).running += 1;
+    }
+
+    /// Counts a task that has ended.
+    pub fn note_end(&mut self, now: Instant, team: &ShareTeam) {
+        let service = self.settled(now, team);
+        service.running = service.running.saturating_sub(1);
+    }
+
+    /// Sets how many tasks of the team wait; a team that begins to wait has no claim from before.
+    pub fn set_waiting(&mut self, now: Instant, team: &ShareTeam, waiting: u32) {
+        let is_new = waiting > 0 && !self.is_waiting(team);
+        let floor = if is_new { self.floor(now) } else { None };
+        let score = floor.map(|floor| floor - self.score(now, team));
+        let weight = self.weight(team);
+        let service = self.settled(now, team);
+        service.waiting = waiting;
+        if let Some(missing) = score.filter(|missing| *missing > 0.0) {
+            service.served += missing * weight;
+        }
+    }
+
+    /// Takes what a peer reports of its own service on the pool.
+    pub fn hear(
+        &mut self,
+        now: Instant,
+        peer: &EntryId,
+        report: impl IntoIterator<Item = (ShareTeam, TeamService)>,
+    ) {
+        let service = PeerService {
+            heard: Some(now),
+            teams: report.into_iter().collect(),
+        };
+        self.peers.insert(peer.clone(), service);
+        self.forget_silent(now);
+        self.sum_peers();
+    }
+
+    /// Forgets peers that have not reported for long.
+    pub fn forget_silent(&mut self, now: Instant) {
+        let timeout = self.settings.peer_timeout;
+        let known = self.peers.len();
+        self.peers
+            .retain(|_, peer| peer.heard.is_some_and(|heard| now < heard + timeout));
+        if self.peers.len() < known {
+            self.sum_peers();
+        }
+    }
+
+    /// Returns whether any peer has reported lately.
+    pub fn has_peers(&self) -> bool {
+        !self.peers.is_empty()
+    }
+
+    /// Returns this entry instance's own service, for its peers.
+    pub fn report(&self, now: Instant) -> Vec<(ShareTeam, TeamService)> {
+        let memory = self.settings.memory;
+        self.teams
+            .iter()
+            .map(|(team, service)| {
+                let served = service.served_at(now, memory);
+                let report = TeamService::reported(served, service.running, service.waiting);
+                (team.clone(), report)
+            })
+            .filter(|(_, report)| report.served > 0.001 || report.running + report.waiting > 0)
+            .collect()
+    }
+
+    /// Returns the team's slot-seconds for each unit of its share; the lowest goes first.
+    pub fn score(&self, now: Instant, team: &ShareTeam) -> f64 {
+        let horizon = self.settings.horizon.as_secs_f64();
+        let memory = self.settings.memory;
+        let sum: f64 = [&self.teams, &self.elsewhere]
+            .into_iter()
+            .filter_map(|teams| teams.get(team))
+            .map(|service| service.served_at(now, memory) + f64::from(service.running) * horizon)
+            .sum();
+        sum / self.weight(team)
+    }
+
+    /// Returns the lowest score of the teams that wait at this entry instance or at a peer.
+    pub fn floor(&self, now: Instant) -> Option<f64> {
+        self.teams
+            .iter()
+            .chain(&self.elsewhere)
+            .filter(|(_, service)| service.waiting > 0)
+            .map(|(team, _)| self.score(now, team))
+            .min_by(f64::total_cmp)
+    }
+
+    /// Returns the team's share.
+    pub fn weight(&self, team: &ShareTeam) -> f64 {
+        let open = f64::from(self.settings.open_share.max(1));
+        self.weights.get(team).copied().unwrap_or(open)
+    }
+
+    fn is_waiting(&self, team: &ShareTeam) -> bool {
+        [&self.teams, &self.elsewhere]
+            .into_iter()
+            .filter_map(|teams| teams.get(team))
+            .any(|service| service.waiting > 0)
+    }
+
+    /// Adds up the service at peers, each brought to the time of the latest report.
+    fn sum_peers(&mut self) {
+        let memory = self.settings.memory;
+        let latest = self.peers.values().filter_map(|peer| peer.heard).max();
+        self.elsewhere.clear();
+        for peer in self.peers.values() {
+            for (team, service) in &peer.teams {
+                let mut service = *service;
+                service.as_of = peer.heard;
+                let sum = self.elsewhere.entry(team.clone()).or_default();
+                sum.as_of = latest;
+                sum.served += latest.map_or(0.0, |latest| service.served_at(latest, memory));
+                sum.running += service.running;
+                sum.waiting += service.waiting;
+            }
+        }
+    }
+
+    fn settled(&mut self, now: Instant, team: &ShareTeam) -> &mut TeamService {
+        let service = self.teams.entry(team.clone()).or_default();
+        service.settle(now, self.settings.memory);
+        service
+    }
+}
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -1,10 +1,18 @@
 //! Workers: the machines in racks whose backend servers run tasks under leases.
 
+pub mod concurrency;
+pub mod health;
 pub mod instance;
+pub mod resource;
 pub mod spec;
+pub mod usage;
 
 /// The names that most users of this crate need.
 pub mod prelude {
+    pub use crate::concurrency::{ConcurrencyLimit, ConcurrencySettings};
+    pub use crate::health::{HealthSettings, WorkerHealth};
     pub use crate::instance::{InstanceEntry, InstanceState};
+    pub use crate::resource::ResourceSize;
     pub use crate::spec::WorkerSpec;
+    pub use crate::usage::{TaskUsage, WorkerUsage};
 }
