--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -42,6 +42,15 @@
     /// A worker did not answer a request for a lease or its renewal.
     #[strum(message = "A worker did not answer a request for a lease or its renewal.")]
     LeaseUnanswered = 402,
+    /// A worker failed too often and gets no tasks for a while.
+    #[strum(message = "A worker failed too often and gets no tasks for a while.")]
+    WorkerEjected = 410,
+    /// A task failed as often as it may and was given up.
+    #[strum(message = "A task failed as often as it may and was given up.")]
+    TaskGivenUp = 411,
+    /// A retry was refused because the retry budget is spent.
+    #[strum(message = "A retry was refused because the retry budget is spent.")]
+    RetryRefused = 412,
     /// A stand-in of a platform service listens.
     #[strum(message = "A stand-in of a platform service listens.")]
     StandinStarted = 900,
--- a/crates/entry/src/backend_duty.rs
+++ b/crates/entry/src/backend_duty.rs
@@ -156,6 +156,7 @@
         }
         let result = match outcome {
             RunOutcome::Answered(answer) => RunResult::answered(answer),
+            RunOutcome::Busy => RunReport::Busy.into(),
             RunOutcome::NotRun | RunOutcome::LeaseEnded => RunReport::NotRun.into(),
             RunOutcome::Failed => RunReport::Failed.into(),
             RunOutcome::Lost => self.settle(backend, task, grant.lease).await.into(),
--- a/crates/link/src/backend.rs
+++ b/crates/link/src/backend.rs
@@ -48,6 +48,8 @@
 pub enum RunOutcome {
     /// The whole answer arrived.
     Answered(Vec<u8>),
+    /// The task certainly did not run, because the worker had no free slot.
+    Busy,
     /// The task certainly did not run.
     NotRun,
     /// The task certainly did not run, because its lease had ended.
@@ -240,7 +242,8 @@
     match status {
         StatusCode::Ok if known => RunOutcome::Answered(response.body),
         StatusCode::PreconditionFailed if known => RunOutcome::LeaseEnded,
-        StatusCode::ServiceUnavailable | StatusCode::Gone if known => RunOutcome::NotRun,
+        StatusCode::ServiceUnavailable if known => RunOutcome::Busy,
+        StatusCode::Gone if known => RunOutcome::NotRun,
         StatusCode::InternalServerError | StatusCode::GatewayTimeout if known => RunOutcome::Failed,
         _ => {
             metrics::counter!("pw_answers_discarded_total", "cause" => "foreign").increment(1);
--- a/crates/link/tests/backend_http.rs
+++ b/crates/link/tests/backend_http.rs
@@ -116,6 +116,11 @@
         (
             "refusal",
             response("503 Service Unavailable", TASK, 0, ""),
+            RunOutcome::Busy,
+        ),
+        (
+            "ended identity",
+            response("410 Gone", TASK, 0, ""),
             RunOutcome::NotRun,
         ),
         (
