--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -28,3 +28,9 @@
 pub type LogOffset = u64;
 /// Number of accepted configurations before this one; the empty fleet is revision 0.
 pub type FleetRevision = u64;
+/// Random identity of one process, chosen when it starts.
+pub type ProcessId = u128;
+/// Number of a process's membership, counted from 1; a retired process rejoins with the next one.
+pub type Incarnation = u32;
+/// Number of a member's record within its incarnation, counted from 1.
+pub type RecordSequence = u64;
--- a/crates/cli/src/audit.rs
+++ b/crates/cli/src/audit.rs
@@ -71,7 +71,9 @@
 
 /// Returns the line of a change to the fleet; `None` for other records and repetitions.
 pub fn audit_line(folded: &FoldedRecord) -> Option<AuditLine> {
-    let RecordBody::Fleet(proposal) = &folded.record.body;
+    let RecordBody::Fleet(proposal) = &folded.record.body else {
+        return None;
+    };
     let outcome = match folded.outcome {
         FoldOutcome::Accepted => "accepted".to_owned(),
         FoldOutcome::Rejected(reason) => reason.to_string(),
--- a/crates/cli/src/follow.rs
+++ b/crates/cli/src/follow.rs
@@ -65,8 +65,9 @@
     ///
     /// Fails when the log can't be read.
     pub async fn advance(&mut self, wait: Duration) -> Result<Vec<FoldedRecord>, LogError> {
-        let entries = self.store.read(self.state().next_offset, wait).await?;
-        Ok(entries
+        let batch = self.store.read(self.state().next_offset, wait).await?;
+        Ok(batch
+            .entries
             .into_iter()
             .filter_map(|entry| self.fold_entry(&entry))
             .collect())
@@ -90,9 +91,16 @@
 
     fn fold_entry(&mut self, entry: &LogEntry) -> Option<FoldedRecord> {
         let offset = entry.offset;
-        let Ok(record) = decode_record(&entry.bytes) else {
-            self.fold.skip_to(offset + 1);
-            return None;
+        let record = match decode_record(&entry.bytes) {
+            Ok(record) => record,
+            Err(CodecError::UnknownVersion(version)) => {
+                self.fold.pass_unread(offset, version);
+                return None;
+            }
+            Err(_) => {
+                self.fold.skip_to(offset + 1);
+                return None;
+            }
         };
         let before = self.state().clone();
         let outcome = self.fold.advance(offset, &record);
--- a/crates/cli/tests/apply.rs
+++ b/crates/cli/tests/apply.rs
@@ -35,9 +35,9 @@
         .boxed_local()
     }
 
-    fn read(&self, from: u64, _wait: Duration) -> BoxedLocal<Result<Vec<LogEntry>, LogError>> {
+    fn read(&self, from: u64, _wait: Duration) -> BoxedLocal<Result<LogBatch, LogError>> {
         let records = self.records.borrow();
-        let entries = records
+        let entries: Vec<LogEntry> = records
             .iter()
             .enumerate()
             .skip(from as usize)
@@ -46,7 +46,8 @@
                 bytes: bytes.clone(),
             })
             .collect();
-        async move { Ok(entries) }.boxed_local()
+        let end = records.len() as u64;
+        async move { Ok(LogBatch { entries, end }) }.boxed_local()
     }
 }
 
--- a/crates/contract/src/even_split.rs
+++ b/crates/contract/src/even_split.rs
@@ -54,6 +54,7 @@
         Some(TaskPermit {
             team: team.clone(),
             kind: PermitKind::Float,
+            incarnation: 0,
         })
     }
 
--- a/crates/contract/src/gate.rs
+++ b/crates/contract/src/gate.rs
@@ -3,9 +3,13 @@
 use std::time::Instant;
 
 use pw_base::prelude::*;
+use pw_member::prelude::*;
 use serde::{Deserialize, Serialize};
 use strum::Display;
 
+use crate::ledger::PermitLedger;
+use crate::proposal::PermitProposal;
+
 /// Right to have one task of a team running.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct TaskPermit {
@@ -13,10 +17,14 @@
     pub team: TeamId,
     /// Which of the holder's permits it is.
     pub kind: PermitKind,
+    /// Incarnation of the holder that took it.
+    pub incarnation: Incarnation,
 }
 
 /// Where a permit may be used and how it can be taken back.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, Display)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Display,
+)]
 #[strum(serialize_all = "kebab-case")]
 pub enum PermitKind {
     /// Usable in the holder's own availability zone; survives an outage of the log.
@@ -26,6 +34,19 @@
 }
 
 /// Hands out permits to start tasks.
+///
+/// Tasks run under leases of their workers, one lease for each worker, [`PermitKind`] and
+/// incarnation, so that tasks on float permits can end while those on floor permits go on. To keep
+/// the limits across pauses and partitions, the caller of the gate does these in this order:
+///
+/// 1. It opens a lease from an offer of the worker, and renews it from the last renewal; both carry
+///    the token that the worker gave last, which the worker takes once and only for a lease length.
+/// 2. With the token in hand, and not before, it asks [`may_open`](Self::may_open) or
+///    [`may_renew`](Self::may_renew).
+/// 3. It starts tasks only under a lease, on a permit from [`take`](Self::take).
+///
+/// So at most one renewal can take effect after the last check that passed, and what runs has ended
+/// two lease lengths after it.
 pub trait PermitGate: Send {
     /// Takes a permit to start a task of `team` on a worker in `zone`.
     fn take(&mut self, now: Instant, team: &TeamId, zone: &ZoneId) -> Option<TaskPermit>;
@@ -35,4 +56,42 @@
 
     /// Sets how many tasks of `team` wait for a permit.
     fn set_demand(&mut self, now: Instant, team: &TeamId, waiting: u32);
+
+    /// Takes in the folded state after a reading of the log.
+    ///
+    /// `asked` is the time at which a read of the log itself was sent that has now been folded to
+    /// the end; `None` for records that peers passed on, which prove nothing about freshness.
+    fn observe(
+        &mut self,
+        now: Instant,
+        asked: Option<Instant>,
+        permits: &PermitLedger,
+        members: &MemberLedger,
+    ) {
+        _ = (now, asked, permits, members);
+    }
+
+    /// Returns whether a new lease may be opened now on a worker in `zone` for permits of `kind`.
+    fn may_open(&self, now: Instant, kind: PermitKind, zone: &ZoneId) -> bool {
+        _ = (now, kind, zone);
+        true
+    }
+
+    /// Returns whether the lease that the task with `permit` runs under may be renewed now.
+    fn may_renew(&self, now: Instant, permit: &TaskPermit) -> bool {
+        _ = (now, permit);
+        true
+    }
+
+    /// Returns what is to be appended to the log now; each proposal is returned once.
+    fn proposals(&mut self, now: Instant) -> Vec<PermitProposal> {
+        _ = now;
+        Vec::new()
+    }
+
+    /// Returns when [`proposals`](Self::proposals) or waiting tasks are to be looked at again.
+    fn next_deadline(&self, now: Instant) -> Option<Instant> {
+        _ = now;
+        None
+    }
 }
--- /dev/null
+++ b/crates/contract/src/holder.rs
@@ -0,0 +1,265 @@
+//! The decisions of one holder of permits.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use pw_base::prelude::*;
+use pw_member::prelude::*;
+
+use crate::gate::{PermitGate, PermitKind, TaskPermit};
+use crate::ledger::PermitLedger;
+use crate::limit::even_part;
+use crate::proposal::{PermitProposal, PermitRound};
+use crate::team_use::TeamUse;
+
+/// Times and place of a permit holder.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct HolderSettings {
+    /// Identity of the process; its newest incarnation holds the permits.
+    pub process: ProcessId,
+    /// Availability zone that the holder runs in.
+    pub zone: ZoneId,
+    /// Time after the sending of a read of the log during which its result allows float permits.
+    pub validity: Duration,
+    /// Time between two proposals.
+    pub interval: Duration,
+    /// Time between two looks for something to propose.
+    pub check: Duration,
+    /// Time after which permits without use are released.
+    pub idle: Duration,
+    /// Time for which a permit may be kept while a holder without any waits.
+    pub turn: Duration,
+    /// Time after the last unmet demand of others until lent floor permits are claimed back.
+    pub floor_return: Duration,
+    /// Time after which a proposal that was not folded is made anew.
+    pub retry: Duration,
+}
+
+/// Holds the permits of one entry instance.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct PermitHolder {
+    settings: HolderSettings,
+    key: Option<MemberKey>,
+    trusted: bool,
+    fresh: Option<Instant>,
+    seen: Option<LogOffset>,
+    round: PermitRound,
+    folded_round: PermitRound,
+    proposed: Option<Instant>,
+    checked: Option<Instant>,
+    attention: bool,
+    teams: BTreeMap<TeamId, TeamUse>,
+}
+
+impl Default for HolderSettings {
+    fn default() -> Self {
+        Self {
+            process: 0,
+            zone: ZoneId::from(""),
+            validity: Duration::from_secs(3),
+            interval: Duration::from_millis(500),
+            check: Duration::from_millis(50),
+            idle: Duration::from_secs(2),
+            turn: Duration::from_secs(2),
+            floor_return: Duration::from_secs(10),
+            retry: Duration::from_secs(2),
+        }
+    }
+}
+
+impl PermitHolder {
+    /// Creates a holder that has no permits yet.
+    pub fn new(settings: HolderSettings) -> Self {
+        Self {
+            settings,
+            key: None,
+            trusted: false,
+            fresh: None,
+            seen: None,
+            round: 0,
+            folded_round: 0,
+            proposed: None,
+            checked: None,
+            attention: false,
+            teams: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the member that holds the permits; `None` before it joins and after its retirement.
+    pub fn key(&self) -> Option<&MemberKey> {
+        self.key.as_ref()
+    }
+
+    /// Returns how old the newest complete reading of the log is; `None` before the first one.
+    pub fn staleness(&self, now: Instant) -> Option<Duration> {
+        self.fresh.map(|fresh| now.saturating_duration_since(fresh))
+    }
+
+    /// Returns whether float permits may be used now.
+    pub fn is_fresh(&self, now: Instant) -> bool {
+        let valid = |fresh| now < fresh + self.settings.validity;
+        self.trusted && self.fresh.is_some_and(valid)
+    }
+
+    /// Acts for the newest incarnation of the process; the permits of an older one are not its own.
+    fn observe_key(&mut self, members: &MemberLedger) -> bool {
+        let current = members.current(self.settings.process);
+        self.trusted = current.is_some_and(|(_, state)| state.suspicion.is_none());
+        let key = current.map(|(key, _)| key);
+        if self.key.as_ref() == key {
+            return false;
+        }
+        self.key = key.cloned();
+        self.round = 0;
+        self.folded_round = 0;
+        self.proposed = None;
+        self.teams.values_mut().for_each(TeamUse::forget_grants);
+        true
+    }
+
+    fn observe_teams(&mut self, now: Instant, permits: &PermitLedger, members: &MemberLedger) {
+        let Some(key) = &self.key else {
+            return;
+        };
+        let zone = &self.settings.zone;
+        let mates = members.iter().filter(|(_, state)| state.spec.zone == *zone);
+        let place = mates.take_while(|(mate, _)| *mate != key).count();
+        let count = members.zone_members(zone);
+        let table = permits.table();
+        for team in table.limits.keys().chain(permits.teams()) {
+            if !self.teams.contains_key(team) {
+                self.teams.insert(team.clone(), TeamUse::default());
+            }
+        }
+        self.folded_round = permits.round(key);
+        let all_folded = self.folded_round >= self.round;
+        for (team, team_use) in &mut self.teams {
+            team_use.observe(now, key, team, permits, members);
+            team_use.floor_part = even_part(table.zone_floor(team, zone), count, place);
+            team_use.reserve = even_part(table.zone_reserve(team, zone), count, place);
+            team_use.in_service = table.zones.get(zone).is_some_and(|zone| zone.in_service);
+            if all_folded {
+                team_use.clear_ceiling();
+            }
+        }
+        self.teams.retain(|_, team_use| !team_use.is_unused());
+    }
+
+    fn may_propose(&self, now: Instant) -> bool {
+        let is_over =
+            |since: Option<Instant>, pause| since.is_none_or(|since| now >= since + pause);
+        let folded = self.folded_round >= self.round;
+        self.key.is_some()
+            && self.is_fresh(now)
+            && is_over(self.checked, self.settings.check)
+            && is_over(self.proposed, self.settings.interval)
+            && (folded || is_over(self.proposed, self.settings.retry))
+    }
+}
+
+impl PermitGate for PermitHolder {
+    fn take(&mut self, now: Instant, team: &TeamId, zone: &ZoneId) -> Option<TaskPermit> {
+        let incarnation = self.key.as_ref()?.incarnation;
+        let is_fresh = self.is_fresh(now);
+        let team_use = self.teams.get_mut(team)?;
+        if !team_use.has_fair_room(now, self.settings.turn) {
+            return None;
+        }
+        let kind = if *zone == self.settings.zone && team_use.take_floor() {
+            PermitKind::Floor
+        } else if is_fresh && team_use.take_float() {
+            PermitKind::Float
+        } else {
+            return None;
+        };
+        Some(TaskPermit {
+            team: team.clone(),
+            kind,
+            incarnation,
+        })
+    }
+
+    fn give_back(&mut self, _now: Instant, permit: TaskPermit) {
+        let incarnation = self.key.as_ref().map(|key| key.incarnation);
+        if incarnation != Some(permit.incarnation) {
+            return;
+        }
+        if let Some(team_use) = self.teams.get_mut(&permit.team) {
+            team_use.give_back(permit.kind);
+            self.attention = true;
+        }
+    }
+
+    fn set_demand(&mut self, _now: Instant, team: &TeamId, waiting: u32) {
+        if let Some(team_use) = self.teams.get_mut(team) {
+            team_use.waiting = waiting;
+            self.attention = true;
+        }
+    }
+
+    fn observe(
+        &mut self,
+        now: Instant,
+        asked: Option<Instant>,
+        permits: &PermitLedger,
+        members: &MemberLedger,
+    ) {
+        self.fresh = self.fresh.max(asked);
+        let is_new = self.observe_key(members);
+        if is_new || self.seen != Some(permits.changed()) {
+            self.seen = Some(permits.changed());
+            self.attention = true;
+            self.observe_teams(now, permits, members);
+        }
+    }
+
+    fn may_open(&self, now: Instant, kind: PermitKind, zone: &ZoneId) -> bool {
+        self.is_fresh(now) && (kind == PermitKind::Float || *zone == self.settings.zone)
+    }
+
+    fn may_renew(&self, now: Instant, permit: &TaskPermit) -> bool {
+        let current = self.key.as_ref().map(|key| key.incarnation);
+        match permit.kind {
+            PermitKind::Floor => true,
+            PermitKind::Float => current == Some(permit.incarnation) && self.is_fresh(now),
+        }
+    }
+
+    fn proposals(&mut self, now: Instant) -> Vec<PermitProposal> {
+        if !self.may_propose(now) {
+            return Vec::new();
+        }
+        self.checked = Some(now);
+        self.attention = false;
+        let mut holds = Vec::new();
+        for (team, team_use) in &mut self.teams {
+            holds.extend(team_use.plan(now, team, &self.settings));
+            self.attention |= team_use.needs_attention();
+        }
+        if holds.is_empty() {
+            return Vec::new();
+        }
+        self.round += 1;
+        self.proposed = Some(now);
+        self.attention = true;
+        let round = self.round;
+        vec![PermitProposal::Hold { round, holds }]
+    }
+
+    fn next_deadline(&self, now: Instant) -> Option<Instant> {
+        if !self.attention || self.key.is_none() {
+            return None;
+        }
+        let due = |since: Option<Instant>, pause| since.map_or(now, |since| since + pause);
+        let folded = self.folded_round >= self.round;
+        let pause = if folded {
+            self.settings.interval
+        } else {
+            self.settings.retry
+        };
+        let proposed = due(self.proposed, pause);
+        let checked = due(self.checked, self.settings.check);
+        // A holder that can't propose now waits for a reading, not for this time.
+        Some(proposed.max(checked).max(now + self.settings.check))
+    }
+}
--- /dev/null
+++ b/crates/contract/src/ledger.rs
@@ -0,0 +1,465 @@
+//! The folded permits.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pw_base::prelude::*;
+use pw_member::prelude::*;
+use serde::{Deserialize, Serialize};
+use strum::Display;
+
+use crate::limit::LimitTable;
+use crate::proposal::{PermitHold, PermitProposal, PermitRound};
+
+/// Permits after a prefix of the log.
+///
+/// At every offset, the granted permits of a team are at most its limit, or not more than before
+/// when the limit was lowered below them. The usable ones are always at most the limit.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct PermitLedger {
+    table: LimitTable,
+    teams: BTreeMap<TeamId, TeamGrants>,
+    holders: BTreeMap<MemberKey, HolderState>,
+    changed: LogOffset,
+}
+
+type TeamGrants = BTreeMap<MemberKey, PermitGrant>;
+
+/// Permits of one team that one member holds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct PermitGrant {
+    /// Floor permits that nobody else can get.
+    pub floor: u32,
+    /// Float permits that nobody else can get.
+    pub float: u32,
+    /// Floor permits that tasks may start on; fewer than `floor` after the limit was lowered.
+    pub usable_floor: u32,
+    /// Float permits that tasks may start on; fewer than `float` after the limit was lowered.
+    pub usable_float: u32,
+    /// Floor permits that the member wants.
+    pub want_floor: u32,
+    /// Permits of both kinds that the member wants.
+    pub want: u32,
+    /// Offset at which the member got its newest permit.
+    pub granted: LogOffset,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+struct HolderState {
+    zone: ZoneId,
+    round: PermitRound,
+    /// Workers that must prove that the retired holder has no lease; `None` before it is retired.
+    fence: Option<BTreeSet<WorkerId>>,
+}
+
+/// Why a proposal about permits has no effect.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Display,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum PermitReject {
+    /// The author is not a member, or its suspicion stands.
+    UntrustedHolder,
+    /// The round of the author was folded before.
+    OldRound,
+    /// The named member is not retired or holds no floor permits.
+    NothingToReclaim,
+    /// A worker of the zone has not proved that the leases of the retired member are gone.
+    NotFenced,
+}
+
+impl PermitGrant {
+    /// Returns the permits of both kinds.
+    pub fn held(&self) -> u32 {
+        self.floor + self.float
+    }
+
+    /// Returns how many permits the member wants beyond those that it holds.
+    pub fn unmet(&self) -> u32 {
+        self.want.saturating_sub(self.held())
+    }
+
+    fn keep(&mut self, hold: &PermitHold) {
+        self.floor = self.floor.min(hold.keep_floor);
+        self.float = self.float.min(hold.keep_float);
+        self.usable_floor = self.usable_floor.min(self.floor);
+        self.usable_float = self.usable_float.min(self.float);
+        self.want_floor = hold.want_floor;
+        self.want = hold.want;
+    }
+
+    fn add_floor(&mut self, offset: LogOffset, count: u32) {
+        self.floor += count;
+        self.usable_floor += count;
+        self.granted = offset;
+    }
+
+    fn add_float(&mut self, offset: LogOffset, count: u32) {
+        self.float += count;
+        self.usable_float += count;
+        self.granted = offset;
+    }
+}
+
+impl PermitLedger {
+    /// Returns the limits and zones that the permits were granted under.
+    pub fn table(&self) -> &LimitTable {
+        &self.table
+    }
+
+    /// Returns the offset of the newest record that changed a grant.
+    pub fn changed(&self) -> LogOffset {
+        self.changed
+    }
+
+    /// Returns what `member` holds of the permits of `team`.
+    pub fn grant(&self, team: &TeamId, member: &MemberKey) -> PermitGrant {
+        let grants = self.teams.get(team);
+        grants
+            .and_then(|grants| grants.get(member))
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Returns the holders of permits of `team`, retired ones with floor permits included.
+    pub fn grants(&self, team: &TeamId) -> impl Iterator<Item = (&MemberKey, &PermitGrant)> {
+        self.teams.get(team).into_iter().flatten()
+    }
+
+    /// Returns the teams of which permits are granted or wanted.
+    pub fn teams(&self) -> impl Iterator<Item = &TeamId> {
+        self.teams.keys()
+    }
+
+    /// Returns how many permits of `team` are granted.
+    pub fn granted(&self, team: &TeamId) -> u32 {
+        self.grants(team).map(|(_, grant)| grant.held()).sum()
+    }
+
+    /// Returns the newest folded round of `member`; 0 before the first one.
+    pub fn round(&self, member: &MemberKey) -> PermitRound {
+        self.holders.get(member).map_or(0, |holder| holder.round)
+    }
+
+    /// Returns the retired members that still have floor permits, with the workers that must prove
+    /// that their leases are gone.
+    pub fn unfenced(&self) -> impl Iterator<Item = (&MemberKey, BTreeSet<WorkerId>)> {
+        self.holders.iter().filter_map(|(key, holder)| {
+            let proof = holder.fence.as_ref()?;
+            Some((key, self.required_proof(&holder.zone, proof)))
+        })
+    }
+
+    /// Returns the part of the limit that is fair to `member` among those who want permits.
+    ///
+    /// It is the max-min fair part, rounded down.
+    pub fn fair_part(&self, team: &TeamId, member: &MemberKey) -> u32 {
+        let (orphans, standing): (Vec<_>, Vec<_>) =
+            self.grants(team).partition(|(key, _)| self.is_retired(key));
+        let orphaned: u32 = orphans.iter().map(|(_, grant)| grant.held()).sum();
+        let mut left = self.table.limit(team).saturating_sub(orphaned);
+        let mut wants: Vec<(u32, &MemberKey)> = standing
+            .into_iter()
+            .map(|(key, grant)| (grant.want, key))
+            .collect();
+        wants.sort();
+        let mut takers = wants.len() as u32;
+        for (want, key) in wants {
+            let part = want.min(left / takers);
+            if key == member {
+                return part;
+            }
+            left -= part;
+            takers -= 1;
+        }
+        0
+    }
+
+    /// Puts the limits and zones of a new configuration in force.
+    pub fn set_table(&mut self, offset: LogOffset, table: LimitTable, members: &MemberLedger) {
+        self.table = table;
+        self.changed = offset;
+        let teams: Vec<TeamId> = self.teams.keys().cloned().collect();
+        for team in teams {
+            self.fit_usable(&team);
+            self.distribute(offset, &team, members);
+        }
+    }
+
+    /// Folds a proposal of `author` at `offset`; `members` is the membership before it.
+    ///
+    /// # Errors
+    ///
+    /// Tells why the proposal has no effect; nothing has changed then.
+    pub fn apply(
+        &mut self,
+        offset: LogOffset,
+        author: &MemberKey,
+        proposal: &PermitProposal,
+        members: &MemberLedger,
+    ) -> Result<(), PermitReject> {
+        let state = members.get(author).ok_or(PermitReject::UntrustedHolder)?;
+        match proposal {
+            PermitProposal::Hold { round, holds } => {
+                if *round <= self.round(author) {
+                    return Err(PermitReject::OldRound);
+                }
+                let holder = HolderState {
+                    zone: state.spec.zone.clone(),
+                    round: *round,
+                    fence: None,
+                };
+                self.holders.insert(author.clone(), holder);
+                for hold in holds {
+                    self.hold(offset, author, hold, members);
+                }
+                Ok(())
+            }
+            PermitProposal::Reclaim { from, workers } => {
+                if !members.is_trusted(author) {
+                    return Err(PermitReject::UntrustedHolder);
+                }
+                self.reclaim(offset, from, workers, members)
+            }
+        }
+    }
+
+    /// Grants to a member whose suspicion was refuted what it has wanted meanwhile.
+    pub fn trust(&mut self, offset: LogOffset, member: &MemberKey, members: &MemberLedger) {
+        let is_holder = |grants: &TeamGrants| grants.contains_key(member);
+        let teams = self.teams.iter().filter(|(_, grants)| is_holder(grants));
+        let teams: Vec<TeamId> = teams.map(|(team, _)| team.clone()).collect();
+        for team in teams {
+            self.distribute(offset, &team, members);
+        }
+    }
+
+    /// Takes every permit of a member that has left; it has ended its tasks.
+    pub fn leave(&mut self, offset: LogOffset, member: &MemberKey, members: &MemberLedger) {
+        self.holders.remove(member);
+        self.remove_grants(offset, member, members, |_| false);
+    }
+
+    /// Takes the float permits of a retired member; its floor permits wait for the proof that its
+    /// leases are gone.
+    pub fn retire(&mut self, offset: LogOffset, member: &MemberKey, members: &MemberLedger) {
+        let Some(holder) = self.holders.get_mut(member) else {
+            return;
+        };
+        let zone = self.table.zones.get(&holder.zone);
+        holder.fence = Some(zone.map(|zone| zone.workers.clone()).unwrap_or_default());
+        self.remove_grants(offset, member, members, |grant| {
+            grant.float = 0;
+            grant.usable_float = 0;
+            grant.want = 0;
+            grant.want_floor = 0;
+            grant.floor > 0
+        });
+        let has_floor = self
+            .teams
+            .values()
+            .any(|grants| grants.contains_key(member));
+        if !has_floor {
+            self.holders.remove(member);
+        }
+    }
+
+    fn is_retired(&self, member: &MemberKey) -> bool {
+        let holder = self.holders.get(member);
+        holder.is_some_and(|holder| holder.fence.is_some())
+    }
+
+    fn hold(
+        &mut self,
+        offset: LogOffset,
+        author: &MemberKey,
+        hold: &PermitHold,
+        members: &MemberLedger,
+    ) {
+        let known = self.table.limits.contains_key(&hold.team);
+        if !known && !self.teams.contains_key(&hold.team) {
+            return;
+        }
+        let grants = self.teams.entry(hold.team.clone()).or_default();
+        grants.entry(author.clone()).or_default().keep(hold);
+        self.distribute(offset, &hold.team, members);
+    }
+
+    fn reclaim(
+        &mut self,
+        offset: LogOffset,
+        from: &MemberKey,
+        workers: &BTreeSet<WorkerId>,
+        members: &MemberLedger,
+    ) -> Result<(), PermitReject> {
+        let holder = self.holders.get(from);
+        let (zone, proof) = holder
+            .and_then(|holder| Some((&holder.zone, holder.fence.as_ref()?)))
+            .ok_or(PermitReject::NothingToReclaim)?;
+        if !self.required_proof(zone, proof).is_subset(workers) {
+            return Err(PermitReject::NotFenced);
+        }
+        self.holders.remove(from);
+        self.remove_grants(offset, from, members, |_| false);
+        Ok(())
+    }
+
+    /// Returns the workers that the retired holder may have known, and those declared since.
+    fn required_proof(
+        &self,
+        zone: &ZoneId,
+        at_retirement: &BTreeSet<WorkerId>,
+    ) -> BTreeSet<WorkerId> {
+        let now = self.table.zones.get(zone);
+        let workers = now.map(|zone| &zone.workers).into_iter().flatten();
+        at_retirement.iter().chain(workers).cloned().collect()
+    }
+
+    /// Drops the grants of `member` that `keep` does not hold on to, and grants them anew.
+    fn remove_grants(
+        &mut self,
+        offset: LogOffset,
+        member: &MemberKey,
+        members: &MemberLedger,
+        mut keep: impl FnMut(&mut PermitGrant) -> bool,
+    ) {
+        let mut freed = Vec::new();
+        for (team, grants) in &mut self.teams {
+            if let Some(grant) = grants.get_mut(member) {
+                if !keep(grant) {
+                    grants.remove(member);
+                }
+                freed.push(team.clone());
+            }
+        }
+        for team in freed {
+            self.distribute(offset, &team, members);
+        }
+    }
+
+    /// Fits the usable permits of `team` to its limit.
+    ///
+    /// While more are granted than the limit allows, usable permits only ever decrease, so that
+    /// holders at different offsets stay within the limit together.
+    fn fit_usable(&mut self, team: &TeamId) {
+        let limit = self.table.limit(team);
+        let granted = self.granted(team);
+        let Some(grants) = self.teams.get_mut(team) else {
+            return;
+        };
+        if granted <= limit {
+            for grant in grants.values_mut() {
+                grant.usable_floor = grant.floor;
+                grant.usable_float = grant.float;
+            }
+            return;
+        }
+        let parts = |grant: &PermitGrant| grant.usable_floor + grant.usable_float;
+        let usable: u32 = grants.values().map(parts).sum();
+        if usable <= limit {
+            return;
+        }
+        let scale = |sum: u32| (u64::from(sum) * u64::from(limit) / u64::from(usable)) as u32;
+        let mut sum = 0;
+        let mut scale_next = |part: &mut u32| {
+            let before = scale(sum);
+            sum += *part;
+            *part = scale(sum) - before;
+        };
+        for grant in grants.values_mut() {
+            scale_next(&mut grant.usable_floor);
+            scale_next(&mut grant.usable_float);
+        }
+    }
+
+    /// Grants free permits of `team` to trusted members that want them.
+    fn distribute(&mut self, offset: LogOffset, team: &TeamId, members: &MemberLedger) {
+        self.changed = offset;
+        let limit = self.table.limit(team);
+        let free = limit.saturating_sub(self.granted(team));
+        let mut zone_free = self.zone_free(team);
+        let Some(grants) = self.teams.get_mut(team) else {
+            return;
+        };
+        let holders = &self.holders;
+        let zone_of = |key: &MemberKey| Some(&holders.get(key)?.zone);
+        let trusted = |key: &MemberKey| members.is_trusted(key);
+        let taken = grant_floor(offset, grants, free, trusted, |key, wanted| {
+            let left = zone_of(key).and_then(|zone| zone_free.get_mut(zone));
+            left.map_or(0, |left| {
+                let count = wanted.min(*left);
+                *left -= count;
+                count
+            })
+        });
+        let free = free - taken;
+        grant_float(offset, grants, free, trusted);
+        grants.retain(|_, grant| grant.held() > 0 || grant.want > 0);
+        if grants.is_empty() {
+            self.teams.remove(team);
+        }
+        self.fit_usable(team);
+    }
+
+    /// Returns the floor permits of `team` that each zone has left.
+    fn zone_free(&self, team: &TeamId) -> BTreeMap<ZoneId, u32> {
+        let floor = |zone: &ZoneId| self.table.zone_floor(team, zone);
+        let zones = self.table.zones.keys();
+        let mut free: BTreeMap<ZoneId, u32> =
+            zones.map(|zone| (zone.clone(), floor(zone))).collect();
+        for (key, grant) in self.grants(team) {
+            let zone = self.holders.get(key).map(|holder| &holder.zone);
+            if let Some(left) = zone.and_then(|zone| free.get_mut(zone)) {
+                *left = left.saturating_sub(grant.floor);
+            }
+        }
+        free
+    }
+}
+
+/// Grants floor permits in the order of the keys; returns how many.
+///
+/// `take_part` takes up to so many permits out of the part of the member's zone.
+fn grant_floor(
+    offset: LogOffset,
+    grants: &mut TeamGrants,
+    free: u32,
+    trusted: impl Fn(&MemberKey) -> bool,
+    mut take_part: impl FnMut(&MemberKey, u32) -> u32,
+) -> u32 {
+    let mut taken = 0;
+    for (key, grant) in grants.iter_mut().filter(|(key, _)| trusted(key)) {
+        let wanted = grant.want_floor.saturating_sub(grant.floor);
+        let count = take_part(key, wanted.min(free - taken));
+        if count > 0 {
+            grant.add_floor(offset, count);
+            taken += count;
+        }
+    }
+    taken
+}
+
+/// Grants float permits, first to whoever holds the fewest and has waited the longest.
+fn grant_float(
+    offset: LogOffset,
+    grants: &mut TeamGrants,
+    mut free: u32,
+    trusted: impl Fn(&MemberKey) -> bool,
+) {
+    while free > 0 {
+        let takers: Vec<&mut PermitGrant> = grants
+            .iter_mut()
+            .filter(|(key, grant)| grant.unmet() > 0 && trusted(key))
+            .map(|(_, grant)| grant)
+            .collect();
+        let step = free / (2 * takers.len() as u32).max(1);
+        let needy = takers
+            .into_iter()
+            .min_by_key(|grant| (grant.held(), grant.granted));
+        let Some(grant) = needy else {
+            return;
+        };
+        let count = step.max(1).min(grant.unmet());
+        grant.add_float(offset, count);
+        free -= count;
+    }
+}
--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -1,13 +1,26 @@
 //! Permits that keep each team under its upper limit, fleet-wide.
 //!
 //! An entry instance starts a task of a team only on a permit that it holds. The permits of all
-//! entry instances together never exceed the team's upper limit.
+//! entry instances together never exceed the team's upper limit. [`PermitLedger`](prelude::PermitLedger)
+//! is the folded state that says who holds which permits, [`PermitHolder`](prelude::PermitHolder)
+//! the decisions of one holder.
 
 pub mod even_split;
 pub mod gate;
+pub mod holder;
+pub mod ledger;
+pub mod limit;
+pub mod proposal;
+pub mod reclaim;
+mod team_use;
 
 /// The names that most users of this crate need.
 pub mod prelude {
     pub use crate::even_split::EvenSplit;
     pub use crate::gate::{PermitGate, PermitKind, TaskPermit};
+    pub use crate::holder::{HolderSettings, PermitHolder};
+    pub use crate::ledger::{PermitGrant, PermitLedger, PermitReject};
+    pub use crate::limit::{LimitTable, ZoneFloor};
+    pub use crate::proposal::{PermitHold, PermitProposal, PermitRound};
+    pub use crate::reclaim::{ReclaimCommand, ReclaimDesk, ReclaimEvent};
 }
--- /dev/null
+++ b/crates/contract/src/limit.rs
@@ -0,0 +1,57 @@
+//! Upper limits and the parts of them that belong to availability zones.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pw_base::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// Part of each limit that belongs to the availability zones together: one in this many.
+const FLOOR_DIVISOR: u32 = 2;
+/// Part of each limit that the zones together never lend: one in this many.
+const RESERVE_DIVISOR: u32 = 20;
+
+/// Limits and zones of the configuration in force, as the permits need them.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct LimitTable {
+    /// Upper limit of each team in running tasks.
+    pub limits: BTreeMap<TeamId, u32>,
+    /// Declared availability zones.
+    pub zones: BTreeMap<ZoneId, ZoneFloor>,
+}
+
+/// What the permits need to know of an availability zone.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ZoneFloor {
+    /// Whether tasks may start there.
+    pub in_service: bool,
+    /// Workers declared there.
+    pub workers: BTreeSet<WorkerId>,
+}
+
+impl LimitTable {
+    /// Returns the upper limit of `team`; 0 for a team that is not declared.
+    pub fn limit(&self, team: &TeamId) -> u32 {
+        self.limits.get(team).copied().unwrap_or_default()
+    }
+
+    /// Returns the floor permits of `team` that belong to `zone`.
+    pub fn zone_floor(&self, team: &TeamId, zone: &ZoneId) -> u32 {
+        self.zone_part(self.limit(team) / FLOOR_DIVISOR, zone)
+    }
+
+    /// Returns the floor permits of `team` that `zone` never lends to others.
+    pub fn zone_reserve(&self, team: &TeamId, zone: &ZoneId) -> u32 {
+        self.zone_part(self.limit(team) / RESERVE_DIVISOR, zone)
+    }
+
+    fn zone_part(&self, whole: u32, zone: &ZoneId) -> u32 {
+        let place = self.zones.keys().position(|id| id == zone);
+        place.map_or(0, |place| even_part(whole, self.zones.len(), place))
+    }
+}
+
+/// Returns the part at `place` when `whole` is split into `count` parts that differ by at most 1.
+pub fn even_part(whole: u32, count: usize, place: usize) -> u32 {
+    let before = |place: usize| (u64::from(whole) * place as u64) / count.max(1) as u64;
+    (before(place + 1) - before(place)) as u32
+}
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -15,8 +15,8 @@
 use pw_zone::prelude::*;
 
 use crate::message::{
-    DispatchCommand, DispatchEvent, LogReading, RefusalReason, RunCertainty, RunReport,
-    TaskRequest, TaskStart, TaskVerdict,
+    DispatchCommand, DispatchEvent, RefusalReason, RunCertainty, RunReport, TaskRequest, TaskStart,
+    TaskVerdict,
 };
 
 /// Bounds of a dispatch desk.
@@ -148,10 +148,7 @@
     }
 
     fn read_log(&mut self, reading: &LogReading) {
-        for (offset, record) in &reading.records {
-            self.fold.advance(*offset, record);
-        }
-        self.fold.skip_to(reading.next_offset);
+        self.fold.read(reading);
         let state = self.fold.state();
         if self.revision() < state.revision {
             let revision = state.revision;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod prelude {
     pub use crate::desk::{DeskSettings, DispatchDesk};
     pub use crate::message::{
-        DispatchCommand, DispatchEvent, LogReading, RefusalReason, RunCertainty, RunReport,
-        TaskRequest, TaskStart, TaskVerdict,
+        DispatchCommand, DispatchEvent, RefusalReason, RunCertainty, RunReport, TaskRequest,
+        TaskStart, TaskVerdict,
     };
 }
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -1,7 +1,6 @@
 //! Events that the dispatch desk takes and commands that it gives.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use pw_base::prelude::*;
@@ -23,17 +22,6 @@
     pub deadline: Option<Instant>,
 }
 
-/// Records that one read of the platform's log brought, possibly none.
-#[derive(Debug, Clone)]
-pub struct LogReading {
-    /// When the read was sent; the records are at least as new as this.
-    pub asked: Instant,
-    /// The decoded records with their positions.
-    pub records: Vec<(LogOffset, Arc<LogRecord>)>,
-    /// Position after the last record, decoded or not.
-    pub next_offset: LogOffset,
-}
-
 /// What happened outside the desk.
 #[derive(Debug, Clone)]
 pub enum DispatchEvent {
--- a/crates/entry/src/log_duty.rs
+++ b/crates/entry/src/log_duty.rs
@@ -26,8 +26,8 @@
     loop {
         let asked = clock.now();
         match store.read(next_offset, READ_WAIT).await {
-            Ok(entries) => {
-                let reading = decode_entries(asked, next_offset, entries);
+            Ok(batch) => {
+                let reading = decode_batch(asked, next_offset, &batch);
                 next_offset = reading.next_offset;
                 let event = DispatchEvent::LogRead(reading);
                 if desk.send(DeskMessage::Event(event)).await.is_err() {
@@ -43,24 +43,11 @@
     }
 }
 
-fn decode_entries(asked: Instant, from: LogOffset, entries: Vec<LogEntry>) -> LogReading {
-    let next_offset = entries.last().map_or(from, |entry| entry.offset + 1);
-    let records = entries.iter().filter_map(decode_entry).collect();
-    LogReading {
-        asked,
-        records,
-        next_offset,
-    }
-}
-
-fn decode_entry(entry: &LogEntry) -> Option<(LogOffset, Arc<LogRecord>)> {
-    let offset = entry.offset;
-    match decode_record(&entry.bytes) {
-        Ok(record) => Some((offset, Arc::new(record))),
-        Err(error) => {
-            let event = EventCode::RecordMalformed;
-            tracing::warn!(event = event.number(), offset, %error, "record skipped");
-            None
-        }
+fn decode_batch(asked: Instant, from: LogOffset, batch: &LogBatch) -> LogReading {
+    let (reading, malformed) = LogReading::decode(Some(asked), from, batch);
+    for MalformedRecord { offset, error } in malformed {
+        let event = EventCode::RecordMalformed;
+        tracing::warn!(event = event.number(), offset, %error, "record skipped");
     }
+    reading
 }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -14,5 +14,5 @@
     pub use crate::http_call::{CallError, WholeResponse, call_http};
     pub use crate::http_server::{HttpHandler, serve_http};
     pub use crate::instances::{HttpInstances, InstanceSource};
-    pub use crate::log_service::{HttpLog, WireEntry};
+    pub use crate::log_service::{HttpLog, WireBatch, WireEntry};
 }
--- a/crates/link/src/log_service.rs
+++ b/crates/link/src/log_service.rs
@@ -25,6 +25,15 @@
     pub record: String,
 }
 
+/// What one read brings, as the log service writes it in JSON.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireBatch {
+    /// Records in order.
+    pub entries: Vec<WireEntry>,
+    /// Position after the last record that the service holds.
+    pub end: LogOffset,
+}
+
 /// Client of the platform's log service.
 #[derive(Debug, Clone)]
 pub struct HttpLog {
@@ -59,7 +68,7 @@
         .boxed_local()
     }
 
-    fn read(&self, from: LogOffset, wait: Duration) -> BoxedLocal<Result<Vec<LogEntry>, LogError>> {
+    fn read(&self, from: LogOffset, wait: Duration) -> BoxedLocal<Result<LogBatch, LogError>> {
         let address = self.address;
         async move {
             let wait_ms = wait.as_millis();
@@ -68,8 +77,13 @@
             let response = call_http(address, request, wait + LOG_TIMEOUT)
                 .await
                 .map_err(unreachable)?;
-            let entries: Vec<WireEntry> = parse_reply(&response)?;
-            entries.into_iter().map(unwrap_entry).collect()
+            let WireBatch { entries, end } = parse_reply(&response)?;
+            let entries: Result<Vec<LogEntry>, LogError> =
+                entries.into_iter().map(unwrap_entry).collect();
+            Ok(LogBatch {
+                entries: entries?,
+                end,
+            })
         }
         .boxed_local()
     }
--- a/crates/log/src/codec.rs
+++ b/crates/log/src/codec.rs
@@ -5,8 +5,8 @@
 
 use crate::record::LogRecord;
 
-/// Version of the record format that this build writes.
-const FORMAT_VERSION: u8 = 1;
+/// Version of the record format that this build writes, and the newest that it reads.
+pub const FORMAT_VERSION: u8 = 1;
 /// Bytes of the checksum, little-endian.
 const CHECKSUM_BYTES: usize = 4;
 /// Largest record in bytes.
--- a/crates/log/src/fold.rs
+++ b/crates/log/src/fold.rs
@@ -1,19 +1,33 @@
 //! The deterministic fold over log records.
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
+use std::time::Instant;
 
 use pw_base::prelude::*;
+use pw_contract::prelude::*;
 use pw_fleet::prelude::*;
+use pw_member::prelude::*;
+use pw_zone::prelude::*;
 use strum::Display;
 
-use crate::record::{FleetProposal, LogRecord, RecordBody};
+use crate::codec::FORMAT_VERSION;
+use crate::reading::{LogItem, LogReading};
+use crate::record::{ControlBatch, ControlProposal, FleetProposal, LogRecord, RecordBody};
+
+/// Operators' records that are told apart from repeats by their identity.
+///
+/// A repeat beyond them is still harmless: it names a base revision that is no longer current.
+const REMEMBERED_RECORDS: usize = 256;
 
 /// State of the fleet after a prefix of the log.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct FleetFold {
     state: FleetState,
-    seen: HashSet<RecordId>,
+    recent: VecDeque<RecordId>,
+    members: MemberLedger,
+    permits: PermitLedger,
+    unread: Option<LogOffset>,
 }
 
 /// What the accepted records add up to.
@@ -30,9 +44,9 @@
 /// What the fold did with a record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FoldOutcome {
-    /// The proposal is in force.
+    /// The proposal is in force; of a batch, all of them.
     Accepted,
-    /// The proposal has no effect.
+    /// The proposal has no effect; of a batch, the first one that has none.
     Rejected(RejectReason),
     /// The record was folded before.
     Repeated,
@@ -46,6 +60,14 @@
     StaleRevision,
     /// The proposal is for another fleet.
     OtherFleet,
+    /// An earlier record could not be read, so that nothing can be judged any more.
+    UnreadRecord,
+    /// The membership does not allow it.
+    #[strum(to_string = "{0}")]
+    Member(MemberReject),
+    /// The permits do not allow it.
+    #[strum(to_string = "{0}")]
+    Permit(PermitReject),
 }
 
 impl FleetFold {
@@ -54,26 +76,100 @@
         &self.state
     }
 
+    /// Returns the members after the records so far.
+    pub fn members(&self) -> &MemberLedger {
+        &self.members
+    }
+
+    /// Returns the permits after the records so far.
+    pub fn permits(&self) -> &PermitLedger {
+        &self.permits
+    }
+
+    /// Returns the position of the first record that this build could not read.
+    ///
+    /// From there on the fold stands still: its configuration stays in force, and nothing that
+    /// needs a fresh reading is allowed any more.
+    pub fn unread(&self) -> Option<LogOffset> {
+        self.unread
+    }
+
     /// Moves the next offset to `next_offset` past records that could not be decoded.
     pub fn skip_to(&mut self, next_offset: LogOffset) {
         self.state.next_offset = self.state.next_offset.max(next_offset);
     }
 
+    /// Folds a reading; returns what became of each record that was not folded before.
+    ///
+    /// A reading that begins after the next offset would leave a gap and changes nothing.
+    pub fn read(&mut self, reading: &LogReading) -> Vec<(LogOffset, FoldOutcome)> {
+        if reading.from > self.state.next_offset {
+            return Vec::new();
+        }
+        let from = self.state.next_offset;
+        let mut outcomes = Vec::new();
+        for (offset, item) in &reading.items {
+            if *offset < from {
+                continue;
+            }
+            match item {
+                LogItem::Record(record) => outcomes.push((*offset, self.advance(*offset, record))),
+                LogItem::Unread { version } => self.pass_unread(*offset, *version),
+            }
+        }
+        self.skip_to(reading.next_offset);
+        outcomes
+    }
+
+    /// Returns the time for which the reading proves that the fold is up to date.
+    ///
+    /// `None` when a peer passed the reading on, when it did not reach the end of the log, and
+    /// when a record could not be read.
+    pub fn freshness(&self, reading: &LogReading) -> Option<Instant> {
+        let asked = reading.proves_fresh()?;
+        let is_whole = self.unread.is_none() && self.state.next_offset >= reading.end;
+        is_whole.then_some(asked)
+    }
+
     /// Folds the record at `offset`; records before the next offset change nothing.
     pub fn advance(&mut self, offset: LogOffset, record: &LogRecord) -> FoldOutcome {
         if offset < self.state.next_offset {
             return FoldOutcome::Repeated;
         }
         self.skip_to(offset + 1);
-        if !self.seen.insert(record.id) {
-            return FoldOutcome::Repeated;
+        if self.unread.is_some() {
+            return FoldOutcome::Rejected(RejectReason::UnreadRecord);
         }
         match &record.body {
-            RecordBody::Fleet(proposal) => self.advance_fleet(proposal),
+            RecordBody::Fleet(proposal) => self.advance_fleet(offset, record.id, proposal),
+            RecordBody::Control(batch) => self.advance_control(offset, batch),
         }
     }
 
-    fn advance_fleet(&mut self, proposal: &FleetProposal) -> FoldOutcome {
+    /// Passes a record of another format.
+    ///
+    /// The format counts only when a member has announced it: otherwise the bytes are malformed
+    /// for every build alike.
+    pub fn pass_unread(&mut self, offset: LogOffset, version: u8) {
+        self.skip_to(offset + 1);
+        if version > FORMAT_VERSION && version <= self.members.newest_format() {
+            self.unread.get_or_insert(offset);
+        }
+    }
+
+    fn advance_fleet(
+        &mut self,
+        offset: LogOffset,
+        id: RecordId,
+        proposal: &FleetProposal,
+    ) -> FoldOutcome {
+        if self.recent.contains(&id) {
+            return FoldOutcome::Repeated;
+        }
+        self.recent.push_back(id);
+        if self.recent.len() > REMEMBERED_RECORDS {
+            self.recent.pop_front();
+        }
         if proposal.base != self.state.revision {
             return FoldOutcome::Rejected(RejectReason::StaleRevision);
         }
@@ -83,6 +179,87 @@
         }
         self.state.revision += 1;
         self.state.spec = Some(Arc::clone(&proposal.spec));
+        let table = limit_table(&proposal.spec);
+        self.permits.set_table(offset, table, &self.members);
         FoldOutcome::Accepted
     }
+
+    fn advance_control(&mut self, offset: LogOffset, batch: &ControlBatch) -> FoldOutcome {
+        let ControlBatch {
+            author, sequence, ..
+        } = batch;
+        if self.members.is_repeat(author, *sequence) {
+            return FoldOutcome::Repeated;
+        }
+        let mut outcome = FoldOutcome::Accepted;
+        for proposal in &batch.proposals {
+            let result = self.apply(offset, author, proposal);
+            if let (FoldOutcome::Accepted, Err(reason)) = (outcome, result) {
+                outcome = FoldOutcome::Rejected(reason);
+            }
+        }
+        self.members.hear(offset, author, *sequence);
+        outcome
+    }
+
+    /// Folds one proposal of a batch; only a join may come from somebody who is no member.
+    fn apply(
+        &mut self,
+        offset: LogOffset,
+        author: &MemberKey,
+        proposal: &ControlProposal,
+    ) -> Result<(), RejectReason> {
+        let is_join = matches!(
+            proposal,
+            ControlProposal::Member(MemberProposal::Join { .. })
+        );
+        if !is_join && self.members.get(author).is_none() {
+            return Err(RejectReason::Member(MemberReject::UnknownMember));
+        }
+        match proposal {
+            ControlProposal::Member(proposal) => self.apply_member(offset, author, proposal),
+            ControlProposal::Permit(proposal) => self
+                .permits
+                .apply(offset, author, proposal, &self.members)
+                .map_err(RejectReason::Permit),
+        }
+    }
+
+    /// Folds a proposal about the membership, and takes the permits of whom it removes.
+    fn apply_member(
+        &mut self,
+        offset: LogOffset,
+        author: &MemberKey,
+        proposal: &MemberProposal,
+    ) -> Result<(), RejectReason> {
+        self.members
+            .apply(offset, author, proposal)
+            .map_err(RejectReason::Member)?;
+        let (permits, members) = (&mut self.permits, &self.members);
+        match proposal {
+            MemberProposal::Refute { .. } => permits.trust(offset, author, members),
+            MemberProposal::Leave => permits.leave(offset, author, members),
+            MemberProposal::Retire { member, .. } => permits.retire(offset, member, members),
+            MemberProposal::Join { .. } | MemberProposal::Suspect { .. } => {}
+        }
+        Ok(())
+    }
+}
+
+/// Returns what the permits need to know of a configuration.
+fn limit_table(spec: &FleetSpec) -> LimitTable {
+    let mut zones: BTreeMap<ZoneId, ZoneFloor> = BTreeMap::new();
+    for zone in &spec.zones {
+        zones.entry(zone.id.clone()).or_default().in_service = zone.status == ZoneStatus::InService;
+    }
+    for worker in &spec.workers {
+        if let Some(zone) = zones.get_mut(&worker.zone) {
+            zone.workers.insert(worker.id.clone());
+        }
+    }
+    let limits = spec.teams.iter().map(|team| (team.id.clone(), team.limit));
+    LimitTable {
+        limits: limits.collect(),
+        zones,
+    }
 }
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -5,13 +5,15 @@
 
 pub mod codec;
 pub mod fold;
+pub mod reading;
 pub mod record;
 pub mod store;
 
 /// The names that most users of this crate need.
 pub mod prelude {
-    pub use crate::codec::{CodecError, decode_record, encode_record};
+    pub use crate::codec::{CodecError, FORMAT_VERSION, decode_record, encode_record};
     pub use crate::fold::{FleetFold, FleetState, FoldOutcome, RejectReason};
-    pub use crate::record::{FleetProposal, LogRecord, RecordBody};
-    pub use crate::store::{LogEntry, LogError, LogStore};
+    pub use crate::reading::{LogItem, LogReading, MalformedRecord};
+    pub use crate::record::{ControlBatch, ControlProposal, FleetProposal, LogRecord, RecordBody};
+    pub use crate::store::{LogBatch, LogEntry, LogError, LogStore};
 }
--- a/crates/log/src/record.rs
+++ b/crates/log/src/record.rs
@@ -4,7 +4,9 @@
 use std::time::SystemTime;
 
 use pw_base::prelude::*;
+use pw_contract::prelude::*;
 use pw_fleet::prelude::*;
+use pw_member::prelude::*;
 use serde::{Deserialize, Serialize};
 
 /// One record of the log.
@@ -20,11 +22,36 @@
     pub body: RecordBody,
 }
 
-/// Proposal of a record, by area.
+/// What a record proposes, by who may propose it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RecordBody {
-    /// Change of the declared fleet.
+    /// Change of the declared fleet, by an operator.
     Fleet(FleetProposal),
+    /// Proposals of a member.
+    Control(ControlBatch),
+}
+
+/// Proposals of one member, folded in order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlBatch {
+    /// Member that proposes; the fold rejects the batch unless it is one.
+    pub author: MemberKey,
+    /// Number of the batch; the fold takes each number of an author once and in order.
+    pub sequence: RecordSequence,
+    /// What is proposed.
+    pub proposals: Vec<ControlProposal>,
+}
+
+/// Proposal of a member, by area.
+///
+/// The ledger of each area judges its own. A new variant needs a new format version, so that an
+/// instance which can't read it knows that it has missed something.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ControlProposal {
+    /// Change of the membership.
+    Member(MemberProposal),
+    /// Change of the permits.
+    Permit(PermitProposal),
 }
 
 /// Proposal to change the declared fleet.
--- a/crates/log/src/store.rs
+++ b/crates/log/src/store.rs
@@ -15,6 +15,15 @@
     pub bytes: Vec<u8>,
 }
 
+/// What one read brought.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogBatch {
+    /// Stored records in order; the service may leave out later ones.
+    pub entries: Vec<LogEntry>,
+    /// Position after the last record that the service held when it answered.
+    pub end: LogOffset,
+}
+
 /// Why the log service did not do what was asked.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum LogError {
@@ -38,5 +47,5 @@
     fn append(&self, bytes: Vec<u8>) -> BoxedLocal<Result<LogOffset, LogError>>;
 
     /// Reads records from position `from` on; waits up to `wait` while there are none.
-    fn read(&self, from: LogOffset, wait: Duration) -> BoxedLocal<Result<Vec<LogEntry>, LogError>>;
+    fn read(&self, from: LogOffset, wait: Duration) -> BoxedLocal<Result<LogBatch, LogError>>;
 }
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -417,7 +417,9 @@
     /// Returns what the log adds up to with `record`, by the specification.
     fn after(&self, record: &LogRecord) -> Self {
         let mut next = self.clone();
-        let RecordBody::Fleet(proposal) = &record.body;
+        let RecordBody::Fleet(proposal) = &record.body else {
+            return next;
+        };
         let known = next.folded.contains(&record.id);
         next.folded.push(record.id);
         if !known && proposal.base == next.revision {
@@ -461,7 +463,9 @@
 }
 
 fn summary(record: &LogRecord) -> String {
-    let RecordBody::Fleet(proposal) = &record.body;
+    let RecordBody::Fleet(proposal) = &record.body else {
+        return record.id.to_string();
+    };
     let zones = zones_of(Some(&proposal.spec));
     format!("{}@{} {zones:?}", record.id, proposal.base)
 }
--- a/crates/standin/src/log_service.rs
+++ b/crates/standin/src/log_service.rs
@@ -113,6 +113,7 @@
                 record: BASE64_STANDARD.encode(record),
             })
             .collect();
-        json_reply(StatusCode::Ok, &entries)
+        let end = records.len() as LogOffset;
+        json_reply(StatusCode::Ok, &WireBatch { entries, end })
     }
 }
