--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -38,3 +38,9 @@
 pub type LeaseId = u128;
 /// Number of renewals of a lease so far.
 pub type RenewalCount = u64;
+/// Random identity of one process, chosen when it starts.
+pub type ProcessId = u128;
+/// Number of a process's membership, counted from 1; a retired process rejoins with the next one.
+pub type Incarnation = u32;
+/// Number of a member's record within its incarnation, counted from 1.
+pub type RecordSequence = u64;
--- a/crates/contract/src/even_split.rs
+++ b/crates/contract/src/even_split.rs
@@ -53,6 +53,7 @@
         Some(TaskPermit {
             team: team.clone(),
             kind: PermitKind::Float,
+            incarnation: 0,
         })
     }
 
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -19,7 +19,7 @@
 use crate::history::QueueHistory;
 use crate::lingering::LingeringPermits;
 use crate::message::{
-    DeskNotice, DispatchCommand, DispatchEvent, LogReading, RefusalReason, RunCertainty, RunReport,
+    DeskNotice, DispatchCommand, DispatchEvent, RefusalReason, RunCertainty, RunReport,
     ShareReport, TaskRequest, TaskVerdict, TeamShare,
 };
 use crate::pool_desk::{LeadSettings, PoolDesk};
@@ -274,10 +274,7 @@
         reading: &LogReading,
         commands: &mut Vec<DispatchCommand>,
     ) {
-        for (offset, record) in &reading.records {
-            self.fold.advance(*offset, record);
-        }
-        self.fold.skip_to(reading.next_offset);
+        self.fold.read(reading);
         let state = self.fold.state();
         if let Some(spec) = state.spec.clone()
             && self.revision < state.revision
@@ -285,7 +282,7 @@
             self.revision = state.revision;
             self.set_fleet(now, &spec, commands);
         }
-        if !reading.records.is_empty() {
+        if !reading.items.is_empty() {
             self.release_permit_holds();
         }
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,8 +21,8 @@
     pub use crate::backlog::WaitReason;
     pub use crate::desk::{DeskSettings, DispatchDesk};
     pub use crate::message::{
-        DeskNotice, DispatchCommand, DispatchEvent, LogReading, PoolService, RefusalReason,
-        RunCertainty, RunReport, ShareReport, TaskRequest, TaskStart, TaskVerdict, TeamShare,
+        DeskNotice, DispatchCommand, DispatchEvent, PoolService, RefusalReason, RunCertainty,
+        RunReport, ShareReport, TaskRequest, TaskStart, TaskVerdict, TeamShare,
     };
     pub use crate::pool_desk::LeadSettings;
     pub use crate::retry::RetrySettings;
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -150,9 +150,11 @@
         let offset = self.offset;
         self.offset += 1;
         self.feed(DispatchEvent::LogRead(LogReading {
-            asked: self.now,
-            records: vec![(offset, Arc::new(record))],
+            asked: Some(self.now),
+            from: offset,
+            items: vec![(offset, LogItem::Record(Arc::new(record)))],
             next_offset: offset + 1,
+            end: offset + 1,
         }))
     }
 
