--- /dev/null
+++ b/benches/src/lib.rs
@@ -0,0 +1,1 @@
+//! Benchmarks of the project; each is a bench target of this package.
--- /dev/null
+++ b/crates/capacity/src/fleet.rs
@@ -0,0 +1,124 @@
+//! Generated fleets of any size.
+
+use std::fmt::Write;
+
+use pw_fleet::prelude::*;
+
+/// Workers that stand in one rack.
+const RACK_WORKERS: usize = 4;
+/// Slots of each worker.
+const WORKER_SLOTS: usize = 8;
+/// Share of each pool's workers that may be unavailable: one in this many.
+const BUDGET_DIVISOR: usize = 10;
+/// Upper limit of a team, as a multiple of its even part of all slots.
+const LIMIT_FACTOR: usize = 2;
+
+/// Size of a generated fleet; the default is the size to design for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FleetSize {
+    /// Workers.
+    pub workers: usize,
+    /// Pools; the last one is the spare pool when there are several.
+    pub pools: usize,
+    /// Teams, each with one key.
+    pub teams: usize,
+    /// Availability zones.
+    pub zones: usize,
+    /// Regions.
+    pub regions: usize,
+}
+
+impl Default for FleetSize {
+    fn default() -> Self {
+        Self {
+            workers: 8_500,
+            pools: 112,
+            teams: 370,
+            zones: 6,
+            regions: 3,
+        }
+    }
+}
+
+impl FleetSize {
+    /// Returns the size with every count scaled to `workers`, and at least 2 workers a pool.
+    ///
+    /// Zones and regions stay as they are.
+    pub fn scaled_to(self, workers: usize) -> Self {
+        let scale = |count: usize| (count * workers).div_ceil(self.workers);
+        Self {
+            workers,
+            pools: scale(self.pools).min(workers / 2).max(1),
+            teams: scale(self.teams),
+            ..self
+        }
+    }
+}
+
+/// Returns a fleet file of the given size that the check accepts.
+pub fn fleet_text(size: &FleetSize) -> String {
+    let mut text = "fleet = \"generated\"\n".to_owned();
+    write_parts(&mut text, size).expect("writing to a string");
+    text
+}
+
+/// Returns a checked fleet of the given size.
+///
+/// # Panics
+///
+/// Panics when a count is 0, or when there are fewer than two workers for a pool.
+pub fn generate_fleet(size: &FleetSize) -> FleetSpec {
+    match check_fleet("generated.toml", &fleet_text(size)) {
+        Ok(fleet) => fleet,
+        Err(findings) => panic!("{size:?}: {}", findings[0]),
+    }
+}
+
+fn write_parts(text: &mut String, size: &FleetSize) -> std::fmt::Result {
+    for zone in 0..size.zones {
+        let region = zone % size.regions;
+        writeln!(
+            text,
+            "\n[[zones]]\nid = \"zone-{zone}\"\nregion = \"region-{region}\""
+        )?;
+    }
+    for worker in 0..size.workers {
+        // Racks are filled zone by zone, so that each pool spans all zones.
+        let zone = worker % size.zones;
+        let rack = worker / size.zones / RACK_WORKERS;
+        writeln!(
+            text,
+            "\n[[workers]]\nid = \"worker-{worker:05}\"\nzone = \"zone-{zone}\"\n\
+             rack = \"rack-{zone}-{rack}\"\ncores = 32\nmemory_gib = 64\n\
+             slots = {WORKER_SLOTS}\nconnections = 64"
+        )?;
+    }
+    for pool in 0..size.pools {
+        let from = size.workers * pool / size.pools;
+        let to = size.workers * (pool + 1) / size.pools;
+        let ids: Vec<String> = (from..to)
+            .map(|worker| format!("worker-{worker:05}"))
+            .collect();
+        let budget = ((to - from) / BUDGET_DIVISOR).max(1);
+        let spare = size.pools > 1 && pool + 1 == size.pools;
+        writeln!(
+            text,
+            "\n[[pools]]\nid = \"pool-{pool}\"\nworkers = {ids:?}\n\
+             max_unavailable = {budget}\nspare = {spare}"
+        )?;
+        writeln!(
+            text,
+            "\n[[queues]]\nid = \"queue-{pool}\"\npool = \"pool-{pool}\"\n\
+             run_timeout = \"30s\"\ndeadline = \"5m\""
+        )?;
+    }
+    let limit = (LIMIT_FACTOR * WORKER_SLOTS * size.workers).div_ceil(size.teams);
+    for team in 0..size.teams {
+        writeln!(
+            text,
+            "\n[[teams]]\nid = \"team-{team}\"\nshare = 1\nlimit = {limit}\n\
+             keys = [{{ id = \"key-{team}\", sha256 = \"{team:064x}\" }}]"
+        )?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/capacity/src/lib.rs
@@ -0,0 +1,11 @@
+//! Measures what each role of the system costs as the fleet grows.
+//!
+//! Fleets of several sizes are generated, the production objects are driven at each size, and a
+//! line is fitted through the results.
+
+pub mod fleet;
+
+/// The names that most users of this crate need.
+pub mod prelude {
+    pub use crate::fleet::{FleetSize, fleet_text, generate_fleet};
+}
