Hold a lease for each class of permit, and fence only holders without leases

Cause: float permits must end with the holder's reading of the log while floor permits go on, so both need leases of their own. Fencing a holder cut off tasks of one that was only taken for gone.

Change: the lease book keeps a lease for each worker and class; leases for fresh readings are neither taken nor renewed past the reading. A lease counts from the time of the decision, so a pause before the request makes it unusable. A worker refuses to fence a holder that still holds a lease. Leases last two seconds.

Conclusion: what runs on float permits has ended two lease lengths after the last check that passed; floor permits survive an outage of the log.

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -34,6 +34,8 @@
 pub type PlannerTerm = u64;
 /// Number of a maintenance wave, counted from 1; 0 before the first one.
 pub type WaveNumber = u64;
+/// Name of an entry instance as a holder of leases; one that was fenced takes a new name.
+pub type HolderId = Arc<str>;
 /// Random identity of a lease that a worker granted.
 pub type LeaseId = u128;
 /// Number of renewals of a lease so far.
--- a/crates/entry/src/backend_duty.rs
+++ b/crates/entry/src/backend_duty.rs
@@ -27,8 +27,8 @@
     pub gateway: Box<dyn BackendGateway + Send>,
     /// The clock.
     pub clock: Arc<dyn ClockSource>,
-    /// Name of this entry instance.
-    pub entry: EntryId,
+    /// Name under which leases are taken until another one is set.
+    pub holder: HolderId,
     /// Ring to the dispatch duty.
     pub desk: RingSender<DeskMessage>,
 }
@@ -45,7 +45,7 @@
     let shell = Rc::new(BackendShell {
         gateway: Rc::from(links.gateway as Box<dyn BackendGateway>),
         clock: links.clock,
-        entry: links.entry,
+        holder: RefCell::new(links.holder),
         desk: links.desk,
         spawner,
         events,
@@ -56,6 +56,13 @@
         match input {
             BackendInput::Message(BackendMessage::Start(run)) => shell.take(run),
             BackendInput::Message(BackendMessage::Stop(task)) => shell.stop(task),
+            BackendInput::Message(BackendMessage::ReadingFresh { until }) => {
+                shell.feed(LeaseEvent::ReadingFresh { until });
+            }
+            BackendInput::Message(BackendMessage::HolderChanged(holder)) => {
+                shell.holder.replace(holder);
+                shell.feed(LeaseEvent::HolderChanged);
+            }
             BackendInput::Lease(event) => shell.feed(event),
         }
     }
@@ -69,7 +76,7 @@
 struct BackendShell {
     gateway: Rc<dyn BackendGateway>,
     clock: Arc<dyn ClockSource>,
-    entry: EntryId,
+    holder: RefCell<HolderId>,
     desk: RingSender<DeskMessage>,
     spawner: TaskSpawner,
     events: RingSender<LeaseEvent>,
@@ -80,7 +87,7 @@
 #[derive(Default)]
 struct RunTable {
     /// Runs that wait for a lease.
-    waiting: IndexMap<WorkerId, Vec<RunStart>>,
+    waiting: IndexMap<LeaseKey, Vec<RunStart>>,
     /// Runs that were sent, with their way to be stopped.
     sent: IndexMap<TaskId, SentRun>,
     /// Last known addresses of workers with leases.
@@ -110,22 +117,15 @@
     /// Starts a run under the lease on its worker, or lets it wait for one.
     fn take(self: &Rc<Self>, run: RunStart) {
         let backend = backend_of(&run);
+        let key = key_of(&run);
         let worker = Arc::clone(&backend.worker);
-        let usable = self.book.borrow().usable(self.clock.now(), &worker);
-        {
-            let mut runs = self.runs.borrow_mut();
-            runs.addresses.insert(Arc::clone(&worker), backend);
-        }
+        self.runs.borrow_mut().addresses.insert(worker, backend);
+        let usable = self.book.borrow().usable(self.clock.now(), &key);
         match usable {
             Some(grant) => self.start(run, grant),
             None => {
-                let mut runs = self.runs.borrow_mut();
-                runs.waiting
-                    .entry(Arc::clone(&worker))
-                    .or_default()
-                    .push(run);
-                drop(runs);
-                self.feed(LeaseEvent::LeaseWanted(worker));
+                self.runs.borrow_mut().wait(key.clone(), run);
+                self.feed(LeaseEvent::LeaseWanted(key));
             }
         }
     }
@@ -135,9 +135,9 @@
             backend: backend_of(&run),
             lease: grant.lease,
         };
-        let worker = Arc::clone(&run.start.worker);
+        let key = key_of(&run);
         self.runs.borrow_mut().sent.insert(run.start.task, sent);
-        self.feed(LeaseEvent::RunStarted(worker));
+        self.feed(LeaseEvent::RunStarted(key));
         let shell = Rc::clone(self);
         self.spawner
             .spawn(async move { shell.follow(run, grant).await });
@@ -147,28 +147,34 @@
     async fn follow(self: Rc<Self>, run: RunStart, grant: LeaseGrant) {
         let task = run.start.task;
         let backend = backend_of(&run);
-        let worker = Arc::clone(&backend.worker);
+        let key = key_of(&run);
+        let lease = grant.lease;
         let outcome = self.gateway.run(run, grant).await;
         if outcome == RunOutcome::LeaseEnded {
-            let lease = grant.lease;
-            let worker = Arc::clone(&worker);
-            self.notify(LeaseEvent::LeaseEnded { worker, lease }).await;
+            let key = key.clone();
+            self.notify(LeaseEvent::LeaseEnded { key, lease }).await;
         }
         let result = match outcome {
             RunOutcome::Answered(answer) => RunResult::answered(answer),
             RunOutcome::Busy => RunReport::Busy.into(),
             RunOutcome::NotRun | RunOutcome::LeaseEnded => RunReport::NotRun.into(),
             RunOutcome::Failed => RunReport::Failed.into(),
-            RunOutcome::Lost => self.settle(backend, task, grant.lease).await.into(),
+            RunOutcome::Lost => self.settle(backend, &key, task, lease).await.into(),
         };
         self.runs.borrow_mut().sent.swap_remove(&task);
-        self.notify(LeaseEvent::RunEnded(worker)).await;
+        self.notify(LeaseEvent::RunEnded(key)).await;
         // Without a desk the node is stopping and nobody waits for the result.
         _ = self.desk.send(DeskMessage::RunEnded { task, result }).await;
     }
 
     /// Stops a run whose outcome is lost until it certainly runs no more.
-    async fn settle(&self, backend: BackendAddress, task: TaskId, lease: LeaseId) -> RunReport {
+    async fn settle(
+        &self,
+        backend: BackendAddress,
+        key: &LeaseKey,
+        task: TaskId,
+        lease: LeaseId,
+    ) -> RunReport {
         let mut over_by = self.clock.now() + 2 * WORKER_LEASE_TTL;
         loop {
             match self.gateway.stop(backend.clone(), task, lease).await {
@@ -180,7 +186,7 @@
                     tracing::warn!(event = event.number(), worker = %backend.worker, %error, "stop failed");
                 }
             }
-            let held = self.book.borrow().over_by(&backend.worker, lease);
+            let held = self.book.borrow().over_by(key, lease);
             over_by = held.unwrap_or(over_by);
             if self.clock.now() >= over_by {
                 return RunReport::Unknown;
@@ -191,7 +197,7 @@
 
     /// Stops a task that is no longer wanted; its run then ends by itself.
     fn stop(self: &Rc<Self>, task: TaskId) {
-        if self.drop_waiting(task) {
+        if self.runs.borrow_mut().drop_waiting(task) {
             self.report_not_run(vec![task]);
             return;
         }
@@ -208,15 +214,6 @@
         });
     }
 
-    fn drop_waiting(&self, task: TaskId) -> bool {
-        let mut runs = self.runs.borrow_mut();
-        runs.waiting.values_mut().any(|waiting| {
-            let before = waiting.len();
-            waiting.retain(|run| run.start.task != task);
-            waiting.len() < before
-        })
-    }
-
     fn feed(self: &Rc<Self>, event: LeaseEvent) {
         let now = self.clock.now();
         let commands = self.book.borrow_mut().handle(now, event);
@@ -227,34 +224,29 @@
 
     fn carry_out(self: &Rc<Self>, now: Instant, command: LeaseCommand) {
         match command {
-            LeaseCommand::TakeLease(worker) => self.ask(worker, None),
+            LeaseCommand::TakeLease(key) => self.take_lease(now, key),
             LeaseCommand::RenewLease {
-                worker,
+                key,
                 lease,
                 renewal,
-            } => self.ask(worker, Some((lease, renewal))),
-            LeaseCommand::StartWaiting(worker) => self.start_waiting(now, &worker),
-            LeaseCommand::RefuseWaiting(worker) => {
-                let runs = self.take_waiting(&worker);
+            } => self.renew_lease(now, key, lease, renewal),
+            LeaseCommand::StartWaiting(key) => self.start_waiting(now, &key),
+            LeaseCommand::RefuseWaiting(key) => {
+                let runs = self.runs.borrow_mut().take_waiting(&key);
                 self.report_not_run(runs.iter().map(|run| run.start.task).collect());
             }
         }
     }
 
-    fn start_waiting(self: &Rc<Self>, now: Instant, worker: &WorkerId) {
-        let runs = self.take_waiting(worker);
-        let usable = self.book.borrow().usable(now, worker);
+    fn start_waiting(self: &Rc<Self>, now: Instant, key: &LeaseKey) {
+        let runs = self.runs.borrow_mut().take_waiting(key);
+        let usable = self.book.borrow().usable(now, key);
         match usable {
             Some(grant) => runs.into_iter().for_each(|run| self.start(run, grant)),
             None => self.report_not_run(runs.iter().map(|run| run.start.task).collect()),
         }
     }
 
-    fn take_waiting(&self, worker: &WorkerId) -> Vec<RunStart> {
-        let mut runs = self.runs.borrow_mut();
-        runs.waiting.swap_remove(worker).unwrap_or_default()
-    }
-
     fn report_not_run(&self, tasks: Vec<TaskId>) {
         let desk = self.desk.clone();
         self.spawner.spawn(async move {
@@ -266,49 +258,92 @@
         });
     }
 
-    /// Takes a new lease, or renews the given one.
-    fn ask(self: &Rc<Self>, worker: WorkerId, held: Option<(LeaseId, RenewalCount)>) {
-        let backend = self.runs.borrow().addresses.get(&worker).cloned();
+    fn take_lease(self: &Rc<Self>, asked: Instant, key: LeaseKey) {
+        let Some(backend) = self.address_of(&key) else {
+            return;
+        };
+        let holder = Arc::clone(&self.holder.borrow());
+        let grant = self.gateway.take_lease(backend, holder);
         let shell = Rc::clone(self);
         self.spawner.spawn(async move {
-            let Some(backend) = backend else {
-                return shell.notify(LeaseEvent::LeaseUnanswered(worker)).await;
+            let event = match grant.await {
+                Ok(grant) => LeaseEvent::LeaseGranted { key, asked, grant },
+                Err(error) => unanswered(key, &error),
             };
-            let asked = shell.clock.now();
-            let grant = match held {
-                None => shell.gateway.take_lease(backend, Arc::clone(&shell.entry)),
-                Some((lease, renewal)) => shell.gateway.renew_lease(backend, lease, renewal),
-            };
-            let event = match (grant.await, held) {
-                (Ok(grant), _) => LeaseEvent::LeaseGranted {
-                    worker,
-                    asked,
-                    grant,
-                },
-                (Err(LeaseError::Missed(renewal)), Some((lease, _))) => LeaseEvent::RenewalMissed {
-                    worker,
+            shell.notify(event).await;
+        });
+    }
+
+    fn renew_lease(
+        self: &Rc<Self>,
+        asked: Instant,
+        key: LeaseKey,
+        lease: LeaseId,
+        renewal: RenewalCount,
+    ) {
+        let Some(backend) = self.address_of(&key) else {
+            return;
+        };
+        let grant = self.gateway.renew_lease(backend, lease, renewal);
+        let shell = Rc::clone(self);
+        self.spawner.spawn(async move {
+            let event = match grant.await {
+                Ok(grant) => LeaseEvent::LeaseGranted { key, asked, grant },
+                Err(LeaseError::Missed(renewal)) => LeaseEvent::RenewalMissed {
+                    key,
                     lease,
                     renewal,
                 },
-                (Err(LeaseError::Ended), Some((lease, _))) => {
-                    LeaseEvent::LeaseEnded { worker, lease }
-                }
-                (Err(error), _) => {
-                    let event = EventCode::LeaseUnanswered;
-                    tracing::warn!(event = event.number(), %worker, %error, "no lease");
-                    LeaseEvent::LeaseUnanswered(worker)
-                }
+                Err(LeaseError::Ended) => LeaseEvent::LeaseEnded { key, lease },
+                Err(error) => unanswered(key, &error),
             };
             shell.notify(event).await;
         });
     }
 
+    /// Returns the address that the last run on the worker went to.
+    fn address_of(&self, key: &LeaseKey) -> Option<BackendAddress> {
+        self.runs.borrow().addresses.get(&key.worker).cloned()
+    }
+
     async fn notify(&self, event: LeaseEvent) {
         // The duty holds the receiver for as long as this future runs.
         _ = self.events.send(event).await;
     }
 }
 
+impl RunTable {
+    fn wait(&mut self, key: LeaseKey, run: RunStart) {
+        self.waiting.entry(key).or_default().push(run);
+    }
+
+    fn take_waiting(&mut self, key: &LeaseKey) -> Vec<RunStart> {
+        self.waiting.swap_remove(key).unwrap_or_default()
+    }
+
+    /// Drops a run that waits; returns whether there was one.
+    fn drop_waiting(&mut self, task: TaskId) -> bool {
+        self.waiting.values_mut().any(|waiting| {
+            let before = waiting.len();
+            waiting.retain(|run| run.start.task != task);
+            waiting.len() < before
+        })
+    }
+}
+
+fn unanswered(key: LeaseKey, error: &LeaseError) -> LeaseEvent {
+    let event = EventCode::LeaseUnanswered;
+    tracing::warn!(event = event.number(), worker = %key.worker, %error, "no lease");
+    LeaseEvent::LeaseUnanswered(key)
+}
+
+fn key_of(run: &RunStart) -> LeaseKey {
+    LeaseKey {
+        worker: Arc::clone(&run.start.worker),
+        class: run.class,
+    }
+}
+
 fn backend_of(run: &RunStart) -> BackendAddress {
     BackendAddress {
         worker: Arc::clone(&run.start.worker),
--- a/crates/entry/src/dispatch_duty.rs
+++ b/crates/entry/src/dispatch_duty.rs
@@ -7,6 +7,7 @@
 use pw_dispatch::prelude::*;
 use pw_link::prelude::*;
 use pw_ring::prelude::*;
+use pw_worker::prelude::*;
 
 use crate::message::{BackendMessage, DeskMessage, DeskStatus, TaskReply};
 
@@ -105,7 +106,11 @@
             return false;
         };
         let payload = Arc::clone(&open.payload);
-        let run = RunStart { start, payload };
+        let run = RunStart {
+            start,
+            class: LeaseClass::Always,
+            payload,
+        };
         self.runs.offer(BackendMessage::Start(run)).is_ok()
     }
 
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages in the rings between duties.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use pw_base::prelude::*;
 use pw_dispatch::prelude::*;
@@ -40,6 +41,13 @@
     Start(RunStart),
     /// Stop a task; its run then ends as every other one.
     Stop(TaskId),
+    /// Leases for fresh readings may be taken and renewed until the given time.
+    ReadingFresh {
+        /// End of the validity of the last read of the log, counted from when it was sent.
+        until: Instant,
+    },
+    /// Take leases under another name from now on.
+    HolderChanged(HolderId),
 }
 
 /// How a run ended, with the whole answer when there is one.
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -84,7 +84,7 @@
         let backend_links = BackendLinks {
             gateway: backends,
             clock: Arc::clone(&clock),
-            entry: Arc::clone(&settings.entry),
+            holder: Arc::clone(&settings.entry),
             desk: desk_sender.clone(),
         };
         DutyThread::spawn("backends", move |spawner| {
--- a/crates/link/src/backend.rs
+++ b/crates/link/src/backend.rs
@@ -23,13 +23,15 @@
 /// Time for the answer's way back after the task's time is over.
 const ANSWER_GRACE: Duration = Duration::from_millis(500);
 /// Longest wait for the answer to a request about a lease or a stop.
-const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+const CONTROL_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// A task with its payload, on its way to a backend server.
 #[derive(Debug, Clone)]
 pub struct RunStart {
     /// Where and how it runs.
     pub start: TaskStart,
+    /// Class of the lease that it runs under.
+    pub class: LeaseClass,
     /// Bytes that the caller submitted.
     pub payload: Arc<[u8]>,
 }
@@ -98,11 +100,11 @@
         lease: LeaseId,
     ) -> BoxedLocal<Result<StopOutcome, CallError>>;
 
-    /// Takes a new lease for `entry`.
+    /// Takes a new lease for `holder`.
     fn take_lease(
         &self,
         backend: BackendAddress,
-        entry: EntryId,
+        holder: HolderId,
     ) -> BoxedLocal<Result<LeaseGrant, LeaseError>>;
 
     /// Renews `lease`; `renewal` is the number of its last renewal.
@@ -113,11 +115,11 @@
         renewal: RenewalCount,
     ) -> BoxedLocal<Result<LeaseGrant, LeaseError>>;
 
-    /// Ends all leases of `entry` for ever.
-    fn fence_entry(
+    /// Bars `holder` from further leases unless it still holds one.
+    fn fence_holder(
         &self,
         backend: BackendAddress,
-        entry: EntryId,
+        holder: HolderId,
     ) -> BoxedLocal<Result<FenceReply, CallError>>;
 }
 
@@ -148,7 +150,7 @@
     fn run(&self, run: RunStart, grant: LeaseGrant) -> BoxedLocal<RunOutcome> {
         let pool = self.pool.clone();
         async move {
-            let RunStart { start, payload } = run;
+            let RunStart { start, payload, .. } = run;
             let request = run_request(&start, &payload, grant);
             let timeout = start.run_timeout + ANSWER_GRACE;
             match pool.call(start.address, request, timeout).await {
@@ -176,10 +178,10 @@
     fn take_lease(
         &self,
         backend: BackendAddress,
-        entry: EntryId,
+        holder: HolderId,
     ) -> BoxedLocal<Result<LeaseGrant, LeaseError>> {
         let ttl_ms = millis(WORKER_LEASE_TTL);
-        let body = LeaseRequest { entry, ttl_ms };
+        let body = LeaseRequest { holder, ttl_ms };
         let request = json_request(backend.address, "/v1/leases", &body);
         let call = self.control(backend.address, request);
         async move { judge_lease(call.await) }.boxed_local()
@@ -197,13 +199,13 @@
         async move { judge_lease(call.await) }.boxed_local()
     }
 
-    fn fence_entry(
+    fn fence_holder(
         &self,
         backend: BackendAddress,
-        entry: EntryId,
+        holder: HolderId,
     ) -> BoxedLocal<Result<FenceReply, CallError>> {
         let address = backend.address;
-        let path = format!("/v1/entries/{entry}/fence");
+        let path = format!("/v1/holders/{holder}/fence");
         let call = self.control(address, build_request(Method::Post, address, &path));
         async move {
             let response = call.await?;
--- a/crates/link/src/lease_wire.rs
+++ b/crates/link/src/lease_wire.rs
@@ -2,12 +2,12 @@
 //!
 //! | Request | Answer |
 //! |---|---|
-//! | `POST /v1/leases` with [`LeaseRequest`] | 201 with [`LeaseReply`]; 403 when the entry instance is fenced |
+//! | `POST /v1/leases` with [`LeaseRequest`] | 201 with [`LeaseReply`]; 403 when the holder is fenced |
 //! | `POST /v1/leases/{lease}/renewals` with [`RenewRequest`] | 200 with [`LeaseReply`]; 409 with [`LeaseReply`] when it names another renewal; 410 when the lease has ended |
 //! | `POST /v1/tasks` with the headers below | 200 with the answer; 412 when the lease has ended; 503 without a free slot; 410 when it was stopped before or names a renewal before the last two; all of these but the first certainly not run; 409 when the identity is known; 500 when it failed; 504 when it was stopped |
 //! | | each answer to a start carries the task's identity, refusals too |
 //! | `DELETE /v1/tasks/{task}` with the lease header | 200 with [`StopReply`]; 412 when the lease has ended and nothing runs under it |
-//! | `POST /v1/entries/{entry}/fence` | 200 with [`FenceReply`] |
+//! | `POST /v1/holders/{holder}/fence` | 200 with [`FenceReply`] |
 
 use pw_base::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -25,8 +25,8 @@
 /// Asks for a lease.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRequest {
-    /// Entry instance that will hold it.
-    pub entry: EntryId,
+    /// Name of the holder.
+    pub holder: HolderId,
     /// Length in milliseconds, on the worker's clock.
     pub ttl_ms: u64,
 }
@@ -70,15 +70,14 @@
     Finished,
 }
 
-/// What remains of an entry instance after its leases were ended.
+/// What a worker says to the request to fence a holder.
 ///
-/// The worker grants no further lease to an entry instance that was fenced.
+/// A worker fences only a holder without leases, so that nothing that runs is cut off. It grants
+/// no further lease to a holder that was fenced.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FenceReply {
-    /// Leases that ended by this call.
-    pub ended_leases: u32,
-    /// Tasks of it that still run; 0 proves that its permits are free on this worker.
-    pub running_tasks: u32,
+    /// Leases of the holder that still run; 0 proves that it is fenced.
+    pub held_leases: u32,
 }
 
 /// Identities as 32 hexadecimal digits.
--- a/crates/standin/src/lease_table.rs
+++ b/crates/standin/src/lease_table.rs
@@ -14,7 +14,7 @@
 #[derive(Debug, Default)]
 pub struct LeaseTable {
     leases: IndexMap<LeaseId, TaskLease>,
-    fenced: IndexSet<EntryId>,
+    fenced: IndexSet<HolderId>,
 }
 
 /// Lease as a start names it.
@@ -29,7 +29,7 @@
 /// Why a lease was not granted or renewed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GrantError {
-    /// The entry instance is fenced.
+    /// The holder is fenced.
     Fenced,
     /// The lease has ended.
     Ended,
@@ -54,7 +54,7 @@
 
 #[derive(Debug)]
 struct TaskLease {
-    entry: EntryId,
+    holder: HolderId,
     grant: LeaseGrant,
     ends: Instant,
     tasks: IndexMap<TaskId, KnownTask>,
@@ -79,16 +79,16 @@
     ///
     /// # Errors
     ///
-    /// Fails when the entry instance is fenced.
+    /// Fails when the holder is fenced.
     pub fn take(
         &mut self,
         now: Instant,
         lease: LeaseId,
-        entry: EntryId,
+        holder: HolderId,
         ttl: Duration,
     ) -> Result<LeaseGrant, GrantError> {
         self.drop_ended(now);
-        if self.fenced.contains(&entry) {
+        if self.fenced.contains(&holder) {
             return Err(GrantError::Fenced);
         }
         let grant = LeaseGrant {
@@ -97,7 +97,7 @@
             ttl,
         };
         let state = TaskLease {
-            entry,
+            holder,
             grant,
             ends: now + ttl,
             tasks: IndexMap::new(),
@@ -178,16 +178,16 @@
         Some(outcome)
     }
 
-    /// Ends all leases of `entry` and grants it no further one.
-    pub fn fence(&mut self, now: Instant, entry: EntryId) -> FenceReply {
+    /// Bars `holder` from further leases unless it still holds one.
+    pub fn fence(&mut self, now: Instant, holder: HolderId) -> FenceReply {
         self.drop_ended(now);
-        let before = self.leases.len();
-        self.leases.retain(|_, state| state.entry != entry);
-        self.fenced.insert(entry);
+        let held = |state: &&TaskLease| state.holder == holder;
+        let held_leases = self.leases.values().filter(held).count();
+        if held_leases == 0 {
+            self.fenced.insert(holder);
+        }
         FenceReply {
-            ended_leases: u32::try_from(before - self.leases.len()).unwrap_or(u32::MAX),
-            // Ending a lease stops its tasks before this answer.
-            running_tasks: 0,
+            held_leases: u32::try_from(held_leases).unwrap_or(u32::MAX),
         }
     }
 
--- a/crates/worker/src/lease.rs
+++ b/crates/worker/src/lease.rs
@@ -3,16 +3,36 @@
 use std::time::{Duration, Instant};
 
 use pw_base::prelude::*;
+use strum::Display;
 
 /// Length of a worker's lease, on the worker's own clock.
 ///
 /// It is the same across the fleet, because every entry instance derives from it when another
 /// one can start nothing more.
-pub const WORKER_LEASE_TTL: Duration = Duration::from_secs(5);
+pub const WORKER_LEASE_TTL: Duration = Duration::from_secs(2);
 
 /// Bound on how much the clocks of two machines drift apart, as one part of this many.
 const DRIFT_DIVISOR: u32 = 100;
 
+/// When a lease may be taken and renewed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum LeaseClass {
+    /// At any time.
+    Always,
+    /// Only while the holder's reading of the log is fresh.
+    WhileFresh,
+}
+
+/// One of the leases that an entry instance may hold on a worker.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LeaseKey {
+    /// The worker.
+    pub worker: WorkerId,
+    /// When it may be taken and renewed.
+    pub class: LeaseClass,
+}
+
 /// What a worker grants when a lease is taken or renewed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeaseGrant {
--- a/crates/worker/src/lease_book.rs
+++ b/crates/worker/src/lease_book.rs
@@ -1,13 +1,12 @@
 //! The decision object for the leases that an entry instance holds on workers.
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use pw_base::prelude::*;
 
-use crate::lease::{HeldLease, LeaseGrant};
+use crate::lease::{HeldLease, LeaseClass, LeaseGrant, LeaseKey};
 
 /// Part of a lease's length after which it is renewed, as one part of this many.
 const RENEW_DIVISOR: u32 = 3;
@@ -15,7 +14,7 @@
 /// Bounds of a [`LeaseBook`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BookSettings {
-    /// Pause after a renewal that was not answered.
+    /// Pause after a request that was not answered.
     pub retry_pause: Duration,
     /// How long a lease is renewed after the last run under it.
     pub idle_timeout: Duration,
@@ -23,27 +22,30 @@
 
 /// Decides when leases are taken and renewed, and whether they may be used.
 ///
-/// A lease is renewed at a third of its length while runs use it; an idle one lapses.
+/// A lease is renewed at a third of its length while runs use it; an idle one lapses. The time of
+/// each command counts as the time of its request: a holder that pauses before it sends the request
+/// does not use what it gets.
 #[derive(Debug, Default)]
 pub struct LeaseBook {
     settings: BookSettings,
-    workers: IndexMap<WorkerId, WorkerLease>,
-    deadlines: BTreeSet<(Instant, WorkerId)>,
+    leases: IndexMap<LeaseKey, WorkerLease>,
+    deadlines: BTreeSet<(Instant, LeaseKey)>,
+    fresh_until: Option<Instant>,
 }
 
 /// What happened to the leases.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LeaseEvent {
     /// A run waits for a lease on the worker.
-    LeaseWanted(WorkerId),
+    LeaseWanted(LeaseKey),
     /// A run was started under the worker's lease.
-    RunStarted(WorkerId),
+    RunStarted(LeaseKey),
     /// A run under the worker's lease has ended.
-    RunEnded(WorkerId),
+    RunEnded(LeaseKey),
     /// The worker granted or renewed a lease.
     LeaseGranted {
-        /// Worker that granted it.
-        worker: WorkerId,
+        /// Which lease.
+        key: LeaseKey,
         /// When the request was sent.
         asked: Instant,
         /// What it granted.
@@ -51,8 +53,8 @@
     },
     /// The worker holds a later renewal than the one that was named: an answer was lost.
     RenewalMissed {
-        /// Worker that refused.
-        worker: WorkerId,
+        /// Which lease.
+        key: LeaseKey,
         /// Lease that was to be renewed.
         lease: LeaseId,
         /// Number that the next renewal must name.
@@ -60,13 +62,20 @@
     },
     /// The worker says that the lease has ended.
     LeaseEnded {
-        /// Worker that granted it.
-        worker: WorkerId,
+        /// Which lease.
+        key: LeaseKey,
         /// Lease that has ended.
         lease: LeaseId,
     },
     /// The worker did not answer, or it refused a new lease.
-    LeaseUnanswered(WorkerId),
+    LeaseUnanswered(LeaseKey),
+    /// The holder's reading of the log is fresh until the given time.
+    ReadingFresh {
+        /// End of the freshness, counted from when the read was sent.
+        until: Instant,
+    },
+    /// The holder goes on under another name; no lease of the old one is renewed.
+    HolderChanged,
     /// Time has passed.
     TimePassed,
 }
@@ -75,20 +84,20 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LeaseCommand {
     /// Ask the worker for a new lease.
-    TakeLease(WorkerId),
+    TakeLease(LeaseKey),
     /// Ask the worker to renew a lease.
     RenewLease {
-        /// Worker that granted it.
-        worker: WorkerId,
+        /// Which lease.
+        key: LeaseKey,
         /// Lease to renew.
         lease: LeaseId,
         /// Number of the last renewal.
         renewal: RenewalCount,
     },
     /// Start the runs that wait for a lease on the worker.
-    StartWaiting(WorkerId),
+    StartWaiting(LeaseKey),
     /// Give up the runs that wait for a lease on the worker; they have not run.
-    RefuseWaiting(WorkerId),
+    RefuseWaiting(LeaseKey),
 }
 
 #[derive(Debug)]
@@ -96,6 +105,8 @@
     held: Option<HeldLease>,
     /// A request to the worker has not been answered yet.
     asking: bool,
+    /// That request was for a holder that is gone.
+    outdated: bool,
     /// A run waits for the lease.
     wanted: bool,
     running: u32,
@@ -107,7 +118,7 @@
 impl Default for BookSettings {
     fn default() -> Self {
         Self {
-            retry_pause: Duration::from_millis(500),
+            retry_pause: Duration::from_millis(200),
             idle_timeout: Duration::from_secs(10),
         }
     }
@@ -125,24 +136,29 @@
     /// Takes one event and returns what is to be done.
     pub fn handle(&mut self, now: Instant, event: LeaseEvent) -> Vec<LeaseCommand> {
         let mut commands = Vec::new();
-        if let Some(worker) = event.worker().map(Arc::clone) {
-            commands.extend(self.apply(now, &worker, event));
-            self.reschedule(&worker);
+        match &event {
+            LeaseEvent::ReadingFresh { until } => self.fresh_until = Some(*until),
+            LeaseEvent::HolderChanged => self.drop_all(),
+            _ => {}
+        }
+        if let Some(key) = event.key().cloned() {
+            commands.extend(self.apply(now, &key, event));
+            self.reschedule(&key);
         }
         self.pass_time(now, &mut commands);
         commands
     }
 
-    /// Returns the lease on `worker` when a run may start under it.
-    pub fn usable(&self, now: Instant, worker: &WorkerId) -> Option<LeaseGrant> {
-        self.workers.get(worker)?.usable(now)
+    /// Returns the lease of `key` when a run may start under it.
+    pub fn usable(&self, now: Instant, key: &LeaseKey) -> Option<LeaseGrant> {
+        self.leases.get(key)?.usable(now)
     }
 
-    /// Returns when nothing runs on `worker` under `lease` any more, unless it is renewed again.
+    /// Returns when nothing runs under `lease` any more, unless it is renewed again.
     ///
     /// `None` when the book no longer holds the lease.
-    pub fn over_by(&self, worker: &WorkerId, lease: LeaseId) -> Option<Instant> {
-        let held = self.workers.get(worker)?.held?;
+    pub fn over_by(&self, key: &LeaseKey, lease: LeaseId) -> Option<Instant> {
+        let held = self.leases.get(key)?.held?;
         (held.grant.lease == lease).then(|| held.over_by())
     }
 
@@ -154,18 +170,13 @@
     /// Returns how many leases the book holds.
     pub fn held_leases(&self) -> usize {
         let held = |lease: &&WorkerLease| lease.held.is_some();
-        self.workers.values().filter(held).count()
+        self.leases.values().filter(held).count()
     }
 
-    fn apply(
-        &mut self,
-        now: Instant,
-        worker: &WorkerId,
-        event: LeaseEvent,
-    ) -> Option<LeaseCommand> {
+    fn apply(&mut self, now: Instant, key: &LeaseKey, event: LeaseEvent) -> Option<LeaseCommand> {
         let lease = self
-            .workers
-            .entry(Arc::clone(worker))
+            .leases
+            .entry(key.clone())
             .or_insert_with(|| WorkerLease::new(now));
         match event {
             LeaseEvent::LeaseWanted(_) => lease.wanted = true,
@@ -178,57 +189,83 @@
             LeaseEvent::LeaseEnded { lease: id, .. } => lease.end(id),
             LeaseEvent::LeaseUnanswered(_) => {
                 lease.asking = false;
+                lease.outdated = false;
                 lease.retry_at = now + self.settings.retry_pause;
-                return lease.refuse_waiting(worker);
+                return lease.refuse_waiting(key);
             }
-            LeaseEvent::TimePassed => {}
+            LeaseEvent::ReadingFresh { .. }
+            | LeaseEvent::HolderChanged
+            | LeaseEvent::TimePassed => {}
         }
-        lease.serve_waiting(now, worker)
+        let allowed = key.may_ask(now, self.fresh_until);
+        lease.serve_waiting(now, key, allowed)
     }
 
-    /// Keeps the place of `worker` among the deadlines, and forgets it when nothing is left.
-    fn reschedule(&mut self, worker: &WorkerId) {
-        let Some(lease) = self.workers.get_mut(worker) else {
+    /// Keeps the place of `key` among the deadlines, and forgets it when nothing is left.
+    fn reschedule(&mut self, key: &LeaseKey) {
+        let Some(lease) = self.leases.get_mut(key) else {
             return;
         };
         if let Some(deadline) = lease.scheduled.take() {
-            self.deadlines.remove(&(deadline, Arc::clone(worker)));
+            self.deadlines.remove(&(deadline, key.clone()));
         }
         if lease.is_unused() {
-            self.workers.swap_remove(worker);
+            self.leases.swap_remove(key);
             return;
         }
         lease.scheduled = lease.next_deadline(&self.settings);
         if let Some(deadline) = lease.scheduled {
-            self.deadlines.insert((deadline, Arc::clone(worker)));
+            self.deadlines.insert((deadline, key.clone()));
+        }
+    }
+
+    /// Gives up every lease; what runs under them ends with them.
+    fn drop_all(&mut self) {
+        let keys: Vec<LeaseKey> = self.leases.keys().cloned().collect();
+        for key in keys {
+            if let Some(lease) = self.leases.get_mut(&key) {
+                lease.held = None;
+                lease.outdated = lease.asking;
+            }
+            self.reschedule(&key);
         }
     }
 
     /// Renews the leases that are due and drops those that are over.
     fn pass_time(&mut self, now: Instant, commands: &mut Vec<LeaseCommand>) {
-        while let Some((deadline, worker)) = self.deadlines.first().cloned() {
+        while let Some((deadline, key)) = self.deadlines.first().cloned() {
             if deadline > now {
                 return;
             }
-            if let Some(lease) = self.workers.get_mut(&worker) {
-                commands.extend(lease.pass_time(now, &worker, &self.settings));
+            if let Some(lease) = self.leases.get_mut(&key) {
+                commands.extend(lease.pass_time(now, &key, &self.settings, self.fresh_until));
             }
-            self.reschedule(&worker);
+            self.reschedule(&key);
+        }
+    }
+}
+
+impl LeaseKey {
+    /// Returns whether the lease may be asked for or renewed now.
+    fn may_ask(&self, now: Instant, fresh_until: Option<Instant>) -> bool {
+        match self.class {
+            LeaseClass::Always => true,
+            LeaseClass::WhileFresh => fresh_until.is_some_and(|until| now < until),
         }
     }
 }
 
 impl LeaseEvent {
-    fn worker(&self) -> Option<&WorkerId> {
+    fn key(&self) -> Option<&LeaseKey> {
         match self {
-            Self::LeaseWanted(worker)
-            | Self::RunStarted(worker)
-            | Self::RunEnded(worker)
-            | Self::LeaseGranted { worker, .. }
-            | Self::RenewalMissed { worker, .. }
-            | Self::LeaseEnded { worker, .. }
-            | Self::LeaseUnanswered(worker) => Some(worker),
-            Self::TimePassed => None,
+            Self::LeaseWanted(key)
+            | Self::RunStarted(key)
+            | Self::RunEnded(key)
+            | Self::LeaseGranted { key, .. }
+            | Self::RenewalMissed { key, .. }
+            | Self::LeaseEnded { key, .. }
+            | Self::LeaseUnanswered(key) => Some(key),
+            Self::ReadingFresh { .. } | Self::HolderChanged | Self::TimePassed => None,
         }
     }
 }
@@ -238,6 +275,7 @@
         Self {
             held: None,
             asking: false,
+            outdated: false,
             wanted: false,
             running: 0,
             last_used: now,
@@ -263,6 +301,9 @@
 
     fn grant(&mut self, now: Instant, asked: Instant, grant: LeaseGrant) {
         self.asking = false;
+        if std::mem::take(&mut self.outdated) {
+            return;
+        }
         self.held = Some(HeldLease {
             grant,
             asked,
@@ -288,38 +329,48 @@
         }
     }
 
-    fn serve_waiting(&mut self, now: Instant, worker: &WorkerId) -> Option<LeaseCommand> {
+    fn serve_waiting(
+        &mut self,
+        now: Instant,
+        key: &LeaseKey,
+        allowed: bool,
+    ) -> Option<LeaseCommand> {
         if !self.wanted || self.asking {
             return None;
         }
         if self.usable(now).is_some() {
             self.wanted = false;
-            return Some(LeaseCommand::StartWaiting(Arc::clone(worker)));
+            return Some(LeaseCommand::StartWaiting(key.clone()));
         }
-        if now < self.retry_at {
-            return self.refuse_waiting(worker);
+        if now < self.retry_at || !allowed {
+            return self.refuse_waiting(key);
         }
         self.held = None;
         self.asking = true;
-        Some(LeaseCommand::TakeLease(Arc::clone(worker)))
+        Some(LeaseCommand::TakeLease(key.clone()))
     }
 
-    fn refuse_waiting(&mut self, worker: &WorkerId) -> Option<LeaseCommand> {
+    fn refuse_waiting(&mut self, key: &LeaseKey) -> Option<LeaseCommand> {
         let waiting = std::mem::take(&mut self.wanted);
-        waiting.then(|| LeaseCommand::RefuseWaiting(Arc::clone(worker)))
+        waiting.then(|| LeaseCommand::RefuseWaiting(key.clone()))
     }
 
     fn pass_time(
         &mut self,
         now: Instant,
-        worker: &WorkerId,
+        key: &LeaseKey,
         settings: &BookSettings,
+        fresh_until: Option<Instant>,
     ) -> Option<LeaseCommand> {
         let held = self.held?;
         if self.renewal_due(settings).is_some_and(|due| due <= now) {
+            if !key.may_ask(now, fresh_until) {
+                self.retry_at = now + settings.retry_pause;
+                return None;
+            }
             self.asking = true;
             return Some(LeaseCommand::RenewLease {
-                worker: Arc::clone(worker),
+                key: key.clone(),
                 lease: held.grant.lease,
                 renewal: held.grant.renewal,
             });
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -14,7 +14,7 @@
     pub use crate::concurrency::{ConcurrencyLimit, ConcurrencySettings};
     pub use crate::health::{HealthSettings, WorkerHealth};
     pub use crate::instance::{InstanceEntry, InstanceState};
-    pub use crate::lease::{HeldLease, LeaseGrant, WORKER_LEASE_TTL};
+    pub use crate::lease::{HeldLease, LeaseClass, LeaseGrant, LeaseKey, WORKER_LEASE_TTL};
     pub use crate::lease_book::{BookSettings, LeaseBook, LeaseCommand, LeaseEvent};
     pub use crate::resource::ResourceSize;
     pub use crate::spec::WorkerSpec;
