Restore the pool ledger and its tests

Change: the pool ledger, its 675 lines of tests and the fold are back as they were. Measured: the workspace's tests pass, those of the ledger among them.

--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -82,6 +82,7 @@
             workers: workers.iter().map(|worker| worker.id.clone()).collect(),
             max_unavailable: 1,
             spare: false,
+            min_workers: 0,
         }],
         workers,
         teams: vec![team("a", 3, 100), team("b", 1, 100)],
--- a/crates/log/src/fold.rs
+++ b/crates/log/src/fold.rs
@@ -8,6 +8,7 @@
 use pw_contract::prelude::*;
 use pw_fleet::prelude::*;
 use pw_member::prelude::*;
+use pw_pool::prelude::*;
 use pw_zone::prelude::*;
 use strum::Display;
 
@@ -24,6 +25,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct FleetFold {
     state: FleetState,
+    pools: PoolLedger,
     recent: VecDeque<RecordId>,
     members: MemberLedger,
     permits: PermitLedger,
@@ -68,6 +70,9 @@
     /// The permits do not allow it.
     #[strum(to_string = "{0}")]
     Permit(PermitReject),
+    /// The pool ledger rejected it.
+    #[strum(to_string = "{0}")]
+    Pool(PoolRejection),
 }
 
 impl FleetFold {
@@ -76,6 +81,11 @@
         &self.state
     }
 
+    /// Returns the pools with their instances.
+    pub fn pools(&self) -> &PoolLedger {
+        &self.pools
+    }
+
     /// Returns the members after the records so far.
     pub fn members(&self) -> &MemberLedger {
         &self.members
@@ -179,6 +189,12 @@
         }
         self.state.revision += 1;
         self.state.spec = Some(Arc::clone(&proposal.spec));
+        let fleet = DeclaredFleet {
+            zones: &proposal.spec.zones,
+            workers: &proposal.spec.workers,
+            pools: &proposal.spec.pools,
+        };
+        self.pools.apply_fleet(offset, fleet);
         let table = limit_table(&proposal.spec);
         self.permits.set_table(offset, table, &self.members);
         FoldOutcome::Accepted
@@ -222,6 +238,10 @@
                 .permits
                 .apply(offset, author, proposal, &self.members)
                 .map_err(RejectReason::Permit),
+            ControlProposal::Pool(proposal) => match self.pools.advance(offset, proposal) {
+                PoolVerdict::Accepted { .. } => Ok(()),
+                PoolVerdict::Rejected(reason) => Err(RejectReason::Pool(reason)),
+            },
         }
     }
 
--- a/crates/log/src/record.rs
+++ b/crates/log/src/record.rs
@@ -7,7 +7,9 @@
 use pw_contract::prelude::*;
 use pw_fleet::prelude::*;
 use pw_member::prelude::*;
+use pw_pool::prelude::*;
 use serde::{Deserialize, Serialize};
+use strum::Display;
 
 /// One record of the log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,7 +25,8 @@
 }
 
 /// What a record proposes, by who may propose it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Display)]
+#[strum(serialize_all = "kebab-case")]
 pub enum RecordBody {
     /// Change of the declared fleet, by an operator.
     Fleet(FleetProposal),
@@ -52,6 +55,8 @@
     Member(MemberProposal),
     /// Change of the permits.
     Permit(PermitProposal),
+    /// Change of pools, drains or the planner duty.
+    Pool(PoolProposal),
 }
 
 /// Proposal to change the declared fleet.
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -464,7 +464,7 @@
 
 fn summary(record: &LogRecord) -> String {
     let RecordBody::Fleet(proposal) = &record.body else {
-        return record.id.to_string();
+        return record.body.to_string();
     };
     let zones = zones_of(Some(&proposal.spec));
     format!("{}@{} {zones:?}", record.id, proposal.base)
--- /dev/null
+++ b/crates/pool/src/ledger.rs
@@ -0,0 +1,616 @@
+//! The part of the log's fold that keeps pools, drains and availability budgets.
+
+use std::time::SystemTime;
+
+use indexmap::{IndexMap, IndexSet};
+use pw_base::prelude::*;
+use pw_worker::prelude::*;
+use pw_zone::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::budget::{DomainTally, PoolBudget, RackKey};
+use crate::instance::{DrainPurpose, InstancePhase, PhaseKind, PoolInstance};
+use crate::proposal::{
+    PoolChange, PoolProposal, PoolRejection, PoolStep, PoolVerdict, StepRejection,
+};
+use crate::spec::PoolSpec;
+
+/// Pools and their instances after a prefix of the log.
+///
+/// An instance is in exactly one pool: [`PoolInstance::pool`] is the only place that says which,
+/// and only [`PoolChange::Move`] changes it while the instance is declared.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolLedger {
+    pools: IndexMap<PoolId, PoolRules>,
+    zones: IndexMap<ZoneId, ZoneStatus>,
+    instances: IndexMap<WorkerId, PoolInstance>,
+    members: IndexMap<PoolId, IndexSet<WorkerId>>,
+    rack_tallies: IndexMap<RackKey, DomainTally>,
+    zone_tallies: IndexMap<ZoneId, DomainTally>,
+    planner: PlannerSeat,
+    wave: WaveState,
+    last_rejected: IndexMap<WorkerId, RejectedStep>,
+}
+
+/// The parts of a fleet that the pool ledger needs.
+#[derive(Debug, Clone, Copy)]
+pub struct DeclaredFleet<'a> {
+    /// Availability zones.
+    pub zones: &'a [ZoneSpec],
+    /// Workers.
+    pub workers: &'a [WorkerSpec],
+    /// Pools.
+    pub pools: &'a [PoolSpec],
+}
+
+/// Who plans.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlannerSeat {
+    /// Term of the planner; 0 before the first claim.
+    pub term: PlannerTerm,
+    /// Entry instance that plans; `None` before the first claim.
+    pub holder: Option<EntryId>,
+    /// Offset of the last record of this term.
+    pub heard: LogOffset,
+}
+
+/// The current maintenance wave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaveState {
+    /// Number of the wave; 0 before the first one.
+    pub number: WaveNumber,
+    /// Wall-clock time at the planner that opened it.
+    pub opened: SystemTime,
+}
+
+/// The last step of an instance that was rejected.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RejectedStep {
+    /// Offset of the record.
+    pub offset: LogOffset,
+    /// The step's change.
+    pub change: PoolChange,
+    /// Why it has no effect.
+    pub reason: StepRejection,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct PoolRules {
+    declared: u32,
+    max_unavailable: u32,
+    min_workers: u32,
+    spare: bool,
+}
+
+impl Default for WaveState {
+    fn default() -> Self {
+        Self {
+            number: 0,
+            opened: SystemTime::UNIX_EPOCH,
+        }
+    }
+}
+
+impl From<&PoolSpec> for PoolRules {
+    fn from(pool: &PoolSpec) -> Self {
+        Self {
+            declared: count(pool.workers.len()),
+            max_unavailable: pool.max_unavailable,
+            min_workers: pool.min_workers,
+            spare: pool.spare,
+        }
+    }
+}
+
+/// Queries.
+impl PoolLedger {
+    /// Returns the instance of `worker`.
+    pub fn instance(&self, worker: &str) -> Option<&PoolInstance> {
+        self.instances.get(worker)
+    }
+
+    /// Returns all instances in a stable order.
+    pub fn instances(&self) -> impl Iterator<Item = &PoolInstance> {
+        self.instances.values()
+    }
+
+    /// Returns the instances that are in `pool`.
+    pub fn members(&self, pool: &str) -> impl Iterator<Item = &PoolInstance> {
+        let workers = self.members.get(pool).into_iter().flatten();
+        workers.filter_map(|worker| self.instances.get(worker))
+    }
+
+    /// Returns the declared pools.
+    pub fn pools(&self) -> impl Iterator<Item = &PoolId> {
+        self.pools.keys()
+    }
+
+    /// Returns whether other pools borrow workers from `pool`.
+    pub fn is_spare(&self, pool: &str) -> bool {
+        self.pools.get(pool).is_some_and(|rules| rules.spare)
+    }
+
+    /// Returns how many workers operators list in `pool`.
+    pub fn declared_size(&self, pool: &str) -> u32 {
+        self.pools.get(pool).map_or(0, |rules| rules.declared)
+    }
+
+    /// Returns the one pool that the instance of `worker` is in.
+    pub fn pool_of(&self, worker: &str) -> Option<&PoolId> {
+        Some(&self.instance(worker)?.pool)
+    }
+
+    /// Returns whether tasks may start on the instance of `worker`.
+    pub fn may_start(&self, worker: &str) -> bool {
+        self.instance(worker).is_some_and(|instance| {
+            let open = matches!(instance.kind(), PhaseKind::InService | PhaseKind::Joining);
+            open && self.zone_in_service(&instance.zone)
+        })
+    }
+
+    /// Returns whether operators let tasks start in `zone`.
+    pub fn zone_in_service(&self, zone: &str) -> bool {
+        self.zones.get(zone) == Some(&ZoneStatus::InService)
+    }
+
+    /// Returns whether the instance takes tasks, as far as the log tells.
+    pub fn is_available(&self, instance: &PoolInstance) -> bool {
+        self.is_present(instance) && self.zone_in_service(&instance.zone)
+    }
+
+    /// Returns the standing of `pool` against its availability budget.
+    ///
+    /// A pool that operators no longer declare requires nothing.
+    pub fn budget(&self, pool: &str) -> PoolBudget {
+        let mut budget = PoolBudget::default();
+        for instance in self.members(pool) {
+            budget.members += 1;
+            budget.present += u32::from(self.is_present(instance));
+            budget.available += u32::from(self.is_available(instance));
+        }
+        budget.required = self.pools.get(pool).map_or(0, |rules| {
+            let target = if rules.spare {
+                budget.members
+            } else {
+                rules.declared
+            };
+            target.saturating_sub(rules.max_unavailable)
+        });
+        budget
+    }
+
+    /// Returns who plans.
+    pub fn planner(&self) -> &PlannerSeat {
+        &self.planner
+    }
+
+    /// Returns the current maintenance wave.
+    pub fn wave(&self) -> WaveState {
+        self.wave
+    }
+
+    /// Returns whether the instance still has to go through the current wave.
+    pub fn awaits_maintenance(&self, instance: &PoolInstance) -> bool {
+        instance.maintained < self.wave.number
+    }
+
+    /// Returns whether every instance that is alive has been through the current wave.
+    pub fn wave_finished(&self) -> bool {
+        self.instances()
+            .filter(|instance| !matches!(instance.kind(), PhaseKind::Failed | PhaseKind::Joining))
+            .all(|instance| !self.awaits_maintenance(instance))
+    }
+
+    /// Returns the last step of `worker` that was rejected since its last accepted one.
+    pub fn last_rejected(&self, worker: &str) -> Option<&RejectedStep> {
+        self.last_rejected.get(worker)
+    }
+
+    fn is_present(&self, instance: &PoolInstance) -> bool {
+        instance.kind() == PhaseKind::InService && !self.is_suspect(instance)
+    }
+
+    fn is_suspect(&self, instance: &PoolInstance) -> bool {
+        let rack = self.rack_tallies.get(&rack_key(instance));
+        let zone = self.zone_tallies.get(&instance.zone);
+        [rack, zone]
+            .into_iter()
+            .flatten()
+            .any(|tally| tally.is_suspect(instance.seen))
+    }
+}
+
+/// Changes of the declared fleet.
+impl PoolLedger {
+    /// Takes the fleet that operators applied with the record at `offset`.
+    ///
+    /// - A new worker joins the pool that lists it.
+    /// - A worker that is no longer listed leaves at once; its running tasks end under their leases.
+    /// - A worker listed in another pool stays where it is until a planner has drained and moved it.
+    /// - A budget below what is out ends no drain; further drains are rejected until it holds.
+    /// - A zone back in service has its instances returning, to be admitted in stages.
+    pub fn apply_fleet(&mut self, offset: LogOffset, fleet: DeclaredFleet<'_>) {
+        let returned = self.returned_zones(fleet.zones);
+        let rules = |pool: &PoolSpec| (pool.id.clone(), PoolRules::from(pool));
+        self.pools = fleet.pools.iter().map(rules).collect();
+        let status = |zone: &ZoneSpec| (zone.id.clone(), zone.status);
+        self.zones = fleet.zones.iter().map(status).collect();
+        self.list_workers(offset, fleet);
+        for instance in self.instances.values_mut() {
+            let back = returned.contains(&instance.zone);
+            if back && instance.phase == InstancePhase::InService {
+                instance.phase = InstancePhase::Returning;
+                instance.changed = offset;
+            }
+        }
+        self.index();
+    }
+
+    fn returned_zones(&self, zones: &[ZoneSpec]) -> IndexSet<ZoneId> {
+        let returns = |zone: &&ZoneSpec| {
+            let was = self.zones.get(&zone.id);
+            zone.status == ZoneStatus::InService && was == Some(&ZoneStatus::OutOfService)
+        };
+        let returned = zones.iter().filter(returns);
+        returned.map(|zone| zone.id.clone()).collect()
+    }
+
+    fn list_workers(&mut self, offset: LogOffset, fleet: DeclaredFleet<'_>) {
+        let specs: IndexMap<&str, &WorkerSpec> =
+            fleet.workers.iter().map(|spec| (&*spec.id, spec)).collect();
+        let listed = fleet.pools.iter().flat_map(|pool| {
+            let workers = pool.workers.iter();
+            workers.map(|worker| (&**worker, &pool.id))
+        });
+        let homes: IndexMap<&str, &PoolId> = listed.collect();
+        self.instances
+            .retain(|worker, _| homes.contains_key(&**worker) && specs.contains_key(&**worker));
+        self.last_rejected
+            .retain(|worker, _| homes.contains_key(&**worker));
+        for (worker, home) in homes {
+            if let Some(spec) = specs.get(worker) {
+                self.list_worker(offset, spec, home);
+            }
+        }
+    }
+
+    fn list_worker(&mut self, offset: LogOffset, spec: &WorkerSpec, home: &PoolId) {
+        let maintained = self.wave.number;
+        let fresh = || PoolInstance {
+            worker: spec.id.clone(),
+            zone: spec.zone.clone(),
+            rack: spec.rack.clone(),
+            home: home.clone(),
+            pool: home.clone(),
+            phase: InstancePhase::Joining,
+            boot: None,
+            changed: offset,
+            seen: offset,
+            maintained,
+        };
+        let instance = self.instances.entry(spec.id.clone()).or_insert_with(fresh);
+        instance.zone = spec.zone.clone();
+        instance.rack = spec.rack.clone();
+        instance.home = home.clone();
+    }
+
+    /// Rebuilds what is derived from the instances.
+    fn index(&mut self) {
+        self.members.clear();
+        self.rack_tallies
+            .values_mut()
+            .chain(self.zone_tallies.values_mut())
+            .for_each(|tally| (tally.members, tally.failed) = (0, 0));
+        for instance in self.instances.values() {
+            let members = self.members.entry(instance.pool.clone()).or_default();
+            members.insert(instance.worker.clone());
+            let rack = self.rack_tallies.entry(rack_key(instance)).or_default();
+            let zone = self.zone_tallies.entry(instance.zone.clone()).or_default();
+            for tally in [rack, zone] {
+                tally.members += 1;
+                tally.failed += u32::from(instance.phase == InstancePhase::Failed);
+            }
+        }
+        self.rack_tallies.retain(|_, tally| tally.members > 0);
+        self.zone_tallies.retain(|_, tally| tally.members > 0);
+    }
+}
+
+/// Proposals.
+impl PoolLedger {
+    /// Judges the proposal of the record at `offset` and takes what is accepted of it.
+    pub fn advance(&mut self, offset: LogOffset, proposal: &PoolProposal) -> PoolVerdict {
+        let accepted = match proposal {
+            PoolProposal::Claim { base, holder } => self.claim(*base, holder),
+            PoolProposal::Beat { term } => self.check_term(*term),
+            PoolProposal::OpenWave { term, wave, opened } => self
+                .check_term(*term)
+                .and_then(|()| self.open_wave(*wave, *opened)),
+            PoolProposal::Steps { term, steps } => {
+                return match self.check_term(*term) {
+                    Ok(()) => self.take_steps(offset, steps),
+                    Err(reason) => PoolVerdict::Rejected(reason),
+                };
+            }
+        };
+        match accepted {
+            Ok(()) => {
+                self.planner.heard = offset;
+                PoolVerdict::Accepted {
+                    rejected: Vec::new(),
+                }
+            }
+            Err(reason) => PoolVerdict::Rejected(reason),
+        }
+    }
+
+    fn claim(&mut self, base: PlannerTerm, holder: &EntryId) -> Result<(), PoolRejection> {
+        self.check_term(base)?;
+        self.planner.term += 1;
+        self.planner.holder = Some(holder.clone());
+        Ok(())
+    }
+
+    fn check_term(&self, term: PlannerTerm) -> Result<(), PoolRejection> {
+        if term == self.planner.term {
+            Ok(())
+        } else {
+            Err(PoolRejection::StaleTerm)
+        }
+    }
+
+    fn open_wave(&mut self, wave: WaveNumber, opened: SystemTime) -> Result<(), PoolRejection> {
+        if wave != self.wave.number + 1 || !self.wave_finished() {
+            return Err(PoolRejection::WaveOutOfTurn);
+        }
+        self.wave = WaveState {
+            number: wave,
+            opened,
+        };
+        Ok(())
+    }
+
+    fn take_steps(&mut self, offset: LogOffset, steps: &[PoolStep]) -> PoolVerdict {
+        self.planner.heard = offset;
+        let mut rejected = Vec::new();
+        for step in steps {
+            match self.judge(offset, step) {
+                Ok(instance) => self.put(offset, instance),
+                Err(reason) => {
+                    self.note_rejected(offset, step, reason);
+                    rejected.push((step.worker.clone(), reason));
+                }
+            }
+        }
+        if rejected.len() == steps.len() {
+            PoolVerdict::Rejected(PoolRejection::NoStepAccepted)
+        } else {
+            PoolVerdict::Accepted { rejected }
+        }
+    }
+
+    fn note_rejected(&mut self, offset: LogOffset, step: &PoolStep, reason: StepRejection) {
+        if self.instances.contains_key(&step.worker) {
+            let change = step.change.clone();
+            let rejected = RejectedStep {
+                offset,
+                change,
+                reason,
+            };
+            self.last_rejected.insert(step.worker.clone(), rejected);
+        }
+    }
+
+    /// Puts a changed instance in the place of the one before it.
+    fn put(&mut self, offset: LogOffset, mut next: PoolInstance) {
+        next.changed = offset;
+        self.last_rejected.swap_remove(&next.worker);
+        let Some(slot) = self.instances.get_mut(&next.worker) else {
+            return;
+        };
+        let last = std::mem::replace(slot, next.clone());
+        if last.pool != next.pool {
+            if let Some(members) = self.members.get_mut(&last.pool) {
+                members.swap_remove(&last.worker);
+            }
+            let members = self.members.entry(next.pool.clone()).or_default();
+            members.insert(next.worker.clone());
+        }
+        self.tally(offset, &last, &next);
+    }
+
+    fn tally(&mut self, offset: LogOffset, last: &PoolInstance, next: &PoolInstance) {
+        let was_failed = last.phase == InstancePhase::Failed;
+        let is_failed = next.phase == InstancePhase::Failed;
+        let rack = self.rack_tallies.entry(rack_key(next)).or_default();
+        let zone = self.zone_tallies.entry(next.zone.clone()).or_default();
+        for tally in [rack, zone] {
+            match (was_failed, is_failed) {
+                (false, true) => {
+                    tally.failed += 1;
+                    tally.last_failure = offset;
+                }
+                (true, false) => tally.failed = tally.failed.saturating_sub(1),
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Verdicts on single steps.
+impl PoolLedger {
+    /// Returns the instance as the step would leave it.
+    fn judge(&self, offset: LogOffset, step: &PoolStep) -> Result<PoolInstance, StepRejection> {
+        let instance = self
+            .instance(&step.worker)
+            .ok_or(StepRejection::UnknownWorker)?;
+        if instance.changed != step.base {
+            return Err(StepRejection::StaleState);
+        }
+        let phase = match &step.change {
+            PoolChange::Appeared { boot } => return self.judge_appeared(offset, instance, *boot),
+            PoolChange::Move { from, to } => return self.judge_move(instance, from, to),
+            PoolChange::Failed => judge_failed(instance)?,
+            PoolChange::Drain { purpose } => self.judge_drain(instance, purpose)?,
+            PoolChange::Emptied => judge_emptied(instance)?,
+            PoolChange::Reboot => judge_reboot(instance)?,
+            PoolChange::Cancel => judge_cancel(instance)?,
+            PoolChange::Admit => self.judge_admit(instance)?,
+        };
+        Ok(PoolInstance {
+            phase,
+            ..instance.clone()
+        })
+    }
+
+    fn judge_appeared(
+        &self,
+        offset: LogOffset,
+        instance: &PoolInstance,
+        boot: BootId,
+    ) -> Result<PoolInstance, StepRejection> {
+        let mut next = PoolInstance {
+            boot: Some(boot),
+            seen: offset,
+            ..instance.clone()
+        };
+        let same_boot = instance.boot == Some(boot);
+        if instance.boot.is_some() && !same_boot {
+            next.maintained = self.wave.number;
+        }
+        next.phase = match (&instance.phase, same_boot) {
+            (InstancePhase::Joining, _) => InstancePhase::InService,
+            (InstancePhase::Rebooting, true) => return Err(StepRejection::SameBoot),
+            (InstancePhase::Failed, true) | (_, false) => InstancePhase::Returning,
+            (phase, true) => phase.clone(),
+        };
+        Ok(next)
+    }
+
+    fn judge_drain(
+        &self,
+        instance: &PoolInstance,
+        purpose: &DrainPurpose,
+    ) -> Result<InstancePhase, StepRejection> {
+        if instance.phase != InstancePhase::InService {
+            return Err(StepRejection::WrongPhase(instance.kind()));
+        }
+        if let DrainPurpose::Move { to } = purpose {
+            self.check_route(instance, to)?;
+        }
+        if self.is_suspect(instance) {
+            return Err(StepRejection::DomainFailing);
+        }
+        let budget = self.budget(&instance.pool);
+        let loses_available = self.zone_in_service(&instance.zone);
+        let short = budget.present <= budget.required
+            || loses_available && budget.available <= budget.required;
+        if short {
+            return Err(StepRejection::BudgetExceeded);
+        }
+        Ok(InstancePhase::Draining(purpose.clone()))
+    }
+
+    /// Checks that an instance goes home, or from its spare pool to a pool that borrows it.
+    fn check_route(&self, instance: &PoolInstance, to: &PoolId) -> Result<(), StepRejection> {
+        if !self.pools.contains_key(to) {
+            return Err(StepRejection::UnknownPool);
+        }
+        if *to == instance.pool {
+            return Err(StepRejection::NotLendable);
+        }
+        if *to == instance.home {
+            return Ok(());
+        }
+        let lends = self.pools.get(&instance.home).is_some_and(|rules| {
+            let leaving = |member: &&PoolInstance| is_moving_out(member);
+            let leaving = count(self.members(&instance.home).filter(leaving).count());
+            let kept = self.budget(&instance.home).members.saturating_sub(leaving);
+            rules.spare && kept > rules.min_workers
+        });
+        if lends && instance.pool == instance.home {
+            Ok(())
+        } else {
+            Err(StepRejection::NotLendable)
+        }
+    }
+
+    fn judge_move(
+        &self,
+        instance: &PoolInstance,
+        from: &PoolId,
+        to: &PoolId,
+    ) -> Result<PoolInstance, StepRejection> {
+        if instance.pool != *from {
+            return Err(StepRejection::NotInPool);
+        }
+        let purpose = DrainPurpose::Move { to: to.clone() };
+        if instance.phase != InstancePhase::Empty(purpose) {
+            return Err(StepRejection::WrongPhase(instance.kind()));
+        }
+        if !self.pools.contains_key(to) {
+            return Err(StepRejection::UnknownPool);
+        }
+        Ok(PoolInstance {
+            pool: to.clone(),
+            phase: InstancePhase::Returning,
+            ..instance.clone()
+        })
+    }
+
+    fn judge_admit(&self, instance: &PoolInstance) -> Result<InstancePhase, StepRejection> {
+        if instance.phase != InstancePhase::Returning {
+            return Err(StepRejection::WrongPhase(instance.kind()));
+        }
+        if !self.zone_in_service(&instance.zone) {
+            return Err(StepRejection::ZoneOut);
+        }
+        Ok(InstancePhase::InService)
+    }
+}
+
+fn judge_failed(instance: &PoolInstance) -> Result<InstancePhase, StepRejection> {
+    match instance.phase {
+        InstancePhase::Failed => Err(StepRejection::WrongPhase(instance.kind())),
+        _ => Ok(InstancePhase::Failed),
+    }
+}
+
+fn judge_emptied(instance: &PoolInstance) -> Result<InstancePhase, StepRejection> {
+    match &instance.phase {
+        InstancePhase::Draining(purpose) => Ok(InstancePhase::Empty(purpose.clone())),
+        _ => Err(StepRejection::WrongPhase(instance.kind())),
+    }
+}
+
+fn judge_reboot(instance: &PoolInstance) -> Result<InstancePhase, StepRejection> {
+    match &instance.phase {
+        InstancePhase::Empty(DrainPurpose::Maintenance) => Ok(InstancePhase::Rebooting),
+        _ => Err(StepRejection::WrongPhase(instance.kind())),
+    }
+}
+
+fn judge_cancel(instance: &PoolInstance) -> Result<InstancePhase, StepRejection> {
+    match &instance.phase {
+        InstancePhase::Draining(_) | InstancePhase::Empty(_) => Ok(InstancePhase::Returning),
+        _ => Err(StepRejection::WrongPhase(instance.kind())),
+    }
+}
+
+fn is_moving_out(instance: &PoolInstance) -> bool {
+    let (InstancePhase::Draining(purpose) | InstancePhase::Empty(purpose)) = &instance.phase else {
+        return false;
+    };
+    matches!(purpose, DrainPurpose::Move { .. })
+}
+
+fn rack_key(instance: &PoolInstance) -> RackKey {
+    RackKey {
+        zone: instance.zone.clone(),
+        rack: instance.rack.clone(),
+    }
+}
+
+fn count(items: usize) -> u32 {
+    u32::try_from(items).unwrap_or(u32::MAX)
+}
--- a/crates/pool/src/spec.rs
+++ b/crates/pool/src/spec.rs
@@ -19,6 +19,9 @@
     /// Whether other pools borrow workers from it.
     #[serde(default)]
     pub spare: bool,
+    /// Fewest workers that lending leaves in a spare pool.
+    #[serde(default)]
+    pub min_workers: u32,
 }
 
 /// Declared queue.
--- /dev/null
+++ b/crates/pool/tests/ledger.rs
@@ -0,0 +1,675 @@
+//! What the pool ledger accepts and rejects.
+
+use std::time::SystemTime;
+
+use proptest::prelude::{
+    ProptestConfig, Strategy, any, prop, prop_assert, prop_assert_eq, proptest,
+};
+use proptest::test_runner::RngSeed;
+use pw_base::prelude::*;
+use pw_pool::prelude::*;
+use pw_worker::prelude::*;
+use pw_zone::prelude::*;
+
+/// Seed of the random steps.
+const SEED: u64 = 4;
+/// Boot that every worker is first seen with.
+const FIRST_BOOT: BootId = 1;
+
+/// A small fleet and the ledger that follows it.
+struct Bench {
+    zones: Vec<ZoneSpec>,
+    workers: Vec<WorkerSpec>,
+    pools: Vec<PoolSpec>,
+    ledger: PoolLedger,
+    offset: LogOffset,
+}
+
+impl Bench {
+    /// Creates pools `cutting` and `quotes` of 4 and the spare pool `office` of 4, all seen alive.
+    ///
+    /// Worker `n` of a pool stands in zone `a` or `b` by turns, in the one rack of its zone.
+    fn new() -> Self {
+        let pool = |id: &str, spare| PoolSpec {
+            id: id.into(),
+            workers: (1..=4)
+                .map(|n| WorkerId::from(format!("{id}-{n}")))
+                .collect(),
+            max_unavailable: 1,
+            spare,
+            min_workers: 2,
+        };
+        let pools = vec![
+            pool("cutting", false),
+            pool("quotes", false),
+            pool("office", true),
+        ];
+        let worker = |id: &WorkerId| WorkerSpec {
+            id: id.clone(),
+            zone: zone_of(id).into(),
+            rack: "r1".into(),
+            cores: 32,
+            memory_gib: 64,
+            accelerators: 0,
+            slots: 8,
+            connections: 64,
+        };
+        let zone = |id: &str| ZoneSpec {
+            id: id.into(),
+            region: String::new(),
+            status: ZoneStatus::InService,
+        };
+        let mut bench = Self {
+            zones: vec![zone("a"), zone("b")],
+            workers: pools
+                .iter()
+                .flat_map(|pool| &pool.workers)
+                .map(worker)
+                .collect(),
+            pools,
+            ledger: PoolLedger::default(),
+            offset: 0,
+        };
+        bench.apply();
+        bench.claim("entry-1");
+        bench.see_all();
+        bench
+    }
+
+    fn apply(&mut self) {
+        self.offset += 1;
+        let fleet = DeclaredFleet {
+            zones: &self.zones,
+            workers: &self.workers,
+            pools: &self.pools,
+        };
+        self.ledger.apply_fleet(self.offset, fleet);
+    }
+
+    fn propose(&mut self, proposal: &PoolProposal) -> PoolVerdict {
+        self.offset += 1;
+        self.ledger.advance(self.offset, proposal)
+    }
+
+    fn claim(&mut self, holder: &str) -> PoolVerdict {
+        let base = self.ledger.planner().term;
+        let holder = holder.into();
+        self.propose(&PoolProposal::Claim { base, holder })
+    }
+
+    fn see_all(&mut self) {
+        let workers: Vec<WorkerId> = self.workers.iter().map(|spec| spec.id.clone()).collect();
+        let boot = FIRST_BOOT;
+        for worker in workers {
+            self.step(&worker, PoolChange::Appeared { boot })
+                .expect("seen");
+        }
+    }
+
+    /// Proposes one step from the ledger's own state.
+    fn step(&mut self, worker: &str, change: PoolChange) -> Result<(), StepRejection> {
+        let base = self
+            .ledger
+            .instance(worker)
+            .map_or(0, |instance| instance.changed);
+        self.step_from(base, worker, change)
+    }
+
+    fn step_from(
+        &mut self,
+        base: LogOffset,
+        worker: &str,
+        change: PoolChange,
+    ) -> Result<(), StepRejection> {
+        let worker = WorkerId::from(worker);
+        let step = PoolStep {
+            worker,
+            base,
+            change,
+        };
+        let proposal = PoolProposal::Steps {
+            term: self.ledger.planner().term,
+            steps: vec![step.clone()],
+        };
+        match self.propose(&proposal) {
+            PoolVerdict::Accepted { .. } => Ok(()),
+            PoolVerdict::Rejected(PoolRejection::NoStepAccepted) => {
+                let rejected = self.ledger.last_rejected(&step.worker);
+                Err(rejected.map_or(StepRejection::UnknownWorker, |rejected| rejected.reason))
+            }
+            PoolVerdict::Rejected(reason) => panic!("whole proposal rejected: {reason}"),
+        }
+    }
+
+    fn steps(&mut self, worker: &str, changes: Vec<PoolChange>) {
+        for change in changes {
+            self.step(worker, change.clone())
+                .unwrap_or_else(|reason| panic!("{worker} {change}: {reason}"));
+        }
+    }
+
+    fn open_wave(&mut self, wave: WaveNumber) -> PoolVerdict {
+        let term = self.ledger.planner().term;
+        let opened = SystemTime::UNIX_EPOCH;
+        self.propose(&PoolProposal::OpenWave { term, wave, opened })
+    }
+
+    fn phase(&self, worker: &str) -> PhaseKind {
+        self.ledger.instance(worker).expect("instance").kind()
+    }
+
+    fn set_zone(&mut self, zone: usize, status: ZoneStatus) {
+        self.zones[zone].status = status;
+        self.apply();
+    }
+}
+
+fn zone_of(worker: &str) -> &'static str {
+    if worker.ends_with('1') || worker.ends_with('3') {
+        "a"
+    } else {
+        "b"
+    }
+}
+
+fn maintain() -> PoolChange {
+    let purpose = DrainPurpose::Maintenance;
+    PoolChange::Drain { purpose }
+}
+
+fn lend(to: &str) -> PoolChange {
+    let purpose = DrainPurpose::Move { to: to.into() };
+    PoolChange::Drain { purpose }
+}
+
+fn change_pool(from: &str, to: &str) -> PoolChange {
+    PoolChange::Move {
+        from: from.into(),
+        to: to.into(),
+    }
+}
+
+fn appear(boot: BootId) -> PoolChange {
+    PoolChange::Appeared { boot }
+}
+
+/// What is done before a step, the step, and its verdict.
+struct Case {
+    name: &'static str,
+    before: fn(&mut Bench),
+    worker: &'static str,
+    change: PoolChange,
+    verdict: Result<(), StepRejection>,
+}
+
+fn case(
+    name: &'static str,
+    before: fn(&mut Bench),
+    worker: &'static str,
+    change: PoolChange,
+    verdict: Result<(), StepRejection>,
+) -> Case {
+    Case {
+        name,
+        before,
+        worker,
+        change,
+        verdict,
+    }
+}
+
+#[test]
+fn steps_are_judged_by_the_records_before_them() {
+    let over = Err(StepRejection::BudgetExceeded);
+    let wrong = |kind| Err(StepRejection::WrongPhase(kind));
+    let nothing: fn(&mut Bench) = |_| {};
+    let lent: fn(&mut Bench) = |bench| {
+        let changes = vec![
+            lend("cutting"),
+            PoolChange::Emptied,
+            change_pool("office", "cutting"),
+            PoolChange::Admit,
+        ];
+        bench.steps("office-1", changes);
+    };
+    let cases = [
+        case(
+            "a drain within the budget",
+            nothing,
+            "cutting-1",
+            maintain(),
+            Ok(()),
+        ),
+        case(
+            "a drain past the budget",
+            |bench| bench.steps("cutting-2", vec![maintain()]),
+            "cutting-1",
+            maintain(),
+            over,
+        ),
+        case(
+            "a drain when a failure has eaten the budget",
+            |bench| bench.steps("cutting-2", vec![PoolChange::Failed]),
+            "cutting-1",
+            maintain(),
+            over,
+        ),
+        case(
+            "a drain while a rebooted instance is not yet admitted",
+            |bench| {
+                let changes = vec![
+                    maintain(),
+                    PoolChange::Emptied,
+                    PoolChange::Reboot,
+                    appear(2),
+                ];
+                bench.steps("cutting-2", changes);
+            },
+            "cutting-1",
+            maintain(),
+            over,
+        ),
+        case(
+            "a drain that a borrowed instance makes up for",
+            lent,
+            "cutting-1",
+            maintain(),
+            Ok(()),
+        ),
+        case(
+            "a drain in a rack of which half has failed",
+            |bench| {
+                for worker in ["quotes-1", "quotes-3", "office-1"] {
+                    bench.steps(worker, vec![PoolChange::Failed]);
+                }
+            },
+            "cutting-1",
+            maintain(),
+            Err(StepRejection::DomainFailing),
+        ),
+        case(
+            "a drain in such a rack once the instance was seen alive again",
+            |bench| {
+                for worker in ["quotes-1", "quotes-3", "office-1"] {
+                    bench.steps(worker, vec![PoolChange::Failed]);
+                }
+                for worker in ["cutting-1", "cutting-3"] {
+                    bench.steps(worker, vec![appear(FIRST_BOOT)]);
+                }
+            },
+            "cutting-1",
+            maintain(),
+            Ok(()),
+        ),
+        case(
+            "a drain while another zone is out",
+            |bench| bench.set_zone(1, ZoneStatus::OutOfService),
+            "cutting-1",
+            maintain(),
+            over,
+        ),
+        case(
+            "a drain in the zone that is out",
+            |bench| bench.set_zone(0, ZoneStatus::OutOfService),
+            "cutting-1",
+            maintain(),
+            Ok(()),
+        ),
+        case(
+            "a second drain there, which the zone's return would turn into a breach",
+            |bench| {
+                bench.set_zone(0, ZoneStatus::OutOfService);
+                bench.steps("cutting-3", vec![maintain()]);
+            },
+            "cutting-1",
+            maintain(),
+            over,
+        ),
+        case(
+            "a drain after the budget was lowered below what is out",
+            |bench| {
+                bench.steps("cutting-2", vec![maintain()]);
+                bench.pools[0].max_unavailable = 0;
+                bench.apply();
+            },
+            "cutting-1",
+            maintain(),
+            over,
+        ),
+        case(
+            "the next step of a drain that was under way when the budget was lowered",
+            |bench| {
+                bench.steps("cutting-2", vec![maintain()]);
+                bench.pools[0].max_unavailable = 0;
+                bench.apply();
+            },
+            "cutting-2",
+            PoolChange::Emptied,
+            Ok(()),
+        ),
+        case(
+            "a reboot of an instance that still runs tasks",
+            |bench| bench.steps("cutting-1", vec![maintain()]),
+            "cutting-1",
+            PoolChange::Reboot,
+            wrong(PhaseKind::Draining),
+        ),
+        case(
+            "a reboot that did not happen",
+            |bench| {
+                let changes = vec![maintain(), PoolChange::Emptied, PoolChange::Reboot];
+                bench.steps("cutting-1", changes);
+            },
+            "cutting-1",
+            appear(FIRST_BOOT),
+            Err(StepRejection::SameBoot),
+        ),
+        case(
+            "a move of an instance in service",
+            nothing,
+            "office-1",
+            change_pool("office", "cutting"),
+            wrong(PhaseKind::InService),
+        ),
+        case(
+            "a move of an instance that still runs tasks",
+            |bench| bench.steps("office-1", vec![lend("cutting")]),
+            "office-1",
+            change_pool("office", "cutting"),
+            wrong(PhaseKind::Draining),
+        ),
+        case(
+            "a move out of a pool that the instance is not in",
+            |bench| bench.steps("office-1", vec![lend("cutting"), PoolChange::Emptied]),
+            "office-1",
+            change_pool("quotes", "cutting"),
+            Err(StepRejection::NotInPool),
+        ),
+        case(
+            "a move to another pool than the drain was for",
+            |bench| bench.steps("office-1", vec![lend("cutting"), PoolChange::Emptied]),
+            "office-1",
+            change_pool("office", "quotes"),
+            wrong(PhaseKind::Empty),
+        ),
+        case(
+            "a loan from a pool that is not spare",
+            nothing,
+            "quotes-1",
+            lend("cutting"),
+            Err(StepRejection::NotLendable),
+        ),
+        case(
+            "a loan to a pool that is not declared",
+            nothing,
+            "office-1",
+            lend("sewing"),
+            Err(StepRejection::UnknownPool),
+        ),
+        case(
+            "a loan that leaves the spare pool too few workers",
+            |bench| {
+                bench.pools[2].min_workers = 4;
+                bench.apply();
+            },
+            "office-1",
+            lend("cutting"),
+            Err(StepRejection::NotLendable),
+        ),
+        case(
+            "a loan passed on to a third pool",
+            lent,
+            "office-1",
+            lend("quotes"),
+            Err(StepRejection::NotLendable),
+        ),
+        case(
+            "a loan given back",
+            lent,
+            "office-1",
+            lend("office"),
+            Ok(()),
+        ),
+        case(
+            "a move that operators ask for by listing the worker elsewhere",
+            |bench| {
+                let worker = bench.pools[0].workers.remove(0);
+                bench.pools[1].workers.push(worker);
+                bench.apply();
+            },
+            "cutting-1",
+            lend("quotes"),
+            Ok(()),
+        ),
+        case(
+            "an admission to a zone that is out",
+            |bench| {
+                let changes = vec![
+                    maintain(),
+                    PoolChange::Emptied,
+                    PoolChange::Reboot,
+                    appear(2),
+                ];
+                bench.steps("cutting-1", changes);
+                bench.set_zone(0, ZoneStatus::OutOfService);
+            },
+            "cutting-1",
+            PoolChange::Admit,
+            Err(StepRejection::ZoneOut),
+        ),
+        case(
+            "a step on a worker that operators removed",
+            |bench| {
+                bench.pools[0].workers.remove(0);
+                bench.apply();
+            },
+            "cutting-1",
+            maintain(),
+            Err(StepRejection::UnknownWorker),
+        ),
+    ];
+    for Case {
+        name,
+        before,
+        worker,
+        change,
+        verdict,
+    } in cases
+    {
+        let mut bench = Bench::new();
+        before(&mut bench);
+        assert_eq!(bench.step(worker, change), verdict, "{name}");
+    }
+}
+
+#[test]
+fn second_of_two_racing_planners_is_rejected() {
+    let mut bench = Bench::new();
+    let claim = |holder: &str| PoolProposal::Claim {
+        base: 1,
+        holder: holder.into(),
+    };
+    assert!(matches!(
+        bench.propose(&claim("entry-2")),
+        PoolVerdict::Accepted { .. }
+    ));
+    let late = PoolVerdict::Rejected(PoolRejection::StaleTerm);
+    assert_eq!(bench.propose(&claim("entry-3")), late);
+    assert_eq!(bench.ledger.planner().holder.as_deref(), Some("entry-2"));
+    let base = bench
+        .ledger
+        .instance("cutting-1")
+        .expect("instance")
+        .changed;
+    let paused = PoolProposal::Steps {
+        term: 1,
+        steps: vec![PoolStep {
+            worker: "cutting-1".into(),
+            base,
+            change: maintain(),
+        }],
+    };
+    assert_eq!(bench.propose(&paused), late);
+    assert_eq!(bench.phase("cutting-1"), PhaseKind::InService);
+}
+
+#[test]
+fn step_made_from_an_older_state_changes_nothing() {
+    let mut bench = Bench::new();
+    let base = bench
+        .ledger
+        .instance("cutting-1")
+        .expect("instance")
+        .changed;
+    bench.steps(
+        "cutting-1",
+        vec![maintain(), PoolChange::Cancel, PoolChange::Admit],
+    );
+    for change in [maintain(), PoolChange::Failed, appear(7)] {
+        assert_eq!(
+            bench.step_from(base, "cutting-1", change),
+            Err(StepRejection::StaleState)
+        );
+    }
+    assert_eq!(bench.phase("cutting-1"), PhaseKind::InService);
+}
+
+#[test]
+fn replaced_instance_is_a_new_incarnation_whatever_it_was_doing() {
+    let until: [&[PoolChange]; 4] = [
+        &[],
+        &[maintain()],
+        &[maintain(), PoolChange::Emptied],
+        &[PoolChange::Failed],
+    ];
+    for changes in until {
+        let mut bench = Bench::new();
+        bench.open_wave(1);
+        bench.steps("cutting-1", changes.to_vec());
+        bench.steps("cutting-1", vec![appear(9)]);
+        assert_eq!(
+            bench.phase("cutting-1"),
+            PhaseKind::Returning,
+            "{changes:?}"
+        );
+        assert!(!bench.ledger.may_start("cutting-1"), "{changes:?}");
+        let instance = bench.ledger.instance("cutting-1").expect("instance");
+        assert!(!bench.ledger.awaits_maintenance(instance), "{changes:?}");
+    }
+}
+
+#[test]
+fn starts_follow_drains_zones_and_membership() {
+    let mut bench = Bench::new();
+    assert!(bench.ledger.may_start("cutting-1"));
+    bench.set_zone(0, ZoneStatus::OutOfService);
+    assert!(!bench.ledger.may_start("cutting-1"));
+    assert!(bench.ledger.may_start("cutting-2"));
+    bench.set_zone(0, ZoneStatus::InService);
+    assert_eq!(bench.phase("cutting-1"), PhaseKind::Returning);
+    assert!(!bench.ledger.may_start("cutting-1"));
+    bench.steps("cutting-1", vec![PoolChange::Admit]);
+    assert!(bench.ledger.may_start("cutting-1"));
+    for worker in ["office-1", "office-3"] {
+        bench.steps(worker, vec![PoolChange::Admit]);
+    }
+    bench.steps("office-2", vec![lend("quotes")]);
+    assert!(!bench.ledger.may_start("office-2"));
+    assert_eq!(
+        bench.ledger.pool_of("office-2").map(|pool| &**pool),
+        Some("office")
+    );
+    bench.steps(
+        "office-2",
+        vec![PoolChange::Emptied, change_pool("office", "quotes")],
+    );
+    assert_eq!(
+        bench.ledger.pool_of("office-2").map(|pool| &**pool),
+        Some("quotes")
+    );
+    let holds = |pool| {
+        let mut members = bench.ledger.members(pool);
+        members.any(|member| &*member.worker == "office-2")
+    };
+    assert!(holds("quotes") && !holds("office"));
+}
+
+#[test]
+fn wave_opens_only_after_the_one_before_it_has_finished() {
+    let mut bench = Bench::new();
+    let out_of_turn = PoolVerdict::Rejected(PoolRejection::WaveOutOfTurn);
+    assert_eq!(bench.open_wave(2), out_of_turn);
+    assert!(matches!(bench.open_wave(1), PoolVerdict::Accepted { .. }));
+    assert_eq!(bench.open_wave(2), out_of_turn);
+    let workers: Vec<WorkerId> = bench.workers.iter().map(|spec| spec.id.clone()).collect();
+    for worker in workers {
+        let changes = vec![
+            maintain(),
+            PoolChange::Emptied,
+            PoolChange::Reboot,
+            appear(2),
+            PoolChange::Admit,
+        ];
+        bench.steps(&worker, changes);
+    }
+    assert!(bench.ledger.wave_finished());
+    assert!(matches!(bench.open_wave(2), PoolVerdict::Accepted { .. }));
+}
+
+/// Returns any change, likely or not.
+fn any_change() -> impl Strategy<Value = PoolChange> {
+    let pool = prop::sample::select(vec!["cutting", "quotes", "office"]);
+    let choices = (0..10_u8, pool.clone(), pool, 1..4_u128);
+    choices.prop_map(|(kind, from, to, boot)| match kind {
+        0 => appear(boot),
+        1 => PoolChange::Failed,
+        2 | 3 => maintain(),
+        4 => lend(to),
+        5 => PoolChange::Emptied,
+        6 => PoolChange::Reboot,
+        7 => change_pool(from, to),
+        8 => PoolChange::Cancel,
+        _ => PoolChange::Admit,
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_drain_breaks_a_budget_and_each_instance_is_in_one_pool(
+        steps in prop::collection::vec((0..12_usize, any_change(), any::<bool>()), 1..200),
+    ) {
+        let mut bench = Bench::new();
+        for (index, change, flip_zone) in steps {
+            let worker = bench.workers[index].id.clone();
+            let drains = matches!(change, PoolChange::Drain { .. });
+            let pool = bench.ledger.pool_of(&worker).expect("pool").clone();
+            let was_available = bench.ledger.is_available(
+                bench.ledger.instance(&worker).expect("instance"),
+            );
+            if bench.step(&worker, change).is_ok() && drains && was_available {
+                prop_assert!(bench.ledger.budget(&pool).holds(), "{pool} after {worker}");
+            }
+            if flip_zone && index == 0 {
+                let status = match bench.zones[0].status {
+                    ZoneStatus::InService => ZoneStatus::OutOfService,
+                    ZoneStatus::OutOfService => ZoneStatus::InService,
+                };
+                bench.set_zone(0, status);
+            }
+            let mut members = 0;
+            for pool in ["cutting", "quotes", "office"] {
+                for member in bench.ledger.members(pool) {
+                    prop_assert_eq!(&*member.pool, pool);
+                    members += 1;
+                }
+            }
+            prop_assert_eq!(members, bench.workers.len());
+        }
+    }
+}
