Show a whole fleet at work, and explain a worker's state

Cause: nothing ran the whole system for a newcomer, and operators could not see why a worker takes no tasks.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -7,10 +7,12 @@
 use crate::apply::ApplyArgs;
 use crate::audit::AuditArgs;
 use crate::check::CheckArgs;
+use crate::demo::DemoArgs;
 use crate::diff::DiffArgs;
 use crate::digest::DigestArgs;
+use crate::explain::ExplainArgs;
 use crate::status::StatusArgs;
-use crate::{apply, audit, check, diff, digest, status};
+use crate::{apply, audit, check, demo, diff, digest, explain, status};
 
 /// Checks and applies fleet files, and shows what became of them.
 #[derive(Debug, FromArgs)]
@@ -28,6 +30,8 @@
     Status(StatusArgs),
     Audit(AuditArgs),
     Digest(DigestArgs),
+    Explain(ExplainArgs),
+    Demo(DemoArgs),
 }
 
 /// What the exit code of the command says.
@@ -77,5 +81,7 @@
         ActionChoice::Status(args) => async_io::block_on(status::run(args)),
         ActionChoice::Audit(args) => async_io::block_on(audit::run(args)),
         ActionChoice::Digest(args) => digest::run(&args),
+        ActionChoice::Explain(args) => async_io::block_on(explain::run(args)),
+        ActionChoice::Demo(args) => async_io::block_on(demo::run(args)),
     }
 }
--- /dev/null
+++ b/crates/cli/src/demo/fleet.rs
@@ -0,0 +1,142 @@
+//! The fleet of the demonstration: stand-ins, backend servers and entry instances.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::{Context, anyhow, ensure};
+use pw_base::prelude::*;
+use pw_entry::prelude::*;
+use pw_fleet::prelude::*;
+use pw_standin::prelude::*;
+use pw_worker::prelude::*;
+
+use super::journal::{RunRecord, read_runs};
+use crate::apply::apply_spec;
+use crate::follow::LogFollower;
+use crate::status::read_report;
+
+/// The shipped fleet file that the demonstration applies.
+const FLEET_FILE: &str = include_str!("../../../../examples/telar-norte.toml");
+/// Operator in the audit trail.
+const OPERATOR: &str = "demo";
+/// Time between two reads of the instance list.
+const INSTANCE_POLL: Duration = Duration::from_millis(200);
+
+/// A whole fleet in this process.
+pub(super) struct DemoFleet {
+    spec: FleetSpec,
+    log: SocketAddr,
+    workers: Vec<(WorkerSpec, SocketAddr)>,
+    entries: Vec<EntryNode>,
+}
+
+impl DemoFleet {
+    /// Starts everything; no fleet file is applied yet.
+    pub(super) fn start() -> anyhow::Result<Self> {
+        let spec = check_fleet("telar-norte.toml", FLEET_FILE)
+            .map_err(|findings| anyhow!("the shipped file has {} findings", findings.len()))?;
+        let workers = start_workers(&spec)?;
+        let log = LogService::start(loopback())?.address();
+        let list = workers.iter().map(|(worker, address)| InstanceEntry {
+            worker: worker.id.clone(),
+            address: *address,
+            state: InstanceState::Live,
+        });
+        let instances = InstanceList::start(loopback(), list.collect())?.address();
+        let entries = spec
+            .zones
+            .iter()
+            .map(|zone| {
+                let settings = EntrySettings {
+                    entry: format!("entry-{}", zone.id).into(),
+                    zone: zone.id.clone(),
+                    log,
+                    instances,
+                    instance_poll: INSTANCE_POLL,
+                    ..EntrySettings::default()
+                };
+                EntryNode::start(&settings, NodeLinks::over_http(&settings))
+            })
+            .collect::<Result<_, _>>()
+            .context("an entry instance can't start")?;
+        Ok(Self {
+            spec,
+            log,
+            workers,
+            entries,
+        })
+    }
+
+    /// Returns the shipped fleet.
+    pub(super) fn spec(&self) -> &FleetSpec {
+        &self.spec
+    }
+
+    /// Returns the addresses for callers, one for each entry instance.
+    pub(super) fn callers(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(EntryNode::callers).collect()
+    }
+
+    /// Returns the workers in the availability zone `zone`.
+    pub(super) fn workers_in(&self, zone: &str) -> Vec<WorkerId> {
+        let workers = self.workers.iter().map(|(worker, _)| worker);
+        workers
+            .filter(|worker| &*worker.zone == zone)
+            .map(|worker| worker.id.clone())
+            .collect()
+    }
+
+    /// Applies `spec` as an operator would and returns its revision.
+    pub(super) async fn apply(&self, spec: FleetSpec) -> anyhow::Result<FleetRevision> {
+        let mut follower = LogFollower::over_http(self.log);
+        follower.catch_up().await?;
+        let before = follower.spec().cloned().unwrap_or_default();
+        let diff = FleetDiff::between(&before, &spec);
+        let report = apply_spec(&mut follower, OPERATOR, None, spec, &diff).await?;
+        ensure!(
+            report.accepted,
+            "the fleet was rejected: {:?}",
+            report.reason
+        );
+        Ok(report.revision)
+    }
+
+    /// Returns the lowest revision in force at any entry instance; 0 where one does not answer.
+    pub(super) async fn lowest_revision(&self) -> FleetRevision {
+        let mut lowest = FleetRevision::MAX;
+        for entry in &self.entries {
+            let report = read_report(entry.admin()).await.unwrap_or_default();
+            lowest = lowest.min(report["revision"].as_u64().unwrap_or_default());
+        }
+        lowest
+    }
+
+    /// Returns all runs that the backend servers' journals know, in the order of their starts.
+    pub(super) async fn runs(&self) -> anyhow::Result<Vec<RunRecord>> {
+        let mut runs = Vec::new();
+        for (worker, address) in &self.workers {
+            runs.extend(read_runs(worker, *address).await?);
+        }
+        runs.sort_by_key(|run| run.started);
+        Ok(runs)
+    }
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn start_workers(spec: &FleetSpec) -> anyhow::Result<Vec<(WorkerSpec, SocketAddr)>> {
+    spec.workers
+        .iter()
+        .map(|worker| {
+            let settings = ServerSettings {
+                worker: worker.id.clone(),
+                slots: worker.slots,
+                ..ServerSettings::default()
+            };
+            let server = BackendServer::start(&settings).context("a backend server can't start")?;
+            Ok((worker.clone(), server.address()))
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/cli/src/demo/scene.rs
@@ -0,0 +1,256 @@
+//! What callers and operators do in the demonstration, and the promises that it shows.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant, SystemTime};
+
+use async_io::Timer;
+use futures_lite::future::{FutureExt, zip};
+use pw_fleet::prelude::*;
+use pw_zone::prelude::*;
+
+use super::caller::{CallerOutcome, CallerRequest, call_all};
+use super::fleet::DemoFleet;
+use super::journal::{RunRecord, most_at_once};
+use super::report::PromiseCheck;
+
+/// Time within which a change is in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(5);
+/// Pause between two looks at the entry instances.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+/// Short work of a task.
+const SHORT_WORK: Duration = Duration::from_millis(20);
+/// Work of a task that keeps its slot for a while.
+const LONG_WORK: Duration = Duration::from_millis(400);
+/// Queue that most requests go to.
+const QUEUE: &str = "custom-quotes";
+/// Team whose limit is reached and whose key is withdrawn.
+const SMALL_TEAM: &str = "atelier";
+/// Availability zone that is taken out and brought back.
+const ZONE: &str = "cantabrico-b";
+
+type SceneFn = for<'a> fn(&'a DemoFleet) -> SceneFuture<'a>;
+type SceneFuture<'a> =
+    std::pin::Pin<Box<dyn Future<Output = anyhow::Result<Vec<PromiseCheck>>> + 'a>>;
+
+/// The scenes in their order, with their names.
+pub(super) const SCENES: [(&str, SceneFn); 5] = [
+    ("applying the fleet file", |fleet| {
+        apply_file(fleet).boxed_local()
+    }),
+    ("requests of every team", |fleet| {
+        serve_teams(fleet).boxed_local()
+    }),
+    ("a team reaches its upper limit", |fleet| {
+        reach_limit(fleet).boxed_local()
+    }),
+    ("an availability zone leaves and returns", |fleet| {
+        cycle_zone(fleet).boxed_local()
+    }),
+    ("a key is withdrawn", |fleet| {
+        withdraw_key(fleet).boxed_local()
+    }),
+];
+
+async fn apply_file(fleet: &DemoFleet) -> anyhow::Result<Vec<PromiseCheck>> {
+    let check = apply_everywhere(fleet, fleet.spec().clone()).await?;
+    Ok(vec![check])
+}
+
+async fn serve_teams(fleet: &DemoFleet) -> anyhow::Result<Vec<PromiseCheck>> {
+    const REQUESTS_PER_TEAM: usize = 40;
+    let requests = fleet
+        .spec()
+        .teams
+        .iter()
+        .flat_map(|team| requests(&team.id, "teams", REQUESTS_PER_TEAM, SHORT_WORK))
+        .collect();
+    let outcomes = call_all(&fleet.callers(), requests).await;
+    Ok(check_calls(fleet, &outcomes).await?.to_vec())
+}
+
+async fn reach_limit(fleet: &DemoFleet) -> anyhow::Result<Vec<PromiseCheck>> {
+    const REQUESTS: usize = 160;
+    let limit = fleet
+        .spec()
+        .teams
+        .iter()
+        .find(|team| &*team.id == SMALL_TEAM)
+        .map(|t| t.limit);
+    let limit = limit.unwrap_or_default() as usize;
+    let requests = requests(SMALL_TEAM, "limit", REQUESTS, LONG_WORK);
+    let outcomes = call_all(&fleet.callers(), requests).await;
+    let mut checks = check_calls(fleet, &outcomes).await?.to_vec();
+    let runs = runs_of(fleet, &outcomes).await?;
+    let most = most_at_once(&runs);
+    checks.push(PromiseCheck::new(
+        "no team has more running than its upper limit",
+        most <= limit && most > 0,
+        format!("{} runs, at most {most} at once of {limit}", runs.len()),
+    ));
+    Ok(checks)
+}
+
+async fn cycle_zone(fleet: &DemoFleet) -> anyhow::Result<Vec<PromiseCheck>> {
+    let (mut checks, outcomes) = with_load(fleet, "zone-out", async {
+        set_zone(fleet, ZoneStatus::OutOfService).await
+    })
+    .await?;
+    let taken_out = SystemTime::now();
+    let during = call_all(&fleet.callers(), zone_requests("zone-gone")).await;
+    let gone = fleet.workers_in(ZONE);
+    let late = runs_of(fleet, &during).await?;
+    let starts = late.iter().filter(|run| gone.contains(&run.worker)).count();
+    checks.push(PromiseCheck::new(
+        "no task starts in a zone that was taken out",
+        starts == 0 && late.iter().all(|run| run.started >= taken_out) && !late.is_empty(),
+        format!(
+            "{starts} of {} starts in {ZONE} after the change was in force",
+            late.len()
+        ),
+    ));
+    checks.extend(check_calls(fleet, &outcomes).await?);
+    checks.extend(check_calls(fleet, &during).await?);
+    checks.push(set_zone(fleet, ZoneStatus::InService).await?);
+    let after = call_all(&fleet.callers(), zone_requests("zone-back")).await;
+    let back = runs_of(fleet, &after).await?;
+    let starts = back.iter().filter(|run| gone.contains(&run.worker)).count();
+    checks.push(PromiseCheck::new(
+        "a zone that was brought back gets work again",
+        starts > 0,
+        format!("{starts} of {} starts in {ZONE}", back.len()),
+    ));
+    Ok(checks)
+}
+
+async fn withdraw_key(fleet: &DemoFleet) -> anyhow::Result<Vec<PromiseCheck>> {
+    const REQUESTS: usize = 20;
+    let mut spec = fleet.spec().clone();
+    let teams = spec.teams.iter_mut().filter(|team| &*team.id == SMALL_TEAM);
+    teams.for_each(|team| team.keys.clear());
+    let applied = apply_everywhere(fleet, spec).await?;
+    let requests = requests(SMALL_TEAM, "withdrawn", REQUESTS, SHORT_WORK);
+    let outcomes = call_all(&fleet.callers(), requests).await;
+    let refused = outcomes
+        .iter()
+        .filter(|(_, outcome)| is_not_run(outcome))
+        .count();
+    let runs = runs_of(fleet, &outcomes).await?.len();
+    let check = PromiseCheck::new(
+        "a withdrawn key stops working within seconds",
+        refused == REQUESTS && runs == 0,
+        format!("{refused} of {REQUESTS} requests refused as not run, {runs} ran"),
+    );
+    Ok(vec![applied, check])
+}
+
+fn zone_requests(name: &str) -> Vec<CallerRequest> {
+    const REQUESTS: usize = 120;
+    requests("bilbao", name, REQUESTS, LONG_WORK)
+}
+
+fn requests(team: &str, scene: &str, count: usize, work: Duration) -> Vec<CallerRequest> {
+    (0..count)
+        .map(|number| CallerRequest {
+            team: team.to_owned(),
+            queue: QUEUE.to_owned(),
+            marker: format!("{scene}-{team}-{number}"),
+            work,
+        })
+        .collect()
+}
+
+async fn set_zone(fleet: &DemoFleet, status: ZoneStatus) -> anyhow::Result<PromiseCheck> {
+    let mut spec = fleet.spec().clone();
+    let zones = spec.zones.iter_mut().filter(|zone| &*zone.id == ZONE);
+    zones.for_each(|zone| zone.status = status);
+    apply_everywhere(fleet, spec).await
+}
+
+/// Carries out `change` while callers send requests; returns its check and their outcomes.
+async fn with_load(
+    fleet: &DemoFleet,
+    name: &str,
+    change: impl Future<Output = anyhow::Result<PromiseCheck>>,
+) -> anyhow::Result<(Vec<PromiseCheck>, Vec<(CallerRequest, CallerOutcome)>)> {
+    let callers = fleet.callers();
+    let (outcomes, check) = zip(call_all(&callers, zone_requests(name)), change).await;
+    Ok((vec![check?], outcomes))
+}
+
+async fn apply_everywhere(fleet: &DemoFleet, spec: FleetSpec) -> anyhow::Result<PromiseCheck> {
+    let begin = Instant::now();
+    let revision = fleet.apply(spec).await?;
+    let accepted = Instant::now();
+    while fleet.lowest_revision().await < revision && accepted.elapsed() < IN_FORCE {
+        Timer::after(LOOK_PAUSE).await;
+    }
+    let lowest = fleet.lowest_revision().await;
+    Ok(PromiseCheck::new(
+        "an accepted configuration is in force everywhere within seconds",
+        lowest >= revision,
+        format!(
+            "revision {revision} in {:.2} s",
+            begin.elapsed().as_secs_f64()
+        ),
+    ))
+}
+
+/// Checks that answers are whole, refusals true, and nothing ran twice.
+async fn check_calls(
+    fleet: &DemoFleet,
+    outcomes: &[(CallerRequest, CallerOutcome)],
+) -> anyhow::Result<[PromiseCheck; 3]> {
+    let runs = runs_of(fleet, outcomes).await?;
+    let mut starts: HashMap<&str, usize> = HashMap::new();
+    for run in &runs {
+        *starts.entry(&run.marker).or_default() += 1;
+    }
+    let ran = |request: &CallerRequest| starts.contains_key(request.marker.as_str());
+    let answered = count(outcomes, |(_, outcome)| *outcome == CallerOutcome::Answered);
+    let whole = count(outcomes, |(request, outcome)| {
+        *outcome == CallerOutcome::Answered && ran(request)
+    });
+    let not_run = count(outcomes, |(_, outcome)| is_not_run(outcome));
+    let false_refusals = count(outcomes, |(request, outcome)| {
+        is_not_run(outcome) && ran(request)
+    });
+    let twice = starts.values().filter(|starts| **starts > 1).count();
+    Ok([
+        PromiseCheck::new(
+            "a caller gets the whole answer to its own request",
+            whole == outcomes.len(),
+            format!("{answered} of {} requests answered whole", outcomes.len()),
+        ),
+        PromiseCheck::new(
+            "a refusal that says \"not run\" is true",
+            false_refusals == 0,
+            format!("{false_refusals} false of {not_run} refusals"),
+        ),
+        PromiseCheck::new(
+            "a non-idempotent request runs at most once",
+            twice == 0,
+            format!("{twice} of {} tasks ran twice", starts.len()),
+        ),
+    ])
+}
+
+fn count<T>(items: &[T], matches: impl Fn(&T) -> bool) -> usize {
+    items.iter().filter(|item| matches(item)).count()
+}
+
+fn is_not_run(outcome: &CallerOutcome) -> bool {
+    matches!(outcome, CallerOutcome::Refused { run, .. } if run == "not_run")
+}
+
+async fn runs_of(
+    fleet: &DemoFleet,
+    outcomes: &[(CallerRequest, CallerOutcome)],
+) -> anyhow::Result<Vec<RunRecord>> {
+    let markers: Vec<&str> = outcomes
+        .iter()
+        .map(|(request, _)| request.marker.as_str())
+        .collect();
+    let mut runs = fleet.runs().await?;
+    runs.retain(|run| markers.contains(&run.marker.as_str()));
+    Ok(runs)
+}
--- a/crates/cli/src/follow.rs
+++ b/crates/cli/src/follow.rs
@@ -8,6 +8,7 @@
 use pw_fleet::prelude::*;
 use pw_link::prelude::*;
 use pw_log::prelude::*;
+use pw_pool::prelude::*;
 
 /// Follows the platform's log and folds each record.
 pub struct LogFollower {
@@ -54,6 +55,11 @@
         self.fold.state()
     }
 
+    /// Returns the pools with their instances.
+    pub fn pools(&self) -> &PoolLedger {
+        self.fold.pools()
+    }
+
     /// Returns the configuration in force, if there is one.
     pub fn spec(&self) -> Option<&FleetSpec> {
         self.state().spec.as_deref()
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -91,7 +91,12 @@
     }
 }
 
-async fn read_report(admin: SocketAddr) -> anyhow::Result<Value> {
+/// Reads the status that the entry instance with the admin address `admin` reports.
+///
+/// # Errors
+///
+/// Fails when it does not answer, or not with a status.
+pub async fn read_report(admin: SocketAddr) -> anyhow::Result<Value> {
     let url = format!("http://{admin}/status");
     let request = Request::new(Method::Get, url.as_str());
     let response = call_http(admin, request, ENTRY_TIMEOUT).await?;
--- a/crates/standin/src/journal.rs
+++ b/crates/standin/src/journal.rs
@@ -1,5 +1,7 @@
 //! What a stand-in backend server ran, for tests that ask it afterwards.
 
+use std::time::SystemTime;
+
 use pw_base::prelude::*;
 use pw_link::lease_wire::hex_id;
 use serde::{Deserialize, Serialize};
@@ -19,6 +21,8 @@
     /// Identity of the task.
     #[serde(with = "hex_id")]
     pub task: TaskId,
+    /// Wall-clock time at the worker.
+    pub at: SystemTime,
     /// Marker in the payload, for starts.
     pub marker: Option<String>,
     /// What happened.
@@ -43,6 +47,7 @@
         if self.entries.len() < MAX_JOURNAL_ENTRIES {
             self.entries.push(JournalEntry {
                 task,
+                at: SystemTime::now(),
                 marker,
                 event,
             });
