Let the desk ask a permit gate that follows the log

The desk tells its gate what was folded and how fresh that is, appends the gate's proposals and wakes for it. A gate that can't propose waits for a reading, so no timer runs while the log is down.

--- a/crates/contract/src/gate.rs
+++ b/crates/contract/src/gate.rs
@@ -36,22 +36,22 @@
 
 /// Hands out permits to start tasks.
 ///
-/// Tasks run under leases of their workers, one lease for each worker, [`PermitKind`] and
-/// incarnation, so that tasks on float permits can end while those on floor permits go on. To keep
-/// the limits across pauses and partitions, the caller of the gate does these in this order:
+/// Tasks run under leases of their workers. To keep the limits across pauses and partitions, the
+/// user of the gate keeps to this order:
 ///
-/// 1. It opens a lease from an offer of the worker, and renews it from the last renewal; both carry
-///    the token that the worker gave last, which the worker takes once and only for a lease length.
-/// 2. With the token in hand, and not before, it asks [`may_open`](Self::may_open) or
-///    [`may_renew`](Self::may_renew).
-/// 3. It starts tasks only under a lease, on a permit from [`take`](Self::take).
+/// 1. It has the grant of a lease in hand. A start names that grant and a renewal names the last
+///    one, so neither can take effect once another grant has replaced it or the lease has ended.
+/// 2. With the grant in hand, and not before, it asks [`may_renew`](Self::may_renew) with the
+///    permit of each task that runs or is to start under the lease.
+/// 3. It sends the start or the renewal. Tasks whose permit may no longer be used are stopped; while
+///    one of them may still run, the lease is not renewed.
 ///
-/// So at most one renewal can take effect after the last check that passed, and what runs has ended
-/// two lease lengths after it.
+/// So at most one renewal takes effect after the last check that passed, and what runs has ended two
+/// lease lengths after it.
 pub trait PermitGate: Send {
-    /// Sets the teams with their limits, for a gate that does not learn them from the ledger.
+    /// Sets the teams with their limits; tasks that run keep running above a lowered one.
     ///
-    /// Tasks that run keep running above a lowered limit.
+    /// A gate that is told by [`observe`](Self::observe) needs no more.
     fn set_teams(&mut self, teams: &[TeamSpec]) {
         _ = teams;
     }
@@ -97,9 +97,10 @@
         Vec::new()
     }
 
-    /// Returns when [`proposals`](Self::proposals) or waiting tasks are to be looked at again.
-    fn next_deadline(&self, now: Instant) -> Option<Instant> {
-        _ = now;
+    /// Returns when [`proposals`](Self::proposals) is to be asked again at the latest.
+    ///
+    /// It is later than the last call of `proposals`.
+    fn next_deadline(&self) -> Option<Instant> {
         None
     }
 }
--- a/crates/contract/src/holder.rs
+++ b/crates/contract/src/holder.rs
@@ -47,6 +47,9 @@
     folded_round: PermitRound,
     proposed: Option<Instant>,
     checked: Option<Instant>,
+    /// Whether the last look found the holder able to propose.
+    ready: bool,
+    /// Whether there may be something to propose soon.
     attention: bool,
     teams: BTreeMap<TeamId, TeamUse>,
 }
@@ -80,6 +83,7 @@
             folded_round: 0,
             proposed: None,
             checked: None,
+            ready: false,
             attention: false,
             teams: BTreeMap::new(),
         }
@@ -145,15 +149,15 @@
         self.teams.retain(|_, team_use| !team_use.is_unused());
     }
 
+    /// Returns whether a proposal may be made, as far as the pace allows it.
     fn may_propose(&self, now: Instant) -> bool {
-        let is_over =
-            |since: Option<Instant>, pause| since.is_none_or(|since| now >= since + pause);
-        let folded = self.folded_round >= self.round;
-        self.key.is_some()
-            && self.is_fresh(now)
-            && is_over(self.checked, self.settings.check)
-            && is_over(self.proposed, self.settings.interval)
-            && (folded || is_over(self.proposed, self.settings.retry))
+        let is_folded = self.folded_round >= self.round;
+        let pause = if is_folded {
+            self.settings.interval
+        } else {
+            self.settings.retry
+        };
+        self.proposed.is_none_or(|proposed| now >= proposed + pause)
     }
 }
 
@@ -205,6 +209,7 @@
         members: &MemberLedger,
     ) {
         self.fresh = self.fresh.max(asked);
+        self.ready |= asked.is_some();
         let is_new = self.observe_key(members);
         if is_new || self.seen != Some(permits.changed()) {
             self.seen = Some(permits.changed());
@@ -226,10 +231,15 @@
     }
 
     fn proposals(&mut self, now: Instant) -> Vec<PermitProposal> {
-        if !self.may_propose(now) {
+        let is_checked = |checked| now < checked + self.settings.check;
+        if self.checked.is_some_and(is_checked) {
             return Vec::new();
         }
         self.checked = Some(now);
+        self.ready = self.key.is_some() && self.is_fresh(now);
+        if !self.ready || !self.may_propose(now) {
+            return Vec::new();
+        }
         self.attention = false;
         let mut holds = Vec::new();
         for (team, team_use) in &mut self.teams {
@@ -246,20 +256,9 @@
         vec![PermitProposal::Hold { round, holds }]
     }
 
-    fn next_deadline(&self, now: Instant) -> Option<Instant> {
-        if !self.attention || self.key.is_none() {
-            return None;
-        }
-        let due = |since: Option<Instant>, pause| since.map_or(now, |since| since + pause);
-        let folded = self.folded_round >= self.round;
-        let pause = if folded {
-            self.settings.interval
-        } else {
-            self.settings.retry
-        };
-        let proposed = due(self.proposed, pause);
-        let checked = due(self.checked, self.settings.check);
-        // A holder that can't propose now waits for a reading, not for this time.
-        Some(proposed.max(checked).max(now + self.settings.check))
+    fn next_deadline(&self) -> Option<Instant> {
+        // Only a reading of the log makes an unready holder ready.
+        let checked = self.checked.filter(|_| self.attention && self.ready)?;
+        Some(checked + self.settings.check)
     }
 }
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -175,6 +175,8 @@
             DispatchEvent::TimePassed => {}
         }
         self.start_ready(now, &mut commands);
+        let proposals = self.gate.proposals(now).into_iter();
+        commands.extend(proposals.map(DispatchCommand::Propose));
         commands
     }
 
@@ -187,6 +189,7 @@
             self.lingering.next_deadline(),
             self.workers.next_deadline(),
             self.next_report,
+            self.gate.next_deadline(),
         ]
         .into_iter()
         .flatten()
@@ -275,6 +278,9 @@
         commands: &mut Vec<DispatchCommand>,
     ) {
         self.fold.read(reading);
+        let asked = self.fold.freshness(reading);
+        let (permits, members) = (self.fold.permits(), self.fold.members());
+        self.gate.observe(now, asked, permits, members);
         let state = self.fold.state();
         if let Some(spec) = state.spec.clone()
             && self.revision < state.revision
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use pw_base::prelude::*;
+use pw_contract::prelude::*;
 use pw_log::prelude::*;
 use pw_team::prelude::*;
 use pw_worker::prelude::*;
@@ -103,6 +104,8 @@
 /// What the desk wants done.
 #[derive(Debug, Clone, PartialEq)]
 pub enum DispatchCommand {
+    /// Append a proposal about permits to the log.
+    Propose(PermitProposal),
     /// Start a task on a backend server.
     StartTask(TaskStart),
     /// Stop a started task; its end is reported as always.
--- a/crates/entry/src/dispatch_duty.rs
+++ b/crates/entry/src/dispatch_duty.rs
@@ -95,7 +95,7 @@
                 DispatchCommand::StopTask(task) => self.stop(task),
                 DispatchCommand::CloseTask { task, verdict } => self.close(task, verdict),
                 DispatchCommand::Note(notice) => note(&notice),
-                DispatchCommand::TellPeers(_) => {}
+                DispatchCommand::TellPeers(_) | DispatchCommand::Propose(_) => {}
             }
         }
     }
