--- a/crates/cli/tests/apply.rs
+++ b/crates/cli/tests/apply.rs
@@ -6,7 +6,7 @@
 
 use futures_lite::future::{BoxedLocal, FutureExt, block_on};
 use pw_cli::apply::{ApplyReport, apply_spec};
-use pw_cli::audit::audit_line;
+use pw_cli::audit::{AuditChange, audit_line};
 use pw_cli::follow::LogFollower;
 use pw_fleet::prelude::*;
 use pw_log::prelude::*;
@@ -99,12 +99,16 @@
     let folded = block_on(follower(&log).catch_up()).expect("read");
     let lines: Vec<_> = folded.iter().filter_map(audit_line).collect();
     let last = lines.last().expect("a line");
-    assert_eq!(
-        (last.author.as_str(), last.base, last.revision),
-        ("bert", 1, 2)
-    );
-    let kinds: Vec<_> = last
-        .diff
+    let AuditChange::Fleet {
+        base,
+        revision,
+        diff,
+    } = &last.change
+    else {
+        panic!("not a change of the fleet: {last:?}");
+    };
+    assert_eq!((last.author.as_str(), *base, *revision), ("bert", 1, 2));
+    let kinds: Vec<_> = diff
         .changes
         .iter()
         .map(|change| (change.kind, &*change.id))
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -5,6 +5,7 @@
 
 use pw_base::prelude::*;
 use serde::{Deserialize, Serialize};
+use strum::Display;
 
 /// Identity of one life of an entry instance.
 ///
@@ -32,7 +33,8 @@
 }
 
 /// Proposal to change the membership.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize, Display)]
+#[strum(serialize_all = "kebab-case")]
 pub enum MemberProposal {
     /// The author joins.
     Join {
@@ -42,6 +44,7 @@
         seen: LogOffset,
     },
     /// The author missed the heartbeats of `member`.
+    #[strum(to_string = "suspect {member}")]
     Suspect {
         /// The silent member.
         member: MemberKey,
@@ -54,6 +57,7 @@
     /// The author has ended its tasks and leaves.
     Leave,
     /// The hold-down since the author's own reading of the suspicion has passed.
+    #[strum(to_string = "retire {member}")]
     Retire {
         /// The silent member.
         member: MemberKey,
--- a/crates/pool/src/proposal.rs
+++ b/crates/pool/src/proposal.rs
@@ -9,7 +9,8 @@
 use crate::instance::{DrainPurpose, PhaseKind};
 
 /// Proposal to the pool ledger.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Display)]
+#[strum(serialize_all = "kebab-case")]
 pub enum PoolProposal {
     /// An entry instance takes over the planner duty.
     Claim {
