Test upper limits under faults on virtual time, and batch appends

Change: `AppendBatcher` paces, batches and repeats a member's appends within 45 a second for the whole fleet. Float permits are valid for ten seconds, so that short outages of the log stop nothing; the hold-down follows from that and the lease length. Idle permits go to whoever waits, floor permits too.

--- a/crates/contract/src/holder.rs
+++ b/crates/contract/src/holder.rs
@@ -8,7 +8,7 @@
 
 use crate::gate::{PermitGate, PermitKind, TaskPermit};
 use crate::ledger::PermitLedger;
-use crate::limit::even_part;
+use crate::limit::{FLOAT_VALIDITY, even_part};
 use crate::proposal::{PermitProposal, PermitRound};
 use crate::team_use::TeamUse;
 
@@ -59,10 +59,10 @@
         Self {
             process: 0,
             zone: ZoneId::from(""),
-            validity: Duration::from_secs(3),
+            validity: FLOAT_VALIDITY,
             interval: Duration::from_millis(500),
             check: Duration::from_millis(50),
-            idle: Duration::from_secs(2),
+            idle: Duration::from_secs(1),
             turn: Duration::from_secs(2),
             floor_return: Duration::from_secs(10),
             retry: Duration::from_secs(2),
@@ -99,10 +99,16 @@
         self.fresh.map(|fresh| now.saturating_duration_since(fresh))
     }
 
+    /// Returns when the newest reading stops allowing float permits; `None` without a reading and
+    /// while the holder is suspected or no member.
+    pub fn fresh_until(&self) -> Option<Instant> {
+        let fresh = self.fresh.filter(|_| self.trusted)?;
+        Some(fresh + self.settings.validity)
+    }
+
     /// Returns whether float permits may be used now.
     pub fn is_fresh(&self, now: Instant) -> bool {
-        let valid = |fresh| now < fresh + self.settings.validity;
-        self.trusted && self.fresh.is_some_and(valid)
+        self.fresh_until().is_some_and(|until| now < until)
     }
 
     /// Acts for the newest incarnation of the process; the permits of an older one are not its own.
--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -20,7 +20,7 @@
     pub use crate::gate::{PermitGate, PermitKind, TaskPermit};
     pub use crate::holder::{HolderSettings, PermitHolder};
     pub use crate::ledger::{PermitGrant, PermitLedger, PermitReject};
-    pub use crate::limit::{LimitTable, ZoneFloor};
+    pub use crate::limit::{FLOAT_VALIDITY, LimitTable, ZoneFloor, hold_down};
     pub use crate::proposal::{PermitHold, PermitProposal, PermitRound};
     pub use crate::reclaim::{ReclaimCommand, ReclaimDesk, ReclaimEvent};
 }
--- a/crates/contract/src/limit.rs
+++ b/crates/contract/src/limit.rs
@@ -1,6 +1,7 @@
 //! Upper limits and the parts of them that belong to availability zones.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use pw_base::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -10,6 +11,11 @@
 /// Part of each limit that the zones together never lend: one in this many.
 const RESERVE_DIVISOR: u32 = 20;
 
+/// Time after the sending of a read of the log during which its result allows float permits.
+pub const FLOAT_VALIDITY: Duration = Duration::from_secs(10);
+/// Bound of the drift between any two clocks, as one part of this many.
+const DRIFT_DIVISOR: u32 = 50;
+
 /// Limits and zones of the configuration in force, as the permits need them.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LimitTable {
@@ -50,6 +56,17 @@
     }
 }
 
+/// Returns the time from a reading of a suspicion until the suspected member's float permits are
+/// free, for workers whose leases last `lease_ttl`.
+///
+/// The member's last read that did not show the suspicion was sent before the suspicion was
+/// appended. It lets the member send its last start and renewal until [`FLOAT_VALIDITY`] has
+/// passed. That renewal takes effect within one lease length and lasts for another.
+pub fn hold_down(lease_ttl: Duration) -> Duration {
+    let sum = FLOAT_VALIDITY + 2 * lease_ttl;
+    sum + sum / DRIFT_DIVISOR
+}
+
 /// Returns the part at `place` when `whole` is split into `count` parts that differ by at most 1.
 pub fn even_part(whole: u32, count: usize, place: usize) -> u32 {
     let before = |place: usize| (u64::from(whole) * place as u64) / count.max(1) as u64;
--- a/crates/contract/src/team_use.rs
+++ b/crates/contract/src/team_use.rs
@@ -39,6 +39,8 @@
     surplus_since: Option<Instant>,
     /// Since when the holder has had permits without a break.
     held_since: Option<Instant>,
+    /// Whether another holder wants more than it has.
+    others_wait: bool,
     /// When demand of others was last seen to be unmet.
     others_unmet: Option<Instant>,
 }
@@ -73,9 +75,10 @@
             .iter()
             .any(|(other, grant)| grant.held() < permits.fair_part(team, other));
         self.others_starve = unmet.iter().any(|(_, grant)| grant.held() == 0);
-        if !unmet.is_empty() {
+        if self.others_wait || !unmet.is_empty() {
             self.others_unmet = Some(now);
         }
+        self.others_wait = !unmet.is_empty();
         self.held_since = match self.grant.held() {
             0 => None,
             _ => self.held_since.or(Some(now)),
@@ -183,37 +186,39 @@
         }
     }
 
+    /// Returns the tasks to be ready for: the demand, and some more when nobody else waits.
+    fn need(&self) -> u32 {
+        match self.demand() {
+            0 => 0,
+            demand if self.others_wait => demand,
+            demand => demand.saturating_add(demand / HEADROOM_DIVISOR + 1),
+        }
+    }
+
+    /// Returns the floor permits to have; those without use are lent while others wait.
     fn wanted_floor(&self, now: Instant, floor_return: Duration) -> u32 {
         if !self.in_service {
             return 0;
         }
-        let is_lent = self
-            .others_unmet
-            .is_some_and(|unmet| now < unmet + floor_return);
-        if is_lent {
-            self.grant
-                .floor
-                .clamp(self.reserve, self.floor_part.max(self.reserve))
+        let is_recent = |unmet| now < unmet + floor_return;
+        if self.others_wait || self.others_unmet.is_some_and(is_recent) {
+            self.need().max(self.reserve).min(self.grant.floor)
         } else {
             self.floor_part
         }
     }
 
     fn wanted(&self, want_floor: u32) -> u32 {
-        let demand = self.demand();
-        let headroom = if demand == 0 {
-            0
-        } else {
-            demand / HEADROOM_DIVISOR + 1
-        };
-        demand
-            .saturating_add(headroom)
-            .max(want_floor)
-            .min(self.limit)
+        self.need().max(want_floor).min(self.limit)
     }
 
+    /// Notes since when more is held or wanted than needed; some slack keeps appends few.
     fn note_surplus(&mut self, now: Instant, want: u32) {
-        let slack = want / HEADROOM_DIVISOR + 1;
+        let slack = if self.others_wait {
+            0
+        } else {
+            want / HEADROOM_DIVISOR + 1
+        };
         let has_surplus = self.grant.held().max(self.grant.want) > want + slack;
         self.surplus_since = has_surplus.then(|| self.surplus_since.unwrap_or(now));
     }
@@ -240,7 +245,7 @@
         let excess = grant.held() - total;
         let idle_float = grant.float.saturating_sub(self.used_float);
         let from_float = excess.min(idle_float);
-        let floor_bound = self.used_floor.max(self.lendable_above(want_floor));
+        let floor_bound = self.used_floor.max(self.unlent_floor(want_floor));
         let idle_floor = grant.floor.saturating_sub(floor_bound);
         let mut from_floor = (excess - from_float).min(idle_floor);
         if !self.in_service {
@@ -249,9 +254,9 @@
         (grant.floor - from_floor, grant.float - from_float)
     }
 
-    /// Returns the floor permits that stay when others have more need.
-    fn lendable_above(&self, want_floor: u32) -> u32 {
-        if self.others_lack || self.others_starve {
+    /// Returns the floor permits that are not lent.
+    fn unlent_floor(&self, want_floor: u32) -> u32 {
+        if self.others_wait {
             self.reserve
         } else {
             want_floor.min(self.grant.usable_floor)
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every decision that needs agreement is a proposal appended to the log. Each instance folds
 //! the same records in the same order and so accepts or rejects each proposal alike.
 
+pub mod append;
 pub mod codec;
 pub mod fold;
 pub mod reading;
@@ -11,6 +12,9 @@
 
 /// The names that most users of this crate need.
 pub mod prelude {
+    pub use crate::append::{
+        AppendBatcher, AppendCommand, AppendEvent, AppendSettings, FLEET_APPENDS_PER_SECOND,
+    };
     pub use crate::codec::{CodecError, FORMAT_VERSION, decode_record, encode_record};
     pub use crate::fold::{FleetFold, FleetState, FoldOutcome, RejectReason};
     pub use crate::reading::{LogItem, LogReading, MalformedRecord};
--- /dev/null
+++ b/crates/log/tests/limits/main.rs
@@ -0,0 +1,173 @@
+//! Upper limits under pauses, partitions, crashes, outages and lost answers, on virtual time.
+
+mod world;
+
+use std::time::Duration;
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use pw_contract::prelude::*;
+
+use world::{Disturbance, ENTRIES, Fault, LEASE_TTL, LIMIT, STEP, World, team};
+
+const SEED: u64 = 0x0011_2175;
+/// Time for all to join and to spread the permits.
+const SETTLE: Duration = Duration::from_secs(15);
+
+fn disturbances() -> impl Strategy<Value = Vec<Disturbance>> {
+    let fault = prop_oneof![
+        Just(Fault::Pause),
+        Just(Fault::CutFromLog),
+        Just(Fault::Crash),
+        Just(Fault::LogOutage),
+        Just(Fault::AnswersLost),
+    ];
+    let one = (0..600_u32, 1..400_u32, 0..ENTRIES, fault);
+    let one = one.prop_map(|(start, length, entry, fault)| Disturbance {
+        start,
+        length,
+        entry,
+        fault,
+    });
+    vec(one, 0..10)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 48,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn limit_holds_under_any_faults_and_is_used_after_them(
+        seed in any::<u64>(),
+        disturbances in disturbances(),
+    ) {
+        let mut world = World::new(seed);
+        world.run(Duration::from_secs(160), &disturbances);
+        prop_assert_eq!(world.judge.members().len(), ENTRIES);
+        let mean = world.mean_running(Duration::from_secs(10));
+        prop_assert!(mean >= f64::from(LIMIT) * 0.7, "{mean} of {LIMIT} run");
+    }
+}
+
+fn settled() -> World {
+    let mut world = World::new(1);
+    world.run(SETTLE, &[]);
+    world
+}
+
+fn disturb(world: &mut World, entry: usize, fault: Fault, length: Duration) {
+    let length = (length.as_millis() / STEP.as_millis()) as u32;
+    world.disturb(Disturbance {
+        start: 0,
+        length,
+        entry,
+        fault,
+    });
+}
+
+#[test]
+fn permits_of_a_vanished_holder_come_back() {
+    let mut world = settled();
+    let gone = world.entries[0].holder.key().cloned().expect("a member");
+    let grant = world.judge.permits().grant(&team(), &gone);
+    assert!(grant.floor > 0 && grant.float > 0, "{grant:?}");
+    disturb(&mut world, 0, Fault::Pause, Duration::from_secs(3600));
+    let bound = Duration::from_secs(60);
+    let float = world.run_until(bound, |world| {
+        world.judge.permits().grant(&team(), &gone).float == 0
+    });
+    let floor = world.run_until(bound, |world| {
+        world.judge.permits().grant(&team(), &gone).floor == 0
+    });
+    println!("float permits after {float:?}, floor permits {floor:?} later");
+    assert!(float >= hold_down(LEASE_TTL), "the hold-down was kept");
+    let mean = world.mean_running(Duration::from_secs(20));
+    println!("{mean} of {LIMIT} run on average afterwards");
+    assert!(mean >= f64::from(LIMIT) * 0.7);
+}
+
+#[test]
+fn floor_permits_stay_while_a_worker_has_a_lease_of_the_vanished_holder() {
+    let mut world = settled();
+    let gone = world.entries[0].holder.key().cloned().expect("a member");
+    // The holder is cut off from the log only: it goes on with its floor permits.
+    disturb(&mut world, 0, Fault::CutFromLog, Duration::from_secs(3600));
+    world.run(Duration::from_secs(60), &[]);
+    assert!(world.judge.members().get(&gone).is_none());
+    assert!(world.judge.permits().grant(&team(), &gone).floor > 0);
+    let started = world.started;
+    world.demand = [6, 0, 0, 0];
+    world.run(Duration::from_secs(30), &[]);
+    assert!(world.started > started, "the cut-off zone goes on");
+}
+
+#[test]
+fn graceful_leave_gives_all_permits_back() {
+    let mut world = settled();
+    let leaver = world.entries[0].holder.key().cloned().expect("a member");
+    disturb(&mut world, 0, Fault::Leave, Duration::ZERO);
+    let time = world.run_until(Duration::from_secs(30), |world| world.entries[0].is_gone);
+    println!("left after {time:?}, the longest task included");
+    assert_eq!(world.judge.permits().grant(&team(), &leaver).held(), 0);
+    assert!(world.judge.permits().granted(&team()) <= LIMIT);
+}
+
+#[test]
+fn outage_of_the_log_leaves_the_floor_permits() {
+    let mut world = settled();
+    disturb(&mut world, 0, Fault::LogOutage, Duration::from_secs(600));
+    world.run(FLOAT_VALIDITY + 2 * LEASE_TTL + LEASE_TTL, &[]);
+    let floor: u32 = world
+        .judge
+        .permits()
+        .grants(&team())
+        .map(|(_, grant)| grant.usable_floor)
+        .sum();
+    let started = world.started;
+    for _ in 0..200 {
+        world.run(STEP, &[]);
+        assert!(world.running() <= floor as usize, "only floor permits");
+    }
+    assert!(world.started > started, "the zones go on");
+    assert!(floor >= LIMIT / 4);
+}
+
+#[test]
+fn lowered_limit_stops_no_task_and_starts_none_above_it() {
+    let mut world = settled();
+    for limit in [3, 0, 6] {
+        world.bound = world.bound.max(limit);
+        world.set_limit(limit);
+        world.run(Duration::from_secs(2), &[]);
+        world.bound = limit;
+        world.run(Duration::from_secs(20), &[]);
+        assert!(world.running() <= limit as usize);
+        assert!(world.judge.permits().granted(&team()) <= limit);
+    }
+    assert!(world.mean_running(Duration::from_secs(10)) > 4.0);
+}
+
+#[test]
+fn limit_is_used_by_whoever_has_demand() {
+    for demand in [
+        [30, 0, 0, 0],
+        [0, 0, 0, 30],
+        [20, 20, 20, 20],
+        [1, 1, 1, 30],
+    ] {
+        let mut world = settled();
+        world.demand = demand;
+        world.run(Duration::from_secs(20), &[]);
+        let appended = world.log.len();
+        let mean = world.mean_open(Duration::from_secs(60));
+        let appends = (world.log.len() - appended) as f64 / 60.0;
+        println!("{demand:?}: {mean:.2} of {LIMIT} permits used, {appends:.2} appends a second");
+        assert!(mean >= f64::from(LIMIT) * 0.95, "{demand:?}: {mean}");
+        assert!(appends <= 45.0);
+    }
+}
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -78,7 +78,11 @@
 
 impl fmt::Display for MemberKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let process = self.process >> 96;
-        write!(f, "{}/{process:08x}.{}", self.entry, self.incarnation)
+        let Self {
+            entry,
+            process,
+            incarnation,
+        } = self;
+        write!(f, "{entry}-{process:032x}-{incarnation}")
     }
 }
