Keep upper limits by permits from the log, in every entry instance

Cause: the limits were split evenly among nine entry instances, which wastes the parts of those without demand and breaks with a tenth one.

Change: the `appends` duty appends a member's proposals, the `members` duty keeps the membership and frees the floor permits of retired members, and the dispatch duty has a `PermitHolder`. It tells the backends duty until when leases for float permits may be renewed, before the starts that rely on it.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -30,6 +30,21 @@
     /// The platform's instance list cannot be reached.
     #[strum(message = "The platform's instance list cannot be reached.")]
     InstancesUnreachable = 204,
+    /// The platform's log no longer keeps the records that this entry instance needs next.
+    #[strum(message = "The platform's log no longer keeps the records that are needed next.")]
+    LogExpired = 205,
+    /// An append to the platform's log failed and is tried again.
+    #[strum(message = "An append to the platform's log failed.")]
+    AppendFailed = 206,
+    /// Proposals of a retired incarnation were dropped.
+    #[strum(message = "Proposals of a retired incarnation were dropped.")]
+    ProposalsDropped = 207,
+    /// A log record of a newer format stopped the fold; the entry instance is to be replaced.
+    #[strum(message = "A log record of a newer format stopped the fold.")]
+    RecordUnread = 208,
+    /// Peers retired this entry instance; it rejoins with a new incarnation.
+    #[strum(message = "Peers retired this entry instance; it rejoins.")]
+    MemberRetired = 210,
     /// A caller's connection ended with an error.
     #[strum(message = "A caller's connection ended with an error.")]
     CallerFailed = 300,
--- a/crates/contract/src/gate.rs
+++ b/crates/contract/src/gate.rs
@@ -91,6 +91,16 @@
         true
     }
 
+    /// Returns until when leases for float permits may be taken and renewed.
+    fn fresh_until(&self) -> Option<Instant> {
+        None
+    }
+
+    /// Returns the member that takes leases for the permits; `None` while there is none.
+    fn member(&self) -> Option<&MemberKey> {
+        None
+    }
+
     /// Returns what is to be appended to the log now; each proposal is returned once.
     fn proposals(&mut self, now: Instant) -> Vec<PermitProposal> {
         _ = now;
--- a/crates/contract/src/holder.rs
+++ b/crates/contract/src/holder.rs
@@ -89,23 +89,11 @@
         }
     }
 
-    /// Returns the member that holds the permits; `None` before it joins and after its retirement.
-    pub fn key(&self) -> Option<&MemberKey> {
-        self.key.as_ref()
-    }
-
     /// Returns how old the newest complete reading of the log is; `None` before the first one.
     pub fn staleness(&self, now: Instant) -> Option<Duration> {
         self.fresh.map(|fresh| now.saturating_duration_since(fresh))
     }
 
-    /// Returns when the newest reading stops allowing float permits; `None` without a reading and
-    /// while the holder is suspected or no member.
-    pub fn fresh_until(&self) -> Option<Instant> {
-        let fresh = self.fresh.filter(|_| self.trusted)?;
-        Some(fresh + self.settings.validity)
-    }
-
     /// Returns whether float permits may be used now.
     pub fn is_fresh(&self, now: Instant) -> bool {
         self.fresh_until().is_some_and(|until| now < until)
@@ -236,6 +224,15 @@
         }
     }
 
+    fn fresh_until(&self) -> Option<Instant> {
+        let fresh = self.fresh.filter(|_| self.trusted)?;
+        Some(fresh + self.settings.validity)
+    }
+
+    fn member(&self) -> Option<&MemberKey> {
+        self.key.as_ref()
+    }
+
     fn proposals(&mut self, now: Instant) -> Vec<PermitProposal> {
         let is_checked = |checked| now < checked + self.settings.check;
         if self.checked.is_some_and(is_checked) {
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -201,6 +201,11 @@
         self.revision
     }
 
+    /// Returns the gate that keeps the upper limits.
+    pub fn permit_gate(&self) -> &dyn PermitGate {
+        &*self.gate
+    }
+
     /// Returns how many tasks wait or run.
     pub fn open_tasks(&self) -> usize {
         self.tasks.len()
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -145,6 +145,8 @@
     pub address: SocketAddr,
     /// Longest time that it may run; the lease covers it.
     pub run_timeout: Duration,
+    /// Kind of the permit that it runs on; `None` for a queue that is open to all.
+    pub permit: Option<PermitKind>,
 }
 
 /// How a task ended for its caller.
--- a/crates/dispatch/src/starting.rs
+++ b/crates/dispatch/src/starting.rs
@@ -195,6 +195,7 @@
             self.budget.note_first_attempt();
         }
         self.workers.take_slot(now, &worker, &size);
+        let kind = permit.as_ref().map(|permit| permit.kind);
         let run = TaskRun {
             worker: worker.clone(),
             started: now,
@@ -214,6 +215,7 @@
             worker,
             address,
             run_timeout,
+            permit: kind,
         }))
     }
 }
--- a/crates/entry/src/backend_duty.rs
+++ b/crates/entry/src/backend_duty.rs
@@ -11,9 +11,11 @@
 use pw_base::prelude::*;
 use pw_dispatch::prelude::*;
 use pw_link::prelude::*;
+use pw_member::prelude::*;
 use pw_ring::prelude::*;
 use pw_worker::prelude::*;
 
+use crate::member_duty::MemberMessage;
 use crate::message::{BackendMessage, DeskMessage, RunResult};
 
 /// Pause between two tries to stop a task whose end is not known.
@@ -63,6 +65,11 @@
                 shell.holder.replace(holder);
                 shell.feed(LeaseEvent::HolderChanged);
             }
+            BackendInput::Message(BackendMessage::FenceHolder {
+                backend,
+                holder,
+                reply,
+            }) => shell.fence(backend, holder, reply),
             BackendInput::Lease(event) => shell.feed(event),
         }
     }
@@ -214,6 +221,20 @@
         });
     }
 
+    /// Asks a worker to fence a retired holder and reports it once it has.
+    fn fence(&self, backend: BackendAddress, holder: MemberKey, reply: RingSender<MemberMessage>) {
+        let worker = Arc::clone(&backend.worker);
+        let fence = self
+            .gateway
+            .fence_holder(backend, holder.to_string().into());
+        self.spawner.spawn(async move {
+            if fence.await.is_ok_and(|fence| fence.held_leases == 0) {
+                // A lost report is asked for again.
+                _ = reply.offer(MemberMessage::WorkerFenced { holder, worker });
+            }
+        });
+    }
+
     fn feed(self: &Rc<Self>, event: LeaseEvent) {
         let now = self.clock.now();
         let commands = self.book.borrow_mut().handle(now, event);
--- a/crates/entry/src/dispatch_duty.rs
+++ b/crates/entry/src/dispatch_duty.rs
@@ -2,13 +2,18 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
+use std::time::Instant;
 
 use pw_base::prelude::*;
+use pw_contract::prelude::*;
 use pw_dispatch::prelude::*;
 use pw_link::prelude::*;
+use pw_log::prelude::*;
+use pw_member::prelude::*;
 use pw_ring::prelude::*;
 use pw_worker::prelude::*;
 
+use crate::append_duty::AppendMessage;
 use crate::message::{BackendMessage, DeskMessage, DeskStatus, TaskReply};
 
 struct OpenTask {
@@ -22,6 +27,11 @@
     clock: Arc<dyn ClockSource>,
     open: HashMap<TaskId, OpenTask>,
     runs: RingSender<BackendMessage>,
+    appends: RingSender<AppendMessage>,
+    /// Member whose name the leases are taken under.
+    holder: Option<MemberKey>,
+    /// Until when the backends duty may renew leases for float permits.
+    fresh_until: Option<Instant>,
 }
 
 /// Feeds the desk with messages and carries out its commands until all senders are gone.
@@ -30,12 +40,16 @@
     clock: Arc<dyn ClockSource>,
     messages: RingReceiver<DeskMessage>,
     runs: RingSender<BackendMessage>,
+    appends: RingSender<AppendMessage>,
 ) {
     let mut shell = DeskShell {
         desk,
         clock,
         open: HashMap::new(),
         runs,
+        appends,
+        holder: None,
+        fresh_until: None,
     };
     while let Ok(message) = messages.recv_until(shell.desk.next_deadline()).await {
         match message {
@@ -80,8 +94,30 @@
         }
     }
 
+    /// Tells the backends duty what the permits say about leases, before the starts that need it.
+    ///
+    /// What the ring has no room for is told with the next event.
+    fn tell_backends(&mut self) {
+        let gate = self.desk.permit_gate();
+        let holder = gate.member().cloned();
+        if let Some(key) = holder.as_ref().filter(|_| holder != self.holder) {
+            let message = BackendMessage::HolderChanged(key.to_string().into());
+            if self.runs.offer(message).is_ok() {
+                self.holder = holder;
+            }
+        }
+        let fresh_until = gate.fresh_until();
+        if let Some(until) = fresh_until.filter(|_| fresh_until != self.fresh_until) {
+            let message = BackendMessage::ReadingFresh { until };
+            if self.runs.offer(message).is_ok() {
+                self.fresh_until = fresh_until;
+            }
+        }
+    }
+
     fn feed(&mut self, event: DispatchEvent) {
         let mut commands = VecDeque::from(self.desk.handle(self.clock.now(), event));
+        self.tell_backends();
         while let Some(command) = commands.pop_front() {
             match command {
                 DispatchCommand::StartTask(start) => {
@@ -95,7 +131,8 @@
                 DispatchCommand::StopTask(task) => self.stop(task),
                 DispatchCommand::CloseTask { task, verdict } => self.close(task, verdict),
                 DispatchCommand::Note(notice) => note(&notice),
-                DispatchCommand::TellPeers(_) | DispatchCommand::Propose(_) => {}
+                DispatchCommand::Propose(proposal) => self.propose(proposal),
+                DispatchCommand::TellPeers(_) => {}
             }
         }
     }
@@ -106,14 +143,24 @@
             return false;
         };
         let payload = Arc::clone(&open.payload);
+        let class = match start.permit {
+            Some(PermitKind::Float) => LeaseClass::WhileFresh,
+            Some(PermitKind::Floor) | None => LeaseClass::Always,
+        };
         let run = RunStart {
             start,
-            class: LeaseClass::Always,
+            class,
             payload,
         };
         self.runs.offer(BackendMessage::Start(run)).is_ok()
     }
 
+    /// Passes a proposal on; without room in the ring the gate makes it again.
+    fn propose(&self, proposal: PermitProposal) {
+        let proposal = ControlProposal::Permit(proposal);
+        _ = self.appends.offer(AppendMessage::Propose(proposal));
+    }
+
     /// Passes a stop on; without room in the ring the task runs to its end.
     fn stop(&self, task: TaskId) {
         _ = self.runs.offer(BackendMessage::Stop(task));
--- a/crates/entry/src/instance_duty.rs
+++ b/crates/entry/src/instance_duty.rs
@@ -8,17 +8,21 @@
 use pw_link::prelude::*;
 use pw_ring::prelude::*;
 
+use crate::member_duty::MemberMessage;
 use crate::message::DeskMessage;
 
-/// Reads the list every `poll` and passes it to the desk.
+/// Reads the list every `poll` and passes it on.
 pub async fn run(
     source: Box<dyn InstanceSource + Send>,
     poll: Duration,
     desk: RingSender<DeskMessage>,
+    members: RingSender<MemberMessage>,
 ) {
     loop {
         match source.list().await {
             Ok(list) => {
+                // The next list says the same again.
+                _ = members.offer(MemberMessage::InstancesListed(list.clone()));
                 let event = DispatchEvent::InstancesListed(list);
                 if desk.send(DeskMessage::Event(event)).await.is_err() {
                     return;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,12 +4,14 @@
 //! duty; the other duties turn sockets into events and commands into requests.
 
 pub mod admin_duty;
+pub mod append_duty;
 pub mod backend_duty;
 pub mod caller_duty;
 pub mod daemon;
 pub mod dispatch_duty;
 pub mod instance_duty;
 pub mod log_duty;
+pub mod member_duty;
 pub mod message;
 pub mod node;
 pub mod settings;
--- /dev/null
+++ b/crates/entry/src/member_duty.rs
@@ -0,0 +1,205 @@
+//! The duty that keeps this entry instance a member and watches its peers.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use pw_base::prelude::*;
+use pw_contract::prelude::*;
+use pw_link::prelude::*;
+use pw_log::prelude::*;
+use pw_member::prelude::*;
+use pw_ring::prelude::*;
+use pw_worker::prelude::*;
+
+use crate::append_duty::AppendMessage;
+use crate::message::BackendMessage;
+
+/// Message to the member duty.
+#[derive(Debug)]
+pub enum MemberMessage {
+    /// The platform's log was read.
+    LogRead(LogReading),
+    /// A heartbeat of a peer arrived.
+    PeerHeard(MemberKey),
+    /// The platform's instance list was read.
+    InstancesListed(Vec<InstanceEntry>),
+    /// A worker holds no lease of the retired holder and grants it none.
+    WorkerFenced {
+        /// The retired holder.
+        holder: MemberKey,
+        /// The worker.
+        worker: WorkerId,
+    },
+    /// The entry instance has ended its tasks and wants to leave.
+    TasksEnded {
+        /// Takes a message once the departure has been folded.
+        departed: RingSender<()>,
+    },
+}
+
+/// What the duty decides with, and the rings to the other duties.
+pub struct MemberLinks {
+    /// The clock.
+    pub clock: Arc<dyn ClockSource>,
+    /// Keeps the membership.
+    pub desk: MemberDesk,
+    /// Frees the floor permits of retired members.
+    pub reclaim: ReclaimDesk,
+    /// Ring to the append duty.
+    pub appends: RingSender<AppendMessage>,
+    /// Ring to the backends duty.
+    pub backends: RingSender<BackendMessage>,
+    /// Ring to this duty, for answers of the backends duty.
+    pub own: RingSender<MemberMessage>,
+}
+
+struct MemberShell {
+    links: MemberLinks,
+    fold: FleetFold,
+    backends: BTreeMap<WorkerId, BackendAddress>,
+    departed: Option<RingSender<()>>,
+}
+
+/// Feeds the desks with messages and carries out their commands until all senders are gone.
+pub async fn run(links: MemberLinks, messages: RingReceiver<MemberMessage>) {
+    let mut shell = MemberShell {
+        links,
+        fold: FleetFold::default(),
+        backends: BTreeMap::new(),
+        departed: None,
+    };
+    let first = AppendMessage::ActAs(shell.links.desk.key().clone());
+    if shell.links.appends.send(first).await.is_err() {
+        return;
+    }
+    while let Ok(message) = messages.recv_until(Some(shell.next_deadline())).await {
+        shell.take(message).await;
+    }
+}
+
+impl MemberShell {
+    fn next_deadline(&self) -> Instant {
+        let member = self.links.desk.next_deadline();
+        let reclaim = self.links.reclaim.next_deadline();
+        reclaim.map_or(member, |reclaim| reclaim.min(member))
+    }
+
+    async fn take(&mut self, message: Option<MemberMessage>) {
+        let now = self.links.clock.now();
+        match message {
+            Some(MemberMessage::LogRead(reading)) => self.read_log(now, &reading).await,
+            Some(MemberMessage::PeerHeard(peer)) => {
+                let commands = self.links.desk.handle(now, MemberEvent::PeerHeard(&peer));
+                self.carry_out(commands).await;
+            }
+            Some(MemberMessage::InstancesListed(list)) => self.list_instances(list),
+            Some(MemberMessage::WorkerFenced { holder, worker }) => {
+                let event = ReclaimEvent::WorkerFenced {
+                    holder: &holder,
+                    worker: &worker,
+                };
+                let commands = self.links.reclaim.handle(now, event);
+                self.carry_out_reclaim(commands);
+            }
+            Some(MemberMessage::TasksEnded { departed }) => {
+                self.departed = Some(departed);
+                let commands = self.links.desk.handle(now, MemberEvent::TasksEnded);
+                self.carry_out(commands).await;
+            }
+            None => {
+                let commands = self.links.desk.handle(now, MemberEvent::TimePassed);
+                self.carry_out(commands).await;
+                let commands = self.links.reclaim.handle(now, ReclaimEvent::TimePassed);
+                self.carry_out_reclaim(commands);
+            }
+        }
+    }
+
+    async fn read_log(&mut self, now: Instant, reading: &LogReading) {
+        for (offset, outcome) in self.fold.read(reading) {
+            if let FoldOutcome::Rejected(reason) = outcome {
+                let event = EventCode::RecordRejected;
+                tracing::info!(event = event.number(), offset, %reason, "record rejected");
+            }
+        }
+        if self.fold.freshness(reading).is_none() {
+            return;
+        }
+        let (permits, members) = (self.fold.permits(), self.fold.members());
+        let count = AppendMessage::MembersCounted(members.len());
+        let next_offset = self.fold.state().next_offset;
+        let event = MemberEvent::LogRead {
+            members,
+            next_offset,
+        };
+        let commands = self.links.desk.handle(now, event);
+        let event = ReclaimEvent::LogRead { permits, members };
+        let reclaim = self.links.reclaim.handle(now, event);
+        // The next reading brings the count again.
+        _ = self.links.appends.offer(count);
+        self.carry_out(commands).await;
+        self.carry_out_reclaim(reclaim);
+    }
+
+    fn list_instances(&mut self, list: Vec<InstanceEntry>) {
+        let backend = |instance: InstanceEntry| BackendAddress {
+            worker: instance.worker,
+            address: instance.address,
+        };
+        self.backends = list
+            .into_iter()
+            .map(backend)
+            .map(|backend| (Arc::clone(&backend.worker), backend))
+            .collect();
+    }
+
+    async fn carry_out(&mut self, commands: Vec<MemberCommand>) {
+        for command in commands {
+            match command {
+                MemberCommand::ActAs(key) => {
+                    let event = EventCode::MemberRetired;
+                    tracing::warn!(event = event.number(), member = %key, "rejoining");
+                    // Without the append duty the node is stopping.
+                    _ = self.links.appends.send(AppendMessage::ActAs(key)).await;
+                }
+                MemberCommand::Propose(proposal) => {
+                    // A refused proposal is made again after the desk's retry time.
+                    let proposal = ControlProposal::Member(proposal);
+                    _ = self.links.appends.offer(AppendMessage::Propose(proposal));
+                }
+                MemberCommand::Departed => {
+                    if let Some(departed) = self.departed.take() {
+                        // Whoever no longer waits needs no answer.
+                        _ = departed.offer(());
+                    }
+                }
+                MemberCommand::SendHeartbeat(_) => {}
+            }
+        }
+    }
+
+    fn carry_out_reclaim(&mut self, commands: Vec<ReclaimCommand>) {
+        for command in commands {
+            match command {
+                ReclaimCommand::Propose(proposal) => {
+                    let proposal = ControlProposal::Permit(proposal);
+                    // A refused proposal is made again after the desk's retry time.
+                    _ = self.links.appends.offer(AppendMessage::Propose(proposal));
+                }
+                ReclaimCommand::FenceHolder { holder, worker } => {
+                    if let Some(backend) = self.backends.get(&worker).cloned() {
+                        let reply = self.links.own.clone();
+                        let message = BackendMessage::FenceHolder {
+                            backend,
+                            holder,
+                            reply,
+                        };
+                        // A refused request is made again after the desk's retry time.
+                        _ = self.links.backends.offer(message);
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -6,9 +6,12 @@
 use pw_base::prelude::*;
 use pw_dispatch::prelude::*;
 use pw_link::prelude::*;
+use pw_member::prelude::*;
 use pw_ring::prelude::*;
 use serde::Serialize;
 
+use crate::member_duty::MemberMessage;
+
 /// Message to the dispatch duty.
 #[derive(Debug)]
 pub enum DeskMessage {
@@ -48,6 +51,15 @@
     },
     /// Take leases under another name from now on.
     HolderChanged(HolderId),
+    /// Ask a worker to fence a retired holder; only a worker that has done so is reported.
+    FenceHolder {
+        /// Backend server of the worker.
+        backend: BackendAddress,
+        /// The retired holder.
+        holder: MemberKey,
+        /// Takes the report.
+        reply: RingSender<MemberMessage>,
+    },
 }
 
 /// How a run ended, with the whole answer when there is one.
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -3,25 +3,34 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use pw_base::prelude::*;
 use pw_contract::prelude::*;
 use pw_dispatch::prelude::*;
 use pw_link::prelude::*;
 use pw_log::prelude::*;
+use pw_member::prelude::*;
 use pw_ring::prelude::*;
+use pw_worker::prelude::*;
 
 use crate::backend_duty::BackendLinks;
+use crate::member_duty::MemberLinks;
 use crate::settings::EntrySettings;
-use crate::{admin_duty, backend_duty, caller_duty, dispatch_duty, instance_duty, log_duty};
+use crate::{
+    admin_duty, append_duty, backend_duty, caller_duty, dispatch_duty, instance_duty, log_duty,
+    member_duty,
+};
 
-/// Entry instances among which the upper limits are split.
-const SPLIT_ENTRIES: u32 = 9;
+/// Time between two tries to free the floor permits of a retired member.
+const RECLAIM_RETRY: Duration = Duration::from_secs(2);
 
 /// Outside systems of an entry instance; tests put small fakes in their place.
 pub struct NodeLinks {
-    /// The platform's log.
+    /// The platform's log, for reading.
     pub log: Box<dyn LogStore + Send>,
+    /// The platform's log, for appending.
+    pub appends: Box<dyn LogStore + Send>,
     /// The platform's instance list.
     pub instances: Box<dyn InstanceSource + Send>,
     /// The backend servers.
@@ -44,6 +53,7 @@
         let pool = HttpPool::new(PoolBounds::default(), Arc::clone(&clock));
         Self {
             log: Box::new(HttpLog::new(settings.log)),
+            appends: Box::new(HttpLog::new(settings.log)),
             instances: Box::new(HttpInstances::new(settings.instances)),
             backends: Box::new(HttpBackend::new(pool)),
             clock,
@@ -66,6 +76,7 @@
         let (run_sender, run_receiver) = ring("runs", settings.ring_capacity);
         let NodeLinks {
             log,
+            appends,
             instances,
             backends,
             clock,
@@ -75,16 +86,28 @@
             home: settings.zone.clone(),
             ..DeskSettings::default()
         };
-        let gate = EvenSplit::new(SPLIT_ENTRIES);
+        let key = MemberKey {
+            entry: Arc::clone(&settings.entry),
+            process: uuid::Uuid::new_v4().as_u128(),
+            incarnation: 1,
+        };
+        let gate = PermitHolder::new(HolderSettings {
+            process: key.process,
+            zone: Arc::clone(&settings.zone),
+            ..HolderSettings::default()
+        });
         let desk = DispatchDesk::new(desk_settings, Box::new(gate));
+        let (append_sender, append_receiver) = ring("appends", settings.ring_capacity);
+        let (member_sender, member_receiver) = ring("members", settings.ring_capacity);
+        let (runs, proposals) = (run_sender.clone(), append_sender.clone());
         let dispatch_clock = Arc::clone(&clock);
         DutyThread::spawn("dispatch", move |_| {
-            dispatch_duty::run(desk, dispatch_clock, desk_receiver, run_sender)
+            dispatch_duty::run(desk, dispatch_clock, desk_receiver, runs, proposals)
         })?;
         let backend_links = BackendLinks {
             gateway: backends,
             clock: Arc::clone(&clock),
-            holder: Arc::clone(&settings.entry),
+            holder: key.to_string().into(),
             desk: desk_sender.clone(),
         };
         DutyThread::spawn("backends", move |spawner| {
@@ -92,11 +115,33 @@
         })?;
         let sender = desk_sender.clone();
         let log_clock = Arc::clone(&clock);
-        DutyThread::spawn("log", move |_| log_duty::run(log, log_clock, sender))?;
+        let members = member_sender.clone();
+        DutyThread::spawn("log", move |_| {
+            log_duty::run(log, log_clock, sender, members)
+        })?;
+        let append_clock = Arc::clone(&clock);
+        let batcher = AppendBatcher::new(AppendSettings {
+            seed: key.process as u64,
+            ..AppendSettings::default()
+        });
+        DutyThread::spawn("appends", move |_| {
+            append_duty::run(appends, append_clock, batcher, append_receiver)
+        })?;
+        let member_links = MemberLinks {
+            clock: Arc::clone(&clock),
+            reclaim: ReclaimDesk::new(key.process, RECLAIM_RETRY),
+            desk: member_desk(clock.now(), key, settings, admin),
+            appends: append_sender,
+            backends: run_sender,
+            own: member_sender.clone(),
+        };
+        DutyThread::spawn("members", move |_| {
+            member_duty::run(member_links, member_receiver)
+        })?;
         let sender = desk_sender.clone();
         let poll = settings.instance_poll;
         DutyThread::spawn("instances", move |_| {
-            instance_duty::run(instances, poll, sender)
+            instance_duty::run(instances, poll, sender, member_sender)
         })?;
         let sender = desk_sender.clone();
         DutyThread::spawn("admin", move |spawner| {
@@ -119,3 +164,21 @@
         self.admin
     }
 }
+
+fn member_desk(
+    now: Instant,
+    key: MemberKey,
+    settings: &EntrySettings,
+    address: SocketAddr,
+) -> MemberDesk {
+    let spec = MemberSpec {
+        zone: Arc::clone(&settings.zone),
+        address,
+        format: FORMAT_VERSION,
+    };
+    let settings = MemberSettings {
+        hold_down: hold_down(WORKER_LEASE_TTL),
+        ..MemberSettings::default()
+    };
+    MemberDesk::new(now, settings, key, spec)
+}
--- a/crates/entry/tests/backend_duty.rs
+++ b/crates/entry/tests/backend_duty.rs
@@ -103,6 +103,7 @@
             worker: "cutting-01".into(),
             address: address(),
             run_timeout: WORKER_LEASE_TTL,
+            permit: None,
         },
         class: LeaseClass::Always,
         payload: Arc::from(b"".as_slice()),
--- a/crates/link/tests/backend_http.rs
+++ b/crates/link/tests/backend_http.rs
@@ -76,6 +76,7 @@
         worker: "cutting-01".into(),
         address,
         run_timeout: RUN_TIMEOUT,
+        permit: None,
     };
     let payload = Arc::from(b"{}".as_slice());
     let grant = LeaseGrant {
--- a/crates/log/tests/limits/main.rs
+++ b/crates/log/tests/limits/main.rs
@@ -73,7 +73,7 @@
 #[test]
 fn permits_of_a_vanished_holder_come_back() {
     let mut world = settled();
-    let gone = world.entries[0].holder.key().cloned().expect("a member");
+    let gone = world.entries[0].holder.member().cloned().expect("a member");
     let grant = world.judge.permits().grant(&team(), &gone);
     assert!(grant.floor > 0 && grant.float > 0, "{grant:?}");
     disturb(&mut world, 0, Fault::Pause, Duration::from_secs(3600));
@@ -94,7 +94,7 @@
 #[test]
 fn floor_permits_stay_while_a_worker_has_a_lease_of_the_vanished_holder() {
     let mut world = settled();
-    let gone = world.entries[0].holder.key().cloned().expect("a member");
+    let gone = world.entries[0].holder.member().cloned().expect("a member");
     // The holder is cut off from the log only: it goes on with its floor permits.
     disturb(&mut world, 0, Fault::CutFromLog, Duration::from_secs(3600));
     world.run(Duration::from_secs(60), &[]);
@@ -109,7 +109,7 @@
 #[test]
 fn graceful_leave_gives_all_permits_back() {
     let mut world = settled();
-    let leaver = world.entries[0].holder.key().cloned().expect("a member");
+    let leaver = world.entries[0].holder.member().cloned().expect("a member");
     disturb(&mut world, 0, Fault::Leave, Duration::ZERO);
     let time = world.run_until(Duration::from_secs(30), |world| world.entries[0].is_gone);
     println!("left after {time:?}, the longest task included");
--- a/crates/log/tests/limits/world.rs
+++ b/crates/log/tests/limits/world.rs
@@ -501,7 +501,7 @@
 
     /// Asks for leases by what is known at the time of the decision; the request may be late.
     fn ask_for_leases(&mut self, index: usize) {
-        let Some(key) = self.entries[index].holder.key().cloned() else {
+        let Some(key) = self.entries[index].holder.member().cloned() else {
             return;
         };
         for worker in 0..self.workers.len() {
@@ -557,7 +557,7 @@
             let Some(permit) = entry.holder.take(now, &team(), &zone) else {
                 continue;
             };
-            let holder = entry.holder.key().cloned().expect("a member");
+            let holder = entry.holder.member().cloned().expect("a member");
             let name = (worker, (holder.clone(), permit.kind));
             let grant = entry.grants.get(&name).filter(|(_, until)| now < *until);
             let Some((lease, _)) = grant.copied() else {
