Propose changes of the fleet as deltas

Change: `FleetProposal::between` carries only what differs from the base revision, and the whole fleet where a delta can't tell it. `apply` uses it.

The tests of the fold cover racing operators, repeats, records of newer formats, gaps and readings that were cut short.

--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -100,15 +100,18 @@
     spec: FleetSpec,
     diff: &FleetDiff,
 ) -> anyhow::Result<ApplyReport> {
-    let base = base.unwrap_or(follower.state().revision);
+    let current = follower.state().revision;
+    let base = base.unwrap_or(current);
+    let spec = Arc::new(spec);
+    let proposal = match follower.spec() {
+        Some(before) if base == current => FleetProposal::between(base, before, spec),
+        _ => FleetProposal::whole(base, spec),
+    };
     let record = LogRecord {
         id: uuid::Uuid::new_v4().as_u128(),
         author: operator.to_owned(),
         written: SystemTime::now(),
-        body: RecordBody::Fleet(FleetProposal {
-            base,
-            spec: Arc::new(spec),
-        }),
+        body: RecordBody::Fleet(proposal),
     };
     let outcome = append_and_follow(follower, &record).await?;
     let reason = match outcome {
--- /dev/null
+++ b/crates/log/src/delta.rs
@@ -0,0 +1,111 @@
+//! The difference between two fleets as a record carries it.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use pw_base::prelude::*;
+use pw_fleet::prelude::*;
+use pw_pool::prelude::*;
+use pw_team::prelude::*;
+use pw_worker::prelude::*;
+use pw_zone::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// What changes between two revisions of the same fleet.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetDelta {
+    /// Name of the fleet.
+    pub fleet: FleetId,
+    /// Changed availability zones.
+    pub zones: ListDelta<ZoneSpec>,
+    /// Changed workers.
+    pub workers: ListDelta<WorkerSpec>,
+    /// Changed pools.
+    pub pools: ListDelta<PoolSpec>,
+    /// Changed teams.
+    pub teams: ListDelta<TeamSpec>,
+    /// Changed queues.
+    pub queues: ListDelta<QueueSpec>,
+}
+
+/// What changes in one list of declared things.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListDelta<T> {
+    /// Names of things that are no longer declared.
+    pub removed: Vec<Arc<str>>,
+    /// Things that are new, at the end of the list, or that replace the one of their name.
+    pub put: Vec<T>,
+}
+
+/// A declared thing with a name of its own.
+pub trait NamedSpec: Clone + PartialEq {
+    /// Returns the name.
+    fn name(&self) -> &Arc<str>;
+}
+
+macro_rules! named_specs {
+    ($($spec:ty),*) => {
+        $(impl NamedSpec for $spec {
+            fn name(&self) -> &Arc<str> {
+                &self.id
+            }
+        })*
+    };
+}
+
+named_specs!(ZoneSpec, WorkerSpec, PoolSpec, TeamSpec, QueueSpec);
+
+impl FleetDelta {
+    /// Returns what leads from `before` to `after`.
+    ///
+    /// `None` when that can't be told as a delta, such as another order within a list.
+    pub fn between(before: &FleetSpec, after: &FleetSpec) -> Option<Self> {
+        let delta = Self {
+            fleet: after.fleet.clone(),
+            zones: ListDelta::between(&before.zones, &after.zones),
+            workers: ListDelta::between(&before.workers, &after.workers),
+            pools: ListDelta::between(&before.pools, &after.pools),
+            teams: ListDelta::between(&before.teams, &after.teams),
+            queues: ListDelta::between(&before.queues, &after.queues),
+        };
+        let is_exact = before.fleet == after.fleet && delta.apply(before) == *after;
+        is_exact.then_some(delta)
+    }
+
+    /// Returns the fleet after the change of `before`.
+    pub fn apply(&self, before: &FleetSpec) -> FleetSpec {
+        FleetSpec {
+            fleet: self.fleet.clone(),
+            zones: self.zones.apply(&before.zones),
+            workers: self.workers.apply(&before.workers),
+            pools: self.pools.apply(&before.pools),
+            teams: self.teams.apply(&before.teams),
+            queues: self.queues.apply(&before.queues),
+        }
+    }
+}
+
+impl<T: NamedSpec> ListDelta<T> {
+    fn between(before: &[T], after: &[T]) -> Self {
+        let known: IndexMap<&Arc<str>, &T> =
+            before.iter().map(|item| (item.name(), item)).collect();
+        let kept: BTreeSet<&Arc<str>> = after.iter().map(NamedSpec::name).collect();
+        let removed = known.keys().filter(|name| !kept.contains(**name));
+        let is_new = |item: &&T| known.get(item.name()) != Some(item);
+        Self {
+            removed: removed.map(|name| Arc::clone(name)).collect(),
+            put: after.iter().filter(is_new).cloned().collect(),
+        }
+    }
+
+    fn apply(&self, before: &[T]) -> Vec<T> {
+        let removed: BTreeSet<&Arc<str>> = self.removed.iter().collect();
+        let kept = before.iter().filter(|item| !removed.contains(item.name()));
+        let mut items: IndexMap<&Arc<str>, &T> = kept.map(|item| (item.name(), item)).collect();
+        for item in &self.put {
+            items.insert(item.name(), item);
+        }
+        items.into_values().cloned().collect()
+    }
+}
--- a/crates/log/src/fold.rs
+++ b/crates/log/src/fold.rs
@@ -183,19 +183,22 @@
         if proposal.base != self.state.revision {
             return FoldOutcome::Rejected(RejectReason::StaleRevision);
         }
-        let other_fleet = |spec: &Arc<FleetSpec>| spec.fleet != proposal.spec.fleet;
+        let other_fleet = |spec: &Arc<FleetSpec>| spec.fleet != *proposal.fleet();
         if self.state.spec.as_ref().is_some_and(other_fleet) {
             return FoldOutcome::Rejected(RejectReason::OtherFleet);
         }
+        let Some(spec) = proposal.resolve(self.state.spec.as_deref()) else {
+            return FoldOutcome::Rejected(RejectReason::StaleRevision);
+        };
         self.state.revision += 1;
-        self.state.spec = Some(Arc::clone(&proposal.spec));
+        self.state.spec = Some(Arc::clone(&spec));
         let fleet = DeclaredFleet {
-            zones: &proposal.spec.zones,
-            workers: &proposal.spec.workers,
-            pools: &proposal.spec.pools,
+            zones: &spec.zones,
+            workers: &spec.workers,
+            pools: &spec.pools,
         };
         self.pools.apply_fleet(offset, fleet);
-        let table = limit_table(&proposal.spec);
+        let table = limit_table(&spec);
         self.permits.set_table(offset, table, &self.members);
         FoldOutcome::Accepted
     }
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod append;
 pub mod codec;
+pub mod delta;
 pub mod fold;
 pub mod reading;
 pub mod record;
@@ -16,8 +17,11 @@
         AppendBatcher, AppendCommand, AppendEvent, AppendSettings, FLEET_APPENDS_PER_SECOND,
     };
     pub use crate::codec::{CodecError, FORMAT_VERSION, decode_record, encode_record};
+    pub use crate::delta::{FleetDelta, ListDelta, NamedSpec};
     pub use crate::fold::{FleetFold, FleetState, FoldOutcome, RejectReason};
     pub use crate::reading::{LogItem, LogReading, MalformedRecord};
-    pub use crate::record::{ControlBatch, ControlProposal, FleetProposal, LogRecord, RecordBody};
+    pub use crate::record::{
+        ControlBatch, ControlProposal, FleetProposal, FleetUpdate, LogRecord, RecordBody,
+    };
     pub use crate::store::{LogBatch, LogEntry, LogError, LogStore};
 }
--- a/crates/log/src/record.rs
+++ b/crates/log/src/record.rs
@@ -11,6 +11,8 @@
 use serde::{Deserialize, Serialize};
 use strum::Display;
 
+use crate::delta::FleetDelta;
+
 /// One record of the log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LogRecord {
@@ -64,6 +66,49 @@
 pub struct FleetProposal {
     /// Revision that the change was made from.
     pub base: FleetRevision,
+    /// The change.
+    pub update: FleetUpdate,
+}
+
+/// Change of the declared fleet.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FleetUpdate {
     /// The whole fleet after the change.
-    pub spec: Arc<FleetSpec>,
+    Whole(Arc<FleetSpec>),
+    /// What differs from the fleet at the base revision.
+    Delta(Box<FleetDelta>),
+}
+
+impl FleetProposal {
+    /// Proposes the whole fleet `spec` in place of the revision `base`.
+    pub fn whole(base: FleetRevision, spec: Arc<FleetSpec>) -> Self {
+        let update = FleetUpdate::Whole(spec);
+        Self { base, update }
+    }
+
+    /// Proposes `after` in place of `before`, the fleet at the revision `base`, as a delta where
+    /// that is possible.
+    pub fn between(base: FleetRevision, before: &FleetSpec, after: Arc<FleetSpec>) -> Self {
+        let update = match FleetDelta::between(before, &after) {
+            Some(delta) => FleetUpdate::Delta(Box::new(delta)),
+            None => FleetUpdate::Whole(after),
+        };
+        Self { base, update }
+    }
+
+    /// Returns the name of the fleet.
+    pub fn fleet(&self) -> &FleetId {
+        match &self.update {
+            FleetUpdate::Whole(spec) => &spec.fleet,
+            FleetUpdate::Delta(delta) => &delta.fleet,
+        }
+    }
+
+    /// Returns the fleet after the change; `None` for a delta without a fleet before it.
+    pub fn resolve(&self, before: Option<&FleetSpec>) -> Option<Arc<FleetSpec>> {
+        match &self.update {
+            FleetUpdate::Whole(spec) => Some(Arc::clone(spec)),
+            FleetUpdate::Delta(delta) => Some(Arc::new(delta.apply(before?))),
+        }
+    }
 }
--- /dev/null
+++ b/crates/log/tests/fold.rs
@@ -0,0 +1,181 @@
+//! Races, repeats, deltas and records that a build can't read.
+
+use std::sync::Arc;
+use std::time::{Instant, SystemTime};
+
+use pw_base::prelude::*;
+use pw_fleet::prelude::*;
+use pw_log::prelude::*;
+use pw_member::prelude::*;
+
+const SHIPPED_FILE: &str = include_str!("../../../examples/guild.toml");
+
+fn shipped() -> FleetSpec {
+    check_fleet("guild.toml", SHIPPED_FILE).expect("shipped file")
+}
+
+fn record(id: RecordId, body: RecordBody) -> LogRecord {
+    LogRecord {
+        id,
+        author: "ane".to_owned(),
+        written: SystemTime::UNIX_EPOCH,
+        body,
+    }
+}
+
+fn apply(fold: &mut FleetFold, id: RecordId, proposal: FleetProposal) -> FoldOutcome {
+    let offset = fold.state().next_offset;
+    fold.advance(offset, &record(id, RecordBody::Fleet(proposal)))
+}
+
+fn join(format: u8) -> RecordBody {
+    let author = MemberKey {
+        entry: "entry-1".into(),
+        process: 1,
+        incarnation: 1,
+    };
+    let spec = MemberSpec {
+        zone: "a".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        format,
+    };
+    RecordBody::Control(ControlBatch {
+        author,
+        sequence: 1,
+        proposals: vec![ControlProposal::Member(MemberProposal::Join {
+            spec,
+            seen: 0,
+        })],
+    })
+}
+
+#[test]
+fn delta_leads_to_the_same_fleet_in_fewer_bytes() {
+    let before = shipped();
+    let mut after = before.clone();
+    after.teams[1].limit += 1;
+    after.teams[0].keys.clear();
+    after.workers.remove(3);
+    after.zones[2].region = "elsewhere".to_owned();
+    after.queues.push(pw_pool::prelude::QueueSpec {
+        id: "new".into(),
+        ..before.queues[0].clone()
+    });
+    let mut reordered = before.clone();
+    reordered.zones.reverse();
+    for (name, after) in [
+        ("changed", after),
+        ("reordered", reordered),
+        ("same", before.clone()),
+    ] {
+        let mut fold = FleetFold::default();
+        apply(
+            &mut fold,
+            1,
+            FleetProposal::whole(0, Arc::new(before.clone())),
+        );
+        let proposal = FleetProposal::between(1, &before, Arc::new(after.clone()));
+        let whole = FleetProposal::whole(1, Arc::new(after.clone()));
+        let bytes = |proposal| {
+            encode_record(&record(2, RecordBody::Fleet(proposal)))
+                .expect("small")
+                .len()
+        };
+        println!(
+            "{name}: {} bytes as proposed, {} as a whole",
+            bytes(proposal.clone()),
+            bytes(whole)
+        );
+        assert_eq!(apply(&mut fold, 2, proposal), FoldOutcome::Accepted);
+        assert_eq!(fold.state().spec.as_deref(), Some(&after), "{name}");
+    }
+}
+
+#[test]
+fn operators_race_and_repeat() {
+    let first = FleetProposal::whole(0, Arc::new(shipped()));
+    let stale = FoldOutcome::Rejected(RejectReason::StaleRevision);
+    let mut other = shipped();
+    other.fleet = "other".into();
+    let mut fold = FleetFold::default();
+    let steps = [
+        (1, first.clone(), FoldOutcome::Accepted),
+        (2, first.clone(), stale),
+        (1, first.clone(), FoldOutcome::Repeated),
+        (2, first, FoldOutcome::Repeated),
+        (
+            3,
+            FleetProposal::whole(1, Arc::new(other)),
+            FoldOutcome::Rejected(RejectReason::OtherFleet),
+        ),
+    ];
+    for (id, proposal, outcome) in steps {
+        assert_eq!(apply(&mut fold, id, proposal), outcome, "record {id}");
+    }
+    assert_eq!(fold.state().revision, 1);
+}
+
+/// A reading of these items from `from` on, all that the log holds.
+fn reading(from: LogOffset, items: Vec<LogItem>) -> LogReading {
+    let next_offset = from + items.len() as LogOffset;
+    LogReading {
+        asked: Some(Instant::now()),
+        from,
+        items: (from..).zip(items).collect(),
+        next_offset,
+        end: next_offset,
+    }
+}
+
+#[test]
+fn unread_record_counts_only_when_its_format_was_announced() {
+    let fleet = |base| {
+        let body = RecordBody::Fleet(FleetProposal::whole(base, Arc::new(shipped())));
+        LogItem::Record(Arc::new(record(RecordId::from(base) + 10, body)))
+    };
+    let newer = FORMAT_VERSION + 1;
+    let unread = LogItem::Unread { version: newer };
+    let announce = LogItem::Record(Arc::new(record(1, join(newer))));
+
+    let mut fold = FleetFold::default();
+    let stray = reading(0, vec![fleet(0), unread.clone(), fleet(1)]);
+    fold.read(&stray);
+    assert_eq!((fold.state().revision, fold.unread()), (2, None));
+    assert!(fold.freshness(&stray).is_some());
+
+    let announced = reading(3, vec![announce, unread, fleet(2)]);
+    fold.read(&announced);
+    assert_eq!((fold.state().revision, fold.unread()), (2, Some(4)));
+    assert_eq!(fold.freshness(&announced), None, "nothing is granted");
+}
+
+#[test]
+fn readings_may_be_repeated_late_or_cut_short() {
+    let fleet = |base| {
+        let body = RecordBody::Fleet(FleetProposal::whole(base, Arc::new(shipped())));
+        LogItem::Record(Arc::new(record(RecordId::from(base), body)))
+    };
+    let mut fold = FleetFold::default();
+    let second = reading(1, vec![fleet(1)]);
+    assert!(fold.read(&second).is_empty(), "a gap");
+    assert_eq!(fold.state().next_offset, 0);
+    let first = reading(0, vec![fleet(0)]);
+    fold.read(&first);
+    fold.read(&first);
+    assert_eq!(fold.state().revision, 1);
+    let overlapping = reading(0, vec![fleet(0), fleet(1)]);
+    assert_eq!(fold.read(&overlapping).len(), 1);
+    assert_eq!(fold.state().revision, 2);
+
+    let cut_short = LogReading {
+        end: 10,
+        ..reading(2, vec![fleet(2)])
+    };
+    fold.read(&cut_short);
+    assert_eq!(fold.freshness(&cut_short), None, "more lies beyond");
+    let relayed = LogReading {
+        asked: None,
+        ..reading(3, Vec::new())
+    };
+    assert_eq!(fold.freshness(&relayed), None, "a peer proves nothing");
+}
