--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -42,6 +42,9 @@
     /// A log record of a newer format stopped the fold; the entry instance is to be replaced.
     #[strum(message = "A log record of a newer format stopped the fold.")]
     RecordUnread = 208,
+    /// An entry instance starts from a snapshot in the log.
+    #[strum(message = "An entry instance starts from a snapshot in the log.")]
+    SnapshotTaken = 209,
     /// Peers retired this entry instance; it rejoins with a new incarnation.
     #[strum(message = "Peers retired this entry instance; it rejoins.")]
     MemberRetired = 210,
--- a/crates/cli/src/audit.rs
+++ b/crates/cli/src/audit.rs
@@ -167,11 +167,12 @@
             .map(|step| format!("{} {}", step.change, step.worker))
             .collect(),
         ControlProposal::Pool(proposal) => vec![proposal.to_string()],
+        ControlProposal::Snapshot(proposal) => vec![format!("snapshot {proposal}")],
     }
 }
 
 fn hold_words(hold: &PermitHold) -> String {
-    let kept = hold.keep_floor + hold.keep_float;
+    let kept = hold.keep_floor.saturating_add(hold.keep_float);
     format!(
         "keep {kept} and want {} permits of {}",
         hold.want, hold.team
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -152,6 +152,7 @@
         self.offset += 1;
         self.feed(DispatchEvent::LogRead(LogReading {
             asked: Some(self.now),
+            image: None,
             from: offset,
             items: vec![(offset, LogItem::Record(Arc::new(record)))],
             next_offset: offset + 1,
--- a/crates/entry/src/log_duty.rs
+++ b/crates/entry/src/log_duty.rs
@@ -17,6 +17,18 @@
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
+struct LogShell {
+    store: Box<dyn LogStore + Send>,
+    clock: Arc<dyn ClockSource>,
+    desk: RingSender<DeskMessage>,
+    members: RingSender<MemberMessage>,
+    next_offset: LogOffset,
+    /// Looks for a snapshot, after the log has forgotten the next record.
+    seeker: Option<SnapshotSeeker>,
+    /// When the last read that reached the end of the log was sent.
+    fresh: Instant,
+}
+
 /// Passes what the log says on to the desks, with the time at which each read was sent.
 pub async fn run(
     store: Box<dyn LogStore + Send>,
@@ -24,34 +36,88 @@
     desk: RingSender<DeskMessage>,
     members: RingSender<MemberMessage>,
 ) {
-    let mut next_offset = 0;
-    let mut fresh = clock.now();
-    loop {
-        let asked = clock.now();
-        let age = metrics::gauge!("pw_log_reading_age_seconds");
-        match store.read(next_offset, READ_WAIT).await {
+    let mut shell = LogShell {
+        fresh: clock.now(),
+        store,
+        clock,
+        desk,
+        members,
+        next_offset: 0,
+        seeker: None,
+    };
+    while shell.read().await.is_ok() {
+        let age = shell.clock.now().duration_since(shell.fresh);
+        metrics::gauge!("pw_log_reading_age_seconds").set(age.as_secs_f64());
+    }
+}
+
+impl LogShell {
+    /// Reads once and passes the reading on; fails when the node is stopping.
+    async fn read(&mut self) -> Result<(), RingClosed> {
+        let asked = self.clock.now();
+        match self.store.read(self.next_offset, READ_WAIT).await {
             Ok(batch) => {
-                let reading = decode_batch(asked, next_offset, &batch);
-                next_offset = reading.next_offset;
-                fresh = reading.proves_fresh().unwrap_or(fresh);
-                let event = DispatchEvent::LogRead(reading.clone());
-                let is_stopping = desk.send(DeskMessage::Event(event)).await.is_err();
-                let message = MemberMessage::LogRead(reading);
-                if is_stopping || members.send(message).await.is_err() {
-                    return;
+                let reading = decode_batch(asked, self.next_offset, &batch);
+                self.next_offset = reading.next_offset;
+                match &mut self.seeker {
+                    None => self.pass(reading).await,
+                    Some(seeker) => match find_image(seeker, &reading) {
+                        Some(image) => self.restart(image).await,
+                        None => Ok(()),
+                    },
                 }
             }
+            Err(LogError::Expired { first }) => {
+                let event = EventCode::LogExpired;
+                let next_offset = self.next_offset;
+                tracing::warn!(
+                    event = event.number(),
+                    next_offset,
+                    first,
+                    "seeking a snapshot"
+                );
+                self.next_offset = first;
+                self.seeker = Some(SnapshotSeeker::default());
+                Timer::after(RETRY_PAUSE).await;
+                Ok(())
+            }
             Err(error) => {
-                let event = match error {
-                    LogError::Expired { .. } => EventCode::LogExpired,
-                    _ => EventCode::LogUnreachable,
-                };
-                tracing::warn!(event = event.number(), %error, "log can't be read");
+                let event = EventCode::LogUnreachable;
+                tracing::warn!(event = event.number(), %error, "log unreachable");
                 Timer::after(RETRY_PAUSE).await;
+                Ok(())
             }
         }
-        age.set(clock.now().duration_since(fresh).as_secs_f64());
     }
+
+    /// Starts every fold from `image` and goes on with the records after it.
+    async fn restart(&mut self, image: Arc<FoldImage>) -> Result<(), RingClosed> {
+        let event = EventCode::SnapshotTaken;
+        let next_offset = image.next_offset();
+        tracing::info!(
+            event = event.number(),
+            next_offset,
+            "starting from a snapshot"
+        );
+        self.seeker = None;
+        self.next_offset = next_offset;
+        self.pass(LogReading::restart(image)).await
+    }
+
+    async fn pass(&mut self, reading: LogReading) -> Result<(), RingClosed> {
+        self.fresh = reading.proves_fresh().unwrap_or(self.fresh);
+        let event = DispatchEvent::LogRead(reading.clone());
+        self.desk.send(DeskMessage::Event(event)).await?;
+        self.members.send(MemberMessage::LogRead(reading)).await
+    }
+}
+
+fn find_image(seeker: &mut SnapshotSeeker, reading: &LogReading) -> Option<Arc<FoldImage>> {
+    let items = reading.items.iter();
+    // The newest image leaves the least to read.
+    items
+        .filter_map(|(offset, item)| seeker.look(*offset, item))
+        .last()
 }
 
 fn decode_batch(asked: Instant, from: LogOffset, batch: &LogBatch) -> LogReading {
--- a/crates/entry/src/member_duty.rs
+++ b/crates/entry/src/member_duty.rs
@@ -46,6 +46,8 @@
     pub desk: MemberDesk,
     /// Frees the floor permits of retired members.
     pub reclaim: ReclaimDesk,
+    /// Publishes snapshots of the fold.
+    pub snapshots: SnapshotDesk,
     /// Ring to the append duty.
     pub appends: RingSender<AppendMessage>,
     /// Ring to the backends duty.
@@ -138,6 +140,18 @@
         let reclaim = self.links.reclaim.handle(now, event);
         // The next reading brings the count again.
         _ = self.links.appends.offer(count);
+        let snapshot = self.links.snapshots.read_log(
+            now,
+            self.links.desk.key(),
+            members,
+            self.fold.snapshots(),
+            self.fold.checkpoint(),
+        );
+        if let Some(proposal) = snapshot {
+            let proposal = ControlProposal::Snapshot(proposal);
+            // A refused proposal is made again after the desk's retry time.
+            _ = self.links.appends.offer(AppendMessage::Propose(proposal));
+        }
         self.carry_out(commands).await;
         self.carry_out_reclaim(reclaim);
     }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -130,6 +130,7 @@
         let member_links = MemberLinks {
             clock: Arc::clone(&clock),
             reclaim: ReclaimDesk::new(key.process, RECLAIM_RETRY),
+            snapshots: SnapshotDesk::new(clock.now(), SnapshotSettings::default()),
             desk: member_desk(clock.now(), key, settings, admin),
             appends: append_sender,
             backends: run_sender,
--- a/crates/log/src/fold.rs
+++ b/crates/log/src/fold.rs
@@ -1,6 +1,6 @@
 //! The deterministic fold over log records.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -10,11 +10,13 @@
 use pw_member::prelude::*;
 use pw_pool::prelude::*;
 use pw_zone::prelude::*;
+use serde::{Deserialize, Serialize};
 use strum::Display;
 
 use crate::codec::FORMAT_VERSION;
 use crate::reading::{LogItem, LogReading};
 use crate::record::{ControlBatch, ControlProposal, FleetProposal, LogRecord, RecordBody};
+use crate::snapshot::{FoldImage, SnapshotReject, SnapshotState};
 
 /// Operators' records that are told apart from repeats by their identity.
 ///
@@ -24,16 +26,14 @@
 /// State of the fleet after a prefix of the log.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct FleetFold {
-    state: FleetState,
-    pools: PoolLedger,
-    recent: VecDeque<RecordId>,
-    members: MemberLedger,
-    permits: PermitLedger,
+    image: FoldImage,
+    /// The image as of the newest mark.
+    checkpoint: Option<Arc<FoldImage>>,
     unread: Option<LogOffset>,
 }
 
 /// What the accepted records add up to.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FleetState {
     /// Position of the next record.
     pub next_offset: LogOffset,
@@ -73,27 +73,49 @@
     /// The pool ledger rejected it.
     #[strum(to_string = "{0}")]
     Pool(PoolRejection),
+    /// The snapshots do not allow it.
+    #[strum(to_string = "{0}")]
+    Snapshot(SnapshotReject),
 }
 
 impl FleetFold {
     /// Returns the state after the records so far.
     pub fn state(&self) -> &FleetState {
-        &self.state
+        &self.image.state
     }
 
     /// Returns the pools with their instances.
     pub fn pools(&self) -> &PoolLedger {
-        &self.pools
+        &self.image.pools
     }
 
     /// Returns the members after the records so far.
     pub fn members(&self) -> &MemberLedger {
-        &self.members
+        &self.image.members
     }
 
     /// Returns the permits after the records so far.
     pub fn permits(&self) -> &PermitLedger {
-        &self.permits
+        &self.image.permits
+    }
+
+    /// Returns where the newest snapshot stands.
+    pub fn snapshots(&self) -> &SnapshotState {
+        &self.image.snapshots
+    }
+
+    /// Returns the image as of the newest mark.
+    pub fn checkpoint(&self) -> Option<&Arc<FoldImage>> {
+        self.checkpoint.as_ref()
+    }
+
+    /// Returns the fold that a confirmed image stands for.
+    pub fn restore(image: Arc<FoldImage>) -> Self {
+        Self {
+            image: FoldImage::clone(&image),
+            checkpoint: Some(image),
+            unread: None,
+        }
     }
 
     /// Returns the position of the first record that this build could not read.
@@ -106,17 +128,22 @@
 
     /// Moves the next offset to `next_offset` past records that could not be decoded.
     pub fn skip_to(&mut self, next_offset: LogOffset) {
-        self.state.next_offset = self.state.next_offset.max(next_offset);
+        self.image.state.next_offset = self.image.state.next_offset.max(next_offset);
     }
 
     /// Folds a reading; returns what became of each record that was not folded before.
     ///
     /// A reading that begins after the next offset would leave a gap and changes nothing.
     pub fn read(&mut self, reading: &LogReading) -> Vec<(LogOffset, FoldOutcome)> {
-        if reading.from > self.state.next_offset {
+        if let Some(image) = &reading.image
+            && image.next_offset() > self.image.state.next_offset
+        {
+            *self = Self::restore(Arc::clone(image));
+        }
+        if reading.from > self.image.state.next_offset {
             return Vec::new();
         }
-        let from = self.state.next_offset;
+        let from = self.image.state.next_offset;
         let mut outcomes = Vec::new();
         for (offset, item) in &reading.items {
             if *offset < from {
@@ -137,13 +164,13 @@
     /// when a record could not be read.
     pub fn freshness(&self, reading: &LogReading) -> Option<Instant> {
         let asked = reading.proves_fresh()?;
-        let is_whole = self.unread.is_none() && self.state.next_offset >= reading.end;
+        let is_whole = self.unread.is_none() && self.image.state.next_offset >= reading.end;
         is_whole.then_some(asked)
     }
 
     /// Folds the record at `offset`; records before the next offset change nothing.
     pub fn advance(&mut self, offset: LogOffset, record: &LogRecord) -> FoldOutcome {
-        if offset < self.state.next_offset {
+        if offset < self.image.state.next_offset {
             return FoldOutcome::Repeated;
         }
         self.skip_to(offset + 1);
@@ -162,7 +189,7 @@
     /// for every build alike.
     pub fn pass_unread(&mut self, offset: LogOffset, version: u8) {
         self.skip_to(offset + 1);
-        if version > FORMAT_VERSION && version <= self.members.newest_format() {
+        if version > FORMAT_VERSION && version <= self.image.members.newest_format() {
             self.unread.get_or_insert(offset);
         }
     }
@@ -173,33 +200,35 @@
         id: RecordId,
         proposal: &FleetProposal,
     ) -> FoldOutcome {
-        if self.recent.contains(&id) {
+        if self.image.recent.contains(&id) {
             return FoldOutcome::Repeated;
         }
-        self.recent.push_back(id);
-        if self.recent.len() > REMEMBERED_RECORDS {
-            self.recent.pop_front();
+        self.image.recent.push_back(id);
+        if self.image.recent.len() > REMEMBERED_RECORDS {
+            self.image.recent.pop_front();
         }
-        if proposal.base != self.state.revision {
+        if proposal.base != self.image.state.revision {
             return FoldOutcome::Rejected(RejectReason::StaleRevision);
         }
         let other_fleet = |spec: &Arc<FleetSpec>| spec.fleet != *proposal.fleet();
-        if self.state.spec.as_ref().is_some_and(other_fleet) {
+        if self.image.state.spec.as_ref().is_some_and(other_fleet) {
             return FoldOutcome::Rejected(RejectReason::OtherFleet);
         }
-        let Some(spec) = proposal.resolve(self.state.spec.as_deref()) else {
+        let Some(spec) = proposal.resolve(self.image.state.spec.as_deref()) else {
             return FoldOutcome::Rejected(RejectReason::StaleRevision);
         };
-        self.state.revision += 1;
-        self.state.spec = Some(Arc::clone(&spec));
+        self.image.state.revision += 1;
+        self.image.state.spec = Some(Arc::clone(&spec));
         let fleet = DeclaredFleet {
             zones: &spec.zones,
             workers: &spec.workers,
             pools: &spec.pools,
         };
-        self.pools.apply_fleet(offset, fleet);
+        self.image.pools.apply_fleet(offset, fleet);
         let table = limit_table(&spec);
-        self.permits.set_table(offset, table, &self.members);
+        self.image
+            .permits
+            .set_table(offset, table, &self.image.members);
         FoldOutcome::Accepted
     }
 
@@ -207,7 +236,7 @@
         let ControlBatch {
             author, sequence, ..
         } = batch;
-        if self.members.is_repeat(author, *sequence) {
+        if self.image.members.is_repeat(author, *sequence) {
             return FoldOutcome::Repeated;
         }
         let mut outcome = FoldOutcome::Accepted;
@@ -217,7 +246,10 @@
                 outcome = FoldOutcome::Rejected(reason);
             }
         }
-        self.members.hear(offset, author, *sequence);
+        self.image.members.hear(offset, author, *sequence);
+        if self.image.snapshots.mark == Some(offset) {
+            self.checkpoint = Some(Arc::new(self.image.clone()));
+        }
         outcome
     }
 
@@ -232,16 +264,22 @@
             proposal,
             ControlProposal::Member(MemberProposal::Join { .. })
         );
-        if !is_join && self.members.get(author).is_none() {
+        if !is_join && self.image.members.get(author).is_none() {
             return Err(RejectReason::Member(MemberReject::UnknownMember));
         }
         match proposal {
             ControlProposal::Member(proposal) => self.apply_member(offset, author, proposal),
             ControlProposal::Permit(proposal) => self
+                .image
                 .permits
-                .apply(offset, author, proposal, &self.members)
+                .apply(offset, author, proposal, &self.image.members)
                 .map_err(RejectReason::Permit),
-            ControlProposal::Pool(proposal) => match self.pools.advance(offset, proposal) {
+            ControlProposal::Snapshot(proposal) => self
+                .image
+                .snapshots
+                .apply(offset, author, proposal, self.checkpoint.as_ref())
+                .map_err(RejectReason::Snapshot),
+            ControlProposal::Pool(proposal) => match self.image.pools.advance(offset, proposal) {
                 PoolVerdict::Accepted { .. } => Ok(()),
                 PoolVerdict::Rejected(reason) => Err(RejectReason::Pool(reason)),
             },
@@ -255,10 +293,11 @@
         author: &MemberKey,
         proposal: &MemberProposal,
     ) -> Result<(), RejectReason> {
-        self.members
+        self.image
+            .members
             .apply(offset, author, proposal)
             .map_err(RejectReason::Member)?;
-        let (permits, members) = (&mut self.permits, &self.members);
+        let (permits, members) = (&mut self.image.permits, &self.image.members);
         match proposal {
             MemberProposal::Refute { .. } => permits.trust(offset, author, members),
             MemberProposal::Leave => permits.leave(offset, author, members),
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fold;
 pub mod reading;
 pub mod record;
+pub mod snapshot;
 pub mod store;
 
 /// The names that most users of this crate need.
@@ -23,5 +24,9 @@
     pub use crate::record::{
         ControlBatch, ControlProposal, FleetProposal, FleetUpdate, LogRecord, RecordBody,
     };
+    pub use crate::snapshot::{
+        FoldImage, SnapshotDesk, SnapshotProposal, SnapshotReject, SnapshotSeeker,
+        SnapshotSettings, SnapshotState,
+    };
     pub use crate::store::{LogBatch, LogEntry, LogError, LogStore};
 }
--- a/crates/log/src/reading.rs
+++ b/crates/log/src/reading.rs
@@ -7,6 +7,7 @@
 
 use crate::codec::{CodecError, decode_record};
 use crate::record::LogRecord;
+use crate::snapshot::FoldImage;
 use crate::store::{LogBatch, LogEntry};
 
 /// Records that one read of the log brought, possibly none.
@@ -14,6 +15,8 @@
 pub struct LogReading {
     /// When the read was sent to the log; `None` for records that a peer passed on.
     pub asked: Option<Instant>,
+    /// Image to start from in place of the records before it, when the log no longer has them.
+    pub image: Option<Arc<FoldImage>>,
     /// First position that was read.
     pub from: LogOffset,
     /// The records with their positions; malformed ones are left out.
@@ -66,6 +69,7 @@
         }
         let reading = Self {
             asked,
+            image: None,
             from,
             items,
             next_offset,
@@ -74,6 +78,19 @@
         (reading, malformed)
     }
 
+    /// Returns a reading that starts every fold from `image`; it proves nothing about freshness.
+    pub fn restart(image: Arc<FoldImage>) -> Self {
+        let next_offset = image.next_offset();
+        Self {
+            asked: None,
+            image: Some(image),
+            from: next_offset,
+            items: Vec::new(),
+            next_offset,
+            end: next_offset,
+        }
+    }
+
     /// Returns when the read was sent if it brought all that the log held then.
     pub fn proves_fresh(&self) -> Option<Instant> {
         self.asked.filter(|_| self.next_offset >= self.end)
--- a/crates/log/src/record.rs
+++ b/crates/log/src/record.rs
@@ -12,6 +12,7 @@
 use strum::Display;
 
 use crate::delta::FleetDelta;
+use crate::snapshot::SnapshotProposal;
 
 /// One record of the log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -59,6 +60,8 @@
     Permit(PermitProposal),
     /// Change of pools, drains or the planner duty.
     Pool(PoolProposal),
+    /// Snapshot of the fold.
+    Snapshot(SnapshotProposal),
 }
 
 /// Proposal to change the declared fleet.
--- a/crates/log/tests/fold.rs
+++ b/crates/log/tests/fold.rs
@@ -120,6 +120,7 @@
     let next_offset = from + items.len() as LogOffset;
     LogReading {
         asked: Some(Instant::now()),
+        image: None,
         from,
         items: (from..).zip(items).collect(),
         next_offset,
--- a/crates/log/tests/limits/world.rs
+++ b/crates/log/tests/limits/world.rs
@@ -440,6 +440,7 @@
         let end = self.log.len() as LogOffset;
         let reading = LogReading {
             asked: Some(now),
+            image: None,
             from,
             items: items
                 .map(|(offset, record)| (offset, LogItem::Record(Arc::clone(record))))
