Plan maintenance waves, loans of spare workers and zones in and out

Cause: the ledger judged steps, but nothing proposed them.

Ruled out: a buffer in each pool (each would have to make up for the largest failure domain by itself), waves over the whole fleet in random order (a bad rack or zone would be found late), and a planner that remembers what it did (it would have to hand its memory over).

ZoneSpec gains `drain_deadline` (default 10 min). The workers of a spare pool are those in it whose zone is in service, so that it can lend while a zone is out.

--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -31,6 +31,7 @@
         id: id.into(),
         region: String::new(),
         status: ZoneStatus::InService,
+        ..ZoneSpec::default()
     }
 }
 
--- a/crates/fleet/tests/fuzz_file.rs
+++ b/crates/fleet/tests/fuzz_file.rs
@@ -41,6 +41,7 @@
         } else {
             ZoneStatus::InService
         },
+        ..ZoneSpec::default()
     })
 }
 
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -187,8 +187,7 @@
         let mut spec = FleetSpec::clone(read.spec.as_ref().unwrap_or(&self.base));
         spec.zones.push(ZoneSpec {
             id: zone.into(),
-            region: String::new(),
-            status: ZoneStatus::InService,
+            ..ZoneSpec::default()
         });
         let record = LogRecord {
             id: ((operator as u128) << 64) | state.attempts,
--- /dev/null
+++ b/crates/plan/src/follow.rs
@@ -0,0 +1,155 @@
+//! Follows one instance: the next change that its machine calls for, and the next order to it.
+
+use std::time::Duration;
+
+use pw_pool::prelude::*;
+use pw_zone::prelude::*;
+
+use crate::machine::{MachineAction, MachineState};
+use crate::settings::PlanSettings;
+use crate::watch::MachineView;
+
+/// What is known of one instance.
+#[derive(Debug, Clone, Copy)]
+pub struct InstanceFacts<'a> {
+    /// The instance in the pool ledger.
+    pub instance: &'a PoolInstance,
+    /// Time since it last changed there.
+    pub phase_age: Duration,
+    /// What its machine was last seen to do.
+    pub machine: MachineView,
+    /// Its availability zone.
+    pub zone: ZoneState,
+    /// Time since its availability zone went out of service; zero while it is in service.
+    pub zone_out_age: Duration,
+    /// Whether half of its rack or zone has failed since it was last seen alive.
+    pub is_suspect: bool,
+    /// Whether its pool's availability budget holds.
+    pub budget_holds: bool,
+    /// Whether the pool that it drains for is no longer declared.
+    pub destination_gone: bool,
+}
+
+impl InstanceFacts<'_> {
+    /// Returns the change that the instance is due for, apart from new drains and admissions.
+    pub fn due_change(&self, settings: &PlanSettings) -> Option<PoolChange> {
+        self.seen_change(settings)
+            .or_else(|| self.phase_change(settings))
+    }
+
+    /// Returns whether the instance only waits to be admitted.
+    pub fn is_admissible(&self) -> bool {
+        self.instance.awaits_admission()
+            && self.is_same_boot()
+            && self.machine.state == MachineState::Serving
+            && self.zone.is_in_service()
+    }
+
+    /// Returns what the machine has to be told, if it is not already so.
+    pub fn due_action(&self, settings: &PlanSettings) -> Option<MachineAction> {
+        if !self.is_same_boot() {
+            return None;
+        }
+        let takes_tasks = self.zone.is_in_service();
+        match self.instance.phase {
+            InstancePhase::Failed => None,
+            InstancePhase::Rebooting => match self.machine.state {
+                MachineState::Drained => Some(MachineAction::Reboot),
+                MachineState::Serving => Some(MachineAction::Drain),
+                _ => None,
+            },
+            InstancePhase::Draining(_) | InstancePhase::Empty(_) if takes_tasks => {
+                self.drain_action(settings)
+            }
+            _ if takes_tasks => match self.machine.state {
+                MachineState::Draining | MachineState::Drained => Some(MachineAction::Resume),
+                _ => None,
+            },
+            _ => self.zone_drain_action(),
+        }
+    }
+
+    fn is_same_boot(&self) -> bool {
+        self.instance.boot == Some(self.machine.boot)
+    }
+
+    fn seen_change(&self, settings: &PlanSettings) -> Option<PoolChange> {
+        let boot = self.machine.boot;
+        let appeared = PoolChange::Appeared { boot };
+        match self.machine.state {
+            MachineState::Lost => self.lost_change(settings),
+            MachineState::Rebooting => None,
+            _ if !self.is_same_boot() => Some(appeared),
+            _ => match self.instance.phase {
+                InstancePhase::Joining | InstancePhase::Failed => Some(appeared),
+                InstancePhase::InService if self.refuses_tasks() => {
+                    (self.machine.age >= settings.failure_grace).then_some(PoolChange::Failed)
+                }
+                InstancePhase::InService if self.is_suspect => {
+                    (self.phase_age >= settings.settle_time).then_some(appeared)
+                }
+                _ => None,
+            },
+        }
+    }
+
+    /// Returns the failure of a lost machine; a reboot has a timeout of its own.
+    fn lost_change(&self, settings: &PlanSettings) -> Option<PoolChange> {
+        let expected = matches!(
+            self.instance.phase,
+            InstancePhase::Joining | InstancePhase::Rebooting | InstancePhase::Failed
+        );
+        let late = self.machine.age >= settings.failure_grace;
+        (late && !expected).then_some(PoolChange::Failed)
+    }
+
+    fn refuses_tasks(&self) -> bool {
+        self.zone.is_in_service() && self.machine.state != MachineState::Serving
+    }
+
+    fn phase_change(&self, settings: &PlanSettings) -> Option<PoolChange> {
+        let drained = self.is_same_boot() && self.machine.state == MachineState::Drained;
+        match &self.instance.phase {
+            InstancePhase::Draining(_) if drained => Some(PoolChange::Emptied),
+            InstancePhase::Draining(_) | InstancePhase::Empty(_) if self.destination_gone => {
+                Some(PoolChange::Cancel)
+            }
+            InstancePhase::Draining(DrainPurpose::Maintenance)
+                if !self.budget_holds && self.zone.is_in_service() =>
+            {
+                Some(PoolChange::Cancel)
+            }
+            InstancePhase::Empty(DrainPurpose::Maintenance) if drained => Some(PoolChange::Reboot),
+            InstancePhase::Empty(DrainPurpose::Move { to }) if drained => Some(PoolChange::Move {
+                from: self.instance.pool.clone(),
+                to: to.clone(),
+            }),
+            InstancePhase::Rebooting if self.phase_age >= settings.reboot_timeout => {
+                Some(PoolChange::Failed)
+            }
+            _ => None,
+        }
+    }
+
+    fn drain_action(&self, settings: &PlanSettings) -> Option<MachineAction> {
+        match self.machine.state {
+            MachineState::Serving => Some(MachineAction::Drain),
+            MachineState::Draining if self.machine.age >= settings.drain_patience => {
+                Some(MachineAction::Checkpoint)
+            }
+            _ => None,
+        }
+    }
+
+    fn zone_drain_action(&self) -> Option<MachineAction> {
+        let deadline = self.zone.drain_deadline;
+        match self.machine.state {
+            MachineState::Serving => Some(MachineAction::Drain),
+            MachineState::Draining if self.zone_out_age >= deadline => Some(MachineAction::Stop),
+            MachineState::Draining if self.zone_out_age >= deadline / 2 => {
+                Some(MachineAction::Checkpoint)
+            }
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/plan/src/watch.rs
@@ -0,0 +1,111 @@
+//! What the planner has seen: machines, and how long each has been in its state.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use pw_base::prelude::*;
+use pw_pool::prelude::*;
+
+use crate::machine::{MachineChanges, MachineState};
+
+/// Machines as last reported, and how long instances have been in their phases.
+///
+/// Ages are counted from when this planner first saw a state, so that a planner that takes over
+/// waits anew and never acts too early.
+#[derive(Debug, Default)]
+pub struct MachineWatch {
+    machines: IndexMap<WorkerId, SeenMachine>,
+    phases: IndexMap<WorkerId, SeenPhase>,
+    first_read: Option<Instant>,
+}
+
+/// What a machine was last seen to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MachineView {
+    /// Boot that it runs.
+    pub boot: BootId,
+    /// What it does.
+    pub state: MachineState,
+    /// Time since it was first seen so.
+    pub age: Duration,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct SeenMachine {
+    boot: BootId,
+    state: MachineState,
+    since: Instant,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct SeenPhase {
+    changed: LogOffset,
+    since: Instant,
+}
+
+impl MachineWatch {
+    /// Takes what the platform reports.
+    pub fn read(&mut self, now: Instant, changes: MachineChanges) {
+        self.first_read.get_or_insert(now);
+        for report in changes.machines {
+            let (boot, state) = (report.boot, report.state);
+            let last = self.machines.get(&report.worker);
+            if last.is_none_or(|last| (last.boot, last.state) != (boot, state)) {
+                let since = now;
+                let seen = SeenMachine { boot, state, since };
+                self.machines.insert(report.worker, seen);
+            }
+        }
+    }
+
+    /// Notes when each instance was first seen in its phase.
+    pub fn note_phases(&mut self, now: Instant, pools: &PoolLedger) {
+        self.phases
+            .retain(|worker, _| pools.instance(worker).is_some());
+        for instance in pools.instances() {
+            let changed = instance.changed;
+            let seen = self.phases.get_mut(&instance.worker);
+            match seen {
+                Some(seen) if seen.changed == changed => {}
+                Some(seen) => {
+                    *seen = SeenPhase {
+                        changed,
+                        since: now,
+                    }
+                }
+                None => {
+                    let seen = SeenPhase {
+                        changed,
+                        since: now,
+                    };
+                    self.phases.insert(instance.worker.clone(), seen);
+                }
+            }
+        }
+    }
+
+    /// Returns what the machine of an instance was last seen to do.
+    ///
+    /// A machine that the platform does not report counts as lost since the first reading.
+    /// `None` before that.
+    pub fn machine(&self, now: Instant, instance: &PoolInstance) -> Option<MachineView> {
+        let absent = SeenMachine {
+            boot: instance.boot.unwrap_or_default(),
+            state: MachineState::Lost,
+            since: self.first_read?,
+        };
+        let seen = *self.machines.get(&instance.worker).unwrap_or(&absent);
+        Some(MachineView {
+            boot: seen.boot,
+            state: seen.state,
+            age: now.saturating_duration_since(seen.since),
+        })
+    }
+
+    /// Returns how long the instance has been as it is.
+    pub fn phase_age(&self, now: Instant, worker: &str) -> Duration {
+        self.phases.get(worker).map_or(Duration::ZERO, |seen| {
+            now.saturating_duration_since(seen.since)
+        })
+    }
+}
--- a/crates/pool/src/budget.rs
+++ b/crates/pool/src/budget.rs
@@ -37,6 +37,8 @@
     pub available: u32,
     /// Instances that would take tasks if every availability zone were in service.
     pub present: u32,
+    /// Fewest instances that have to be present.
+    pub required_present: u32,
 }
 
 impl DomainTally {
@@ -55,8 +57,18 @@
 
     /// Returns how many more available instances may be drained.
     pub fn room(&self) -> u32 {
-        self.available
-            .min(self.present)
-            .saturating_sub(self.required)
+        self.room_available().min(self.room_present())
+    }
+
+    /// Returns how many available instances there are beyond those required.
+    pub fn room_available(&self) -> u32 {
+        self.available.saturating_sub(self.required)
+    }
+
+    /// Returns how many more instances may be drained in zones that are out of service.
+    ///
+    /// The budget then still holds when all zones are back.
+    pub fn room_present(&self) -> u32 {
+        self.present.saturating_sub(self.required_present)
     }
 }
--- a/crates/pool/src/instance.rs
+++ b/crates/pool/src/instance.rs
@@ -52,6 +52,8 @@
     Rebooting,
     /// Alive and not yet admitted to service.
     Returning,
+    /// In its new pool and not yet admitted to service.
+    Arriving,
     /// Not seen alive.
     Failed,
 }
@@ -74,4 +76,23 @@
     pub fn kind(&self) -> PhaseKind {
         PhaseKind::from(&self.phase)
     }
+
+    /// Returns whether it waits to be admitted to service.
+    pub fn awaits_admission(&self) -> bool {
+        matches!(self.kind(), PhaseKind::Returning | PhaseKind::Arriving)
+    }
+
+    /// Returns whether it drains in order to change pools.
+    pub fn is_moving(&self) -> bool {
+        self.destination().is_some()
+    }
+
+    /// Returns the pool that it drains for.
+    pub fn destination(&self) -> Option<&PoolId> {
+        match &self.phase {
+            InstancePhase::Draining(DrainPurpose::Move { to })
+            | InstancePhase::Empty(DrainPurpose::Move { to }) => Some(to),
+            _ => None,
+        }
+    }
 }
--- a/crates/pool/src/ledger.rs
+++ b/crates/pool/src/ledger.rs
@@ -22,7 +22,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PoolLedger {
     pools: IndexMap<PoolId, PoolRules>,
-    zones: IndexMap<ZoneId, ZoneStatus>,
+    zones: IndexMap<ZoneId, ZoneState>,
     instances: IndexMap<WorkerId, PoolInstance>,
     members: IndexMap<PoolId, IndexSet<WorkerId>>,
     rack_tallies: IndexMap<RackKey, DomainTally>,
@@ -125,6 +125,11 @@
         self.pools.keys()
     }
 
+    /// Returns whether operators declare `pool`.
+    pub fn is_declared(&self, pool: &str) -> bool {
+        self.pools.contains_key(pool)
+    }
+
     /// Returns whether other pools borrow workers from `pool`.
     pub fn is_spare(&self, pool: &str) -> bool {
         self.pools.get(pool).is_some_and(|rules| rules.spare)
@@ -150,7 +155,17 @@
 
     /// Returns whether operators let tasks start in `zone`.
     pub fn zone_in_service(&self, zone: &str) -> bool {
-        self.zones.get(zone) == Some(&ZoneStatus::InService)
+        self.zone(zone).is_some_and(ZoneState::is_in_service)
+    }
+
+    /// Returns the availability zone called `zone`.
+    pub fn zone(&self, zone: &str) -> Option<&ZoneState> {
+        self.zones.get(zone)
+    }
+
+    /// Returns the availability zones in the order of the fleet file.
+    pub fn zones(&self) -> impl Iterator<Item = (&ZoneId, &ZoneState)> {
+        self.zones.iter()
     }
 
     /// Returns whether the instance takes tasks, as far as the log tells.
@@ -160,25 +175,60 @@
 
     /// Returns the standing of `pool` against its availability budget.
     ///
+    /// The workers of a pool are those that operators list in it, so that a borrowed worker makes
+    /// up for one that is out. The workers of a spare pool are those that are in it and whose
+    /// availability zone is in service, so that it can lend while a zone is out.
     /// A pool that operators no longer declare requires nothing.
     pub fn budget(&self, pool: &str) -> PoolBudget {
         let mut budget = PoolBudget::default();
+        let mut counted = 0;
+        let mut counted_in_service = 0;
         for instance in self.members(pool) {
+            let is_counted = u32::from(instance.phase != InstancePhase::Arriving);
             budget.members += 1;
             budget.present += u32::from(self.is_present(instance));
             budget.available += u32::from(self.is_available(instance));
+            counted += is_counted;
+            if self.zone_in_service(&instance.zone) {
+                counted_in_service += is_counted;
+            }
         }
-        budget.required = self.pools.get(pool).map_or(0, |rules| {
-            let target = if rules.spare {
-                budget.members
+        if let Some(rules) = self.pools.get(pool) {
+            let least = |target: u32| target.saturating_sub(rules.max_unavailable);
+            let is_spare = rules.spare;
+            let declared = rules.declared;
+            budget.required = least(if is_spare {
+                counted_in_service
             } else {
-                rules.declared
-            };
-            target.saturating_sub(rules.max_unavailable)
-        });
+                declared
+            });
+            budget.required_present = least(if is_spare { counted } else { declared });
+        }
         budget
     }
 
+    /// Returns how many workers the spare pool `pool` may start to lend now.
+    ///
+    /// Its availability budget bounds the loans that drain at once, and its minimum what is left.
+    pub fn lendable(&self, pool: &str) -> u32 {
+        let Some(rules) = self.pools.get(pool).filter(|rules| rules.spare) else {
+            return 0;
+        };
+        let budget = self.budget(pool);
+        let spared = budget.available.saturating_sub(rules.min_workers);
+        budget.room().min(spared)
+    }
+
+    /// Returns whether half of the instance's rack or zone has failed since it was last seen.
+    pub fn is_suspect(&self, instance: &PoolInstance) -> bool {
+        let rack = self.rack_tallies.get(&rack_key(instance));
+        let zone = self.zone_tallies.get(&instance.zone);
+        [rack, zone]
+            .into_iter()
+            .flatten()
+            .any(|tally| tally.is_suspect(instance.seen))
+    }
+
     /// Returns who plans.
     pub fn planner(&self) -> &PlannerSeat {
         &self.planner
@@ -209,15 +259,6 @@
     fn is_present(&self, instance: &PoolInstance) -> bool {
         instance.kind() == PhaseKind::InService && !self.is_suspect(instance)
     }
-
-    fn is_suspect(&self, instance: &PoolInstance) -> bool {
-        let rack = self.rack_tallies.get(&rack_key(instance));
-        let zone = self.zone_tallies.get(&instance.zone);
-        [rack, zone]
-            .into_iter()
-            .flatten()
-            .any(|tally| tally.is_suspect(instance.seen))
-    }
 }
 
 /// Changes of the declared fleet.
@@ -233,8 +274,11 @@
         let returned = self.returned_zones(fleet.zones);
         let rules = |pool: &PoolSpec| (pool.id.clone(), PoolRules::from(pool));
         self.pools = fleet.pools.iter().map(rules).collect();
-        let status = |zone: &ZoneSpec| (zone.id.clone(), zone.status);
-        self.zones = fleet.zones.iter().map(status).collect();
+        let state = |zone: &ZoneSpec| {
+            let last = self.zones.get(&zone.id);
+            (zone.id.clone(), ZoneState::after(last, offset, zone))
+        };
+        self.zones = fleet.zones.iter().map(state).collect();
         self.list_workers(offset, fleet);
         for instance in self.instances.values_mut() {
             let back = returned.contains(&instance.zone);
@@ -248,8 +292,9 @@
 
     fn returned_zones(&self, zones: &[ZoneSpec]) -> IndexSet<ZoneId> {
         let returns = |zone: &&ZoneSpec| {
-            let was = self.zones.get(&zone.id);
-            zone.status == ZoneStatus::InService && was == Some(&ZoneStatus::OutOfService)
+            let last = self.zones.get(&zone.id);
+            let was_out = last.is_some_and(|last| !last.is_in_service());
+            was_out && zone.status == ZoneStatus::InService
         };
         let returned = zones.iter().filter(returns);
         returned.map(|zone| zone.id.clone()).collect()
@@ -495,44 +540,45 @@
         if instance.phase != InstancePhase::InService {
             return Err(StepRejection::WrongPhase(instance.kind()));
         }
-        if let DrainPurpose::Move { to } = purpose {
-            self.check_route(instance, to)?;
-        }
         if self.is_suspect(instance) {
             return Err(StepRejection::DomainFailing);
         }
+        match purpose {
+            DrainPurpose::Move { to } if !self.pools.contains_key(to) => {
+                return Err(StepRejection::UnknownPool);
+            }
+            DrainPurpose::Move { to } if *to == instance.pool => {
+                return Err(StepRejection::NotLendable);
+            }
+            DrainPurpose::Move { to } if *to != instance.home => self.check_loan(instance)?,
+            _ => self.check_budget(instance)?,
+        }
+        Ok(InstancePhase::Draining(purpose.clone()))
+    }
+
+    fn check_budget(&self, instance: &PoolInstance) -> Result<(), StepRejection> {
         let budget = self.budget(&instance.pool);
         let loses_available = self.zone_in_service(&instance.zone);
-        let short = budget.present <= budget.required
+        let short = budget.present <= budget.required_present
             || loses_available && budget.available <= budget.required;
         if short {
             return Err(StepRejection::BudgetExceeded);
         }
-        Ok(InstancePhase::Draining(purpose.clone()))
+        Ok(())
     }
 
-    /// Checks that an instance goes home, or from its spare pool to a pool that borrows it.
-    fn check_route(&self, instance: &PoolInstance, to: &PoolId) -> Result<(), StepRejection> {
-        if !self.pools.contains_key(to) {
-            return Err(StepRejection::UnknownPool);
-        }
-        if *to == instance.pool {
+    /// Checks that the instance's spare pool can lend it.
+    fn check_loan(&self, instance: &PoolInstance) -> Result<(), StepRejection> {
+        if !self.is_spare(&instance.home) || instance.pool != instance.home {
             return Err(StepRejection::NotLendable);
         }
-        if *to == instance.home {
-            return Ok(());
+        if !self.zone_in_service(&instance.zone) {
+            return Err(StepRejection::ZoneOut);
         }
-        let lends = self.pools.get(&instance.home).is_some_and(|rules| {
-            let leaving = |member: &&PoolInstance| is_moving_out(member);
-            let leaving = count(self.members(&instance.home).filter(leaving).count());
-            let kept = self.budget(&instance.home).members.saturating_sub(leaving);
-            rules.spare && kept > rules.min_workers
-        });
-        if lends && instance.pool == instance.home {
-            Ok(())
-        } else {
-            Err(StepRejection::NotLendable)
+        if self.lendable(&instance.home) == 0 {
+            return Err(StepRejection::BudgetExceeded);
         }
+        Ok(())
     }
 
     fn judge_move(
@@ -553,13 +599,13 @@
         }
         Ok(PoolInstance {
             pool: to.clone(),
-            phase: InstancePhase::Returning,
+            phase: InstancePhase::Arriving,
             ..instance.clone()
         })
     }
 
     fn judge_admit(&self, instance: &PoolInstance) -> Result<InstancePhase, StepRejection> {
-        if instance.phase != InstancePhase::Returning {
+        if !instance.awaits_admission() {
             return Err(StepRejection::WrongPhase(instance.kind()));
         }
         if !self.zone_in_service(&instance.zone) {
@@ -597,13 +643,6 @@
     }
 }
 
-fn is_moving_out(instance: &PoolInstance) -> bool {
-    let (InstancePhase::Draining(purpose) | InstancePhase::Empty(purpose)) = &instance.phase else {
-        return false;
-    };
-    matches!(purpose, DrainPurpose::Move { .. })
-}
-
 fn rack_key(instance: &PoolInstance) -> RackKey {
     RackKey {
         zone: instance.zone.clone(),
--- a/crates/pool/src/proposal.rs
+++ b/crates/pool/src/proposal.rs
@@ -128,7 +128,7 @@
     DomainFailing,
     /// The instance is not in the pool that the step names.
     NotInPool,
-    /// The pool lends no workers, or would keep fewer than it must.
+    /// The pool lends no workers, or the worker is not its own.
     NotLendable,
     /// The instance has not rebooted.
     SameBoot,
--- a/crates/pool/tests/ledger.rs
+++ b/crates/pool/tests/ledger.rs
@@ -13,6 +13,8 @@
 
 /// Seed of the random steps.
 const SEED: u64 = 4;
+/// Workers that lending leaves in the spare pool.
+const MIN_WORKERS: u32 = 2;
 /// Boot that every worker is first seen with.
 const FIRST_BOOT: BootId = 1;
 
@@ -37,7 +39,7 @@
                 .collect(),
             max_unavailable: 1,
             spare,
-            min_workers: 2,
+            min_workers: MIN_WORKERS,
         };
         let pools = vec![
             pool("cutting", false),
@@ -56,8 +58,7 @@
         };
         let zone = |id: &str| ZoneSpec {
             id: id.into(),
-            region: String::new(),
-            status: ZoneStatus::InService,
+            ..ZoneSpec::default()
         };
         let mut bench = Self {
             zones: vec![zone("a"), zone("b")],
@@ -414,7 +415,34 @@
             },
             "office-1",
             lend("cutting"),
-            Err(StepRejection::NotLendable),
+            over,
+        ),
+        case(
+            "a second loan at once",
+            |bench| bench.steps("office-2", vec![lend("cutting")]),
+            "office-1",
+            lend("quotes"),
+            over,
+        ),
+        case(
+            "a loan that makes up for a zone that is out, in which the spare pool lost half",
+            |bench| {
+                bench.pools[2].min_workers = 1;
+                bench.set_zone(1, ZoneStatus::OutOfService);
+            },
+            "office-1",
+            lend("cutting"),
+            Ok(()),
+        ),
+        case(
+            "a loan of a worker in the zone that is out",
+            |bench| {
+                bench.pools[2].min_workers = 1;
+                bench.set_zone(1, ZoneStatus::OutOfService);
+            },
+            "office-2",
+            lend("cutting"),
+            Err(StepRejection::ZoneOut),
         ),
         case(
             "a loan passed on to a third pool",
@@ -423,6 +451,24 @@
             lend("quotes"),
             Err(StepRejection::NotLendable),
         ),
+        case(
+            "a drain in the spare pool while a worker that was given back arrives",
+            |bench| {
+                let changes = vec![
+                    lend("cutting"),
+                    PoolChange::Emptied,
+                    change_pool("office", "cutting"),
+                    PoolChange::Admit,
+                    lend("office"),
+                    PoolChange::Emptied,
+                    change_pool("cutting", "office"),
+                ];
+                bench.steps("office-1", changes);
+            },
+            "office-2",
+            maintain(),
+            Ok(()),
+        ),
         case(
             "a loan given back",
             lent,
--- a/crates/zone/src/zone.rs
+++ b/crates/zone/src/zone.rs
@@ -1,9 +1,14 @@
 //! An availability zone as operators declare it.
 
+use std::time::Duration;
+
 use pw_base::prelude::*;
 use serde::{Deserialize, Serialize};
 use strum::{AsRefStr, Display};
 
+/// Time for running tasks to end in an availability zone that does not say how long.
+const DEFAULT_DRAIN_DEADLINE: Duration = Duration::from_secs(10 * 60);
+
 /// Declared availability zone.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -16,6 +21,9 @@
     /// Whether tasks may start there.
     #[serde(default)]
     pub status: ZoneStatus,
+    /// Time for running tasks to end after it was taken out; then they are stopped.
+    #[serde(default = "default_drain_deadline", with = "humantime_serde")]
+    pub drain_deadline: Duration,
 }
 
 /// Whether operators let tasks start in an availability zone.
@@ -31,3 +39,18 @@
     /// No task may start.
     OutOfService,
 }
+
+impl Default for ZoneSpec {
+    fn default() -> Self {
+        Self {
+            id: ZoneId::from(""),
+            region: String::new(),
+            status: ZoneStatus::default(),
+            drain_deadline: DEFAULT_DRAIN_DEADLINE,
+        }
+    }
+}
+
+fn default_drain_deadline() -> Duration {
+    DEFAULT_DRAIN_DEADLINE
+}
