--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -52,11 +52,7 @@
             .queues
             .get(&request.queue)
             .ok_or(RefusalReason::UnknownQueue)?;
-        let team = request
-            .key
-            .as_ref()
-            .and_then(|key| self.key_teams.get(key))
-            .cloned();
+        let team = request.key.as_ref().and_then(|key| self.team_of(key));
         if team.is_none() && !queue.open {
             return Err(RefusalReason::KeyRejected);
         }
@@ -65,4 +61,9 @@
             team,
         })
     }
+
+    /// Returns the team of a key; `None` when the key is unknown or withdrawn.
+    pub fn team_of(&self, key: &KeyDigest) -> Option<TeamId> {
+        self.key_teams.get(key).cloned()
+    }
 }
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -163,6 +163,7 @@
                 }
             }
             DispatchEvent::TaskAbandoned(id) if self.tasks.is_running(id) => {
+                self.tasks.cancel(id);
                 commands.push(DispatchCommand::StopTask(id));
             }
             DispatchEvent::TaskAbandoned(id) => {
@@ -206,6 +207,20 @@
         &*self.gate
     }
 
+    /// Returns the team of a key; `None` when the key is unknown or withdrawn.
+    pub fn team_of(&self, key: &KeyDigest) -> Option<TeamId> {
+        self.rules.team_of(key)
+    }
+
+    /// Returns whether whoever shows `key` may cancel the open task called `id`.
+    ///
+    /// Only the team of a task may; the identity alone is enough for a task of no team.
+    pub fn may_cancel(&self, id: TaskId, key: Option<&KeyDigest>) -> bool {
+        let team = key.and_then(|key| self.team_of(key));
+        let task = self.tasks.get(id);
+        task.is_some_and(|task| task.admitted.team.is_none() || task.admitted.team == team)
+    }
+
     /// Returns how many tasks wait or run.
     pub fn open_tasks(&self) -> usize {
         self.tasks.len()
@@ -439,6 +454,7 @@
             accepted: now,
             deadline,
             failures: 0,
+            is_cancelled: false,
             may_have_run: false,
             avoid: None,
             phase: TaskPhase::Waiting,
@@ -562,6 +578,15 @@
                 task: id,
                 verdict: TaskVerdict::Answered,
             }),
+            RunReport::Busy | RunReport::NotRun if task.is_cancelled => {
+                commands.push(refuse(id, RefusalReason::Cancelled, task.certainty()));
+            }
+            RunReport::Failed if task.is_cancelled => {
+                commands.push(refuse(id, RefusalReason::Cancelled, RunCertainty::Ran));
+            }
+            RunReport::Unknown if task.is_cancelled => {
+                commands.push(refuse(id, RefusalReason::Cancelled, RunCertainty::Unknown));
+            }
             RunReport::Busy => {
                 task.avoid = Some(run.worker);
                 self.tasks.insert(task);
@@ -598,6 +623,7 @@
                 pace: history.pace(length),
             },
             RunReport::Busy => RunOutcome::Busy,
+            _ if task.is_cancelled => RunOutcome::Neutral,
             RunReport::Unknown if now >= run.lease_end => RunOutcome::Neutral,
             RunReport::NotRun | RunReport::Failed | RunReport::Unknown => RunOutcome::Failed,
         };
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod desk;
 pub mod drain;
 pub mod history;
+pub mod idempotency;
 pub mod lingering;
 pub mod message;
 pub mod pool_desk;
@@ -20,6 +21,10 @@
 pub mod prelude {
     pub use crate::backlog::WaitReason;
     pub use crate::desk::{DeskSettings, DispatchDesk};
+    pub use crate::idempotency::{
+        ClosedTask, IdempotencyBook, IdempotencySettings, IdempotencyVerdict, RequestDigest,
+        RequestKey,
+    };
     pub use crate::message::{
         DeskNotice, DispatchCommand, DispatchEvent, PoolService, RefusalReason, RunCertainty,
         RunReport, ShareReport, TaskRequest, TaskStart, TaskVerdict, TeamShare,
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -9,7 +9,7 @@
 use pw_team::prelude::*;
 use pw_worker::prelude::*;
 use serde::{Deserialize, Serialize};
-use strum::{AsRefStr, Display};
+use strum::{AsRefStr, Display, EnumIter};
 
 /// A task as its caller submitted it; the payload stays with the front end.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -176,7 +176,7 @@
 }
 
 /// Why a task was refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, AsRefStr)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, AsRefStr, EnumIter)]
 #[strum(serialize_all = "kebab-case")]
 pub enum RefusalReason {
     /// No configuration is in force yet.
@@ -197,4 +197,10 @@
     BackendFailed,
     /// The entry instance is shutting down.
     ShuttingDown,
+    /// Another request with this identity is open.
+    TaskKnown,
+    /// The idempotency key came before with another request.
+    RequestMismatch,
+    /// The idempotency key came before, and the answer of its task was too large to keep.
+    AnswerNotKept,
 }
--- a/crates/dispatch/src/task.rs
+++ b/crates/dispatch/src/task.rs
@@ -23,6 +23,8 @@
     pub deadline: Instant,
     /// Attempts that failed so far, those on a busy worker aside.
     pub failures: u32,
+    /// Whether its caller no longer wants it; it is not tried again.
+    pub is_cancelled: bool,
     /// Whether one of its attempts may have run.
     pub may_have_run: bool,
     /// Worker of the last attempt that failed.
@@ -164,6 +166,13 @@
         }
     }
 
+    /// Marks a running task as no longer wanted.
+    pub fn cancel(&mut self, id: TaskId) {
+        if let Some(task) = self.tasks.get_mut(&id) {
+            task.is_cancelled = true;
+        }
+    }
+
     /// Marks a pausing task as waiting again; returns whether it was pausing.
     pub fn resume(&mut self, id: TaskId) -> bool {
         match self.tasks.get_mut(&id) {
--- a/crates/dispatch/tests/promises.rs
+++ b/crates/dispatch/tests/promises.rs
@@ -292,3 +292,21 @@
     );
     assert!(starts(&bench.end(1, RunReport::Answered)).is_empty());
 }
+
+#[test]
+fn cancelled_runs_are_not_held_against_their_worker() {
+    for report in [RunReport::Failed, RunReport::NotRun] {
+        let mut bench = Bench::new(small_fleet(4));
+        for _ in 0..50 {
+            let commands = bench.submit("idempotent", "a");
+            let task = starts(&commands).first().expect("a free slot").task;
+            let commands = bench.feed(DispatchEvent::TaskAbandoned(task));
+            assert_eq!(commands, [DispatchCommand::StopTask(task)]);
+            let commands = bench.end(task, report);
+            assert_eq!(refusals(&commands).len(), 1, "not tried again");
+            assert_eq!(refusals(&commands)[0].0, RefusalReason::Cancelled);
+            let ejects = |command| matches!(command, DispatchCommand::Note(_));
+            assert!(!commands.into_iter().any(ejects), "{report}");
+        }
+    }
+}
--- a/crates/entry/src/admin_duty.rs
+++ b/crates/entry/src/admin_duty.rs
@@ -1,5 +1,6 @@
 //! The duty that serves health checks, status and metrics.
 
+use std::cell::Cell;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,10 +19,27 @@
 const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Serves `/healthz`, `/readyz`, `/status` and `/metrics` until the listener fails.
-pub async fn run(listener: TcpListener, spawner: TaskSpawner, desk: RingSender<DeskMessage>) {
+///
+/// `phases` tells when the instance is no longer ready.
+pub async fn run(
+    listener: TcpListener,
+    spawner: TaskSpawner,
+    desk: RingSender<DeskMessage>,
+    phases: RingReceiver<ServePhase>,
+) {
     // Only the first node of a process installs the recorder; further ones share it.
     let metrics = PrometheusBuilder::new().install_recorder().ok();
-    let handler = Rc::new(AdminHandler { desk, metrics });
+    let phase = Rc::new(Cell::default());
+    let handler = Rc::new(AdminHandler {
+        desk,
+        metrics,
+        phase: Rc::clone(&phase),
+    });
+    spawner.spawn(async move {
+        while let Some(entered) = phases.recv().await {
+            phase.set(entered);
+        }
+    });
     if let Err(error) = serve_http(listener, spawner, handler).await {
         tracing::error!(event = EventCode::CallerFailed.number(), %error, "listener failed");
     }
@@ -31,6 +49,7 @@
 struct AdminHandler {
     desk: RingSender<DeskMessage>,
     metrics: Option<PrometheusHandle>,
+    phase: Rc<Cell<ServePhase>>,
 }
 
 impl HttpHandler for AdminHandler {
@@ -51,7 +70,8 @@
 
 impl AdminHandler {
     async fn readiness(&self) -> Response {
-        let ready = self.ask().await.is_some_and(|status| status.revision > 0);
+        let known = self.ask().await.is_some_and(|status| status.revision > 0);
+        let ready = known && self.phase.get() == ServePhase::Serving;
         Response::new(if ready {
             StatusCode::Ok
         } else {
--- a/crates/entry/src/caller_duty.rs
+++ b/crates/entry/src/caller_duty.rs
@@ -2,43 +2,72 @@
 
 use std::net::TcpListener;
 use std::rc::Rc;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use futures_lite::future::{BoxedLocal, FutureExt};
-use futures_lite::io::AsyncReadExt;
-use http_types::{Method, Request, Response, StatusCode, headers};
+use http_types::headers::HeaderName;
+use http_types::{Request, Response, StatusCode, headers};
 use pw_base::prelude::*;
 use pw_dispatch::prelude::*;
 use pw_link::prelude::*;
 use pw_ring::prelude::*;
 use pw_team::prelude::*;
 use pw_worker::prelude::*;
+use serde::Deserialize;
 use serde_json::json;
+use sha2::{Digest, Sha256};
 
-use crate::message::{DeskMessage, TaskReply};
+use crate::caller_route::{CallerAction, find_route};
+use crate::message::{
+    CancelOrder, CancelOutcome, DeskMessage, IdempotencyMark, TaskReply, TaskSubmission,
+};
+use crate::problem::{CallerProblem, RequestProblem};
 
-/// Header that carries the identity of a task.
-const TASK_HEADER: &str = "Task-Id";
+/// Header that carries the identity of a task, in both directions.
+pub const TASK_HEADER: &str = "Task-Id";
 /// Header that carries the time that the caller waits, in milliseconds.
-const DEADLINE_HEADER: &str = "Deadline-Ms";
-/// Prefix of problem types.
-const PROBLEM_PREFIX: &str = "urn:primrosewheel:problem:";
+pub const DEADLINE_HEADER: &str = "Deadline-Ms";
+/// Header that marks requests of which at most one runs.
+pub const IDEMPOTENCY_HEADER: &str = "Idempotency-Key";
+/// Header that declares the processors of a task in thousandths of a core.
+pub const MILLICORES_HEADER: &str = "Task-Millicores";
+/// Header that declares the memory of a task in MiB.
+pub const MEMORY_HEADER: &str = "Task-Memory-Mib";
+/// Header that declares the accelerators of a task.
+pub const ACCELERATORS_HEADER: &str = "Task-Accelerators";
+/// Longest idempotency key in bytes.
+const MAX_IDEMPOTENCY_KEY: usize = 255;
+/// Most tasks in one order to cancel.
+const MAX_CANCELLED: usize = 1_000;
 
-/// Serves callers until the listener fails.
-pub async fn run(
-    listener: TcpListener,
-    spawner: TaskSpawner,
-    clock: Arc<dyn ClockSource>,
-    max_payload: usize,
-    desk: RingSender<DeskMessage>,
-) {
-    let handler = Rc::new(CallerHandler {
-        clock,
-        max_payload,
-        desk,
-    });
-    if let Err(error) = serve_http(listener, spawner, handler).await {
+/// What the duty needs besides its ring.
+pub struct CallerLinks {
+    /// Listener for callers.
+    pub listener: TcpListener,
+    /// Bounds of the server.
+    pub bounds: ServerBounds,
+    /// The clock.
+    pub clock: Arc<dyn ClockSource>,
+    /// Ring to the dispatch duty.
+    pub desk: RingSender<DeskMessage>,
+}
+
+/// Serves callers until the server has drained, or until the sender of `phases` is gone.
+pub async fn run(links: CallerLinks, spawner: TaskSpawner, phases: RingReceiver<ServePhase>) {
+    let handler = CallerHandler {
+        clock: links.clock,
+        desk: links.desk,
+        spawner: spawner.clone(),
+    };
+    let server = HttpServer {
+        listener: links.listener,
+        spawner,
+        handler: Rc::new(handler),
+        bounds: links.bounds,
+    };
+    if let Err(error) = server.serve(phases).await {
         tracing::error!(event = EventCode::CallerFailed.number(), %error, "listener failed");
     }
 }
@@ -46,171 +75,269 @@
 #[derive(Clone)]
 struct CallerHandler {
     clock: Arc<dyn ClockSource>,
-    max_payload: usize,
     desk: RingSender<DeskMessage>,
+    spawner: TaskSpawner,
 }
 
-struct Problem {
-    status: StatusCode,
-    kind: String,
-    certainty: RunCertainty,
+/// Tells the desk that the caller has gone when it is dropped before the reply.
+struct AbandonGuard {
+    task: Option<TaskId>,
+    desk: RingSender<DeskMessage>,
+    spawner: TaskSpawner,
+}
+
+#[derive(Debug, Deserialize)]
+struct CancelBody {
+    tasks: Vec<String>,
 }
 
 impl HttpHandler for CallerHandler {
     fn handle(&self, request: Request) -> BoxedLocal<Response> {
         let handler = self.clone();
         async move {
-            handler
-                .submit(request)
-                .await
-                .unwrap_or_else(|problem| problem.reply())
+            let answer = handler.answer(request).await;
+            answer.unwrap_or_else(|problem| problem.response())
         }
         .boxed_local()
     }
+
+    fn refuse(&self, fault: RequestFault) -> Response {
+        CallerProblem::of_fault(fault).response()
+    }
 }
 
 impl CallerHandler {
-    async fn submit(&self, mut http: Request) -> Result<Response, Problem> {
-        let queue = queue_of(http.url().path())
-            .ok_or_else(|| Problem::not_run(StatusCode::NotFound, "unknown-path"))?;
-        if http.method() != Method::Post {
-            return Err(Problem::not_run(
-                StatusCode::MethodNotAllowed,
-                "method-not-allowed",
-            ));
+    async fn answer(&self, http: Request) -> Result<Response, CallerProblem> {
+        let path = http.url().path().to_owned();
+        let route = find_route(http.method(), &path)?;
+        match route.action {
+            CallerAction::SubmitTask => self.submit(route.parameter.into(), http).await,
+            CallerAction::CancelTask => self.cancel_one(route.parameter, &http).await,
+            CallerAction::CancelTasks => self.cancel_many(http).await,
         }
-        let id = uuid::Uuid::new_v4().as_u128();
-        let request = TaskRequest {
-            id,
-            queue,
-            key: bearer_of(&http).map(digest_key),
-            deadline: self.deadline_of(&http)?,
-            size: ResourceSize::default(),
-        };
-        let payload = self.read_payload(&mut http).await?;
+    }
+
+    async fn submit(&self, queue: QueueId, mut http: Request) -> Result<Response, CallerProblem> {
+        let request = self.task_request(queue, &http)?;
+        let task = request.id;
+        if http.ext().get::<ServePhase>() == Some(&ServePhase::Draining) {
+            let reason = RefusalReason::ShuttingDown;
+            return Err(CallerProblem::of_task(task, reason, RunCertainty::NotRun));
+        }
+        let payload = body_of(&mut http).await?;
+        let idempotency = idempotency_of(&http, &request.queue, &payload)?;
         let (reply, replies) = ring("reply", 1);
-        let message = DeskMessage::Submit {
+        let submission = TaskSubmission {
             request,
-            payload,
+            payload: payload.into(),
+            idempotency,
             reply,
         };
-        if self.desk.offer(message).is_err() {
-            return Err(Problem::refusal(
-                RefusalReason::Overloaded,
-                RunCertainty::NotRun,
-            ));
+        if self.desk.offer(DeskMessage::Submit(submission)).is_err() {
+            let reason = RefusalReason::Overloaded;
+            return Err(CallerProblem::of_task(task, reason, RunCertainty::NotRun));
         }
-        match replies.recv().await {
-            Some(reply) => answer(id, reply),
-            None => Err(Problem::refusal(
+        let mut guard = self.guard(task);
+        let reply = replies.recv().await;
+        guard.task = None;
+        match reply {
+            Some(reply) => task_response(reply),
+            None => Err(CallerProblem::of_task(
+                task,
                 RefusalReason::ShuttingDown,
                 RunCertainty::Unknown,
             )),
         }
     }
 
-    fn deadline_of(&self, http: &Request) -> Result<Option<Instant>, Problem> {
-        let Some(values) = http.header(DEADLINE_HEADER) else {
+    fn guard(&self, task: TaskId) -> AbandonGuard {
+        AbandonGuard {
+            task: Some(task),
+            desk: self.desk.clone(),
+            spawner: self.spawner.clone(),
+        }
+    }
+
+    fn task_request(&self, queue: QueueId, http: &Request) -> Result<TaskRequest, CallerProblem> {
+        let size = ResourceSize {
+            millicores: number_header(http, MILLICORES_HEADER)?.unwrap_or_default(),
+            memory_mib: number_header(http, MEMORY_HEADER)?.unwrap_or_default(),
+            accelerators: number_header(http, ACCELERATORS_HEADER)?.unwrap_or_default(),
+        };
+        Ok(TaskRequest {
+            id: task_id_of(http)?,
+            queue,
+            key: key_of(http),
+            deadline: self.deadline_of(http)?,
+            size,
+        })
+    }
+
+    fn deadline_of(&self, http: &Request) -> Result<Option<Instant>, CallerProblem> {
+        let Some(millis) = number_header(http, DEADLINE_HEADER)? else {
             return Ok(None);
         };
-        let millis = values.last().as_str().parse();
-        let wait = millis.map(Duration::from_millis);
-        let deadline = wait
-            .ok()
-            .and_then(|wait| self.clock.now().checked_add(wait));
-        match deadline {
-            Some(deadline) => Ok(Some(deadline)),
-            None => Err(Problem::not_run(
-                StatusCode::BadRequest,
-                "malformed-deadline",
-            )),
-        }
+        let deadline = self.clock.now().checked_add(Duration::from_millis(millis));
+        deadline
+            .map(Some)
+            .ok_or_else(|| malformed_header(DEADLINE_HEADER))
     }
 
-    async fn read_payload(&self, http: &mut Request) -> Result<Arc<[u8]>, Problem> {
-        let mut payload = Vec::new();
-        let bound = self.max_payload as u64 + 1;
-        let declared = http.len();
-        let read = http.take_body().take(bound).read_to_end(&mut payload).await;
-        if payload.len() > self.max_payload {
-            return Err(Problem::not_run(
-                StatusCode::PayloadTooLarge,
-                "payload-too-large",
-            ));
-        }
-        if read.is_err() || declared.is_some_and(|length| length != payload.len()) {
-            return Err(Problem::not_run(
-                StatusCode::BadRequest,
-                "payload-incomplete",
-            ));
+    async fn cancel_one(&self, text: &str, http: &Request) -> Result<Response, CallerProblem> {
+        let unknown = || CallerProblem::of_request(RequestProblem::UnknownTask, None);
+        let task = parse_task_id(text).ok_or_else(unknown)?;
+        let outcomes = self.cancel(vec![task], http).await?;
+        match outcomes.as_slice() {
+            [CancelOutcome::Cancelled] => Ok(json_response(
+                &json!({ "task": text, "outcome": CancelOutcome::Cancelled }),
+            )),
+            _ => Err(unknown()),
         }
-        Ok(payload.into())
     }
-}
 
-impl Problem {
-    fn not_run(status: StatusCode, kind: &str) -> Self {
-        Self {
-            status,
-            kind: kind.to_owned(),
-            certainty: RunCertainty::NotRun,
+    async fn cancel_many(&self, mut http: Request) -> Result<Response, CallerProblem> {
+        let malformed =
+            |detail: String| CallerProblem::of_request(RequestProblem::MalformedBody, Some(detail));
+        let body = body_of(&mut http).await?;
+        let body: CancelBody =
+            serde_json::from_slice(&body).map_err(|error| malformed(error.to_string()))?;
+        if body.tasks.len() > MAX_CANCELLED {
+            return Err(malformed(format!("more than {MAX_CANCELLED} tasks")));
         }
+        let tasks = body.tasks.iter().map(|text| {
+            parse_task_id(text).ok_or_else(|| malformed(format!("{text:?} is no identity")))
+        });
+        let tasks = tasks.collect::<Result<Vec<_>, _>>()?;
+        let outcomes = self.cancel(tasks, &http).await?;
+        let lines = body.tasks.iter().zip(outcomes);
+        let lines = lines.map(|(task, outcome)| json!({ "task": task, "outcome": outcome }));
+        Ok(json_response(
+            &json!({ "tasks": lines.collect::<Vec<_>>() }),
+        ))
     }
 
-    fn refusal(reason: RefusalReason, certainty: RunCertainty) -> Self {
-        let status = match reason {
-            RefusalReason::UnknownQueue => StatusCode::NotFound,
-            RefusalReason::KeyRejected => StatusCode::Unauthorized,
-            RefusalReason::Overloaded => StatusCode::TooManyRequests,
-            RefusalReason::Unplaceable => StatusCode::UnprocessableEntity,
-            RefusalReason::Cancelled => StatusCode::Gone,
-            RefusalReason::DeadlinePassed => StatusCode::GatewayTimeout,
-            RefusalReason::BackendFailed => StatusCode::BadGateway,
-            RefusalReason::NotReady | RefusalReason::ShuttingDown => StatusCode::ServiceUnavailable,
+    async fn cancel(
+        &self,
+        tasks: Vec<TaskId>,
+        http: &Request,
+    ) -> Result<Vec<CancelOutcome>, CallerProblem> {
+        let (reply, replies) = ring("reply", 1);
+        let order = CancelOrder {
+            tasks,
+            key: key_of(http),
+            reply,
         };
-        Self {
-            status,
-            kind: reason.to_string(),
-            certainty,
-        }
+        let offered = self.desk.offer(DeskMessage::Cancel(order)).is_ok();
+        let outcomes = if offered { replies.recv().await } else { None };
+        outcomes.ok_or_else(|| {
+            let problem = CallerProblem::of_fault(RequestFault::TooManyConnections);
+            CallerProblem {
+                kind: RefusalReason::Overloaded.to_string(),
+                certainty: RunCertainty::Unknown,
+                ..problem
+            }
+        })
     }
+}
 
-    /// Returns the problem document of RFC 9457.
-    fn reply(&self) -> Response {
-        let document = json!({
-            "type": format!("{PROBLEM_PREFIX}{}", self.kind),
-            "title": self.kind,
-            "status": u16::from(self.status),
-            "run": self.certainty.as_ref(),
+impl Drop for AbandonGuard {
+    fn drop(&mut self) {
+        let Some(task) = self.task.take() else {
+            return;
+        };
+        let desk = self.desk.clone();
+        self.spawner.spawn(async move {
+            // Without a desk the node is stopping and the task ends with it.
+            _ = desk.send(DeskMessage::Abandon(task)).await;
         });
-        let mut response = Response::new(self.status);
-        response.set_body(document.to_string());
-        response.insert_header(headers::CONTENT_TYPE, "application/problem+json");
-        response
     }
 }
 
-fn answer(id: TaskId, reply: TaskReply) -> Result<Response, Problem> {
+fn task_response(reply: TaskReply) -> Result<Response, CallerProblem> {
     match reply.verdict {
         TaskVerdict::Answered => {
             let mut response = Response::new(StatusCode::Ok);
-            response.insert_header(TASK_HEADER, format!("{id:032x}"));
+            response.insert_header(TASK_HEADER, format!("{:032x}", reply.task));
             response.set_body(reply.answer);
             Ok(response)
         }
-        TaskVerdict::Refused { reason, certainty } => Err(Problem::refusal(reason, certainty)),
+        TaskVerdict::Refused { reason, certainty } => {
+            Err(CallerProblem::of_task(reply.task, reason, certainty))
+        }
     }
 }
 
-/// Returns the queue of the path `/v1/queues/{queue}/tasks`.
-fn queue_of(path: &str) -> Option<QueueId> {
-    let queue = path.strip_prefix("/v1/queues/")?.strip_suffix("/tasks")?;
-    (!queue.is_empty() && !queue.contains('/')).then(|| queue.into())
+fn json_response(value: &serde_json::Value) -> Response {
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(value.to_string());
+    response.set_content_type(http_types::mime::JSON);
+    response
 }
 
-fn bearer_of(http: &Request) -> Option<&str> {
-    http.header(headers::AUTHORIZATION)?
+async fn body_of(http: &mut Request) -> Result<Vec<u8>, CallerProblem> {
+    let body = http.body_bytes().await;
+    body.map_err(|error| {
+        CallerProblem::of_request(RequestProblem::MalformedBody, Some(error.to_string()))
+    })
+}
+
+/// Returns the identity that the caller chose, or a random one.
+fn task_id_of(http: &Request) -> Result<TaskId, CallerProblem> {
+    match http.header(TASK_HEADER) {
+        None => Ok(uuid::Uuid::new_v4().as_u128()),
+        Some(values) => {
+            parse_task_id(values.last().as_str()).ok_or_else(|| malformed_header(TASK_HEADER))
+        }
+    }
+}
+
+/// Reads an identity, a UUID in hexadecimal digits with or without hyphens.
+fn parse_task_id(text: &str) -> Option<TaskId> {
+    uuid::Uuid::parse_str(text).ok().map(|id| id.as_u128())
+}
+
+fn idempotency_of(
+    http: &Request,
+    queue: &QueueId,
+    payload: &[u8],
+) -> Result<Option<IdempotencyMark>, CallerProblem> {
+    let Some(values) = http.header(IDEMPOTENCY_HEADER) else {
+        return Ok(None);
+    };
+    let key = values.last().as_str();
+    if key.is_empty() || key.len() > MAX_IDEMPOTENCY_KEY {
+        return Err(malformed_header(IDEMPOTENCY_HEADER));
+    }
+    let digest = Sha256::new()
+        .chain_update((queue.len() as u64).to_le_bytes())
+        .chain_update(queue.as_bytes())
+        .chain_update(payload);
+    Ok(Some(IdempotencyMark {
+        key: key.into(),
+        digest: digest.finalize().into(),
+    }))
+}
+
+fn key_of(http: &Request) -> Option<KeyDigest> {
+    let values = http.header(headers::AUTHORIZATION)?;
+    values
         .last()
         .as_str()
         .strip_prefix("Bearer ")
+        .map(digest_key)
+}
+
+fn number_header<T: FromStr>(http: &Request, name: &str) -> Result<Option<T>, CallerProblem> {
+    let name: HeaderName = name.into();
+    let Some(values) = http.header(&name) else {
+        return Ok(None);
+    };
+    let number = values.last().as_str().parse();
+    number
+        .map(Some)
+        .map_err(|_| malformed_header(name.as_str()))
+}
+
+fn malformed_header(name: &str) -> CallerProblem {
+    CallerProblem::of_request(RequestProblem::MalformedHeader, Some(name.to_owned()))
 }
--- /dev/null
+++ b/crates/entry/src/caller_route.rs
@@ -0,0 +1,92 @@
+//! The routes that callers use.
+
+use http_types::Method;
+
+use crate::problem::{CallerProblem, RequestProblem};
+
+/// Place of the parameter in a pattern.
+const PARAMETER: &str = "{}";
+
+/// What a caller wants.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallerAction {
+    /// Submit a task to the queue of the parameter and wait for its end.
+    SubmitTask,
+    /// Cancel the task of the parameter.
+    CancelTask,
+    /// Cancel the tasks in the body.
+    CancelTasks,
+}
+
+/// One route.
+#[derive(Debug)]
+pub struct CallerRoute {
+    /// Method.
+    pub method: Method,
+    /// Path, with `{}` in place of its parameter.
+    pub pattern: &'static str,
+    /// What it does.
+    pub action: CallerAction,
+}
+
+/// A request's route with its parameter.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RouteMatch<'a> {
+    /// What the caller wants.
+    pub action: CallerAction,
+    /// Part of the path in place of `{}`; empty for a route without one.
+    pub parameter: &'a str,
+}
+
+/// All routes.
+pub const CALLER_ROUTES: &[CallerRoute] = &[
+    CallerRoute {
+        method: Method::Post,
+        pattern: "/v1/queues/{}/tasks",
+        action: CallerAction::SubmitTask,
+    },
+    CallerRoute {
+        method: Method::Post,
+        pattern: "/v1/tasks/cancel",
+        action: CallerAction::CancelTasks,
+    },
+    CallerRoute {
+        method: Method::Delete,
+        pattern: "/v1/tasks/{}",
+        action: CallerAction::CancelTask,
+    },
+];
+
+/// Returns the route of a request.
+///
+/// # Errors
+///
+/// Fails when there is no such path, or when it does not take the method.
+pub fn find_route(method: Method, path: &str) -> Result<RouteMatch<'_>, CallerProblem> {
+    let known = CALLER_ROUTES
+        .iter()
+        .filter_map(|route| Some((route, match_pattern(route.pattern, path)?)));
+    let mut methods = Vec::new();
+    for (route, parameter) in known {
+        if route.method == method {
+            let action = route.action;
+            return Ok(RouteMatch { action, parameter });
+        }
+        methods.push(route.method.to_string());
+    }
+    Err(if methods.is_empty() {
+        CallerProblem::of_request(RequestProblem::UnknownPath, None)
+    } else {
+        let detail = format!("the path takes {}", methods.join(", "));
+        CallerProblem::of_request(RequestProblem::MethodNotAllowed, Some(detail))
+    })
+}
+
+/// Returns the parameter of `path` when it fits `pattern`.
+fn match_pattern<'a>(pattern: &str, path: &'a str) -> Option<&'a str> {
+    let Some((before, after)) = pattern.split_once(PARAMETER) else {
+        return (pattern == path).then_some("");
+    };
+    let parameter = path.strip_prefix(before)?.strip_suffix(after)?;
+    (!parameter.is_empty() && !parameter.contains('/')).then_some(parameter)
+}
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,16 +1,21 @@
 //! Arguments and life cycle of the entry daemon.
 
 use std::fs;
-use std::io::Write;
+use std::io::{self, Write};
 
-use anyhow::Context;
+use anyhow::{Context, bail};
 use argh::FromArgs;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use pw_base::prelude::*;
+use pw_ring::prelude::*;
 
 use crate::node::{EntryNode, NodeLinks};
 use crate::settings::EntrySettings;
+use crate::shutdown::ShutdownVerdict;
+
+/// Signals that wait for the node.
+const SIGNAL_CAPACITY: usize = 4;
 
 /// Serves callers of a fleet.
 #[derive(FromArgs)]
@@ -20,11 +25,12 @@
     settings: String,
 }
 
-/// Serves callers until SIGTERM or SIGINT.
+/// Serves callers until SIGTERM or SIGINT, and then ends gracefully.
 ///
 /// # Errors
 ///
-/// Fails when the settings are wrong or an address can't be bound.
+/// Fails when the settings are wrong, when an address can't be bound, and when the shutdown cut off
+/// work.
 pub fn run_daemon(args: &EntryArgs) -> anyhow::Result<()> {
     tracing_subscriber::fmt()
         .with_writer(std::io::stderr)
@@ -42,8 +48,30 @@
         node.callers(),
         node.admin()
     )?;
+    let signals = forward_signals()?;
+    let verdict = async_io::block_on(node.serve_until(signals));
+    tracing::info!(
+        event = EventCode::EntryStopped.number(),
+        ?verdict,
+        "stopped"
+    );
+    match verdict {
+        ShutdownVerdict::Finished => Ok(()),
+        ShutdownVerdict::TimedOut => bail!("shutdown timed out before all work had ended"),
+        ShutdownVerdict::Interrupted => bail!("a second signal cut the shutdown short"),
+    }
+}
+
+/// Starts a duty that passes on each SIGTERM and SIGINT.
+fn forward_signals() -> io::Result<RingReceiver<()>> {
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
-    futures_lite::future::block_on(signals.next());
-    tracing::info!(event = EventCode::EntryStopping.number(), "stopping");
-    Ok(())
+    let (sender, receiver) = ring("signals", SIGNAL_CAPACITY);
+    DutyThread::spawn("signals", move |_| async move {
+        while signals.next().await.is_some() {
+            if sender.send(()).await.is_err() {
+                return;
+            }
+        }
+    })?;
+    Ok(receiver)
 }
--- a/crates/entry/src/dispatch_duty.rs
+++ b/crates/entry/src/dispatch_duty.rs
@@ -14,11 +14,16 @@
 use pw_worker::prelude::*;
 
 use crate::append_duty::AppendMessage;
-use crate::message::{BackendMessage, DeskMessage, DeskStatus, TaskReply};
+use crate::message::{
+    BackendMessage, CancelOrder, CancelOutcome, DeskMessage, DeskStatus, TaskReply, TaskSubmission,
+};
+
+/// Most callers that wait for the same task.
+const MAX_JOINED: usize = 16;
 
 struct OpenTask {
     payload: Arc<[u8]>,
-    reply: RingSender<TaskReply>,
+    replies: Vec<RingSender<TaskReply>>,
     answer: Vec<u8>,
 }
 
@@ -26,6 +31,7 @@
     desk: DispatchDesk,
     clock: Arc<dyn ClockSource>,
     open: HashMap<TaskId, OpenTask>,
+    requests: IdempotencyBook,
     runs: RingSender<BackendMessage>,
     appends: RingSender<AppendMessage>,
     /// Member whose name the leases are taken under.
@@ -34,20 +40,29 @@
     fresh_until: Option<Instant>,
 }
 
+/// What the duty decides with, and the rings to the other duties.
+pub struct DispatchLinks {
+    /// Decides about the tasks.
+    pub desk: DispatchDesk,
+    /// Knows the requests with an idempotency key.
+    pub requests: IdempotencyBook,
+    /// The clock.
+    pub clock: Arc<dyn ClockSource>,
+    /// Ring to the backends duty.
+    pub runs: RingSender<BackendMessage>,
+    /// Ring to the append duty.
+    pub appends: RingSender<AppendMessage>,
+}
+
 /// Feeds the desk with messages and carries out its commands until all senders are gone.
-pub async fn run(
-    desk: DispatchDesk,
-    clock: Arc<dyn ClockSource>,
-    messages: RingReceiver<DeskMessage>,
-    runs: RingSender<BackendMessage>,
-    appends: RingSender<AppendMessage>,
-) {
+pub async fn run(links: DispatchLinks, messages: RingReceiver<DeskMessage>) {
     let mut shell = DeskShell {
-        desk,
-        clock,
+        desk: links.desk,
+        clock: links.clock,
         open: HashMap::new(),
-        runs,
-        appends,
+        requests: links.requests,
+        runs: links.runs,
+        appends: links.appends,
         holder: None,
         fresh_until: None,
     };
@@ -62,19 +77,9 @@
 impl DeskShell {
     fn take(&mut self, message: DeskMessage) {
         match message {
-            DeskMessage::Submit {
-                request,
-                payload,
-                reply,
-            } => {
-                let task = OpenTask {
-                    payload,
-                    reply,
-                    answer: Vec::new(),
-                };
-                self.open.insert(request.id, task);
-                self.feed(DispatchEvent::TaskSubmitted(request));
-            }
+            DeskMessage::Submit(submission) => self.submit(submission),
+            DeskMessage::Abandon(task) => self.abandon(task),
+            DeskMessage::Cancel(order) => self.cancel(&order),
             DeskMessage::RunEnded { task, result } => {
                 if let Some(open) = self.open.get_mut(&task) {
                     open.answer = result.answer;
@@ -87,6 +92,96 @@
         }
     }
 
+    /// Submits a task, unless it repeats an earlier request.
+    fn submit(&mut self, submission: TaskSubmission) {
+        let task = submission.request.id;
+        let not_run = RunCertainty::NotRun;
+        match self.judge(&submission) {
+            IdempotencyVerdict::Submit if self.open.contains_key(&task) => {
+                let reason = RefusalReason::TaskKnown;
+                refuse(&submission.reply, task, reason, RunCertainty::Unknown);
+            }
+            IdempotencyVerdict::Submit => self.open_task(submission),
+            IdempotencyVerdict::Join(first) => self.join(first, &submission.reply),
+            IdempotencyVerdict::Repeat(closed) => {
+                // A caller that has gone needs no reply.
+                _ = submission.reply.offer(TaskReply {
+                    task: closed.task,
+                    verdict: closed.verdict,
+                    answer: closed.answer,
+                });
+            }
+            IdempotencyVerdict::Refuse(reason) => {
+                refuse(&submission.reply, task, reason, not_run);
+            }
+        }
+    }
+
+    fn judge(&mut self, submission: &TaskSubmission) -> IdempotencyVerdict {
+        let task = submission.request.id;
+        let Some(mark) = &submission.idempotency else {
+            return IdempotencyVerdict::Submit;
+        };
+        if self.open.contains_key(&task) {
+            return IdempotencyVerdict::Submit;
+        }
+        let shown = submission.request.key.as_ref();
+        let team = shown.and_then(|key| self.desk.team_of(key));
+        if shown.is_some() && team.is_none() {
+            // The desk refuses the key.
+            return IdempotencyVerdict::Submit;
+        }
+        let key = RequestKey {
+            team,
+            key: Arc::clone(&mark.key),
+        };
+        self.requests
+            .judge(self.clock.now(), key, mark.digest, task)
+    }
+
+    fn open_task(&mut self, submission: TaskSubmission) {
+        let task = OpenTask {
+            payload: submission.payload,
+            replies: vec![submission.reply],
+            answer: Vec::new(),
+        };
+        self.open.insert(submission.request.id, task);
+        self.feed(DispatchEvent::TaskSubmitted(submission.request));
+    }
+
+    fn join(&mut self, task: TaskId, reply: &RingSender<TaskReply>) {
+        match self.open.get_mut(&task) {
+            Some(open) if open.replies.len() < MAX_JOINED => open.replies.push(reply.clone()),
+            _ => refuse(
+                reply,
+                task,
+                RefusalReason::Overloaded,
+                RunCertainty::Unknown,
+            ),
+        }
+    }
+
+    /// Gives up a task that nobody can ask for again.
+    fn abandon(&mut self, task: TaskId) {
+        if !self.requests.is_open(task) {
+            self.feed(DispatchEvent::TaskAbandoned(task));
+        }
+    }
+
+    fn cancel(&mut self, order: &CancelOrder) {
+        let key = order.key.as_ref();
+        let outcomes = order.tasks.iter().map(|task| {
+            if !self.desk.may_cancel(*task, key) {
+                return CancelOutcome::Unknown;
+            }
+            self.feed(DispatchEvent::TaskAbandoned(*task));
+            CancelOutcome::Cancelled
+        });
+        let outcomes = outcomes.collect();
+        // A caller that has gone needs no reply.
+        _ = order.reply.offer(outcomes);
+    }
+
     fn status(&self) -> DeskStatus {
         DeskStatus {
             revision: self.desk.revision(),
@@ -167,13 +262,40 @@
     }
 
     fn close(&mut self, task: TaskId, verdict: TaskVerdict) {
-        if let Some(OpenTask { reply, answer, .. }) = self.open.remove(&task) {
+        let Some(OpenTask {
+            replies, answer, ..
+        }) = self.open.remove(&task)
+        else {
+            return;
+        };
+        self.requests
+            .close(self.clock.now(), task, verdict, &answer);
+        for reply in replies {
+            let answer = answer.clone();
             // A caller that has gone needs no reply.
-            _ = reply.offer(TaskReply { verdict, answer });
+            _ = reply.offer(TaskReply {
+                task,
+                verdict,
+                answer,
+            });
         }
     }
 }
 
+fn refuse(
+    reply: &RingSender<TaskReply>,
+    task: TaskId,
+    reason: RefusalReason,
+    certainty: RunCertainty,
+) {
+    // A caller that has gone needs no reply.
+    _ = reply.offer(TaskReply {
+        task,
+        verdict: TaskVerdict::Refused { reason, certainty },
+        answer: Vec::new(),
+    });
+}
+
 /// Writes a notice of the desk to the log of events.
 fn note(notice: &DeskNotice) {
     match notice {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod append_duty;
 pub mod backend_duty;
 pub mod caller_duty;
+pub mod caller_route;
 pub mod daemon;
 pub mod dispatch_duty;
 pub mod instance_duty;
@@ -14,10 +15,15 @@
 pub mod member_duty;
 pub mod message;
 pub mod node;
+pub mod problem;
 pub mod settings;
+pub mod shutdown;
 
 /// The names that most users of this crate need.
 pub mod prelude {
     pub use crate::node::{EntryNode, NodeLinks};
     pub use crate::settings::EntrySettings;
+    pub use crate::shutdown::{
+        ShutdownCommand, ShutdownEvent, ShutdownPlan, ShutdownSettings, ShutdownVerdict,
+    };
 }
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -8,7 +8,9 @@
 use pw_link::prelude::*;
 use pw_member::prelude::*;
 use pw_ring::prelude::*;
+use pw_team::prelude::*;
 use serde::Serialize;
+use strum::Display;
 
 use crate::member_duty::MemberMessage;
 
@@ -16,14 +18,11 @@
 #[derive(Debug)]
 pub enum DeskMessage {
     /// A caller submitted a task.
-    Submit {
-        /// What the decision needs.
-        request: TaskRequest,
-        /// What the backend server needs.
-        payload: Arc<[u8]>,
-        /// Takes the reply.
-        reply: RingSender<TaskReply>,
-    },
+    Submit(TaskSubmission),
+    /// A caller has gone before the end of its task.
+    Abandon(TaskId),
+    /// A caller wants tasks cancelled.
+    Cancel(CancelOrder),
     /// A run has ended.
     RunEnded {
         /// Identity of the task.
@@ -37,6 +36,50 @@
     Report(RingSender<DeskStatus>),
 }
 
+/// A task with all that its end needs.
+#[derive(Debug)]
+pub struct TaskSubmission {
+    /// What the decision needs.
+    pub request: TaskRequest,
+    /// What the backend server needs.
+    pub payload: Arc<[u8]>,
+    /// Idempotency key, when the caller sent one.
+    pub idempotency: Option<IdempotencyMark>,
+    /// Takes the reply.
+    pub reply: RingSender<TaskReply>,
+}
+
+/// Idempotency key with what the request must repeat.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct IdempotencyMark {
+    /// Key as the caller sent it.
+    pub key: Arc<str>,
+    /// Digest of queue and payload.
+    pub digest: RequestDigest,
+}
+
+/// Tasks that a caller wants cancelled.
+#[derive(Debug)]
+pub struct CancelOrder {
+    /// Identities of the tasks.
+    pub tasks: Vec<TaskId>,
+    /// Digest of the key that came with the order.
+    pub key: Option<KeyDigest>,
+    /// Takes the outcomes, in the order of the tasks.
+    pub reply: RingSender<Vec<CancelOutcome>>,
+}
+
+/// What became of a task that was to be cancelled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Display)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum CancelOutcome {
+    /// It has been told to stop; its submitter hears whether it ran.
+    Cancelled,
+    /// No open task of the caller's team has this identity here.
+    Unknown,
+}
+
 /// Message to the backends duty.
 #[derive(Debug)]
 pub enum BackendMessage {
@@ -74,6 +117,8 @@
 /// Reply to a caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TaskReply {
+    /// Identity of the task; that of an earlier request when this one repeated it.
+    pub task: TaskId,
     /// How the task ended.
     pub verdict: TaskVerdict,
     /// The whole answer; empty for a refusal.
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -1,10 +1,14 @@
 //! An entry instance with all its duties.
 
-use std::io;
+use std::convert::Infallible;
+use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use std::{fmt, io};
 
+use async_io::Timer;
+use futures_lite::future;
 use pw_base::prelude::*;
 use pw_contract::prelude::*;
 use pw_dispatch::prelude::*;
@@ -15,8 +19,12 @@
 use pw_worker::prelude::*;
 
 use crate::backend_duty::BackendLinks;
-use crate::member_duty::MemberLinks;
+use crate::caller_duty::CallerLinks;
+use crate::dispatch_duty::DispatchLinks;
+use crate::member_duty::{MemberLinks, MemberMessage};
+use crate::message::DeskMessage;
 use crate::settings::EntrySettings;
+use crate::shutdown::{ShutdownCommand, ShutdownEvent, ShutdownPlan, ShutdownVerdict};
 use crate::{
     admin_duty, append_duty, backend_duty, caller_duty, dispatch_duty, instance_duty, log_duty,
     member_duty,
@@ -24,6 +32,12 @@
 
 /// Time between two tries to free the floor permits of a retired member.
 const RECLAIM_RETRY: Duration = Duration::from_secs(2);
+/// Phases that wait for a duty; there are only three.
+const PHASE_CAPACITY: usize = 4;
+/// Time between two looks for open tasks while the instance drains.
+const WORK_POLL: Duration = Duration::from_millis(20);
+/// Longest wait for the departure to be folded; others retire a member that did not wait for it.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Outside systems of an entry instance; tests put small fakes in their place.
 pub struct NodeLinks {
@@ -39,18 +53,38 @@
     pub clock: Arc<dyn ClockSource>,
 }
 
-/// A running entry instance.
+/// A running entry instance; its duties end when it is dropped.
 #[derive(Debug)]
 pub struct EntryNode {
     callers: SocketAddr,
     admin: SocketAddr,
+    clock: NodeClock,
+    plan: ShutdownPlan,
+    phases: Vec<RingSender<ServePhase>>,
+    desk: RingSender<DeskMessage>,
+    members: RingSender<MemberMessage>,
+    caller_end: RingReceiver<Infallible>,
+    threads: NodeThreads,
+}
+
+/// The clock of a node.
+#[derive(Clone)]
+struct NodeClock(Arc<dyn ClockSource>);
+
+/// The threads of a node's duties, which end together.
+#[derive(Debug)]
+struct NodeThreads {
+    /// Closed to end the duties.
+    stop_sender: Option<RingSender<Infallible>>,
+    stop: RingReceiver<Infallible>,
+    threads: Vec<DutyThread>,
 }
 
 impl NodeLinks {
     /// Returns links to the services that the settings name, over HTTP.
     pub fn over_http(settings: &EntrySettings) -> Self {
         let clock: Arc<dyn ClockSource> = Arc::new(SystemClock);
-        let pool = HttpPool::new(PoolBounds::default(), Arc::clone(&clock));
+        let pool = HttpPool::new(settings.pool_bounds(), Arc::clone(&clock));
         Self {
             log: Box::new(HttpLog::new(settings.log)),
             appends: Box::new(HttpLog::new(settings.log)),
@@ -72,8 +106,13 @@
         let admin_listener = TcpListener::bind(settings.admin)?;
         let callers = caller_listener.local_addr()?;
         let admin = admin_listener.local_addr()?;
-        let (desk_sender, desk_receiver) = ring("desk", settings.ring_capacity);
-        let (run_sender, run_receiver) = ring("runs", settings.ring_capacity);
+        let (desk, desk_receiver) = ring("desk", settings.ring_capacity);
+        let (runs, run_receiver) = ring("runs", settings.ring_capacity);
+        let (proposals, proposal_receiver) = ring("appends", settings.ring_capacity);
+        let (members, member_receiver) = ring("members", settings.ring_capacity);
+        let (caller_phases, caller_phase_receiver) = ring("phases", PHASE_CAPACITY);
+        let (admin_phases, admin_phase_receiver) = ring("phases", PHASE_CAPACITY);
+        let (caller_end_sender, caller_end) = ring("caller-end", 1);
         let NodeLinks {
             log,
             appends,
@@ -81,78 +120,95 @@
             backends,
             clock,
         } = links;
-        let desk_settings = DeskSettings {
-            entry: settings.entry.clone(),
-            home: settings.zone.clone(),
-            ..DeskSettings::default()
-        };
         let key = MemberKey {
             entry: Arc::clone(&settings.entry),
             process: uuid::Uuid::new_v4().as_u128(),
             incarnation: 1,
         };
-        let gate = PermitHolder::new(HolderSettings {
-            process: key.process,
-            zone: Arc::clone(&settings.zone),
-            ..HolderSettings::default()
-        });
-        let desk = DispatchDesk::new(desk_settings, Box::new(gate));
-        let (append_sender, append_receiver) = ring("appends", settings.ring_capacity);
-        let (member_sender, member_receiver) = ring("members", settings.ring_capacity);
-        let (runs, proposals) = (run_sender.clone(), append_sender.clone());
-        let dispatch_clock = Arc::clone(&clock);
-        DutyThread::spawn("dispatch", move |_| {
-            dispatch_duty::run(desk, dispatch_clock, desk_receiver, runs, proposals)
+        let mut threads = NodeThreads::new();
+
+        let dispatch_links = DispatchLinks {
+            desk: new_desk(settings, &key),
+            requests: IdempotencyBook::new(settings.idempotency()),
+            clock: Arc::clone(&clock),
+            runs: runs.clone(),
+            appends: proposals.clone(),
+        };
+        threads.spawn("dispatch", move |_| {
+            dispatch_duty::run(dispatch_links, desk_receiver)
         })?;
+
         let backend_links = BackendLinks {
             gateway: backends,
             clock: Arc::clone(&clock),
             holder: key.to_string().into(),
-            desk: desk_sender.clone(),
+            desk: desk.clone(),
         };
-        DutyThread::spawn("backends", move |spawner| {
+        threads.spawn("backends", move |spawner| {
             backend_duty::run(backend_links, spawner, run_receiver)
         })?;
-        let sender = desk_sender.clone();
+
+        let (log_desk, log_members) = (desk.clone(), members.clone());
         let log_clock = Arc::clone(&clock);
-        let members = member_sender.clone();
-        DutyThread::spawn("log", move |_| {
-            log_duty::run(log, log_clock, sender, members)
+        threads.spawn("log", move |_| {
+            log_duty::run(log, log_clock, log_desk, log_members)
         })?;
+
         let append_clock = Arc::clone(&clock);
         let batcher = AppendBatcher::new(AppendSettings {
             seed: key.process as u64,
             ..AppendSettings::default()
         });
-        DutyThread::spawn("appends", move |_| {
-            append_duty::run(appends, append_clock, batcher, append_receiver)
+        threads.spawn("appends", move |_| {
+            append_duty::run(appends, append_clock, batcher, proposal_receiver)
         })?;
+
         let member_links = MemberLinks {
             clock: Arc::clone(&clock),
             reclaim: ReclaimDesk::new(key.process, RECLAIM_RETRY),
             snapshots: SnapshotDesk::new(clock.now(), SnapshotSettings::default()),
             desk: member_desk(clock.now(), key, settings, admin),
-            appends: append_sender,
-            backends: run_sender,
-            own: member_sender.clone(),
+            appends: proposals,
+            backends: runs,
+            own: members.clone(),
         };
-        DutyThread::spawn("members", move |_| {
+        threads.spawn("members", move |_| {
             member_duty::run(member_links, member_receiver)
         })?;
-        let sender = desk_sender.clone();
+
+        let (instance_desk, instance_members) = (desk.clone(), members.clone());
         let poll = settings.instance_poll;
-        DutyThread::spawn("instances", move |_| {
-            instance_duty::run(instances, poll, sender, member_sender)
+        threads.spawn("instances", move |_| {
+            instance_duty::run(instances, poll, instance_desk, instance_members)
         })?;
-        let sender = desk_sender.clone();
-        DutyThread::spawn("admin", move |spawner| {
-            admin_duty::run(admin_listener, spawner, sender)
+
+        let admin_desk = desk.clone();
+        threads.spawn("admin", move |spawner| {
+            admin_duty::run(admin_listener, spawner, admin_desk, admin_phase_receiver)
         })?;
-        let max_payload = settings.max_payload;
-        DutyThread::spawn("callers", move |spawner| {
-            caller_duty::run(caller_listener, spawner, clock, max_payload, desk_sender)
+
+        let caller_links = CallerLinks {
+            listener: caller_listener,
+            bounds: settings.server_bounds(),
+            clock: Arc::clone(&clock),
+            desk: desk.clone(),
+        };
+        threads.spawn("callers", move |spawner| async move {
+            caller_duty::run(caller_links, spawner, caller_phase_receiver).await;
+            drop(caller_end_sender);
         })?;
-        Ok(Self { callers, admin })
+
+        Ok(Self {
+            callers,
+            admin,
+            clock: NodeClock(clock),
+            plan: ShutdownPlan::new(settings.shutdown()),
+            phases: vec![admin_phases, caller_phases],
+            desk,
+            members,
+            caller_end,
+            threads,
+        })
     }
 
     /// Returns the address for callers.
@@ -164,6 +220,159 @@
     pub fn admin(&self) -> SocketAddr {
         self.admin
     }
+
+    /// Serves until a message arrives in `signals`, and then shuts down gracefully.
+    ///
+    /// A second message ends the shutdown at once.
+    pub async fn serve_until(mut self, signals: RingReceiver<()>) -> ShutdownVerdict {
+        loop {
+            let event = self.next_event(&signals).await;
+            match self.plan.handle(self.clock.0.now(), event) {
+                Some(ShutdownCommand::Enter(phase)) => self.enter(phase).await,
+                Some(ShutdownCommand::Stop(verdict)) => {
+                    self.threads.end();
+                    return verdict;
+                }
+                None => {}
+            }
+        }
+    }
+
+    async fn next_event(&self, signals: &RingReceiver<()>) -> ShutdownEvent {
+        let signal = async {
+            match signals.recv().await {
+                Some(()) => ShutdownEvent::SignalArrived,
+                None => future::pending().await,
+            }
+        };
+        let passed = async {
+            match self.plan.next_deadline() {
+                Some(deadline) => _ = Timer::at(deadline).await,
+                None => future::pending().await,
+            }
+            ShutdownEvent::TimePassed
+        };
+        let finished = async {
+            if self.plan.phase() != ServePhase::Draining {
+                future::pending::<()>().await;
+            }
+            self.work_finished().await;
+            ShutdownEvent::WorkFinished
+        };
+        future::or(signal, future::or(finished, passed)).await
+    }
+
+    /// Waits until all callers have their answers, no task is open, and the member has left.
+    async fn work_finished(&self) {
+        // Nothing is ever sent: the ring ends with the callers' duty.
+        while self.caller_end.recv().await.is_some() {}
+        while self.open_tasks().await > 0 {
+            Timer::after(WORK_POLL).await;
+        }
+        self.leave().await;
+    }
+
+    /// Gives back what the member holds, so that no other one has to wait for its retirement.
+    async fn leave(&self) {
+        let (departed, departures) = ring("departed", 1);
+        let left = async {
+            let message = MemberMessage::TasksEnded { departed };
+            // Without the members duty there is nothing to give back.
+            _ = self.members.send(message).await;
+            _ = departures.recv().await;
+        };
+        let late = async {
+            Timer::after(LEAVE_TIMEOUT).await;
+        };
+        future::or(left, late).await;
+    }
+
+    async fn open_tasks(&self) -> usize {
+        let (reply, replies) = ring("status", 1);
+        if self.desk.send(DeskMessage::Report(reply)).await.is_err() {
+            return 0;
+        }
+        let status = replies.recv().await;
+        status.map_or(0, |status| status.open_tasks)
+    }
+
+    async fn enter(&self, phase: ServePhase) {
+        let event = EventCode::EntryStopping;
+        tracing::info!(event = event.number(), %phase, "shutdown goes on");
+        if phase == ServePhase::Draining {
+            let event = DeskMessage::Event(DispatchEvent::ShutdownBegan);
+            // Without a desk there is no work left.
+            _ = self.desk.send(event).await;
+        }
+        for phases in &self.phases {
+            // A duty that has ended needs no phase.
+            _ = phases.send(phase).await;
+        }
+    }
+}
+
+impl NodeThreads {
+    fn new() -> Self {
+        let (stop_sender, stop) = ring("stop", 1);
+        Self {
+            stop_sender: Some(stop_sender),
+            stop,
+            threads: Vec::new(),
+        }
+    }
+
+    /// Starts a duty that ends by itself or with the node.
+    fn spawn<M, F>(&mut self, name: &str, duty: M) -> io::Result<()>
+    where
+        M: FnOnce(TaskSpawner) -> F + Send + 'static,
+        F: Future<Output = ()>,
+    {
+        let stop = self.stop.clone();
+        let thread = DutyThread::spawn(name, move |spawner| {
+            let stopped = async move {
+                // Nothing is ever sent: the ring ends with the node.
+                while stop.recv().await.is_some() {}
+            };
+            future::or(stopped, duty(spawner))
+        })?;
+        self.threads.push(thread);
+        Ok(())
+    }
+
+    /// Ends all duties and waits for their threads.
+    fn end(&mut self) {
+        self.stop_sender = None;
+        for thread in self.threads.drain(..) {
+            // A duty that panicked has told so itself.
+            _ = thread.join();
+        }
+    }
+}
+
+impl Drop for NodeThreads {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+impl fmt::Debug for NodeClock {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("NodeClock")
+    }
+}
+
+fn new_desk(settings: &EntrySettings, key: &MemberKey) -> DispatchDesk {
+    let desk_settings = DeskSettings {
+        entry: settings.entry.clone(),
+        home: settings.zone.clone(),
+        ..DeskSettings::default()
+    };
+    let gate = PermitHolder::new(HolderSettings {
+        process: key.process,
+        zone: Arc::clone(&settings.zone),
+        ..HolderSettings::default()
+    });
+    DispatchDesk::new(desk_settings, Box::new(gate))
 }
 
 fn member_desk(
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -4,8 +4,12 @@
 use std::time::Duration;
 
 use pw_base::prelude::*;
+use pw_dispatch::prelude::*;
+use pw_link::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::shutdown::ShutdownSettings;
+
 /// Settings of an entry instance, written in TOML.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -29,6 +33,43 @@
     pub ring_capacity: usize,
     /// Largest payload in bytes.
     pub max_payload: usize,
+    /// Bytes of payloads that may be held at the same time while they arrive and run.
+    pub max_payload_total: usize,
+    /// Connections of callers that may be open at the same time.
+    pub max_connections: usize,
+    /// Connections of callers that may be open from one address at the same time.
+    pub max_connections_per_address: usize,
+    /// Longest time for the head of a request.
+    #[serde(with = "humantime_serde")]
+    pub head_timeout: Duration,
+    /// Longest time for the payload of a request.
+    #[serde(with = "humantime_serde")]
+    pub payload_timeout: Duration,
+    /// Longest time without a request on an open connection.
+    #[serde(with = "humantime_serde")]
+    pub idle_timeout: Duration,
+    /// Longest time for a caller to take a response.
+    #[serde(with = "humantime_serde")]
+    pub send_timeout: Duration,
+    /// Largest answer of a backend server in bytes.
+    pub max_answer: usize,
+    /// Requests that may be under way to one worker at the same time.
+    pub worker_connections: usize,
+    /// Connections to one worker that are kept for further requests.
+    pub worker_idle_connections: usize,
+    /// How long the answer to a request with an idempotency key is kept.
+    #[serde(with = "humantime_serde")]
+    pub idempotency_keep: Duration,
+    /// Requests with an idempotency key that are known at the same time.
+    pub idempotency_requests: usize,
+    /// Bytes of answers that are kept for requests with an idempotency key.
+    pub idempotency_bytes: usize,
+    /// How long the balancer may go on to send requests to an instance that is not ready.
+    #[serde(with = "humantime_serde")]
+    pub balancer_lag: Duration,
+    /// Longest time from a signal to stop to the end of the process.
+    #[serde(with = "humantime_serde")]
+    pub shutdown_timeout: Duration,
 }
 
 impl Default for EntrySettings {
@@ -44,6 +85,64 @@
             instance_poll: Duration::from_millis(500),
             ring_capacity: 1024,
             max_payload: 1024 * 1024,
+            max_payload_total: 32 * 1024 * 1024,
+            max_connections: 1024,
+            max_connections_per_address: 512,
+            head_timeout: Duration::from_secs(10),
+            payload_timeout: Duration::from_secs(30),
+            idle_timeout: Duration::from_secs(60),
+            send_timeout: Duration::from_secs(10),
+            max_answer: 4 * 1024 * 1024,
+            worker_connections: 12,
+            worker_idle_connections: 4,
+            idempotency_keep: Duration::from_secs(600),
+            idempotency_requests: 10_000,
+            idempotency_bytes: 8 * 1024 * 1024,
+            balancer_lag: Duration::from_secs(3),
+            shutdown_timeout: Duration::from_secs(60),
+        }
+    }
+}
+
+impl EntrySettings {
+    /// Returns the bounds of the server for callers.
+    pub fn server_bounds(&self) -> ServerBounds {
+        ServerBounds {
+            max_connections: self.max_connections,
+            max_per_address: self.max_connections_per_address,
+            head_timeout: self.head_timeout,
+            max_body: self.max_payload,
+            max_body_total: self.max_payload_total,
+            body_timeout: self.payload_timeout,
+            idle_timeout: self.idle_timeout,
+            send_timeout: self.send_timeout,
+        }
+    }
+
+    /// Returns the bounds of the connections to backend servers.
+    pub fn pool_bounds(&self) -> PoolBounds {
+        PoolBounds {
+            max_busy: self.worker_connections,
+            max_idle: self.worker_idle_connections,
+            max_body: self.max_answer,
+            ..PoolBounds::default()
+        }
+    }
+
+    /// Returns the bounds of what is kept for requests with an idempotency key.
+    pub fn idempotency(&self) -> IdempotencySettings {
+        IdempotencySettings {
+            keep: self.idempotency_keep,
+            max_requests: self.idempotency_requests,
+            max_answer_bytes: self.idempotency_bytes,
+        }
+    }
+
+    /// Returns the times of the shutdown.
+    pub fn shutdown(&self) -> ShutdownSettings {
+        ShutdownSettings {
+            balancer_lag: self.balancer_lag,
+            timeout: self.shutdown_timeout,
         }
     }
 }
--- a/crates/link/src/backend.rs
+++ b/crates/link/src/backend.rs
@@ -260,6 +260,7 @@
     let event = EventCode::BackendFailed;
     tracing::warn!(event = event.number(), worker = %start.worker, %error, "run failed");
     match error {
+        CallError::NoneFree { .. } => RunOutcome::Busy,
         CallError::NotSent { .. } => RunOutcome::NotRun,
         CallError::Broken { .. } => {
             metrics::counter!("pw_answers_discarded_total", "cause" => "incomplete").increment(1);
--- a/crates/link/src/http_connection.rs
+++ b/crates/link/src/http_connection.rs
@@ -20,6 +20,12 @@
 /// Why there is no whole response.
 #[derive(Debug, Error)]
 pub enum CallError {
+    /// All connections to the server are in use; it got nothing.
+    #[error("all connections to {address} are in use")]
+    NoneFree {
+        /// Address of the server.
+        address: SocketAddr,
+    },
     /// Not one byte of the request left this process.
     #[error("no connection to {address}: {error}")]
     NotSent {
--- a/crates/link/src/http_pool.rs
+++ b/crates/link/src/http_pool.rs
@@ -96,8 +96,9 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`CallError::NotSent`] when no connection may or can be made, and with
-    /// [`CallError::Broken`] when the connection breaks or the time is over after that.
+    /// Fails with [`CallError::NoneFree`] when all connections are in use, with
+    /// [`CallError::NotSent`] when none can be made, and with [`CallError::Broken`] when the
+    /// connection breaks or the time is over after that.
     pub async fn call(
         &self,
         address: SocketAddr,
@@ -134,10 +135,7 @@
         table.prune(now, self.bounds.idle_timeout);
         let server = table.servers.entry(address).or_default();
         if server.busy >= self.bounds.max_busy {
-            return Err(CallError::NotSent {
-                address,
-                error: format!("all {} connections are in use", self.bounds.max_busy),
-            });
+            return Err(CallError::NoneFree { address });
         }
         server.busy += 1;
         Ok(BusySlot {
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod instances;
 pub mod lease_wire;
 pub mod log_service;
+mod request_stream;
 
 /// The names that most users of this crate need.
 pub mod prelude {
@@ -19,7 +20,9 @@
     pub use crate::http_call::call_http;
     pub use crate::http_connection::{CallError, HttpConnection, HttpExchange, WholeResponse};
     pub use crate::http_pool::{ConnectionUsage, HttpPool, PoolBounds};
-    pub use crate::http_server::{HttpHandler, serve_http};
+    pub use crate::http_server::{
+        HttpHandler, HttpServer, RequestFault, ServePhase, ServerBounds, serve_http,
+    };
     pub use crate::instances::{HttpInstances, InstanceSource};
     pub use crate::log_service::{HttpLog, WireBatch, WireEntry};
 }
