Run the planner on a duty of its own, with machines behind a trait

Cause: the planner desk ran only in tests.

Ruled out: reading every machine at each look (at 8,500 workers far beyond the bytes that a node may spend on control), and orders without order among them (a late order of a paused planner would reboot a machine that is back in service).

Change: two duties, `planner` and `machines`, joined by rings. Only the holder of the seat reads machines, and only what changed since its cursor. A report names the last operation that the machine carried out, so that a lagging report of an earlier drain never counts as drained. Without the setting `machines` an entry instance plans nothing.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -69,6 +69,15 @@
     /// A retry was refused because the retry budget is spent.
     #[strum(message = "A retry was refused because the retry budget is spent.")]
     RetryRefused = 412,
+    /// A machine took an order of the planner.
+    #[strum(message = "A machine took an order of the planner.")]
+    MachineOrdered = 500,
+    /// A machine refused an order of the planner, because it is late or can't be followed now.
+    #[strum(message = "A machine refused an order of the planner.")]
+    MachineRefused = 501,
+    /// The platform's control of machines did not answer.
+    #[strum(message = "The platform's control of machines did not answer.")]
+    MachinesUnreachable = 502,
     /// A stand-in of a platform service listens.
     #[strum(message = "A stand-in of a platform service listens.")]
     StandinStarted = 900,
--- a/crates/cli/src/follow.rs
+++ b/crates/cli/src/follow.rs
@@ -69,15 +69,9 @@
     ///
     /// # Errors
     ///
-    /// Fails when the log can't be read, and when it has forgotten records without a snapshot.
+    /// Fails when the log can't be read.
     pub async fn advance(&mut self, wait: Duration) -> Result<Vec<FoldedRecord>, LogError> {
-        let batch = match self.store.read(self.state().next_offset, wait).await {
-            Err(LogError::Expired { first }) => {
-                self.restart(first).await?;
-                return Ok(Vec::new());
-            }
-            result => result?,
-        };
+        let batch = self.store.read(self.state().next_offset, wait).await?;
         Ok(batch
             .entries
             .into_iter()
@@ -101,27 +95,6 @@
         }
     }
 
-    /// Starts anew from the newest snapshot in the records from position `first` on.
-    async fn restart(&mut self, first: LogOffset) -> Result<(), LogError> {
-        let mut seeker = SnapshotSeeker::default();
-        let mut newest = None;
-        let mut from = first;
-        loop {
-            let batch = self.store.read(from, Duration::ZERO).await?;
-            let (reading, _) = LogReading::decode(None, from, &batch);
-            let items = reading.items.iter();
-            let images = items.filter_map(|(offset, item)| seeker.look(*offset, item));
-            newest = images.last().or(newest);
-            if reading.next_offset == from {
-                break;
-            }
-            from = reading.next_offset;
-        }
-        let image = newest.ok_or(LogError::Expired { first })?;
-        self.fold = FleetFold::restore(image);
-        Ok(())
-    }
-
     fn fold_entry(&mut self, entry: &LogEntry) -> Option<FoldedRecord> {
         let offset = entry.offset;
         let record = match decode_record(&entry.bytes) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,9 +11,11 @@
 pub mod dispatch_duty;
 pub mod instance_duty;
 pub mod log_duty;
+pub mod machine_duty;
 pub mod member_duty;
 pub mod message;
 pub mod node;
+pub mod planner_duty;
 pub mod settings;
 
 /// The names that most users of this crate need.
--- a/crates/entry/src/log_duty.rs
+++ b/crates/entry/src/log_duty.rs
@@ -11,17 +11,28 @@
 
 use crate::member_duty::MemberMessage;
 use crate::message::DeskMessage;
+use crate::planner_duty::PlannerMessage;
 
 /// Longest wait of one read while the log has nothing new.
 const READ_WAIT: Duration = Duration::from_millis(500);
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
+/// Rings to the duties that fold the log.
+#[derive(Debug, Clone)]
+pub struct LogReaders {
+    /// Ring to the dispatch duty.
+    pub desk: RingSender<DeskMessage>,
+    /// Ring to the member duty.
+    pub members: RingSender<MemberMessage>,
+    /// Ring to the planner duty, where there is one.
+    pub planner: Option<RingSender<PlannerMessage>>,
+}
+
 struct LogShell {
     store: Box<dyn LogStore + Send>,
     clock: Arc<dyn ClockSource>,
-    desk: RingSender<DeskMessage>,
-    members: RingSender<MemberMessage>,
+    readers: LogReaders,
     next_offset: LogOffset,
     /// Looks for a snapshot, after the log has forgotten the next record.
     seeker: Option<SnapshotSeeker>,
@@ -33,15 +44,13 @@
 pub async fn run(
     store: Box<dyn LogStore + Send>,
     clock: Arc<dyn ClockSource>,
-    desk: RingSender<DeskMessage>,
-    members: RingSender<MemberMessage>,
+    readers: LogReaders,
 ) {
     let mut shell = LogShell {
         fresh: clock.now(),
         store,
         clock,
-        desk,
-        members,
+        readers,
         next_offset: 0,
         seeker: None,
     };
@@ -106,9 +115,7 @@
 
     async fn pass(&mut self, reading: LogReading) -> Result<(), RingClosed> {
         self.fresh = reading.proves_fresh().unwrap_or(self.fresh);
-        let event = DispatchEvent::LogRead(reading.clone());
-        self.desk.send(DeskMessage::Event(event)).await?;
-        self.members.send(MemberMessage::LogRead(reading)).await
+        self.readers.send(reading).await
     }
 }
 
@@ -120,6 +127,19 @@
         .last()
 }
 
+impl LogReaders {
+    async fn send(&self, reading: LogReading) -> Result<(), RingClosed> {
+        if let Some(planner) = &self.planner {
+            planner
+                .send(PlannerMessage::LogRead(reading.clone()))
+                .await?;
+        }
+        let event = DispatchEvent::LogRead(reading.clone());
+        self.desk.send(DeskMessage::Event(event)).await?;
+        self.members.send(MemberMessage::LogRead(reading)).await
+    }
+}
+
 fn decode_batch(asked: Instant, from: LogOffset, batch: &LogBatch) -> LogReading {
     let (reading, malformed) = LogReading::decode(Some(asked), from, batch);
     for MalformedRecord { offset, error } in malformed {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -11,15 +11,19 @@
 use pw_link::prelude::*;
 use pw_log::prelude::*;
 use pw_member::prelude::*;
+use pw_plan::prelude::*;
 use pw_ring::prelude::*;
 use pw_worker::prelude::*;
 
+use crate::append_duty::AppendMessage;
 use crate::backend_duty::BackendLinks;
+use crate::log_duty::LogReaders;
 use crate::member_duty::MemberLinks;
+use crate::planner_duty::{PlannerLinks, PlannerMessage};
 use crate::settings::EntrySettings;
 use crate::{
     admin_duty, append_duty, backend_duty, caller_duty, dispatch_duty, instance_duty, log_duty,
-    member_duty,
+    machine_duty, member_duty, planner_duty,
 };
 
 /// Time between two tries to free the floor permits of a retired member.
@@ -33,6 +37,8 @@
     pub appends: Box<dyn LogStore + Send>,
     /// The platform's instance list.
     pub instances: Box<dyn InstanceSource + Send>,
+    /// The platform's control of machines; without it this instance plans nothing.
+    pub machines: Option<Box<dyn MachineControl + Send>>,
     /// The backend servers.
     pub backends: Box<dyn BackendGateway + Send>,
     /// The clock.
@@ -55,6 +61,7 @@
             log: Box::new(HttpLog::new(settings.log)),
             appends: Box::new(HttpLog::new(settings.log)),
             instances: Box::new(HttpInstances::new(settings.instances)),
+            machines: settings.machines.map(machine_control),
             backends: Box::new(HttpBackend::new(pool)),
             clock,
         }
@@ -78,6 +85,7 @@
             log,
             appends,
             instances,
+            machines,
             backends,
             clock,
         } = links;
@@ -113,12 +121,16 @@
         DutyThread::spawn("backends", move |spawner| {
             backend_duty::run(backend_links, spawner, run_receiver)
         })?;
-        let sender = desk_sender.clone();
+        let planner = machines
+            .map(|control| start_planner(control, settings, &key, &clock, &append_sender))
+            .transpose()?;
+        let readers = LogReaders {
+            desk: desk_sender.clone(),
+            members: member_sender.clone(),
+            planner,
+        };
         let log_clock = Arc::clone(&clock);
-        let members = member_sender.clone();
-        DutyThread::spawn("log", move |_| {
-            log_duty::run(log, log_clock, sender, members)
-        })?;
+        DutyThread::spawn("log", move |_| log_duty::run(log, log_clock, readers))?;
         let append_clock = Arc::clone(&clock);
         let batcher = AppendBatcher::new(AppendSettings {
             seed: key.process as u64,
@@ -166,6 +178,44 @@
     }
 }
 
+fn machine_control(address: SocketAddr) -> Box<dyn MachineControl + Send> {
+    Box::new(HttpMachines::new(address))
+}
+
+/// Starts the duties that plan and that send orders to machines; returns the planner's ring.
+///
+/// The planner's name is that of this life of the entry instance, so that an instance that was
+/// replaced under the same name has to take over like any other.
+fn start_planner(
+    control: Box<dyn MachineControl + Send>,
+    settings: &EntrySettings,
+    key: &MemberKey,
+    clock: &Arc<dyn ClockSource>,
+    appends: &RingSender<AppendMessage>,
+) -> io::Result<RingSender<PlannerMessage>> {
+    let (planner, planner_receiver) = ring("planner", settings.ring_capacity);
+    let (machines, machine_receiver) = ring("machines", settings.ring_capacity);
+    let plan_settings = PlanSettings {
+        entry: key.to_string().into(),
+        seed: key.process as u64,
+        ..settings.planner.clone()
+    };
+    let links = PlannerLinks {
+        clock: Arc::clone(clock),
+        desk: PlannerDesk::new(clock.now(), plan_settings),
+        appends: appends.clone(),
+        machines,
+    };
+    DutyThread::spawn("planner", move |_| {
+        planner_duty::run(links, planner_receiver)
+    })?;
+    let sender = planner.clone();
+    DutyThread::spawn("machines", move |spawner| {
+        machine_duty::run(control, spawner, machine_receiver, sender)
+    })?;
+    Ok(planner)
+}
+
 fn member_desk(
     now: Instant,
     key: MemberKey,
--- /dev/null
+++ b/crates/entry/src/planner_duty.rs
@@ -0,0 +1,102 @@
+//! The duty that plans moves and maintenance while this entry instance holds the planner's seat.
+
+use std::sync::Arc;
+
+use pw_base::prelude::*;
+use pw_log::prelude::*;
+use pw_plan::prelude::*;
+use pw_ring::prelude::*;
+
+use crate::append_duty::AppendMessage;
+use crate::machine_duty::MachineMessage;
+
+/// Message to the planner duty.
+#[derive(Debug)]
+pub enum PlannerMessage {
+    /// The platform's log was read.
+    LogRead(LogReading),
+    /// The platform's machine changes were read.
+    MachinesRead(MachineChanges),
+}
+
+/// What the duty decides with, and the rings to the other duties.
+pub struct PlannerLinks {
+    /// The clock.
+    pub clock: Arc<dyn ClockSource>,
+    /// Plans.
+    pub desk: PlannerDesk,
+    /// Ring to the append duty.
+    pub appends: RingSender<AppendMessage>,
+    /// Ring to the machines duty.
+    pub machines: RingSender<MachineMessage>,
+}
+
+struct PlannerShell {
+    links: PlannerLinks,
+    fold: FleetFold,
+}
+
+/// Feeds the desk with messages and carries out its commands until all senders are gone.
+pub async fn run(links: PlannerLinks, messages: RingReceiver<PlannerMessage>) {
+    let mut shell = PlannerShell {
+        links,
+        fold: FleetFold::default(),
+    };
+    let mut deadline = shell.links.desk.next_deadline();
+    while let Ok(message) = messages.recv_until(Some(deadline)).await {
+        match message {
+            Some(PlannerMessage::LogRead(reading)) => shell.read_log(&reading),
+            Some(PlannerMessage::MachinesRead(changes)) => {
+                shell.feed(PlanEvent::MachinesRead(changes));
+            }
+            None => shell.pass_time(),
+        }
+        deadline = shell.links.desk.next_deadline();
+    }
+}
+
+impl PlannerShell {
+    fn read_log(&mut self, reading: &LogReading) {
+        self.fold.read(reading);
+        let Some(asked) = self.fold.freshness(reading) else {
+            return;
+        };
+        let now = self.links.clock.now();
+        let pools = self.fold.pools();
+        let event = PlanEvent::LogRead { asked, pools };
+        let commands = self.links.desk.handle(now, event);
+        self.carry_out(commands);
+    }
+
+    fn pass_time(&mut self) {
+        let now = self.links.clock.now();
+        let wall = self.links.clock.wall();
+        let pools = self.fold.pools();
+        let event = PlanEvent::TimePassed { wall, pools };
+        let commands = self.links.desk.handle(now, event);
+        self.carry_out(commands);
+    }
+
+    fn feed(&mut self, event: PlanEvent<'_>) {
+        let commands = self.links.desk.handle(self.links.clock.now(), event);
+        self.carry_out(commands);
+    }
+
+    /// Passes the commands on; what a full ring refuses, the desk wants again.
+    fn carry_out(&self, commands: Vec<PlanCommand>) {
+        for command in commands {
+            match command {
+                PlanCommand::Propose(proposal) => {
+                    let proposal = ControlProposal::Pool(proposal);
+                    _ = self.links.appends.offer(AppendMessage::Propose(proposal));
+                }
+                PlanCommand::Order(order) => {
+                    _ = self.links.machines.offer(MachineMessage::Order(order));
+                }
+                PlanCommand::ReadMachines { after } => {
+                    _ = self.links.machines.offer(MachineMessage::Read { after });
+                }
+            }
+        }
+    }
+}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use pw_base::prelude::*;
+use pw_plan::prelude::*;
 use serde::{Deserialize, Serialize};
 
 /// Settings of an entry instance, written in TOML.
@@ -22,6 +23,9 @@
     pub log: SocketAddr,
     /// Address of the platform's instance list.
     pub instances: SocketAddr,
+    /// Address of the platform's control of machines; without it this instance plans nothing.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub machines: Option<SocketAddr>,
     /// Time between two reads of the instance list.
     #[serde(with = "humantime_serde")]
     pub instance_poll: Duration,
@@ -29,6 +33,8 @@
     pub ring_capacity: usize,
     /// Largest payload in bytes.
     pub max_payload: usize,
+    /// Settings of the planner; its name and seed are this instance's own.
+    pub planner: PlanSettings,
 }
 
 impl Default for EntrySettings {
@@ -41,9 +47,11 @@
             admin: loopback(0),
             log: loopback(7000),
             instances: loopback(7001),
+            machines: None,
             instance_poll: Duration::from_millis(500),
             ring_capacity: 1024,
             max_payload: 1024 * 1024,
+            planner: PlanSettings::default(),
         }
     }
 }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod instances;
 pub mod lease_wire;
 pub mod log_service;
+pub mod machines;
 
 /// The names that most users of this crate need.
 pub mod prelude {
@@ -22,4 +23,5 @@
     pub use crate::http_server::{HttpHandler, serve_http};
     pub use crate::instances::{HttpInstances, InstanceSource};
     pub use crate::log_service::{HttpLog, WireBatch, WireEntry};
+    pub use crate::machines::{HttpMachines, MachineControl, OrderOutcome};
 }
--- a/crates/plan/src/desk.rs
+++ b/crates/plan/src/desk.rs
@@ -36,6 +36,7 @@
     quiet_from: IndexMap<RackKey, Instant>,
     quiet_pools: IndexMap<PoolId, Instant>,
     wave_sent: Option<Instant>,
+    read_sent: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -68,6 +69,7 @@
             quiet_from: IndexMap::new(),
             quiet_pools: IndexMap::new(),
             wave_sent: None,
+            read_sent: None,
         }
     }
 
@@ -79,6 +81,7 @@
                 Vec::new()
             }
             PlanEvent::MachinesRead(changes) => {
+                self.read_sent = None;
                 self.watch.read(now, changes);
                 Vec::new()
             }
@@ -100,7 +103,11 @@
         self.note_zones(now, pools);
         self.note_failures(now, pools);
         let mut commands = Vec::new();
-        if self.seat.holds(now, pools.planner(), &self.settings) {
+        let holds = self.seat.holds(now, pools.planner(), &self.settings);
+        if holds {
+            commands.extend(self.read_machines(now));
+        }
+        if holds && self.watch.is_fresh(now, self.settings.reading_validity) {
             commands.extend(self.orders(now, pools));
             commands.extend(self.wave(now, wall, pools));
             commands.extend(self.steps(now, pools));
@@ -169,8 +176,21 @@
     }
 }
 
-/// Orders to machines.
+/// Readings of machines and orders to them.
 impl PlannerDesk {
+    /// Asks for the next reading unless one is under way, so that readings stay in order.
+    fn read_machines(&mut self, now: Instant) -> Option<PlanCommand> {
+        let waits = self
+            .read_sent
+            .is_some_and(|sent| now < sent + self.settings.order_timeout);
+        if waits {
+            return None;
+        }
+        self.read_sent = Some(now);
+        let after = self.watch.cursor();
+        Some(PlanCommand::ReadMachines { after })
+    }
+
     fn orders(&mut self, now: Instant, pools: &PoolLedger) -> Vec<PlanCommand> {
         let mut holds = IndexMap::new();
         let due: Vec<MachineOrder> = pools
--- a/crates/plan/src/follow.rs
+++ b/crates/plan/src/follow.rs
@@ -65,6 +65,9 @@
                 MachineState::Draining | MachineState::Drained => Some(MachineAction::Resume),
                 _ => None,
             },
+            InstancePhase::Draining(_) if !self.is_drained_for_phase() => {
+                Some(MachineAction::Drain)
+            }
             _ => self.zone_drain_action(),
         }
     }
@@ -110,7 +113,9 @@
     fn phase_change(&self, settings: &PlanSettings) -> Option<PoolChange> {
         let drained = self.is_same_boot() && self.machine.state == MachineState::Drained;
         match &self.instance.phase {
-            InstancePhase::Draining(_) if drained => Some(PoolChange::Emptied),
+            InstancePhase::Draining(_) if drained && self.is_drained_for_phase() => {
+                Some(PoolChange::Emptied)
+            }
             InstancePhase::Draining(_) | InstancePhase::Empty(_) if self.destination_gone => {
                 Some(PoolChange::Cancel)
             }
@@ -131,8 +136,21 @@
         }
     }
 
+    /// Returns whether the machine drained because of the phase, not of an earlier order.
+    ///
+    /// A lagging report of an earlier drain says nothing about the tasks that run now.
+    fn is_drained_for_phase(&self) -> bool {
+        self.machine.operation >= self.instance.changed
+    }
+
     fn drain_action(&self, settings: &PlanSettings) -> Option<MachineAction> {
+        let is_draining = matches!(self.instance.phase, InstancePhase::Draining(_));
         match self.machine.state {
+            MachineState::Draining | MachineState::Drained
+                if is_draining && !self.is_drained_for_phase() =>
+            {
+                Some(MachineAction::Drain)
+            }
             MachineState::Serving => Some(MachineAction::Drain),
             MachineState::Draining if self.machine.age >= settings.drain_patience => {
                 Some(MachineAction::Checkpoint)
--- a/crates/plan/src/machine.rs
+++ b/crates/plan/src/machine.rs
@@ -16,6 +16,9 @@
     pub boot: BootId,
     /// What it does.
     pub state: MachineState,
+    /// Operation of the last order that it carried out in this boot; 0 before the first one.
+    #[serde(default)]
+    pub operation: LogOffset,
 }
 
 /// What a machine does.
--- a/crates/plan/src/message.rs
+++ b/crates/plan/src/message.rs
@@ -4,7 +4,7 @@
 
 use pw_pool::prelude::*;
 
-use crate::machine::{MachineChanges, MachineOrder};
+use crate::machine::{ChangeCursor, MachineChanges, MachineOrder};
 
 /// What happened outside the desk.
 #[derive(Debug, Clone)]
@@ -34,4 +34,9 @@
     Propose(PoolProposal),
     /// Send an order to a machine.
     Order(MachineOrder),
+    /// Read what changed at the machines.
+    ReadMachines {
+        /// Cursor of the last reading.
+        after: ChangeCursor,
+    },
 }
--- a/crates/plan/src/watch.rs
+++ b/crates/plan/src/watch.rs
@@ -6,7 +6,7 @@
 use pw_base::prelude::*;
 use pw_pool::prelude::*;
 
-use crate::machine::{MachineChanges, MachineState};
+use crate::machine::{ChangeCursor, MachineChanges, MachineState};
 
 /// Machines as last reported, and how long instances have been in their phases.
 ///
@@ -17,6 +17,8 @@
     machines: IndexMap<WorkerId, SeenMachine>,
     phases: IndexMap<WorkerId, SeenPhase>,
     first_read: Option<Instant>,
+    last_read: Option<Instant>,
+    cursor: ChangeCursor,
 }
 
 /// What a machine was last seen to do.
@@ -26,6 +28,8 @@
     pub boot: BootId,
     /// What it does.
     pub state: MachineState,
+    /// Operation of the last order that it carried out.
+    pub operation: LogOffset,
     /// Time since it was first seen so.
     pub age: Duration,
 }
@@ -34,6 +38,7 @@
 struct SeenMachine {
     boot: BootId,
     state: MachineState,
+    operation: LogOffset,
     since: Instant,
 }
 
@@ -47,17 +52,34 @@
     /// Takes what the platform reports.
     pub fn read(&mut self, now: Instant, changes: MachineChanges) {
         self.first_read.get_or_insert(now);
+        self.last_read = Some(now);
+        let restarted = changes.next < self.cursor;
+        self.cursor = if restarted { 0 } else { changes.next };
         for report in changes.machines {
-            let (boot, state) = (report.boot, report.state);
+            let seen = SeenMachine {
+                boot: report.boot,
+                state: report.state,
+                operation: report.operation,
+                since: now,
+            };
             let last = self.machines.get(&report.worker);
-            if last.is_none_or(|last| (last.boot, last.state) != (boot, state)) {
-                let since = now;
-                let seen = SeenMachine { boot, state, since };
-                self.machines.insert(report.worker, seen);
-            }
+            let same = last.filter(|last| (last.boot, last.state) == (seen.boot, seen.state));
+            let since = same.map_or(now, |last| last.since);
+            self.machines
+                .insert(report.worker, SeenMachine { since, ..seen });
         }
     }
 
+    /// Returns the cursor of the next reading; 0 after the platform began its list anew.
+    pub fn cursor(&self) -> ChangeCursor {
+        self.cursor
+    }
+
+    /// Returns whether the machines were read within `validity`.
+    pub fn is_fresh(&self, now: Instant, validity: Duration) -> bool {
+        self.last_read.is_some_and(|read| now < read + validity)
+    }
+
     /// Notes when each instance was first seen in its phase.
     pub fn note_phases(&mut self, now: Instant, pools: &PoolLedger) {
         self.phases
@@ -92,12 +114,14 @@
         let absent = SeenMachine {
             boot: instance.boot.unwrap_or_default(),
             state: MachineState::Lost,
+            operation: 0,
             since: self.first_read?,
         };
         let seen = *self.machines.get(&instance.worker).unwrap_or(&absent);
         Some(MachineView {
             boot: seen.boot,
             state: seen.state,
+            operation: seen.operation,
             age: now.saturating_duration_since(seen.since),
         })
     }
--- a/crates/plan/tests/follow.rs
+++ b/crates/plan/tests/follow.rs
@@ -36,6 +36,7 @@
         machine: MachineView {
             boot: BOOT,
             state,
+            operation: 5,
             age: LONG,
         },
         zone: ZoneState {
@@ -104,6 +105,12 @@
             plain,
             Some(PoolChange::Emptied),
         ),
+        (
+            maintenance(Draining),
+            Drained,
+            |facts| facts.machine.operation = 4,
+            None,
+        ),
         (
             maintenance(Draining),
             MachineState::Draining,
@@ -203,6 +210,12 @@
             Some(MachineAction::Checkpoint),
         ),
         (moving(Empty), Drained, plain, None),
+        (
+            maintenance(Draining),
+            Drained,
+            |facts| facts.machine.operation = 4,
+            Some(MachineAction::Drain),
+        ),
         (Rebooting, Drained, plain, Some(MachineAction::Reboot)),
         (Rebooting, MachineState::Draining, plain, None),
         (Rebooting, Serving, plain, Some(MachineAction::Drain)),
--- a/crates/standin/src/daemon.rs
+++ b/crates/standin/src/daemon.rs
@@ -13,6 +13,7 @@
 use crate::backend_server::{BackendServer, ServerSettings};
 use crate::instance_list::InstanceList;
 use crate::log_service::LogService;
+use crate::machine_service::{MachineService, MachineSettings};
 
 /// Runs one stand-in of a platform service until it is told to stop.
 #[derive(FromArgs)]
@@ -27,6 +28,19 @@
     Log(LogArgs),
     Instances(InstancesArgs),
     Backend(BackendArgs),
+    Machines(MachineArgs),
+}
+
+/// Runs a control of machines.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "machines")]
+struct MachineArgs {
+    /// address to listen at
+    #[argh(option)]
+    listen: SocketAddr,
+    /// worker whose machine it controls; may be repeated
+    #[argh(option)]
+    worker: Vec<String>,
 }
 
 /// Runs a log service.
@@ -94,6 +108,13 @@
             };
             BackendServer::start(&settings)?.address()
         }
+        ServiceChoice::Machines(args) => {
+            let settings = MachineSettings {
+                workers: args.worker.into_iter().map(WorkerId::from).collect(),
+                ..MachineSettings::default()
+            };
+            MachineService::start(args.listen, settings)?.address()
+        }
     })
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod journal;
 pub mod lease_table;
 pub mod log_service;
+pub mod machine_service;
 mod reply;
 
 /// The names that most users of this crate need.
@@ -15,4 +16,5 @@
     pub use crate::journal::{JournalEntry, JournalEvent, RunJournal};
     pub use crate::lease_table::{GrantError, LeaseTable, NamedLease, StartError};
     pub use crate::log_service::LogService;
+    pub use crate::machine_service::{MachineHistory, MachineService, MachineSettings};
 }
