--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -6,6 +6,7 @@
 use pw_base::prelude::*;
 use pw_dispatch::prelude::*;
 use pw_link::prelude::*;
+use pw_plan::prelude::*;
 use serde::{Deserialize, Serialize};
 
 use crate::shutdown::ShutdownSettings;
@@ -26,6 +27,9 @@
     pub log: SocketAddr,
     /// Address of the platform's instance list.
     pub instances: SocketAddr,
+    /// Address of the platform's control of machines; without it this instance plans nothing.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub machines: Option<SocketAddr>,
     /// Time between two reads of the instance list.
     #[serde(with = "humantime_serde")]
     pub instance_poll: Duration,
@@ -70,6 +74,8 @@
     /// Longest time from a signal to stop to the end of the process.
     #[serde(with = "humantime_serde")]
     pub shutdown_timeout: Duration,
+    /// Settings of the planner; its name and seed are this instance's own.
+    pub planner: PlanSettings,
 }
 
 impl Default for EntrySettings {
@@ -82,9 +88,11 @@
             admin: loopback(0),
             log: loopback(7000),
             instances: loopback(7001),
+            machines: None,
             instance_poll: Duration::from_millis(500),
             ring_capacity: 1024,
             max_payload: 1024 * 1024,
+            planner: PlanSettings::default(),
             max_payload_total: 32 * 1024 * 1024,
             max_connections: 1024,
             max_connections_per_address: 512,
