Keep shares across entry instances, and measure the policy

Several desks compete for the same slots. With the scheduler of one desk alone, shares held in each entry instance but not in the pool.

- Every entry instance sent starts for several teams at once to a full pool, and a random one found the free slot.
Now a worker's slots that this entry instance had before are told from a guess at one more (`SlotTier`), and guesses go one at a time while they fail (`ProbeLimit`).
- A team that began to wait was raised to the others' level by every entry instance, and the sum counted.
The lead is now 500 ms of the pool's service.

--- /dev/null
+++ b/benches/benches/policy/scenario.rs
@@ -0,0 +1,261 @@
+//! The scenarios and their variants.
+
+use std::time::Duration;
+
+use pw_contract::prelude::*;
+use pw_dispatch::prelude::*;
+use pw_place::prelude::*;
+
+use crate::demand::{DemandStream, RateForm};
+use crate::fleet::FleetForm;
+use crate::report::ReportRow;
+use crate::world::{ChangeKind, FleetChange, World, WorldSettings};
+
+/// A scenario: runs its variants and returns their rows.
+pub type ScenarioRun = fn() -> Vec<ReportRow>;
+
+/// All scenarios by name.
+pub const ALL: [(&str, ScenarioRun); 4] = [
+    ("one-desk", one_desk),
+    ("shares", shares),
+    ("zone-leaves", zone_leaves),
+    ("surge", surge),
+];
+
+/// Seeds that every variant is run with.
+const SEEDS: [u64; 3] = [1, 2, 3];
+/// Part of all demand that each of six teams has: a few are large.
+const TEAM_DEMAND: [f64; 6] = [0.1, 0.35, 0.25, 0.05, 0.15, 0.1];
+/// Mean run time of a caller's task.
+const MEAN_RUN: Duration = Duration::from_millis(500);
+
+/// Demand of `load` times the capacity of the first pool, split among the teams.
+fn streams(
+    form: &FleetForm,
+    load: f64,
+    rate: RateForm,
+    affinity: Option<f64>,
+) -> Vec<DemandStream> {
+    let slots = form.pool_workers as f64 * f64::from(form.slots);
+    let all = load * slots / MEAN_RUN.as_secs_f64();
+    let teams = TEAM_DEMAND.iter().enumerate();
+    teams
+        .map(|(team, part)| DemandStream {
+            team,
+            queue: "q0".to_owned(),
+            rate: all * part,
+            form: rate,
+            mean_run: MEAN_RUN,
+            affinity: affinity.map(|part| (team, part)),
+            from: Duration::ZERO,
+            until: Duration::MAX,
+        })
+        .collect()
+}
+
+/// Runs a variant with every seed and averages its figures; the worst distance is the largest.
+fn row(
+    scenario: &'static str,
+    variant: impl Into<String>,
+    make: impl Fn(u64) -> WorldSettings,
+) -> ReportRow {
+    let worlds: Vec<World> = SEEDS
+        .into_iter()
+        .map(|seed| World::run(make(seed)))
+        .collect();
+    let mean = |figure: &dyn Fn(&World) -> f64| {
+        worlds.iter().map(figure).sum::<f64>() / worlds.len() as f64
+    };
+    let worst = worlds.iter().map(|world| world.meter.worst_distance());
+    let millis = |quantile: f64| {
+        mean(&|world| world.meter.waits.value_at_quantile(quantile) as f64 / 1000.0)
+    };
+    ReportRow {
+        scenario,
+        variant: variant.into(),
+        figures: vec![
+            (
+                "mean_distance_pct",
+                mean(&|world| 100.0 * world.meter.mean_distance()),
+            ),
+            ("worst_distance_pct", 100.0 * worst.fold(0.0, f64::max)),
+            (
+                "team_distance_pct",
+                mean(&|world| 100.0 * world.meter.relative_distance()),
+            ),
+            (
+                "full_windows",
+                mean(&|world| world.meter.full_windows() as f64),
+            ),
+            ("work_pct", mean(&|world| 100.0 * world.meter.utilisation())),
+            ("wait_p50_ms", millis(0.5)),
+            ("wait_p99_ms", millis(0.99)),
+            ("answered", mean(&|world| world.meter.answered as f64)),
+            ("refused", mean(&|world| world.meter.refused as f64)),
+            ("late", mean(&|world| world.meter.late as f64)),
+            (
+                "busy_pct",
+                mean(&|world| 100.0 * world.meter.busy as f64 / world.meter.starts.max(1) as f64),
+            ),
+            (
+                "decision_us",
+                mean(&|world| world.decision_time.as_secs_f64() * 1e6 / world.decisions as f64),
+            ),
+        ],
+    }
+}
+
+/// One desk alone: what its own division of a pool among teams gives.
+fn one_desk() -> Vec<ReportRow> {
+    let base = |seed, is_open| {
+        let form = FleetForm {
+            is_open,
+            ..FleetForm::default()
+        };
+        WorldSettings {
+            entries: 1,
+            demand: streams(&form, 2.0, RateForm::Steady, None),
+            form,
+            seed,
+            ..WorldSettings::default()
+        }
+    };
+    vec![
+        row("one-desk", "shares", |seed| base(seed, false)),
+        row("one-desk", "first come first served", |seed| {
+            base(seed, true)
+        }),
+    ]
+}
+
+fn shares() -> Vec<ReportRow> {
+    let mut rows = Vec::new();
+    for (routing, affinity) in [
+        ("even routing", None),
+        ("each team at one entry", Some(0.9)),
+    ] {
+        let base = move |seed, is_open, peer_way| {
+            let form = FleetForm {
+                is_open,
+                ..FleetForm::default()
+            };
+            WorldSettings {
+                demand: streams(&form, 2.0, RateForm::Steady, affinity),
+                form,
+                peer_way,
+                seed,
+                ..WorldSettings::default()
+            }
+        };
+        let way = Some(Duration::from_millis(1));
+        rows.push(row("shares", format!("peers told, {routing}"), |seed| {
+            base(seed, false, way)
+        }));
+        rows.push(row(
+            "shares",
+            format!("each entry alone, {routing}"),
+            |seed| base(seed, false, None),
+        ));
+        rows.push(row(
+            "shares",
+            format!("first come first served, {routing}"),
+            |seed| {
+                let mut settings = base(seed, true, None);
+                settings.make_desk = without_teams;
+                settings
+            },
+        ));
+    }
+    rows
+}
+
+/// A desk that serves all tasks in the order of their arrival: no keys, no teams.
+fn without_teams(settings: DeskSettings, _entries: usize) -> DispatchDesk {
+    DispatchDesk::new(settings, Box::new(EvenSplit::new(1)))
+}
+
+fn round_robin(settings: DeskSettings, _entries: usize) -> DispatchDesk {
+    let gate = Box::new(EvenSplit::new(1));
+    DispatchDesk::with_picker(settings, gate, Box::new(RoundRobin::default()))
+}
+
+fn zone_leaves() -> Vec<ReportRow> {
+    let mut rows = Vec::new();
+    let second = Duration::from_secs;
+    let kinds = [
+        ("taken out", ChangeKind::Out, ChangeKind::Back),
+        ("failed", ChangeKind::Fails, ChangeKind::Recovers),
+    ];
+    for (name, leaves, returns) in kinds {
+        let base = move |seed| {
+            let form = FleetForm::default();
+            WorldSettings {
+                demand: streams(&form, 1.3, RateForm::Steady, None),
+                form,
+                changes: vec![
+                    FleetChange {
+                        at: second(40),
+                        zone: "z1",
+                        kind: leaves,
+                    },
+                    FleetChange {
+                        at: second(80),
+                        zone: "z1",
+                        kind: returns,
+                    },
+                ],
+                seed,
+                ..WorldSettings::default()
+            }
+        };
+        rows.push(row(
+            "zone-leaves",
+            format!("two choices, zone {name}"),
+            base,
+        ));
+        rows.push(row(
+            "zone-leaves",
+            format!("round robin, zone {name}"),
+            |seed| WorldSettings {
+                make_desk: round_robin,
+                ..base(seed)
+            },
+        ));
+    }
+    rows
+}
+
+fn surge() -> Vec<ReportRow> {
+    let mut rows = Vec::new();
+    let base = |seed, is_open| {
+        let form = FleetForm {
+            is_open,
+            ..FleetForm::default()
+        };
+        let rate = RateForm::Surges {
+            first: Duration::from_secs(25),
+            length: Duration::from_secs(8),
+            period: Duration::from_secs(32),
+        };
+        WorldSettings {
+            demand: streams(&form, 0.6, rate, None),
+            form,
+            length: Duration::from_secs(180),
+            resubmits: 3,
+            seed,
+            ..WorldSettings::default()
+        }
+    };
+    rows.push(row("surge", "shares, wait expected", |seed| {
+        base(seed, false)
+    }));
+    rows.push(row("surge", "shares, backlog bounded by number", |seed| {
+        let mut settings = base(seed, false);
+        settings.desk.min_waiting = u32::MAX;
+        settings
+    }));
+    rows.push(row("surge", "first come first served", |seed| {
+        base(seed, true)
+    }));
+    rows
+}
--- a/crates/dispatch/src/backlog.rs
+++ b/crates/dispatch/src/backlog.rs
@@ -152,7 +152,7 @@
         self.held.get(team).copied()
     }
 
-    /// Returns the expected wait of one more task of `team`, from how fast its tasks start.
+    /// Returns the expected wait of one more task of `team`, from how fast its tasks end.
     pub fn expected_wait(&self, now: Instant, team: &ShareTeam) -> Duration {
         let backlog = self.teams.get(team);
         backlog.map_or(Duration::ZERO, |team| {
@@ -191,18 +191,24 @@
     }
 
     /// Takes the task that [`PoolBacklog::next`] named out of the backlog.
-    pub fn take(&mut self, now: Instant, team: &ShareTeam, id: TaskId, is_started: bool) {
+    pub fn take(&mut self, team: &ShareTeam, id: TaskId) {
         if let Some(backlog) = self.teams.get_mut(team) {
             backlog.pop(id);
             backlog.waiting = backlog.waiting.saturating_sub(1);
             self.waiting = self.waiting.saturating_sub(1);
-            if is_started {
-                backlog.drain.note_start(now);
-            }
         }
         self.retire(team);
     }
 
+    /// Counts a task of `team` that a worker took and ended.
+    pub fn note_end(&mut self, now: Instant, team: &ShareTeam) {
+        self.teams
+            .entry(team.clone())
+            .or_default()
+            .drain
+            .note_end(now);
+    }
+
     /// Returns the next task: that of the team with the lowest score, urgent ones first.
     pub fn next(
         &mut self,
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -19,8 +19,8 @@
 use crate::history::QueueHistory;
 use crate::lingering::LingeringPermits;
 use crate::message::{
-    DeskNotice, DispatchCommand, DispatchEvent, RefusalReason, RunCertainty, RunReport,
-    ShareReport, TaskRequest, TaskVerdict, TeamShare,
+    DeskNotice, DispatchCommand, DispatchEvent, PoolService, RefusalReason, RunCertainty,
+    RunReport, ShareReport, TaskRequest, TaskVerdict,
 };
 use crate::pool_desk::{LeadSettings, PoolDesk};
 use crate::retry::{RetryBudget, RetrySettings};
@@ -30,6 +30,9 @@
 /// Part of a queue's deadline that is kept as slack when a deferred task is put off.
 const DEFERRED_SLACK: u32 = 4;
 
+/// Bytes that a team's part of a report takes, about.
+const TEAM_SHARE_BYTES: f64 = 24.0;
+
 /// Bounds of a dispatch desk.
 #[derive(Debug, Clone)]
 pub struct DeskSettings {
@@ -43,8 +46,10 @@
     pub min_waiting: u32,
     /// Longest time that the start of a task may be under way to its worker.
     pub delivery_bound: Duration,
-    /// Time between two reports to the peers while tasks wait.
+    /// Shortest time between two reports to the peers while tasks wait.
     pub report_interval: Duration,
+    /// Bytes per second that the reports to all peers may take; more entries make them rarer.
+    pub report_budget: f64,
     /// When failed tasks are tried again.
     pub retry: RetrySettings,
     /// How service is measured against shares.
@@ -72,7 +77,7 @@
     pub(crate) gate: Box<dyn PermitGate>,
     pub(crate) permit_waits: IndexMap<TeamId, IndexSet<PoolId>>,
     pub(crate) touched: IndexSet<PoolId>,
-    pub(crate) share_pauses: TimerHeap<PoolId>,
+    pub(crate) pool_pauses: TimerHeap<PoolId>,
     pub(crate) budget: RetryBudget,
     demand: IndexMap<TeamId, u32>,
     lingering: LingeringPermits,
@@ -92,6 +97,7 @@
             min_waiting: 8,
             delivery_bound: Duration::from_secs(5),
             report_interval: Duration::from_millis(500),
+            report_budget: 3072.0,
             retry: RetrySettings::default(),
             share: ShareSettings::default(),
             lead: LeadSettings::default(),
@@ -131,7 +137,7 @@
             gate,
             permit_waits: IndexMap::new(),
             touched: IndexSet::new(),
-            share_pauses: TimerHeap::default(),
+            pool_pauses: TimerHeap::default(),
             budget: RetryBudget::new(settings.retry),
             demand: IndexMap::new(),
             lingering: LingeringPermits::new(settings.delivery_bound),
@@ -186,7 +192,7 @@
         [
             self.deadlines.next(),
             self.pauses.next(),
-            self.share_pauses.next(),
+            self.pool_pauses.next(),
             self.lingering.next_deadline(),
             self.workers.next_deadline(),
             self.next_report,
@@ -259,7 +265,9 @@
             return reason;
         }
         match self.workers.roster(&queue.pool) {
-            Some(roster) if roster.slots() > 0 && roster.open_count() == 0 => WaitReason::Slots,
+            Some(roster) if roster.slots() > 0 && roster.open(SlotTier::Known).count() == 0 => {
+                WaitReason::Slots
+            }
             Some(roster) if roster.slots() > 0 && queue.kind == QueueKind::Deferred => {
                 WaitReason::Reserve
             }
@@ -280,10 +288,9 @@
         while let Some(permit) = self.lingering.take_ended(now) {
             self.give_back(now, permit);
         }
-        while let Some(pool) = self.share_pauses.pop_due(now) {
+        while let Some(pool) = self.pool_pauses.pop_due(now) {
             if let Some(desk) = self.pools.get_mut(&pool) {
-                let is_over = |reason| reason == WaitReason::Share;
-                desk.backlog.release_where(is_over);
+                desk.end_pause();
                 self.touched.insert(pool);
             }
         }
@@ -398,13 +405,14 @@
                 continue;
             };
             let teams = service.teams.into_iter().map(|share| {
-                let TeamShare {
-                    team,
-                    served,
-                    running,
-                    waiting,
-                } = share;
-                (team, TeamService::reported(served, running, waiting))
+                let service = TeamService {
+                    served: share.served,
+                    raised: share.raised,
+                    running: share.running,
+                    waiting: share.waiting,
+                    ..TeamService::default()
+                };
+                (share.team, service)
             });
             pool.shares.hear(now, &report.entry, teams);
             self.touched.insert(service.pool);
@@ -428,11 +436,20 @@
             self.next_report = None;
             return;
         }
-        self.next_report = Some(now + self.settings.report_interval);
+        self.next_report = Some(now + self.report_interval(&pools));
         let entry = self.settings.entry.clone();
         commands.push(DispatchCommand::TellPeers(ShareReport { entry, pools }));
     }
 
+    /// Returns the time until the next report, such that the reports stay in their budget.
+    fn report_interval(&self, pools: &[PoolService]) -> Duration {
+        let teams: usize = pools.iter().map(|pool| pool.teams.len()).sum();
+        let peers = self.pools.values().map(|pool| pool.shares.peers()).max();
+        let bytes = teams as f64 * TEAM_SHARE_BYTES * peers.unwrap_or(0) as f64;
+        let needed = Duration::from_secs_f64(bytes / self.settings.report_budget);
+        self.settings.report_interval.max(needed)
+    }
+
     fn submit(&mut self, now: Instant, request: TaskRequest) -> Result<(), RefusalReason> {
         let id = request.id;
         if self.tasks.get(id).is_some() {
@@ -645,7 +662,7 @@
         }
         let is_deferred = queue.kind == QueueKind::Deferred;
         if let Some(pool) = self.pools.get_mut(&queue.pool) {
-            pool.note_end(now, team, is_deferred);
+            pool.note_end(now, team, is_deferred, report);
             self.touched.insert(queue.pool.clone());
         }
         self.release_slot_holds(&queue.pool, &run.worker);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod lingering;
 pub mod message;
 pub mod pool_desk;
+pub mod probe;
 pub mod retry;
 mod starting;
 pub mod task;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -79,6 +79,8 @@
     pub team: ShareTeam,
     /// Decayed slot-seconds.
     pub served: f64,
+    /// Decayed slot-seconds that count although they were not served.
+    pub raised: f64,
     /// Tasks that run.
     pub running: u32,
     /// Tasks that wait and could use a slot.
--- a/crates/dispatch/src/pool_desk.rs
+++ b/crates/dispatch/src/pool_desk.rs
@@ -7,7 +7,8 @@
 use pw_team::prelude::*;
 
 use crate::backlog::{PoolBacklog, TaskClass, WaitReason};
-use crate::message::{PoolService, TeamShare};
+use crate::message::{PoolService, RunReport, TeamShare};
+use crate::probe::ProbeLimit;
 use crate::task::TaskTable;
 
 /// Part of a pool's slots that is kept for tasks whose callers wait.
@@ -16,8 +17,8 @@
 /// How a full pool is shared with the other entry instances.
 #[derive(Debug, Clone)]
 pub struct LeadSettings {
-    /// Tasks by which a team may be ahead of the team that is furthest behind elsewhere.
-    pub max_lead: f64,
+    /// Time of the whole pool's service by which a team may be ahead of the one furthest behind.
+    pub max_lead: Duration,
     /// Longest time for which free slots are left to other entry instances.
     pub max_hold: Duration,
     /// Pause before a held team is looked at again.
@@ -31,17 +32,20 @@
     pub backlog: PoolBacklog,
     /// Service of each team.
     pub shares: ShareBook,
+    /// Limit on starts to workers that may have no free slot.
+    pub probes: ProbeLimit,
     /// Whether a queue of the pool has callers who wait.
     pub has_callers: bool,
     running_deferred: u32,
     held_since: Option<Instant>,
+    looks_again: Option<Instant>,
 }
 
 impl Default for LeadSettings {
     fn default() -> Self {
         Self {
-            max_lead: 2.0,
-            max_hold: Duration::from_millis(300),
+            max_lead: Duration::from_millis(500),
+            max_hold: Duration::from_millis(100),
             pause: Duration::from_millis(10),
         }
     }
@@ -79,9 +83,35 @@
     }
 
     /// Counts the end of a run.
-    pub fn note_end(&mut self, now: Instant, team: &ShareTeam, is_deferred: bool) {
+    pub fn note_end(
+        &mut self,
+        now: Instant,
+        team: &ShareTeam,
+        is_deferred: bool,
+        report: RunReport,
+    ) {
         self.shares.note_end(now, team);
         self.running_deferred = self.running_deferred.saturating_sub(u32::from(is_deferred));
+        match report {
+            RunReport::Busy => self.probes.note_busy(),
+            _ => self.backlog.note_end(now, team),
+        }
+    }
+
+    /// Notes that the pool is to be looked at again at `at`; returns whether that is news.
+    pub fn look_again(&mut self, at: Instant) -> bool {
+        let is_news = self.looks_again.is_none_or(|known| at < known);
+        if is_news {
+            self.looks_again = Some(at);
+        }
+        is_news
+    }
+
+    /// Looks again at the teams that left slots to peers.
+    pub fn end_pause(&mut self) {
+        self.looks_again = None;
+        self.backlog
+            .release_where(|reason| reason == WaitReason::Share);
     }
 
     /// Brings the shares in line with how many tasks of `team` could use a slot.
@@ -99,11 +129,18 @@
     }
 
     /// Returns whether `team` has to leave the free slots to a team that waits elsewhere.
-    pub fn must_yield(&mut self, now: Instant, team: &ShareTeam, lead: &LeadSettings) -> bool {
+    pub fn must_yield(
+        &mut self,
+        now: Instant,
+        team: &ShareTeam,
+        slots: u32,
+        lead: &LeadSettings,
+    ) -> bool {
         if !self.shares.has_peers() {
             return false;
         }
-        let allowed = lead.max_lead / self.shares.weight(team);
+        let service = lead.max_lead.as_secs_f64() * f64::from(slots);
+        let allowed = service / self.shares.waiting_weight().max(1.0);
         let score = self.shares.score(now, team);
         let floor = self.shares.floor(now).unwrap_or(score);
         if score <= floor + allowed {
@@ -120,6 +157,7 @@
         let teams = teams.map(|(team, service)| TeamShare {
             team,
             served: service.served,
+            raised: service.raised,
             running: service.running,
             waiting: service.waiting,
         });
--- a/crates/dispatch/src/starting.rs
+++ b/crates/dispatch/src/starting.rs
@@ -19,6 +19,14 @@
 /// Part of the usual run time that has to be left before the deadline for a start to make sense.
 const MIN_RUN_LEFT: f64 = 0.5;
 
+/// What a start needs of a worker.
+#[derive(Debug, Clone, Copy)]
+struct StartNeed {
+    task: TaskId,
+    size: ResourceSize,
+    tier: SlotTier,
+}
+
 /// A worker and the permit to start one task there.
 struct StartSlot {
     worker: WorkerId,
@@ -40,34 +48,53 @@
         pool: &PoolId,
         commands: &mut Vec<DispatchCommand>,
     ) -> bool {
-        let Some(desk) = self.pools.get_mut(pool) else {
+        let (Some(desk), Some(roster)) = (self.pools.get_mut(pool), self.workers.roster(pool))
+        else {
             return false;
         };
-        let Some(roster) = self.workers.roster(pool) else {
+        if desk.backlog.waiting() == 0 || roster.is_closed() {
             return false;
+        }
+        let tier = if roster.open(SlotTier::Known).count() > 0 {
+            SlotTier::Known
+        } else {
+            SlotTier::Probe
         };
-        if desk.backlog.waiting() == 0 || roster.open_count() == 0 {
+        if tier == SlotTier::Probe && !desk.probes.allows(now) {
+            let end = desk.probes.ends();
+            self.look_again(pool, end.unwrap_or(now));
             return false;
         }
-        let Some((team, id)) = desk.next(now, &self.tasks, roster) else {
+        let Some((team, task)) = desk.next(now, &self.tasks, roster) else {
             return false;
         };
-        if desk.must_yield(now, &team, &self.settings.lead) {
+        if desk.must_yield(now, &team, roster.slots(), &self.settings.lead) {
             desk.backlog.hold(&team, WaitReason::Share);
-            let again = now + self.settings.lead.pause;
-            self.share_pauses.push(again, pool.clone());
+            self.look_again(pool, now + self.settings.lead.pause);
             return true;
         }
-        match self.check_start(now, id) {
-            Err(reason) => self.close_waiting(now, id, reason, commands),
-            Ok(size) => match self.find_slot(now, id, pool, &team, size) {
-                Ok(slot) => commands.extend(self.start(now, id, size, slot)),
-                Err(reason) => self.hold(now, pool, &team, reason),
-            },
+        match self.check_start(now, task) {
+            Err(reason) => self.close_waiting(now, task, reason, commands),
+            Ok(size) => {
+                let need = StartNeed { task, size, tier };
+                match self.find_slot(now, &need, pool, &team) {
+                    Ok(slot) => commands.extend(self.start(now, &need, slot)),
+                    Err(reason) => self.hold(now, pool, &team, reason),
+                }
+            }
         }
         true
     }
 
+    /// Looks at the pool again at `at`, or earlier.
+    fn look_again(&mut self, pool: &PoolId, at: Instant) {
+        if let Some(desk) = self.pools.get_mut(pool)
+            && desk.look_again(at)
+        {
+            self.pool_pauses.push(at, pool.clone());
+        }
+    }
+
     /// Checks key, queue and deadline once more, and returns the expected size.
     fn check_start(&self, now: Instant, id: TaskId) -> Result<ResourceSize, RefusalReason> {
         let task = self.tasks.get(id).ok_or(RefusalReason::Cancelled)?;
@@ -97,13 +124,12 @@
     fn find_slot(
         &mut self,
         now: Instant,
-        id: TaskId,
+        need: &StartNeed,
         pool: &PoolId,
         team: &ShareTeam,
-        size: ResourceSize,
     ) -> Result<StartSlot, WaitReason> {
         let worker = self
-            .pick(now, id, pool, size, false)
+            .pick(now, need, pool, false)
             .ok_or(WaitReason::Resources)?;
         let Some(team) = team else {
             return Ok(StartSlot {
@@ -119,7 +145,7 @@
             return Err(WaitReason::Permit);
         }
         let worker = self
-            .pick(now, id, pool, size, true)
+            .pick(now, need, pool, true)
             .ok_or(WaitReason::RemotePermit)?;
         let permit = self
             .take_permit(now, team, &worker)
@@ -131,16 +157,19 @@
     fn pick(
         &mut self,
         now: Instant,
-        id: TaskId,
+        need: &StartNeed,
         pool: &PoolId,
-        size: ResourceSize,
         at_home: bool,
     ) -> Option<WorkerId> {
-        let avoid = self.tasks.get(id).and_then(|task| task.avoid.as_ref());
+        let avoid = self
+            .tasks
+            .get(need.task)
+            .and_then(|task| task.avoid.as_ref());
         let mut request = PickRequest {
             pool,
-            size,
+            size: need.size,
             avoid,
+            tier: need.tier,
             zone: at_home.then_some(&self.settings.home),
         };
         let worker = self.picker.pick(now, &request, &self.workers);
@@ -182,11 +211,11 @@
     fn start(
         &mut self,
         now: Instant,
-        id: TaskId,
-        size: ResourceSize,
+        need: &StartNeed,
         slot: StartSlot,
     ) -> Option<DispatchCommand> {
         let StartSlot { worker, permit } = slot;
+        let StartNeed { task: id, size, .. } = *need;
         let address = self.workers.worker(&worker)?.address()?;
         let task = self.tasks.get(id)?;
         let AdmittedTask { queue, team } = task.admitted.clone();
@@ -204,7 +233,10 @@
             permit,
         };
         if let Some(pool) = self.pools.get_mut(&queue.pool) {
-            pool.backlog.take(now, &team, id, true);
+            pool.backlog.take(&team, id);
+            if need.tier == SlotTier::Probe {
+                pool.probes.note_probe(now);
+            }
             pool.note_start(now, &team, queue.kind == QueueKind::Deferred);
             pool.note_waiting(now, &team);
         }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -15,8 +15,8 @@
 pub mod prelude {
     pub use crate::membership::PoolMembership;
     pub use crate::picker::{PickRequest, RoundRobin, WorkerPicker};
-    pub use crate::record::{RunOutcome, WorkerRecord};
-    pub use crate::roster::PoolRoster;
+    pub use crate::record::{RunOutcome, SlotTier, WorkerRecord};
+    pub use crate::roster::{OpenWorkers, PoolRoster};
     pub use crate::table::{TableSettings, WorkerTable};
     pub use crate::two_choices::{TwoChoices, TwoChoicesSettings};
 }
--- a/crates/place/src/picker.rs
+++ b/crates/place/src/picker.rs
@@ -5,6 +5,7 @@
 use pw_base::prelude::*;
 use pw_worker::prelude::*;
 
+use crate::record::SlotTier;
 use crate::table::WorkerTable;
 
 /// What the chosen worker has to satisfy.
@@ -16,6 +17,8 @@
     pub size: ResourceSize,
     /// Worker on which an earlier attempt of the task failed.
     pub avoid: Option<&'a WorkerId>,
+    /// How sure it has to be that the worker has a free slot.
+    pub tier: SlotTier,
     /// Availability zone that the worker has to be in, if any.
     pub zone: Option<&'a ZoneId>,
 }
@@ -44,15 +47,15 @@
         request: &PickRequest<'_>,
         table: &WorkerTable,
     ) -> Option<WorkerId> {
-        let roster = table.roster(request.pool)?;
-        let mut index = self.turn % roster.open_count().max(1) as usize;
+        let open = table.roster(request.pool)?.open(request.tier);
+        let mut index = self.turn % open.count().max(1);
         self.turn = self.turn.wrapping_add(1);
-        for (zone, open) in roster.open_zones() {
-            if index >= open.len() {
-                index -= open.len();
+        for (zone, workers) in open.zones() {
+            if index >= workers.len() {
+                index -= workers.len();
                 continue;
             }
-            let worker = open.get_index(index)?;
+            let worker = workers.get_index(index)?;
             let is_wanted = request.zone.is_none_or(|wanted| wanted == zone);
             let fits = table.worker(worker)?.has_room(now, &request.size);
             return (is_wanted && fits).then(|| worker.clone());
--- a/crates/place/src/record.rs
+++ b/crates/place/src/record.rs
@@ -18,6 +18,7 @@
     pub(crate) in_flight: u32,
     pub(crate) reserved: ResourceSize,
     pub(crate) limit: ConcurrencyLimit,
+    pub(crate) ceiling: u32,
     pub(crate) health: WorkerHealth,
     pub(crate) busy_until: Option<Instant>,
     pub(crate) busy_streak: u32,
@@ -30,10 +31,19 @@
 pub(crate) struct RosterEntry {
     pub(crate) pool: PoolId,
     pub(crate) slots: u32,
-    pub(crate) is_open: bool,
+    pub(crate) tier: Option<SlotTier>,
     pub(crate) is_ejected: bool,
 }
 
+/// How sure it is that a worker has a free slot; other entry instances use its slots too.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum SlotTier {
+    /// This entry instance has had as many tasks there before, and the worker took them.
+    Known,
+    /// The worker refused a further task some time ago and may have one more slot by now.
+    Probe,
+}
+
 /// How a run ended, as far as the worker's health is concerned.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum RunOutcome {
@@ -55,6 +65,7 @@
         Self {
             size: ResourceSize::from(&spec),
             limit: ConcurrencyLimit::new(spec.slots),
+            ceiling: spec.slots,
             spec,
             instance: None,
             in_flight: 0,
@@ -108,11 +119,18 @@
     }
 
     /// Returns whether another task may be sent to the worker, its zone aside.
-    pub(crate) fn has_slot(&self, now: Instant) -> bool {
-        self.is_live()
+    pub(crate) fn tier(&self, now: Instant) -> Option<SlotTier> {
+        let is_usable = self.is_live()
             && !self.health.is_ejected(now)
-            && self.busy_until.is_none_or(|until| until <= now)
-            && self.in_flight < self.limit.allowed().min(self.spec.slots)
+            && self.in_flight < self.limit.allowed().min(self.spec.slots);
+        if !is_usable {
+            None
+        } else if self.in_flight < self.ceiling {
+            Some(SlotTier::Known)
+        } else {
+            let is_over = self.busy_until.is_none_or(|until| until <= now);
+            is_over.then_some(SlotTier::Probe)
+        }
     }
 
     fn fresh_usage(&self, now: Instant) -> Option<&WorkerUsage> {
--- a/crates/place/src/roster.rs
+++ b/crates/place/src/roster.rs
@@ -4,11 +4,13 @@
 use pw_base::prelude::*;
 use pw_worker::prelude::*;
 
+use crate::record::SlotTier;
+
 /// Counts of a pool's workers, and the sets of those that can take a task now.
 #[derive(Debug, Clone, Default)]
 pub struct PoolRoster {
-    open: IndexMap<ZoneId, IndexSet<WorkerId>>,
-    open_count: u32,
+    known: OpenWorkers,
+    probe: OpenWorkers,
     rack_tasks: IndexMap<RackId, u32>,
     sizes: IndexMap<ResourceSize, u32>,
     members: u32,
@@ -17,6 +19,39 @@
     in_flight: u32,
 }
 
+/// Workers that can take a task now, by availability zone.
+#[derive(Debug, Clone, Default)]
+pub struct OpenWorkers {
+    zones: IndexMap<ZoneId, IndexSet<WorkerId>>,
+    count: usize,
+}
+
+impl OpenWorkers {
+    /// Returns how many workers can take a task now.
+    pub fn count(&self) -> usize {
+        self.count
+    }
+
+    /// Returns the workers of `zone`, if there are any.
+    pub fn in_zone(&self, zone: &str) -> Option<&IndexSet<WorkerId>> {
+        self.zones.get(zone).filter(|open| !open.is_empty())
+    }
+
+    /// Iterates over the availability zones that have such workers.
+    pub fn zones(&self) -> impl Iterator<Item = (&ZoneId, &IndexSet<WorkerId>)> {
+        self.zones.iter().filter(|(_, open)| !open.is_empty())
+    }
+
+    fn set(&mut self, worker: &WorkerId, zone: &ZoneId, is_open: bool) {
+        if is_open {
+            let open = self.zones.entry(zone.clone()).or_default();
+            self.count += usize::from(open.insert(worker.clone()));
+        } else if let Some(open) = self.zones.get_mut(zone) {
+            self.count -= usize::from(open.swap_remove(worker));
+        }
+    }
+}
+
 impl PoolRoster {
     /// Returns how many workers belong to the pool.
     pub fn members(&self) -> u32 {
@@ -38,19 +73,17 @@
         self.in_flight
     }
 
-    /// Returns how many workers can take a task now.
-    pub fn open_count(&self) -> u32 {
-        self.open_count
-    }
-
-    /// Returns the workers of `zone` that can take a task now.
-    pub fn open_in(&self, zone: &str) -> Option<&IndexSet<WorkerId>> {
-        self.open.get(zone).filter(|open| !open.is_empty())
+    /// Returns the workers that can take a task now, as surely as `tier` says.
+    pub fn open(&self, tier: SlotTier) -> &OpenWorkers {
+        match tier {
+            SlotTier::Known => &self.known,
+            SlotTier::Probe => &self.probe,
+        }
     }
 
-    /// Iterates over the availability zones and their workers that can take a task now.
-    pub fn open_zones(&self) -> impl Iterator<Item = (&ZoneId, &IndexSet<WorkerId>)> {
-        self.open.iter().filter(|(_, open)| !open.is_empty())
+    /// Returns whether no worker can take a task now.
+    pub fn is_closed(&self) -> bool {
+        self.known.count() + self.probe.count() == 0
     }
 
     /// Returns the tasks that this entry instance has in flight to the pool's workers in `rack`.
@@ -88,13 +121,9 @@
         self.slots = self.slots.saturating_sub(slots);
     }
 
-    pub(crate) fn set_open(&mut self, worker: &WorkerId, zone: &ZoneId, is_open: bool) {
-        let open = self.open.entry(zone.clone()).or_default();
-        if is_open && open.insert(worker.clone()) {
-            self.open_count += 1;
-        } else if !is_open && open.swap_remove(worker) {
-            self.open_count -= 1;
-        }
+    pub(crate) fn set_tier(&mut self, worker: &WorkerId, zone: &ZoneId, tier: Option<SlotTier>) {
+        self.known.set(worker, zone, tier == Some(SlotTier::Known));
+        self.probe.set(worker, zone, tier == Some(SlotTier::Probe));
     }
 
     pub(crate) fn set_ejected(&mut self, was_ejected: bool, is_ejected: bool) {
--- a/crates/place/src/table.rs
+++ b/crates/place/src/table.rs
@@ -23,9 +23,9 @@
     pub concurrency: ConcurrencySettings,
     /// Largest part of a pool's workers that may be ejected at the same time.
     pub max_ejected: f64,
-    /// Pause after a worker had no free slot; each further one in a row doubles it.
+    /// Pause after a worker had no further slot; each further one in a row doubles it.
     pub busy_pause: Duration,
-    /// Longest pause after a worker had no free slot.
+    /// Longest pause after a worker had no further slot.
     pub max_busy_pause: Duration,
 }
 
@@ -135,6 +135,7 @@
             let instance = self.instances.get(&record.spec.id);
             if record.instance.as_ref() != instance {
                 record.instance = instance.cloned();
+                record.ceiling = record.spec.slots;
                 self.refresh_at(now, index);
             }
         }
@@ -154,6 +155,7 @@
     pub fn take_slot(&mut self, now: Instant, worker: &WorkerId, size: &ResourceSize) {
         if let Some(record) = self.workers.get_mut(worker) {
             record.in_flight += 1;
+            record.ceiling = record.ceiling.max(record.in_flight);
             record.reserved = record.reserved.plus(size);
             if let Some(entry) = &record.entered {
                 let roster = self.rosters.entry(entry.pool.clone()).or_default();
@@ -210,6 +212,7 @@
         if record.spec != *spec {
             leave(&mut self.rosters, record);
             record.limit.set_slots(spec.slots);
+            record.ceiling = spec.slots;
             record.size = ResourceSize::from(spec);
             record.spec = spec.clone();
         }
@@ -243,6 +246,7 @@
                 let pause = self.settings.busy_pause * 2u32.pow(record.busy_streak.min(8));
                 let until = now + pause.min(self.settings.max_busy_pause);
                 record.busy_streak += 1;
+                record.ceiling = record.in_flight;
                 record.busy_until = Some(until);
                 self.wakeups.push(Reverse((until, worker.clone())));
             }
@@ -298,7 +302,7 @@
             } else {
                 0
             },
-            is_open: in_service && record.has_slot(now),
+            tier: record.tier(now).filter(|_| in_service),
             is_ejected: record.health.is_ejected(now),
         });
         if record.entered == wanted {
@@ -320,7 +324,7 @@
         return;
     };
     if let Some(roster) = rosters.get_mut(&entry.pool) {
-        roster.set_open(&record.spec.id, &record.spec.zone, false);
+        roster.set_tier(&record.spec.id, &record.spec.zone, None);
         roster.set_ejected(entry.is_ejected, false);
         roster.remove_slots(entry.slots);
         roster.remove_tasks(&record.spec.rack, record.in_flight);
@@ -347,6 +351,6 @@
         }
     }
     roster.add_slots(wanted.slots);
-    roster.set_open(&record.spec.id, &record.spec.zone, wanted.is_open);
+    roster.set_tier(&record.spec.id, &record.spec.zone, wanted.tier);
     record.entered = Some(wanted);
 }
--- a/crates/place/src/two_choices.rs
+++ b/crates/place/src/two_choices.rs
@@ -9,7 +9,7 @@
 
 use crate::picker::{PickRequest, WorkerPicker};
 use crate::record::WorkerRecord;
-use crate::roster::PoolRoster;
+use crate::roster::{OpenWorkers, PoolRoster};
 use crate::table::WorkerTable;
 
 /// Candidates that are sampled in the home zone and in another zone.
@@ -96,20 +96,19 @@
     }
 
     /// Returns the workers of another zone, chosen with a probability by their number.
-    fn other_zone<'a>(&mut self, roster: &'a PoolRoster) -> Option<&'a IndexSet<WorkerId>> {
-        let home = roster.open_in(&self.settings.home).map_or(0, IndexSet::len);
-        let others = (roster.open_count() as usize).checked_sub(home)?;
+    fn other_zone<'a>(&mut self, open: &'a OpenWorkers) -> Option<&'a IndexSet<WorkerId>> {
+        let home = open.in_zone(&self.settings.home).map_or(0, IndexSet::len);
+        let others = open.count().checked_sub(home)?;
         if others == 0 {
             return None;
         }
         let mut index = self.random.random_range(0..others);
-        roster
-            .open_zones()
+        open.zones()
             .filter(|(zone, _)| **zone != self.settings.home)
-            .map(|(_, open)| open)
-            .find(|open| {
-                let is_hit = index < open.len();
-                index = index.saturating_sub(open.len());
+            .map(|(_, workers)| workers)
+            .find(|workers| {
+                let is_hit = index < workers.len();
+                index = index.saturating_sub(workers.len());
                 is_hit
             })
     }
@@ -123,18 +122,18 @@
         table: &WorkerTable,
     ) -> Option<WorkerId> {
         let roster = table.roster(request.pool)?;
+        let open = roster.open(request.tier);
         if let Some(zone) = request.zone {
-            let open = roster.open_in(zone)?;
-            let candidate = self.sample(now, request, table, roster, open)?;
+            let workers = open.in_zone(zone)?;
+            let candidate = self.sample(now, request, table, roster, workers)?;
             return Some(candidate.worker.clone());
         }
-        let home = self.settings.home.clone();
-        let near = roster
-            .open_in(&home)
-            .and_then(|open| self.sample(now, request, table, roster, open));
+        let near = open
+            .in_zone(&self.settings.home)
+            .and_then(|workers| self.sample(now, request, table, roster, workers));
         let far = self
-            .other_zone(roster)
-            .and_then(|open| self.sample(now, request, table, roster, open));
+            .other_zone(open)
+            .and_then(|workers| self.sample(now, request, table, roster, workers));
         let far = far.filter(|far| {
             let gap = self.settings.spill_gap;
             near.as_ref().is_none_or(|near| far.cost + gap < near.cost)
--- a/crates/team/src/share.rs
+++ b/crates/team/src/share.rs
@@ -42,7 +42,11 @@
     pub running: u32,
     /// Tasks that wait.
     pub waiting: u32,
-    as_of: Option<Instant>,
+    /// Decayed slot-seconds that count although they were not served: a team that begins to wait
+    /// has no claim from the time before.
+    pub raised: f64,
+    /// When the amounts were measured.
+    pub as_of: Option<Instant>,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -57,33 +61,33 @@
             memory: Duration::from_secs(10),
             horizon: Duration::from_secs(1),
             open_share: 10,
-            peer_timeout: Duration::from_secs(3),
+            peer_timeout: Duration::from_secs(10),
         }
     }
 }
 
 impl TeamService {
-    /// Creates the service that a peer reported: decayed slot-seconds and tasks.
-    pub fn reported(served: f64, running: u32, waiting: u32) -> Self {
-        Self {
-            served,
-            running,
-            waiting,
-            as_of: None,
-        }
-    }
-
     /// Returns the decayed slot-seconds at `now`, with those of the running tasks so far.
     fn served_at(&self, now: Instant, memory: Duration) -> f64 {
+        let kept = self.kept_at(now, memory);
+        self.served * kept + f64::from(self.running) * memory.as_secs_f64() * (1.0 - kept)
+    }
+
+    fn raised_at(&self, now: Instant, memory: Duration) -> f64 {
+        self.raised * self.kept_at(now, memory)
+    }
+
+    /// Returns the part of earlier service that still counts.
+    fn kept_at(&self, now: Instant, memory: Duration) -> f64 {
         let elapsed = self
             .as_of
             .map_or(Duration::ZERO, |as_of| now.saturating_duration_since(as_of));
-        let kept = (-elapsed.as_secs_f64() / memory.as_secs_f64()).exp();
-        self.served * kept + f64::from(self.running) * memory.as_secs_f64() * (1.0 - kept)
+        (-elapsed.as_secs_f64() / memory.as_secs_f64()).exp()
     }
 
     fn settle(&mut self, now: Instant, memory: Duration) {
         self.served = self.served_at(now, memory);
+        self.raised = self.raised_at(now, memory);
         self.as_of = Some(now);
     }
 }
@@ -125,10 +129,11 @@
         let floor = if is_new { self.floor(now) } else { None };
         let score = floor.map(|floor| floor - self.score(now, team));
         let weight = self.weight(team);
+        let known = self.raised(now, team);
         let service = self.settled(now, team);
         service.waiting = waiting;
         if let Some(missing) = score.filter(|missing| *missing > 0.0) {
-            service.served += missing * weight;
+            service.raised = known + missing * weight;
         }
     }
 
@@ -170,9 +175,9 @@
         self.teams
             .iter()
             .map(|(team, service)| {
-                let served = service.served_at(now, memory);
-                let report = TeamService::reported(served, service.running, service.waiting);
-                (team.clone(), report)
+                let mut service = *service;
+                service.settle(now, memory);
+                (team.clone(), service)
             })
             .filter(|(_, report)| report.served > 0.001 || report.running + report.waiting > 0)
             .collect()
@@ -182,12 +187,12 @@
     pub fn score(&self, now: Instant, team: &ShareTeam) -> f64 {
         let horizon = self.settings.horizon.as_secs_f64();
         let memory = self.settings.memory;
-        let sum: f64 = [&self.teams, &self.elsewhere]
+        let served: f64 = [&self.teams, &self.elsewhere]
             .into_iter()
             .filter_map(|teams| teams.get(team))
             .map(|service| service.served_at(now, memory) + f64::from(service.running) * horizon)
             .sum();
-        sum / self.weight(team)
+        (served + self.raised(now, team)) / self.weight(team)
     }
 
     /// Returns the lowest score of the teams that wait at this entry instance or at a peer.
@@ -200,12 +205,41 @@
             .min_by(f64::total_cmp)
     }
 
+    /// Returns the sum of the shares of the teams that wait here or at a peer.
+    pub fn waiting_weight(&self) -> f64 {
+        let here = self.teams.iter();
+        let elsewhere = self.elsewhere.iter();
+        let elsewhere = elsewhere.filter(|(team, _)| {
+            let service = self.teams.get(*team);
+            service.is_none_or(|service| service.waiting == 0)
+        });
+        here.chain(elsewhere)
+            .filter(|(_, service)| service.waiting > 0)
+            .map(|(team, _)| self.weight(team))
+            .sum()
+    }
+
+    /// Returns how many peers have reported lately.
+    pub fn peers(&self) -> usize {
+        self.peers.len()
+    }
+
     /// Returns the team's share.
     pub fn weight(&self, team: &ShareTeam) -> f64 {
         let open = f64::from(self.settings.open_share.max(1));
         self.weights.get(team).copied().unwrap_or(open)
     }
 
+    /// Returns what counts for the team without service; peers raise it for the same reason.
+    fn raised(&self, now: Instant, team: &ShareTeam) -> f64 {
+        let memory = self.settings.memory;
+        [&self.teams, &self.elsewhere]
+            .into_iter()
+            .filter_map(|teams| teams.get(team))
+            .map(|service| service.raised_at(now, memory))
+            .fold(0.0, f64::max)
+    }
+
     fn is_waiting(&self, team: &ShareTeam) -> bool {
         [&self.teams, &self.elsewhere]
             .into_iter()
@@ -225,6 +259,8 @@
                 let sum = self.elsewhere.entry(team.clone()).or_default();
                 sum.as_of = latest;
                 sum.served += latest.map_or(0.0, |latest| service.served_at(latest, memory));
+                let raised = latest.map_or(0.0, |latest| service.raised_at(latest, memory));
+                sum.raised = sum.raised.max(raised);
                 sum.running += service.running;
                 sum.waiting += service.waiting;
             }
--- a/crates/worker/src/concurrency.rs
+++ b/crates/worker/src/concurrency.rs
@@ -2,10 +2,13 @@
 
 use std::time::{Duration, Instant};
 
+/// Weight of a new run's pace against the earlier ones; single run times vary widely.
+const PACE_WEIGHT: f64 = 0.1;
+
 /// Bounds and steps of a concurrency limit.
 #[derive(Debug, Clone, Copy)]
 pub struct ConcurrencySettings {
-    /// Factor of the usual run time above which the worker counts as slowed down.
+    /// Mean factor of the usual run time above which the worker counts as slowed down.
     pub slow_factor: f64,
     /// Factor that the limit shrinks by.
     pub decrease: f64,
@@ -18,13 +21,14 @@
 pub struct ConcurrencyLimit {
     slots: u32,
     limit: f64,
+    pace: f64,
     decreased: Option<Instant>,
 }
 
 impl Default for ConcurrencySettings {
     fn default() -> Self {
         Self {
-            slow_factor: 3.0,
+            slow_factor: 2.0,
             decrease: 0.7,
             decrease_pause: Duration::from_secs(1),
         }
@@ -37,6 +41,7 @@
         Self {
             slots,
             limit: f64::from(slots),
+            pace: 1.0,
             decreased: None,
         }
     }
@@ -60,7 +65,8 @@
 
     /// Notes a task that ended well and took `pace` times the usual run time.
     pub fn note_success(&mut self, now: Instant, pace: f64, settings: &ConcurrencySettings) {
-        if pace > settings.slow_factor {
+        self.pace += PACE_WEIGHT * (pace - self.pace);
+        if self.pace > settings.slow_factor {
             self.note_failure(now, settings);
         } else {
             let raised = self.limit + 1.0 / self.limit.max(1.0);
