Expect waits from running tasks and shares

Cause: a team's expected wait came from how fast its tasks had ended. Ruled out: keeping the measured rate as a lower bound. Change: the wait follows from the tasks that run (Little's law) and from the part of the pool that the team's share gives it here. Run times are averaged over more tasks, and an expected wait has to be 15 % too long before it refuses.

--- a/benches/benches/policy/scenario.rs
+++ b/benches/benches/policy/scenario.rs
@@ -192,6 +192,8 @@
             WorldSettings {
                 demand: streams(&form, 1.3, RateForm::Steady, None),
                 form,
+                warm_up: second(40),
+                length: second(90),
                 changes: vec![
                     FleetChange {
                         at: second(40),
@@ -227,35 +229,38 @@
 
 fn surge() -> Vec<ReportRow> {
     let mut rows = Vec::new();
-    let base = |seed, is_open| {
-        let form = FleetForm {
-            is_open,
-            ..FleetForm::default()
-        };
-        let rate = RateForm::Surges {
-            first: Duration::from_secs(25),
-            length: Duration::from_secs(8),
-            period: Duration::from_secs(32),
+    for (callers, resubmits) in [("callers give up", 0), ("callers try 3 times more", 3)] {
+        let base = |seed, is_open| {
+            let form = FleetForm {
+                is_open,
+                ..FleetForm::default()
+            };
+            let rate = RateForm::Surges {
+                first: Duration::from_secs(25),
+                length: Duration::from_secs(8),
+                period: Duration::from_secs(32),
+            };
+            WorldSettings {
+                demand: streams(&form, 0.6, rate, None),
+                form,
+                length: Duration::from_secs(180),
+                resubmits,
+                seed,
+                ..WorldSettings::default()
+            }
         };
-        WorldSettings {
-            demand: streams(&form, 0.6, rate, None),
-            form,
-            length: Duration::from_secs(180),
-            resubmits: 3,
-            seed,
-            ..WorldSettings::default()
-        }
-    };
-    rows.push(row("surge", "shares, wait expected", |seed| {
-        base(seed, false)
-    }));
-    rows.push(row("surge", "shares, backlog bounded by number", |seed| {
-        let mut settings = base(seed, false);
-        settings.desk.min_waiting = u32::MAX;
-        settings
-    }));
-    rows.push(row("surge", "first come first served", |seed| {
-        base(seed, true)
-    }));
+        let name = |variant: &str| format!("{variant}, {callers}");
+        rows.push(row("surge", name("wait expected"), |seed| {
+            base(seed, false)
+        }));
+        rows.push(row("surge", name("backlog by number"), |seed| {
+            let mut settings = base(seed, false);
+            settings.desk.min_waiting = u32::MAX;
+            settings
+        }));
+        rows.push(row("surge", name("first come first served"), |seed| {
+            base(seed, true)
+        }));
+    }
     rows
 }
--- a/benches/benches/policy/world.rs
+++ b/benches/benches/policy/world.rs
@@ -470,7 +470,7 @@
             written: SystemTime::UNIX_EPOCH,
             body: RecordBody::Fleet(FleetProposal {
                 base: self.offset,
-                spec: Arc::new(self.spec.clone()),
+                update: FleetUpdate::Whole(Arc::new(self.spec.clone())),
             }),
         };
         self.records.push(Arc::new(record));
--- a/crates/dispatch/src/backlog.rs
+++ b/crates/dispatch/src/backlog.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use indexmap::{IndexMap, IndexSet};
 use pw_base::prelude::*;
@@ -10,7 +10,6 @@
 use pw_team::prelude::*;
 use strum::{AsRefStr, Display};
 
-use crate::drain::DrainRate;
 use crate::task::TaskTable;
 
 /// Dead entries that a queue may hold before it is compacted.
@@ -67,7 +66,6 @@
     interactive: VecDeque<TaskId>,
     deferred: BinaryHeap<Reverse<(Instant, TaskId)>>,
     waiting: u32,
-    drain: DrainRate,
 }
 
 impl TeamBacklog {
@@ -152,14 +150,6 @@
         self.held.get(team).copied()
     }
 
-    /// Returns the expected wait of one more task of `team`, from how fast its tasks end.
-    pub fn expected_wait(&self, now: Instant, team: &ShareTeam) -> Duration {
-        let backlog = self.teams.get(team);
-        backlog.map_or(Duration::ZERO, |team| {
-            team.drain.expected_wait(now, team.waiting)
-        })
-    }
-
     /// Adds a task; one that is tried again goes first. `latest_start` orders deferred tasks.
     pub fn push(
         &mut self,
@@ -200,15 +190,6 @@
         self.retire(team);
     }
 
-    /// Counts a task of `team` that a worker took and ended.
-    pub fn note_end(&mut self, now: Instant, team: &ShareTeam) {
-        self.teams
-            .entry(team.clone())
-            .or_default()
-            .drain
-            .note_end(now);
-    }
-
     /// Returns the next task: that of the team with the lowest score, urgent ones first.
     pub fn next(
         &mut self,
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -30,6 +30,9 @@
 /// Part of a queue's deadline that is kept as slack when a deferred task is put off.
 const DEFERRED_SLACK: u32 = 4;
 
+/// Factor by which an expected wait has to be too long; waits shorten as other teams finish.
+const WAIT_MARGIN: f64 = 1.15;
+
 /// Bytes that a team's part of a report takes, about.
 const TEAM_SHARE_BYTES: f64 = 24.0;
 
@@ -512,10 +515,11 @@
             return Err(RefusalReason::Overloaded);
         }
         if queue.kind == QueueKind::Interactive && waiting >= self.settings.min_waiting {
-            let wait = pool.map_or(Duration::ZERO, |pool| pool.backlog.expected_wait(now, team));
             let history = self.histories.get(&queue.id);
             let run = history.map_or(Duration::ZERO, QueueHistory::usual_run);
-            if wait.saturating_add(run) > deadline - now {
+            let slots = roster.map_or(0, PoolRoster::slots);
+            let wait = pool.map_or(Duration::ZERO, |pool| pool.expected_wait(team, slots, run));
+            if wait.div_f64(WAIT_MARGIN).saturating_add(run) > deadline - now {
                 return Err(RefusalReason::Overloaded);
             }
         }
--- a/crates/dispatch/src/history.rs
+++ b/crates/dispatch/src/history.rs
@@ -4,8 +4,8 @@
 
 use pw_worker::prelude::*;
 
-/// Weight of a new observation against the earlier ones.
-const NEW_WEIGHT: f64 = 0.1;
+/// Smallest weight of a new observation against the earlier ones; the first ones weigh more.
+const NEW_WEIGHT: f64 = 0.02;
 /// Deviations above the mean that a size is expected to stay under.
 const SIZE_DEVIATIONS: f64 = 2.0;
 
@@ -19,26 +19,25 @@
 
 #[derive(Debug, Clone, Copy, Default)]
 struct MovingAverage {
-    is_started: bool,
+    observations: u32,
     mean: f64,
     deviation: f64,
 }
 
 impl MovingAverage {
     fn note(&mut self, value: f64) {
-        if self.is_started {
-            let error = value - self.mean;
-            self.mean += NEW_WEIGHT * error;
-            self.deviation += NEW_WEIGHT * (error.abs() - self.deviation);
-        } else {
-            self.is_started = true;
-            self.mean = value;
+        self.observations = self.observations.saturating_add(1);
+        let weight = NEW_WEIGHT.max(1.0 / f64::from(self.observations));
+        let error = value - self.mean;
+        self.mean += weight * error;
+        if self.observations > 1 {
+            self.deviation += weight * (error.abs() - self.deviation);
         }
     }
 
     /// Returns an amount that most observations stay under, or `declared` before the first one.
     fn upper(&self, declared: u32) -> u32 {
-        if self.is_started {
+        if self.observations > 0 {
             (self.mean + SIZE_DEVIATIONS * self.deviation).ceil() as u32
         } else {
             declared
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,7 +6,6 @@
 pub mod admission;
 pub mod backlog;
 pub mod desk;
-pub mod drain;
 pub mod history;
 pub mod idempotency;
 pub mod lingering;
--- a/crates/dispatch/src/pool_desk.rs
+++ b/crates/dispatch/src/pool_desk.rs
@@ -92,9 +92,8 @@
     ) {
         self.shares.note_end(now, team);
         self.running_deferred = self.running_deferred.saturating_sub(u32::from(is_deferred));
-        match report {
-            RunReport::Busy => self.probes.note_busy(),
-            _ => self.backlog.note_end(now, team),
+        if report == RunReport::Busy {
+            self.probes.note_busy();
         }
     }
 
@@ -114,13 +113,23 @@
             .release_where(|reason| reason == WaitReason::Share);
     }
 
+    /// Returns the expected wait of one more task of `team` on a pool of `slots`.
+    ///
+    /// Its tasks leave the backlog at least as fast as those that run now end, and as its share of
+    /// the pool lets them. Zero while nothing is known.
+    pub fn expected_wait(&self, team: &ShareTeam, slots: u32, usual_run: Duration) -> Duration {
+        let running = f64::from(self.shares.running(team)).max(1.0);
+        let slots = if self.is_limited(team) {
+            running
+        } else {
+            running.max(f64::from(slots) * self.shares.entitled_part(team))
+        };
+        usual_run.mul_f64(f64::from(self.backlog.waiting_of(team)) / slots)
+    }
+
     /// Brings the shares in line with how many tasks of `team` could use a slot.
     pub fn note_waiting(&mut self, now: Instant, team: &ShareTeam) {
-        let is_limited = matches!(
-            self.backlog.held(team),
-            Some(WaitReason::Permit | WaitReason::RemotePermit)
-        );
-        let waiting = if is_limited {
+        let waiting = if self.is_limited(team) {
             0
         } else {
             self.backlog.waiting_of(team)
@@ -167,6 +176,11 @@
         })
     }
 
+    fn is_limited(&self, team: &ShareTeam) -> bool {
+        let held = self.backlog.held(team);
+        matches!(held, Some(WaitReason::Permit | WaitReason::RemotePermit))
+    }
+
     fn may_start_relaxed(&self, roster: &PoolRoster) -> bool {
         let kept = if self.has_callers {
             (f64::from(roster.slots()) * URGENT_RESERVE).ceil() as u32
--- a/crates/team/src/share.rs
+++ b/crates/team/src/share.rs
@@ -219,6 +219,27 @@
             .sum()
     }
 
+    /// Returns the part of a full pool that the team is entitled to through this entry instance.
+    ///
+    /// The team's part is divided among the entry instances by how many of its tasks wait there.
+    pub fn entitled_part(&self, team: &ShareTeam) -> f64 {
+        let waiting = |teams: &IndexMap<ShareTeam, TeamService>| {
+            let service = teams.get(team);
+            service.map_or(0.0, |service| f64::from(service.waiting))
+        };
+        let here = waiting(&self.teams);
+        let all = here + waiting(&self.elsewhere);
+        if all == 0.0 {
+            return 0.0;
+        }
+        here / all * self.weight(team) / self.waiting_weight()
+    }
+
+    /// Returns how many tasks of the team run through this entry instance.
+    pub fn running(&self, team: &ShareTeam) -> u32 {
+        self.teams.get(team).map_or(0, |service| service.running)
+    }
+
     /// Returns how many peers have reported lately.
     pub fn peers(&self) -> usize {
         self.peers.len()
