Start no task on an instance that the pool ledger drains

Cause: the desk took a worker's pool from the declared fleet. A draining, rebooting or moving instance still got tasks, and a moved one got those of its old pool. Change: the desk follows the pool ledger of its fold, only the instances that have changed; a worker has one `PoolSeat`, which says its pool and whether tasks may start.

Cause: teams that waited for permits asked again only when a reading of the log brought records. A holder whose reading had been stale stood still until then. Change: they ask again after every reading, and when the gate's own deadline passes.

--- a/benches/benches/placement.rs
+++ b/benches/benches/placement.rs
@@ -23,8 +23,7 @@
 fn fleet(workers: usize) -> FleetSpec {
     let zones = (0..ZONES).map(|zone| ZoneSpec {
         id: format!("z{zone}").into(),
-        region: String::new(),
-        status: ZoneStatus::InService,
+        ..ZoneSpec::default()
     });
     let workers: Vec<WorkerSpec> = (0..workers)
         .map(|index| WorkerSpec {
@@ -58,6 +57,13 @@
     let spec = fleet(workers);
     let mut table = WorkerTable::new(TableSettings::default());
     table.set_fleet(now, &spec);
+    for worker in &spec.workers {
+        let seat = PoolSeat {
+            pool: "pool".into(),
+            may_start: true,
+        };
+        table.set_seat(now, &worker.id, seat);
+    }
     let instances = spec.workers.iter().map(|worker| InstanceEntry {
         worker: worker.id.clone(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
--- a/benches/benches/policy/fleet.rs
+++ b/benches/benches/policy/fleet.rs
@@ -46,8 +46,7 @@
     pub fn spec(&self) -> FleetSpec {
         let zones = (0..self.zones).map(|zone| ZoneSpec {
             id: format!("z{zone}").into(),
-            region: String::new(),
-            status: ZoneStatus::InService,
+            ..ZoneSpec::default()
         });
         let teams = self.teams.iter().enumerate();
         let teams = teams.map(|(team, (share, limit))| TeamSpec {
--- a/benches/benches/policy/world.rs
+++ b/benches/benches/policy/world.rs
@@ -484,6 +484,7 @@
             (offset as LogOffset, item)
         });
         let reading = LogReading {
+            image: None,
             asked: Some(self.now),
             from: 0,
             items: items.collect(),
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -298,6 +298,9 @@
             }
         }
         self.touched.extend(self.workers.wake(now));
+        if self.gate.next_deadline().is_some_and(|at| at <= now) {
+            self.release_permit_holds();
+        }
         self.tell_peers(now, commands);
     }
 
@@ -307,19 +310,39 @@
         reading: &LogReading,
         commands: &mut Vec<DispatchCommand>,
     ) {
+        let since = self.fold.state().next_offset;
         self.fold.read(reading);
         let asked = self.fold.freshness(reading);
         let (permits, members) = (self.fold.permits(), self.fold.members());
         self.gate.observe(now, asked, permits, members);
         let state = self.fold.state();
+        let is_new = self.revision < state.revision;
         if let Some(spec) = state.spec.clone()
-            && self.revision < state.revision
+            && is_new
         {
             self.revision = state.revision;
             self.set_fleet(now, &spec, commands);
         }
-        if !reading.items.is_empty() {
-            self.release_permit_holds();
+        let is_whole = is_new || reading.image.is_some();
+        self.follow_pools(now, if is_whole { 0 } else { since });
+        // Fresh knowledge may allow permits even when nothing was appended.
+        self.release_permit_holds();
+    }
+
+    /// Takes the places of the workers whose instances have changed since the offset `since`.
+    fn follow_pools(&mut self, now: Instant, since: LogOffset) {
+        let pools = self.fold.pools();
+        let changed = pools
+            .instances()
+            .filter(|instance| instance.changed >= since);
+        for instance in changed {
+            let seat = PoolSeat {
+                pool: instance.pool.clone(),
+                may_start: pools.may_start(&instance.worker),
+            };
+            if self.workers.set_seat(now, &instance.worker, seat) {
+                self.touched.insert(instance.pool.clone());
+            }
         }
     }
 
--- a/crates/dispatch/tests/promises.rs
+++ b/crates/dispatch/tests/promises.rs
@@ -2,9 +2,12 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use pw_base::prelude::*;
+use pw_contract::prelude::*;
 use pw_dispatch::prelude::*;
+use pw_member::prelude::*;
 use pw_worker::prelude::*;
 use pw_zone::prelude::*;
 use support::{Bench, RUN_TIMEOUT, refusals, small_fleet, starts, worker};
@@ -310,3 +313,44 @@
         }
     }
 }
+
+/// Gate that gives permits only while a reading of the log is fresh.
+#[derive(Default)]
+struct FreshGate {
+    fresh_until: Option<Instant>,
+}
+
+impl PermitGate for FreshGate {
+    fn take(&mut self, now: Instant, team: &TeamId, _zone: &ZoneId) -> Option<TaskPermit> {
+        let is_fresh = self.fresh_until.is_some_and(|until| now < until);
+        is_fresh.then(|| TaskPermit {
+            team: team.clone(),
+            kind: PermitKind::Float,
+            incarnation: 0,
+        })
+    }
+
+    fn give_back(&mut self, _now: Instant, _permit: TaskPermit) {}
+
+    fn set_demand(&mut self, _now: Instant, _team: &TeamId, _waiting: u32) {}
+
+    fn observe(
+        &mut self,
+        _now: Instant,
+        asked: Option<Instant>,
+        _permits: &PermitLedger,
+        _members: &MemberLedger,
+    ) {
+        self.fresh_until = asked.map(|asked| asked + SECOND);
+    }
+}
+
+#[test]
+fn fresh_reading_without_records_lets_waiting_tasks_ask_again() {
+    let gate = Box::new(FreshGate::default());
+    let mut bench = Bench::with_gate(small_fleet(1), DeskSettings::default(), gate);
+    bench.advance(2 * SECOND);
+    assert!(starts(&bench.submit("plain", "a")).is_empty());
+    assert_eq!(bench.desk.explain(1), Some(WaitReason::Permit));
+    assert_eq!(starts(&bench.read(Vec::new())).len(), 1);
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -112,11 +112,14 @@
     }
 
     pub fn with_settings(spec: FleetSpec, settings: DeskSettings) -> Self {
+        Self::with_gate(spec, settings, Box::new(EvenSplit::new(1)))
+    }
+
+    pub fn with_gate(spec: FleetSpec, settings: DeskSettings, gate: Box<dyn PermitGate>) -> Self {
         let settings = DeskSettings {
             home: "z1".into(),
             ..settings
         };
-        let gate = Box::new(EvenSplit::new(1));
         let mut bench = Self {
             desk: DispatchDesk::new(settings, gate),
             now: Instant::now(),
@@ -149,15 +152,20 @@
                 Arc::new(self.spec.clone()),
             )),
         };
-        let offset = self.offset;
         self.offset += 1;
+        let item = LogItem::Record(Arc::new(record));
+        self.read(vec![(self.offset - 1, item)])
+    }
+
+    /// Reads the log to its end.
+    pub fn read(&mut self, items: Vec<(LogOffset, LogItem)>) -> Vec<DispatchCommand> {
         self.feed(DispatchEvent::LogRead(LogReading {
-            asked: Some(self.now),
             image: None,
-            from: offset,
-            items: vec![(offset, LogItem::Record(Arc::new(record)))],
-            next_offset: offset + 1,
-            end: offset + 1,
+            asked: Some(self.now),
+            from: self.offset - items.len() as LogOffset,
+            items,
+            next_offset: self.offset,
+            end: self.offset,
         }))
     }
 
--- a/crates/place/src/membership.rs
+++ b/crates/place/src/membership.rs
@@ -6,30 +6,40 @@
 /// Pool of each worker; a worker is in at most one.
 #[derive(Debug, Clone, Default)]
 pub struct PoolMembership {
-    pools: IndexMap<WorkerId, PoolId>,
+    seats: IndexMap<WorkerId, PoolSeat>,
+}
+
+/// Place of a worker in its pool.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PoolSeat {
+    /// Pool that the worker is in.
+    pub pool: PoolId,
+    /// Whether tasks may start there; not while it drains, reboots or changes pools.
+    pub may_start: bool,
 }
 
 impl PoolMembership {
-    /// Returns the pool of `worker`.
-    pub fn pool_of(&self, worker: &str) -> Option<&PoolId> {
-        self.pools.get(worker)
+    /// Returns the place of `worker`.
+    pub fn seat(&self, worker: &str) -> Option<&PoolSeat> {
+        self.seats.get(worker)
     }
 
-    /// Puts `worker` into `pool` and takes it out of any other.
-    pub fn assign(&mut self, worker: WorkerId, pool: PoolId) {
-        self.pools.insert(worker, pool);
+    /// Returns the pool of `worker`.
+    pub fn pool_of(&self, worker: &str) -> Option<&PoolId> {
+        Some(&self.seat(worker)?.pool)
     }
 
-    /// Takes `worker` out of its pool.
-    pub fn remove(&mut self, worker: &str) {
-        self.pools.swap_remove(worker);
+    /// Puts `worker` into its one place; returns whether that changes anything.
+    pub fn set_seat(&mut self, worker: &WorkerId, seat: PoolSeat) -> bool {
+        if self.seat(worker) == Some(&seat) {
+            return false;
+        }
+        self.seats.insert(worker.clone(), seat);
+        true
     }
-}
 
-impl FromIterator<(WorkerId, PoolId)> for PoolMembership {
-    fn from_iter<I: IntoIterator<Item = (WorkerId, PoolId)>>(pairs: I) -> Self {
-        Self {
-            pools: pairs.into_iter().collect(),
-        }
+    /// Keeps only the workers of which `is_known` says so.
+    pub fn retain(&mut self, is_known: impl Fn(&WorkerId) -> bool) {
+        self.seats.retain(|worker, _| is_known(worker));
     }
 }
--- a/crates/place/src/table.rs
+++ b/crates/place/src/table.rs
@@ -10,7 +10,7 @@
 use pw_worker::prelude::*;
 use pw_zone::prelude::*;
 
-use crate::membership::PoolMembership;
+use crate::membership::{PoolMembership, PoolSeat};
 use crate::record::{RosterEntry, RunOutcome, WorkerRecord};
 use crate::roster::PoolRoster;
 
@@ -87,7 +87,7 @@
         self.wakeups.peek().map(|Reverse((at, _))| *at)
     }
 
-    /// Takes the declared zones, workers and pools; workers that are gone give no new slots.
+    /// Takes the declared zones and workers; workers that are gone give no new slots.
     pub fn set_fleet(&mut self, now: Instant, spec: &FleetSpec) {
         let zones = spec.zones.iter();
         self.zones = zones.map(|zone| (zone.id.clone(), zone.status)).collect();
@@ -100,28 +100,20 @@
         for worker in declared.values() {
             self.declare(worker);
         }
-        let pools = spec.pools.iter();
-        let membership = pools
-            .flat_map(|pool| {
-                let workers = pool.workers.iter().cloned();
-                workers.map(|worker| (worker, pool.id.clone()))
-            })
-            .collect();
-        self.set_membership(now, membership);
-    }
-
-    /// Takes the pool of each worker.
-    pub fn set_membership(&mut self, now: Instant, membership: PoolMembership) {
-        self.membership = membership;
+        self.membership
+            .retain(|worker| declared.contains_key(worker));
         for index in 0..self.workers.len() {
             self.refresh_at(now, index);
         }
     }
 
-    /// Moves `worker` into `pool`.
-    pub fn move_worker(&mut self, now: Instant, worker: &WorkerId, pool: PoolId) {
-        self.membership.assign(worker.clone(), pool);
-        self.refresh(now, worker);
+    /// Puts `worker` into its pool; returns whether that changes anything.
+    pub fn set_seat(&mut self, now: Instant, worker: &WorkerId, seat: PoolSeat) -> bool {
+        let is_changed = self.membership.set_seat(worker, seat);
+        if is_changed {
+            self.refresh(now, worker);
+        }
+        is_changed
     }
 
     /// Takes the platform's instance list; workers that it does not name get no tasks.
@@ -295,15 +287,14 @@
             return;
         };
         let in_service = self.zones.get(&record.spec.zone) == Some(&ZoneStatus::InService);
-        let wanted = self.membership.pool_of(id).map(|pool| RosterEntry {
-            pool: pool.clone(),
-            slots: if in_service && record.is_live() {
-                record.spec.slots
-            } else {
-                0
-            },
-            tier: record.tier(now).filter(|_| in_service),
-            is_ejected: record.health.is_ejected(now),
+        let wanted = self.membership.seat(id).map(|seat| {
+            let is_usable = in_service && seat.may_start && record.is_live();
+            RosterEntry {
+                pool: seat.pool.clone(),
+                slots: if is_usable { record.spec.slots } else { 0 },
+                tier: record.tier(now).filter(|_| is_usable),
+                is_ejected: record.health.is_ejected(now),
+            }
         });
         if record.entered == wanted {
             return;
