--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,12 +6,12 @@
 pub mod admission;
 pub mod backlog;
 pub mod desk;
-pub mod drain;
 pub mod history;
 pub mod idempotency;
 pub mod lingering;
 pub mod message;
 pub mod pool_desk;
+pub mod probe;
 pub mod retry;
 mod starting;
 pub mod task;
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -13,10 +13,10 @@
 
 /// The names that most users of this crate need.
 pub mod prelude {
-    pub use crate::membership::PoolMembership;
+    pub use crate::membership::{PoolMembership, PoolSeat};
     pub use crate::picker::{PickRequest, RoundRobin, WorkerPicker};
-    pub use crate::record::{RunOutcome, WorkerRecord};
-    pub use crate::roster::PoolRoster;
+    pub use crate::record::{RunOutcome, SlotTier, WorkerRecord};
+    pub use crate::roster::{OpenWorkers, PoolRoster};
     pub use crate::table::{TableSettings, WorkerTable};
     pub use crate::two_choices::{TwoChoices, TwoChoicesSettings};
 }
--- a/crates/place/src/table.rs
+++ b/crates/place/src/table.rs
@@ -10,7 +10,7 @@
 use pw_worker::prelude::*;
 use pw_zone::prelude::*;
 
-use crate::membership::PoolMembership;
+use crate::membership::{PoolMembership, PoolSeat};
 use crate::record::{RosterEntry, RunOutcome, WorkerRecord};
 use crate::roster::PoolRoster;
 
@@ -23,9 +23,9 @@
     pub concurrency: ConcurrencySettings,
     /// Largest part of a pool's workers that may be ejected at the same time.
     pub max_ejected: f64,
-    /// Pause after a worker had no free slot; each further one in a row doubles it.
+    /// Pause after a worker had no further slot; each further one in a row doubles it.
     pub busy_pause: Duration,
-    /// Longest pause after a worker had no free slot.
+    /// Longest pause after a worker had no further slot.
     pub max_busy_pause: Duration,
 }
 
@@ -87,7 +87,7 @@
         self.wakeups.peek().map(|Reverse((at, _))| *at)
     }
 
-    /// Takes the declared zones, workers and pools; workers that are gone give no new slots.
+    /// Takes the declared zones and workers; workers that are gone give no new slots.
     pub fn set_fleet(&mut self, now: Instant, spec: &FleetSpec) {
         let zones = spec.zones.iter();
         self.zones = zones.map(|zone| (zone.id.clone(), zone.status)).collect();
@@ -100,28 +100,20 @@
         for worker in declared.values() {
             self.declare(worker);
         }
-        let pools = spec.pools.iter();
-        let membership = pools
-            .flat_map(|pool| {
-                let workers = pool.workers.iter().cloned();
-                workers.map(|worker| (worker, pool.id.clone()))
-            })
-            .collect();
-        self.set_membership(now, membership);
-    }
-
-    /// Takes the pool of each worker.
-    pub fn set_membership(&mut self, now: Instant, membership: PoolMembership) {
-        self.membership = membership;
+        self.membership
+            .retain(|worker| declared.contains_key(worker));
         for index in 0..self.workers.len() {
             self.refresh_at(now, index);
         }
     }
 
-    /// Moves `worker` into `pool`.
-    pub fn move_worker(&mut self, now: Instant, worker: &WorkerId, pool: PoolId) {
-        self.membership.assign(worker.clone(), pool);
-        self.refresh(now, worker);
+    /// Puts `worker` into its pool; returns whether that changes anything.
+    pub fn set_seat(&mut self, now: Instant, worker: &WorkerId, seat: PoolSeat) -> bool {
+        let is_changed = self.membership.set_seat(worker, seat);
+        if is_changed {
+            self.refresh(now, worker);
+        }
+        is_changed
     }
 
     /// Takes the platform's instance list; workers that it does not name get no tasks.
@@ -135,6 +127,7 @@
             let instance = self.instances.get(&record.spec.id);
             if record.instance.as_ref() != instance {
                 record.instance = instance.cloned();
+                record.ceiling = record.spec.slots;
                 self.refresh_at(now, index);
             }
         }
@@ -154,6 +147,7 @@
     pub fn take_slot(&mut self, now: Instant, worker: &WorkerId, size: &ResourceSize) {
         if let Some(record) = self.workers.get_mut(worker) {
             record.in_flight += 1;
+            record.ceiling = record.ceiling.max(record.in_flight);
             record.reserved = record.reserved.plus(size);
             if let Some(entry) = &record.entered {
                 let roster = self.rosters.entry(entry.pool.clone()).or_default();
@@ -210,6 +204,7 @@
         if record.spec != *spec {
             leave(&mut self.rosters, record);
             record.limit.set_slots(spec.slots);
+            record.ceiling = spec.slots;
             record.size = ResourceSize::from(spec);
             record.spec = spec.clone();
         }
@@ -243,6 +238,7 @@
                 let pause = self.settings.busy_pause * 2u32.pow(record.busy_streak.min(8));
                 let until = now + pause.min(self.settings.max_busy_pause);
                 record.busy_streak += 1;
+                record.ceiling = record.in_flight;
                 record.busy_until = Some(until);
                 self.wakeups.push(Reverse((until, worker.clone())));
             }
@@ -291,15 +287,14 @@
             return;
         };
         let in_service = self.zones.get(&record.spec.zone) == Some(&ZoneStatus::InService);
-        let wanted = self.membership.pool_of(id).map(|pool| RosterEntry {
-            pool: pool.clone(),
-            slots: if in_service && record.is_live() {
-                record.spec.slots
-            } else {
-                0
-            },
-            is_open: in_service && record.has_slot(now),
-            is_ejected: record.health.is_ejected(now),
+        let wanted = self.membership.seat(id).map(|seat| {
+            let is_usable = in_service && seat.may_start && record.is_live();
+            RosterEntry {
+                pool: seat.pool.clone(),
+                slots: if is_usable { record.spec.slots } else { 0 },
+                tier: record.tier(now).filter(|_| is_usable),
+                is_ejected: record.health.is_ejected(now),
+            }
         });
         if record.entered == wanted {
             return;
@@ -320,7 +315,7 @@
         return;
     };
     if let Some(roster) = rosters.get_mut(&entry.pool) {
-        roster.set_open(&record.spec.id, &record.spec.zone, false);
+        roster.set_tier(&record.spec.id, &record.spec.zone, None);
         roster.set_ejected(entry.is_ejected, false);
         roster.remove_slots(entry.slots);
         roster.remove_tasks(&record.spec.rack, record.in_flight);
@@ -347,6 +342,6 @@
         }
     }
     roster.add_slots(wanted.slots);
-    roster.set_open(&record.spec.id, &record.spec.zone, wanted.is_open);
+    roster.set_tier(&record.spec.id, &record.spec.zone, wanted.tier);
     record.entered = Some(wanted);
 }
