Send heartbeats and share reports to peers over h2 streams

Cause: members asked for heartbeats and the desk for share reports, and nothing sent them, so that each member suspected all others again and again.

Change: the duty peers sends each message on an h2 stream of its own, bincode behind a hello with version, fleet and entry instance, on one kept connection to each peer. Another fleet, an unknown version and bytes that are no message are refused with a numbered event and counted. Messages, connections, streams and what is under way are bounded. The address is the setting `peers`; peers learn it from the member's record.

Weighed: one long stream in each direction, with a handshake. Fewer headers, but state to resume after each break; a hello of a few bytes says the same.

These mistakes, made on purpose, fail a test: the fleet unchecked, the version unchecked, bytes left over taken.

Conclusion: heartbeats and shares go directly. Relaying of log records to a peer that is cut off is not built.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -69,6 +69,12 @@
     /// A retry was refused because the retry budget is spent.
     #[strum(message = "A retry was refused because the retry budget is spent.")]
     RetryRefused = 412,
+    /// A message of a peer was refused.
+    #[strum(message = "A message of a peer was refused.")]
+    PeerRefused = 500,
+    /// A peer could not be reached or broke the connection.
+    #[strum(message = "A peer could not be reached or broke the connection.")]
+    PeerFailed = 501,
     /// A stand-in of a platform service listens.
     #[strum(message = "A stand-in of a platform service listens.")]
     StandinStarted = 900,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod member_duty;
 pub mod message;
 pub mod node;
+pub mod peer_duty;
 pub mod problem;
 pub mod settings;
 pub mod shutdown;
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod instances;
 pub mod lease_wire;
 pub mod log_service;
+pub mod peer;
+pub mod peer_wire;
 mod request_stream;
 
 /// The names that most users of this crate need.
@@ -25,4 +27,6 @@
     };
     pub use crate::instances::{HttpInstances, InstanceSource};
     pub use crate::log_service::{HttpLog, WireBatch, WireEntry};
+    pub use crate::peer::{H2Peers, PeerError, PeerHandler, PeerLink, PeerServer};
+    pub use crate::peer_wire::{PeerHello, PeerMessage, PeerRefusal, decode_peer, encode_peer};
 }
