Take leases without a fresh reading only from known boots

Cause: a worker that reboots forgets whom it fenced. A retired holder that was still cut off from the log could take a new lease there and start tasks on floor permits that others had by then.

Change: a grant names the worker's boot. Without a fresh reading, a holder takes a lease only from a boot that it knew while its reading was fresh, and the worker refuses a request for another boot.

The tests of the lease book and of the backends duty now have a fresh reading, as an entry instance has before its first start; a new one covers the holder without.

--- a/crates/contract/src/holder.rs
+++ b/crates/contract/src/holder.rs
@@ -40,6 +40,8 @@
 pub struct PermitHolder {
     settings: HolderSettings,
     key: Option<MemberKey>,
+    /// Whether the process has ever been a member.
+    was_member: bool,
     trusted: bool,
     fresh: Option<Instant>,
     seen: Option<LogOffset>,
@@ -76,6 +78,7 @@
         Self {
             settings,
             key: None,
+            was_member: false,
             trusted: false,
             fresh: None,
             seen: None,
@@ -104,6 +107,7 @@
         let current = members.current(self.settings.process);
         self.trusted = current.is_some_and(|(_, state)| state.suspicion.is_none());
         let key = current.map(|(key, _)| key);
+        self.was_member |= key.is_some();
         if self.key.as_ref() == key {
             return false;
         }
@@ -225,7 +229,9 @@
     }
 
     fn fresh_until(&self) -> Option<Instant> {
-        let fresh = self.fresh.filter(|_| self.trusted)?;
+        // Before it joins, a process has no permits that anybody could wait for.
+        let is_free = self.trusted || !self.was_member;
+        let fresh = self.fresh.filter(|_| is_free)?;
         Some(fresh + self.settings.validity)
     }
 
--- a/crates/entry/src/backend_duty.rs
+++ b/crates/entry/src/backend_duty.rs
@@ -245,7 +245,8 @@
 
     fn carry_out(self: &Rc<Self>, now: Instant, command: LeaseCommand) {
         match command {
-            LeaseCommand::TakeLease(key) => self.take_lease(now, key),
+            LeaseCommand::TakeLease(key) => self.take_lease(now, key, None),
+            LeaseCommand::RetakeLease { key, boot } => self.take_lease(now, key, Some(boot)),
             LeaseCommand::RenewLease {
                 key,
                 lease,
@@ -279,12 +280,12 @@
         });
     }
 
-    fn take_lease(self: &Rc<Self>, asked: Instant, key: LeaseKey) {
+    fn take_lease(self: &Rc<Self>, asked: Instant, key: LeaseKey, boot: Option<BootId>) {
         let Some(backend) = self.address_of(&key) else {
             return;
         };
         let holder = Arc::clone(&self.holder.borrow());
-        let grant = self.gateway.take_lease(backend, holder);
+        let grant = self.gateway.take_lease(backend, holder, boot);
         let shell = Rc::clone(self);
         self.spawner.spawn(async move {
             let event = match grant.await {
--- a/crates/entry/tests/backend_duty.rs
+++ b/crates/entry/tests/backend_duty.rs
@@ -65,6 +65,7 @@
         &self,
         _: BackendAddress,
         _: HolderId,
+        _: Option<BootId>,
     ) -> BoxedLocal<Result<LeaseGrant, LeaseError>> {
         let grant = next(&self.leases);
         async move { grant }.boxed_local()
@@ -93,6 +94,7 @@
         lease: 7,
         renewal: 0,
         ttl: WORKER_LEASE_TTL,
+        boot: 1,
     })
 }
 
@@ -114,9 +116,10 @@
 fn reports(gateway: &FakeGateway, starts: usize) -> Vec<RunReport> {
     let (runs, run_receiver) = ring("runs", 8);
     let (desk, desk_receiver) = ring("desk", 8);
+    let clock = ManualClock::default();
     let links = BackendLinks {
         gateway: Box::new(gateway.clone()),
-        clock: Arc::new(ManualClock::default()),
+        clock: Arc::new(clock.clone()),
         holder: "entry-1".into(),
         desk,
     };
@@ -124,6 +127,9 @@
         backend_duty::run(links, spawner, run_receiver)
     })
     .expect("thread");
+    let until = clock.now() + WORKER_LEASE_TTL;
+    runs.offer(BackendMessage::ReadingFresh { until })
+        .expect("room");
     let reports = (0..starts).map(|_| {
         runs.offer(start()).expect("room");
         match async_io::block_on(desk_receiver.recv()) {
--- a/crates/link/src/backend.rs
+++ b/crates/link/src/backend.rs
@@ -100,11 +100,12 @@
         lease: LeaseId,
     ) -> BoxedLocal<Result<StopOutcome, CallError>>;
 
-    /// Takes a new lease for `holder`.
+    /// Takes a new lease for `holder`, from the boot `boot` of the worker if one is named.
     fn take_lease(
         &self,
         backend: BackendAddress,
         holder: HolderId,
+        boot: Option<BootId>,
     ) -> BoxedLocal<Result<LeaseGrant, LeaseError>>;
 
     /// Renews `lease`; `renewal` is the number of its last renewal.
@@ -179,9 +180,13 @@
         &self,
         backend: BackendAddress,
         holder: HolderId,
+        boot: Option<BootId>,
     ) -> BoxedLocal<Result<LeaseGrant, LeaseError>> {
-        let ttl_ms = millis(WORKER_LEASE_TTL);
-        let body = LeaseRequest { holder, ttl_ms };
+        let body = LeaseRequest {
+            holder,
+            ttl_ms: millis(WORKER_LEASE_TTL),
+            boot: boot.map(|boot| format!("{boot:032x}")),
+        };
         let request = json_request(backend.address, "/v1/leases", &body);
         let call = self.control(backend.address, request);
         async move { judge_lease(call.await) }.boxed_local()
@@ -296,6 +301,7 @@
             lease: reply.lease,
             renewal: reply.renewal,
             ttl: Duration::from_millis(reply.ttl_ms),
+            boot: reply.boot,
         }),
         StatusCode::Conflict => Err(LeaseError::Missed(reply()?.renewal)),
         StatusCode::Gone => Err(LeaseError::Ended),
--- a/crates/link/src/lease_wire.rs
+++ b/crates/link/src/lease_wire.rs
@@ -2,7 +2,7 @@
 //!
 //! | Request | Answer |
 //! |---|---|
-//! | `POST /v1/leases` with [`LeaseRequest`] | 201 with [`LeaseReply`]; 403 when the holder is fenced |
+//! | `POST /v1/leases` with [`LeaseRequest`] | 201 with [`LeaseReply`]; 403 when the holder is fenced, or the request names another boot |
 //! | `POST /v1/leases/{lease}/renewals` with [`RenewRequest`] | 200 with [`LeaseReply`]; 409 with [`LeaseReply`] when it names another renewal; 410 when the lease has ended |
 //! | `POST /v1/tasks` with the headers below | 200 with the answer; 412 when the lease has ended; 503 without a free slot; 410 when it was stopped before or names a renewal before the last two; all of these but the first certainly not run; 409 when the identity is known; 500 when it failed; 504 when it was stopped |
 //! | | each answer to a start carries the task's identity, refusals too |
@@ -29,6 +29,9 @@
     pub holder: HolderId,
     /// Length in milliseconds, on the worker's clock.
     pub ttl_ms: u64,
+    /// Boot that is to grant it, in hexadecimal digits; any one when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub boot: Option<String>,
 }
 
 /// Asks for a renewal of a lease.
@@ -48,6 +51,9 @@
     pub renewal: RenewalCount,
     /// Length in milliseconds, on the worker's clock.
     pub ttl_ms: u64,
+    /// Boot of the worker in hexadecimal digits.
+    #[serde(with = "hex_id")]
+    pub boot: BootId,
 }
 
 /// What became of a task that was to be stopped.
--- a/crates/link/tests/backend_http.rs
+++ b/crates/link/tests/backend_http.rs
@@ -83,6 +83,7 @@
         lease: 1,
         renewal: 0,
         ttl: WORKER_LEASE_TTL,
+        boot: 1,
     };
     let run = RunStart {
         start,
--- a/crates/standin/src/backend_server.rs
+++ b/crates/standin/src/backend_server.rs
@@ -58,7 +58,6 @@
     state: Rc<RefCell<ServerState>>,
 }
 
-#[derive(Default)]
 struct ServerState {
     leases: LeaseTable,
     journal: RunJournal,
@@ -95,7 +94,7 @@
         let slots = settings.slots as usize;
         let name = format!("standin-{}", settings.worker);
         DutyThread::spawn(&name, move |spawner| async move {
-            let state = Rc::default();
+            let state = Rc::new(RefCell::new(ServerState::new()));
             let handler = Rc::new(TaskHandler { slots, state });
             if let Err(error) = serve_http(listener, spawner, handler).await {
                 tracing::error!(%error, "backend server failed");
@@ -143,7 +142,12 @@
         let lease = uuid::Uuid::new_v4().as_u128();
         let ttl = Duration::from_millis(body.ttl_ms).min(WORKER_LEASE_TTL);
         let mut state = self.state.borrow_mut();
-        let grant = state.leases.take(Instant::now(), lease, body.holder, ttl);
+        // A name that is not a boot is not this one.
+        let boot = body.boot.map(|boot| parse_id(&boot).unwrap_or_default());
+        let grant = state
+            .leases
+            .check_boot(boot)
+            .and_then(|()| state.leases.take(Instant::now(), lease, body.holder, ttl));
         grant_reply(StatusCode::Created, grant)
     }
 
@@ -260,6 +264,15 @@
 }
 
 impl ServerState {
+    /// Returns the state of a new boot.
+    fn new() -> Self {
+        Self {
+            leases: LeaseTable::new(uuid::Uuid::new_v4().as_u128()),
+            journal: RunJournal::default(),
+            wakers: IndexMap::new(),
+        }
+    }
+
     fn wake(&self, task: TaskId) {
         if let Some(waker) = self.wakers.get(&task) {
             // A full ring wakes the task as well.
@@ -286,12 +299,13 @@
         lease: grant.lease,
         renewal: grant.renewal,
         ttl_ms: u64::try_from(grant.ttl.as_millis()).unwrap_or(u64::MAX),
+        boot: grant.boot,
     };
     match grant {
         Ok(grant) => json_reply(status, &reply(grant)),
         Err(GrantError::Missed(grant)) => json_reply(StatusCode::Conflict, &reply(grant)),
         Err(GrantError::Ended) => Response::new(StatusCode::Gone),
-        Err(GrantError::Fenced) => Response::new(StatusCode::Forbidden),
+        Err(GrantError::Fenced | GrantError::OtherBoot) => Response::new(StatusCode::Forbidden),
     }
 }
 
--- a/crates/standin/src/lease_table.rs
+++ b/crates/standin/src/lease_table.rs
@@ -11,8 +11,9 @@
 ///
 /// A start names the lease and its last renewal. The table takes the current renewal and the one
 /// before it, and remembers the identities of tasks for as long, so that no start runs twice.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LeaseTable {
+    boot: BootId,
     leases: IndexMap<LeaseId, TaskLease>,
     fenced: IndexSet<HolderId>,
 }
@@ -31,6 +32,8 @@
 pub enum GrantError {
     /// The holder is fenced.
     Fenced,
+    /// The request names another boot of the worker.
+    OtherBoot,
     /// The lease has ended.
     Ended,
     /// The renewal named another number; this is the state of the lease.
@@ -75,6 +78,27 @@
 }
 
 impl LeaseTable {
+    /// Creates the table of the boot `boot`; it knows nothing of the boots before it.
+    pub fn new(boot: BootId) -> Self {
+        Self {
+            boot,
+            leases: IndexMap::new(),
+            fenced: IndexSet::new(),
+        }
+    }
+
+    /// Returns whether a request that names `boot` is for this one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it names another boot.
+    pub fn check_boot(&self, boot: Option<BootId>) -> Result<(), GrantError> {
+        match boot {
+            Some(boot) if boot != self.boot => Err(GrantError::OtherBoot),
+            _ => Ok(()),
+        }
+    }
+
     /// Grants a new lease with the identity `lease`.
     ///
     /// # Errors
@@ -95,6 +119,7 @@
             lease,
             renewal: 0,
             ttl,
+            boot: self.boot,
         };
         let state = TaskLease {
             holder,
--- a/crates/standin/tests/lease_table.rs
+++ b/crates/standin/tests/lease_table.rs
@@ -8,6 +8,7 @@
 
 const TTL: Duration = Duration::from_secs(5);
 const LEASE: LeaseId = 1;
+const BOOT: BootId = 3;
 const TASK: TaskId = 10;
 const SLOTS: usize = 2;
 
@@ -19,7 +20,7 @@
 impl Rig {
     fn new() -> Self {
         let start = Instant::now();
-        let mut table = LeaseTable::default();
+        let mut table = LeaseTable::new(BOOT);
         table
             .take(start, LEASE, "entry-1".into(), TTL)
             .expect("lease");
@@ -113,3 +114,12 @@
     rig.table.end(LEASE, 0);
     assert_eq!(rig.run(0, 0, 3), Ok(()));
 }
+
+#[test]
+fn request_for_an_earlier_boot_is_refused() {
+    let rig = Rig::new();
+    assert_eq!(rig.table.check_boot(None), Ok(()));
+    assert_eq!(rig.table.check_boot(Some(BOOT)), Ok(()));
+    let other = rig.table.check_boot(Some(BOOT + 1));
+    assert_eq!(other, Err(GrantError::OtherBoot));
+}
--- a/crates/worker/src/lease.rs
+++ b/crates/worker/src/lease.rs
@@ -18,7 +18,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
 #[strum(serialize_all = "kebab-case")]
 pub enum LeaseClass {
-    /// At any time.
+    /// At any time, from a boot of the worker that the holder knew while its reading was fresh.
     Always,
     /// Only while the holder's reading of the log is fresh.
     WhileFresh,
@@ -42,6 +42,8 @@
     pub renewal: RenewalCount,
     /// Length of the lease on the worker's clock, counted from when the worker granted it.
     pub ttl: Duration,
+    /// Boot of the worker that granted it.
+    pub boot: BootId,
 }
 
 /// A lease as its holder knows it.
--- a/crates/worker/src/lease_book.rs
+++ b/crates/worker/src/lease_book.rs
@@ -25,12 +25,18 @@
 /// A lease is renewed at a third of its length while runs use it; an idle one lapses. The time of
 /// each command counts as the time of its request: a holder that pauses before it sends the request
 /// does not use what it gets.
+///
+/// A worker that reboots forgets which holders it has fenced. So a holder whose reading of the log
+/// is not fresh, and which may have been fenced unknowingly, takes a lease only from a boot that it
+/// knew while its reading was fresh.
 #[derive(Debug, Default)]
 pub struct LeaseBook {
     settings: BookSettings,
     leases: IndexMap<LeaseKey, WorkerLease>,
     deadlines: BTreeSet<(Instant, LeaseKey)>,
     fresh_until: Option<Instant>,
+    /// Last known boot of each worker.
+    boots: IndexMap<WorkerId, BootId>,
 }
 
 /// What happened to the leases.
@@ -85,6 +91,13 @@
 pub enum LeaseCommand {
     /// Ask the worker for a new lease.
     TakeLease(LeaseKey),
+    /// Ask the worker for a new lease, unless it has rebooted.
+    RetakeLease {
+        /// Which lease.
+        key: LeaseKey,
+        /// Boot of the worker that the holder knows.
+        boot: BootId,
+    },
     /// Ask the worker to renew a lease.
     RenewLease {
         /// Which lease.
@@ -139,6 +152,9 @@
         match &event {
             LeaseEvent::ReadingFresh { until } => self.fresh_until = Some(*until),
             LeaseEvent::HolderChanged => self.drop_all(),
+            LeaseEvent::LeaseGranted { key, grant, .. } => {
+                self.boots.insert(key.worker.clone(), grant.boot);
+            }
             _ => {}
         }
         if let Some(key) = event.key().cloned() {
@@ -197,8 +213,9 @@
             | LeaseEvent::HolderChanged
             | LeaseEvent::TimePassed => {}
         }
-        let allowed = key.may_ask(now, self.fresh_until);
-        lease.serve_waiting(now, key, allowed)
+        let boot = self.boots.get(&key.worker).copied();
+        let take = key.take_command(now, self.fresh_until, boot);
+        lease.serve_waiting(now, key, take)
     }
 
     /// Keeps the place of `key` among the deadlines, and forgets it when nothing is left.
@@ -246,8 +263,25 @@
 }
 
 impl LeaseKey {
-    /// Returns whether the lease may be asked for or renewed now.
-    fn may_ask(&self, now: Instant, fresh_until: Option<Instant>) -> bool {
+    /// Returns how to take the lease now; `None` when it may not be taken.
+    fn take_command(
+        &self,
+        now: Instant,
+        fresh_until: Option<Instant>,
+        boot: Option<BootId>,
+    ) -> Option<LeaseCommand> {
+        let key = self.clone();
+        if fresh_until.is_some_and(|until| now < until) {
+            return Some(LeaseCommand::TakeLease(key));
+        }
+        match self.class {
+            LeaseClass::Always => Some(LeaseCommand::RetakeLease { key, boot: boot? }),
+            LeaseClass::WhileFresh => None,
+        }
+    }
+
+    /// Returns whether the lease may be renewed now.
+    fn may_renew(&self, now: Instant, fresh_until: Option<Instant>) -> bool {
         match self.class {
             LeaseClass::Always => true,
             LeaseClass::WhileFresh => fresh_until.is_some_and(|until| now < until),
@@ -333,7 +367,7 @@
         &mut self,
         now: Instant,
         key: &LeaseKey,
-        allowed: bool,
+        take: Option<LeaseCommand>,
     ) -> Option<LeaseCommand> {
         if !self.wanted || self.asking {
             return None;
@@ -342,12 +376,12 @@
             self.wanted = false;
             return Some(LeaseCommand::StartWaiting(key.clone()));
         }
-        if now < self.retry_at || !allowed {
+        let Some(take) = take.filter(|_| now >= self.retry_at) else {
             return self.refuse_waiting(key);
-        }
+        };
         self.held = None;
         self.asking = true;
-        Some(LeaseCommand::TakeLease(key.clone()))
+        Some(take)
     }
 
     fn refuse_waiting(&mut self, key: &LeaseKey) -> Option<LeaseCommand> {
@@ -364,7 +398,7 @@
     ) -> Option<LeaseCommand> {
         let held = self.held?;
         if self.renewal_due(settings).is_some_and(|due| due <= now) {
-            if !key.may_ask(now, fresh_until) {
+            if !key.may_renew(now, fresh_until) {
                 self.retry_at = now + settings.retry_pause;
                 return None;
             }
--- a/crates/worker/tests/lease_book.rs
+++ b/crates/worker/tests/lease_book.rs
@@ -6,6 +6,7 @@
 use pw_worker::prelude::*;
 
 const LEASE: LeaseId = 7;
+const BOOT: BootId = 3;
 
 struct Rig {
     book: LeaseBook,
@@ -14,7 +15,15 @@
 }
 
 impl Rig {
+    /// A rig whose holder has a fresh reading of the log for an hour.
     fn new() -> Self {
+        let mut rig = Self::stale();
+        let until = rig.at(3_600_000);
+        rig.feed(0, LeaseEvent::ReadingFresh { until });
+        rig
+    }
+
+    fn stale() -> Self {
         Self {
             book: LeaseBook::default(),
             start: Instant::now(),
@@ -45,6 +54,7 @@
                 lease: LEASE,
                 renewal,
                 ttl: WORKER_LEASE_TTL,
+                boot: BOOT,
             },
         };
         self.feed(millis, event)
@@ -201,7 +211,7 @@
 
 #[test]
 fn lease_for_fresh_readings_is_neither_taken_nor_renewed_without_one() {
-    let mut rig = Rig::new();
+    let mut rig = Rig::stale();
     rig.key.class = LeaseClass::WhileFresh;
     let refused = [LeaseCommand::RefuseWaiting(rig.key())];
     assert_eq!(rig.feed(0, LeaseEvent::LeaseWanted(rig.key())), refused);
@@ -232,3 +242,24 @@
     assert_eq!(rig.grant(50, 30, 0), taken);
     assert!(!rig.is_usable(50));
 }
+
+#[test]
+fn stale_holder_takes_leases_only_from_the_boots_that_it_knows() {
+    let mut rig = Rig::stale();
+    let refused = [LeaseCommand::RefuseWaiting(rig.key())];
+    let wanted = LeaseEvent::LeaseWanted(rig.key());
+    assert_eq!(rig.feed(0, wanted.clone()), refused);
+    let until = rig.at(1_000);
+    rig.feed(0, LeaseEvent::ReadingFresh { until });
+    let taken = [LeaseCommand::TakeLease(rig.key())];
+    assert_eq!(rig.feed(0, wanted.clone()), taken);
+    rig.grant(10, 0, 0);
+    let ended = LeaseEvent::LeaseEnded {
+        key: rig.key(),
+        lease: LEASE,
+    };
+    rig.feed(2_000, ended);
+    let key = rig.key();
+    let retaken = [LeaseCommand::RetakeLease { key, boot: BOOT }];
+    assert_eq!(rig.feed(2_000, wanted), retaken);
+}
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
@@ -16,7 +16,7 @@
 const LIMIT: usize = 4;
 const CALLERS: usize = 6;
 /// Longest wait for anything; only a failure lasts as long.
-const BOUND: Duration = Duration::from_secs(120);
+const BOUND: Duration = Duration::from_secs(60);
 const PAUSE: Duration = Duration::from_millis(100);
 const FLEET: &str = r#"
 fleet = "limits"
@@ -62,14 +62,17 @@
 deadline = "60s"
 "#;
 
-/// A child that ends with the test.
-struct ChildProcess(Child);
+/// A child that ends with the test; its output stays open as long.
+struct ChildProcess {
+    child: Child,
+    _output: BufReader<ChildStdout>,
+}
 
 impl Drop for ChildProcess {
     fn drop(&mut self) {
         // It may have ended before.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 }
 
@@ -81,10 +84,16 @@
         .spawn()
         .expect("binary starts");
     let stdout = child.stdout.take().expect("stdout is piped");
+    let mut output = BufReader::new(stdout);
     let mut line = String::new();
-    BufReader::new(stdout).read_line(&mut line).expect("a line");
+    output.read_line(&mut line).expect("a line");
     let address = line.trim().rsplit(' ').next().expect("a word");
-    (ChildProcess(child), address.parse().expect("an address"))
+    let address = address.parse().expect("an address");
+    let process = ChildProcess {
+        child,
+        _output: output,
+    };
+    (process, address)
 }
 
 fn start_entry(
