--- a/crates/pool/src/ledger.rs
+++ b/crates/pool/src/ledger.rs
@@ -1,5 +1,8 @@
 //! The part of the log's fold that keeps pools, drains and availability budgets.
 
+mod declare;
+mod verdict;
+
 use std::time::SystemTime;
 
 use indexmap::{IndexMap, IndexSet};
@@ -9,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::budget::{DomainTally, PoolBudget, RackKey};
-use crate::instance::{DrainPurpose, InstancePhase, PhaseKind, PoolInstance};
+use crate::instance::{InstancePhase, PhaseKind, PoolInstance};
 use crate::proposal::{
     PoolChange, PoolProposal, PoolRejection, PoolStep, PoolVerdict, StepRejection,
 };
@@ -261,106 +264,6 @@
     }
 }
 
-/// Changes of the declared fleet.
-impl PoolLedger {
-    /// Takes the fleet that operators applied with the record at `offset`.
-    ///
-    /// - A new worker joins the pool that lists it.
-    /// - A worker that is no longer listed leaves at once; its running tasks end under their leases.
-    /// - A worker listed in another pool stays where it is until a planner has drained and moved it.
-    /// - A budget below what is out ends no drain; further drains are rejected until it holds.
-    /// - A zone back in service has its instances returning, to be admitted in stages.
-    pub fn apply_fleet(&mut self, offset: LogOffset, fleet: DeclaredFleet<'_>) {
-        let returned = self.returned_zones(fleet.zones);
-        let rules = |pool: &PoolSpec| (pool.id.clone(), PoolRules::from(pool));
-        self.pools = fleet.pools.iter().map(rules).collect();
-        let state = |zone: &ZoneSpec| {
-            let last = self.zones.get(&zone.id);
-            (zone.id.clone(), ZoneState::after(last, offset, zone))
-        };
-        self.zones = fleet.zones.iter().map(state).collect();
-        self.list_workers(offset, fleet);
-        for instance in self.instances.values_mut() {
-            let back = returned.contains(&instance.zone);
-            if back && instance.phase == InstancePhase::InService {
-                instance.phase = InstancePhase::Returning;
-                instance.changed = offset;
-            }
-        }
-        self.index();
-    }
-
-    fn returned_zones(&self, zones: &[ZoneSpec]) -> IndexSet<ZoneId> {
-        let returns = |zone: &&ZoneSpec| {
-            let last = self.zones.get(&zone.id);
-            let was_out = last.is_some_and(|last| !last.is_in_service());
-            was_out && zone.status == ZoneStatus::InService
-        };
-        let returned = zones.iter().filter(returns);
-        returned.map(|zone| zone.id.clone()).collect()
-    }
-
-    fn list_workers(&mut self, offset: LogOffset, fleet: DeclaredFleet<'_>) {
-        let specs: IndexMap<&str, &WorkerSpec> =
-            fleet.workers.iter().map(|spec| (&*spec.id, spec)).collect();
-        let listed = fleet.pools.iter().flat_map(|pool| {
-            let workers = pool.workers.iter();
-            workers.map(|worker| (&**worker, &pool.id))
-        });
-        let homes: IndexMap<&str, &PoolId> = listed.collect();
-        self.instances
-            .retain(|worker, _| homes.contains_key(&**worker) && specs.contains_key(&**worker));
-        self.last_rejected
-            .retain(|worker, _| homes.contains_key(&**worker));
-        for (worker, home) in homes {
-            if let Some(spec) = specs.get(worker) {
-                self.list_worker(offset, spec, home);
-            }
-        }
-    }
-
-    fn list_worker(&mut self, offset: LogOffset, spec: &WorkerSpec, home: &PoolId) {
-        let maintained = self.wave.number;
-        let fresh = || PoolInstance {
-            worker: spec.id.clone(),
-            zone: spec.zone.clone(),
-            rack: spec.rack.clone(),
-            home: home.clone(),
-            pool: home.clone(),
-            phase: InstancePhase::Joining,
-            boot: None,
-            changed: offset,
-            seen: offset,
-            maintained,
-        };
-        let instance = self.instances.entry(spec.id.clone()).or_insert_with(fresh);
-        instance.zone = spec.zone.clone();
-        instance.rack = spec.rack.clone();
-        instance.home = home.clone();
-    }
-
-    /// Rebuilds what is derived from the instances.
-    fn index(&mut self) {
-        self.members.clear();
-        self.rack_tallies
-            .values_mut()
-            .chain(self.zone_tallies.values_mut())
-            .for_each(|tally| (tally.members, tally.failed) = (0, 0));
-        for instance in self.instances.values() {
-            let members = self.members.entry(instance.pool.clone()).or_default();
-            members.insert(instance.worker.clone());
-            let rack = self.rack_tallies.entry(rack_key(instance)).or_default();
-            let zone = self.zone_tallies.entry(instance.zone.clone()).or_default();
-            for tally in [rack, zone] {
-                tally.members += 1;
-                tally.failed += u32::from(instance.phase == InstancePhase::Failed);
-            }
-        }
-        self.rack_tallies.retain(|_, tally| tally.members > 0);
-        self.zone_tallies.retain(|_, tally| tally.members > 0);
-    }
-}
-
 /// Proposals.
 impl PoolLedger {
     /// Judges the proposal of the record at `offset` and takes what is accepted of it.
@@ -482,167 +385,6 @@
     }
 }
 
-/// Verdicts on single steps.
-impl PoolLedger {
-    /// Returns the instance as the step would leave it.
-    fn judge(&self, offset: LogOffset, step: &PoolStep) -> Result<PoolInstance, StepRejection> {
-        let instance = self
-            .instance(&step.worker)
-            .ok_or(StepRejection::UnknownWorker)?;
-        if instance.changed != step.base {
-            return Err(StepRejection::StaleState);
-        }
-        let phase = match &step.change {
-            PoolChange::Appeared { boot } => return self.judge_appeared(offset, instance, *boot),
-            PoolChange::Move { from, to } => return self.judge_move(instance, from, to),
-            PoolChange::Failed => judge_failed(instance)?,
-            PoolChange::Drain { purpose } => self.judge_drain(instance, purpose)?,
-            PoolChange::Emptied => judge_emptied(instance)?,
-            PoolChange::Reboot => judge_reboot(instance)?,
-            PoolChange::Cancel => judge_cancel(instance)?,
-            PoolChange::Admit => self.judge_admit(instance)?,
-        };
-        Ok(PoolInstance {
-            phase,
-            ..instance.clone()
-        })
-    }
-
-    fn judge_appeared(
-        &self,
-        offset: LogOffset,
-        instance: &PoolInstance,
-        boot: BootId,
-    ) -> Result<PoolInstance, StepRejection> {
-        let mut next = PoolInstance {
-            boot: Some(boot),
-            seen: offset,
-            ..instance.clone()
-        };
-        let same_boot = instance.boot == Some(boot);
-        if instance.boot.is_some() && !same_boot {
-            next.maintained = self.wave.number;
-        }
-        next.phase = match (&instance.phase, same_boot) {
-            (InstancePhase::Joining, _) => InstancePhase::InService,
-            (InstancePhase::Rebooting, true) => return Err(StepRejection::SameBoot),
-            (InstancePhase::Failed, true) | (_, false) => InstancePhase::Returning,
-            (phase, true) => phase.clone(),
-        };
-        Ok(next)
-    }
-
-    fn judge_drain(
-        &self,
-        instance: &PoolInstance,
-        purpose: &DrainPurpose,
-    ) -> Result<InstancePhase, StepRejection> {
-        if instance.phase != InstancePhase::InService {
-            return Err(StepRejection::WrongPhase(instance.kind()));
-        }
-        if self.is_suspect(instance) {
-            return Err(StepRejection::DomainFailing);
-        }
-        match purpose {
-            DrainPurpose::Move { to } if !self.pools.contains_key(to) => {
-                return Err(StepRejection::UnknownPool);
-            }
-            DrainPurpose::Move { to } if *to == instance.pool => {
-                return Err(StepRejection::NotLendable);
-            }
-            DrainPurpose::Move { to } if *to != instance.home => self.check_loan(instance)?,
-            _ => self.check_budget(instance)?,
-        }
-        Ok(InstancePhase::Draining(purpose.clone()))
-    }
-
-    fn check_budget(&self, instance: &PoolInstance) -> Result<(), StepRejection> {
-        let budget = self.budget(&instance.pool);
-        let loses_available = self.zone_in_service(&instance.zone);
-        let short = budget.present <= budget.required_present
-            || loses_available && budget.available <= budget.required;
-        if short {
-            return Err(StepRejection::BudgetExceeded);
-        }
-        Ok(())
-    }
-
-    /// Checks that the instance's spare pool can lend it.
-    fn check_loan(&self, instance: &PoolInstance) -> Result<(), StepRejection> {
-        if !self.is_spare(&instance.home) || instance.pool != instance.home {
-            return Err(StepRejection::NotLendable);
-        }
-        if !self.zone_in_service(&instance.zone) {
-            return Err(StepRejection::ZoneOut);
-        }
-        if self.lendable(&instance.home) == 0 {
-            return Err(StepRejection::BudgetExceeded);
-        }
-        Ok(())
-    }
-
-    fn judge_move(
-        &self,
-        instance: &PoolInstance,
-        from: &PoolId,
-        to: &PoolId,
-    ) -> Result<PoolInstance, StepRejection> {
-        if instance.pool != *from {
-            return Err(StepRejection::NotInPool);
-        }
-        let purpose = DrainPurpose::Move { to: to.clone() };
-        if instance.phase != InstancePhase::Empty(purpose) {
-            return Err(StepRejection::WrongPhase(instance.kind()));
-        }
-        if !self.pools.contains_key(to) {
-            return Err(StepRejection::UnknownPool);
-        }
-        Ok(PoolInstance {
-            pool: to.clone(),
-            phase: InstancePhase::Arriving,
-            ..instance.clone()
-        })
-    }
-
-    fn judge_admit(&self, instance: &PoolInstance) -> Result<InstancePhase, StepRejection> {
-        if !instance.awaits_admission() {
-            return Err(StepRejection::WrongPhase(instance.kind()));
-        }
-        if !self.zone_in_service(&instance.zone) {
-            return Err(StepRejection::ZoneOut);
-        }
-        Ok(InstancePhase::InService)
-    }
-}
-
-fn judge_failed(instance: &PoolInstance) -> Result<InstancePhase, StepRejection> {
-    match instance.phase {
-        InstancePhase::Failed => Err(StepRejection::WrongPhase(instance.kind())),
-        _ => Ok(InstancePhase::Failed),
-    }
-}
-
-fn judge_emptied(instance: &PoolInstance) -> Result<InstancePhase, StepRejection> {
-    match &instance.phase {
-        InstancePhase::Draining(purpose) => Ok(InstancePhase::Empty(purpose.clone())),
-        _ => Err(StepRejection::WrongPhase(instance.kind())),
-    }
-}
-
-fn judge_reboot(instance: &PoolInstance) -> Result<InstancePhase, StepRejection> {
-    match &instance.phase {
-        InstancePhase::Empty(DrainPurpose::Maintenance) => Ok(InstancePhase::Rebooting),
-        _ => Err(StepRejection::WrongPhase(instance.kind())),
-    }
-}
-
-fn judge_cancel(instance: &PoolInstance) -> Result<InstancePhase, StepRejection> {
-    match &instance.phase {
-        InstancePhase::Draining(_) | InstancePhase::Empty(_) => Ok(InstancePhase::Returning),
-        _ => Err(StepRejection::WrongPhase(instance.kind())),
-    }
-}
-
 fn rack_key(instance: &PoolInstance) -> RackKey {
     RackKey {
         zone: instance.zone.clone(),
