Check upper limits across pauses, late messages and replacement

Cause: that no team exceeds its limit rests on an argument over readings, leases, suspicions and fences that no test walked through exhaustively. Change: a second world of the model checker drives the production fold, MemberDesk, PermitHolder and ReclaimDesk of two members against workers that grant leases by token. Not covered: moves and drains, retries of tasks, deferred takeover.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,10 +6,13 @@
 //! can be built with a seeded mistake, which the search has to find.
 
 pub mod config;
+pub mod permit;
 pub mod search;
 
 /// The names that most users of this crate need.
 pub mod prelude {
     pub use crate::config::{ConfigMistake, ConfigSettings, ConfigWorld};
-    pub use crate::search::{BrokenProperty, ModelWorld, SearchBound, SearchReport, search};
+    pub use crate::permit::world::PermitWorld;
+    pub use crate::permit::{PermitAction, PermitMistake, PermitSettings};
+    pub use crate::search::{BrokenProperty, ModelWorld, SearchBound, SearchReport, reach, search};
 }
--- a/crates/model/src/search.rs
+++ b/crates/model/src/search.rs
@@ -107,6 +107,28 @@
 ///
 /// The search stops at the first broken property; its trace is a shortest one.
 pub fn search<W: ModelWorld>(start: W, bound: SearchBound) -> SearchReport {
+    let (mut report, path) = walk(start, bound, |world| world.broken().is_some());
+    report.finding = path.as_deref().and_then(finding_of);
+    report
+}
+
+/// Returns a shortest trace from `start` to a state where `goal` holds; `None` when there is none.
+///
+/// It shows that a property which holds everywhere does not hold for want of behaviour.
+pub fn reach<W: ModelWorld>(
+    start: W,
+    bound: SearchBound,
+    goal: impl Fn(&W) -> bool,
+) -> Option<Vec<String>> {
+    let (_, path) = walk(start, bound, goal);
+    path.as_deref().map(trace_of)
+}
+
+fn walk<W: ModelWorld>(
+    start: W,
+    bound: SearchBound,
+    goal: impl Fn(&W) -> bool,
+) -> (SearchReport, Option<Vec<SearchNode<W>>>) {
     let started = Instant::now();
     let states = Cell::new(0);
     let depth = Cell::new(0);
@@ -125,21 +147,26 @@
             depth.set(depth.get().max(node.depth));
             node.successors()
         },
-        |node| node.broken().is_some(),
+        |node| goal(&node.world),
     );
-    SearchReport {
+    let report = SearchReport {
         states: states.get(),
         depth: depth.get(),
         cut_off: cut_off.get(),
         elapsed: started.elapsed(),
-        finding: path.as_deref().and_then(finding_of),
-    }
+        finding: None,
+    };
+    (report, path)
 }
 
-fn finding_of<W: ModelWorld>(path: &[SearchNode<W>]) -> Option<SearchFinding> {
-    let property = path.last()?.broken()?;
+fn trace_of<W: ModelWorld>(path: &[SearchNode<W>]) -> Vec<String> {
     let actions = path.iter().filter_map(|node| node.action.as_ref());
-    let trace = actions.map(|action| format!("{action:?}")).collect();
+    actions.map(|action| format!("{action:?}")).collect()
+}
+
+fn finding_of<W: ModelWorld>(path: &[SearchNode<W>]) -> Option<SearchFinding> {
+    let property = path.last()?.world.broken()?;
+    let trace = trace_of(path);
     Some(SearchFinding { property, trace })
 }
 
@@ -177,10 +204,6 @@
             })
             .collect()
     }
-
-    fn broken(&self) -> Option<BrokenProperty> {
-        self.world.broken()
-    }
 }
 
 impl<W: ModelWorld> Clone for SearchNode<W> {
