Send heartbeats and share reports to peers over h2 streams

Cause: members asked for heartbeats and the desk for share reports, and nothing sent them, so that each member suspected all others again and again.

Change: the duty peers sends each message on an h2 stream of its own, bincode behind a hello with version, fleet and entry instance, on one kept connection to each peer. Another fleet, an unknown version and bytes that are no message are refused with a numbered event and counted. Messages, connections, streams and what is under way are bounded. The address is the setting `peers`; peers learn it from the member's record.

Weighed: one long stream in each direction, with a handshake. Fewer headers, but state to resume after each break; a hello of a few bytes says the same.

These mistakes, made on purpose, fail a test: the fleet unchecked, the version unchecked, bytes left over taken.

Conclusion: heartbeats and shares go directly. Relaying of log records to a peer that is cut off is not built.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -78,6 +78,12 @@
     /// The platform's control of machines did not answer.
     #[strum(message = "The platform's control of machines did not answer.")]
     MachinesUnreachable = 502,
+    /// A message of a peer was refused.
+    #[strum(message = "A message of a peer was refused.")]
+    PeerRefused = 700,
+    /// A peer could not be reached or broke the connection.
+    #[strum(message = "A peer could not be reached or broke the connection.")]
+    PeerFailed = 701,
     /// A stand-in of a platform service listens.
     #[strum(message = "A stand-in of a platform service listens.")]
     StandinStarted = 900,
--- a/crates/entry/src/dispatch_duty.rs
+++ b/crates/entry/src/dispatch_duty.rs
@@ -17,6 +17,7 @@
 use crate::message::{
     BackendMessage, CancelOrder, CancelOutcome, DeskMessage, DeskStatus, TaskReply, TaskSubmission,
 };
+use crate::peer_duty::PeerOrder;
 
 /// Most callers that wait for the same task.
 const MAX_JOINED: usize = 16;
@@ -33,6 +34,7 @@
     open: HashMap<TaskId, OpenTask>,
     requests: IdempotencyBook,
     runs: RingSender<BackendMessage>,
+    peers: RingSender<PeerOrder>,
     appends: RingSender<AppendMessage>,
     /// Member whose name the leases are taken under.
     holder: Option<MemberKey>,
@@ -50,6 +52,8 @@
     pub clock: Arc<dyn ClockSource>,
     /// Ring to the backends duty.
     pub runs: RingSender<BackendMessage>,
+    /// Ring to the peers duty.
+    pub peers: RingSender<PeerOrder>,
     /// Ring to the append duty.
     pub appends: RingSender<AppendMessage>,
 }
@@ -62,6 +66,7 @@
         open: HashMap::new(),
         requests: links.requests,
         runs: links.runs,
+        peers: links.peers,
         appends: links.appends,
         holder: None,
         fresh_until: None,
@@ -227,7 +232,10 @@
                 DispatchCommand::CloseTask { task, verdict } => self.close(task, verdict),
                 DispatchCommand::Note(notice) => note(&notice),
                 DispatchCommand::Propose(proposal) => self.propose(proposal),
-                DispatchCommand::TellPeers(_) => {}
+                // The next report says more.
+                DispatchCommand::TellPeers(report) => {
+                    _ = self.peers.offer(PeerOrder::TellShares(report));
+                }
             }
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod member_duty;
 pub mod message;
 pub mod node;
+pub mod peer_duty;
 pub mod planner_duty;
 pub mod problem;
 pub mod settings;
--- a/crates/entry/src/member_duty.rs
+++ b/crates/entry/src/member_duty.rs
@@ -14,6 +14,7 @@
 
 use crate::append_duty::AppendMessage;
 use crate::message::BackendMessage;
+use crate::peer_duty::PeerOrder;
 
 /// Message to the member duty.
 #[derive(Debug)]
@@ -50,6 +51,8 @@
     pub snapshots: SnapshotDesk,
     /// Ring to the append duty.
     pub appends: RingSender<AppendMessage>,
+    /// Ring to the peers duty.
+    pub peers: RingSender<PeerOrder>,
     /// Ring to the backends duty.
     pub backends: RingSender<BackendMessage>,
     /// Ring to this duty, for answers of the backends duty.
@@ -188,7 +191,12 @@
                         _ = departed.offer(());
                     }
                 }
-                MemberCommand::SendHeartbeat(_) => {}
+                MemberCommand::SendHeartbeat(peers) => {
+                    let member = self.links.desk.key().clone();
+                    // The next heartbeat is due soon.
+                    let order = PeerOrder::SendHeartbeat { member, peers };
+                    _ = self.links.peers.offer(order);
+                }
             }
         }
     }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -26,12 +26,13 @@
 use crate::log_duty::LogReaders;
 use crate::member_duty::{MemberLinks, MemberMessage};
 use crate::message::DeskMessage;
+use crate::peer_duty::PeerLinks;
 use crate::planner_duty::{PlannerLinks, PlannerMessage};
 use crate::settings::EntrySettings;
 use crate::shutdown::{ShutdownCommand, ShutdownEvent, ShutdownPlan, ShutdownVerdict};
 use crate::{
     admin_duty, append_duty, backend_duty, caller_duty, dispatch_duty, instance_duty, log_duty,
-    machine_duty, member_duty, planner_duty,
+    machine_duty, member_duty, peer_duty, planner_duty,
 };
 
 /// Time between two tries to free the floor permits of a retired member.
@@ -111,11 +112,14 @@
     pub fn start(settings: &EntrySettings, links: NodeLinks) -> io::Result<Self> {
         let caller_listener = TcpListener::bind(settings.callers)?;
         let admin_listener = TcpListener::bind(settings.admin)?;
+        let peer_listener = TcpListener::bind(settings.peers)?;
+        let peers = peer_listener.local_addr()?;
         let callers = caller_listener.local_addr()?;
         let admin = admin_listener.local_addr()?;
         let (desk, desk_receiver) = ring("desk", settings.ring_capacity);
         let (runs, run_receiver) = ring("runs", settings.ring_capacity);
         let (proposals, proposal_receiver) = ring("appends", settings.ring_capacity);
+        let (peer_orders, peer_receiver) = ring("peers", settings.ring_capacity);
         let (members, member_receiver) = ring("members", settings.ring_capacity);
         let (caller_phases, caller_phase_receiver) = ring("phases", PHASE_CAPACITY);
         let (admin_phases, admin_phase_receiver) = ring("phases", PHASE_CAPACITY);
@@ -140,6 +144,7 @@
             requests: IdempotencyBook::new(settings.idempotency()),
             clock: Arc::clone(&clock),
             runs: runs.clone(),
+            peers: peer_orders.clone(),
             appends: proposals.clone(),
         };
         threads.spawn("dispatch", move |_| {
@@ -180,8 +185,9 @@
             clock: Arc::clone(&clock),
             reclaim: ReclaimDesk::new(key.process, RECLAIM_RETRY),
             snapshots: SnapshotDesk::new(clock.now(), SnapshotSettings::default()),
-            desk: member_desk(clock.now(), key, settings, admin),
+            desk: member_desk(clock.now(), key, settings, peers),
             appends: proposals,
+            peers: peer_orders,
             backends: runs,
             own: members.clone(),
         };
@@ -195,6 +201,16 @@
             instance_duty::run(instances, poll, instance_desk, instance_members)
         })?;
 
+        let peer_links = PeerLinks {
+            listener: peer_listener,
+            hello: PeerHello::new(settings.fleet.clone(), settings.entry.clone()),
+            desk: desk.clone(),
+            members: members.clone(),
+        };
+        threads.spawn("peers", move |spawner| {
+            peer_duty::run(peer_links, spawner, peer_receiver)
+        })?;
+
         let admin_desk = desk.clone();
         threads.spawn("admin", move |spawner| {
             admin_duty::run(admin_listener, spawner, admin_desk, admin_phase_receiver)
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -23,6 +23,10 @@
     pub callers: SocketAddr,
     /// Address for health checks and metrics.
     pub admin: SocketAddr,
+    /// Address for the other entry instances.
+    pub peers: SocketAddr,
+    /// Name of the fleet; entry instances of another fleet are not heard.
+    pub fleet: FleetId,
     /// Address of the platform's log service.
     pub log: SocketAddr,
     /// Address of the platform's instance list.
@@ -86,6 +90,8 @@
             zone: ZoneId::from(""),
             callers: loopback(0),
             admin: loopback(0),
+            peers: loopback(0),
+            fleet: FleetId::from(""),
             log: loopback(7000),
             instances: loopback(7001),
             machines: None,
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod lease_wire;
 pub mod log_service;
 pub mod machines;
+pub mod peer;
+pub mod peer_wire;
 mod request_stream;
 
 /// The names that most users of this crate need.
@@ -27,4 +29,6 @@
     pub use crate::instances::{HttpInstances, InstanceSource};
     pub use crate::log_service::{HttpLog, WireBatch, WireEntry};
     pub use crate::machines::{HttpMachines, MachineControl, OrderOutcome};
+    pub use crate::peer::{H2Peers, PeerError, PeerHandler, PeerLink, PeerServer};
+    pub use crate::peer_wire::{PeerHello, PeerMessage, PeerRefusal, decode_peer, encode_peer};
 }
