--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::io::{self, Write};
 
-use anyhow::{Context, bail};
+use anyhow::{Context, anyhow, bail};
 use argh::FromArgs;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
@@ -11,7 +11,8 @@
 use pw_ring::prelude::*;
 
 use crate::node::{EntryNode, NodeLinks};
-use crate::settings::EntrySettings;
+use crate::settings::{EntrySettings, LogFormat};
+use crate::settings_check::check_settings;
 use crate::shutdown::ShutdownVerdict;
 
 /// Signals that wait for the node.
@@ -32,13 +33,8 @@
 /// Fails when the settings are wrong, when an address can't be bound, and when the shutdown cut off
 /// work.
 pub fn run_daemon(args: &EntryArgs) -> anyhow::Result<()> {
-    tracing_subscriber::fmt()
-        .with_writer(std::io::stderr)
-        .init();
-    let text = fs::read_to_string(&args.settings)
-        .with_context(|| format!("can't read {}", args.settings))?;
-    let settings: EntrySettings =
-        toml::from_str(&text).with_context(|| format!("malformed {}", args.settings))?;
+    let settings = read_settings(&args.settings)?;
+    start_log(settings.log_format);
     let node = EntryNode::start(&settings, NodeLinks::over_http(&settings))
         .context("entry can't start")?;
     tracing::info!(event = EventCode::EntryStarted.number(), entry = %settings.entry, "serving");
@@ -62,6 +58,23 @@
     }
 }
 
+fn read_settings(path: &str) -> anyhow::Result<EntrySettings> {
+    let bytes = fs::read(path).with_context(|| format!("can't read {path}"))?;
+    let text = String::from_utf8(bytes).with_context(|| format!("{path} is not UTF-8"))?;
+    check_settings(path, &text).map_err(|findings| {
+        let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
+        anyhow!("{}", lines.join("\n"))
+    })
+}
+
+fn start_log(format: LogFormat) {
+    let log = tracing_subscriber::fmt().with_writer(io::stderr);
+    match format {
+        LogFormat::Text => log.init(),
+        LogFormat::Json => log.json().init(),
+    }
+}
+
 /// Starts a duty that passes on each SIGTERM and SIGINT.
 fn forward_signals() -> io::Result<RingReceiver<()>> {
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,12 +20,14 @@
 pub mod planner_duty;
 pub mod problem;
 pub mod settings;
+pub mod settings_check;
 pub mod shutdown;
 
 /// The names that most users of this crate need.
 pub mod prelude {
     pub use crate::node::{EntryNode, NodeLinks};
-    pub use crate::settings::EntrySettings;
+    pub use crate::settings::{EntrySettings, LogFormat};
+    pub use crate::settings_check::check_settings;
     pub use crate::shutdown::{
         ShutdownCommand, ShutdownEvent, ShutdownPlan, ShutdownSettings, ShutdownVerdict,
     };
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -19,6 +19,8 @@
     pub entry: EntryId,
     /// Availability zone that it runs in.
     pub zone: ZoneId,
+    /// Form of the log on the standard error stream.
+    pub log_format: LogFormat,
     /// Address for callers.
     pub callers: SocketAddr,
     /// Address for health checks and metrics.
@@ -82,12 +84,24 @@
     pub planner: PlanSettings,
 }
 
+/// Form of the log.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogFormat {
+    /// Lines for people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
 impl Default for EntrySettings {
     fn default() -> Self {
         let loopback = |port| SocketAddr::from(([127, 0, 0, 1], port));
         Self {
             entry: EntryId::from("entry"),
             zone: ZoneId::from(""),
+            log_format: LogFormat::default(),
             callers: loopback(0),
             admin: loopback(0),
             peers: loopback(0),
--- /dev/null
+++ b/crates/entry/src/settings_check.rs
@@ -0,0 +1,138 @@
+//! Checks of a settings file; every finding is reported, not only the first.
+
+use std::time::Duration;
+
+use pw_base::prelude::*;
+use serde::Deserialize;
+use toml::Spanned;
+use toml::de::{DeTable, Deserializer};
+
+use crate::settings::EntrySettings;
+
+/// Code of text that is not TOML.
+const SYNTAX_CODE: &str = "S001";
+/// Code of a key that does not exist, or of a value that can't be read.
+const VALUE_CODE: &str = "S002";
+/// Code of a value outside its bound.
+const BOUND_CODE: &str = "S003";
+
+/// Bound of one setting.
+pub struct SettingRule {
+    /// Key in the file.
+    pub key: &'static str,
+    /// Bound as `docs/SETTINGS.md` shows it.
+    pub bound: &'static str,
+    /// Returns whether the settings keep to the bound.
+    pub holds: fn(&EntrySettings) -> bool,
+}
+
+macro_rules! setting_rules {
+    ($($key:ident: $bound:literal, $holds:expr;)*) => {
+        /// Bounds of the settings that have one.
+        pub const SETTING_RULES: &[SettingRule] = &[
+            $(SettingRule {
+                key: stringify!($key),
+                bound: $bound,
+                holds: |settings| ($holds)(&settings.$key),
+            },)*
+        ];
+    };
+}
+
+setting_rules! {
+    entry: "1 to 64 bytes", |name: &EntryId| (1..=64).contains(&name.len());
+    instance_poll: "10ms to 1m", |time: &Duration| within(*time, 10, 60_000);
+    ring_capacity: "1 to 65536", |count: &usize| (1..=65_536).contains(count);
+    max_payload: "1 to 67108864", |bytes: &usize| (1..=64 << 20).contains(bytes);
+    max_payload_total: "1 to 1073741824", |bytes: &usize| (1..=1 << 30).contains(bytes);
+    max_connections: "1 to 65536", |count: &usize| (1..=65_536).contains(count);
+    max_connections_per_address: "1 to 65536", |count: &usize| (1..=65_536).contains(count);
+    head_timeout: "100ms to 10m", |time: &Duration| within(*time, 100, 600_000);
+    payload_timeout: "100ms to 10m", |time: &Duration| within(*time, 100, 600_000);
+    idle_timeout: "100ms to 1h", |time: &Duration| within(*time, 100, 3_600_000);
+    send_timeout: "100ms to 10m", |time: &Duration| within(*time, 100, 600_000);
+    max_answer: "1 to 67108864", |bytes: &usize| (1..=64 << 20).contains(bytes);
+    worker_connections: "1 to 1024", |count: &usize| (1..=1_024).contains(count);
+    worker_idle_connections: "0 to 1024", |count: &usize| *count <= 1_024;
+    idempotency_keep: "0s to 1day", |time: &Duration| within(*time, 0, 86_400_000);
+    idempotency_requests: "0 to 1000000", |count: &usize| *count <= 1_000_000;
+    idempotency_bytes: "0 to 1073741824", |bytes: &usize| *bytes <= 1 << 30;
+    balancer_lag: "0s to 10m", |time: &Duration| within(*time, 0, 600_000);
+    shutdown_timeout: "1s to 1h", |time: &Duration| within(*time, 1_000, 3_600_000);
+}
+
+/// Reads and checks the settings file `text`; `file` names it in the findings.
+///
+/// # Errors
+///
+/// Returns all findings, at least one, ordered by place.
+pub fn check_settings(file: &str, text: &str) -> Result<EntrySettings, Vec<FileFinding>> {
+    let (table, errors) = DeTable::parse_recoverable(text);
+    let mut sheet = FindingSheet {
+        lines: LineIndex::new(file, text),
+        findings: Vec::new(),
+    };
+    for error in &errors {
+        let offset = error.span().map_or(0, |span| span.start);
+        sheet.add(offset, SYNTAX_CODE, error.message());
+    }
+    let mut good = DeTable::new();
+    let span = table.span();
+    for (key, value) in table.into_inner() {
+        let offset = key.span().start;
+        let mut single = DeTable::new();
+        single.insert(key.clone(), value.clone());
+        match read_table(Spanned::new(span.clone(), single)) {
+            Ok(settings) => {
+                sheet.check_bound(offset, key.get_ref(), &settings);
+                good.insert(key, value);
+            }
+            Err(error) => sheet.add(offset, VALUE_CODE, error.message()),
+        }
+    }
+    sheet.finish(Spanned::new(span, good))
+}
+
+struct FindingSheet<'a> {
+    lines: LineIndex<'a>,
+    findings: Vec<FileFinding>,
+}
+
+impl FindingSheet<'_> {
+    fn add(&mut self, offset: usize, code: &'static str, message: &str) {
+        self.findings.push(FileFinding {
+            place: self.lines.place(offset),
+            code: code.to_owned(),
+            message: message.trim_end().to_owned(),
+            hint: "see docs/SETTINGS.md".to_owned(),
+        });
+    }
+
+    fn check_bound(&mut self, offset: usize, key: &str, settings: &EntrySettings) {
+        let broken = |rule: &&SettingRule| rule.key == key && !(rule.holds)(settings);
+        if let Some(rule) = SETTING_RULES.iter().find(broken) {
+            let message = format!("{key} is outside {}", rule.bound);
+            self.add(offset, BOUND_CODE, &message);
+        }
+    }
+
+    fn finish(mut self, table: Spanned<DeTable<'_>>) -> Result<EntrySettings, Vec<FileFinding>> {
+        let settings = read_table(table);
+        if let (true, Err(error)) = (self.findings.is_empty(), &settings) {
+            self.add(0, VALUE_CODE, error.message());
+        }
+        self.findings.sort();
+        match settings {
+            Ok(settings) if self.findings.is_empty() => Ok(settings),
+            _ => Err(self.findings),
+        }
+    }
+}
+
+fn read_table(table: Spanned<DeTable<'_>>) -> Result<EntrySettings, toml::de::Error> {
+    EntrySettings::deserialize(Deserializer::from(table))
+}
+
+fn within(time: Duration, least_ms: u64, most_ms: u64) -> bool {
+    (Duration::from_millis(least_ms)..=Duration::from_millis(most_ms)).contains(&time)
+}
