--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -80,10 +80,10 @@
     MachinesUnreachable = 502,
     /// A message of a peer was refused.
     #[strum(message = "A message of a peer was refused.")]
-    PeerRefused = 600,
+    PeerRefused = 700,
     /// A peer could not be reached or broke the connection.
     #[strum(message = "A peer could not be reached or broke the connection.")]
-    PeerFailed = 601,
+    PeerFailed = 701,
     /// A stand-in of a platform service listens.
     #[strum(message = "A stand-in of a platform service listens.")]
     StandinStarted = 900,
