--- a/crates/cli/src/demo/fleet.rs
+++ b/crates/cli/src/demo/fleet.rs
@@ -4,9 +4,12 @@
 use std::time::Duration;
 
 use anyhow::{Context, anyhow, ensure};
+use http_types::{Method, Request};
 use pw_base::prelude::*;
 use pw_entry::prelude::*;
 use pw_fleet::prelude::*;
+use pw_link::prelude::*;
+use pw_plan::prelude::*;
 use pw_standin::prelude::*;
 use pw_worker::prelude::*;
 
@@ -22,10 +25,16 @@
 /// Time between two reads of the instance list.
 const INSTANCE_POLL: Duration = Duration::from_millis(200);
 
+/// Time that a demonstration's machine takes to drain and to reboot.
+const MACHINE_TIME: Duration = Duration::from_millis(100);
+/// Longest wait for the machines' history.
+const HISTORY_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// A whole fleet in this process.
 pub(super) struct DemoFleet {
     spec: FleetSpec,
     log: SocketAddr,
+    machines: SocketAddr,
     workers: Vec<(WorkerSpec, SocketAddr)>,
     entries: Vec<EntryNode>,
 }
@@ -43,6 +52,7 @@
             state: InstanceState::Live,
         });
         let instances = InstanceList::start(loopback(), list.collect())?.address();
+        let machines = MachineService::start(loopback(), machine_settings(&spec))?.address();
         let entries = spec
             .zones
             .iter()
@@ -52,6 +62,8 @@
                     zone: zone.id.clone(),
                     log,
                     instances,
+                    machines: Some(machines),
+                    planner: quick_planner(),
                     instance_poll: INSTANCE_POLL,
                     ..EntrySettings::default()
                 };
@@ -62,6 +74,7 @@
         Ok(Self {
             spec,
             log,
+            machines,
             workers,
             entries,
         })
@@ -111,6 +124,19 @@
         lowest
     }
 
+    /// Returns the platform's log.
+    pub(super) fn log(&self) -> HttpLog {
+        HttpLog::new(self.log)
+    }
+
+    /// Returns what has happened to each machine.
+    pub(super) async fn machine_history(&self) -> anyhow::Result<Vec<MachineHistory>> {
+        let url = format!("http://{}/v1/machines/history", self.machines);
+        let request = Request::new(Method::Get, url.as_str());
+        let response = call_http(self.machines, request, HISTORY_TIMEOUT).await?;
+        serde_json::from_slice(&response.body).context("malformed history")
+    }
+
     /// Returns all runs that the backend servers' journals know, in the order of their starts.
     pub(super) async fn runs(&self) -> anyhow::Result<Vec<RunRecord>> {
         let mut runs = Vec::new();
@@ -126,6 +152,31 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+fn machine_settings(spec: &FleetSpec) -> MachineSettings {
+    MachineSettings {
+        workers: spec
+            .workers
+            .iter()
+            .map(|worker| worker.id.clone())
+            .collect(),
+        drain_time: MACHINE_TIME,
+        reboot_time: MACHINE_TIME,
+        ..MachineSettings::default()
+    }
+}
+
+/// Returns the settings of a planner that takes a wave through the fleet in seconds.
+fn quick_planner() -> PlanSettings {
+    PlanSettings {
+        tick: Duration::from_millis(50),
+        step_timeout: Duration::from_secs(1),
+        order_timeout: Duration::from_millis(500),
+        admit_interval: Duration::from_millis(50),
+        max_maintenance_percent: 100,
+        ..PlanSettings::default()
+    }
+}
+
 fn start_workers(spec: &FleetSpec) -> anyhow::Result<Vec<(WorkerSpec, SocketAddr)>> {
     spec.workers
         .iter()
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -9,6 +9,7 @@
 mod journal;
 mod report;
 mod scene;
+mod wave;
 
 use argh::FromArgs;
 
--- a/crates/cli/src/demo/scene.rs
+++ b/crates/cli/src/demo/scene.rs
@@ -12,6 +12,7 @@
 use super::fleet::DemoFleet;
 use super::journal::{RunRecord, most_at_once};
 use super::report::PromiseCheck;
+use super::wave::watch_wave;
 
 /// Time within which a change is in force everywhere.
 const IN_FORCE: Duration = Duration::from_secs(5);
@@ -33,7 +34,7 @@
     std::pin::Pin<Box<dyn Future<Output = anyhow::Result<Vec<PromiseCheck>>> + 'a>>;
 
 /// The scenes in their order, with their names.
-pub(super) const SCENES: [(&str, SceneFn); 5] = [
+pub(super) const SCENES: [(&str, SceneFn); 6] = [
     ("applying the fleet file", |fleet| {
         apply_file(fleet).boxed_local()
     }),
@@ -43,6 +44,7 @@
     ("a team reaches its upper limit", |fleet| {
         reach_limit(fleet).boxed_local()
     }),
+    ("a maintenance wave", |fleet| maintain(fleet).boxed_local()),
     ("an availability zone leaves and returns", |fleet| {
         cycle_zone(fleet).boxed_local()
     }),
@@ -90,6 +92,34 @@
     Ok(checks)
 }
 
+async fn maintain(fleet: &DemoFleet) -> anyhow::Result<Vec<PromiseCheck>> {
+    let callers = fleet.callers();
+    let begin = Instant::now();
+    let load = call_all(&callers, zone_requests("maintenance"));
+    let (outcomes, wave) = zip(load, watch_wave(fleet)).await;
+    let (wave, machines) = (wave?, fleet.machine_history().await?);
+    let rebooted = count(&machines, |machine| machine.reboots == 1);
+    let cut_off = count(&machines, |machine| machine.cut_off);
+    let mut checks = vec![
+        PromiseCheck::new(
+            "availability budgets hold",
+            wave.finished && wave.broken == 0,
+            format!("{} broken after {} records", wave.broken, wave.records),
+        ),
+        PromiseCheck::new(
+            "maintenance harms no work",
+            rebooted == machines.len() && cut_off == 0,
+            format!(
+                "{rebooted} of {} workers rebooted once, {cut_off} with a task cut off, {:.1} s",
+                machines.len(),
+                begin.elapsed().as_secs_f64()
+            ),
+        ),
+    ];
+    checks.extend(check_calls(fleet, &outcomes).await?);
+    Ok(checks)
+}
+
 async fn cycle_zone(fleet: &DemoFleet) -> anyhow::Result<Vec<PromiseCheck>> {
     let (mut checks, outcomes) = with_load(fleet, "zone-out", async {
         set_zone(fleet, ZoneStatus::OutOfService).await
