Write docs/CAPACITY.md from measured slopes

Cause: no page said what a role costs at the size to design for. Change: pw_capacity drives the check, the diff, the codec and the fold at 500 to 8,500 workers, fits lines by least squares, counts allocated bytes with stats_alloc and writes the page. Not measured: permits, heartbeats, the planner, the time until a change is in force, urgent starts.

--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -3,9 +3,13 @@
 //! Fleets of several sizes are generated, the production objects are driven at each size, and a
 //! line is fitted through the results.
 
+pub mod fit;
 pub mod fleet;
+pub mod measure;
+pub mod page;
 
 /// The names that most users of this crate need.
 pub mod prelude {
+    pub use crate::fit::LinearFit;
     pub use crate::fleet::{FleetSize, fleet_text, generate_fleet};
 }
--- /dev/null
+++ b/crates/capacity/src/main.rs
@@ -0,0 +1,49 @@
+//! Measures the capacity and writes `docs/CAPACITY.md`.
+
+use std::alloc::System;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use pw_capacity::measure::{MemoryProbe, measure_size};
+use pw_capacity::page::render;
+use pw_capacity::prelude::*;
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+/// Sizes in workers.
+const SIZES: [usize; 5] = [500, 1_000, 2_000, 4_000, 8_500];
+
+/// Measures what each role costs as the fleet grows.
+#[derive(FromArgs)]
+struct CapacityArgs {
+    /// file to write the page to; standard output by default
+    #[argh(option)]
+    write: Option<PathBuf>,
+}
+
+struct AllocatorProbe;
+
+impl MemoryProbe for AllocatorProbe {
+    fn bytes_in_use(&self) -> usize {
+        let stats = ALLOCATOR.stats();
+        stats
+            .bytes_allocated
+            .saturating_sub(stats.bytes_deallocated)
+    }
+}
+
+fn main() -> std::io::Result<()> {
+    let args: CapacityArgs = argh::from_env();
+    let sizes = SIZES.map(|workers| FleetSize::default().scaled_to(workers));
+    let costs = sizes.map(|size| measure_size(&size, &AllocatorProbe));
+    let page = render(&costs);
+    match args.write {
+        Some(path) => std::fs::write(path, page),
+        None => {
+            print!("{page}");
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/crates/capacity/src/page.rs
@@ -0,0 +1,136 @@
+//! The page that shows the costs beside the limits.
+
+use std::fmt::Write;
+
+use crate::fit::LinearFit;
+use crate::measure::SizeCost;
+
+/// Workers of the size to design for.
+const FULL_WORKERS: f64 = 8_500.0;
+/// Configuration changes on a day of that size.
+const DAY_CHANGES: f64 = 13_000.0;
+/// Failures, restarts and replacements on a day of that size.
+const DAY_INSTANCE_EVENTS: f64 = 150.0 + 2_600.0;
+/// Seconds of a day.
+const DAY_SECONDS: f64 = 86_400.0;
+/// Folds of one entry instance: one for each duty that needs the folded state.
+const FOLDS: f64 = 3.0;
+/// Limit on control in percent of a core.
+const CORE_LIMIT: f64 = 3.7;
+/// Limit on control in mebibytes.
+const MEMORY_LIMIT: f64 = 64.0;
+/// Limit on control in bytes a second.
+const BYTES_LIMIT: f64 = 4_000.0;
+
+/// Renders the page in Markdown.
+pub fn render(costs: &[SizeCost]) -> String {
+    let mut page = String::new();
+    write_page(&mut page, costs).expect("writing to a string");
+    page
+}
+
+fn write_page(page: &mut String, costs: &[SizeCost]) -> std::fmt::Result {
+    let full = |field: fn(&SizeCost) -> f64| {
+        let points: Vec<(f64, f64)> = costs
+            .iter()
+            .map(|cost| (cost.workers as f64, field(cost)))
+            .collect();
+        LinearFit::through(&points).map_or(f64::NAN, |fit| fit.at(FULL_WORKERS))
+    };
+    let fold_ms = full(|cost| cost.change_fold_ms);
+    let change_bytes = full(|cost| cost.change_bytes);
+    let fold_mib = full(|cost| cost.fold_mib);
+    let changes = DAY_CHANGES / DAY_SECONDS;
+    let core = FOLDS * fold_ms / 1_000.0 * changes * 100.0;
+    let bytes = change_bytes * (changes + DAY_INSTANCE_EVENTS / DAY_SECONDS);
+    let memory = FOLDS * fold_mib;
+    writeln!(page, "# Capacity\n")?;
+    writeln!(
+        page,
+        "Written by `cargo run --release -p pw_capacity -- --write docs/CAPACITY.md`. Fleets of \
+         several sizes are generated, the production objects are driven at each, and a line is \
+         fitted by least squares. The size to design for: 8,500 workers, 112 pools, 370 teams, 6 \
+         zones in 3 regions, 13,000 changes of configuration, 150 failures and 2,600 restarts a \
+         day.\n"
+    )?;
+    writeln!(page, "## Measured\n")?;
+    writeln!(
+        page,
+        "| Workers | Whole fleet, bytes | Fold it, ms | Change of one worker, bytes | Fold it, ms \
+         | One fold, MiB | Check a file, ms | Diff, ms |\n|---|---|---|---|---|---|---|---|"
+    )?;
+    for cost in costs {
+        writeln!(
+            page,
+            "| {} | {:.0} | {:.2} | {:.0} | {:.3} | {:.2} | {:.1} | {:.1} |",
+            cost.workers,
+            cost.whole_bytes,
+            cost.whole_fold_ms,
+            cost.change_bytes,
+            cost.change_fold_ms,
+            cost.fold_mib,
+            cost.check_ms,
+            cost.diff_ms
+        )?;
+    }
+    writeln!(
+        page,
+        "\n## Entry instance at 8,500 workers, from the fitted lines\n"
+    )?;
+    writeln!(
+        page,
+        "| Control | Worked out | Limit | Carried by |\n|---|---|---|---|"
+    )?;
+    let row = |page: &mut String, what: &str, value: f64, limit: f64, unit: &str, how: &str| {
+        let worked = if value > limit {
+            format!("**{value:.2} {unit}: misses the limit**")
+        } else {
+            format!("{value:.2} {unit}")
+        };
+        writeln!(page, "| {what} | {worked} | {limit} {unit} | {how} |")
+    };
+    row(
+        page,
+        "Processor, folding changes in three duties",
+        core,
+        CORE_LIMIT,
+        "% of a core",
+        "changes as deltas in the log",
+    )?;
+    row(
+        page,
+        "Memory of three folds",
+        memory,
+        MEMORY_LIMIT,
+        "MiB",
+        "one fold for each duty that needs the state",
+    )?;
+    row(
+        page,
+        "Reading changes and instance events",
+        bytes,
+        BYTES_LIMIT,
+        "bytes/s",
+        "changes as deltas in the log",
+    )?;
+    writeln!(
+        page,
+        "\nOf these three, memory is nearest to its limit: the folds fill it at about {:.0} workers. \
+         One fold handed to the other duties behind `Arc`, copied on change, would mend it.\n",
+        FULL_WORKERS * MEMORY_LIMIT / memory
+    )?;
+    writeln!(page, "## Operators' command at 8,500 workers\n")?;
+    writeln!(
+        page,
+        "Check {:.0} ms and diff {:.0} ms, each against 1 s.\n",
+        full(|cost| cost.check_ms),
+        full(|cost| cost.diff_ms)
+    )?;
+    writeln!(page, "## Not measured\n")?;
+    writeln!(
+        page,
+        "Permit records and heartbeats between members, the planner duty, the time from append to \
+         in force and the urgent start at this size; placement is measured by `cargo bench -p \
+         pw_benches --bench placement`."
+    )
+}
