Count the bytes of the instance list and of heartbeats in the capacity page

Cause: the page left out the two largest streams of control, and so nothing there missed a limit. Change: the capacity command measures both; a row over its limit says so in bold, with the change that would mend it.

--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fleet;
 pub mod measure;
 pub mod page;
+pub mod traffic;
 
 /// The names that most users of this crate need.
 pub mod prelude {
--- a/crates/capacity/src/measure.rs
+++ b/crates/capacity/src/measure.rs
@@ -8,6 +8,7 @@
 use pw_log::prelude::*;
 
 use crate::fleet::{FleetSize, fleet_text, generate_fleet};
+use crate::traffic::instance_list_bytes;
 
 /// Small changes that are folded for one measurement.
 const CHANGE_ROUNDS: u64 = 50;
@@ -33,6 +34,8 @@
     pub change_fold_ms: f64,
     /// Mebibytes that one fold holds.
     pub fold_mib: f64,
+    /// Bytes of the platform's instance list.
+    pub list_bytes: f64,
     /// Milliseconds to check a fleet file.
     pub check_ms: f64,
     /// Milliseconds to compare two fleets.
@@ -63,6 +66,7 @@
         change_bytes,
         change_fold_ms,
         fold_mib: fold_bytes_held as f64 / 1_048_576.0,
+        list_bytes: instance_list_bytes(&fleet),
         check_ms,
         diff_ms,
     }
--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -4,6 +4,7 @@
 
 use crate::fit::LinearFit;
 use crate::measure::SizeCost;
+use crate::traffic::{heartbeat_rate, instance_poll};
 
 /// Workers of the size to design for.
 const FULL_WORKERS: f64 = 8_500.0;
@@ -15,6 +16,12 @@
 const DAY_SECONDS: f64 = 86_400.0;
 /// Folds of one entry instance: one for each duty that needs the folded state.
 const FOLDS: f64 = 3.0;
+/// Entry instances today.
+const ENTRIES_TODAY: u32 = 9;
+/// Entry instances in each availability zone at the size to design for.
+const ENTRIES_A_ZONE: u32 = 9;
+/// Availability zones at the size to design for.
+const FULL_ZONES: u32 = 6;
 /// Limit on control in percent of a core.
 const CORE_LIMIT: f64 = 3.7;
 /// Limit on control in mebibytes.
@@ -57,18 +64,20 @@
     writeln!(
         page,
         "| Workers | Whole fleet, bytes | Fold it, ms | Change of one worker, bytes | Fold it, ms \
-         | One fold, MiB | Check a file, ms | Diff, ms |\n|---|---|---|---|---|---|---|---|"
+         | One fold, MiB | Instance list, bytes | Check a file, ms | Diff, ms \
+         |\n|---|---|---|---|---|---|---|---|---|"
     )?;
     for cost in costs {
         writeln!(
             page,
-            "| {} | {:.0} | {:.2} | {:.0} | {:.3} | {:.2} | {:.1} | {:.1} |",
+            "| {} | {:.0} | {:.2} | {:.0} | {:.3} | {:.2} | {:.0} | {:.1} | {:.1} |",
             cost.workers,
             cost.whole_bytes,
             cost.whole_fold_ms,
             cost.change_bytes,
             cost.change_fold_ms,
             cost.fold_mib,
+            cost.list_bytes,
             cost.check_ms,
             cost.diff_ms
         )?;
@@ -113,9 +122,34 @@
         "bytes/s",
         "changes as deltas in the log",
     )?;
+    row(
+        page,
+        "Reading the instance list whole at each poll",
+        full(|cost| cost.list_bytes) / instance_poll().as_secs_f64(),
+        BYTES_LIMIT,
+        "bytes/s",
+        "the platform's instance list",
+    )?;
+    for members in [ENTRIES_TODAY, ENTRIES_A_ZONE * FULL_ZONES] {
+        row(
+            page,
+            &format!("Heartbeats sent and received, {members} entry instances"),
+            heartbeat_rate(members),
+            BYTES_LIMIT,
+            "bytes/s",
+            "a heartbeat to every peer",
+        )?;
+    }
+    writeln!(
+        page,
+        "\nWhat misses its limit: the instance list has to tell only what changed since a cursor, as \
+         the control of machines does already, and heartbeats have to go to a few successors in the \
+         order of the members instead of everyone; the fold already tells every member that order. \
+         Bytes are those of the payloads, without the frames of HTTP, h2 and TCP."
+    )?;
     writeln!(
         page,
-        "\nOf these three, memory is nearest to its limit: the folds fill it at about {:.0} workers. \
+        "\nOf the others, memory is nearest to its limit: the folds fill it at about {:.0} workers. \
          One fold handed to the other duties behind `Arc`, copied on change, would mend it.\n",
         FULL_WORKERS * MEMORY_LIMIT / memory
     )?;
@@ -129,8 +163,9 @@
     writeln!(page, "## Not measured\n")?;
     writeln!(
         page,
-        "Permit records and heartbeats between members, the planner duty, the time from append to \
-         in force and the urgent start at this size; placement is measured by `cargo bench -p \
-         pw_benches --bench placement`."
+        "Permit records, the time from append to \
+         in force and the urgent start at this size. Placement is measured by `cargo bench -p \
+         pw_benches --bench placement`, the planner's looks by `cargo bench -p pw_benches --bench \
+         maintenance`, urgent starts under load by `cargo bench -p pw_benches --bench policy`."
     )
 }
