--- a/crates/dispatch/src/backlog.rs
+++ b/crates/dispatch/src/backlog.rs
@@ -191,17 +191,22 @@
     }
 
     /// Returns the next task: that of the team with the lowest score, urgent ones first.
+    ///
+    /// Teams more than one running task above `max_score` are passed over.
     pub fn next(
         &mut self,
         now: Instant,
         tasks: &TaskTable,
         shares: &ShareBook,
+        max_score: f64,
         may_start: impl Fn(TaskClass) -> bool,
     ) -> Option<(ShareTeam, TaskId)> {
         [TaskClass::Urgent, TaskClass::Relaxed]
             .into_iter()
             .filter(|class| may_start(*class))
-            .find_map(|class| self.next_of(now, tasks, shares, class))
+            .filter_map(|class| self.next_of(now, tasks, shares, class))
+            .find(|(score, team, _)| *score <= max_score + shares.task_score(team))
+            .map(|(_, team, task)| (team, task))
     }
 
     /// Starts no task of `team` until its hold is released.
@@ -227,7 +232,7 @@
         tasks: &TaskTable,
         shares: &ShareBook,
         class: TaskClass,
-    ) -> Option<(ShareTeam, TaskId)> {
+    ) -> Option<(f64, ShareTeam, TaskId)> {
         let Self {
             teams,
             active,
@@ -246,7 +251,7 @@
                 Some((shares.score(now, team), team, head))
             })
             .min_by(|(a, ..), (b, ..)| a.total_cmp(b))
-            .map(|(_, team, head)| (team.clone(), head))
+            .map(|(score, team, head)| (score, team.clone(), head))
     }
 
     /// Takes a team without waiting tasks out of the turn.
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -267,6 +267,9 @@
         if let Some(reason) = held.and_then(|pool| pool.backlog.held(team)) {
             return reason;
         }
+        if held.is_some_and(PoolDesk::yields) {
+            return WaitReason::Share;
+        }
         match self.workers.roster(&queue.pool) {
             Some(roster) if roster.slots() > 0 && roster.open(SlotTier::Known).count() == 0 => {
                 WaitReason::Slots
--- a/crates/dispatch/src/pool_desk.rs
+++ b/crates/dispatch/src/pool_desk.rs
@@ -14,6 +14,9 @@
 /// Part of a pool's slots that is kept for tasks whose callers wait.
 const URGENT_RESERVE: f64 = 0.1;
 
+/// Time for which the level of the teams that wait is not looked up again.
+const LEVEL_VALIDITY: Duration = Duration::from_millis(5);
+
 /// How a full pool is shared with the other entry instances.
 #[derive(Debug, Clone)]
 pub struct LeadSettings {
@@ -39,6 +42,15 @@
     running_deferred: u32,
     held_since: Option<Instant>,
     looks_again: Option<Instant>,
+    level: Option<PoolLevel>,
+}
+
+/// Level that the teams of a pool are compared with.
+#[derive(Debug, Clone, Copy)]
+struct PoolLevel {
+    measured: Instant,
+    floor: Option<f64>,
+    waiting_weight: f64,
 }
 
 impl Default for LeadSettings {
@@ -60,19 +72,33 @@
         }
     }
 
-    /// Returns the next task to start.
+    /// Returns the next task to start; none while the pool's free slots are left to peers.
     pub fn next(
         &mut self,
         now: Instant,
         tasks: &TaskTable,
         roster: &PoolRoster,
+        lead: &LeadSettings,
     ) -> Option<(ShareTeam, TaskId)> {
         let may_relax = self.may_start_relaxed(roster);
-        self.backlog
-            .next(now, tasks, &self.shares, |class| match class {
-                TaskClass::Urgent => true,
-                TaskClass::Relaxed => may_relax,
-            })
+        let may_start = |class| match class {
+            TaskClass::Urgent => true,
+            TaskClass::Relaxed => may_relax,
+        };
+        let max_score = self.max_score(now, roster.slots(), lead);
+        let Self {
+            backlog, shares, ..
+        } = self;
+        let next = backlog.next(now, tasks, shares, max_score, may_start);
+        if next.is_none() && max_score.is_finite() {
+            self.held_since.get_or_insert(now);
+        }
+        next
+    }
+
+    /// Returns whether free slots are left to teams that wait elsewhere.
+    pub fn yields(&self) -> bool {
+        self.held_since.is_some()
     }
 
     /// Counts a start.
@@ -106,11 +132,9 @@
         is_news
     }
 
-    /// Looks again at the teams that left slots to peers.
+    /// Notes that the pool is being looked at again.
     pub fn end_pause(&mut self) {
         self.looks_again = None;
-        self.backlog
-            .release_where(|reason| reason == WaitReason::Share);
     }
 
     /// Returns the expected wait of one more task of `team` on a pool of `slots`.
@@ -137,26 +161,20 @@
         self.shares.set_waiting(now, team, waiting);
     }
 
-    /// Returns whether `team` has to leave the free slots to a team that waits elsewhere.
-    pub fn must_yield(
-        &mut self,
-        now: Instant,
-        team: &ShareTeam,
-        slots: u32,
-        lead: &LeadSettings,
-    ) -> bool {
-        if !self.shares.has_peers() {
-            return false;
-        }
-        let service = lead.max_lead.as_secs_f64() * f64::from(slots);
-        let allowed = service / self.shares.waiting_weight().max(1.0);
-        let score = self.shares.score(now, team);
-        let floor = self.shares.floor(now).unwrap_or(score);
-        if score <= floor + allowed {
-            return false;
+    /// Returns the highest score at which a team may start tasks.
+    ///
+    /// Teams above it leave the free slots to a team that waits elsewhere, for a bounded time.
+    fn max_score(&mut self, now: Instant, slots: u32, lead: &LeadSettings) -> f64 {
+        let is_over = |since| now >= since + lead.max_hold;
+        if !self.shares.has_peers() || self.held_since.is_some_and(is_over) {
+            return f64::INFINITY;
         }
-        let since = *self.held_since.get_or_insert(now);
-        now < since + lead.max_hold
+        let level = self.level(now);
+        // Old reports say little about who is behind by now.
+        let max_lead = lead.max_lead.max(self.shares.report_age(now));
+        let service = max_lead.as_secs_f64() * f64::from(slots);
+        let allowed = service / level.waiting_weight.max(1.0);
+        level.floor.map_or(f64::INFINITY, |floor| floor + allowed)
     }
 
     /// Returns this entry instance's service on the pool for its peers, if they need it.
@@ -176,6 +194,18 @@
         })
     }
 
+    fn level(&mut self, now: Instant) -> PoolLevel {
+        let known = self.level;
+        let known = known.filter(|level| now < level.measured + LEVEL_VALIDITY);
+        let level = known.unwrap_or_else(|| PoolLevel {
+            measured: now,
+            floor: self.shares.floor(now),
+            waiting_weight: self.shares.waiting_weight(),
+        });
+        self.level = Some(level);
+        level
+    }
+
     fn is_limited(&self, team: &ShareTeam) -> bool {
         let held = self.backlog.held(team);
         matches!(held, Some(WaitReason::Permit | WaitReason::RemotePermit))
--- a/crates/dispatch/src/starting.rs
+++ b/crates/dispatch/src/starting.rs
@@ -65,14 +65,12 @@
             self.look_again(pool, end.unwrap_or(now));
             return false;
         }
-        let Some((team, task)) = desk.next(now, &self.tasks, roster) else {
+        let Some((team, task)) = desk.next(now, &self.tasks, roster, &self.settings.lead) else {
+            if desk.yields() {
+                self.look_again(pool, now + self.settings.lead.pause);
+            }
             return false;
         };
-        if desk.must_yield(now, &team, roster.slots(), &self.settings.lead) {
-            desk.backlog.hold(&team, WaitReason::Share);
-            self.look_again(pool, now + self.settings.lead.pause);
-            return true;
-        }
         match self.check_start(now, task) {
             Err(reason) => self.close_waiting(now, task, reason, commands),
             Ok(size) => {
--- a/crates/team/src/share.rs
+++ b/crates/team/src/share.rs
@@ -195,6 +195,17 @@
         (served + self.raised(now, team)) / self.weight(team)
     }
 
+    /// Returns the age of the oldest report of a peer that counts.
+    pub fn report_age(&self, now: Instant) -> Duration {
+        let heard = self.peers.values().filter_map(|peer| peer.heard).min();
+        heard.map_or(Duration::ZERO, |heard| now.saturating_duration_since(heard))
+    }
+
+    /// Returns by how much one running task raises the team's score at once.
+    pub fn task_score(&self, team: &ShareTeam) -> f64 {
+        self.settings.horizon.as_secs_f64() / self.weight(team)
+    }
+
     /// Returns the lowest score of the teams that wait at this entry instance or at a peer.
     pub fn floor(&self, now: Instant) -> Option<f64> {
         self.teams
