--- a/benches/benches/micro.rs
+++ b/benches/benches/micro.rs
@@ -2,12 +2,16 @@
 #![allow(missing_docs)]
 
 use std::hint::black_box;
+use std::sync::Arc;
+use std::time::{Instant, SystemTime};
 
-use criterion::{Criterion, criterion_group, criterion_main};
+use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
 use pw_capacity::prelude::*;
+use pw_contract::prelude::*;
 use pw_fleet::prelude::*;
+use pw_log::prelude::*;
 
-/// Samples of a benchmark that takes a second or more for each.
+/// Samples of the slower benchmarks.
 const FEW_SAMPLES: usize = 10;
 
 fn fleet_file(c: &mut Criterion) {
@@ -27,5 +31,62 @@
     group.finish();
 }
 
-criterion_group!(benches, fleet_file);
+fn log_fold(c: &mut Criterion) {
+    let before = Arc::new(generate_fleet(&FleetSize::default()));
+    let mut after = FleetSpec::clone(&before);
+    after.workers[4_000].slots += 1;
+    let whole = record(1, FleetProposal::whole(0, Arc::clone(&before)));
+    let change = record(2, FleetProposal::between(1, &before, Arc::new(after)));
+    let whole_bytes = encode_record(&whole).expect("record within the bound");
+    let change_bytes = encode_record(&change).expect("record within the bound");
+    println!(
+        "bytes on the wire: whole fleet {}, change of one worker {}",
+        whole_bytes.len(),
+        change_bytes.len()
+    );
+    let mut fold = FleetFold::default();
+    fold.advance(0, &whole);
+    let mut group = c.benchmark_group("fold");
+    group.sample_size(FEW_SAMPLES);
+    group.bench_function("whole-fleet", |b| {
+        b.iter_batched_ref(
+            FleetFold::default,
+            |fold| fold.advance(0, &decode_record(&whole_bytes).expect("own record")),
+            BatchSize::LargeInput,
+        );
+    });
+    group.bench_function("change", |b| {
+        b.iter_batched_ref(
+            || fold.clone(),
+            |fold| fold.advance(1, &decode_record(&change_bytes).expect("own record")),
+            BatchSize::LargeInput,
+        );
+    });
+    group.finish();
+}
+
+fn permit(c: &mut Criterion) {
+    let fleet = generate_fleet(&FleetSize::default());
+    let (team, zone) = (&fleet.teams[0].id, &fleet.zones[0].id);
+    let now = Instant::now();
+    let mut gate = EvenSplit::new(1);
+    gate.set_teams(&fleet.teams);
+    c.bench_function("permit/even-split-take-and-give-back", |b| {
+        b.iter(|| {
+            let permit = gate.take(now, black_box(team), zone).expect("free permit");
+            gate.give_back(now, permit);
+        });
+    });
+}
+
+fn record(id: u128, proposal: FleetProposal) -> LogRecord {
+    LogRecord {
+        id,
+        author: "operator".to_owned(),
+        written: SystemTime::UNIX_EPOCH,
+        body: RecordBody::Fleet(proposal),
+    }
+}
+
+criterion_group!(benches, fleet_file, log_fold, permit);
 criterion_main!(benches);
--- /dev/null
+++ b/examples/contracts_alone.rs
@@ -0,0 +1,33 @@
+//! Keeps an upper limit with permits alone: no log, no network.
+//!
+//! Run it with `cargo run --example contracts_alone`.
+
+use std::time::Instant;
+
+use pw_base::prelude::*;
+use pw_contract::prelude::*;
+use pw_fleet::prelude::*;
+
+const FLEET_FILE: &str = include_str!("telar-norte.toml");
+const ENTRIES: u32 = 9;
+
+fn main() {
+    let fleet = check_fleet("telar-norte.toml", FLEET_FILE).expect("shipped fleet file");
+    let team = &fleet.teams[0];
+    let zone: ZoneId = fleet.zones[0].id.clone();
+    let now = Instant::now();
+    let mut gate = EvenSplit::new(ENTRIES);
+    gate.set_teams(&fleet.teams);
+    let permits: Vec<TaskPermit> = std::iter::from_fn(|| gate.take(now, &team.id, &zone)).collect();
+    println!(
+        "one of {ENTRIES} entry instances may run {} of the {} tasks of team {}",
+        permits.len(),
+        team.limit,
+        team.id
+    );
+    for permit in permits {
+        gate.give_back(now, permit);
+    }
+    let again = gate.take(now, &team.id, &zone).is_some();
+    println!("after all tasks have ended, another one may start: {again}");
+}
--- /dev/null
+++ b/examples/line_front_end.rs
@@ -0,0 +1,67 @@
+//! Drives the dispatch decisions from a front end other than HTTP: tasks come as lines of text.
+//!
+//! Run it with `cargo run --example line_front_end`.
+
+use std::sync::Arc;
+use std::time::{Instant, SystemTime};
+
+use pw_contract::prelude::*;
+use pw_dispatch::prelude::*;
+use pw_fleet::prelude::*;
+use pw_log::prelude::*;
+use pw_worker::prelude::*;
+
+const FLEET_FILE: &str = include_str!("telar-norte.toml");
+const LINES: [&str; 2] = ["no-such-queue", "no-such-queue-either"];
+
+fn main() {
+    let now = Instant::now();
+    let fleet = check_fleet("telar-norte.toml", FLEET_FILE).expect("shipped fleet file");
+    let open = fleet.queues.iter().find(|queue| queue.open);
+    let queues: Vec<String> = open.iter().map(|queue| queue.id.to_string()).collect();
+    let mut gate = EvenSplit::new(1);
+    gate.set_teams(&fleet.teams);
+    let mut desk = DispatchDesk::new(DeskSettings::default(), Box::new(gate));
+    desk.handle(now, DispatchEvent::InstancesListed(live_instances(&fleet)));
+    desk.handle(now, DispatchEvent::LogRead(reading(now, fleet)));
+    let lines = queues.iter().map(String::as_str).chain(LINES);
+    for (id, line) in (1..).zip(lines) {
+        let request = TaskRequest {
+            id,
+            queue: line.into(),
+            key: None,
+            deadline: None,
+            size: ResourceSize::default(),
+        };
+        println!("> {line}");
+        for command in desk.handle(now, DispatchEvent::TaskSubmitted(request)) {
+            println!("{command:?}");
+        }
+    }
+}
+
+fn live_instances(fleet: &FleetSpec) -> Vec<InstanceEntry> {
+    let entry = |worker: &WorkerSpec| InstanceEntry {
+        worker: worker.id.clone(),
+        address: ([127, 0, 0, 1], 9_000).into(),
+        state: InstanceState::Live,
+    };
+    fleet.workers.iter().map(entry).collect()
+}
+
+fn reading(now: Instant, fleet: FleetSpec) -> LogReading {
+    let record = LogRecord {
+        id: 1,
+        author: "amaia".to_owned(),
+        written: SystemTime::now(),
+        body: RecordBody::Fleet(FleetProposal::whole(0, Arc::new(fleet))),
+    };
+    LogReading {
+        asked: Some(now),
+        image: None,
+        from: 0,
+        items: vec![(0, LogItem::Record(Arc::new(record)))],
+        next_offset: 1,
+        end: 1,
+    }
+}
