--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -96,12 +96,18 @@
     (process, address)
 }
 
+/// Returns the path of a file that no other run uses.
+fn temporary(name: &str) -> String {
+    let run = std::process::id();
+    format!("{}/limits-{run}-{name}", env!("CARGO_TARGET_TMPDIR"))
+}
+
 fn start_entry(
     number: usize,
     log: SocketAddr,
     instances: SocketAddr,
 ) -> (ChildProcess, SocketAddr) {
-    let path = format!("{}/limits-{number}.toml", env!("CARGO_TARGET_TMPDIR"));
+    let path = temporary(&format!("{number}.toml"));
     let settings = EntrySettings {
         entry: format!("entry-{number}").into(),
         zone: ["a", "b"][number].into(),
@@ -226,7 +232,7 @@
     });
     let list = InstanceList::start(([127, 0, 0, 1], 0).into(), list.collect()).expect("list");
     let digest = String::from(digest_key("key"));
-    let file = format!("{}/limits-fleet.toml", env!("CARGO_TARGET_TMPDIR"));
+    let file = temporary("fleet.toml");
     fs::write(&file, FLEET.replace("KEY", &digest)).expect("file");
     let applied = Command::new(env!("CARGO_BIN_EXE_primrosewheel"))
         .args([
