Tell operators how many tasks wait, and why

Cause: the desk knew why each task waits, but no operator could ask. Change: an entry instance's status counts waiting tasks by reason, and primrosewheel status shows it beside the revision.

--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -126,7 +126,7 @@
     print_table(&["TEAM", "SHARE", "LIMIT", "KEYS"], team_rows(spec))?;
     print_lines([String::new()])?;
     print_table(
-        &["ENTRY", "REPORT"],
+        &["ENTRY", "REVISION", "OPEN TASKS", "WAITING"],
         status.entries.iter().map(entry_row).collect(),
     )
 }
@@ -187,9 +187,27 @@
 }
 
 fn entry_row(entry: &EntryStatus) -> Vec<String> {
-    let report = match (&entry.report, &entry.error) {
-        (Some(report), _) => report.to_string(),
-        (None, error) => format!("no answer: {}", error.as_deref().unwrap_or("unknown")),
+    let cells = match (&entry.report, &entry.error) {
+        (Some(report), _) => [
+            report["revision"].to_string(),
+            report["open_tasks"].to_string(),
+            waiting_words(&report["waiting"]),
+        ],
+        (None, error) => {
+            let reason = error.as_deref().unwrap_or("unknown");
+            [String::new(), String::new(), format!("no answer: {reason}")]
+        }
     };
-    vec![entry.admin.to_string(), report]
+    std::iter::once(entry.admin.to_string())
+        .chain(cells)
+        .collect()
+}
+
+/// Returns how many tasks wait, by the reason why they do not start.
+fn waiting_words(waiting: &Value) -> String {
+    let reasons = waiting.as_object().into_iter().flatten();
+    let words: Vec<String> = reasons
+        .map(|(reason, count)| format!("{count} {reason}"))
+        .collect();
+    words.join(", ")
 }
--- a/crates/dispatch/src/backlog.rs
+++ b/crates/dispatch/src/backlog.rs
@@ -8,6 +8,7 @@
 use pw_base::prelude::*;
 use pw_pool::prelude::*;
 use pw_team::prelude::*;
+use serde::Serialize;
 use strum::{AsRefStr, Display};
 
 use crate::task::TaskTable;
@@ -16,7 +17,8 @@
 const MIN_DEAD: usize = 64;
 
 /// Why a waiting task does not start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, AsRefStr)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Display, AsRefStr)]
+#[serde(rename_all = "kebab-case")]
 #[strum(serialize_all = "kebab-case")]
 pub enum WaitReason {
     /// Earlier tasks of its team go first.
--- a/crates/entry/src/dispatch_duty.rs
+++ b/crates/entry/src/dispatch_duty.rs
@@ -191,6 +191,7 @@
         DeskStatus {
             revision: self.desk.revision(),
             open_tasks: self.desk.open_tasks(),
+            waiting: self.desk.explain_all(),
         }
     }
 
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use indexmap::IndexMap;
 use pw_base::prelude::*;
 use pw_dispatch::prelude::*;
 use pw_link::prelude::*;
@@ -126,12 +127,14 @@
 }
 
 /// Status of the dispatch duty.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct DeskStatus {
     /// Revision of the configuration in force; 0 before the first one.
     pub revision: FleetRevision,
     /// Tasks that wait or run.
     pub open_tasks: usize,
+    /// Tasks that wait, by the reason why they do not start.
+    pub waiting: IndexMap<WaitReason, usize>,
 }
 
 impl RunResult {
