End a stand-in's run when its connection is gone

The process test of limits took two such runs for the permits of the killed entry (back after 8.1 s), and later counted 6 tasks for a limit of 4.

Change: a run that is dropped is ended and noted as stopped.

--- a/crates/standin/src/backend_server.rs
+++ b/crates/standin/src/backend_server.rs
@@ -66,6 +66,7 @@
 }
 
 /// Headers of a start.
+#[derive(Clone, Copy)]
 struct StartHead {
     task: TaskId,
     named: NamedLease,
@@ -203,7 +204,13 @@
             Timer::after(work.min(head.run_timeout)).await;
             work <= head.run_timeout
         };
+        let mut guard = RunGuard {
+            handler: self,
+            head: *head,
+            is_finished: false,
+        };
         let done = future::or(self.until_stopped(head, &woken), whole).await;
+        guard.is_finished = true;
         if !self.finish(head, done) {
             return Response::new(StatusCode::GatewayTimeout);
         }
@@ -263,6 +270,21 @@
     }
 }
 
+/// Ends a run whose connection is gone before its end.
+struct RunGuard<'a> {
+    handler: &'a TaskHandler,
+    head: StartHead,
+    is_finished: bool,
+}
+
+impl Drop for RunGuard<'_> {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            self.handler.finish(&self.head, false);
+        }
+    }
+}
+
 impl ServerState {
     /// Returns the state of a new boot.
     fn new() -> Self {
