Show that the admin server buffers a head without end

Cause: async-h1 looks at its bound of 8 KiB only after each line, and serve_http adds none. Seen: an_endless_admin_head_is_cut_off fails, the server read 64 MiB of a head. The callers' server has a bound of its own and is not concerned.

--- a/crates/link/tests/fuzz_http.rs
+++ b/crates/link/tests/fuzz_http.rs
@@ -111,3 +111,16 @@
         })
         .expect("server survives");
 }
+
+#[test]
+fn an_endless_admin_head_is_cut_off() {
+    const MEBIBYTES: usize = 64;
+    let address = start_server();
+    let mut stream = TcpStream::connect(address).expect("server listens");
+    let chunk = vec![b'a'; 1024 * 1024];
+    let sent = (0..MEBIBYTES)
+        .take_while(|_| stream.write_all(&chunk).is_ok())
+        .count();
+    assert!(sent < MEBIBYTES, "the server read {sent} MiB of a head");
+    assert_serves(address);
+}
