Cut off the head of a request that has no end

Cause: async-h1 looks at the length of a head only after each line, so a line without an end was buffered as long as bytes came, at the callers' and the admin address alike. Ruled out: a bound of the callers' server alone; both addresses have the same server. Change: the stream of a request refuses to hand out more than the longest head.

--- a/crates/link/src/http_server.rs
+++ b/crates/link/src/http_server.rs
@@ -15,10 +15,8 @@
 use pw_ring::prelude::*;
 use strum::{Display, EnumIter};
 
-use crate::request_stream::{RequestPart, RequestStream};
+use crate::request_stream::{MAX_HEAD_BYTES, RequestPart, RequestStream};
 
-/// Longest head that async-h1 reads.
-const MAX_HEAD_BYTES: usize = 8 * 1024;
 /// Most bytes of a refused request that are read, so that the caller can read the refusal.
 const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
 /// Longest wait for a caller to close a connection after its last response.
--- a/crates/link/src/request_stream.rs
+++ b/crates/link/src/request_stream.rs
@@ -9,6 +9,8 @@
 use async_io::Async;
 use futures_lite::io::{AsyncRead, AsyncReadExt, AsyncWrite};
 
+/// Longest head of a request; async-h1 looks at its length only after each line.
+pub(crate) const MAX_HEAD_BYTES: usize = 8 * 1024;
 /// Bytes that are read from a connection at once.
 const READ_BYTES: usize = 8 * 1024;
 /// End of the head of a request.
@@ -85,6 +87,11 @@
         length
     }
 
+    /// Returns whether the head has no end within its bound.
+    fn has_endless_head(&self) -> bool {
+        matches!(self.part, RequestPart::Head { .. }) && self.head_bytes >= MAX_HEAD_BYTES
+    }
+
     fn is_over(&self) -> bool {
         match self.part {
             RequestPart::Head { matched } => matched == HEAD_END.len(),
@@ -190,6 +197,10 @@
         if self.is_over() {
             return Poll::Ready(Ok(0));
         }
+        if self.lock().has_endless_head() {
+            let error = io::Error::new(io::ErrorKind::InvalidData, "head without an end");
+            return Poll::Ready(Err(error));
+        }
         if self.lock().is_empty() {
             let mut bytes = [0; READ_BYTES];
             let read = Pin::new(&mut self.stream).poll_read(context, &mut bytes);
