--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -40,7 +40,9 @@
     #[strum(message = "Proposals of a retired incarnation were dropped.")]
     ProposalsDropped = 207,
     /// A log record of a newer format stopped the fold; the entry instance is to be replaced.
-    #[strum(message = "A log record of a newer format stopped the fold.")]
+    #[strum(
+        message = "A log record of a newer format was not read; the fold stops there if a member announced it."
+    )]
     RecordUnread = 208,
     /// An entry instance starts from a snapshot in the log.
     #[strum(message = "An entry instance starts from a snapshot in the log.")]
--- a/crates/entry/src/log_duty.rs
+++ b/crates/entry/src/log_duty.rs
@@ -146,5 +146,11 @@
         let event = EventCode::RecordMalformed;
         tracing::warn!(event = event.number(), offset, %error, "record skipped");
     }
+    for (offset, item) in &reading.items {
+        if let LogItem::Unread { version } = item {
+            let event = EventCode::RecordUnread;
+            tracing::warn!(event = event.number(), offset, version, "record not read");
+        }
+    }
     reading
 }
--- a/crates/member/src/desk.rs
+++ b/crates/member/src/desk.rs
@@ -100,7 +100,7 @@
         Self {
             heartbeat: Duration::from_millis(500),
             silence: Duration::from_secs(3),
-            hold_down: Duration::from_millis(7_350),
+            hold_down: Duration::from_secs(15),
             stagger: Duration::from_millis(150),
             retry: Duration::from_secs(3),
         }
