--- a/benches/benches/maintenance.rs
+++ b/benches/benches/maintenance.rs
@@ -1,6 +1,6 @@
 //! Buffer cost, roll-out time and moves, beside simple baselines in the same run.
 //!
-//! Feeds the pool ledger and a planner desk with made-up machines in virtual time. Run it with
+//! Feeds the pool ledger and a planner with made-up machines in virtual time. Run it with
 //! `cargo bench -p pw_benches --bench maintenance`.
 
 use std::time::{Duration, Instant, SystemTime};
@@ -65,7 +65,7 @@
     pools: Vec<PoolSpec>,
     ledger: PoolLedger,
     machines: IndexMap<WorkerId, BenchMachine>,
-    desk: PlannerDesk,
+    planner: FleetPlanner,
     random: SmallRng,
     start: Instant,
     now: Instant,
@@ -194,7 +194,7 @@
             workers,
             pools,
             ledger: PoolLedger::default(),
-            desk: PlannerDesk::new(start, settings),
+            planner: FleetPlanner::new(start, settings),
             random: SmallRng::seed_from_u64(SEED),
             start,
             now: start,
@@ -307,10 +307,12 @@
         let now = self.now;
         let wall = SystemTime::UNIX_EPOCH + 100 * 365 * DAY + (now - self.start);
         let pools = &self.ledger;
-        self.desk
+        self.planner
             .handle(now, PlanEvent::LogRead { asked: now, pools });
-        self.desk.handle(now, PlanEvent::MachinesRead(changes));
-        let commands = self.desk.handle(now, PlanEvent::TimePassed { wall, pools });
+        self.planner.handle(now, PlanEvent::MachinesRead(changes));
+        let commands = self
+            .planner
+            .handle(now, PlanEvent::TimePassed { wall, pools });
         let spent = begin.elapsed();
         self.result.ticks += 1;
         self.result.planner_time += spent;
--- a/benches/benches/policy/main.rs
+++ b/benches/benches/policy/main.rs
@@ -1,6 +1,6 @@
-//! The decisions of the dispatch desk under generated demand, beside simple baselines.
+//! The decisions of the task scheduler under generated demand, beside simple baselines.
 //!
-//! Several desks run side by side on virtual time with fixed seeds; small fakes take the place of
+//! Several schedulers run side by side on virtual time with fixed seeds; small fakes take the place of
 //! workers, the log and the peers' links. Each row is printed as a table line and as JSON.
 
 mod demand;
--- a/benches/benches/policy/scenario.rs
+++ b/benches/benches/policy/scenario.rs
@@ -16,7 +16,7 @@
 
 /// All scenarios by name.
 pub const ALL: [(&str, ScenarioRun); 5] = [
-    ("one-desk", one_desk),
+    ("one-scheduler", one_scheduler),
     ("shares", shares),
     ("zone-leaves", zone_leaves),
     ("surge", surge),
@@ -117,8 +117,8 @@
     }
 }
 
-/// One desk alone: what its own division of a pool among teams gives.
-fn one_desk() -> Vec<ReportRow> {
+/// One scheduler alone: what its own division of a pool among teams gives.
+fn one_scheduler() -> Vec<ReportRow> {
     let base = |seed, is_open| {
         let form = FleetForm {
             is_open,
@@ -133,8 +133,8 @@
         }
     };
     vec![
-        row("one-desk", "shares", |seed| base(seed, false)),
-        row("one-desk", "first come first served", |seed| {
+        row("one-scheduler", "shares", |seed| base(seed, false)),
+        row("one-scheduler", "first come first served", |seed| {
             base(seed, true)
         }),
     ]
@@ -173,7 +173,7 @@
             format!("first come first served, {routing}"),
             |seed| {
                 let mut settings = base(seed, true, None);
-                settings.make_desk = without_teams;
+                settings.make_scheduler = without_teams;
                 settings
             },
         ));
@@ -181,14 +181,14 @@
     rows
 }
 
-/// A desk that serves all tasks in the order of their arrival: no keys, no teams.
-fn without_teams(settings: DeskSettings, _entries: usize) -> DispatchDesk {
-    DispatchDesk::new(settings, Box::new(EvenSplit::new(1)))
+/// A scheduler that serves all tasks in the order of their arrival: no keys, no teams.
+fn without_teams(settings: SchedulerSettings, _entries: usize) -> TaskScheduler {
+    TaskScheduler::new(settings, Box::new(EvenSplit::new(1)))
 }
 
-fn round_robin(settings: DeskSettings, _entries: usize) -> DispatchDesk {
+fn round_robin(settings: SchedulerSettings, _entries: usize) -> TaskScheduler {
     let gate = Box::new(EvenSplit::new(1));
-    DispatchDesk::with_picker(settings, gate, Box::new(RoundRobin::default()))
+    TaskScheduler::with_picker(settings, gate, Box::new(RoundRobin::default()))
 }
 
 fn zone_leaves() -> Vec<ReportRow> {
@@ -231,7 +231,7 @@
             "zone-leaves",
             format!("round robin, zone {name}"),
             |seed| WorldSettings {
-                make_desk: round_robin,
+                make_scheduler: round_robin,
                 ..base(seed)
             },
         ));
@@ -267,7 +267,7 @@
         }));
         rows.push(row("surge", name("backlog by number"), |seed| {
             let mut settings = base(seed, false);
-            settings.desk.min_waiting = u32::MAX;
+            settings.scheduler.min_waiting = u32::MAX;
             settings
         }));
         rows.push(row("surge", name("first come first served"), |seed| {
--- a/benches/benches/policy/world.rs
+++ b/benches/benches/policy/world.rs
@@ -1,4 +1,4 @@
-//! Desks side by side with fakes of workers, the log and the peers' links, on virtual time.
+//! Schedulers side by side with fakes of workers, the log and the peers' links, on virtual time.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -43,10 +43,10 @@
     pub warm_up: Duration,
     /// Way of a report to a peer; `None` when peers tell each other nothing.
     pub peer_way: Option<Duration>,
-    /// Settings of every desk.
-    pub desk: DeskSettings,
-    /// Makes the desk of an entry instance.
-    pub make_desk: fn(DeskSettings, usize) -> DispatchDesk,
+    /// Settings of every scheduler.
+    pub scheduler: SchedulerSettings,
+    /// Makes the scheduler of an entry instance.
+    pub make_scheduler: fn(SchedulerSettings, usize) -> TaskScheduler,
     /// Changes of the fleet while it runs.
     pub changes: Vec<FleetChange>,
     /// Times that a refused caller submits its task again.
@@ -86,7 +86,7 @@
     now: Instant,
     sequence: u64,
     events: BinaryHeap<Reverse<(Instant, u64, WorldEvent)>>,
-    desks: Vec<Desk>,
+    schedulers: Vec<EntryUnderLoad>,
     workers: IndexMap<WorkerId, FakeWorker>,
     tasks: IndexMap<TaskId, FakeTask>,
     spec: FleetSpec,
@@ -100,14 +100,14 @@
     next_task: TaskId,
     /// What was measured.
     pub meter: ServiceMeter,
-    /// Time that the desks took for their decisions.
+    /// Time that the schedulers took for their decisions.
     pub decision_time: Duration,
-    /// Events that the desks took.
+    /// Events that the schedulers took.
     pub decisions: u64,
 }
 
-struct Desk {
-    desk: DispatchDesk,
+struct EntryUnderLoad {
+    scheduler: TaskScheduler,
     zone: ZoneId,
     wake: Option<Instant>,
 }
@@ -163,8 +163,8 @@
             length: Duration::from_secs(120),
             warm_up: Duration::from_secs(20),
             peer_way: Some(Duration::from_millis(1)),
-            desk: DeskSettings::default(),
-            make_desk: |settings, _| DispatchDesk::new(settings, Box::new(EvenSplit::new(1))),
+            scheduler: SchedulerSettings::default(),
+            make_scheduler: |settings, _| TaskScheduler::new(settings, Box::new(EvenSplit::new(1))),
             changes: Vec::new(),
             resubmits: 0,
             seed: 1,
@@ -177,7 +177,7 @@
     pub fn run(settings: WorldSettings) -> Self {
         let mut world = Self::new(settings);
         world.append_fleet();
-        for entry in 0..world.desks.len() {
+        for entry in 0..world.schedulers.len() {
             world.read_log(entry);
             world.list(entry);
         }
@@ -204,16 +204,16 @@
     fn new(settings: WorldSettings) -> Self {
         let spec = settings.form.spec();
         let origin = Instant::now();
-        let desks = (0..settings.entries).map(|entry| {
+        let schedulers = (0..settings.entries).map(|entry| {
             let zone = ZoneId::from(format!("z{}", entry % settings.form.zones));
-            let desk = DeskSettings {
+            let scheduler = SchedulerSettings {
                 entry: format!("e{entry}").into(),
                 home: zone.clone(),
                 seed: settings.seed + entry as u64,
-                ..settings.desk.clone()
+                ..settings.scheduler.clone()
             };
-            Desk {
-                desk: (settings.make_desk)(desk, settings.entries),
+            EntryUnderLoad {
+                scheduler: (settings.make_scheduler)(scheduler, settings.entries),
                 zone,
                 wake: None,
             }
@@ -237,7 +237,7 @@
             now: origin,
             sequence: 0,
             events: BinaryHeap::new(),
-            desks: desks.collect(),
+            schedulers: schedulers.collect(),
             workers: workers.collect(),
             tasks: IndexMap::new(),
             offset: 0,
@@ -278,8 +278,11 @@
                 self.feed(entry, DispatchEvent::TaskEnded { task, report });
             }
             WorldEvent::Wake(entry) => {
-                if self.desks[entry].wake.is_some_and(|wake| wake <= self.now) {
-                    self.desks[entry].wake = None;
+                if self.schedulers[entry]
+                    .wake
+                    .is_some_and(|wake| wake <= self.now)
+                {
+                    self.schedulers[entry].wake = None;
                     self.feed(entry, DispatchEvent::TimePassed);
                 }
             }
@@ -314,7 +317,7 @@
         let task = FakeTask {
             team: stream.team,
             queue: stream.queue.as_str().into(),
-            entry: stream.entry(self.desks.len(), &mut self.random),
+            entry: stream.entry(self.schedulers.len(), &mut self.random),
             run: stream.run_time(&mut self.random),
             submitted: self.now,
             taken: None,
@@ -347,18 +350,18 @@
 
     fn feed(&mut self, entry: usize, event: DispatchEvent) {
         let begin = Instant::now();
-        let commands = self.desks[entry].desk.handle(self.now, event);
+        let commands = self.schedulers[entry].scheduler.handle(self.now, event);
         self.decision_time += begin.elapsed();
         self.decisions += 1;
         for command in commands {
             self.carry_out(entry, command);
         }
-        let Some(wanted) = self.desks[entry].desk.next_deadline() else {
+        let Some(wanted) = self.schedulers[entry].scheduler.next_deadline() else {
             return;
         };
-        if self.desks[entry].wake.is_none_or(|wake| wanted < wake) {
+        if self.schedulers[entry].wake.is_none_or(|wake| wanted < wake) {
             let wanted = wanted.max(self.now + Duration::from_micros(10));
-            self.desks[entry].wake = Some(wanted);
+            self.schedulers[entry].wake = Some(wanted);
             self.push(wanted - self.now, WorldEvent::Wake(entry));
         }
     }
@@ -453,7 +456,7 @@
         };
         self.reports.push(report);
         let index = self.reports.len() - 1;
-        for peer in (0..self.desks.len()).filter(|peer| *peer != entry) {
+        for peer in (0..self.schedulers.len()).filter(|peer| *peer != entry) {
             self.push(way, WorldEvent::Hear(index, peer));
         }
     }
@@ -519,7 +522,7 @@
                     .filter(|known| &*known.id == zone)
                     .for_each(|known| known.status = status);
                 self.append_fleet();
-                for entry in 0..self.desks.len() {
+                for entry in 0..self.schedulers.len() {
                     let lag = Duration::from_millis(self.random.random_range(5..500));
                     self.push(lag, WorldEvent::ReadLog(entry));
                 }
@@ -542,7 +545,7 @@
         for (task, entry) in broken {
             self.push(FAR, WorldEvent::Reply(entry, task, ReplyKind::Unknown));
         }
-        for entry in 0..self.desks.len() {
+        for entry in 0..self.schedulers.len() {
             let lag = Duration::from_millis(self.random.random_range(1000..3000));
             self.push(lag, WorldEvent::List(entry));
         }
@@ -598,7 +601,7 @@
     }
 
     fn way(&self, entry: usize, worker: &WorkerId) -> Duration {
-        if self.workers[worker].zone == self.desks[entry].zone {
+        if self.workers[worker].zone == self.schedulers[entry].zone {
             NEAR
         } else {
             FAR
--- a/crates/contract/src/gate.rs
+++ b/crates/contract/src/gate.rs
@@ -1,4 +1,4 @@
-//! The border between the dispatch desk and the way in which limits are kept.
+//! The border between the task scheduler and the way in which limits are kept.
 
 use std::time::Instant;
 
--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -22,5 +22,5 @@
     pub use crate::ledger::{PermitGrant, PermitLedger, PermitReject};
     pub use crate::limit::{FLOAT_VALIDITY, LimitTable, ZoneFloor, hold_down};
     pub use crate::proposal::{PermitHold, PermitProposal, PermitRound};
-    pub use crate::reclaim::{ReclaimCommand, ReclaimDesk, ReclaimEvent};
+    pub use crate::reclaim::{PermitReclaimer, ReclaimCommand, ReclaimEvent};
 }
--- a/crates/contract/src/reclaim.rs
+++ b/crates/contract/src/reclaim.rs
@@ -16,7 +16,7 @@
 /// A worker that still holds a lease refuses, so nothing that runs is cut off; one that can't be
 /// reached proves nothing, and the permits stay where they are.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct ReclaimDesk {
+pub struct PermitReclaimer {
     own: ProcessId,
     retry: Duration,
     cases: BTreeMap<MemberKey, FenceCase>,
@@ -31,7 +31,7 @@
     turn: u32,
 }
 
-/// What happened outside the desk.
+/// What happened outside the reclaimer.
 #[derive(Debug, Clone, Copy)]
 pub enum ReclaimEvent<'a> {
     /// The log was read to its end.
@@ -52,7 +52,7 @@
     TimePassed,
 }
 
-/// What the desk wants done.
+/// What the reclaimer wants done.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum ReclaimCommand {
     /// Ask a worker to fence the retired holder.
@@ -66,8 +66,8 @@
     Propose(PermitProposal),
 }
 
-impl ReclaimDesk {
-    /// Creates the desk of the process `own`; members take turns of `retry` each.
+impl PermitReclaimer {
+    /// Creates the reclaimer of the process `own`; members take turns of `retry` each.
     pub fn new(own: ProcessId, retry: Duration) -> Self {
         Self {
             own,
@@ -86,7 +86,7 @@
         self.try_cases(now)
     }
 
-    /// Returns when the desk wants [`ReclaimEvent::TimePassed`] at the latest.
+    /// Returns when the reclaimer wants [`ReclaimEvent::TimePassed`] at the latest.
     pub fn next_deadline(&self) -> Option<Instant> {
         self.cases.values().map(|case| case.next_try).min()
     }
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -1,4 +1,4 @@
-//! Events that the dispatch desk takes and commands that it gives.
+//! Events that the task scheduler takes and commands that it gives.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -26,7 +26,7 @@
     pub size: ResourceSize,
 }
 
-/// What happened outside the desk.
+/// What happened outside the scheduler.
 #[derive(Debug, Clone)]
 pub enum DispatchEvent {
     /// The platform's log was read.
@@ -103,7 +103,7 @@
     Unknown,
 }
 
-/// What the desk wants done.
+/// What the scheduler wants done.
 #[derive(Debug, Clone, PartialEq)]
 pub enum DispatchCommand {
     /// Append a proposal about permits to the log.
@@ -122,12 +122,12 @@
     /// Tell the peers what service the teams have had.
     TellPeers(ShareReport),
     /// Write down something that operators want to know.
-    Note(DeskNotice),
+    Note(DispatchNotice),
 }
 
 /// Something that operators want to know.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum DeskNotice {
+pub enum DispatchNotice {
     /// A worker failed too often and gets no tasks for a while.
     WorkerEjected(WorkerId),
     /// A task failed as often as it may and was given up.
--- a/crates/dispatch/src/pool_desk.rs
+++ b/crates/dispatch/src/pool_scheduler.rs
@@ -28,9 +28,9 @@
     pub pause: Duration,
 }
 
-/// What a desk keeps for one pool.
+/// What a scheduler keeps for one pool.
 #[derive(Debug, Default)]
-pub struct PoolDesk {
+pub struct PoolScheduler {
     /// Tasks that wait.
     pub backlog: PoolBacklog,
     /// Service of each team.
@@ -63,7 +63,7 @@
     }
 }
 
-impl PoolDesk {
+impl PoolScheduler {
     /// Creates a pool without tasks.
     pub fn new(shares: ShareBook) -> Self {
         Self {
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -22,7 +22,7 @@
 use crate::history::QueueHistory;
 use crate::lingering::LingeringPermits;
 use crate::message::{DispatchCommand, DispatchEvent, RefusalReason, RunCertainty, TaskVerdict};
-use crate::pool_desk::{LeadSettings, PoolDesk};
+use crate::pool_scheduler::{LeadSettings, PoolScheduler};
 use crate::retry::{RetryBudget, RetrySettings};
 use crate::task::TaskTable;
 use crate::timer::TimerHeap;
@@ -36,9 +36,9 @@
 /// Bytes that a team's part of a report takes, about.
 const TEAM_SHARE_BYTES: f64 = 24.0;
 
-/// Bounds of a dispatch desk.
+/// Bounds of a task scheduler.
 #[derive(Debug, Clone)]
-pub struct DeskSettings {
+pub struct SchedulerSettings {
     /// Name of the entry instance.
     pub entry: EntryId,
     /// Availability zone of the entry instance.
@@ -66,13 +66,13 @@
 }
 
 /// Accepts tasks, places them on workers and closes them.
-pub struct DispatchDesk {
-    pub(crate) settings: DeskSettings,
+pub struct TaskScheduler {
+    pub(crate) settings: SchedulerSettings,
     fold: FleetFold,
     revision: FleetRevision,
     pub(crate) rules: AdmissionRules,
     pub(crate) shares: Vec<(TeamId, u32)>,
-    pub(crate) pools: IndexMap<PoolId, PoolDesk>,
+    pub(crate) pools: IndexMap<PoolId, PoolScheduler>,
     pub(crate) workers: WorkerTable,
     pub(crate) tasks: TaskTable,
     pub(crate) histories: IndexMap<QueueId, QueueHistory>,
@@ -91,7 +91,7 @@
     random: SmallRng,
 }
 
-impl Default for DeskSettings {
+impl Default for SchedulerSettings {
     fn default() -> Self {
         Self {
             entry: EntryId::from("entry"),
@@ -110,9 +110,9 @@
     }
 }
 
-impl DispatchDesk {
-    /// Creates a desk that knows no fleet yet; `gate` keeps the teams' upper limits.
-    pub fn new(settings: DeskSettings, gate: Box<dyn PermitGate>) -> Self {
+impl TaskScheduler {
+    /// Creates a scheduler that knows no fleet yet; `gate` keeps the teams' upper limits.
+    pub fn new(settings: SchedulerSettings, gate: Box<dyn PermitGate>) -> Self {
         let picker = TwoChoices::new(TwoChoicesSettings {
             home: settings.home.clone(),
             seed: settings.seed,
@@ -121,9 +121,9 @@
         Self::with_picker(settings, gate, Box::new(picker))
     }
 
-    /// Creates a desk whose workers are chosen by `picker`.
+    /// Creates a scheduler whose workers are chosen by `picker`.
     pub fn with_picker(
-        settings: DeskSettings,
+        settings: SchedulerSettings,
         gate: Box<dyn PermitGate>,
         picker: Box<dyn WorkerPicker>,
     ) -> Self {
@@ -190,7 +190,7 @@
         commands
     }
 
-    /// Returns when the desk wants [`DispatchEvent::TimePassed`] at the latest.
+    /// Returns when the scheduler wants [`DispatchEvent::TimePassed`] at the latest.
     pub fn next_deadline(&self) -> Option<Instant> {
         [
             self.deadlines.next(),
@@ -253,8 +253,8 @@
             self.give_back(now, permit);
         }
         while let Some(pool) = self.pool_pauses.pop_due(now) {
-            if let Some(desk) = self.pools.get_mut(&pool) {
-                desk.end_pause();
+            if let Some(scheduler) = self.pools.get_mut(&pool) {
+                scheduler.end_pause();
                 self.touched.insert(pool);
             }
         }
@@ -301,8 +301,8 @@
         let is_over = |reason| matches!(reason, WaitReason::Permit | WaitReason::RemotePermit);
         for (_, pools) in self.permit_waits.drain(..) {
             for pool in pools {
-                if let Some(desk) = self.pools.get_mut(&pool) {
-                    desk.backlog.release_where(is_over);
+                if let Some(scheduler) = self.pools.get_mut(&pool) {
+                    scheduler.backlog.release_where(is_over);
                 }
                 self.touched.insert(pool);
             }
@@ -310,9 +310,9 @@
     }
 
     fn release_resource_holds(&mut self, pool: &PoolId) {
-        if let Some(desk) = self.pools.get_mut(pool) {
+        if let Some(scheduler) = self.pools.get_mut(pool) {
             let is_over = |reason| reason == WaitReason::Resources;
-            desk.backlog.release_where(is_over);
+            scheduler.backlog.release_where(is_over);
         }
     }
 
@@ -320,8 +320,8 @@
     fn release_slot_holds(&mut self, pool: &PoolId, worker: &WorkerId) {
         let worker = self.workers.worker(worker);
         let is_home = worker.is_some_and(|worker| worker.spec().zone == self.settings.home);
-        if let Some(desk) = self.pools.get_mut(pool) {
-            desk.backlog.release_where(|reason| match reason {
+        if let Some(scheduler) = self.pools.get_mut(pool) {
+            scheduler.backlog.release_where(|reason| match reason {
                 WaitReason::Resources => true,
                 WaitReason::RemotePermit => is_home,
                 _ => false,
--- a/crates/dispatch/src/desk/ending.rs
+++ b/crates/dispatch/src/scheduler/ending.rs
@@ -7,15 +7,15 @@
 use pw_place::prelude::*;
 use pw_pool::prelude::*;
 
-use super::{DispatchDesk, refuse};
+use super::{TaskScheduler, refuse};
 use crate::admission::AdmittedTask;
 use crate::backlog::WaitReason;
 use crate::message::{
-    DeskNotice, DispatchCommand, RefusalReason, RunCertainty, RunReport, TaskVerdict,
+    DispatchCommand, DispatchNotice, RefusalReason, RunCertainty, RunReport, TaskVerdict,
 };
 use crate::task::{OpenTask, TaskRun};
 
-impl DispatchDesk {
+impl TaskScheduler {
     pub(super) fn end(
         &mut self,
         now: Instant,
@@ -89,7 +89,7 @@
             .workers
             .release_slot(now, &run.worker, &run.size, outcome)
         {
-            let notice = DeskNotice::WorkerEjected(run.worker.clone());
+            let notice = DispatchNotice::WorkerEjected(run.worker.clone());
             commands.push(DispatchCommand::Note(notice));
         }
         if let Some(permit) = run.permit.clone() {
@@ -118,11 +118,11 @@
         let at = now + pause;
         let is_spent = task.failures >= self.settings.retry.max_failures;
         let notice = if is_spent {
-            Some(DeskNotice::TaskGivenUp(id))
+            Some(DispatchNotice::TaskGivenUp(id))
         } else if at >= task.deadline {
             None
         } else if !self.budget.take(now) {
-            Some(DeskNotice::RetryRefused(id))
+            Some(DispatchNotice::RetryRefused(id))
         } else {
             self.tasks.insert(task);
             self.tasks.pause(id);
@@ -137,11 +137,11 @@
         let team = permit.team.clone();
         self.gate.give_back(now, permit);
         for pool in self.permit_waits.swap_remove(&team).unwrap_or_default() {
-            if let Some(desk) = self.pools.get_mut(&pool) {
+            if let Some(scheduler) = self.pools.get_mut(&pool) {
                 let team = Some(team.clone());
-                desk.backlog.release(&team, WaitReason::Permit);
-                desk.backlog.release(&team, WaitReason::RemotePermit);
-                desk.note_waiting(now, &team);
+                scheduler.backlog.release(&team, WaitReason::Permit);
+                scheduler.backlog.release(&team, WaitReason::RemotePermit);
+                scheduler.note_waiting(now, &team);
             }
             self.touched.insert(pool);
         }
--- a/crates/dispatch/src/desk/explain.rs
+++ b/crates/dispatch/src/scheduler/explain.rs
@@ -5,13 +5,13 @@
 use pw_place::prelude::*;
 use pw_pool::prelude::*;
 
-use super::DispatchDesk;
+use super::TaskScheduler;
 use crate::admission::AdmittedTask;
 use crate::backlog::WaitReason;
-use crate::pool_desk::PoolDesk;
+use crate::pool_scheduler::PoolScheduler;
 use crate::task::{OpenTask, TaskPhase};
 
-impl DispatchDesk {
+impl TaskScheduler {
     /// Returns why a task does not start; `None` when it runs or is not open.
     pub fn explain(&self, id: TaskId) -> Option<WaitReason> {
         let task = self.tasks.get(id)?;
@@ -39,7 +39,7 @@
         if let Some(reason) = held.and_then(|pool| pool.backlog.held(team)) {
             return reason;
         }
-        if held.is_some_and(PoolDesk::yields) {
+        if held.is_some_and(PoolScheduler::yields) {
             return WaitReason::Share;
         }
         match self.workers.roster(&queue.pool) {
--- a/crates/dispatch/src/desk/following.rs
+++ b/crates/dispatch/src/scheduler/following.rs
@@ -9,12 +9,12 @@
 use pw_pool::prelude::*;
 use pw_team::prelude::*;
 
-use super::DispatchDesk;
+use super::TaskScheduler;
 use crate::admission::{AdmissionRules, AdmittedTask};
 use crate::message::{DispatchCommand, RefusalReason};
-use crate::pool_desk::PoolDesk;
+use crate::pool_scheduler::PoolScheduler;
 
-impl DispatchDesk {
+impl TaskScheduler {
     pub(super) fn read_log(
         &mut self,
         now: Instant,
@@ -78,9 +78,9 @@
             if !self.pools.contains_key(&pool.id) {
                 let mut book = ShareBook::new(self.settings.share.clone());
                 book.set_shares(shares.iter().map(|(team, share)| (team, *share)));
-                let mut desk = PoolDesk::new(book);
-                desk.has_callers = has_callers(spec, &pool.id);
-                self.pools.insert(pool.id.clone(), desk);
+                let mut scheduler = PoolScheduler::new(book);
+                scheduler.has_callers = has_callers(spec, &pool.id);
+                self.pools.insert(pool.id.clone(), scheduler);
             }
         }
         self.readmit(now, commands);
--- a/crates/dispatch/src/desk/sharing.rs
+++ b/crates/dispatch/src/scheduler/sharing.rs
@@ -5,10 +5,10 @@
 use pw_team::prelude::*;
 use pw_worker::prelude::*;
 
-use super::{DispatchDesk, TEAM_SHARE_BYTES};
+use super::{TEAM_SHARE_BYTES, TaskScheduler};
 use crate::message::{DispatchCommand, PoolService, ShareReport};
 
-impl DispatchDesk {
+impl TaskScheduler {
     pub(super) fn note_usage(&mut self, reports: Vec<WorkerUsage>) {
         for report in reports {
             for usage in &report.tasks {
--- a/crates/dispatch/src/desk/submitting.rs
+++ b/crates/dispatch/src/scheduler/submitting.rs
@@ -6,13 +6,13 @@
 use pw_place::prelude::*;
 use pw_pool::prelude::*;
 
-use super::{DispatchDesk, WAIT_MARGIN, refuse};
+use super::{TaskScheduler, WAIT_MARGIN, refuse};
 use crate::admission::AdmittedTask;
 use crate::history::QueueHistory;
 use crate::message::{DispatchCommand, RefusalReason, TaskRequest};
 use crate::task::{OpenTask, TaskPhase};
 
-impl DispatchDesk {
+impl TaskScheduler {
     pub(super) fn submit(
         &mut self,
         now: Instant,
@@ -90,7 +90,7 @@
         Ok(())
     }
 
-    /// Takes a task that does not run out of the desk.
+    /// Takes a task that does not run out of the scheduler.
     pub(super) fn remove_waiting(&mut self, now: Instant, id: TaskId) -> Option<OpenTask> {
         let was_queued = self.tasks.is_waiting(id);
         let task = self.tasks.remove_waiting(id)?;
--- a/crates/dispatch/src/starting.rs
+++ b/crates/dispatch/src/starting.rs
@@ -1,4 +1,4 @@
-//! How the desk starts the tasks that can start.
+//! How the scheduler starts the tasks that can start.
 
 use std::time::Instant;
 
@@ -11,9 +11,9 @@
 
 use crate::admission::AdmittedTask;
 use crate::backlog::WaitReason;
-use crate::desk::DispatchDesk;
 use crate::history::QueueHistory;
 use crate::message::{DispatchCommand, RefusalReason, TaskRequest, TaskStart};
+use crate::scheduler::TaskScheduler;
 use crate::task::TaskRun;
 
 /// Part of the usual run time that has to be left before the deadline for a start to make sense.
@@ -33,7 +33,7 @@
     permit: Option<TaskPermit>,
 }
 
-impl DispatchDesk {
+impl TaskScheduler {
     /// Starts the tasks of the pools in which something has changed.
     pub(crate) fn start_ready(&mut self, now: Instant, commands: &mut Vec<DispatchCommand>) {
         while let Some(pool) = self.touched.pop() {
@@ -48,11 +48,11 @@
         pool: &PoolId,
         commands: &mut Vec<DispatchCommand>,
     ) -> bool {
-        let (Some(desk), Some(roster)) = (self.pools.get_mut(pool), self.workers.roster(pool))
+        let (Some(scheduler), Some(roster)) = (self.pools.get_mut(pool), self.workers.roster(pool))
         else {
             return false;
         };
-        if desk.backlog.waiting() == 0 || roster.is_closed() {
+        if scheduler.backlog.waiting() == 0 || roster.is_closed() {
             return false;
         }
         let tier = if roster.open(SlotTier::Known).count() > 0 {
@@ -60,13 +60,14 @@
         } else {
             SlotTier::Probe
         };
-        if tier == SlotTier::Probe && !desk.probes.allows(now) {
-            let end = desk.probes.ends();
+        if tier == SlotTier::Probe && !scheduler.probes.allows(now) {
+            let end = scheduler.probes.ends();
             self.look_again(pool, end.unwrap_or(now));
             return false;
         }
-        let Some((team, task)) = desk.next(now, &self.tasks, roster, &self.settings.lead) else {
-            if desk.yields() {
+        let Some((team, task)) = scheduler.next(now, &self.tasks, roster, &self.settings.lead)
+        else {
+            if scheduler.yields() {
                 self.look_again(pool, now + self.settings.lead.pause);
             }
             return false;
@@ -86,8 +87,8 @@
 
     /// Looks at the pool again at `at`, or earlier.
     fn look_again(&mut self, pool: &PoolId, at: Instant) {
-        if let Some(desk) = self.pools.get_mut(pool)
-            && desk.look_again(at)
+        if let Some(scheduler) = self.pools.get_mut(pool)
+            && scheduler.look_again(at)
         {
             self.pool_pauses.push(at, pool.clone());
         }
@@ -200,9 +201,9 @@
             let pools = self.permit_waits.entry(team.clone()).or_default();
             pools.insert(pool.clone());
         }
-        if let Some(desk) = self.pools.get_mut(pool) {
-            desk.backlog.hold(team, reason);
-            desk.note_waiting(now, team);
+        if let Some(scheduler) = self.pools.get_mut(pool) {
+            scheduler.backlog.hold(team, reason);
+            scheduler.note_waiting(now, team);
         }
     }
 
--- a/crates/dispatch/src/task.rs
+++ b/crates/dispatch/src/task.rs
@@ -1,4 +1,4 @@
-//! The tasks that a desk holds, waiting or running.
+//! The tasks that a scheduler holds, waiting or running.
 
 use std::time::Instant;
 
@@ -70,7 +70,7 @@
     }
 }
 
-/// All open tasks of a desk.
+/// All open tasks of a scheduler.
 #[derive(Debug, Default)]
 pub struct TaskTable {
     tasks: IndexMap<TaskId, OpenTask>,
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -1,4 +1,4 @@
-//! The desk under load: shares, overload, failing workers and outages.
+//! The scheduler under load: shares, overload, failing workers and outages.
 
 mod support;
 
@@ -126,7 +126,7 @@
     let mut run = LoadRun::new(small_fleet(8));
     run.submit(100, "deferred", "a");
     assert_eq!(run.running.len(), 14, "a tenth of 16 slots stays free");
-    assert_eq!(run.bench.desk.explain(100), Some(WaitReason::Reserve));
+    assert_eq!(run.bench.scheduler.explain(100), Some(WaitReason::Reserve));
     let request = run.bench.request("plain", Some("b"));
     let commands = run.bench.feed(DispatchEvent::TaskSubmitted(request));
     assert_eq!(starts(&commands).len(), 1);
@@ -145,7 +145,7 @@
     run.submit(1, "tight", "a");
     let deferred = 3;
     let mut waited = Duration::ZERO;
-    while run.bench.desk.explain(deferred).is_some() {
+    while run.bench.scheduler.explain(deferred).is_some() {
         run.submit(1, "plain", "a");
         run.step();
         waited += STEP;
@@ -161,7 +161,7 @@
     for _ in 0..600 {
         run.submit(4, "plain", "a");
         run.step();
-        worst = worst.max(run.bench.desk.waiting_tasks());
+        worst = worst.max(run.bench.scheduler.waiting_tasks());
     }
     assert!(run.refused > 1000, "refused {}", run.refused);
     // Eight slots start 8 tasks a second, so 60 s of them may wait; starts come in bursts, so the
@@ -202,9 +202,9 @@
 
 #[test]
 fn one_team_cannot_fill_the_backlog() {
-    let settings = DeskSettings {
+    let settings = SchedulerSettings {
         max_waiting: 100,
-        ..DeskSettings::default()
+        ..SchedulerSettings::default()
     };
     let mut bench = Bench::with_settings(small_fleet(1), settings);
     let refused = refusals(&bench.submit_many(200, "deferred", "a")).len();
@@ -304,7 +304,7 @@
     let started = starts(&commands).len();
     // 500 ms of 16 slots over the shares 3 and 1 is a lead of 2, and one task more may run.
     assert_eq!(started, 8);
-    assert_eq!(bench.desk.explain(16), Some(WaitReason::Share));
+    assert_eq!(bench.scheduler.explain(16), Some(WaitReason::Share));
     let mut later = 0;
     for _ in 0..40 {
         let commands = bench.advance(Duration::from_millis(10));
--- a/crates/dispatch/tests/promises.rs
+++ b/crates/dispatch/tests/promises.rs
@@ -1,4 +1,4 @@
-//! Each promise of the desk, with the failure that would break it.
+//! Each promise of the scheduler, with the failure that would break it.
 
 mod support;
 
@@ -36,7 +36,7 @@
     let task = starts(&running)[0].task;
     let commands = bench.end(task, RunReport::Answered);
     assert!(starts(&commands).is_empty(), "the new team's limit is 0");
-    assert_eq!(bench.desk.explain(3), Some(WaitReason::Permit));
+    assert_eq!(bench.scheduler.explain(3), Some(WaitReason::Permit));
 }
 
 #[test]
@@ -72,7 +72,7 @@
     let started = starts(&commands);
     assert_eq!(started.len(), 1);
     assert_eq!(&*started[0].worker, "w2");
-    assert_eq!(bench.desk.explain(2), Some(WaitReason::Slots));
+    assert_eq!(bench.scheduler.explain(2), Some(WaitReason::Slots));
     bench.spec.zones[0].status = ZoneStatus::InService;
     let commands = bench.apply();
     assert_eq!(&*starts(&commands)[0].worker, "w1");
@@ -83,7 +83,7 @@
     let mut bench = Bench::new(small_fleet(1));
     bench.list(InstanceState::Leaving);
     assert!(starts(&bench.submit("plain", "a")).is_empty());
-    assert_eq!(bench.desk.explain(1), Some(WaitReason::Zone));
+    assert_eq!(bench.scheduler.explain(1), Some(WaitReason::Zone));
     bench.feed(DispatchEvent::InstancesListed(Vec::new()));
     assert!(starts(&bench.submit("plain", "a")).is_empty());
     let commands = bench.list(InstanceState::Live);
@@ -104,13 +104,13 @@
         let commands = bench.submit("plain", "a");
         let task = starts(&commands)[0].task;
         assert!(starts(&bench.submit("plain", "a")).is_empty());
-        assert_eq!(bench.desk.explain(2), Some(WaitReason::Permit));
+        assert_eq!(bench.scheduler.explain(2), Some(WaitReason::Permit));
         let mut commands = bench.end(task, report);
         if held > Duration::ZERO {
             assert!(starts(&commands).is_empty(), "{report}");
             commands = bench.advance(held - Duration::from_millis(1));
             assert!(starts(&commands).is_empty(), "{report}");
-            assert!(bench.desk.next_deadline() <= Some(bench.now + Duration::from_millis(1)));
+            assert!(bench.scheduler.next_deadline() <= Some(bench.now + Duration::from_millis(1)));
             commands = bench.advance(Duration::from_millis(1));
         }
         let other = starts(&commands)
@@ -240,7 +240,7 @@
         commands.extend(bench.feed(DispatchEvent::TaskSubmitted(request)));
     }
     assert_eq!(starts(&commands).len(), 2, "one on each worker");
-    assert_eq!(bench.desk.explain(3), Some(WaitReason::Resources));
+    assert_eq!(bench.scheduler.explain(3), Some(WaitReason::Resources));
     let task = starts(&commands)[0].task;
     assert_eq!(starts(&bench.end(task, RunReport::Answered)).len(), 1);
 }
@@ -290,7 +290,10 @@
         assert_eq!(refused, vec![expected]);
     }
     assert_eq!(
-        (bench.desk.open_tasks(), bench.desk.waiting_tasks()),
+        (
+            bench.scheduler.open_tasks(),
+            bench.scheduler.waiting_tasks()
+        ),
         (2, 0)
     );
     assert!(starts(&bench.end(1, RunReport::Answered)).is_empty());
@@ -348,9 +351,9 @@
 #[test]
 fn fresh_reading_without_records_lets_waiting_tasks_ask_again() {
     let gate = Box::new(FreshGate::default());
-    let mut bench = Bench::with_gate(small_fleet(1), DeskSettings::default(), gate);
+    let mut bench = Bench::with_gate(small_fleet(1), SchedulerSettings::default(), gate);
     bench.advance(2 * SECOND);
     assert!(starts(&bench.submit("plain", "a")).is_empty());
-    assert_eq!(bench.desk.explain(1), Some(WaitReason::Permit));
+    assert_eq!(bench.scheduler.explain(1), Some(WaitReason::Permit));
     assert_eq!(starts(&bench.read(Vec::new())).len(), 1);
 }
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -1,4 +1,4 @@
-//! A desk on a virtual clock, with a small fleet around it.
+//! A scheduler on a virtual clock, with a small fleet around it.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,9 +17,9 @@
 /// Run timeout of the queues.
 pub const RUN_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// A desk, its clock and the starts that it has commanded.
+/// A scheduler, its clock and the starts that it has commanded.
 pub struct Bench {
-    pub desk: DispatchDesk,
+    pub scheduler: TaskScheduler,
     pub now: Instant,
     pub spec: FleetSpec,
     offset: LogOffset,
@@ -108,20 +108,24 @@
 
 impl Bench {
     pub fn new(spec: FleetSpec) -> Self {
-        Self::with_settings(spec, DeskSettings::default())
+        Self::with_settings(spec, SchedulerSettings::default())
     }
 
-    pub fn with_settings(spec: FleetSpec, settings: DeskSettings) -> Self {
+    pub fn with_settings(spec: FleetSpec, settings: SchedulerSettings) -> Self {
         Self::with_gate(spec, settings, Box::new(EvenSplit::new(1)))
     }
 
-    pub fn with_gate(spec: FleetSpec, settings: DeskSettings, gate: Box<dyn PermitGate>) -> Self {
-        let settings = DeskSettings {
+    pub fn with_gate(
+        spec: FleetSpec,
+        settings: SchedulerSettings,
+        gate: Box<dyn PermitGate>,
+    ) -> Self {
+        let settings = SchedulerSettings {
             home: "z1".into(),
             ..settings
         };
         let mut bench = Self {
-            desk: DispatchDesk::new(settings, gate),
+            scheduler: TaskScheduler::new(settings, gate),
             now: Instant::now(),
             spec,
             offset: 0,
@@ -133,7 +137,7 @@
     }
 
     pub fn feed(&mut self, event: DispatchEvent) -> Vec<DispatchCommand> {
-        self.desk.handle(self.now, event)
+        self.scheduler.handle(self.now, event)
     }
 
     pub fn advance(&mut self, step: Duration) -> Vec<DispatchCommand> {
@@ -148,7 +152,7 @@
             author: "operator".to_owned(),
             written: SystemTime::UNIX_EPOCH,
             body: RecordBody::Fleet(FleetProposal::whole(
-                self.desk.revision(),
+                self.scheduler.revision(),
                 Arc::new(self.spec.clone()),
             )),
         };
@@ -192,7 +196,7 @@
         }
     }
 
-    /// Submits one task and returns what the desk wants done.
+    /// Submits one task and returns what the scheduler wants done.
     pub fn submit(&mut self, queue: &str, key: &str) -> Vec<DispatchCommand> {
         let request = self.request(queue, Some(key));
         self.feed(DispatchEvent::TaskSubmitted(request))
--- a/crates/entry/src/admin_duty.rs
+++ b/crates/entry/src/admin_duty.rs
@@ -13,7 +13,7 @@
 use pw_link::prelude::*;
 use pw_ring::prelude::*;
 
-use crate::message::{DeskMessage, DeskStatus};
+use crate::message::{DispatchMessage, DispatchStatus};
 
 /// Longest wait for the dispatch duty's status.
 const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
@@ -24,14 +24,14 @@
 pub async fn run(
     listener: TcpListener,
     spawner: TaskSpawner,
-    desk: RingSender<DeskMessage>,
+    dispatch: RingSender<DispatchMessage>,
     phases: RingReceiver<ServePhase>,
 ) {
     // Only the first node of a process installs the recorder; further ones share it.
     let metrics = PrometheusBuilder::new().install_recorder().ok();
     let phase = Rc::new(Cell::default());
     let handler = Rc::new(AdminHandler {
-        desk,
+        dispatch,
         metrics,
         phase: Rc::clone(&phase),
     });
@@ -47,7 +47,7 @@
 
 #[derive(Clone)]
 struct AdminHandler {
-    desk: RingSender<DeskMessage>,
+    dispatch: RingSender<DispatchMessage>,
     metrics: Option<PrometheusHandle>,
     phase: Rc<Cell<ServePhase>>,
 }
@@ -101,9 +101,9 @@
         response
     }
 
-    async fn ask(&self) -> Option<DeskStatus> {
+    async fn ask(&self) -> Option<DispatchStatus> {
         let (reply, replies) = ring("status", 1);
-        self.desk.offer(DeskMessage::Report(reply)).ok()?;
+        self.dispatch.offer(DispatchMessage::Report(reply)).ok()?;
         let late = async {
             Timer::after(STATUS_TIMEOUT).await;
             None
--- a/crates/entry/src/backend_duty.rs
+++ b/crates/entry/src/backend_duty.rs
@@ -16,7 +16,7 @@
 use pw_worker::prelude::*;
 
 use crate::member_duty::MemberMessage;
-use crate::message::{BackendMessage, DeskMessage, RunResult};
+use crate::message::{BackendMessage, DispatchMessage, RunResult};
 
 /// Pause between two tries to stop a task whose end is not known.
 const STOP_PAUSE: Duration = Duration::from_millis(250);
@@ -32,7 +32,7 @@
     /// Name under which leases are taken until another one is set.
     pub holder: HolderId,
     /// Ring to the dispatch duty.
-    pub desk: RingSender<DeskMessage>,
+    pub dispatch: RingSender<DispatchMessage>,
 }
 
 /// Starts each run under a lease and reports its end, until all senders of `messages` are gone.
@@ -48,7 +48,7 @@
         gateway: Rc::from(links.gateway as Box<dyn BackendGateway>),
         clock: links.clock,
         holder: RefCell::new(links.holder),
-        desk: links.desk,
+        dispatch: links.dispatch,
         spawner,
         events,
         book: RefCell::default(),
@@ -84,7 +84,7 @@
     gateway: Rc<dyn BackendGateway>,
     clock: Arc<dyn ClockSource>,
     holder: RefCell<HolderId>,
-    desk: RingSender<DeskMessage>,
+    dispatch: RingSender<DispatchMessage>,
     spawner: TaskSpawner,
     events: RingSender<LeaseEvent>,
     book: RefCell<LeaseBook>,
@@ -170,8 +170,11 @@
         };
         self.runs.borrow_mut().sent.swap_remove(&task);
         self.notify(LeaseEvent::RunEnded(key)).await;
-        // Without a desk the node is stopping and nobody waits for the result.
-        _ = self.desk.send(DeskMessage::RunEnded { task, result }).await;
+        // Without a scheduler the node is stopping and nobody waits for the result.
+        _ = self
+            .dispatch
+            .send(DispatchMessage::RunEnded { task, result })
+            .await;
     }
 
     /// Stops a run whose outcome is lost until it certainly runs no more.
@@ -270,12 +273,14 @@
     }
 
     fn report_not_run(&self, tasks: Vec<TaskId>) {
-        let desk = self.desk.clone();
+        let dispatch = self.dispatch.clone();
         self.spawner.spawn(async move {
             for task in tasks {
                 let result = RunReport::NotRun.into();
-                // Without a desk the node is stopping and nobody waits for the result.
-                _ = desk.send(DeskMessage::RunEnded { task, result }).await;
+                // Without a scheduler the node is stopping and nobody waits for the result.
+                _ = dispatch
+                    .send(DispatchMessage::RunEnded { task, result })
+                    .await;
             }
         });
     }
--- a/crates/entry/src/caller_duty.rs
+++ b/crates/entry/src/caller_duty.rs
@@ -21,7 +21,7 @@
 
 use crate::caller_route::{CallerAction, find_route};
 use crate::message::{
-    CancelOrder, CancelOutcome, DeskMessage, IdempotencyMark, TaskReply, TaskSubmission,
+    CancelOrder, CancelOutcome, DispatchMessage, IdempotencyMark, TaskReply, TaskSubmission,
 };
 use crate::problem::{CallerProblem, RequestProblem};
 
@@ -51,14 +51,14 @@
     /// The clock.
     pub clock: Arc<dyn ClockSource>,
     /// Ring to the dispatch duty.
-    pub desk: RingSender<DeskMessage>,
+    pub dispatch: RingSender<DispatchMessage>,
 }
 
 /// Serves callers until the server has drained, or until the sender of `phases` is gone.
 pub async fn run(links: CallerLinks, spawner: TaskSpawner, phases: RingReceiver<ServePhase>) {
     let handler = CallerHandler {
         clock: links.clock,
-        desk: links.desk,
+        dispatch: links.dispatch,
         spawner: spawner.clone(),
     };
     let server = HttpServer {
@@ -75,14 +75,14 @@
 #[derive(Clone)]
 struct CallerHandler {
     clock: Arc<dyn ClockSource>,
-    desk: RingSender<DeskMessage>,
+    dispatch: RingSender<DispatchMessage>,
     spawner: TaskSpawner,
 }
 
-/// Tells the desk that the caller has gone when it is dropped before the reply.
+/// Tells the scheduler that the caller has gone when it is dropped before the reply.
 struct AbandonGuard {
     task: Option<TaskId>,
-    desk: RingSender<DeskMessage>,
+    dispatch: RingSender<DispatchMessage>,
     spawner: TaskSpawner,
 }
 
@@ -133,7 +133,11 @@
             idempotency,
             reply,
         };
-        if self.desk.offer(DeskMessage::Submit(submission)).is_err() {
+        if self
+            .dispatch
+            .offer(DispatchMessage::Submit(submission))
+            .is_err()
+        {
             let reason = RefusalReason::Overloaded;
             return Err(CallerProblem::of_task(task, reason, RunCertainty::NotRun));
         }
@@ -153,7 +157,7 @@
     fn guard(&self, task: TaskId) -> AbandonGuard {
         AbandonGuard {
             task: Some(task),
-            desk: self.desk.clone(),
+            dispatch: self.dispatch.clone(),
             spawner: self.spawner.clone(),
         }
     }
@@ -227,7 +231,7 @@
             key: key_of(http),
             reply,
         };
-        let offered = self.desk.offer(DeskMessage::Cancel(order)).is_ok();
+        let offered = self.dispatch.offer(DispatchMessage::Cancel(order)).is_ok();
         let outcomes = if offered { replies.recv().await } else { None };
         outcomes.ok_or_else(|| {
             let problem = CallerProblem::of_fault(RequestFault::TooManyConnections);
@@ -245,10 +249,10 @@
         let Some(task) = self.task.take() else {
             return;
         };
-        let desk = self.desk.clone();
+        let dispatch = self.dispatch.clone();
         self.spawner.spawn(async move {
-            // Without a desk the node is stopping and the task ends with it.
-            _ = desk.send(DeskMessage::Abandon(task)).await;
+            // Without a scheduler the node is stopping and the task ends with it.
+            _ = dispatch.send(DispatchMessage::Abandon(task)).await;
         });
     }
 }
--- a/crates/entry/src/dispatch_duty.rs
+++ b/crates/entry/src/dispatch_duty.rs
@@ -1,4 +1,4 @@
-//! The duty that runs the dispatch desk.
+//! The duty that runs the task scheduler.
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
@@ -15,7 +15,8 @@
 
 use crate::append_duty::AppendMessage;
 use crate::message::{
-    BackendMessage, CancelOrder, CancelOutcome, DeskMessage, DeskStatus, TaskReply, TaskSubmission,
+    BackendMessage, CancelOrder, CancelOutcome, DispatchMessage, DispatchStatus, TaskReply,
+    TaskSubmission,
 };
 use crate::peer_duty::PeerOrder;
 
@@ -28,8 +29,8 @@
     answer: Vec<u8>,
 }
 
-struct DeskShell {
-    desk: DispatchDesk,
+struct DispatchShell {
+    scheduler: TaskScheduler,
     clock: Arc<dyn ClockSource>,
     open: HashMap<TaskId, OpenTask>,
     requests: IdempotencyBook,
@@ -45,7 +46,7 @@
 /// What the duty decides with, and the rings to the other duties.
 pub struct DispatchLinks {
     /// Decides about the tasks.
-    pub desk: DispatchDesk,
+    pub scheduler: TaskScheduler,
     /// Knows the requests with an idempotency key.
     pub requests: IdempotencyBook,
     /// The clock.
@@ -58,10 +59,10 @@
     pub appends: RingSender<AppendMessage>,
 }
 
-/// Feeds the desk with messages and carries out its commands until all senders are gone.
-pub async fn run(links: DispatchLinks, messages: RingReceiver<DeskMessage>) {
-    let mut shell = DeskShell {
-        desk: links.desk,
+/// Feeds the scheduler with messages and carries out its commands until all senders are gone.
+pub async fn run(links: DispatchLinks, messages: RingReceiver<DispatchMessage>) {
+    let mut shell = DispatchShell {
+        scheduler: links.scheduler,
         clock: links.clock,
         open: HashMap::new(),
         requests: links.requests,
@@ -71,7 +72,7 @@
         holder: None,
         fresh_until: None,
     };
-    while let Ok(message) = messages.recv_until(shell.desk.next_deadline()).await {
+    while let Ok(message) = messages.recv_until(shell.scheduler.next_deadline()).await {
         match message {
             Some(message) => shell.take(message),
             None => shell.feed(DispatchEvent::TimePassed),
@@ -79,21 +80,21 @@
     }
 }
 
-impl DeskShell {
-    fn take(&mut self, message: DeskMessage) {
+impl DispatchShell {
+    fn take(&mut self, message: DispatchMessage) {
         match message {
-            DeskMessage::Submit(submission) => self.submit(submission),
-            DeskMessage::Abandon(task) => self.abandon(task),
-            DeskMessage::Cancel(order) => self.cancel(&order),
-            DeskMessage::RunEnded { task, result } => {
+            DispatchMessage::Submit(submission) => self.submit(submission),
+            DispatchMessage::Abandon(task) => self.abandon(task),
+            DispatchMessage::Cancel(order) => self.cancel(&order),
+            DispatchMessage::RunEnded { task, result } => {
                 if let Some(open) = self.open.get_mut(&task) {
                     open.answer = result.answer;
                 }
                 let report = result.report;
                 self.feed(DispatchEvent::TaskEnded { task, report });
             }
-            DeskMessage::Event(event) => self.feed(event),
-            DeskMessage::Report(reply) => _ = reply.offer(self.status()),
+            DispatchMessage::Event(event) => self.feed(event),
+            DispatchMessage::Report(reply) => _ = reply.offer(self.status()),
         }
     }
 
@@ -131,9 +132,9 @@
             return IdempotencyVerdict::Submit;
         }
         let shown = submission.request.key.as_ref();
-        let team = shown.and_then(|key| self.desk.team_of(key));
+        let team = shown.and_then(|key| self.scheduler.team_of(key));
         if shown.is_some() && team.is_none() {
-            // The desk refuses the key.
+            // The scheduler refuses the key.
             return IdempotencyVerdict::Submit;
         }
         let key = RequestKey {
@@ -176,7 +177,7 @@
     fn cancel(&mut self, order: &CancelOrder) {
         let key = order.key.as_ref();
         let outcomes = order.tasks.iter().map(|task| {
-            if !self.desk.may_cancel(*task, key) {
+            if !self.scheduler.may_cancel(*task, key) {
                 return CancelOutcome::Unknown;
             }
             self.feed(DispatchEvent::TaskAbandoned(*task));
@@ -187,11 +188,11 @@
         _ = order.reply.offer(outcomes);
     }
 
-    fn status(&self) -> DeskStatus {
-        DeskStatus {
-            revision: self.desk.revision(),
-            open_tasks: self.desk.open_tasks(),
-            waiting: self.desk.explain_all(),
+    fn status(&self) -> DispatchStatus {
+        DispatchStatus {
+            revision: self.scheduler.revision(),
+            open_tasks: self.scheduler.open_tasks(),
+            waiting: self.scheduler.explain_all(),
         }
     }
 
@@ -199,7 +200,7 @@
     ///
     /// What the ring has no room for is told with the next event.
     fn tell_backends(&mut self) {
-        let gate = self.desk.permit_gate();
+        let gate = self.scheduler.permit_gate();
         let holder = gate.member().cloned();
         if let Some(key) = holder.as_ref().filter(|_| holder != self.holder) {
             let message = BackendMessage::HolderChanged(key.to_string().into());
@@ -217,7 +218,7 @@
     }
 
     fn feed(&mut self, event: DispatchEvent) {
-        let mut commands = VecDeque::from(self.desk.handle(self.clock.now(), event));
+        let mut commands = VecDeque::from(self.scheduler.handle(self.clock.now(), event));
         self.tell_backends();
         while let Some(command) = commands.pop_front() {
             match command {
@@ -226,7 +227,7 @@
                     if !self.start(start) {
                         let report = RunReport::Busy;
                         let event = DispatchEvent::TaskEnded { task, report };
-                        commands.extend(self.desk.handle(self.clock.now(), event));
+                        commands.extend(self.scheduler.handle(self.clock.now(), event));
                     }
                 }
                 DispatchCommand::StopTask(task) => self.stop(task),
@@ -305,18 +306,18 @@
     });
 }
 
-/// Writes a notice of the desk to the log of events.
-fn note(notice: &DeskNotice) {
+/// Writes a notice of the scheduler to the log of events.
+fn note(notice: &DispatchNotice) {
     match notice {
-        DeskNotice::WorkerEjected(worker) => {
+        DispatchNotice::WorkerEjected(worker) => {
             let event = EventCode::WorkerEjected.number();
             tracing::warn!(event, %worker, "worker gets no tasks for a while");
         }
-        DeskNotice::TaskGivenUp(task) => {
+        DispatchNotice::TaskGivenUp(task) => {
             let event = EventCode::TaskGivenUp.number();
             tracing::warn!(event, task = format!("{task:032x}"), "task given up");
         }
-        DeskNotice::RetryRefused(task) => {
+        DispatchNotice::RetryRefused(task) => {
             let event = EventCode::RetryRefused.number();
             tracing::warn!(event, task = format!("{task:032x}"), "retry refused");
         }
--- a/crates/entry/src/instance_duty.rs
+++ b/crates/entry/src/instance_duty.rs
@@ -9,13 +9,13 @@
 use pw_ring::prelude::*;
 
 use crate::member_duty::MemberMessage;
-use crate::message::DeskMessage;
+use crate::message::DispatchMessage;
 
 /// Reads the list every `poll` and passes it on.
 pub async fn run(
     source: Box<dyn InstanceSource + Send>,
     poll: Duration,
-    desk: RingSender<DeskMessage>,
+    dispatch: RingSender<DispatchMessage>,
     members: RingSender<MemberMessage>,
 ) {
     loop {
@@ -24,7 +24,7 @@
                 // The next list says the same again.
                 _ = members.offer(MemberMessage::InstancesListed(list.clone()));
                 let event = DispatchEvent::InstancesListed(list);
-                if desk.send(DeskMessage::Event(event)).await.is_err() {
+                if dispatch.send(DispatchMessage::Event(event)).await.is_err() {
                     return;
                 }
             }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,6 +1,6 @@
 //! The entry daemon: one thread for each duty, joined by bounded rings.
 //!
-//! Decisions are made by the [`DispatchDesk`](pw_dispatch::desk::DispatchDesk) on the dispatch
+//! Decisions are made by the [`TaskScheduler`](pw_dispatch::scheduler::TaskScheduler) on the dispatch
 //! duty; the other duties turn sockets into events and commands into requests.
 
 pub mod admin_duty;
--- a/crates/entry/src/log_duty.rs
+++ b/crates/entry/src/log_duty.rs
@@ -10,7 +10,7 @@
 use pw_ring::prelude::*;
 
 use crate::member_duty::MemberMessage;
-use crate::message::DeskMessage;
+use crate::message::DispatchMessage;
 use crate::planner_duty::PlannerMessage;
 
 /// Longest wait of one read while the log has nothing new.
@@ -22,7 +22,7 @@
 #[derive(Debug, Clone)]
 pub struct LogReaders {
     /// Ring to the dispatch duty.
-    pub desk: RingSender<DeskMessage>,
+    pub dispatch: RingSender<DispatchMessage>,
     /// Ring to the member duty.
     pub members: RingSender<MemberMessage>,
     /// Ring to the planner duty, where there is one.
@@ -40,7 +40,7 @@
     fresh: Instant,
 }
 
-/// Passes what the log says on to the desks, with the time at which each read was sent.
+/// Passes what the log says on to the schedulers, with the time at which each read was sent.
 pub async fn run(
     store: Box<dyn LogStore + Send>,
     clock: Arc<dyn ClockSource>,
@@ -135,7 +135,7 @@
                 .await?;
         }
         let event = DispatchEvent::LogRead(reading.clone());
-        self.desk.send(DeskMessage::Event(event)).await?;
+        self.dispatch.send(DispatchMessage::Event(event)).await?;
         self.members.send(MemberMessage::LogRead(reading)).await
     }
 }
--- a/crates/entry/src/member_duty.rs
+++ b/crates/entry/src/member_duty.rs
@@ -44,11 +44,11 @@
     /// The clock.
     pub clock: Arc<dyn ClockSource>,
     /// Keeps the membership.
-    pub desk: MemberDesk,
+    pub monitor: MemberMonitor,
     /// Frees the floor permits of retired members.
-    pub reclaim: ReclaimDesk,
+    pub reclaim: PermitReclaimer,
     /// Publishes snapshots of the fold.
-    pub snapshots: SnapshotDesk,
+    pub snapshots: SnapshotPublisher,
     /// Ring to the append duty.
     pub appends: RingSender<AppendMessage>,
     /// Ring to the peers duty.
@@ -66,7 +66,7 @@
     departed: Option<RingSender<()>>,
 }
 
-/// Feeds the desks with messages and carries out their commands until all senders are gone.
+/// Feeds the monitors with messages and carries out their commands until all senders are gone.
 pub async fn run(links: MemberLinks, messages: RingReceiver<MemberMessage>) {
     let mut shell = MemberShell {
         links,
@@ -74,7 +74,7 @@
         backends: BTreeMap::new(),
         departed: None,
     };
-    let first = AppendMessage::ActAs(shell.links.desk.key().clone());
+    let first = AppendMessage::ActAs(shell.links.monitor.key().clone());
     if shell.links.appends.send(first).await.is_err() {
         return;
     }
@@ -85,7 +85,7 @@
 
 impl MemberShell {
     fn next_deadline(&self) -> Instant {
-        let member = self.links.desk.next_deadline();
+        let member = self.links.monitor.next_deadline();
         let reclaim = self.links.reclaim.next_deadline();
         reclaim.map_or(member, |reclaim| reclaim.min(member))
     }
@@ -95,7 +95,10 @@
         match message {
             Some(MemberMessage::LogRead(reading)) => self.read_log(now, &reading).await,
             Some(MemberMessage::PeerHeard(peer)) => {
-                let commands = self.links.desk.handle(now, MemberEvent::PeerHeard(&peer));
+                let commands = self
+                    .links
+                    .monitor
+                    .handle(now, MemberEvent::PeerHeard(&peer));
                 self.carry_out(commands).await;
             }
             Some(MemberMessage::InstancesListed(list)) => self.list_instances(list),
@@ -109,11 +112,11 @@
             }
             Some(MemberMessage::TasksEnded { departed }) => {
                 self.departed = Some(departed);
-                let commands = self.links.desk.handle(now, MemberEvent::TasksEnded);
+                let commands = self.links.monitor.handle(now, MemberEvent::TasksEnded);
                 self.carry_out(commands).await;
             }
             None => {
-                let commands = self.links.desk.handle(now, MemberEvent::TimePassed);
+                let commands = self.links.monitor.handle(now, MemberEvent::TimePassed);
                 self.carry_out(commands).await;
                 let commands = self.links.reclaim.handle(now, ReclaimEvent::TimePassed);
                 self.carry_out_reclaim(commands);
@@ -138,21 +141,21 @@
             members,
             next_offset,
         };
-        let commands = self.links.desk.handle(now, event);
+        let commands = self.links.monitor.handle(now, event);
         let event = ReclaimEvent::LogRead { permits, members };
         let reclaim = self.links.reclaim.handle(now, event);
         // The next reading brings the count again.
         _ = self.links.appends.offer(count);
         let snapshot = self.links.snapshots.read_log(
             now,
-            self.links.desk.key(),
+            self.links.monitor.key(),
             members,
             self.fold.snapshots(),
             self.fold.checkpoint(),
         );
         if let Some(proposal) = snapshot {
             let proposal = ControlProposal::Snapshot(proposal);
-            // A refused proposal is made again after the desk's retry time.
+            // A refused proposal is made again after the monitor's retry time.
             _ = self.links.appends.offer(AppendMessage::Propose(proposal));
         }
         self.carry_out(commands).await;
@@ -181,7 +184,7 @@
                     _ = self.links.appends.send(AppendMessage::ActAs(key)).await;
                 }
                 MemberCommand::Propose(proposal) => {
-                    // A refused proposal is made again after the desk's retry time.
+                    // A refused proposal is made again after the monitor's retry time.
                     let proposal = ControlProposal::Member(proposal);
                     _ = self.links.appends.offer(AppendMessage::Propose(proposal));
                 }
@@ -192,7 +195,7 @@
                     }
                 }
                 MemberCommand::SendHeartbeat(peers) => {
-                    let member = self.links.desk.key().clone();
+                    let member = self.links.monitor.key().clone();
                     // The next heartbeat is due soon.
                     let order = PeerOrder::SendHeartbeat { member, peers };
                     _ = self.links.peers.offer(order);
@@ -206,7 +209,7 @@
             match command {
                 ReclaimCommand::Propose(proposal) => {
                     let proposal = ControlProposal::Permit(proposal);
-                    // A refused proposal is made again after the desk's retry time.
+                    // A refused proposal is made again after the monitor's retry time.
                     _ = self.links.appends.offer(AppendMessage::Propose(proposal));
                 }
                 ReclaimCommand::FenceHolder { holder, worker } => {
@@ -217,7 +220,7 @@
                             holder,
                             reply,
                         };
-                        // A refused request is made again after the desk's retry time.
+                        // A refused request is made again after the monitor's retry time.
                         _ = self.links.backends.offer(message);
                     }
                 }
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -17,7 +17,7 @@
 
 /// Message to the dispatch duty.
 #[derive(Debug)]
-pub enum DeskMessage {
+pub enum DispatchMessage {
     /// A caller submitted a task.
     Submit(TaskSubmission),
     /// A caller has gone before the end of its task.
@@ -34,7 +34,7 @@
     /// An event that concerns no payload.
     Event(DispatchEvent),
     /// The admin duty wants the status.
-    Report(RingSender<DeskStatus>),
+    Report(RingSender<DispatchStatus>),
 }
 
 /// A task with all that its end needs.
@@ -128,7 +128,7 @@
 
 /// Status of the dispatch duty.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct DeskStatus {
+pub struct DispatchStatus {
     /// Revision of the configuration in force; 0 before the first one.
     pub revision: FleetRevision,
     /// Tasks that wait or run.
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -25,7 +25,7 @@
 use crate::dispatch_duty::DispatchLinks;
 use crate::log_duty::LogReaders;
 use crate::member_duty::{MemberLinks, MemberMessage};
-use crate::message::DeskMessage;
+use crate::message::DispatchMessage;
 use crate::peer_duty::PeerLinks;
 use crate::planner_duty::{PlannerLinks, PlannerMessage};
 use crate::settings::EntrySettings;
@@ -68,7 +68,7 @@
     clock: NodeClock,
     plan: ShutdownPlan,
     phases: Vec<RingSender<ServePhase>>,
-    desk: RingSender<DeskMessage>,
+    dispatch: RingSender<DispatchMessage>,
     members: RingSender<MemberMessage>,
     caller_end: RingReceiver<Infallible>,
     threads: NodeThreads,
@@ -116,7 +116,7 @@
         let peers = peer_listener.local_addr()?;
         let callers = caller_listener.local_addr()?;
         let admin = admin_listener.local_addr()?;
-        let (desk, desk_receiver) = ring("desk", settings.ring_capacity);
+        let (dispatch, dispatch_receiver) = ring("dispatch", settings.ring_capacity);
         let (runs, run_receiver) = ring("runs", settings.ring_capacity);
         let (proposals, proposal_receiver) = ring("appends", settings.ring_capacity);
         let (peer_orders, peer_receiver) = ring("peers", settings.ring_capacity);
@@ -140,7 +140,7 @@
         let mut threads = NodeThreads::new();
 
         let dispatch_links = DispatchLinks {
-            desk: new_desk(settings, &key),
+            scheduler: new_scheduler(settings, &key),
             requests: IdempotencyBook::new(settings.idempotency()),
             clock: Arc::clone(&clock),
             runs: runs.clone(),
@@ -148,14 +148,14 @@
             appends: proposals.clone(),
         };
         threads.spawn("dispatch", move |_| {
-            dispatch_duty::run(dispatch_links, desk_receiver)
+            dispatch_duty::run(dispatch_links, dispatch_receiver)
         })?;
 
         let backend_links = BackendLinks {
             gateway: backends,
             clock: Arc::clone(&clock),
             holder: key.to_string().into(),
-            desk: desk.clone(),
+            dispatch: dispatch.clone(),
         };
         threads.spawn("backends", move |spawner| {
             backend_duty::run(backend_links, spawner, run_receiver)
@@ -165,7 +165,7 @@
             .map(|control| start_planner(control, settings, &key, &clock, &proposals, &mut threads))
             .transpose()?;
         let readers = LogReaders {
-            desk: desk.clone(),
+            dispatch: dispatch.clone(),
             members: members.clone(),
             planner,
         };
@@ -183,9 +183,9 @@
 
         let member_links = MemberLinks {
             clock: Arc::clone(&clock),
-            reclaim: ReclaimDesk::new(key.process, RECLAIM_RETRY),
-            snapshots: SnapshotDesk::new(clock.now(), SnapshotSettings::default()),
-            desk: member_desk(clock.now(), key, settings, peers),
+            reclaim: PermitReclaimer::new(key.process, RECLAIM_RETRY),
+            snapshots: SnapshotPublisher::new(clock.now(), SnapshotSettings::default()),
+            monitor: member_monitor(clock.now(), key, settings, peers),
             appends: proposals,
             peers: peer_orders,
             backends: runs,
@@ -195,32 +195,37 @@
             member_duty::run(member_links, member_receiver)
         })?;
 
-        let (instance_desk, instance_members) = (desk.clone(), members.clone());
+        let (instance_dispatch, instance_members) = (dispatch.clone(), members.clone());
         let poll = settings.instance_poll;
         threads.spawn("instances", move |_| {
-            instance_duty::run(instances, poll, instance_desk, instance_members)
+            instance_duty::run(instances, poll, instance_dispatch, instance_members)
         })?;
 
         let peer_links = PeerLinks {
             listener: peer_listener,
             hello: PeerHello::new(settings.fleet.clone(), settings.entry.clone()),
-            desk: desk.clone(),
+            dispatch: dispatch.clone(),
             members: members.clone(),
         };
         threads.spawn("peers", move |spawner| {
             peer_duty::run(peer_links, spawner, peer_receiver)
         })?;
 
-        let admin_desk = desk.clone();
+        let admin_dispatch = dispatch.clone();
         threads.spawn("admin", move |spawner| {
-            admin_duty::run(admin_listener, spawner, admin_desk, admin_phase_receiver)
+            admin_duty::run(
+                admin_listener,
+                spawner,
+                admin_dispatch,
+                admin_phase_receiver,
+            )
         })?;
 
         let caller_links = CallerLinks {
             listener: caller_listener,
             bounds: settings.server_bounds(),
             clock: Arc::clone(&clock),
-            desk: desk.clone(),
+            dispatch: dispatch.clone(),
         };
         threads.spawn("callers", move |spawner| async move {
             caller_duty::run(caller_links, spawner, caller_phase_receiver).await;
@@ -233,7 +238,7 @@
             clock: NodeClock(clock),
             plan: ShutdownPlan::new(settings.shutdown()),
             phases: vec![admin_phases, caller_phases],
-            desk,
+            dispatch,
             members,
             caller_end,
             threads,
@@ -318,7 +323,12 @@
 
     async fn open_tasks(&self) -> usize {
         let (reply, replies) = ring("status", 1);
-        if self.desk.send(DeskMessage::Report(reply)).await.is_err() {
+        if self
+            .dispatch
+            .send(DispatchMessage::Report(reply))
+            .await
+            .is_err()
+        {
             return 0;
         }
         let status = replies.recv().await;
@@ -329,9 +339,9 @@
         let event = EventCode::EntryStopping;
         tracing::info!(event = event.number(), %phase, "shutdown goes on");
         if phase == ServePhase::Draining {
-            let event = DeskMessage::Event(DispatchEvent::ShutdownBegan);
-            // Without a desk there is no work left.
-            _ = self.desk.send(event).await;
+            let event = DispatchMessage::Event(DispatchEvent::ShutdownBegan);
+            // Without a scheduler there is no work left.
+            _ = self.dispatch.send(event).await;
         }
         for phases in &self.phases {
             // A duty that has ended needs no phase.
@@ -390,18 +400,18 @@
     }
 }
 
-fn new_desk(settings: &EntrySettings, key: &MemberKey) -> DispatchDesk {
-    let desk_settings = DeskSettings {
+fn new_scheduler(settings: &EntrySettings, key: &MemberKey) -> TaskScheduler {
+    let scheduler_settings = SchedulerSettings {
         entry: settings.entry.clone(),
         home: settings.zone.clone(),
-        ..DeskSettings::default()
+        ..SchedulerSettings::default()
     };
     let gate = PermitHolder::new(HolderSettings {
         process: key.process,
         zone: Arc::clone(&settings.zone),
         ..HolderSettings::default()
     });
-    DispatchDesk::new(desk_settings, Box::new(gate))
+    TaskScheduler::new(scheduler_settings, Box::new(gate))
 }
 
 fn machine_control(address: SocketAddr) -> Box<dyn MachineControl + Send> {
@@ -429,7 +439,7 @@
     };
     let links = PlannerLinks {
         clock: Arc::clone(clock),
-        desk: PlannerDesk::new(clock.now(), plan_settings),
+        planner: FleetPlanner::new(clock.now(), plan_settings),
         appends: appends.clone(),
         machines,
     };
@@ -443,12 +453,12 @@
     Ok(planner)
 }
 
-fn member_desk(
+fn member_monitor(
     now: Instant,
     key: MemberKey,
     settings: &EntrySettings,
     address: SocketAddr,
-) -> MemberDesk {
+) -> MemberMonitor {
     let spec = MemberSpec {
         zone: Arc::clone(&settings.zone),
         address,
@@ -458,5 +468,5 @@
         hold_down: hold_down(WORKER_LEASE_TTL),
         ..MemberSettings::default()
     };
-    MemberDesk::new(now, settings, key, spec)
+    MemberMonitor::new(now, settings, key, spec)
 }
--- a/crates/entry/src/peer_duty.rs
+++ b/crates/entry/src/peer_duty.rs
@@ -11,7 +11,7 @@
 use pw_ring::prelude::*;
 
 use crate::member_duty::MemberMessage;
-use crate::message::DeskMessage;
+use crate::message::DispatchMessage;
 
 /// Messages that may be under way to all peers together.
 const MAX_UNDER_WAY: usize = 1_024;
@@ -37,13 +37,13 @@
     /// What this entry instance says of itself.
     pub hello: PeerHello,
     /// Ring to the dispatch duty.
-    pub desk: RingSender<DeskMessage>,
+    pub dispatch: RingSender<DispatchMessage>,
     /// Ring to the members duty.
     pub members: RingSender<MemberMessage>,
 }
 
 struct PeerEars {
-    desk: RingSender<DeskMessage>,
+    dispatch: RingSender<DispatchMessage>,
     members: RingSender<MemberMessage>,
 }
 
@@ -57,7 +57,7 @@
 /// Hears peers and sends what it is ordered to until all senders of `orders` are gone.
 pub async fn run(links: PeerLinks, spawner: TaskSpawner, orders: RingReceiver<PeerOrder>) {
     let ears = PeerEars {
-        desk: links.desk,
+        dispatch: links.dispatch,
         members: links.members,
     };
     let server = PeerServer {
@@ -91,7 +91,7 @@
             }
             PeerMessage::Shares(report) => {
                 let event = DispatchEvent::SharesHeard(report);
-                _ = self.desk.offer(DeskMessage::Event(event));
+                _ = self.dispatch.offer(DispatchMessage::Event(event));
             }
         }
     }
--- a/crates/entry/src/planner_duty.rs
+++ b/crates/entry/src/planner_duty.rs
@@ -24,7 +24,7 @@
     /// The clock.
     pub clock: Arc<dyn ClockSource>,
     /// Plans.
-    pub desk: PlannerDesk,
+    pub planner: FleetPlanner,
     /// Ring to the append duty.
     pub appends: RingSender<AppendMessage>,
     /// Ring to the machines duty.
@@ -36,13 +36,13 @@
     fold: FleetFold,
 }
 
-/// Feeds the desk with messages and carries out its commands until all senders are gone.
+/// Feeds the planner with messages and carries out its commands until all senders are gone.
 pub async fn run(links: PlannerLinks, messages: RingReceiver<PlannerMessage>) {
     let mut shell = PlannerShell {
         links,
         fold: FleetFold::default(),
     };
-    let mut deadline = shell.links.desk.next_deadline();
+    let mut deadline = shell.links.planner.next_deadline();
     while let Ok(message) = messages.recv_until(Some(deadline)).await {
         match message {
             Some(PlannerMessage::LogRead(reading)) => shell.read_log(&reading),
@@ -51,7 +51,7 @@
             }
             None => shell.pass_time(),
         }
-        deadline = shell.links.desk.next_deadline();
+        deadline = shell.links.planner.next_deadline();
     }
 }
 
@@ -64,7 +64,7 @@
         let now = self.links.clock.now();
         let pools = self.fold.pools();
         let event = PlanEvent::LogRead { asked, pools };
-        let commands = self.links.desk.handle(now, event);
+        let commands = self.links.planner.handle(now, event);
         self.carry_out(commands);
     }
 
@@ -73,16 +73,16 @@
         let wall = self.links.clock.wall();
         let pools = self.fold.pools();
         let event = PlanEvent::TimePassed { wall, pools };
-        let commands = self.links.desk.handle(now, event);
+        let commands = self.links.planner.handle(now, event);
         self.carry_out(commands);
     }
 
     fn feed(&mut self, event: PlanEvent<'_>) {
-        let commands = self.links.desk.handle(self.links.clock.now(), event);
+        let commands = self.links.planner.handle(self.links.clock.now(), event);
         self.carry_out(commands);
     }
 
-    /// Passes the commands on; what a full ring refuses, the desk wants again.
+    /// Passes the commands on; what a full ring refuses, the planner wants again.
     fn carry_out(&self, commands: Vec<PlanCommand>) {
         for command in commands {
             match command {
--- a/crates/entry/tests/backend_duty.rs
+++ b/crates/entry/tests/backend_duty.rs
@@ -7,7 +7,7 @@
 use pw_base::prelude::*;
 use pw_dispatch::prelude::*;
 use pw_entry::backend_duty::{self, BackendLinks};
-use pw_entry::message::{BackendMessage, DeskMessage};
+use pw_entry::message::{BackendMessage, DispatchMessage};
 use pw_link::lease_wire::FenceReply;
 use pw_link::prelude::*;
 use pw_ring::prelude::*;
@@ -115,13 +115,13 @@
 /// Sends `starts` runs, one after the other, and returns their reports.
 fn reports(gateway: &FakeGateway, starts: usize) -> Vec<RunReport> {
     let (runs, run_receiver) = ring("runs", 8);
-    let (desk, desk_receiver) = ring("desk", 8);
+    let (dispatch, desk_receiver) = ring("dispatch", 8);
     let clock = ManualClock::default();
     let links = BackendLinks {
         gateway: Box::new(gateway.clone()),
         clock: Arc::new(clock.clone()),
         holder: "entry-1".into(),
-        desk,
+        dispatch,
     };
     let duty = DutyThread::spawn("backends", move |spawner| {
         backend_duty::run(links, spawner, run_receiver)
@@ -133,7 +133,7 @@
     let reports = (0..starts).map(|_| {
         runs.offer(start()).expect("room");
         match async_io::block_on(desk_receiver.recv()) {
-            Some(DeskMessage::RunEnded { task: TASK, result }) => result.report,
+            Some(DispatchMessage::RunEnded { task: TASK, result }) => result.report,
             other => panic!("{other:?}"),
         }
     });
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -25,7 +25,7 @@
         ControlBatch, ControlProposal, FleetProposal, FleetUpdate, LogRecord, RecordBody,
     };
     pub use crate::snapshot::{
-        FoldImage, SnapshotDesk, SnapshotProposal, SnapshotReject, SnapshotSeeker,
+        FoldImage, SnapshotProposal, SnapshotPublisher, SnapshotReject, SnapshotSeeker,
         SnapshotSettings, SnapshotState,
     };
     pub use crate::store::{LogBatch, LogEntry, LogError, LogStore};
--- a/crates/log/src/snapshot.rs
+++ b/crates/log/src/snapshot.rs
@@ -186,14 +186,14 @@
 
 /// Decides when this member marks, publishes and confirms.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct SnapshotDesk {
+pub struct SnapshotPublisher {
     settings: SnapshotSettings,
     state: SnapshotState,
     since: Instant,
     proposed: Option<Instant>,
 }
 
-/// Times of a snapshot desk.
+/// Times of a snapshot publisher.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct SnapshotSettings {
     /// Time between two marks; a small part of the time that the log keeps its records.
@@ -214,8 +214,8 @@
     }
 }
 
-impl SnapshotDesk {
-    /// Creates a desk that has read nothing yet.
+impl SnapshotPublisher {
+    /// Creates a publisher that has read nothing yet.
     pub fn new(now: Instant, settings: SnapshotSettings) -> Self {
         Self {
             settings,
--- a/crates/log/tests/limits/world.rs
+++ b/crates/log/tests/limits/world.rs
@@ -81,10 +81,10 @@
 pub struct Entry {
     pub process: ProcessId,
     pub fold: FleetFold,
-    pub member: MemberDesk,
+    pub member: MemberMonitor,
     pub holder: PermitHolder,
     pub batcher: AppendBatcher,
-    pub reclaim: ReclaimDesk,
+    pub reclaim: PermitReclaimer,
     /// Lease number with the time until which its holder uses it.
     pub grants: BTreeMap<(usize, LeaseName), (LeaseNumber, Instant)>,
     pub paused_until: Instant,
@@ -152,10 +152,10 @@
         Self {
             process,
             fold: FleetFold::default(),
-            member: MemberDesk::new(now, settings, key, spec),
+            member: MemberMonitor::new(now, settings, key, spec),
             holder: PermitHolder::new(holder),
             batcher,
-            reclaim: ReclaimDesk::new(process, Duration::from_secs(2)),
+            reclaim: PermitReclaimer::new(process, Duration::from_secs(2)),
             grants: BTreeMap::new(),
             paused_until: now,
             cut_until: now,
--- a/crates/member/src/desk.rs
+++ b/crates/member/src/monitor.rs
@@ -12,7 +12,7 @@
 /// Turns that members take so that one of them speaks for all.
 const STAGGER_TURNS: u32 = 8;
 
-/// Times of a member desk.
+/// Times of a member monitor.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct MemberSettings {
     /// Time between two heartbeats to each peer.
@@ -32,7 +32,7 @@
 
 /// Keeps one entry instance a member and watches its peers.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct MemberDesk {
+pub struct MemberMonitor {
     settings: MemberSettings,
     key: MemberKey,
     spec: MemberSpec,
@@ -64,7 +64,7 @@
     proposed: Option<Instant>,
 }
 
-/// What happened outside the desk.
+/// What happened outside the monitor.
 #[derive(Debug, Clone, Copy)]
 pub enum MemberEvent<'a> {
     /// The log was read to its end.
@@ -82,7 +82,7 @@
     TimePassed,
 }
 
-/// What the desk wants done.
+/// What the monitor wants done.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum MemberCommand {
     /// Act as this member from now on; proposals of an earlier incarnation are obsolete.
@@ -142,8 +142,8 @@
     }
 }
 
-impl MemberDesk {
-    /// Creates the desk of a member that has not joined yet.
+impl MemberMonitor {
+    /// Creates the monitor of a member that has not joined yet.
     pub fn new(now: Instant, settings: MemberSettings, key: MemberKey, spec: MemberSpec) -> Self {
         Self {
             settings,
@@ -185,7 +185,7 @@
         commands
     }
 
-    /// Returns when the desk wants [`MemberEvent::TimePassed`] at the latest.
+    /// Returns when the monitor wants [`MemberEvent::TimePassed`] at the latest.
     pub fn next_deadline(&self) -> Instant {
         let turn = self.turn;
         self.peers
--- a/crates/member/tests/desk.rs
+++ b/crates/member/tests/monitor.rs
@@ -8,7 +8,7 @@
 const STEP: Duration = Duration::from_millis(100);
 
 struct Member {
-    desk: MemberDesk,
+    monitor: MemberMonitor,
     running: bool,
     departed: bool,
 }
@@ -38,7 +38,7 @@
                 format: 1,
             };
             Member {
-                desk: MemberDesk::new(now, MemberSettings::default(), key, spec),
+                monitor: MemberMonitor::new(now, MemberSettings::default(), key, spec),
                 running: true,
                 departed: false,
             }
@@ -76,7 +76,7 @@
         } else {
             MemberEvent::TimePassed
         };
-        let commands = self.members[index].desk.handle(self.now, event);
+        let commands = self.members[index].monitor.handle(self.now, event);
         for command in commands {
             self.carry_out(index, command);
         }
@@ -85,7 +85,7 @@
     fn hear(&mut self, index: usize, peer: &MemberKey) {
         if self.members[index].running {
             let event = MemberEvent::PeerHeard(peer);
-            let commands = self.members[index].desk.handle(self.now, event);
+            let commands = self.members[index].monitor.handle(self.now, event);
             for command in commands {
                 self.carry_out(index, command);
             }
@@ -93,7 +93,7 @@
     }
 
     fn carry_out(&mut self, index: usize, command: MemberCommand) {
-        let key = self.members[index].desk.key().clone();
+        let key = self.members[index].monitor.key().clone();
         match command {
             MemberCommand::Propose(proposal) => {
                 assert!(self.log_up, "no proposal from stale knowledge");
@@ -140,7 +140,12 @@
     fleet.heartbeats = false;
     fleet.run(Duration::from_secs(60));
     assert_eq!(fleet.ledger.len(), 9);
-    assert!(fleet.members.iter().all(|m| m.desk.key().incarnation == 1));
+    assert!(
+        fleet
+            .members
+            .iter()
+            .all(|m| m.monitor.key().incarnation == 1)
+    );
     // Two records for each member and silence, and the nine joins.
     assert!(fleet.appends <= 9 + 2 * 9 * 20, "{} appends", fleet.appends);
 }
@@ -170,7 +175,10 @@
     let mut fleet = Fleet::new(3);
     fleet.run(Duration::from_secs(2));
     let now = fleet.now;
-    for command in fleet.members[1].desk.handle(now, MemberEvent::TasksEnded) {
+    for command in fleet.members[1]
+        .monitor
+        .handle(now, MemberEvent::TasksEnded)
+    {
         fleet.carry_out(1, command);
     }
     assert_eq!(fleet.ledger.len(), 2);
--- a/crates/model/src/permit/member.rs
+++ b/crates/model/src/permit/member.rs
@@ -40,11 +40,11 @@
     /// Fold of the log.
     pub fold: Rc<FleetFold>,
     /// Membership decisions.
-    pub desk: MemberDesk,
+    pub monitor: MemberMonitor,
     /// Permit decisions.
     pub holder: PermitHolder,
     /// Fencing decisions.
-    pub reclaim: ReclaimDesk,
+    pub reclaim: PermitReclaimer,
     /// Tasks that hold a permit.
     pub tasks: Vec<HeldTask>,
     /// Number of the last batch that was appended under the own key.
@@ -97,9 +97,9 @@
         };
         Self {
             fold: Rc::default(),
-            desk: MemberDesk::new(now, members, key, spec),
+            monitor: MemberMonitor::new(now, members, key, spec),
             holder: PermitHolder::new(permits),
-            reclaim: ReclaimDesk::new(process, TICK),
+            reclaim: PermitReclaimer::new(process, TICK),
             tasks: Vec::new(),
             sequence: 0,
             taken: 0,
@@ -126,9 +126,9 @@
             members,
             next_offset: self.fold.state().next_offset,
         };
-        let commands = self.desk.handle(now, event);
+        let commands = self.monitor.handle(now, event);
         let trusting = settings.mistaken(PermitMistake::SuspectedUsesFloat);
-        let seen = trusting.then(|| without_suspicion(members, self.desk.key()));
+        let seen = trusting.then(|| without_suspicion(members, self.monitor.key()));
         let seen = seen.as_ref().unwrap_or(members);
         self.holder.observe(now, fresh, self.fold.permits(), seen);
         let (team, waiting) = demand;
@@ -144,7 +144,7 @@
 
     /// Hears a heartbeat of another member.
     pub fn hear(&mut self, now: Instant, peer: &MemberKey) -> MemberOutput {
-        let commands = self.desk.handle(now, MemberEvent::PeerHeard(peer));
+        let commands = self.monitor.handle(now, MemberEvent::PeerHeard(peer));
         self.output(now, commands, Vec::new())
     }
 
@@ -162,7 +162,7 @@
         };
         let member = MemberKey {
             incarnation: permit.incarnation,
-            ..self.desk.key().clone()
+            ..self.monitor.key().clone()
         };
         self.taken += 1;
         let process = member.process;
@@ -237,7 +237,7 @@
 
     fn batch(&mut self, proposals: Vec<ControlProposal>) -> LogRecord {
         self.sequence += 1;
-        let author = self.desk.key().clone();
+        let author = self.monitor.key().clone();
         LogRecord {
             id: (author.process << 64) | u128::from(self.sequence),
             author: author.to_string(),
--- a/crates/model/src/permit/world.rs
+++ b/crates/model/src/permit/world.rs
@@ -86,9 +86,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct MemberState {
     next_offset: LogOffset,
-    desk: MemberDesk,
+    monitor: MemberMonitor,
     holder: PermitHolder,
-    reclaim: ReclaimDesk,
+    reclaim: PermitReclaimer,
     tasks: Vec<HeldTask>,
     sequence: RecordSequence,
 }
@@ -228,7 +228,7 @@
             return;
         }
         let now = self.instant(self.now);
-        let key = self.members[peer].desk.key().clone();
+        let key = self.members[peer].monitor.key().clone();
         let output = self.members[member].hear(now, &key);
         self.carry_out(member, output);
     }
@@ -250,7 +250,7 @@
 
     /// Returns the lease that `member` uses now for `kind`.
     fn lease_holder(&self, member: usize, kind: PermitKind) -> LeaseHolder {
-        let member = self.members[member].desk.key().clone();
+        let member = self.members[member].monitor.key().clone();
         LeaseHolder { member, kind }
     }
 
@@ -462,7 +462,7 @@
     fn key(&self) -> PermitKey {
         let members = self.members.iter().map(|node| MemberState {
             next_offset: node.fold.state().next_offset,
-            desk: node.desk.clone(),
+            monitor: node.monitor.clone(),
             holder: node.holder.clone(),
             reclaim: node.reclaim.clone(),
             tasks: node.tasks.clone(),
--- a/crates/place/src/picker.rs
+++ b/crates/place/src/picker.rs
@@ -1,4 +1,4 @@
-//! The border between the dispatch desk and the way in which a worker is chosen.
+//! The border between the task scheduler and the way in which a worker is chosen.
 
 use std::time::Instant;
 
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -1,15 +1,15 @@
 //! Plans moves and maintenance of worker instances.
 //!
-//! [`PlannerDesk`](desk::PlannerDesk) takes `(now, event)` and returns commands. Every entry
+//! [`FleetPlanner`](planner::FleetPlanner) takes `(now, event)` and returns commands. Every entry
 //! instance runs one; the pool ledger's term says whose proposals count. It plans from the folded
 //! state alone, so a planner that takes over goes on where the one before it stopped.
 
 pub mod buffer;
-pub mod desk;
 pub mod follow;
 pub mod machine;
 pub mod maintenance;
 pub mod message;
+pub mod planner;
 pub mod room;
 pub mod seat;
 pub mod settings;
@@ -18,10 +18,10 @@
 /// The names that most users of this crate need.
 pub mod prelude {
     pub use crate::buffer::{BufferNeed, shared_buffer};
-    pub use crate::desk::PlannerDesk;
     pub use crate::machine::{
         ChangeCursor, MachineAction, MachineChanges, MachineOrder, MachineReport, MachineState,
     };
     pub use crate::message::{PlanCommand, PlanEvent};
+    pub use crate::planner::FleetPlanner;
     pub use crate::settings::PlanSettings;
 }
--- a/crates/plan/src/message.rs
+++ b/crates/plan/src/message.rs
@@ -1,4 +1,4 @@
-//! Events that the planner desk takes and commands that it gives.
+//! Events that the planner takes and commands that it gives.
 
 use std::time::{Instant, SystemTime};
 
@@ -6,7 +6,7 @@
 
 use crate::machine::{ChangeCursor, MachineChanges, MachineOrder};
 
-/// What happened outside the desk.
+/// What happened outside the planner.
 #[derive(Debug, Clone)]
 pub enum PlanEvent<'a> {
     /// The log was read to its end and folded.
@@ -27,7 +27,7 @@
     },
 }
 
-/// What the desk wants done.
+/// What the planner wants done.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PlanCommand {
     /// Append a proposal to the log.
--- a/crates/plan/src/desk.rs
+++ b/crates/plan/src/planner.rs
@@ -21,7 +21,7 @@
 /// What it wants follows from the pool ledger and the machines alone. Proposals and orders that
 /// are lost come again, and those that come twice or late have no effect.
 #[derive(Debug)]
-pub struct PlannerDesk {
+pub struct FleetPlanner {
     settings: PlanSettings,
     seat: SeatKeeper,
     watch: MachineWatch,
@@ -51,8 +51,8 @@
     sent: Instant,
 }
 
-impl PlannerDesk {
-    /// Creates a desk that has read nothing yet.
+impl FleetPlanner {
+    /// Creates a planner that has read nothing yet.
     pub fn new(now: Instant, settings: PlanSettings) -> Self {
         Self {
             seat: SeatKeeper::new(now, &settings),
@@ -89,7 +89,7 @@
         }
     }
 
-    /// Returns when the desk wants [`PlanEvent::TimePassed`] at the latest.
+    /// Returns when the planner wants [`PlanEvent::TimePassed`] at the latest.
     pub fn next_deadline(&self) -> Instant {
         self.next_tick
     }
@@ -118,8 +118,8 @@
     }
 }
 
-/// What the desk remembers between ticks.
-impl PlannerDesk {
+/// What the planner remembers between ticks.
+impl FleetPlanner {
     fn note_zones(&mut self, now: Instant, pools: &PoolLedger) {
         let out = pools.zones().filter(|(_, zone)| !zone.is_in_service());
         let noted = out.map(|(id, zone)| {
@@ -177,7 +177,7 @@
 }
 
 /// Readings of machines and orders to them.
-impl PlannerDesk {
+impl FleetPlanner {
     /// Asks for the next reading unless one is under way, so that readings stay in order.
     fn read_machines(&mut self, now: Instant) -> Option<PlanCommand> {
         let waits = self
@@ -226,7 +226,7 @@
 }
 
 /// Proposals.
-impl PlannerDesk {
+impl FleetPlanner {
     fn wave(&mut self, now: Instant, wall: SystemTime, pools: &PoolLedger) -> Option<PlanCommand> {
         let wave = pools.wave();
         let next_wave = wave.opened + self.settings.wave_period;
--- a/crates/plan/src/settings.rs
+++ b/crates/plan/src/settings.rs
@@ -1,4 +1,4 @@
-//! Settings of a planner desk.
+//! Settings of a planner.
 
 use std::time::Duration;
 
@@ -8,7 +8,7 @@
 const MINUTE: Duration = Duration::from_secs(60);
 const DAY: Duration = Duration::from_secs(24 * 60 * 60);
 
-/// Settings of a planner desk.
+/// Settings of a planner.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct PlanSettings {
--- a/crates/plan/tests/planner.rs
+++ b/crates/plan/tests/planner.rs
@@ -40,7 +40,7 @@
 /// What disturbs a wave.
 struct Trouble {
     name: &'static str,
-    desks: usize,
+    planners: usize,
     begin: fn(&mut FakeFleet),
     end: fn(&mut FakeFleet),
 }
@@ -51,40 +51,40 @@
     let troubles = [
         Trouble {
             name: "orders are lost",
-            desks: 1,
+            planners: 1,
             begin: |fleet| fleet.lose_orders = 2,
             end: nothing,
         },
         Trouble {
             name: "appends are lost",
-            desks: 1,
+            planners: 1,
             begin: |fleet| fleet.lose_appends = 2,
             end: nothing,
         },
         Trouble {
             name: "the log is down",
-            desks: 2,
+            planners: 2,
             begin: |fleet| fleet.log_up = false,
             end: |fleet| fleet.log_up = true,
         },
         Trouble {
             name: "the planner vanishes",
-            desks: 2,
-            begin: |fleet| _ = fleet.desks[0].take(),
+            planners: 2,
+            begin: |fleet| _ = fleet.planners[0].take(),
             end: nothing,
         },
         Trouble {
             name: "the planner vanishes while orders are lost",
-            desks: 2,
+            planners: 2,
             begin: |fleet| {
                 fleet.lose_orders = 3;
-                fleet.desks[0].take();
+                fleet.planners[0].take();
             },
             end: nothing,
         },
         Trouble {
             name: "a budget is lowered to nothing and raised again",
-            desks: 1,
+            planners: 1,
             begin: |fleet| {
                 fleet.pools[0].max_unavailable = 0;
                 fleet.apply();
@@ -97,12 +97,12 @@
     ];
     for Trouble {
         name,
-        desks,
+        planners,
         begin,
         end,
     } in troubles
     {
-        let mut fleet = FakeFleet::new(desks);
+        let mut fleet = FakeFleet::new(planners);
         fleet.pass(3 * MINUTE);
         begin(&mut fleet);
         fleet.pass(5 * MINUTE);
@@ -124,12 +124,12 @@
     let late = fleet.think(0);
     let reboots = |command: &PlanCommand| matches!(command, PlanCommand::Order(order) if order.action == MachineAction::Reboot);
     assert!(late.iter().any(reboots), "{late:?}");
-    let paused = fleet.desks[0].take();
+    let paused = fleet.planners[0].take();
     fleet.run_until(12 * HOUR, wave_done);
     assert_eq!(fleet.ledger.planner().holder.as_deref(), Some("entry-1"));
     let before = fleet.ledger.clone();
     fleet.carry_out(late);
-    fleet.desks[0] = paused;
+    fleet.planners[0] = paused;
     assert_eq!(
         fleet.ledger.instances().collect::<Vec<_>>(),
         before.instances().collect::<Vec<_>>()
--- a/crates/plan/tests/support/mod.rs
+++ b/crates/plan/tests/support/mod.rs
@@ -1,4 +1,4 @@
-//! A small fleet with made-up machines, a log that can be lost, and planner desks, in virtual time.
+//! A small fleet with made-up machines, a log that can be lost, and planner planners, in virtual time.
 
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant, SystemTime};
@@ -48,8 +48,8 @@
     pub ledger: PoolLedger,
     /// Machines by worker.
     pub machines: IndexMap<WorkerId, FakeMachine>,
-    /// Planner desks; `None` where one is paused or gone.
-    pub desks: Vec<Option<PlannerDesk>>,
+    /// Planner planners; `None` where one is paused or gone.
+    pub planners: Vec<Option<FleetPlanner>>,
     /// Whether the log can be read and appended to.
     pub log_up: bool,
     /// Loses one order in as many; 0 loses none.
@@ -133,7 +133,7 @@
 impl FakeFleet {
     /// Creates pools `cutting` and `quotes` of 8 and the spare pool `office` of 4, in two zones
     /// with racks of 5, each machine busy for up to two minutes.
-    pub fn new(desks: usize) -> Self {
+    pub fn new(planners: usize) -> Self {
         let start = Instant::now();
         let pools: Vec<PoolSpec> = [
             ("cutting", 8, false),
@@ -174,7 +174,7 @@
             pools,
             ledger: PoolLedger::default(),
             machines: machines.collect(),
-            desks: Vec::new(),
+            planners: Vec::new(),
             log_up: true,
             lose_orders: 0,
             lose_appends: 0,
@@ -184,8 +184,8 @@
             orders: 0,
             start,
         };
-        fleet.desks = (0..desks)
-            .map(|number| Some(PlannerDesk::new(start, fleet.settings(number))))
+        fleet.planners = (0..planners)
+            .map(|number| Some(FleetPlanner::new(start, fleet.settings(number))))
             .collect();
         fleet.apply();
         fleet
@@ -251,22 +251,22 @@
             self.machines
                 .values_mut()
                 .for_each(|machine| machine.pass_time(now));
-            for number in 0..self.desks.len() {
+            for number in 0..self.planners.len() {
                 let commands = self.think(number);
                 self.carry_out(commands);
             }
         }
     }
 
-    /// Lets one desk think and returns what it wants, without doing it.
+    /// Lets one planner think and returns what it wants, without doing it.
     pub fn think(&mut self, number: usize) -> Vec<PlanCommand> {
-        let Some(mut desk) = self.desks[number].take() else {
+        let Some(mut planner) = self.planners[number].take() else {
             return Vec::new();
         };
         let now = self.now;
         let pools = &self.ledger;
         if self.log_up {
-            desk.handle(now, PlanEvent::LogRead { asked: now, pools });
+            planner.handle(now, PlanEvent::LogRead { asked: now, pools });
         }
         let machines = self.machines.iter().map(|(worker, machine)| MachineReport {
             worker: worker.clone(),
@@ -276,14 +276,14 @@
         });
         let machines = machines.collect();
         let changes = MachineChanges { next: 0, machines };
-        desk.handle(now, PlanEvent::MachinesRead(changes));
+        planner.handle(now, PlanEvent::MachinesRead(changes));
         let wall = SystemTime::UNIX_EPOCH + Duration::from_secs(1 << 30) + (now - self.start);
-        let commands = desk.handle(now, PlanEvent::TimePassed { wall, pools });
-        self.desks[number] = Some(desk);
+        let commands = planner.handle(now, PlanEvent::TimePassed { wall, pools });
+        self.planners[number] = Some(planner);
         commands
     }
 
-    /// Does what a desk wants.
+    /// Does what a planner wants.
     pub fn carry_out(&mut self, commands: Vec<PlanCommand>) {
         for command in commands {
             match command {
--- a/examples/line_front_end.rs
+++ b/examples/line_front_end.rs
@@ -21,9 +21,9 @@
     let queues: Vec<String> = open.iter().map(|queue| queue.id.to_string()).collect();
     let mut gate = EvenSplit::new(1);
     gate.set_teams(&fleet.teams);
-    let mut desk = DispatchDesk::new(DeskSettings::default(), Box::new(gate));
-    desk.handle(now, DispatchEvent::InstancesListed(live_instances(&fleet)));
-    desk.handle(now, DispatchEvent::LogRead(reading(now, fleet)));
+    let mut scheduler = TaskScheduler::new(SchedulerSettings::default(), Box::new(gate));
+    scheduler.handle(now, DispatchEvent::InstancesListed(live_instances(&fleet)));
+    scheduler.handle(now, DispatchEvent::LogRead(reading(now, fleet)));
     let lines = queues.iter().map(String::as_str).chain(LINES);
     for (id, line) in (1..).zip(lines) {
         let request = TaskRequest {
@@ -34,7 +34,7 @@
             size: ResourceSize::default(),
         };
         println!("> {line}");
-        for command in desk.handle(now, DispatchEvent::TaskSubmitted(request)) {
+        for command in scheduler.handle(now, DispatchEvent::TaskSubmitted(request)) {
             println!("{command:?}");
         }
     }
