--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,7 +1,7 @@
 //! Arguments and life cycle of the entry daemon.
 
 use std::fs;
-use std::io::{self, Write};
+use std::io::{self, IsTerminal, Write};
 
 use anyhow::{Context, anyhow, bail};
 use argh::FromArgs;
@@ -68,7 +68,9 @@
 }
 
 fn start_log(format: LogFormat) {
-    let log = tracing_subscriber::fmt().with_writer(io::stderr);
+    let log = tracing_subscriber::fmt()
+        .with_writer(io::stderr)
+        .with_ansi(io::stderr().is_terminal());
     match format {
         LogFormat::Text => log.init(),
         LogFormat::Json => log.json().init(),
--- a/crates/standin/src/daemon.rs
+++ b/crates/standin/src/daemon.rs
@@ -1,6 +1,6 @@
 //! Arguments and life cycle of the stand-ins' process.
 
-use std::io::Write;
+use std::io::{self, IsTerminal, Write};
 use std::net::SocketAddr;
 
 use anyhow::Context;
@@ -86,15 +86,16 @@
 /// Fails when the address can't be bound.
 pub fn run_standin(args: StandinArgs) -> anyhow::Result<()> {
     tracing_subscriber::fmt()
-        .with_writer(std::io::stderr)
+        .with_writer(io::stderr)
+        .with_ansi(io::stderr().is_terminal())
         .init();
     let address = start_service(args.service).context("stand-in can't start")?;
     tracing::info!(event = EventCode::StandinStarted.number(), %address, "stand-in listens");
-    writeln!(std::io::stdout(), "listening {address}")?;
+    writeln!(io::stdout(), "listening {address}")?;
     wait_for_signal()
 }
 
-fn start_service(service: ServiceChoice) -> std::io::Result<SocketAddr> {
+fn start_service(service: ServiceChoice) -> io::Result<SocketAddr> {
     Ok(match service {
         ServiceChoice::Log(args) => LogService::start(args.listen)?.address(),
         ServiceChoice::Instances(args) => {
