Check the bounds of the planner's settings

Cause: a tick of 0 s was accepted, and the planner would then never have slept; the name and the seed of the planner stood among the settings although the instance replaces both. Change: the planner's settings have bounds like the others; name and seed are no settings. Measured: the new test fails without the bounds and passes with them.

--- a/crates/entry/src/settings_check.rs
+++ b/crates/entry/src/settings_check.rs
@@ -27,13 +27,13 @@
 }
 
 macro_rules! setting_rules {
-    ($($key:ident: $bound:literal, $holds:expr;)*) => {
+    ($($key:ident $(. $inner:ident)?: $bound:literal, $holds:expr;)*) => {
         /// Bounds of the settings that have one.
         pub const SETTING_RULES: &[SettingRule] = &[
             $(SettingRule {
-                key: stringify!($key),
+                key: concat!(stringify!($key) $(, ".", stringify!($inner))?),
                 bound: $bound,
-                holds: |settings| ($holds)(&settings.$key),
+                holds: |settings| ($holds)(&settings.$key $(.$inner)?),
             },)*
         ];
     };
@@ -59,6 +59,17 @@
     idempotency_bytes: "0 to 1073741824", |bytes: &usize| *bytes <= 1 << 30;
     balancer_lag: "0s to 10m", |time: &Duration| within(*time, 0, 600_000);
     shutdown_timeout: "1s to 1h", |time: &Duration| within(*time, 1_000, 3_600_000);
+    planner.tick: "10ms to 1h", |time: &Duration| within(*time, 10, 3_600_000);
+    planner.takeover_timeout: "1s to 1h", |time: &Duration| within(*time, 1_000, 3_600_000);
+    planner.takeover_spread: "0s to 1h", |time: &Duration| within(*time, 0, 3_600_000);
+    planner.beat_interval: "100ms to 1h", |time: &Duration| within(*time, 100, 3_600_000);
+    planner.reading_validity: "1s to 1h", |time: &Duration| within(*time, 1_000, 3_600_000);
+    planner.step_timeout: "100ms to 1h", |time: &Duration| within(*time, 100, 3_600_000);
+    planner.order_timeout: "100ms to 1h", |time: &Duration| within(*time, 100, 3_600_000);
+    planner.max_steps: "1 to 4096", |count: &usize| (1..=4_096).contains(count);
+    planner.max_maintenance_percent: "1 to 100", |percent: &usize| (1..=100).contains(percent);
+    planner.admit_percent: "1 to 100", |percent: &usize| (1..=100).contains(percent);
+    planner.admit_interval: "0s to 1h", |time: &Duration| within(*time, 0, 3_600_000);
 }
 
 /// Reads and checks the settings file `text`; `file` names it in the findings.
@@ -109,9 +120,13 @@
     }
 
     fn check_bound(&mut self, offset: usize, key: &str, settings: &EntrySettings) {
-        let broken = |rule: &&SettingRule| rule.key == key && !(rule.holds)(settings);
-        if let Some(rule) = SETTING_RULES.iter().find(broken) {
-            let message = format!("{key} is outside {}", rule.bound);
+        let is_inner = |rule: &SettingRule| {
+            let inner = rule.key.strip_prefix(key);
+            inner.is_some_and(|inner| inner.is_empty() || inner.starts_with('.'))
+        };
+        let broken = |rule: &&SettingRule| is_inner(rule) && !(rule.holds)(settings);
+        for rule in SETTING_RULES.iter().filter(broken) {
+            let message = format!("{} is outside {}", rule.key, rule.bound);
             self.add(offset, BOUND_CODE, &message);
         }
     }
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -89,6 +89,18 @@
     assert_eq!(rows, expected.collect::<Vec<_>>());
 }
 
+#[test]
+fn bounds_of_the_planner_are_checked() {
+    let text = "[planner]\ntick = \"0s\"\nmax_steps = 0\n";
+    let findings = check_settings("entry.toml", text).expect_err("findings");
+    let messages: Vec<_> = findings.iter().map(|finding| &*finding.message).collect();
+    let expected = [
+        "planner.max_steps is outside 1 to 4096",
+        "planner.tick is outside 10ms to 1h",
+    ];
+    assert_eq!(messages, expected);
+}
+
 #[test]
 fn shipped_settings_are_clean() {
     let text = include_str!("../../../examples/settings/entry.toml");
--- a/crates/plan/src/settings.rs
+++ b/crates/plan/src/settings.rs
@@ -12,9 +12,11 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct PlanSettings {
-    /// Name of the entry instance.
+    /// Name of the entry instance; not part of the file, as it is the instance's own.
+    #[serde(skip)]
     pub entry: EntryId,
-    /// Seed of the spread of takeovers.
+    /// Seed of the spread of takeovers; not part of the file.
+    #[serde(skip)]
     pub seed: u64,
     /// Time between two looks at the plan.
     #[serde(with = "humantime_serde")]
