Name the planner's role, election and heartbeat, and a worker's assignment, by the field's terms

Cause: seats and beats were words of our own. Change: PlannerRole, PlannerElection, PoolProposal::Heartbeat, heartbeat_interval, PoolAssignment. No behaviour changes, but the setting planner.beat_interval is now planner.heartbeat_interval.

--- a/benches/benches/placement.rs
+++ b/benches/benches/placement.rs
@@ -58,11 +58,11 @@
     let mut table = WorkerTable::new(TableSettings::default());
     table.set_fleet(now, &spec);
     for worker in &spec.workers {
-        let seat = PoolSeat {
+        let assignment = PoolAssignment {
             pool: "pool".into(),
             may_start: true,
         };
-        table.set_seat(now, &worker.id, seat);
+        table.assign(now, &worker.id, assignment);
     }
     let instances = spec.workers.iter().map(|worker| InstanceEntry {
         worker: worker.id.clone(),
--- a/crates/dispatch/src/scheduler/following.rs
+++ b/crates/dispatch/src/scheduler/following.rs
@@ -47,11 +47,11 @@
             .instances()
             .filter(|instance| instance.changed >= since);
         for instance in changed {
-            let seat = PoolSeat {
+            let assignment = PoolAssignment {
                 pool: instance.pool.clone(),
                 may_start: pools.may_start(&instance.worker),
             };
-            if self.workers.set_seat(now, &instance.worker, seat) {
+            if self.workers.assign(now, &instance.worker, assignment) {
                 self.touched.insert(instance.pool.clone());
             }
         }
--- a/crates/entry/src/planner_duty.rs
+++ b/crates/entry/src/planner_duty.rs
@@ -1,4 +1,4 @@
-//! The duty that plans moves and maintenance while this entry instance holds the planner's seat.
+//! The duty that plans moves and maintenance while this entry instance holds the planner role.
 
 use std::sync::Arc;
 
--- a/crates/entry/src/settings_check.rs
+++ b/crates/entry/src/settings_check.rs
@@ -62,7 +62,7 @@
     planner.tick: "10ms to 1h", |time: &Duration| within(*time, 10, 3_600_000);
     planner.takeover_timeout: "1s to 1h", |time: &Duration| within(*time, 1_000, 3_600_000);
     planner.takeover_spread: "0s to 1h", |time: &Duration| within(*time, 0, 3_600_000);
-    planner.beat_interval: "100ms to 1h", |time: &Duration| within(*time, 100, 3_600_000);
+    planner.heartbeat_interval: "100ms to 1h", |time: &Duration| within(*time, 100, 3_600_000);
     planner.reading_validity: "1s to 1h", |time: &Duration| within(*time, 1_000, 3_600_000);
     planner.step_timeout: "100ms to 1h", |time: &Duration| within(*time, 100, 3_600_000);
     planner.order_timeout: "100ms to 1h", |time: &Duration| within(*time, 100, 3_600_000);
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -13,7 +13,7 @@
 
 /// The names that most users of this crate need.
 pub mod prelude {
-    pub use crate::membership::{PoolMembership, PoolSeat};
+    pub use crate::membership::{PoolAssignment, PoolMembership};
     pub use crate::picker::{PickRequest, RoundRobin, WorkerPicker};
     pub use crate::record::{RunOutcome, SlotTier, WorkerRecord};
     pub use crate::roster::{OpenWorkers, PoolRoster};
--- a/crates/place/src/membership.rs
+++ b/crates/place/src/membership.rs
@@ -6,12 +6,12 @@
 /// Pool of each worker; a worker is in at most one.
 #[derive(Debug, Clone, Default)]
 pub struct PoolMembership {
-    seats: IndexMap<WorkerId, PoolSeat>,
+    assignments: IndexMap<WorkerId, PoolAssignment>,
 }
 
 /// Place of a worker in its pool.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PoolSeat {
+pub struct PoolAssignment {
     /// Pool that the worker is in.
     pub pool: PoolId,
     /// Whether tasks may start there; not while it drains, reboots or changes pools.
@@ -20,26 +20,26 @@
 
 impl PoolMembership {
     /// Returns the place of `worker`.
-    pub fn seat(&self, worker: &str) -> Option<&PoolSeat> {
-        self.seats.get(worker)
+    pub fn assignment(&self, worker: &str) -> Option<&PoolAssignment> {
+        self.assignments.get(worker)
     }
 
     /// Returns the pool of `worker`.
     pub fn pool_of(&self, worker: &str) -> Option<&PoolId> {
-        Some(&self.seat(worker)?.pool)
+        Some(&self.assignment(worker)?.pool)
     }
 
     /// Puts `worker` into its one place; returns whether that changes anything.
-    pub fn set_seat(&mut self, worker: &WorkerId, seat: PoolSeat) -> bool {
-        if self.seat(worker) == Some(&seat) {
+    pub fn assign(&mut self, worker: &WorkerId, assignment: PoolAssignment) -> bool {
+        if self.assignment(worker) == Some(&assignment) {
             return false;
         }
-        self.seats.insert(worker.clone(), seat);
+        self.assignments.insert(worker.clone(), assignment);
         true
     }
 
     /// Keeps only the workers of which `is_known` says so.
     pub fn retain(&mut self, is_known: impl Fn(&WorkerId) -> bool) {
-        self.seats.retain(|worker, _| is_known(worker));
+        self.assignments.retain(|worker, _| is_known(worker));
     }
 }
--- a/crates/place/src/table.rs
+++ b/crates/place/src/table.rs
@@ -10,7 +10,7 @@
 use pw_worker::prelude::*;
 use pw_zone::prelude::*;
 
-use crate::membership::{PoolMembership, PoolSeat};
+use crate::membership::{PoolAssignment, PoolMembership};
 use crate::record::{RosterEntry, RunOutcome, WorkerRecord};
 use crate::roster::PoolRoster;
 
@@ -108,8 +108,8 @@
     }
 
     /// Puts `worker` into its pool; returns whether that changes anything.
-    pub fn set_seat(&mut self, now: Instant, worker: &WorkerId, seat: PoolSeat) -> bool {
-        let is_changed = self.membership.set_seat(worker, seat);
+    pub fn assign(&mut self, now: Instant, worker: &WorkerId, assignment: PoolAssignment) -> bool {
+        let is_changed = self.membership.assign(worker, assignment);
         if is_changed {
             self.refresh(now, worker);
         }
@@ -287,10 +287,10 @@
             return;
         };
         let in_service = self.zones.get(&record.spec.zone) == Some(&ZoneStatus::InService);
-        let wanted = self.membership.seat(id).map(|seat| {
-            let is_usable = in_service && seat.may_start && record.is_live();
+        let wanted = self.membership.assignment(id).map(|assignment| {
+            let is_usable = in_service && assignment.may_start && record.is_live();
             RosterEntry {
-                pool: seat.pool.clone(),
+                pool: assignment.pool.clone(),
                 slots: if is_usable { record.spec.slots } else { 0 },
                 tier: record.tier(now).filter(|_| is_usable),
                 is_ejected: record.health.is_ejected(now),
--- a/crates/place/tests/table.rs
+++ b/crates/place/tests/table.rs
@@ -11,8 +11,8 @@
 
 const SLOTS: u32 = 2;
 
-fn seat(pool: &str, may_start: bool) -> PoolSeat {
-    PoolSeat {
+fn assignment(pool: &str, may_start: bool) -> PoolAssignment {
+    PoolAssignment {
         pool: pool.into(),
         may_start,
     }
@@ -51,7 +51,7 @@
     table.set_fleet(now, &spec);
     table.set_instances(now, instances.into());
     for worker in names {
-        table.set_seat(now, &worker.into(), seat("p", true));
+        table.assign(now, &worker.into(), assignment("p", true));
     }
     table
 }
@@ -68,13 +68,13 @@
     let mut table = table(now);
     let (worker, size) = (WorkerId::from("w1"), ResourceSize::default());
     table.take_slot(now, &worker, &size);
-    assert!(table.set_seat(now, &worker, seat("p", false)));
+    assert!(table.assign(now, &worker, assignment("p", false)));
     assert_eq!(open(&table, "p", SlotTier::Known), 1);
     let roster = table.roster("p").expect("roster");
     assert_eq!((roster.slots(), roster.in_flight()), (SLOTS, 1));
     table.release_slot(now, &worker, &size, RunOutcome::Done { pace: 1.0 });
     assert_eq!(open(&table, "p", SlotTier::Known), 1);
-    table.set_seat(now, &worker, seat("p", true));
+    table.assign(now, &worker, assignment("p", true));
     assert_eq!(open(&table, "p", SlotTier::Known), 2);
 }
 
@@ -84,7 +84,7 @@
     let mut table = table(now);
     let (worker, size) = (WorkerId::from("w1"), ResourceSize::default());
     table.take_slot(now, &worker, &size);
-    table.set_seat(now, &worker, seat("q", true));
+    table.assign(now, &worker, assignment("q", true));
     for (pool, members, in_flight) in [("p", 1, 0), ("q", 1, 1)] {
         let roster = table.roster(pool).expect("roster");
         assert_eq!(
--- a/crates/plan/src/seat.rs
+++ b/crates/plan/src/election.rs
@@ -9,9 +9,9 @@
 
 use crate::settings::PlanSettings;
 
-/// Follows the planner's seat in the pool ledger.
+/// Decides when this entry instance claims the planner role.
 #[derive(Debug)]
-pub struct SeatKeeper {
+pub struct PlannerElection {
     random: SmallRng,
     known: Option<(PlannerTerm, LogOffset)>,
     heard: Instant,
@@ -20,8 +20,8 @@
     sent: Option<Instant>,
 }
 
-impl SeatKeeper {
-    /// Creates a keeper that has read nothing yet.
+impl PlannerElection {
+    /// Creates an election that has read nothing yet.
     pub fn new(now: Instant, settings: &PlanSettings) -> Self {
         Self {
             random: SmallRng::seed_from_u64(settings.seed),
@@ -38,11 +38,11 @@
         &mut self,
         now: Instant,
         asked: Instant,
-        seat: &PlannerSeat,
+        role: &PlannerRole,
         settings: &PlanSettings,
     ) {
         self.fresh = self.fresh.max(Some(asked));
-        let known = Some((seat.term, seat.heard));
+        let known = Some((role.term, role.heard));
         if self.known != known {
             self.known = known;
             self.heard = now;
@@ -52,22 +52,22 @@
         }
     }
 
-    /// Returns whether the seat was read lately enough to act on it.
+    /// Returns whether the role was read lately enough to act on it.
     pub fn is_fresh(&self, now: Instant, settings: &PlanSettings) -> bool {
         self.fresh
             .is_some_and(|asked| now < asked + settings.reading_validity)
     }
 
     /// Returns whether this entry instance plans.
-    pub fn holds(&self, now: Instant, seat: &PlannerSeat, settings: &PlanSettings) -> bool {
-        self.is_fresh(now, settings) && seat.holder.as_ref() == Some(&settings.entry)
+    pub fn holds(&self, now: Instant, role: &PlannerRole, settings: &PlanSettings) -> bool {
+        self.is_fresh(now, settings) && role.holder.as_ref() == Some(&settings.entry)
     }
 
     /// Returns the claim or the heartbeat that is due.
     pub fn due(
         &mut self,
         now: Instant,
-        seat: &PlannerSeat,
+        role: &PlannerRole,
         settings: &PlanSettings,
     ) -> Option<PoolProposal> {
         if !self.is_fresh(now, settings) {
@@ -78,19 +78,19 @@
             return None;
         }
         let silence = now.saturating_duration_since(self.heard);
-        let holds = self.holds(now, seat, settings);
+        let holds = self.holds(now, role, settings);
         let due = if holds {
-            silence >= settings.beat_interval
-        } else if seat.holder.is_none() {
+            silence >= settings.heartbeat_interval
+        } else if role.holder.is_none() {
             silence >= self.wait
         } else {
             silence >= settings.takeover_timeout + self.wait
         };
         due.then(|| {
             self.sent = Some(now);
-            let term = seat.term;
+            let term = role.term;
             if holds {
-                PoolProposal::Beat { term }
+                PoolProposal::Heartbeat { term }
             } else {
                 let holder = settings.entry.clone();
                 PoolProposal::Claim { base: term, holder }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -5,13 +5,13 @@
 //! state alone, so a planner that takes over goes on where the one before it stopped.
 
 pub mod buffer;
+pub mod election;
 pub mod follow;
 pub mod machine;
 pub mod maintenance;
 pub mod message;
 pub mod planner;
 pub mod room;
-pub mod seat;
 pub mod settings;
 pub mod watch;
 
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -1,4 +1,4 @@
-//! The decision object that plans while it holds the planner's seat.
+//! The decision object that plans while it holds the planner role.
 
 use std::time::{Instant, SystemTime};
 
@@ -7,23 +7,23 @@
 use pw_pool::prelude::*;
 
 use crate::buffer::BorrowPolicy;
+use crate::election::PlannerElection;
 use crate::follow::InstanceFacts;
 use crate::machine::{MachineAction, MachineOrder};
 use crate::maintenance::WaveRoute;
 use crate::message::{PlanCommand, PlanEvent};
 use crate::room::PoolRooms;
-use crate::seat::SeatKeeper;
 use crate::settings::PlanSettings;
 use crate::watch::MachineWatch;
 
-/// Plans moves and maintenance while its entry instance holds the planner's seat.
+/// Plans moves and maintenance while its entry instance holds the planner role.
 ///
 /// What it wants follows from the pool ledger and the machines alone. Proposals and orders that
 /// are lost come again, and those that come twice or late have no effect.
 #[derive(Debug)]
 pub struct FleetPlanner {
     settings: PlanSettings,
-    seat: SeatKeeper,
+    election: PlannerElection,
     watch: MachineWatch,
     route: WaveRoute,
     borrow: BorrowPolicy,
@@ -55,7 +55,7 @@
     /// Creates a planner that has read nothing yet.
     pub fn new(now: Instant, settings: PlanSettings) -> Self {
         Self {
-            seat: SeatKeeper::new(now, &settings),
+            election: PlannerElection::new(now, &settings),
             settings,
             watch: MachineWatch::default(),
             route: WaveRoute::default(),
@@ -77,7 +77,8 @@
     pub fn handle(&mut self, now: Instant, event: PlanEvent<'_>) -> Vec<PlanCommand> {
         match event {
             PlanEvent::LogRead { asked, pools } => {
-                self.seat.read(now, asked, pools.planner(), &self.settings);
+                self.election
+                    .read(now, asked, pools.planner(), &self.settings);
                 Vec::new()
             }
             PlanEvent::MachinesRead(changes) => {
@@ -103,7 +104,7 @@
         self.note_zones(now, pools);
         self.note_failures(now, pools);
         let mut commands = Vec::new();
-        let holds = self.seat.holds(now, pools.planner(), &self.settings);
+        let holds = self.election.holds(now, pools.planner(), &self.settings);
         if holds {
             commands.extend(self.read_machines(now));
         }
@@ -112,8 +113,8 @@
             commands.extend(self.wave(now, wall, pools));
             commands.extend(self.steps(now, pools));
         }
-        let seat = self.seat.due(now, pools.planner(), &self.settings);
-        commands.extend(seat.map(PlanCommand::Propose));
+        let proposal = self.election.due(now, pools.planner(), &self.settings);
+        commands.extend(proposal.map(PlanCommand::Propose));
         commands
     }
 }
--- a/crates/plan/src/settings.rs
+++ b/crates/plan/src/settings.rs
@@ -29,7 +29,7 @@
     pub takeover_spread: Duration,
     /// Longest silence of a planner that has nothing to propose.
     #[serde(with = "humantime_serde")]
-    pub beat_interval: Duration,
+    pub heartbeat_interval: Duration,
     /// Age of the last reading of the log past which the planner does nothing.
     #[serde(with = "humantime_serde")]
     pub reading_validity: Duration,
@@ -79,7 +79,7 @@
             tick: Duration::from_secs(2),
             takeover_timeout: Duration::from_secs(30),
             takeover_spread: Duration::from_secs(10),
-            beat_interval: Duration::from_secs(10),
+            heartbeat_interval: Duration::from_secs(10),
             reading_validity: Duration::from_secs(10),
             step_timeout: Duration::from_secs(5),
             order_timeout: Duration::from_secs(5),
--- a/crates/pool/src/ledger.rs
+++ b/crates/pool/src/ledger.rs
@@ -30,7 +30,7 @@
     members: IndexMap<PoolId, IndexSet<WorkerId>>,
     rack_tallies: IndexMap<RackKey, DomainTally>,
     zone_tallies: IndexMap<ZoneId, DomainTally>,
-    planner: PlannerSeat,
+    planner: PlannerRole,
     wave: WaveState,
     last_rejected: IndexMap<WorkerId, RejectedStep>,
 }
@@ -48,7 +48,7 @@
 
 /// Who plans.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PlannerSeat {
+pub struct PlannerRole {
     /// Term of the planner; 0 before the first claim.
     pub term: PlannerTerm,
     /// Entry instance that plans; `None` before the first claim.
@@ -233,7 +233,7 @@
     }
 
     /// Returns who plans.
-    pub fn planner(&self) -> &PlannerSeat {
+    pub fn planner(&self) -> &PlannerRole {
         &self.planner
     }
 
@@ -270,7 +270,7 @@
     pub fn advance(&mut self, offset: LogOffset, proposal: &PoolProposal) -> PoolVerdict {
         let accepted = match proposal {
             PoolProposal::Claim { base, holder } => self.claim(*base, holder),
-            PoolProposal::Beat { term } => self.check_term(*term),
+            PoolProposal::Heartbeat { term } => self.check_term(*term),
             PoolProposal::OpenWave { term, wave, opened } => self
                 .check_term(*term)
                 .and_then(|()| self.open_wave(*wave, *opened)),
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod prelude {
     pub use crate::budget::{DomainTally, PoolBudget, RackKey};
     pub use crate::instance::{DrainPurpose, InstancePhase, PhaseKind, PoolInstance};
-    pub use crate::ledger::{DeclaredFleet, PlannerSeat, PoolLedger, RejectedStep, WaveState};
+    pub use crate::ledger::{DeclaredFleet, PlannerRole, PoolLedger, RejectedStep, WaveState};
     pub use crate::proposal::{
         PoolChange, PoolProposal, PoolRejection, PoolStep, PoolVerdict, StepRejection,
     };
--- a/crates/pool/src/proposal.rs
+++ b/crates/pool/src/proposal.rs
@@ -20,7 +20,7 @@
         holder: EntryId,
     },
     /// The planner is alive.
-    Beat {
+    Heartbeat {
         /// Term of the planner.
         term: PlannerTerm,
     },
