--- a/crates/pool/src/spec.rs
+++ b/crates/pool/src/spec.rs
@@ -32,7 +32,7 @@
     pub id: QueueId,
     /// Pool that serves the queue.
     pub pool: PoolId,
-    /// Whether callers wait for the answer.
+    /// How urgent its tasks are.
     #[serde(default)]
     pub kind: QueueKind,
     /// Whether tasks need no key.
@@ -49,14 +49,14 @@
     pub deadline: Duration,
 }
 
-/// Whether callers wait for the answer.
+/// How urgent the tasks of a queue are.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize, Display)]
 #[serde(rename_all = "kebab-case")]
 #[strum(serialize_all = "kebab-case")]
 pub enum QueueKind {
-    /// The caller waits.
+    /// Its tasks start as soon as their team's share allows.
     #[default]
     Interactive,
-    /// The caller asks for the answer later.
+    /// Its tasks go after interactive ones until their slack is used; their callers wait as well.
     Deferred,
 }
