Give each run of the process tests files of its own

Cause: three runs of tests/processes.rs at the same time shared their settings files, and each failed: entry instances of one run served the log and the workers of another. Ruled out: a doubled answer; four runs one after the other passed. Change: the files carry the identity of the process.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -107,7 +107,8 @@
 impl TestEntry {
     /// Starts an entry instance; `name` is unique among the tests of the workspace.
     pub fn start(name: &str, zone: &str, log: SocketAddr, instances: SocketAddr) -> Self {
-        let path = format!("{}/{name}.toml", env!("CARGO_TARGET_TMPDIR"));
+        let run = std::process::id();
+        let path = format!("{}/{run}-{name}.toml", env!("CARGO_TARGET_TMPDIR"));
         let settings = EntrySettings {
             entry: name.into(),
             zone: zone.into(),
