Bound the channels of two tests

Cause: the tests' own channels had no bound, unlike every ring of the product. Change: one holds a message for each script, the other far more ends of requests than a run brings, so that no caller waits for the test and the load under faults stays as it was. Measured: both tests pass; no check was changed.

--- a/crates/link/tests/backend_http.rs
+++ b/crates/link/tests/backend_http.rs
@@ -28,7 +28,7 @@
     fn start(scripts: Vec<Vec<String>>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("port");
         let address = listener.local_addr().expect("address");
-        let (sender, closed) = mpsc::channel();
+        let (sender, closed) = mpsc::sync_channel(scripts.len());
         let thread = thread::spawn(move || {
             let serve = |responses: Vec<String>| {
                 let (mut stream, _) = listener.accept().expect("connection");
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -16,8 +16,10 @@
 use support::{ChildProcess, TestEntry, apply_fleet, call, try_call, wait_until_ready};
 
 const CALLERS: usize = 16;
-/// Answers between two blows.
+/// Answers between two faults.
 const ANSWERS_BETWEEN: usize = 150;
+/// Ends of requests that may wait to be read; far more than one run brings, so no caller waits.
+const MAX_HEARD: usize = 65_536;
 const TASKS: &str = "/v1/queues/cutting-plans/tasks";
 const KEY: &str = "bilbao-key";
 /// Longer than a frozen entry instance stays frozen.
@@ -82,7 +84,7 @@
     }
 
     /// Sends one request after the other until the test stops.
-    fn call_on(&self, caller: usize, heard: &mpsc::Sender<Heard>) {
+    fn call_on(&self, caller: usize, heard: &mpsc::SyncSender<Heard>) {
         let mut number = 0;
         while !self.stop.load(Ordering::Relaxed) {
             let Some(entry) = self.pick(caller) else {
@@ -190,7 +192,7 @@
     };
     let all = Mutex::new(Vec::new());
     let graceful = thread::scope(|scope| {
-        let (sender, heard) = mpsc::channel();
+        let (sender, heard) = mpsc::sync_channel(MAX_HEARD);
         for entry in 0..entries.len() {
             let balancer = &balancer;
             scope.spawn(move || balancer.check(entry));
