Restart what ran on a lost worker although owners change

A rack goes dark while each node is stopped and started in turn. Each new owner of a shard waits 12.2 s from its own take-over for the lease on a silent worker, because an owner before may have renewed it; with an owner every 2 s the wait began anew each time, and a lasting task was away for 23 s. Change: an owner that releases a shard stores how long each lease lasts, and the next owner goes on from there. A worker with a later life on the same machine ends the wait at once. A silent worker's lease is not renewed after the first miss, a silent worker without runs is asked again (it was not, and stayed unused for ever), and pauses of tasks wake the controller by themselves. The last two were found by the new tests.

--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use indexmap::IndexMap;
 use pw_base::prelude::*;
 use pw_job::prelude::*;
 use strum::{AsRefStr, Display};
@@ -98,6 +99,8 @@
     pub cancelled: Vec<JobId>,
     /// States of jobs.
     pub states: Vec<(JobId, JobState)>,
+    /// How long the leases on workers last at most, if the owner before released the shard.
+    pub leases: Option<IndexMap<WorkerId, Duration>>,
 }
 
 /// Asks a worker what it runs.
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -43,12 +43,14 @@
     workers: IndexMap<WorkerId, WorkerRecord>,
     budget: AccountBudget,
     desk: StoreDesk,
-    /// When this owner took the shard over.
-    opened: Instant,
     /// Last proof of ownership.
     proved: Instant,
     /// Something changed that may let a task start.
     changed: bool,
+    /// When a task that waits may start although nothing changes: a pause ends.
+    recheck: Option<Instant>,
+    /// When a pass is wanted although nothing is due.
+    idle_tick: Instant,
     commands: Vec<ShardCommand>,
 }
 
@@ -104,9 +106,10 @@
             workers: IndexMap::new(),
             budget: AccountBudget::default(),
             desk: StoreDesk::new(now),
-            opened: now,
             proved: now,
             changed: true,
+            recheck: None,
+            idle_tick: now,
             commands: Vec::new(),
         };
         controller.load(image, now, wall);
@@ -146,26 +149,28 @@
             ShardEvent::Paced { .. } | ShardEvent::Tick => {}
         }
         self.advance(now, wall);
+        self.idle_tick = now + IDLE_TICK;
         std::mem::take(&mut self.commands)
     }
 
     /// Returns when [`ShardEvent::Tick`] is wanted next.
-    pub fn next_deadline(&self, now: Instant) -> Instant {
-        let looks = self.workers.values().filter(|w| w.needs_look() && !w.look_flying);
+    pub fn next_deadline(&self) -> Instant {
+        let looks = self
+            .workers
+            .values()
+            .filter(|w| w.needs_look() && !w.look_flying);
         let looks = looks.map(|worker| worker.look_due).min();
-        let pauses = self.workers.values().map(|worker| worker.paused_until);
-        let pauses = pauses.filter(|until| *until > now).min();
-        let idle = now + IDLE_TICK;
-        let due = [looks, pauses, self.desk.due()].into_iter().flatten().min();
-        due.map_or(idle, |due| due.min(idle))
+        let due = [looks, self.recheck, self.desk.due()].into_iter().flatten();
+        due.fold(self.idle_tick, Instant::min)
     }
 
     /// Does what time or the last event made possible.
     fn advance(&mut self, now: Instant, wall: SystemTime) {
         self.lose_lapsed(now);
         self.open_due(now, wall);
-        if self.changed {
+        if self.changed || self.recheck.is_some_and(|at| now >= at) {
             self.changed = false;
+            self.recheck = self.next_pause_end(now);
             self.place_waiting(now);
         }
         self.send_looks(now);
@@ -174,6 +179,20 @@
         self.flush(now);
     }
 
+    /// Returns when the next pause of a task or a worker ends.
+    fn next_pause_end(&self, now: Instant) -> Option<Instant> {
+        let tasks = self
+            .jobs
+            .values()
+            .flat_map(|job| job.delays.values().copied());
+        let workers = self
+            .workers
+            .values()
+            .flat_map(|worker| [Some(worker.paused_until), worker.vacated_until]);
+        let ends = tasks.chain(workers.flatten());
+        ends.filter(|end| *end > now).min()
+    }
+
     fn load(&mut self, image: ShardImage, now: Instant, wall: SystemTime) {
         let mut states: IndexMap<JobId, JobState> = image.states.into_iter().collect();
         for (job, record) in image.submissions {
@@ -185,6 +204,37 @@
         for job in image.cancelled {
             self.cancel(&job, now);
         }
+        self.inherit_leases(image.leases.as_ref(), now);
+    }
+
+    /// Takes note of when the leases of earlier owners are over.
+    ///
+    /// An owner that released the shard said how long each lease lasts; one that fell silent may
+    /// have gone on to renew until its proof of ownership was too old.
+    fn inherit_leases(&mut self, released: Option<&IndexMap<WorkerId, Duration>>, now: Instant) {
+        let settings = &self.settings;
+        let scaled = |left: Duration| left.div_f64(1.0 - settings.clock_drift);
+        for (id, worker) in &mut self.workers {
+            let left = match released {
+                Some(leases) => leases.get(id).copied().unwrap_or(settings.lease),
+                None => settings.owner_proof + settings.lease,
+            };
+            worker.inherited_lapse = now + scaled(left);
+        }
+    }
+
+    /// Returns how long the leases of the workers with runs last at most, for the next owner.
+    pub fn release(&self, now: Instant) -> IndexMap<WorkerId, Duration> {
+        let drift = self.settings.clock_drift;
+        let busy = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| !worker.runs.is_empty());
+        let leases = busy.map(|(id, worker)| {
+            let lapse = worker.lapse_bound(drift);
+            (id.clone(), lapse.saturating_duration_since(now))
+        });
+        leases.collect()
     }
 
     /// Takes note of the runs that an earlier owner placed.
@@ -207,11 +257,10 @@
                         step: step as u32,
                         index: index as u32,
                     };
-                    let run = self.run_record(record, step, task.last_run, RunPhase::Inherited, now);
+                    let run =
+                        self.run_record(record, step, task.last_run, RunPhase::Inherited, now);
                     let worker = self.workers.entry(placement.worker.clone());
-                    let worker = worker.or_insert_with(|| {
-                        unlisted_worker(&placement.worker, placement.life, now)
-                    });
+                    let worker = worker.or_insert_with(|| unlisted_worker(placement, now));
                     if let Some(account) = &run.account {
                         self.budget.take(account, &run.size);
                     }
@@ -244,6 +293,7 @@
             pace: FULL_PACE,
             paced_at: None,
             load: None,
+            percent: 0,
         }
     }
 
@@ -315,11 +365,17 @@
             }
             let spec = &record.record.spec;
             while record.state.opened < spec.occurrences
-                && spec.due(record.state.opened).is_none_or(|due| due <= due_wall)
+                && spec
+                    .due(record.state.opened)
+                    .is_none_or(|due| due <= due_wall)
             {
                 record.state.open_next(spec);
                 self.changed = true;
-                tracing::debug!(job = &**job, opened = record.state.opened, "occurrence is due");
+                tracing::debug!(
+                    job = &**job,
+                    opened = record.state.opened,
+                    "occurrence is due"
+                );
             }
         }
     }
@@ -328,7 +384,9 @@
     fn forget_old(&mut self, now: Instant) {
         let retention = self.settings.retention;
         let old = self.jobs.iter().filter(|(_, record)| {
-            let over = record.over_since.is_some_and(|over| now >= over + retention);
+            let over = record
+                .over_since
+                .is_some_and(|over| now >= over + retention);
             over && !record.state.has_placed()
         });
         let old: Vec<JobId> = old.map(|(job, _)| job.clone()).collect();
@@ -349,9 +407,10 @@
 }
 
 /// Returns the record of a worker that only an image names so far.
-fn unlisted_worker(id: &WorkerId, life: LifeStart, now: Instant) -> WorkerRecord {
+fn unlisted_worker(placement: &TaskPlacement, now: Instant) -> WorkerRecord {
+    let life = placement.life;
     let entry = WorkerEntry {
-        id: id.clone(),
+        id: placement.worker.clone(),
         pool: PoolId::from(""),
         address: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
         zone: ZoneId::from(""),
@@ -360,6 +419,7 @@
         capacity: ResourceSize::default(),
         phase: WorkerPhase::Draining,
         life,
+        machine: placement.machine.clone(),
     };
     let mut record = WorkerRecord::new(entry, now);
     record.listed = false;
--- a/crates/control/src/shard/ends.rs
+++ b/crates/control/src/shard/ends.rs
@@ -54,7 +54,8 @@
             }
             if end == RunEnd::Failed {
                 let doubled = FAILURE_PAUSE * (1 << state.failures.min(5));
-                job.delays.insert(place, now + doubled.min(FAILURE_PAUSE_MAX));
+                job.delays
+                    .insert(place, now + doubled.min(FAILURE_PAUSE_MAX));
             }
         }
         let gang = spec.steps[task.step as usize].gang;
@@ -113,7 +114,10 @@
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        let runs = worker.runs.iter().map(|(name, run)| (name.clone(), run.run));
+        let runs = worker
+            .runs
+            .iter()
+            .map(|(name, run)| (name.clone(), run.run));
         let runs: Vec<_> = runs.collect();
         for (name, run) in runs {
             self.end_run(id, &name, run, RunEnd::Lost, None, now);
@@ -122,15 +126,10 @@
 
     /// Gives up what ran on silent workers whose last lease is over for certain.
     pub(super) fn lose_lapsed(&mut self, now: Instant) {
-        let settings = &self.settings;
-        let inherited = (settings.owner_proof + settings.lease).div_f64(1.0 - settings.clock_drift);
-        let never_heard = self.opened + inherited;
+        let drift = self.settings.clock_drift;
         let silent = self.workers.iter().filter(|(_, worker)| {
-            let lapse = worker.lapse(settings.clock_drift);
-            let heard = worker.synced || worker.reading.is_some();
-            let lapse = lapse.filter(|_| heard).unwrap_or(never_heard);
-            worker.misses > 0 && !worker.runs.is_empty() && now >= lapse
-                || !worker.listed && !heard && !worker.runs.is_empty() && now >= never_heard
+            let silent = worker.misses > 0 || !worker.listed && !worker.synced;
+            silent && !worker.runs.is_empty() && now >= worker.lapse_bound(drift)
         });
         let silent: Vec<WorkerId> = silent.map(|(id, _)| id.clone()).collect();
         for id in silent {
--- a/crates/control/src/shard/looking.rs
+++ b/crates/control/src/shard/looking.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use indexmap::IndexMap;
 use pw_base::prelude::*;
 use pw_job::prelude::*;
 
@@ -10,9 +11,6 @@
 use crate::pace::next_pace;
 use crate::worker::{ClockReading, RunPhase, WorkerEntry, WorkerRecord};
 
-/// Looks in a row without an answer after which the lease is not renewed, so that it ends.
-const RENEWED_MISSES: u32 = 2;
-
 impl ShardController {
     /// Takes the list of workers; a worker that is missing takes no more starts.
     pub(super) fn take_list(&mut self, entries: Vec<WorkerEntry>, now: Instant) {
@@ -36,12 +34,28 @@
                 }
             }
         }
+        reborn.extend(self.displaced_workers());
         for id in reborn {
             self.lose_life(&id, now);
         }
         self.changed = true;
     }
 
+    /// Returns the workers on whose machine another one has begun its life since.
+    fn displaced_workers(&self) -> Vec<WorkerId> {
+        let listed = self.workers.values().filter(|worker| worker.listed);
+        let newest: IndexMap<&MachineId, LifeStart> = listed
+            .filter_map(|worker| Some((worker.entry.machine.as_ref()?, worker.entry.life)))
+            .collect();
+        let displaced = self.workers.iter().filter(|(_, worker)| {
+            let machine = worker.entry.machine.as_ref();
+            let later = machine.and_then(|machine| newest.get(machine));
+            let own = worker.life.unwrap_or(worker.entry.life);
+            !worker.listed && !worker.runs.is_empty() && later.is_some_and(|life| *life > own)
+        });
+        displaced.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Sends the looks that are due.
     pub(super) fn send_looks(&mut self, now: Instant) {
         let settings = &self.settings;
@@ -51,7 +65,8 @@
             if worker.look_flying || !known || !worker.needs_look() || now < worker.look_due {
                 continue;
             }
-            let renewable = proved && worker.misses < RENEWED_MISSES && worker.synced;
+            // A worker that fell silent is not renewed, so that its lease ends in time.
+            let renewable = proved && worker.misses == 0 && worker.synced;
             let lease_until = if renewable {
                 worker.renew(now, settings.lease)
             } else {
@@ -66,7 +81,11 @@
                 epoch: self.epoch,
                 seen: worker.stored,
                 lease_until,
-                wait: if waits { settings.look_wait } else { Duration::ZERO },
+                wait: if waits {
+                    settings.look_wait
+                } else {
+                    Duration::ZERO
+                },
                 asked: now,
             }));
         }
@@ -139,7 +158,10 @@
     /// An end that the worker listed before its lease lapsed was not taken note of in time, so its
     /// task runs again.
     fn take_ends(&mut self, id: &WorkerId, report: &LookReport, lapsed: bool, now: Instant) {
-        let lapses = report.finished.iter().filter(|end| end.end == RunEnd::Lapsed);
+        let lapses = report
+            .finished
+            .iter()
+            .filter(|end| end.end == RunEnd::Lapsed);
         let last_lapse = lapses.map(|end| end.number).max().unwrap_or_default();
         for end in &report.finished {
             let Some(worker) = self.workers.get_mut(id) else {
@@ -149,7 +171,10 @@
                 continue;
             }
             worker.noted = end.number;
-            let known = worker.runs.get(&end.task).is_some_and(|run| run.run == end.run);
+            let known = worker
+                .runs
+                .get(&end.task)
+                .is_some_and(|run| run.run == end.run);
             let lapsed = lapsed || end.number < last_lapse;
             let how = if lapsed { RunEnd::Lapsed } else { end.end };
             if known {
@@ -214,14 +239,21 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let over = self.jobs.get(&view.task.job).is_none_or(|job| job.is_over());
+        let over = self
+            .jobs
+            .get(&view.task.job)
+            .is_none_or(|job| job.is_over());
         match worker.runs.get_mut(&view.task) {
             Some(run) if run.run == view.run => {
                 run.load = view.load;
+                run.percent = view.percent;
                 match run.phase {
                     RunPhase::Stopping => {
                         // The stop was lost, or is still being carried out.
-                        if run.stop_acknowledged.is_some_and(|at| now > at + Duration::from_secs(2)) {
+                        if run
+                            .stop_acknowledged
+                            .is_some_and(|at| now > at + Duration::from_secs(2))
+                        {
                             run.stop_acknowledged = None;
                         }
                     }
@@ -279,7 +311,11 @@
         let part = |run: &crate::worker::RunRecord| {
             let tail = Duration::from_millis(run.load?);
             let target = run.target?;
-            Some((tail.as_secs_f64() / target.as_secs_f64().max(f64::EPSILON), tail, target))
+            Some((
+                tail.as_secs_f64() / target.as_secs_f64().max(f64::EPSILON),
+                tail,
+                target,
+            ))
         };
         let tails = worker.runs.values().filter_map(part);
         let Some((_, tail, target)) = tails.max_by(|a, b| a.0.total_cmp(&b.0)) else {
--- a/crates/control/src/shard/placing.rs
+++ b/crates/control/src/shard/placing.rs
@@ -166,9 +166,8 @@
             return None;
         }
         let bound = spec.required_label.is_some() || spec.max_per_worker > 0;
-        let is_full = |(pool, tried): &(PoolId, ResourceSize)| {
-            *pool == record.pool && tried.fits_into(&size)
-        };
+        let is_full =
+            |(pool, tried): &(PoolId, ResourceSize)| *pool == record.pool && tried.fits_into(&size);
         if full.iter().any(is_full) {
             return None;
         }
@@ -189,15 +188,20 @@
     }
 
     fn place_task(&mut self, job: &JobId, place: TaskPlace, id: &WorkerId, now: Instant) {
-        let Some(life) = self.workers.get(id).and_then(|worker| worker.life) else {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let Some(life) = worker.life else {
             return;
         };
+        let machine = worker.entry.machine.clone();
         let Some(record) = self.jobs.get_mut(job) else {
             return;
         };
         let placement = TaskPlacement {
             worker: id.clone(),
             life,
+            machine,
         };
         let Some(run) = record.state.place(place, placement) else {
             return;
@@ -238,7 +242,11 @@
 ) -> Option<Candidate<'a>> {
     let entry = &worker.entry;
     let labelled = |label| entry.labels.iter().any(|own| own == label);
-    if spec.required_label.as_ref().is_some_and(|label| !labelled(label)) {
+    if spec
+        .required_label
+        .as_ref()
+        .is_some_and(|label| !labelled(label))
+    {
         return None;
     }
     let siblings = worker.runs.keys().filter(|other| {
@@ -250,9 +258,10 @@
     }
     let preferred = spec.preferred_rack.as_ref();
     let serves = spec.target_latency.is_some();
-    let disturbed = worker.runs.values().filter(|run| {
-        spec.fills && run.target.is_some() || serves && run.fills
-    });
+    let disturbed = worker
+        .runs
+        .values()
+        .filter(|run| spec.fills && run.target.is_some() || serves && run.fills);
     Some(Candidate {
         worker: &entry.id,
         room: worker.room(),
--- a/crates/control/src/shard/starting.rs
+++ b/crates/control/src/shard/starting.rs
@@ -91,23 +91,51 @@
             }
             StartOutcome::OtherLife => self.lose_life(&order.worker, now),
             StartOutcome::Malformed => {
-                self.end_run(&order.worker, &order.task, order.run, RunEnd::Failed, None, now);
+                self.end_run(
+                    &order.worker,
+                    &order.task,
+                    order.run,
+                    RunEnd::Failed,
+                    None,
+                    now,
+                );
             }
             StartOutcome::NoRoom => {
                 worker.paused_until = now + settings.room_pause;
                 worker.look_due = worker.look_due.min(now);
-                self.end_run(&order.worker, &order.task, order.run, RunEnd::Stopped, None, now);
+                self.end_run(
+                    &order.worker,
+                    &order.task,
+                    order.run,
+                    RunEnd::Stopped,
+                    None,
+                    now,
+                );
             }
             StartOutcome::Unhealthy | StartOutcome::NotAllowed => {
                 let doubled = settings.unhealthy_pause * (1 << worker.unhealthy.min(4));
                 worker.unhealthy += 1;
                 worker.paused_until = now + doubled.min(settings.unhealthy_pause_max);
-                self.end_run(&order.worker, &order.task, order.run, RunEnd::Stopped, None, now);
+                self.end_run(
+                    &order.worker,
+                    &order.task,
+                    order.run,
+                    RunEnd::Stopped,
+                    None,
+                    now,
+                );
             }
             StartOutcome::LeaseOver | StartOutcome::NotSent => {
                 worker.paused_until = now + settings.room_pause;
                 worker.look_due = worker.look_due.min(now);
-                self.end_run(&order.worker, &order.task, order.run, RunEnd::Stopped, None, now);
+                self.end_run(
+                    &order.worker,
+                    &order.task,
+                    order.run,
+                    RunEnd::Stopped,
+                    None,
+                    now,
+                );
             }
         }
     }
--- a/crates/control/src/shard/storing.rs
+++ b/crates/control/src/shard/storing.rs
@@ -112,12 +112,18 @@
             noted: noted.collect(),
         });
         self.desk.not_before = now + self.settings.store_gap;
-        self.commands.push(ShardCommand::Store { sequence, records });
+        self.commands
+            .push(ShardCommand::Store { sequence, records });
     }
 
     /// An append has been answered: what waited for it may go.
     pub(super) fn take_stored(&mut self, sequence: u64, now: Instant) {
-        if self.desk.flying.as_ref().is_none_or(|batch| batch.sequence != sequence) {
+        if self
+            .desk
+            .flying
+            .as_ref()
+            .is_none_or(|batch| batch.sequence != sequence)
+        {
             return;
         }
         let Some(batch) = self.desk.flying.take() else {
@@ -154,7 +160,14 @@
             Some(true) => self.order_start(&start.worker, &start.task, now),
             // The worker began to leave, or fell silent, while the placement was being stored.
             Some(false) => {
-                self.end_run(&start.worker, &start.task, start.run, RunEnd::Stopped, None, now);
+                self.end_run(
+                    &start.worker,
+                    &start.task,
+                    start.run,
+                    RunEnd::Stopped,
+                    None,
+                    now,
+                );
             }
         }
     }
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -47,6 +47,8 @@
     pub phase: WorkerPhase,
     /// Start of its life.
     pub life: LifeStart,
+    /// Machine that it runs on.
+    pub machine: Option<MachineId>,
 }
 
 /// What became known of a run on a worker.
@@ -92,6 +94,8 @@
     pub paced_at: Option<Instant>,
     /// Last report of its tail or its use of the processor.
     pub load: Option<u64>,
+    /// Last report of its progress; a task that lasts is at work at 100.
+    pub percent: u8,
 }
 
 impl RunRecord {
@@ -111,6 +115,7 @@
             pace: FULL_PACE,
             paced_at: None,
             load: None,
+            percent: 0,
         }
     }
 }
@@ -135,6 +140,12 @@
     pub lease_sent: WorkerMillis,
     /// It has answered this owner, so it refuses earlier ones.
     pub synced: bool,
+    /// End of all leases of earlier owners, while it has not answered this one.
+    pub inherited_lapse: Instant,
+    /// Until when nothing starts there, so that its machine can be taken.
+    pub vacated_until: Option<Instant>,
+    /// When it was first to be vacated.
+    pub vacated_since: Option<Instant>,
     /// Ends that have been applied.
     pub noted: EndNumber,
     /// Ends whose effect is stored.
@@ -163,6 +174,9 @@
             reading: None,
             lease_sent: 0,
             synced: false,
+            inherited_lapse: now,
+            vacated_until: None,
+            vacated_since: None,
             noted: 0,
             stored: 0,
             acknowledged: 0,
@@ -234,6 +248,17 @@
             && self.misses == 0
             && self.entry.phase == WorkerPhase::Ready
             && now >= self.paused_until
+            && !self.is_vacated(now)
+    }
+
+    /// Returns whether the worker is to be left by its runs.
+    pub fn is_vacated(&self, now: Instant) -> bool {
+        self.vacated_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns when everything that was placed there is over for certain, if nothing more is heard.
+    pub fn lapse_bound(&self, drift: f64) -> Instant {
+        self.lapse(drift).unwrap_or(self.inherited_lapse)
     }
 
     /// Returns whether a run there may end.
@@ -243,6 +268,7 @@
 
     /// Returns whether the worker has to be looked at.
     pub fn needs_look(&self) -> bool {
-        !self.runs.is_empty() || self.acknowledged < self.stored || (!self.synced && self.listed)
+        let unheard = !self.synced || self.misses > 0;
+        !self.runs.is_empty() || self.acknowledged < self.stored || unheard && self.listed
     }
 }
--- /dev/null
+++ b/crates/control/tests/shard.rs
@@ -0,0 +1,368 @@
+//! A shard's controller against fake workers and a fake store.
+
+mod support;
+
+use std::time::Duration;
+
+use pw_control::prelude::*;
+use pw_job::prelude::*;
+use support::{World, lasting, size, step};
+
+const COMPLETED: JobAnswer = JobAnswer::Known(JobStatus::Completed);
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+#[test]
+fn steps_run_in_order_and_each_task_once() {
+    let mut world = World::new(4);
+    let second = StepSpec {
+        depends_on: vec![0],
+        ..step(3)
+    };
+    world.submit("job", Some("ane"), vec![step(6), second]);
+    assert!(world.run_until(seconds(4), |world| world.status("job") == COMPLETED));
+    assert_eq!(world.starts.len(), 9);
+    assert!(world.starts.values().all(|starts| starts.len() == 1));
+    let last_first = (0..6).map(|i| world.starts[i].as_slice()[0].2).max();
+    let first_second = (6..9).map(|i| world.starts[i].as_slice()[0].2).min();
+    assert!(last_first.map(|at| at + world.run_time) <= first_second);
+    world.run(millis(500));
+    assert_eq!(world.done.len(), 9, "all ends were taken note of");
+}
+
+#[test]
+fn a_submission_that_comes_twice_is_one_job() {
+    let mut world = World::new(2);
+    world.submit("job", Some("ane"), vec![step(2)]);
+    world.submit("job", Some("ane"), vec![step(2)]);
+    assert!(world.run_until(seconds(3), |world| world.status("job") == COMPLETED));
+    world.submit("job", Some("ane"), vec![step(2)]);
+    world.run(seconds(2));
+    assert!(world.starts.values().all(|starts| starts.len() == 1));
+}
+
+#[test]
+fn nothing_starts_and_no_end_is_forgotten_while_the_store_is_away() {
+    let mut world = World::new(2);
+    world.submit("first", Some("ane"), vec![step(2)]);
+    world.run(millis(200));
+    assert_eq!(world.start_count("first.0.0.0"), 1);
+    world.store_up = false;
+    world.submit("second", Some("ane"), vec![step(2)]);
+    world.run(seconds(4));
+    assert_eq!(world.start_count("second.0.0.0"), 0);
+    assert!(
+        world.done.is_empty(),
+        "an end was forgotten before it was stored"
+    );
+    assert_ne!(
+        world.status("first"),
+        COMPLETED,
+        "shown before it was stored"
+    );
+    world.store_up = true;
+    assert!(world.run_until(seconds(3), |world| world.status("second") == COMPLETED));
+    assert_eq!(world.status("first"), COMPLETED);
+    assert_eq!(world.start_count("first.0.0.0"), 1);
+}
+
+#[test]
+fn a_start_without_an_answer_is_not_started_elsewhere() {
+    let mut world = World::new(2);
+    for worker in world.workers.values_mut() {
+        worker.mute_starts = true;
+    }
+    world.submit("job", Some("ane"), vec![step(4)]);
+    assert!(world.run_until(seconds(4), |world| world.status("job") == COMPLETED));
+    assert!(world.starts.values().all(|starts| starts.len() == 1));
+}
+
+#[test]
+fn a_silent_worker_keeps_its_tasks_until_its_lease_is_over() {
+    let mut world = World::new(2);
+    world.submit("job", None, vec![lasting(1)]);
+    assert!(world.run_until(seconds(1), |world| world.running("job.0.0.0") == 1));
+    let holder = world.starts[0][0].0.clone();
+    let silent_since = world.now;
+    world.workers[&holder].silent = true;
+    assert!(world.run_until(seconds(10), |world| world.start_count("job.0.0.0") == 2));
+    assert!(
+        world.now >= silent_since + seconds(4),
+        "restarted under a lease that may last"
+    );
+    assert!(
+        world.now <= silent_since + seconds(9),
+        "not restarted in time"
+    );
+}
+
+#[test]
+fn an_owner_that_fell_silent_is_waited_for_longer() {
+    let mut world = World::new(2);
+    world.submit("job", None, vec![lasting(1)]);
+    assert!(world.run_until(seconds(1), |world| world.running("job.0.0.0") == 1));
+    let holder = world.starts[0][0].0.clone();
+    world.workers[&holder].silent = true;
+    let taken = world.now;
+    world.take_over(None);
+    assert!(world.run_until(seconds(20), |world| world.start_count("job.0.0.0") == 2));
+    assert!(
+        world.now >= taken + seconds(12),
+        "the owner before may still have renewed the lease"
+    );
+}
+
+/// Every node is stopped and started in turn while a worker is away for good.
+#[test]
+fn a_task_on_a_lost_worker_restarts_although_owners_change() {
+    let mut world = World::new(3);
+    world.submit("job", None, vec![lasting(1)]);
+    assert!(world.run_until(seconds(1), |world| world.running("job.0.0.0") == 1));
+    let holder = world.starts[0][0].0.clone();
+    world.workers[&holder].dead = true;
+    let lost = world.now;
+    for _ in 0..8 {
+        world.run(seconds(2));
+        world.hand_over();
+    }
+    assert_eq!(world.start_count("job.0.0.0"), 2);
+    assert!(
+        world.starts[0][1].2 <= lost + seconds(9),
+        "handing over began the wait anew"
+    );
+}
+
+/// The worker's machine is back with another worker before the lease of the lost one is over.
+#[test]
+fn another_worker_on_the_machine_ends_the_wait() {
+    let mut world = World::new(3);
+    world.submit("job", None, vec![lasting(1)]);
+    assert!(world.run_until(seconds(1), |world| world.running("job.0.0.0") == 1));
+    let holder = world.starts[0][0].0.clone();
+    let machine = world.workers[&holder]
+        .entry
+        .machine
+        .clone()
+        .expect("a machine");
+    world.workers[&holder].dead = true;
+    world.run(millis(500));
+    world.take_over(None);
+    world.run(seconds(1));
+    assert_eq!(world.start_count("job.0.0.0"), 1);
+    world.add_worker("again", &machine);
+    world.list_workers();
+    assert!(world.run_until(seconds(1), |world| world.start_count("job.0.0.0") == 2));
+}
+
+#[test]
+fn a_worker_that_was_only_cut_off_does_not_run_the_task_twice() {
+    let mut world = World::new(2);
+    world.submit("job", None, vec![lasting(1)]);
+    assert!(world.run_until(seconds(1), |world| world.running("job.0.0.0") == 1));
+    let holder = world.starts[0][0].0.clone();
+    world.workers[&holder].silent = true;
+    for _ in 0..4 {
+        world.run(millis(1300));
+        world.hand_over();
+    }
+    world.run(seconds(10));
+    world.workers[&holder].silent = false;
+    world.run(seconds(3));
+    assert_eq!(world.running("job.0.0.0"), 1);
+}
+
+#[test]
+fn an_end_before_a_lapsed_lease_does_not_count() {
+    let mut world = World::new(1);
+    world.submit("job", Some("ane"), vec![step(1), step(1)]);
+    let names = ["job.0.0.0", "job.0.1.0"];
+    assert!(world.run_until(seconds(1), |world| {
+        names.iter().all(|n| world.running(n) == 1)
+    }));
+    // The lease lapses on the worker's clock after one of them is done, and nobody was told.
+    world.workers[0].silent = true;
+    world.run(seconds(8));
+    world.workers[0].silent = false;
+    assert!(world.run_until(seconds(5), |world| world.status("job") == COMPLETED));
+    assert!(
+        world.start_count(names[0]) >= 2,
+        "an end that was not taken note of in time counted"
+    );
+}
+
+#[test]
+fn a_cancelled_job_is_stopped_and_stays_cancelled() {
+    let mut world = World::new(2);
+    world.run_time = seconds(60);
+    world.submit("job", Some("ane"), vec![step(4)]);
+    assert!(world.run_until(seconds(1), |world| world.running("job.0.0.3") == 1));
+    world.cancel("job");
+    assert_eq!(world.status("job"), JobAnswer::Known(JobStatus::Cancelled));
+    let gone = |world: &World| (0..4).all(|i| world.running(&format!("job.0.0.{i}")) == 0);
+    assert!(world.run_until(seconds(1), gone));
+    world.take_over(None);
+    world.run(seconds(2));
+    assert_eq!(world.status("job"), JobAnswer::Known(JobStatus::Cancelled));
+    assert!(world.starts.values().all(|starts| starts.len() == 1));
+}
+
+#[test]
+fn a_task_that_keeps_failing_fails_its_job_after_the_configured_attempts() {
+    let mut world = World::new(2);
+    world.run_time = millis(100);
+    for worker in world.workers.values_mut() {
+        worker.fails = true;
+    }
+    world.submit("job", Some("ane"), vec![step(1)]);
+    let failed = JobAnswer::Known(JobStatus::Failed);
+    assert!(world.run_until(seconds(5), |world| world.status("job") == failed));
+    world.run(seconds(2));
+    assert_eq!(world.start_count("job.0.0.0"), 3);
+}
+
+#[test]
+fn attempts_are_counted_across_owners() {
+    let mut world = World::new(2);
+    world.run_time = millis(100);
+    for worker in world.workers.values_mut() {
+        worker.fails = true;
+    }
+    world.submit("job", Some("ane"), vec![step(1)]);
+    let failed = JobAnswer::Known(JobStatus::Failed);
+    for _ in 0..40 {
+        world.run(millis(170));
+        world.take_over(None);
+    }
+    assert!(world.run_until(seconds(5), |world| world.status("job") == failed));
+    assert_eq!(world.start_count("job.0.0.0"), 3);
+}
+
+#[test]
+fn nothing_starts_on_a_leaving_worker_or_in_an_evacuated_zone() {
+    let mut world = World::new(2);
+    world.run(millis(100));
+    world.workers[0].entry.phase = WorkerPhase::Draining;
+    world.list_workers();
+    world.submit("job", Some("ane"), vec![step(4)]);
+    world.run(millis(300));
+    assert!(world.workers[0].running.is_empty());
+    assert_eq!(world.workers[1].running.len(), 4);
+    world.set_config(|config| {
+        config.evacuated.insert("zone".into());
+    });
+    world.submit("later", Some("ane"), vec![step(4)]);
+    world.run(seconds(2));
+    assert_eq!(world.start_count("later.0.0.0"), 0);
+    world.set_config(|config| config.evacuated.clear());
+    assert!(world.run_until(seconds(2), |world| world.status("later") == COMPLETED));
+}
+
+#[test]
+fn an_account_keeps_within_its_part() {
+    let mut world = World::new(4);
+    world.run_time = seconds(1);
+    if let Some(shard) = &mut world.controller {
+        shard.set_part("ane".into(), size(3000, 0));
+    }
+    world.submit("job", Some("ane"), vec![step(6)]);
+    let most = std::cell::Cell::new(0);
+    let done = world.run_until(seconds(5), |world| {
+        let running: usize = world
+            .workers
+            .values()
+            .map(|worker| worker.running.len())
+            .sum();
+        most.set(most.get().max(running));
+        world.status("job") == COMPLETED
+    });
+    assert!(done);
+    assert_eq!(most.get(), 3);
+}
+
+#[test]
+fn a_worker_reborn_under_its_name_gets_lost_tasks_back() {
+    let mut world = World::new(1);
+    world.submit("job", None, vec![lasting(2)]);
+    world.workers[0].entry.capacity = size(8000, 16_384);
+    assert!(world.run_until(seconds(1), |world| world.running("job.0.0.0") == 1));
+    world.workers.clear();
+    world.run(millis(100));
+    world.add_worker("w0", "m0");
+    assert!(world.run_until(seconds(2), |world| world.running("job.0.0.0") == 1));
+    assert_eq!(world.start_count("job.0.0.0"), 2);
+}
+
+#[test]
+fn fillers_are_paced_down_beside_a_task_over_its_bound() {
+    let mut world = World::new(1);
+    let serving = StepSpec {
+        target_latency: Some(millis(100)),
+        ..lasting(1)
+    };
+    let filling = StepSpec {
+        fills: true,
+        ..lasting(1)
+    };
+    world.workers[0].tail_ms = 250;
+    world.submit("serving", None, vec![serving]);
+    world.submit("filling", None, vec![filling]);
+    let name: TaskName = "filling.0.0.0".parse().expect("a task's name");
+    let paced = |world: &World| world.workers[0].paces.get(&name) == Some(&0);
+    assert!(world.run_until(seconds(4), paced));
+    world.workers[0].tail_ms = 20;
+    let faster = |world: &World| world.workers[0].paces.get(&name) == Some(&100);
+    assert!(world.run_until(seconds(20), faster));
+}
+
+#[test]
+fn a_gang_starts_as_a_whole_or_not_at_all() {
+    let mut world = World::new(2);
+    let gang = StepSpec {
+        gang: true,
+        size: size(5000, 1024),
+        ..step(3)
+    };
+    world.submit("job", Some("ane"), vec![gang]);
+    world.run(seconds(1));
+    assert_eq!(world.starts.len(), 0, "part of a gang was started");
+    world.add_worker("w2", "m2");
+    world.list_workers();
+    assert!(world.run_until(seconds(3), |world| world.status("job") == COMPLETED));
+    let runs: Vec<u32> = world.starts.values().map(|starts| starts[0].1).collect();
+    assert_eq!(runs.len(), 3);
+    assert!(
+        runs.iter().all(|run| *run == runs[0]),
+        "members have other runs"
+    );
+}
+
+#[test]
+fn occurrences_start_at_their_time() {
+    let mut world = World::new(2);
+    world.run(millis(50));
+    let first_due = world.wall + seconds(2);
+    let spec = JobSpec {
+        steps: vec![step(1)],
+        occurrences: 3,
+        first_due: Some(first_due),
+        period: seconds(1),
+        ..Default::default()
+    };
+    let begin = world.now;
+    world.submit_spec("job", Some("ane"), spec);
+    assert!(world.run_until(seconds(8), |world| world.status("job") == COMPLETED));
+    for occurrence in 0..3 {
+        let name: TaskName = format!("job.{occurrence}.0.0")
+            .parse()
+            .expect("a task's name");
+        let started = world.starts[&name][0].2;
+        let due = begin + seconds(2 + occurrence);
+        assert!(started >= due && started <= due + millis(700));
+    }
+}
--- a/crates/job/src/state.rs
+++ b/crates/job/src/state.rs
@@ -53,6 +53,8 @@
     pub worker: WorkerId,
     /// Life of the worker that the run was meant for.
     pub life: LifeStart,
+    /// Machine of the worker, where it is known. Another worker on it proves that this one is gone.
+    pub machine: Option<MachineId>,
 }
 
 /// Phase of one task.
@@ -178,7 +180,10 @@
 
     /// Returns whether a run of the job may still be on a worker.
     pub fn has_placed(&self) -> bool {
-        let mut tasks = self.occurrences.iter().flat_map(|o| o.steps.iter().flatten());
+        let mut tasks = self
+            .occurrences
+            .iter()
+            .flat_map(|o| o.steps.iter().flatten());
         tasks.any(|task| task.placement().is_some())
     }
 
@@ -208,7 +213,11 @@
     }
 
     /// Places the next run of a waiting task; returns the run's number.
-    pub fn place(&mut self, name: (OccurrenceNumber, u32, u32), to: TaskPlacement) -> Option<RunNumber> {
+    pub fn place(
+        &mut self,
+        name: (OccurrenceNumber, u32, u32),
+        to: TaskPlacement,
+    ) -> Option<RunNumber> {
         let task = self.task_mut(name.0, name.1, name.2)?;
         if !task.is_waiting() {
             return None;
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -60,7 +60,7 @@
     /// duty's own clock goes on.
     fn wake_time(&self) -> Option<Instant> {
         let now = self.clock.now();
-        let due = self.shards.values().map(|shard| shard.next_deadline(now));
+        let due = self.shards.values().map(ShardController::next_deadline);
         let due = due.min()?;
         Some(Instant::now() + due.saturating_duration_since(now))
     }
@@ -88,6 +88,14 @@
                     self.shards.swap_remove(&term.shard);
                 }
             }
+            ControlMessage::Release(term, reply) => {
+                if self.owns(term)
+                    && let Some(shard) = self.shards.swap_remove(&term.shard)
+                {
+                    // The journal duty waits for it; it may have given up.
+                    _ = reply.offer(shard.release(self.clock.now()));
+                }
+            }
             ControlMessage::Shard(term, event) => self.hand_on(term, *event).await,
             ControlMessage::Question(question, reply) => {
                 // Whoever asked may have given up.
@@ -99,7 +107,7 @@
     async fn tick(&mut self) {
         let now = self.clock.now();
         let due = self.shards.values();
-        let due = due.filter(|shard| shard.next_deadline(now) <= now);
+        let due = due.filter(|shard| shard.next_deadline() <= now);
         let due: Vec<ShardTerm> = due.map(term_of).collect();
         for term in due {
             self.hand_on(term, ShardEvent::Tick).await;
@@ -164,7 +172,11 @@
         };
         if sent.is_err() {
             let event = EventCode::ShardLost.number();
-            tracing::error!(event, shard = term.shard, "a duty has ended; its orders are lost");
+            tracing::error!(
+                event,
+                shard = term.shard,
+                "a duty has ended; its orders are lost"
+            );
         }
     }
 
@@ -183,9 +195,7 @@
                     JobAnswer::Unknown => NodeAnswer::UnknownJob,
                 }
             }
-            NodeQuestion::Pending { queue, .. } => {
-                NodeAnswer::Pending(shard.pending(queue) as u64)
-            }
+            NodeQuestion::Pending { queue, .. } => NodeAnswer::Pending(shard.pending(queue) as u64),
         }
     }
 
--- a/crates/node/src/door.rs
+++ b/crates/node/src/door.rs
@@ -144,7 +144,12 @@
     /// # Errors
     ///
     /// Fails when the configuration does not admit it, or is not known well enough.
-    pub fn admit(&self, host: &str, path: &str, key: Option<&str>) -> Result<Admission, DoorRefusal> {
+    pub fn admit(
+        &self,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+    ) -> Result<Admission, DoorRefusal> {
         let state = &self.shared;
         let asked = state.asked.get().ok_or(DoorRefusal::NoConfig)?;
         let config = state.config.borrow();
@@ -215,7 +220,11 @@
     /// # Errors
     ///
     /// Fails when there is no such job, or its owner can't be asked.
-    pub async fn status(&self, admission: &Admission, job: &JobId) -> Result<JobStatus, DoorRefusal> {
+    pub async fn status(
+        &self,
+        admission: &Admission,
+        job: &JobId,
+    ) -> Result<JobStatus, DoorRefusal> {
         let question = NodeQuestion::Status {
             shard: self.shard(admission),
             job: job.clone(),
--- a/crates/node/src/feed_duty.rs
+++ b/crates/node/src/feed_duty.rs
@@ -74,7 +74,11 @@
             Ok(workers) => {
                 reach.note(true);
                 if let Some(workers) = workers
-                    && links.control.send(ControlMessage::Workers(workers)).await.is_err()
+                    && links
+                        .control
+                        .send(ControlMessage::Workers(workers))
+                        .await
+                        .is_err()
                 {
                     return;
                 }
--- a/crates/node/src/journal_duty.rs
+++ b/crates/node/src/journal_duty.rs
@@ -13,6 +13,7 @@
 use pw_job::prelude::*;
 use pw_ring::prelude::*;
 
+use crate::claim::ClaimRecord;
 use crate::door::CANCEL_SUFFIX;
 use crate::feed_duty::StoreReach;
 use crate::links::{
@@ -76,7 +77,8 @@
         leaving: Cell::default(),
     });
     let membership = Rc::clone(&duty);
-    duty.spawner.spawn(async move { membership.keep_membership().await });
+    duty.spawner
+        .spawn(async move { membership.keep_membership().await });
     while let Some(message) = messages.recv().await {
         duty.take(message).await;
     }
@@ -150,7 +152,7 @@
     async fn follow_share(self: &Rc<Self>, share: &[ShardNumber]) {
         let owned: Vec<ShardNumber> = self.shards.borrow().keys().copied().collect();
         for shard in owned.iter().filter(|shard| !share.contains(shard)) {
-            self.give_up(*shard).await;
+            self.release(*shard).await;
         }
         for shard in share.iter().filter(|shard| !owned.contains(shard)) {
             let (appends, jobs) = ring("shard-appends", STORE_CAPACITY);
@@ -184,11 +186,38 @@
         }
     }
 
+    /// Stops giving orders in a shard, and tells the next owner what it needs to know.
+    async fn release(&self, shard: ShardNumber) {
+        let owned = self.shards.borrow_mut().swap_remove(&shard);
+        let Some(epoch) = owned.and_then(|owned| owned.epoch) else {
+            return;
+        };
+        let (reply, replies) = ring("release", 1);
+        let message = ControlMessage::Release(ShardTerm { shard, epoch }, reply);
+        if self.links.control.send(message).await.is_err() {
+            return;
+        }
+        let event = EventCode::ShardLost.number();
+        tracing::info!(event, shard, epoch, "shard released");
+        let Some(leases) = replies.recv().await else {
+            return;
+        };
+        let entry = StoreEntry {
+            key: String::new(),
+            value: ClaimRecord::Release { epoch, leases }.encode(),
+        };
+        let claims = part(StoreTopic::Claims, shard);
+        if let Err(fault) = self.store.append(claims, vec![entry], None).await {
+            let event = EventCode::StoreReach.number();
+            tracing::warn!(event, shard, %fault, "release of a shard not stored");
+        }
+    }
+
     async fn leave(&self) {
         self.leaving.set(true);
         let owned: Vec<ShardNumber> = self.shards.borrow().keys().copied().collect();
         for shard in owned {
-            self.give_up(shard).await;
+            self.release(shard).await;
         }
         let member = self.settings.peers.to_string();
         if let Err(fault) = self.store.leave(member).await {
@@ -223,6 +252,7 @@
         let image = self.load_images(term).await;
         let (submissions, end) = self.load_submissions(term).await;
         let image = ShardImage {
+            leases: self.read_release(term).await,
             states: image,
             ..submissions
         };
@@ -233,10 +263,13 @@
         let follow = self.follow_submissions(term, end);
         let append = self.append_images(term, jobs);
         let prove = self.prove_ownership(term);
-        future::or(append, future::or(prove, async {
-            follow.await;
-            future::pending().await
-        }))
+        future::or(
+            append,
+            future::or(prove, async {
+                follow.await;
+                future::pending().await
+            }),
+        )
         .await;
         self.give_up(shard).await;
     }
@@ -246,7 +279,10 @@
         let claims = part(StoreTopic::Claims, shard);
         let entry = StoreEntry {
             key: String::new(),
-            value: self.settings.peers.to_string().into_bytes(),
+            value: ClaimRecord::Claim {
+                member: self.settings.peers.to_string(),
+            }
+            .encode(),
         };
         let offset = loop {
             match self.store.append(claims, vec![entry.clone()], None).await {
@@ -270,17 +306,26 @@
         Some(ShardTerm { shard, epoch })
     }
 
+    /// Reads what the owner before left behind when it released the shard.
+    async fn read_release(&self, term: ShardTerm) -> Option<IndexMap<WorkerId, Duration>> {
+        let claims = part(StoreTopic::Claims, term.shard);
+        let claim = term.epoch - 1;
+        let before = claim.checked_sub(1)?;
+        let read = self.store.read(claims, before, Duration::ZERO).await.ok()?;
+        ClaimRecord::released_leases(&read.entries.first()?.value, claim)
+    }
+
     async fn load_images(&self, term: ShardTerm) -> Vec<(JobId, JobState)> {
         let (entries, _) = self.load_newest(part(StoreTopic::Images, term.shard)).await;
-        let states = entries.into_iter().filter_map(|entry| {
-            match decode_state(&entry.value) {
+        let states = entries
+            .into_iter()
+            .filter_map(|entry| match decode_state(&entry.value) {
                 Ok(state) => Some((JobId::from(entry.key), state)),
                 Err(error) => {
                     skip_record(&entry.key, &error);
                     None
                 }
-            }
-        });
+            });
         states.collect()
     }
 
@@ -325,7 +370,10 @@
         let submissions = part(StoreTopic::Submissions, term.shard);
         let mut reach = StoreReach::new("submissions");
         loop {
-            let read = self.store.read(submissions, from, self.settings.follow_wait).await;
+            let read = self
+                .store
+                .read(submissions, from, self.settings.follow_wait)
+                .await;
             match read {
                 Ok(read) => {
                     reach.note(true);
@@ -340,7 +388,8 @@
                     let (image, end) = self.load_submissions(term).await;
                     from = end;
                     let submitted = image.submissions.into_iter();
-                    let submitted = submitted.map(|(job, record)| ShardEvent::Submitted(job, record));
+                    let submitted =
+                        submitted.map(|(job, record)| ShardEvent::Submitted(job, record));
                     let cancelled = image.cancelled.into_iter().map(ShardEvent::Cancelled);
                     for event in submitted.chain(cancelled) {
                         if !self.tell(term, event).await {
@@ -371,7 +420,11 @@
                     epoch: term.epoch,
                     sequence: next,
                 };
-                match self.store.append(images, entries.clone(), Some(writer)).await {
+                match self
+                    .store
+                    .append(images, entries.clone(), Some(writer))
+                    .await
+                {
                     Ok(_) => break,
                     Err(StoreFault::WrongSequence { expected }) => {
                         let done = in_doubt && expected == next + 1;
@@ -416,7 +469,10 @@
         let claims = part(StoreTopic::Claims, term.shard);
         loop {
             let asked = self.clock.now();
-            let read = self.store.read(claims, term.epoch, self.settings.follow_wait).await;
+            let read = self
+                .store
+                .read(claims, term.epoch, self.settings.follow_wait)
+                .await;
             match read {
                 Ok(read) if read.entries.is_empty() => {
                     if !self.tell(term, ShardEvent::Proved(asked)).await {
@@ -487,7 +543,8 @@
 /// Returns what removes the submissions of the jobs whose states `entries` remove.
 fn forgotten_submissions(entries: &[StoreEntry]) -> Vec<StoreEntry> {
     let removed = entries.iter().filter(|entry| entry.value.is_empty());
-    let keys = removed.flat_map(|entry| [entry.key.clone(), format!("{}{CANCEL_SUFFIX}", entry.key)]);
+    let keys =
+        removed.flat_map(|entry| [entry.key.clone(), format!("{}{CANCEL_SUFFIX}", entry.key)]);
     keys.map(|key| StoreEntry {
         key,
         value: Vec::new(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! duty and by the [`JobDoor`](door::JobDoor) on the callers duty. The other duties turn their
 //! commands into calls of the traits in [`links`], and answers into events.
 
+pub mod claim;
 pub mod control_duty;
 pub mod door;
 pub mod feed_duty;
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -1,8 +1,9 @@
 //! Messages between the duties of a node.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use indexmap::IndexMap;
 use pw_base::prelude::*;
 use pw_control::prelude::*;
 use pw_job::prelude::*;
@@ -30,6 +31,8 @@
     Opened(ShardTerm, Box<ShardImage>),
     /// The node no longer owns a shard.
     Lost(ShardTerm),
+    /// The node gives a shard up; the answer says how long the leases on workers last.
+    Release(ShardTerm, RingSender<IndexMap<WorkerId, Duration>>),
     /// Something happened in a shard.
     Shard(ShardTerm, Box<ShardEvent>),
     /// Somebody asks about jobs.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -92,7 +92,14 @@
         let (own, own_clock) = (settings.clone(), Arc::clone(&clock));
         let store = links.journal_store;
         DutyThread::spawn("journal", move |spawner| {
-            journal_duty::run(store, own, own_clock, journal_messages, journal_links, spawner)
+            journal_duty::run(
+                store,
+                own,
+                own_clock,
+                journal_messages,
+                journal_links,
+                spawner,
+            )
         })?;
 
         let feed_links = FeedLinks {
@@ -101,7 +108,9 @@
         };
         let (own, own_clock) = (settings.clone(), Arc::clone(&clock));
         let feed = links.feed;
-        DutyThread::spawn("feed", move |_| feed_duty::run(feed, own, own_clock, feed_links))?;
+        DutyThread::spawn("feed", move |_| {
+            feed_duty::run(feed, own, own_clock, feed_links)
+        })?;
 
         let question_control = control.clone();
         DutyThread::spawn("questions", move |spawner| {
@@ -115,8 +124,15 @@
             let door = JobDoor::new(own, clock, store, control, client);
             let listeners = (callers_listener, ready_listener);
             async move {
-                serve_callers(front, door, listeners, caller_messages, phase_messages, spawner)
-                    .await;
+                serve_callers(
+                    front,
+                    door,
+                    listeners,
+                    caller_messages,
+                    phase_messages,
+                    spawner,
+                )
+                .await;
                 // The node waits for this message; it may have given up.
                 _ = served_sender.offer(());
             }
--- a/crates/node/src/question_duty.rs
+++ b/crates/node/src/question_duty.rs
@@ -26,11 +26,7 @@
 }
 
 /// Answers questions until the listener fails.
-pub async fn run(
-    listener: TcpListener,
-    control: RingSender<ControlMessage>,
-    spawner: TaskSpawner,
-) {
+pub async fn run(listener: TcpListener, control: RingSender<ControlMessage>, spawner: TaskSpawner) {
     let server = H2Server {
         listener,
         spawner,
