--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -104,6 +104,9 @@
     /// The pace of a run was set.
     #[strum(message = "The pace of a run was set.")]
     RunPaced = 613,
+    /// A run was stopped so that its worker's machine can be taken.
+    #[strum(message = "A run was stopped so that its worker's machine can be taken.")]
+    RunMoved = 614,
     /// A worker's life ended; its runs are lost.
     #[strum(message = "A worker's life ended; its runs are lost.")]
     WorkerLifeEnded = 620,
@@ -113,6 +116,15 @@
     /// A worker did not answer a look.
     #[strum(message = "A worker did not answer a look.")]
     WorkerSilent = 622,
+    /// The platform answered an order for a machine.
+    #[strum(message = "The platform answered an order for a machine.")]
+    MachineAnswered = 650,
+    /// All machines of a maintenance wave have begun their upkeep.
+    #[strum(message = "All machines of a maintenance wave have begun their upkeep.")]
+    WaveCompleted = 651,
+    /// A node keeps the machines, or no longer does.
+    #[strum(message = "A node keeps the machines, or no longer does.")]
+    KeeperRole = 652,
     /// A node took a shard over.
     #[strum(message = "A node took a shard over.")]
     ShardTaken = 630,
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -23,6 +23,19 @@
     pub keys: IndexMap<KeyDigest, AccountId>,
     /// Availability zones in which nothing may start.
     pub evacuated: IndexSet<ZoneId>,
+    /// Maintenance waves by number.
+    pub waves: IndexMap<WaveNumber, WaveRule>,
+}
+
+/// A maintenance wave: each of its machines is to have its upkeep in time.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct WaveRule {
+    /// Machines of the wave.
+    pub machines: IndexSet<MachineId>,
+    /// Time for the whole wave.
+    pub duration: Duration,
+    /// Most machines that may be down for it at the same time.
+    pub maximum: usize,
 }
 
 /// What operators declare about a queue.
--- /dev/null
+++ b/crates/control/src/keeper.rs
@@ -0,0 +1,531 @@
+//! Decides which machines are taken for upkeep, and when.
+//!
+//! One node at a time keeps the machines. A machine is first vacated: the owner of its pool's shard
+//! starts nothing on it any more and moves what lasts, within the availability budgets. Only then
+//! is it ordered down.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use indexmap::{IndexMap, IndexSet};
+use pw_base::prelude::*;
+use serde::{Deserialize, Serialize};
+use strum::{AsRefStr, Display, EnumString};
+
+use crate::config::{FleetConfig, WaveRule, find_shard};
+use crate::message::PoolLoad;
+
+/// State of a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, AsRefStr, Display, EnumString)]
+#[strum(serialize_all = "kebab-case")]
+pub enum MachineState {
+    /// A worker runs on it.
+    Up,
+    /// It moves to another pool.
+    Moving,
+    /// It has its upkeep.
+    Upkeep,
+    /// It is off or broken.
+    Down,
+}
+
+/// A machine as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MachineView {
+    /// Name of the machine.
+    pub machine: MachineId,
+    /// Pool that it belongs to.
+    pub pool: PoolId,
+    /// Its state.
+    pub state: MachineState,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// The worker on it.
+    pub worker: Option<WorkerId>,
+}
+
+/// What is to be done with a machine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum MachineAction {
+    /// It goes to another pool.
+    Move(PoolId),
+    /// It has its upkeep in a wave.
+    Upkeep(WaveNumber),
+}
+
+/// Order for a machine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MachineOrder {
+    /// The machine.
+    pub machine: MachineId,
+    /// What is to be done.
+    pub action: MachineAction,
+    /// Epoch of the node that keeps the machines.
+    pub epoch: OwnerEpoch,
+}
+
+/// What became of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, AsRefStr, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum MachineOutcome {
+    /// It is done, or was done before.
+    Done,
+    /// A later keeper has given orders for the machine.
+    Fenced,
+    /// The machine is not up, or leaves.
+    Busy,
+    /// The machine does not belong to the wave.
+    NotInWave,
+    /// There is no such machine, or it can't go to that pool.
+    Impossible,
+    /// Nothing was done; the platform is busy.
+    TurnedAway,
+    /// It may have been carried out, or may be later.
+    Unanswered,
+}
+
+/// How far a wave is; it is stored for the next keeper.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaveProgress {
+    /// Machines whose upkeep has begun, and those that the wave doesn't have.
+    pub begun: IndexSet<MachineId>,
+    /// All machines have begun.
+    pub completed: bool,
+}
+
+/// What the keeper is told.
+#[derive(Debug, Clone)]
+pub enum KeeperEvent {
+    /// A configuration is in force.
+    Config(Arc<FleetConfig>),
+    /// All machines, as the platform lists them.
+    Machines(Vec<MachineView>),
+    /// The owner of a shard answered a survey.
+    Surveyed {
+        /// Work of the shard's pools.
+        pools: Vec<PoolLoad>,
+        /// Workers to be vacated that run nothing and take no starts.
+        clear: Vec<WorkerId>,
+        /// When it was asked.
+        asked: Instant,
+    },
+    /// The platform answered an order, or did not.
+    Ordered {
+        /// What was ordered.
+        order: MachineOrder,
+        /// The answer.
+        outcome: MachineOutcome,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// What the keeper wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KeeperCommand {
+    /// Ask the owner of a shard for the work of its pools, and have workers vacated.
+    Survey {
+        /// The shard.
+        shard: ShardNumber,
+        /// Workers to be vacated; no others of the shard are.
+        vacate: Vec<WorkerId>,
+    },
+    /// Read the list of machines.
+    List,
+    /// Give an order.
+    Order(MachineOrder),
+    /// Store how far a wave is.
+    Note(WaveNumber, WaveProgress),
+    /// Tell operators whether a wave is completed.
+    Report(WaveNumber, bool),
+    /// Another keeper has given orders, so the role is to be checked.
+    Contested,
+}
+
+/// Settings of a [`FleetKeeper`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct KeeperSettings {
+    /// Number of shards of the fleet.
+    pub shards: u32,
+    /// Time between two surveys of a shard.
+    pub survey_gap: Duration,
+    /// Time between two readings of the machines while something is under way.
+    pub list_gap: Duration,
+    /// Time between two readings of the machines otherwise.
+    pub idle_list_gap: Duration,
+    /// Age from which the answer to a survey allows no order: vacated workers are free again soon
+    /// after the last survey.
+    pub survey_age_max: Duration,
+    /// Largest part of a pool that is taken at the same time.
+    pub pool_part: f64,
+    /// Pause after an order that was not carried out.
+    pub order_retry: Duration,
+    /// Time after which a machine that was ordered down and has not come back counts as up.
+    pub settle_max: Duration,
+}
+
+/// Keeps the machines of the fleet.
+pub struct FleetKeeper {
+    settings: KeeperSettings,
+    epoch: OwnerEpoch,
+    config: Arc<FleetConfig>,
+    machines: IndexMap<MachineId, MachineView>,
+    loads: IndexMap<PoolId, PoolLoad>,
+    progress: IndexMap<WaveNumber, WaveProgress>,
+    /// Waves whose state operators have been told.
+    reported: IndexSet<WaveNumber>,
+    /// Machines for which something is under way.
+    tasks: IndexMap<MachineId, MachineTask>,
+    surveys: IndexMap<ShardNumber, Instant>,
+    list_due: Instant,
+    commands: Vec<KeeperCommand>,
+}
+
+#[derive(Debug)]
+struct MachineTask {
+    action: MachineAction,
+    pool: PoolId,
+    /// Worker on the machine when it was taken.
+    worker: Option<WorkerId>,
+    phase: TaskStage,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum TaskStage {
+    /// Its worker is being left by its runs.
+    Vacating {
+        /// No order goes before this time.
+        not_before: Instant,
+    },
+    /// An order is under way, or is to be repeated at this time.
+    Ordered {
+        /// When to repeat it; `None` while an answer is awaited.
+        again: Option<Instant>,
+    },
+    /// The order was carried out; the machine is to come back.
+    Settling {
+        /// When it was carried out.
+        since: Instant,
+    },
+}
+
+impl Default for KeeperSettings {
+    fn default() -> Self {
+        Self {
+            shards: 24,
+            survey_gap: Duration::from_millis(300),
+            list_gap: Duration::from_millis(500),
+            idle_list_gap: Duration::from_secs(2),
+            survey_age_max: Duration::from_secs(1),
+            pool_part: 0.25,
+            order_retry: Duration::from_millis(300),
+            settle_max: Duration::from_secs(10),
+        }
+    }
+}
+
+impl FleetKeeper {
+    /// Takes the role over, with what earlier keepers have stored of the waves.
+    pub fn new(
+        settings: KeeperSettings,
+        epoch: OwnerEpoch,
+        config: Arc<FleetConfig>,
+        progress: IndexMap<WaveNumber, WaveProgress>,
+        now: Instant,
+    ) -> Self {
+        Self {
+            settings,
+            epoch,
+            config,
+            machines: IndexMap::new(),
+            loads: IndexMap::new(),
+            progress,
+            reported: IndexSet::new(),
+            tasks: IndexMap::new(),
+            surveys: IndexMap::new(),
+            list_due: now,
+            commands: Vec::new(),
+        }
+    }
+
+    /// Returns the epoch of this keeper.
+    pub fn epoch(&self) -> OwnerEpoch {
+        self.epoch
+    }
+
+    /// Returns when [`KeeperEvent::Tick`] is wanted next.
+    pub fn next_deadline(&self) -> Instant {
+        let surveys = self
+            .surveys
+            .values()
+            .map(|at| *at + self.settings.survey_gap);
+        surveys.fold(self.list_due, Instant::min)
+    }
+
+    /// Takes an event and returns what is to be done.
+    pub fn handle(&mut self, now: Instant, event: KeeperEvent) -> Vec<KeeperCommand> {
+        match event {
+            KeeperEvent::Config(config) => self.config = config,
+            KeeperEvent::Machines(machines) => self.take_machines(machines, now),
+            KeeperEvent::Surveyed {
+                pools,
+                clear,
+                asked,
+            } => {
+                for load in pools {
+                    self.loads.insert(load.pool.clone(), load);
+                }
+                if now < asked + self.settings.survey_age_max {
+                    self.order_clear(&clear, now);
+                }
+            }
+            KeeperEvent::Ordered { order, outcome } => self.take_outcome(&order, outcome, now),
+            KeeperEvent::Tick => {}
+        }
+        self.advance_waves(now);
+        self.repeat_orders(now);
+        self.send_surveys(now);
+        if now >= self.list_due {
+            let busy = !self.tasks.is_empty() || self.open_waves().next().is_some();
+            let gap = if busy {
+                self.settings.list_gap
+            } else {
+                self.settings.idle_list_gap
+            };
+            self.list_due = now + gap;
+            self.commands.push(KeeperCommand::List);
+        }
+        std::mem::take(&mut self.commands)
+    }
+
+    fn open_waves(&self) -> impl Iterator<Item = (&WaveNumber, &WaveRule)> {
+        let open = self.config.waves.iter();
+        open.filter(|(wave, _)| !self.progress.get(*wave).is_some_and(|p| p.completed))
+    }
+
+    fn take_machines(&mut self, machines: Vec<MachineView>, now: Instant) {
+        let named = machines
+            .into_iter()
+            .map(|view| (view.machine.clone(), view));
+        self.machines = named.collect();
+        let settle_max = self.settings.settle_max;
+        let machines = &self.machines;
+        self.tasks.retain(|machine, task| {
+            let TaskStage::Settling { since } = task.phase else {
+                return machines.contains_key(machine);
+            };
+            let Some(view) = machines.get(machine) else {
+                return false;
+            };
+            let back = view.state == MachineState::Up && view.worker != task.worker;
+            !back && now < since + settle_max
+        });
+    }
+
+    /// Orders the machines whose workers are clear.
+    fn order_clear(&mut self, clear: &[WorkerId], now: Instant) {
+        let epoch = self.epoch;
+        for (machine, task) in &mut self.tasks {
+            let TaskStage::Vacating { not_before } = task.phase else {
+                continue;
+            };
+            let is_clear = task
+                .worker
+                .as_ref()
+                .is_none_or(|worker| clear.contains(worker));
+            if is_clear && now >= not_before {
+                task.phase = TaskStage::Ordered { again: None };
+                self.commands.push(KeeperCommand::Order(MachineOrder {
+                    machine: machine.clone(),
+                    action: task.action.clone(),
+                    epoch,
+                }));
+            }
+        }
+    }
+
+    fn take_outcome(&mut self, order: &MachineOrder, outcome: MachineOutcome, now: Instant) {
+        let event = EventCode::MachineAnswered.number();
+        let (machine, action, epoch) = (&*order.machine, &order.action, order.epoch);
+        tracing::info!(event, machine, ?action, epoch, %outcome, "order for a machine answered");
+        let retry = now + self.settings.order_retry;
+        let Some(task) = self.tasks.get_mut(&order.machine) else {
+            return;
+        };
+        match outcome {
+            MachineOutcome::Done => {
+                task.phase = TaskStage::Settling { since: now };
+                self.note_begun(order);
+            }
+            MachineOutcome::NotInWave | MachineOutcome::Impossible => {
+                self.tasks.swap_remove(&order.machine);
+                self.note_begun(order);
+            }
+            MachineOutcome::Busy => task.phase = TaskStage::Vacating { not_before: retry },
+            MachineOutcome::TurnedAway | MachineOutcome::Unanswered => {
+                task.phase = TaskStage::Ordered { again: Some(retry) };
+            }
+            MachineOutcome::Fenced => {
+                task.phase = TaskStage::Ordered { again: None };
+                self.commands.push(KeeperCommand::Contested);
+            }
+        }
+    }
+
+    fn note_begun(&mut self, order: &MachineOrder) {
+        if let MachineAction::Upkeep(wave) = order.action {
+            let progress = self.progress.entry(wave).or_default();
+            progress.begun.insert(order.machine.clone());
+            let note = KeeperCommand::Note(wave, progress.clone());
+            self.commands.push(note);
+        }
+    }
+
+    fn repeat_orders(&mut self, now: Instant) {
+        let epoch = self.epoch;
+        for (machine, task) in &mut self.tasks {
+            let TaskStage::Ordered { again: Some(again) } = task.phase else {
+                continue;
+            };
+            if now >= again {
+                task.phase = TaskStage::Ordered { again: None };
+                self.commands.push(KeeperCommand::Order(MachineOrder {
+                    machine: machine.clone(),
+                    action: task.action.clone(),
+                    epoch,
+                }));
+            }
+        }
+    }
+
+    /// Takes further machines of the waves, and tells when a wave is completed.
+    fn advance_waves(&mut self, now: Instant) {
+        if self.machines.is_empty() {
+            return;
+        }
+        let open: Vec<WaveNumber> = self.open_waves().map(|(wave, _)| *wave).collect();
+        for wave in open {
+            if self.reported.insert(wave) {
+                self.commands.push(KeeperCommand::Report(wave, false));
+            }
+            let config = Arc::clone(&self.config);
+            let Some(rule) = config.waves.get(&wave) else {
+                continue;
+            };
+            let pending = self.pending_machines(wave, rule);
+            if pending.is_empty() {
+                self.complete(wave);
+                continue;
+            }
+            let room = rule.maximum.saturating_sub(self.down_machines(wave, rule));
+            self.take_pending(wave, pending, room, now);
+        }
+    }
+
+    /// Returns the machines of a wave that are there and have not begun.
+    fn pending_machines(&self, wave: WaveNumber, rule: &WaveRule) -> Vec<MachineId> {
+        let begun = self.progress.get(&wave).map(|progress| &progress.begun);
+        let pending = rule.machines.iter().filter(|machine| {
+            let begun = begun.is_some_and(|begun| begun.contains(*machine));
+            !begun && self.machines.contains_key(*machine)
+        });
+        pending.cloned().collect()
+    }
+
+    /// Returns how many machines of a wave are down for it, or may be soon.
+    fn down_machines(&self, wave: WaveNumber, rule: &WaveRule) -> usize {
+        let under_way = |machine: &MachineId| {
+            let task = self.tasks.get(machine);
+            task.is_some_and(|task| task.action == MachineAction::Upkeep(wave))
+        };
+        let in_upkeep = |machine: &MachineId| {
+            let view = self.machines.get(machine);
+            view.is_some_and(|view| view.state == MachineState::Upkeep)
+        };
+        let machines = rule.machines.iter();
+        machines
+            .filter(|machine| under_way(machine) || in_upkeep(machine))
+            .count()
+    }
+
+    fn take_pending(
+        &mut self,
+        wave: WaveNumber,
+        mut pending: Vec<MachineId>,
+        mut room: usize,
+        now: Instant,
+    ) {
+        pending.sort_by(|a, b| self.machine_load(a).total_cmp(&self.machine_load(b)));
+        for machine in pending {
+            if room == 0 {
+                return;
+            }
+            let Some(view) = self.machines.get(&machine) else {
+                continue;
+            };
+            let free = !self.tasks.contains_key(&machine) && self.pool_has_room(&view.pool);
+            if !free || matches!(view.state, MachineState::Moving | MachineState::Upkeep) {
+                continue;
+            }
+            let task = MachineTask {
+                action: MachineAction::Upkeep(wave),
+                pool: view.pool.clone(),
+                worker: view.worker.clone(),
+                phase: TaskStage::Vacating { not_before: now },
+            };
+            let without_worker = view.worker.is_none();
+            self.tasks.insert(machine, task);
+            room -= 1;
+            if without_worker {
+                self.order_clear(&[], now);
+            }
+        }
+    }
+
+    /// Returns how busy the pool of a machine is; idle pools give their machines first.
+    fn machine_load(&self, machine: &MachineId) -> f64 {
+        let view = self.machines.get(machine);
+        let load = view.and_then(|view| self.loads.get(&view.pool));
+        load.map_or(0.0, |load| {
+            let wanted = load.used.millicores.saturating_add(load.waiting.millicores);
+            f64::from(wanted) / f64::from(load.capacity.millicores.max(1))
+        })
+    }
+
+    /// Returns whether another machine of the pool may be taken.
+    fn pool_has_room(&self, pool: &PoolId) -> bool {
+        let members = self.machines.values().filter(|view| view.pool == *pool);
+        let most = (members.count() as f64 * self.settings.pool_part).max(1.0) as usize;
+        let taken = self.tasks.values().filter(|task| task.pool == *pool);
+        taken.count() < most
+    }
+
+    fn complete(&mut self, wave: WaveNumber) {
+        let progress = self.progress.entry(wave).or_default();
+        progress.completed = true;
+        let note = KeeperCommand::Note(wave, progress.clone());
+        self.commands.push(note);
+        self.commands.push(KeeperCommand::Report(wave, true));
+        let event = EventCode::WaveCompleted.number();
+        tracing::info!(event, wave, "maintenance wave completed");
+    }
+
+    /// Asks the owners of all shards with pools; those to be vacated stay so only while asked for.
+    fn send_surveys(&mut self, now: Instant) {
+        let shards = self.settings.shards;
+        let pools = self.config.pools.iter().filter(|(_, rule)| !rule.spare);
+        let numbers = pools.map(|(pool, _)| find_shard(pool, shards));
+        let numbers: IndexSet<ShardNumber> = numbers.collect();
+        for shard in numbers {
+            let asked = self.surveys.get(&shard);
+            if asked.is_some_and(|at| now < *at + self.settings.survey_gap) {
+                continue;
+            }
+            self.surveys.insert(shard, now);
+            let in_shard = self.tasks.values();
+            let in_shard = in_shard.filter(|task| find_shard(&task.pool, shards) == shard);
+            let vacate = in_shard.filter_map(|task| task.worker.clone()).collect();
+            self.commands.push(KeeperCommand::Survey { shard, vacate });
+        }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 //! of sockets or encodings.
 
 pub mod config;
+pub mod keeper;
 pub mod message;
 pub mod order;
 pub mod pace;
@@ -16,10 +17,15 @@
 
 /// The names that most users of this crate need.
 pub mod prelude {
-    pub use crate::config::{AccountRule, FleetConfig, PoolRule, QueueRule, find_shard};
+    pub use crate::config::{AccountRule, FleetConfig, PoolRule, QueueRule, WaveRule, find_shard};
+    pub use crate::keeper::{
+        FleetKeeper, KeeperCommand, KeeperEvent, KeeperSettings, MachineAction, MachineOrder,
+        MachineOutcome, MachineState, MachineView, WaveProgress,
+    };
     pub use crate::message::{
-        CallFault, EndView, JobAnswer, LookOrder, LookReport, PaceOrder, QuestionScope, RunView,
-        ShardCommand, ShardEvent, ShardImage, StartOrder, StartOutcome, StopOrder, StoreRecord,
+        CallFault, EndView, JobAnswer, LookOrder, LookReport, PaceOrder, PoolLoad, QuestionScope,
+        RunView, ShardCommand, ShardEvent, ShardImage, StartOrder, StartOutcome, StopOrder,
+        StoreRecord,
     };
     pub use crate::place::{Candidate, PlacementPolicy, SpreadPlacement};
     pub use crate::quota::AccountBudget;
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -7,6 +7,8 @@
 use indexmap::IndexMap;
 use pw_base::prelude::*;
 use pw_job::prelude::*;
+use pw_worker::prelude::*;
+use serde::{Deserialize, Serialize};
 use strum::{AsRefStr, Display};
 
 use crate::config::FleetConfig;
@@ -55,6 +57,8 @@
         /// The answer.
         result: Result<(), CallFault>,
     },
+    /// These workers, and no others, are to be left by their runs.
+    Vacate(Vec<WorkerId>),
     /// Time has passed.
     Tick,
 }
@@ -271,6 +275,21 @@
     Unanswered,
 }
 
+/// How much work a pool has.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct PoolLoad {
+    /// The pool.
+    pub pool: PoolId,
+    /// Workers that take starts.
+    pub workers: u32,
+    /// What these workers have in total.
+    pub capacity: ResourceSize,
+    /// What is set aside for runs on all workers of the pool.
+    pub used: ResourceSize,
+    /// What the tasks would take that could start now.
+    pub waiting: ResourceSize,
+}
+
 /// What a caller wants to know of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuestionScope<'a> {
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -6,6 +6,7 @@
 mod placing;
 mod starting;
 mod storing;
+mod vacating;
 
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -146,6 +147,7 @@
             ShardEvent::Looked { order, result } => self.take_look(&order, result, now),
             ShardEvent::Started { order, outcome } => self.take_start(&order, outcome, now),
             ShardEvent::Stopped { order, result } => self.take_stop(&order, result, now),
+            ShardEvent::Vacate(workers) => self.vacate(&workers, now),
             ShardEvent::Paced { .. } | ShardEvent::Tick => {}
         }
         self.advance(now, wall);
@@ -168,6 +170,7 @@
     fn advance(&mut self, now: Instant, wall: SystemTime) {
         self.lose_lapsed(now);
         self.open_due(now, wall);
+        self.move_lasting(now);
         if self.changed || self.recheck.is_some_and(|at| now >= at) {
             self.changed = false;
             self.recheck = self.next_pause_end(now);
@@ -294,6 +297,8 @@
             paced_at: None,
             load: None,
             percent: 0,
+            lasts: spec.long_running,
+            may_miss: spec.may_miss,
         }
     }
 
--- /dev/null
+++ b/crates/control/src/shard/vacating.rs
@@ -0,0 +1,155 @@
+//! Moves runs off workers whose machines are to be taken.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexSet;
+use pw_base::prelude::*;
+use pw_job::prelude::*;
+use pw_worker::prelude::*;
+
+use super::ShardController;
+use crate::message::PoolLoad;
+use crate::worker::{RunPhase, WorkerRecord};
+
+/// How long a worker stays vacated after it was asked for last.
+const VACATED_FOR: Duration = Duration::from_secs(2);
+/// Time after which runs on a vacated worker are stopped that have not ended by themselves.
+const PATIENCE: Duration = Duration::from_secs(4);
+/// Tasks of a step that may be away where the step sets no bound.
+const DEFAULT_MAY_MISS: u32 = 1;
+/// Progress of a lasting task that is at work, in percent.
+const AT_WORK: u8 = 100;
+
+impl ShardController {
+    /// Sets the workers that are to be left by their runs.
+    pub(super) fn vacate(&mut self, workers: &[WorkerId], now: Instant) {
+        for (id, worker) in &mut self.workers {
+            if workers.contains(id) {
+                worker.vacated_until = Some(now + VACATED_FOR);
+                worker.vacated_since.get_or_insert(now);
+            } else if worker.vacated_until.take().is_some() {
+                worker.vacated_since = None;
+                self.changed = true;
+            }
+        }
+    }
+
+    /// Returns the workers to be vacated that run nothing and get nothing.
+    pub fn clear_workers(&self, now: Instant) -> Vec<WorkerId> {
+        let vacated = self.workers.iter().filter(|(_, w)| w.is_vacated(now));
+        let clear = vacated.filter(|(_, worker)| worker.runs.is_empty());
+        clear.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Stops the runs on vacated workers that would not end soon, within the availability budgets.
+    pub(super) fn move_lasting(&mut self, now: Instant) {
+        let vacated = self
+            .workers
+            .values()
+            .filter(|worker| worker.is_vacated(now));
+        let mut movable = Vec::new();
+        for worker in vacated {
+            let waited = worker
+                .vacated_since
+                .is_some_and(|since| now >= since + PATIENCE);
+            let runs = worker
+                .runs
+                .iter()
+                .filter(|(_, run)| run.phase == RunPhase::Running);
+            let ready = runs.filter(|(_, run)| run.lasts || waited);
+            movable.extend(ready.map(|(task, _)| (worker.entry.id.clone(), task.clone())));
+        }
+        for (id, task) in movable {
+            if !self.budget_allows(&id, &task) {
+                continue;
+            }
+            if let Some(run) = self
+                .workers
+                .get_mut(&id)
+                .and_then(|w| w.runs.get_mut(&task))
+            {
+                run.phase = RunPhase::Stopping;
+                let event = EventCode::RunMoved.number();
+                tracing::info!(event, %task, worker = &*id, "run stopped to free its worker");
+            }
+        }
+    }
+
+    /// Returns whether a run may be stopped without too many of its step being away.
+    fn budget_allows(&self, id: &WorkerId, task: &TaskName) -> bool {
+        let Some(run) = self
+            .workers
+            .get(id)
+            .and_then(|worker| worker.runs.get(task))
+        else {
+            return false;
+        };
+        if !run.lasts {
+            return true;
+        }
+        let Some(job) = self.jobs.get(&task.job) else {
+            return true;
+        };
+        let step = &job.record.spec.steps[task.step as usize];
+        let at_work: IndexSet<u32> = self.workers_of_step(task).collect();
+        let others = (0..step.count).filter(|index| *index != task.index);
+        let away = others.filter(|index| !at_work.contains(index)).count();
+        away < run.may_miss.unwrap_or(DEFAULT_MAY_MISS) as usize
+    }
+
+    /// Returns the indices of the tasks of a step that are at work.
+    fn workers_of_step<'a>(&'a self, task: &'a TaskName) -> impl Iterator<Item = u32> + 'a {
+        let sound = self.workers.values().filter(|worker| worker.misses == 0);
+        let runs = sound.flat_map(|worker| worker.runs.iter());
+        let at_work = runs.filter(|(name, run)| {
+            let same = name.job == task.job
+                && name.occurrence == task.occurrence
+                && name.step == task.step;
+            same && run.phase == RunPhase::Running && run.percent >= AT_WORK
+        });
+        at_work.map(|(name, _)| name.index)
+    }
+
+    /// Returns how much work each pool of the shard has.
+    pub fn pool_loads(&self, now: Instant) -> Vec<PoolLoad> {
+        let pools: IndexSet<&PoolId> = self.workers.values().map(|w| &w.entry.pool).collect();
+        let loads = pools.into_iter().map(|pool| {
+            let of_pool = |worker: &&WorkerRecord| worker.entry.pool == *pool;
+            let members = self.workers.values().filter(of_pool);
+            let mut load = PoolLoad {
+                pool: pool.clone(),
+                ..Default::default()
+            };
+            for worker in members {
+                load.used = load.used.plus(&worker.used);
+                if worker.takes_starts(now) {
+                    load.workers += 1;
+                    load.capacity = load.capacity.plus(&worker.entry.capacity);
+                }
+            }
+            load.waiting = self.waiting_size(pool);
+            load
+        });
+        loads.collect()
+    }
+
+    /// Returns what the tasks of a pool would take that could start now.
+    fn waiting_size(&self, pool: &PoolId) -> ResourceSize {
+        let mut size = ResourceSize::default();
+        let jobs = self.jobs.values().filter(|job| job.record.pool == *pool);
+        for job in jobs.filter(|job| !job.is_over()) {
+            let spec = &job.record.spec;
+            for occurrence in &job.state.occurrences {
+                for (number, tasks) in occurrence.steps.iter().enumerate() {
+                    if !occurrence.step_ready(spec, number) {
+                        continue;
+                    }
+                    let own = super::reserved_size(&spec.steps[number]);
+                    let waiting = tasks.iter().filter(|task| task.is_waiting());
+                    size = waiting.fold(size, |sum, _| sum.plus(&own));
+                }
+            }
+        }
+        size
+    }
+}
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -94,6 +94,10 @@
     pub paced_at: Option<Instant>,
     /// Last report of its tail or its use of the processor.
     pub load: Option<u64>,
+    /// It runs until its job is cancelled.
+    pub lasts: bool,
+    /// How many of its step may be unavailable by the system's own actions.
+    pub may_miss: Option<u32>,
     /// Last report of its progress; a task that lasts is at work at 100.
     pub percent: u8,
 }
@@ -116,6 +120,8 @@
             paced_at: None,
             load: None,
             percent: 0,
+            lasts: false,
+            may_miss: None,
         }
     }
 }
--- /dev/null
+++ b/crates/control/tests/keeper.rs
@@ -0,0 +1,273 @@
+//! The keeper of machines against a fake platform.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use indexmap::{IndexMap, IndexSet};
+use pw_base::prelude::*;
+use pw_control::prelude::*;
+
+/// Time for an order to be carried out.
+const UPKEEP: Duration = Duration::from_secs(2);
+
+/// The platform's machines, and the commands that wait.
+struct Platform {
+    now: Instant,
+    keeper: FleetKeeper,
+    config: Arc<FleetConfig>,
+    views: IndexMap<MachineId, MachineView>,
+    back_at: IndexMap<MachineId, Instant>,
+    /// Workers that are clear as soon as they are to be vacated.
+    clear: bool,
+    /// What the platform answers; carries orders out only for [`MachineOutcome::Done`].
+    outcome: MachineOutcome,
+    orders: Vec<MachineOrder>,
+    most_down: usize,
+    notes: IndexMap<WaveNumber, WaveProgress>,
+    reports: Vec<(WaveNumber, bool)>,
+    contested: usize,
+    lives: u32,
+}
+
+impl Platform {
+    fn new(machines: usize, wave: WaveRule) -> Self {
+        let now = Instant::now();
+        let views = (0..machines).map(|number| {
+            let machine = MachineId::from(format!("m{number}"));
+            let view = MachineView {
+                machine: machine.clone(),
+                pool: "pool".into(),
+                state: MachineState::Up,
+                zone: "zone".into(),
+                worker: Some(format!("w{number}").into()),
+            };
+            (machine, view)
+        });
+        let config = Arc::new(FleetConfig {
+            version: 1,
+            pools: IndexMap::from([(PoolId::from("pool"), PoolRule::default())]),
+            waves: IndexMap::from([(1, wave)]),
+            ..Default::default()
+        });
+        Self {
+            now,
+            keeper: keeper(1, &config, IndexMap::new(), now),
+            config,
+            views: views.collect(),
+            back_at: IndexMap::new(),
+            clear: true,
+            outcome: MachineOutcome::Done,
+            orders: Vec::new(),
+            most_down: 0,
+            notes: IndexMap::new(),
+            reports: Vec::new(),
+            contested: 0,
+            lives: 0,
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += Duration::from_millis(50);
+            self.bring_back();
+            self.tell(KeeperEvent::Tick);
+        }
+    }
+
+    fn tell(&mut self, event: KeeperEvent) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            for command in self.keeper.handle(self.now, event) {
+                events.extend(self.perform(command));
+            }
+        }
+    }
+
+    fn perform(&mut self, command: KeeperCommand) -> Option<KeeperEvent> {
+        match command {
+            KeeperCommand::List => {
+                return Some(KeeperEvent::Machines(
+                    self.views.values().cloned().collect(),
+                ));
+            }
+            KeeperCommand::Survey { vacate, .. } => {
+                let clear = if self.clear { vacate } else { Vec::new() };
+                return Some(KeeperEvent::Surveyed {
+                    pools: Vec::new(),
+                    clear,
+                    asked: self.now,
+                });
+            }
+            KeeperCommand::Order(order) => {
+                self.orders.push(order.clone());
+                if self.outcome == MachineOutcome::Done {
+                    self.begin(&order.machine);
+                }
+                let outcome = self.outcome;
+                return Some(KeeperEvent::Ordered { order, outcome });
+            }
+            KeeperCommand::Note(wave, progress) => {
+                self.notes.insert(wave, progress);
+            }
+            KeeperCommand::Report(wave, completed) => self.reports.push((wave, completed)),
+            KeeperCommand::Contested => self.contested += 1,
+        }
+        None
+    }
+
+    fn begin(&mut self, machine: &MachineId) {
+        let view = &mut self.views[machine];
+        view.state = MachineState::Upkeep;
+        view.worker = None;
+        self.back_at.insert(machine.clone(), self.now + UPKEEP);
+        let down = self
+            .views
+            .values()
+            .filter(|view| view.state == MachineState::Upkeep);
+        self.most_down = self.most_down.max(down.count());
+    }
+
+    fn bring_back(&mut self) {
+        let now = self.now;
+        let back: Vec<MachineId> = self
+            .back_at
+            .iter()
+            .filter(|(_, at)| now >= **at)
+            .map(|(machine, _)| machine.clone())
+            .collect();
+        for machine in back {
+            self.back_at.swap_remove(&machine);
+            self.lives += 1;
+            let view = &mut self.views[&machine];
+            view.state = MachineState::Up;
+            view.worker = Some(format!("again{}", self.lives).into());
+        }
+    }
+
+    fn begun(&self) -> usize {
+        let machines: IndexSet<&MachineId> = self.orders.iter().map(|o| &o.machine).collect();
+        machines.len()
+    }
+}
+
+fn keeper(
+    epoch: OwnerEpoch,
+    config: &Arc<FleetConfig>,
+    progress: IndexMap<WaveNumber, WaveProgress>,
+    now: Instant,
+) -> FleetKeeper {
+    FleetKeeper::new(
+        KeeperSettings::default(),
+        epoch,
+        Arc::clone(config),
+        progress,
+        now,
+    )
+}
+
+fn wave(machines: usize, maximum: usize) -> WaveRule {
+    WaveRule {
+        machines: (0..machines)
+            .map(|number| format!("m{number}").into())
+            .collect(),
+        duration: Duration::from_secs(30),
+        maximum,
+    }
+}
+
+#[test]
+fn a_wave_is_done_within_its_maximum_and_then_reported() {
+    let mut platform = Platform::new(12, wave(6, 2));
+    platform.run(Duration::from_secs(15));
+    assert_eq!(platform.begun(), 6);
+    assert_eq!(platform.orders.len(), 6, "a machine was ordered twice");
+    assert_eq!(platform.most_down, 2);
+    assert_eq!(platform.reports, [(1, false), (1, true)]);
+    assert!(platform.notes[&1].completed);
+}
+
+#[test]
+fn no_more_than_a_part_of_a_pool_is_taken_at_a_time() {
+    let mut platform = Platform::new(8, wave(8, 8));
+    platform.run(Duration::from_secs(25));
+    assert_eq!(platform.begun(), 8);
+    assert_eq!(platform.most_down, 2, "a quarter of eight machines");
+}
+
+#[test]
+fn a_machine_is_ordered_only_once_its_worker_is_clear() {
+    let mut platform = Platform::new(8, wave(2, 2));
+    platform.clear = false;
+    platform.run(Duration::from_secs(5));
+    assert!(platform.orders.is_empty());
+    platform.clear = true;
+    platform.run(Duration::from_secs(5));
+    assert_eq!(platform.begun(), 2);
+}
+
+#[test]
+fn an_order_without_an_answer_counts_as_down_and_is_repeated() {
+    let mut platform = Platform::new(8, wave(4, 1));
+    platform.outcome = MachineOutcome::Unanswered;
+    platform.run(Duration::from_secs(3));
+    assert_eq!(
+        platform.begun(),
+        1,
+        "another machine was ordered while one may be down"
+    );
+    assert!(platform.orders.len() > 3);
+    platform.outcome = MachineOutcome::Done;
+    platform.run(Duration::from_secs(20));
+    assert_eq!(platform.begun(), 4);
+    assert_eq!(platform.most_down, 1);
+}
+
+#[test]
+fn a_machine_that_is_gone_does_not_hold_the_wave() {
+    let mut platform = Platform::new(4, wave(4, 2));
+    platform.views.swap_remove("m2");
+    platform.run(Duration::from_secs(15));
+    assert_eq!(platform.begun(), 3);
+    assert_eq!(platform.reports.last(), Some(&(1, true)));
+}
+
+#[test]
+fn a_wave_is_not_completed_while_the_machines_are_unknown() {
+    let mut platform = Platform::new(0, wave(4, 2));
+    platform.run(Duration::from_secs(5));
+    assert!(!platform.reports.contains(&(1, true)));
+}
+
+#[test]
+fn the_next_keeper_goes_on_where_the_one_before_stopped() {
+    let mut platform = Platform::new(8, wave(4, 1));
+    platform.run(Duration::from_millis(3000));
+    let done = platform.begun();
+    assert!(done >= 1 && done < 4);
+    let progress = platform.notes.clone();
+    platform.keeper = keeper(2, &platform.config, progress, platform.now);
+    platform.run(Duration::from_secs(20));
+    assert_eq!(platform.begun(), 4);
+    assert_eq!(platform.orders.len(), 4, "a machine had its upkeep twice");
+    assert_eq!(
+        platform.most_down, 1,
+        "a machine that an earlier keeper ordered was not counted"
+    );
+    assert!(
+        platform
+            .orders
+            .iter()
+            .skip(done)
+            .all(|order| order.epoch == 2)
+    );
+}
+
+#[test]
+fn a_fenced_keeper_gives_no_further_orders_for_the_machine() {
+    let mut platform = Platform::new(8, wave(1, 1));
+    platform.outcome = MachineOutcome::Fenced;
+    platform.run(Duration::from_secs(5));
+    assert_eq!(platform.orders.len(), 1);
+    assert_eq!(platform.contested, 1);
+}
--- a/crates/control/tests/shard.rs
+++ b/crates/control/tests/shard.rs
@@ -366,3 +366,50 @@
         assert!(started >= due && started <= due + millis(700));
     }
 }
+
+#[test]
+fn a_vacated_worker_gets_nothing_and_its_lasting_task_moves() {
+    let mut world = World::new(3);
+    world.submit("lasting", None, vec![lasting(1)]);
+    assert!(world.run_until(seconds(1), |world| world.running("lasting.0.0.0") == 1));
+    world.run(seconds(2));
+    let holder = world.starts[0][0].0.clone();
+    world.tell(ShardEvent::Vacate(vec![holder.clone()]));
+    world.submit("job", Some("ane"), vec![step(6)]);
+    world.run(millis(1500));
+    assert!(world.workers[&holder].running.is_empty());
+    let shard = world.controller.as_ref().expect("a controller");
+    assert_eq!(shard.clear_workers(world.now), [holder]);
+    assert_eq!(world.running("lasting.0.0.0"), 1);
+}
+
+#[test]
+fn no_more_tasks_of_a_step_are_away_than_it_allows() {
+    let mut world = World::new(6);
+    let spec = StepSpec {
+        may_miss: Some(1),
+        ..lasting(3)
+    };
+    world.submit("lasting", None, vec![spec]);
+    world.run(seconds(3));
+    let holders: Vec<_> = world
+        .starts
+        .values()
+        .map(|starts| starts[0].0.clone())
+        .collect();
+    let least = std::cell::Cell::new(3);
+    for _ in 0..40 {
+        world.tell(ShardEvent::Vacate(holders.clone()));
+        world.run_until(millis(500), |world| {
+            let up = (0..3).filter(|i| world.running(&format!("lasting.0.0.{i}")) == 1);
+            least.set(least.get().min(up.count()));
+            false
+        });
+    }
+    assert_eq!(least.get(), 2, "the budget was not kept, or nothing moved");
+    assert!(
+        holders
+            .iter()
+            .all(|holder| world.workers[holder].running.is_empty())
+    );
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -707,5 +707,6 @@
         accounts: IndexMap::from([(AccountId::from("ane"), account)]),
         keys: IndexMap::from([(digest_key("key"), AccountId::from("ane"))]),
         evacuated: Default::default(),
+        waves: Default::default(),
     }
 }
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -98,8 +98,9 @@
             }
             ControlMessage::Shard(term, event) => self.hand_on(term, *event).await,
             ControlMessage::Question(question, reply) => {
+                let answer = self.answer(question).await;
                 // Whoever asked may have given up.
-                _ = reply.offer(self.answer(&question));
+                _ = reply.offer(answer);
             }
         }
     }
@@ -180,22 +181,36 @@
         }
     }
 
-    fn answer(&self, question: &NodeQuestion) -> NodeAnswer {
+    async fn answer(&mut self, question: NodeQuestion) -> NodeAnswer {
         let Some(shard) = self.shards.get(&question.shard()) else {
             return NodeAnswer::NotOwner;
         };
         match question {
             NodeQuestion::Status { job, account, .. } => {
-                let scope = match account {
+                let scope = match &account {
                     Some(account) => QuestionScope::Account(account),
                     None => QuestionScope::Public,
                 };
-                match shard.ask(job, scope) {
+                match shard.ask(&job, scope) {
                     JobAnswer::Known(status) => NodeAnswer::Status(status),
                     JobAnswer::Unknown => NodeAnswer::UnknownJob,
                 }
             }
-            NodeQuestion::Pending { queue, .. } => NodeAnswer::Pending(shard.pending(queue) as u64),
+            NodeQuestion::Survey { vacate, .. } => {
+                let term = term_of(shard);
+                self.hand_on(term, ShardEvent::Vacate(vacate)).await;
+                let now = self.clock.now();
+                match self.shards.get(&term.shard) {
+                    Some(shard) => NodeAnswer::Survey {
+                        pools: shard.pool_loads(now),
+                        clear: shard.clear_workers(now),
+                    },
+                    None => NodeAnswer::NotOwner,
+                }
+            }
+            NodeQuestion::Pending { queue, .. } => {
+                NodeAnswer::Pending(shard.pending(&queue) as u64)
+            }
         }
     }
 
--- a/crates/node/src/door.rs
+++ b/crates/node/src/door.rs
@@ -10,14 +10,12 @@
 use pw_base::prelude::*;
 use pw_control::prelude::*;
 use pw_job::prelude::*;
-use pw_link::prelude::*;
-use pw_ring::prelude::*;
 use strum::{AsRefStr, Display};
 
 use crate::links::{JobStore, StoreEntry, StoreFault, StorePart, StoreTopic};
-use crate::message::{CallerMessage, ControlMessage};
-use crate::owners::OwnerTable;
-use crate::question::{NodeAnswer, NodeQuestion, decode_message, encode_message};
+use crate::message::CallerMessage;
+use crate::owners::ShardAsker;
+use crate::question::{NodeAnswer, NodeQuestion};
 use crate::settings::NodeSettings;
 
 /// End of the key under which a job's cancellation is stored.
@@ -33,13 +31,11 @@
     settings: NodeSettings,
     clock: Arc<dyn ClockSource>,
     store: Box<dyn JobStore>,
-    control: RingSender<ControlMessage>,
-    client: H2Client,
+    asker: ShardAsker,
     /// `None` until the first one is read.
     config: RefCell<Option<Arc<FleetConfig>>>,
     /// When the configuration was asked for last with success.
     asked: Cell<Option<Instant>>,
-    owners: RefCell<OwnerTable>,
     stopping: Cell<bool>,
 }
 
@@ -94,19 +90,16 @@
         settings: NodeSettings,
         clock: Arc<dyn ClockSource>,
         store: Box<dyn JobStore>,
-        control: RingSender<ControlMessage>,
-        client: H2Client,
+        asker: ShardAsker,
     ) -> Self {
         Self {
             shared: Rc::new(DoorState {
                 settings,
                 clock,
                 store,
-                control,
-                client,
+                asker,
                 config: RefCell::default(),
                 asked: Cell::default(),
-                owners: RefCell::default(),
                 stopping: Cell::default(),
             }),
         }
@@ -124,7 +117,7 @@
                     state.asked.set(Some(asked));
                 }
             }
-            CallerMessage::Owners(rows) => state.owners.borrow_mut().replace(&rows),
+            CallerMessage::Owners(rows) => state.asker.hear_owners(&rows),
             CallerMessage::Stopping => state.stopping.set(true),
         }
     }
@@ -230,7 +223,7 @@
             job: job.clone(),
             account: admission.account.clone(),
         };
-        match self.ask(question).await {
+        match self.shared.asker.ask(question).await {
             Some(NodeAnswer::Status(status)) => Ok(status),
             Some(NodeAnswer::UnknownJob) => Err(DoorRefusal::UnknownJob),
             _ => Err(DoorRefusal::NoOwner),
@@ -247,7 +240,7 @@
             shard: self.shard(admission),
             queue: admission.queue.clone(),
         };
-        match self.ask(question).await {
+        match self.shared.asker.ask(question).await {
             Some(NodeAnswer::Pending(pending)) => Ok(pending),
             _ => Err(DoorRefusal::NoOwner),
         }
@@ -275,30 +268,4 @@
             Err(_) => SubmitOutcome::Unknown,
         }
     }
-
-    async fn ask(&self, question: NodeQuestion) -> Option<NodeAnswer> {
-        let own = self.ask_own(question.clone()).await;
-        if own.is_some_and(|answer| answer != NodeAnswer::NotOwner) {
-            return own;
-        }
-        let owner = self.shared.owners.borrow().owner(question.shard())?;
-        let bytes = encode_message(&question)?;
-        let answer = self.shared.client.ask(owner, bytes.into()).await;
-        match answer {
-            Ok(bytes) => decode_message(&bytes),
-            Err(error) => {
-                let event = EventCode::PeerFailed.number();
-                let shard = question.shard();
-                tracing::warn!(event, %owner, shard, %error, "owner of a shard not reached");
-                None
-            }
-        }
-    }
-
-    async fn ask_own(&self, question: NodeQuestion) -> Option<NodeAnswer> {
-        let (reply, replies) = ring("question", 1);
-        let message = ControlMessage::Question(question, reply);
-        self.shared.control.offer(message).ok()?;
-        replies.recv().await
-    }
 }
--- a/crates/node/src/feed_duty.rs
+++ b/crates/node/src/feed_duty.rs
@@ -9,7 +9,7 @@
 use pw_ring::prelude::*;
 
 use crate::links::FleetFeed;
-use crate::message::{CallerMessage, ControlMessage};
+use crate::message::{CallerMessage, ControlMessage, KeeperMessage};
 use crate::settings::NodeSettings;
 
 /// Where the feed's readings go.
@@ -18,6 +18,8 @@
     pub control: RingSender<ControlMessage>,
     /// The callers duty.
     pub callers: RingSender<CallerMessage>,
+    /// The keeper duty.
+    pub keeper: RingSender<KeeperMessage>,
 }
 
 /// Reads until the duties that listen have ended.
@@ -53,6 +55,10 @@
                     if links.control.send(message).await.is_err() {
                         return;
                     }
+                    let message = KeeperMessage::Config(Arc::clone(config));
+                    if links.keeper.send(message).await.is_err() {
+                        return;
+                    }
                 }
                 let read = CallerMessage::ConfigRead { asked, config };
                 if links.callers.send(read).await.is_err() {
--- a/crates/node/src/journal_duty.rs
+++ b/crates/node/src/journal_duty.rs
@@ -19,7 +19,7 @@
 use crate::links::{
     GroupJoin, JobStore, StoreEntry, StoreFault, StorePart, StoreTopic, StoreWriter,
 };
-use crate::message::{CallerMessage, ControlMessage, JournalMessage, ShardTerm};
+use crate::message::{CallerMessage, ControlMessage, JournalMessage, KeeperMessage, ShardTerm};
 use crate::settings::NodeSettings;
 
 /// Appends of one shard that may wait for the store.
@@ -33,8 +33,13 @@
     pub control: RingSender<ControlMessage>,
     /// The callers duty.
     pub callers: RingSender<CallerMessage>,
+    /// The keeper duty.
+    pub keeper: RingSender<KeeperMessage>,
 }
 
+/// Shard whose owner keeps the machines of the whole fleet.
+pub const KEEPER_SHARD: ShardNumber = 0;
+
 /// Records that are to be stored, and the number of the request.
 type StoreJob = (u64, Vec<StoreRecord>);
 
@@ -183,6 +188,14 @@
             tracing::info!(event, shard, epoch, "shard given up");
             let lost = ControlMessage::Lost(ShardTerm { shard, epoch });
             _ = self.links.control.send(lost).await;
+            self.dismiss(shard).await;
+        }
+    }
+
+    /// Ends the role that comes with the keeper's shard.
+    async fn dismiss(&self, shard: ShardNumber) {
+        if shard == KEEPER_SHARD {
+            _ = self.links.keeper.send(KeeperMessage::Dismissed).await;
         }
     }
 
@@ -192,6 +205,7 @@
         let Some(epoch) = owned.and_then(|owned| owned.epoch) else {
             return;
         };
+        self.dismiss(shard).await;
         let (reply, replies) = ring("release", 1);
         let message = ControlMessage::Release(ShardTerm { shard, epoch }, reply);
         if self.links.control.send(message).await.is_err() {
@@ -229,8 +243,10 @@
     async fn read_owners(&self) -> bool {
         match self.store.owners().await {
             Ok(rows) => {
+                let keeper = KeeperMessage::Owners(rows.clone());
+                let told = self.links.keeper.send(keeper).await;
                 let sent = self.links.callers.send(CallerMessage::Owners(rows)).await;
-                sent.is_ok()
+                told.is_ok() && sent.is_ok()
             }
             Err(fault) => {
                 let event = EventCode::StoreReach.number();
@@ -260,6 +276,10 @@
         if self.links.control.send(opened).await.is_err() {
             return;
         }
+        if shard == KEEPER_SHARD {
+            let appointed = KeeperMessage::Appointed(term.epoch);
+            _ = self.links.keeper.send(appointed).await;
+        }
         let follow = self.follow_submissions(term, end);
         let append = self.append_images(term, jobs);
         let prove = self.prove_ownership(term);
--- /dev/null
+++ b/crates/node/src/keeper_duty.rs
@@ -0,0 +1,255 @@
+//! The duty that keeps the machines while this node has the role.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+use async_io::Timer;
+use futures_lite::future;
+use pw_base::prelude::*;
+use pw_control::prelude::*;
+use pw_link::prelude::*;
+use pw_ring::prelude::*;
+
+use crate::journal_duty::KEEPER_SHARD;
+use crate::links::{JobStore, MachineGateway, StoreEntry, StorePart, StoreTopic};
+use crate::message::{ControlMessage, JournalMessage, KeeperMessage, ShardTerm};
+use crate::owners::ShardAsker;
+use crate::question::{NodeAnswer, NodeQuestion, decode_message, encode_message};
+use crate::question_duty::question_bounds;
+use crate::settings::NodeSettings;
+
+/// Answers that may wait for the keeper.
+const EVENT_CAPACITY: usize = 256;
+
+/// What the keeper duty reaches the world with.
+pub struct KeeperLinks {
+    /// The platform's control of machines.
+    pub machines: Box<dyn MachineGateway>,
+    /// The store.
+    pub store: Box<dyn JobStore>,
+    /// The control duty.
+    pub control: RingSender<ControlMessage>,
+    /// The journal duty.
+    pub journal: RingSender<JournalMessage>,
+}
+
+#[derive(Clone)]
+struct KeeperDuty {
+    settings: NodeSettings,
+    clock: Arc<dyn ClockSource>,
+    machines: Rc<dyn MachineGateway>,
+    store: Rc<dyn JobStore>,
+    asker: ShardAsker,
+    journal: RingSender<JournalMessage>,
+    events: RingSender<(OwnerEpoch, KeeperEvent)>,
+    spawner: TaskSpawner,
+}
+
+/// What wakes the duty.
+enum KeeperInput {
+    Message(Option<KeeperMessage>),
+    Event(OwnerEpoch, KeeperEvent),
+    Due,
+}
+
+/// Runs until all senders of `messages` are gone.
+pub async fn run(
+    settings: NodeSettings,
+    clock: Arc<dyn ClockSource>,
+    messages: RingReceiver<KeeperMessage>,
+    links: KeeperLinks,
+    spawner: TaskSpawner,
+) {
+    let (events, answers) = ring("keeper-events", EVENT_CAPACITY);
+    let client = H2Client::new(question_bounds(), spawner.clone());
+    let duty = KeeperDuty {
+        settings,
+        clock,
+        machines: Rc::from(links.machines),
+        store: Rc::from(links.store),
+        asker: ShardAsker::new(links.control, client),
+        journal: links.journal,
+        events,
+        spawner,
+    };
+    let mut config: Arc<FleetConfig> = Arc::default();
+    let mut keeper: Option<FleetKeeper> = None;
+    loop {
+        let deadline = keeper.as_ref().map(FleetKeeper::next_deadline);
+        let event = match duty.next_input(&messages, &answers, deadline).await {
+            KeeperInput::Message(None) => return,
+            KeeperInput::Message(Some(KeeperMessage::Config(new))) => {
+                config = Arc::clone(&new);
+                KeeperEvent::Config(new)
+            }
+            KeeperInput::Message(Some(KeeperMessage::Owners(rows))) => {
+                duty.asker.hear_owners(&rows);
+                continue;
+            }
+            KeeperInput::Message(Some(KeeperMessage::Appointed(epoch))) => {
+                let event = EventCode::KeeperRole.number();
+                tracing::info!(event, epoch, "node keeps the machines");
+                keeper = Some(duty.take_role(epoch, &config).await);
+                KeeperEvent::Tick
+            }
+            KeeperInput::Message(Some(KeeperMessage::Dismissed)) => {
+                if let Some(keeper) = keeper.take() {
+                    let event = EventCode::KeeperRole.number();
+                    let epoch = keeper.epoch();
+                    tracing::info!(event, epoch, "node no longer keeps the machines");
+                }
+                continue;
+            }
+            KeeperInput::Event(epoch, event) => {
+                if keeper.as_ref().is_none_or(|keeper| keeper.epoch() != epoch) {
+                    continue;
+                }
+                event
+            }
+            KeeperInput::Due => KeeperEvent::Tick,
+        };
+        if let Some(keeper) = &mut keeper {
+            for command in keeper.handle(duty.clock.now(), event) {
+                duty.carry_out(keeper.epoch(), command);
+            }
+        }
+    }
+}
+
+impl KeeperDuty {
+    async fn next_input(
+        &self,
+        messages: &RingReceiver<KeeperMessage>,
+        answers: &RingReceiver<(OwnerEpoch, KeeperEvent)>,
+        deadline: Option<Instant>,
+    ) -> KeeperInput {
+        let message = async { KeeperInput::Message(messages.recv().await) };
+        let event = async {
+            match answers.recv().await {
+                Some((epoch, event)) => KeeperInput::Event(epoch, event),
+                // The duty holds a sender, so the ring stays open.
+                None => KeeperInput::Due,
+            }
+        };
+        let due = async {
+            let Some(deadline) = deadline else {
+                return future::pending().await;
+            };
+            Timer::after(deadline.saturating_duration_since(self.clock.now())).await;
+            KeeperInput::Due
+        };
+        future::or(message, future::or(event, due)).await
+    }
+
+    /// Reads what earlier keepers have stored.
+    async fn take_role(&self, epoch: OwnerEpoch, config: &Arc<FleetConfig>) -> FleetKeeper {
+        let progress = loop {
+            match self.store.newest(waves_part(), None).await {
+                Ok(page) => {
+                    break page
+                        .entries
+                        .into_iter()
+                        .filter_map(decode_progress)
+                        .collect();
+                }
+                Err(_) => Timer::after(self.settings.store_retry).await,
+            };
+        };
+        let settings = KeeperSettings {
+            shards: self.settings.shards,
+            ..self.settings.keeper
+        };
+        FleetKeeper::new(
+            settings,
+            epoch,
+            Arc::clone(config),
+            progress,
+            self.clock.now(),
+        )
+    }
+
+    fn carry_out(&self, epoch: OwnerEpoch, command: KeeperCommand) {
+        let duty = self.clone();
+        self.spawner.spawn(async move {
+            if let Some(event) = duty.perform(epoch, command).await {
+                // The duty holds the other end as long as it runs.
+                _ = duty.events.send((epoch, event)).await;
+            }
+        });
+    }
+
+    async fn perform(&self, epoch: OwnerEpoch, command: KeeperCommand) -> Option<KeeperEvent> {
+        match command {
+            KeeperCommand::List => match self.machines.list().await {
+                Ok(machines) => return Some(KeeperEvent::Machines(machines)),
+                Err(fault) => {
+                    let event = EventCode::MachinesUnreachable.number();
+                    tracing::warn!(event, %fault, "machines not read");
+                }
+            },
+            KeeperCommand::Survey { shard, vacate } => {
+                let asked = self.clock.now();
+                let question = NodeQuestion::Survey { shard, vacate };
+                if let Some(NodeAnswer::Survey { pools, clear }) = self.asker.ask(question).await {
+                    return Some(KeeperEvent::Surveyed {
+                        pools,
+                        clear,
+                        asked,
+                    });
+                }
+            }
+            KeeperCommand::Order(order) => {
+                let holder = self.settings.name.clone();
+                let outcome = self.machines.order(holder, order.clone()).await;
+                return Some(KeeperEvent::Ordered { order, outcome });
+            }
+            KeeperCommand::Note(wave, progress) => {
+                let entry = StoreEntry {
+                    key: wave.to_string(),
+                    value: encode_message(&progress).unwrap_or_default(),
+                };
+                self.store_until_taken(entry).await;
+            }
+            KeeperCommand::Report(wave, completed) => {
+                while let Err(fault) = self.machines.report_wave(wave, completed).await {
+                    let event = EventCode::StoreReach.number();
+                    tracing::warn!(event, wave, %fault, "state of a wave not stored");
+                    Timer::after(self.settings.store_retry).await;
+                }
+            }
+            KeeperCommand::Contested => {
+                let term = ShardTerm {
+                    shard: KEEPER_SHARD,
+                    epoch,
+                };
+                _ = self.journal.send(JournalMessage::Contested(term)).await;
+            }
+        }
+        None
+    }
+
+    async fn store_until_taken(&self, entry: StoreEntry) {
+        while self
+            .store
+            .append(waves_part(), vec![entry.clone()], None)
+            .await
+            .is_err()
+        {
+            Timer::after(self.settings.store_retry).await;
+        }
+    }
+}
+
+fn waves_part() -> StorePart {
+    StorePart {
+        topic: StoreTopic::Waves,
+        shard: KEEPER_SHARD,
+    }
+}
+
+fn decode_progress(entry: StoreEntry) -> Option<(WaveNumber, WaveProgress)> {
+    let wave = entry.key.parse().ok()?;
+    let progress = decode_message(&entry.value)?;
+    Some((wave, progress))
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod door;
 pub mod feed_duty;
 pub mod journal_duty;
+pub mod keeper_duty;
 pub mod links;
 pub mod message;
 pub mod node;
@@ -22,8 +23,8 @@
 pub mod prelude {
     pub use crate::door::{Admission, DoorRefusal, JobDoor, SubmitOutcome};
     pub use crate::links::{
-        FleetFeed, FrontEnd, GroupJoin, GroupShare, JobStore, StoreEntry, StoreFault, StorePage,
-        StorePart, StoreRead, StoreTopic, StoreWriter, WorkerGateway,
+        FleetFeed, FrontEnd, GroupJoin, GroupShare, JobStore, MachineGateway, StoreEntry,
+        StoreFault, StorePage, StorePart, StoreRead, StoreTopic, StoreWriter, WorkerGateway,
     };
     pub use crate::node::{JobNode, NodeLinks};
     pub use crate::settings::NodeSettings;
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -25,6 +25,8 @@
     Claims,
     /// Parts of accounts' maxima by account and shard; the newest of each key is kept.
     Quota,
+    /// Progress of maintenance waves by number; the newest of each key is kept.
+    Waves,
 }
 
 /// Partition of a topic.
@@ -198,6 +200,16 @@
     fn pace(&self, order: PaceOrder) -> BoxedLocal<Result<(), CallFault>>;
 }
 
+/// The platform's control of machines.
+pub trait MachineGateway: Send {
+    /// Reads all machines.
+    fn list(&self) -> BoxedLocal<Result<Vec<MachineView>, StoreFault>>;
+    /// Gives an order in the name of `holder`; it may be repeated.
+    fn order(&self, holder: String, order: MachineOrder) -> BoxedLocal<MachineOutcome>;
+    /// Tells operators whether a wave is completed.
+    fn report_wave(&self, wave: WaveNumber, completed: bool) -> BoxedLocal<Result<(), StoreFault>>;
+}
+
 /// Speaks to callers in their protocol.
 pub trait FrontEnd: Send {
     /// Returns the handler of callers' requests.
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -70,6 +70,19 @@
     Pace(ShardTerm, PaceOrder),
 }
 
+/// What the keeper duty is told.
+#[derive(Debug, Clone)]
+pub enum KeeperMessage {
+    /// A configuration is in force.
+    Config(Arc<FleetConfig>),
+    /// Which member is to own each shard.
+    Owners(Vec<(ShardNumber, String)>),
+    /// The node keeps the machines from now on, under this epoch.
+    Appointed(OwnerEpoch),
+    /// The node no longer keeps the machines.
+    Dismissed,
+}
+
 /// What the callers duty is told.
 #[derive(Debug, Clone)]
 pub enum CallerMessage {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,9 +15,11 @@
 use crate::door::JobDoor;
 use crate::feed_duty::{self, FeedLinks};
 use crate::journal_duty::{self, JournalLinks};
-use crate::links::{FleetFeed, FrontEnd, JobStore, WorkerGateway};
+use crate::keeper_duty::{self, KeeperLinks};
+use crate::links::{FleetFeed, FrontEnd, JobStore, MachineGateway, WorkerGateway};
 use crate::message::{CallerMessage, JournalMessage};
 use crate::order_duty;
+use crate::owners::ShardAsker;
 use crate::question_duty::{self, question_bounds};
 use crate::settings::NodeSettings;
 
@@ -36,6 +38,10 @@
     pub feed: Box<dyn FleetFeed>,
     /// The workers.
     pub gateway: Box<dyn WorkerGateway>,
+    /// The platform's control of machines.
+    pub machines: Box<dyn MachineGateway>,
+    /// The store, for the keeper duty.
+    pub keeper_store: Box<dyn JobStore>,
     /// The protocol of callers.
     pub front: Box<dyn FrontEnd>,
 }
@@ -67,6 +73,7 @@
         let (journal, journal_messages) = ring("journal", RING_CAPACITY);
         let (orders, order_messages) = ring("orders", RING_CAPACITY);
         let (callers, caller_messages) = ring("callers", RING_CAPACITY);
+        let (keeper, keeper_messages) = ring("keeper", RING_CAPACITY);
         let (phases, phase_messages) = ring("phases", PHASE_CAPACITY);
         let (served_sender, served) = ring("served", 1);
 
@@ -88,6 +95,7 @@
         let journal_links = JournalLinks {
             control: control.clone(),
             callers: callers.clone(),
+            keeper: keeper.clone(),
         };
         let (own, own_clock) = (settings.clone(), Arc::clone(&clock));
         let store = links.journal_store;
@@ -105,6 +113,7 @@
         let feed_links = FeedLinks {
             control: control.clone(),
             callers: callers.clone(),
+            keeper,
         };
         let (own, own_clock) = (settings.clone(), Arc::clone(&clock));
         let feed = links.feed;
@@ -112,6 +121,17 @@
             feed_duty::run(feed, own, own_clock, feed_links)
         })?;
 
+        let keeper_links = KeeperLinks {
+            machines: links.machines,
+            store: links.keeper_store,
+            control: control.clone(),
+            journal: journal.clone(),
+        };
+        let (own, own_clock) = (settings.clone(), Arc::clone(&clock));
+        DutyThread::spawn("keeper", move |spawner| {
+            keeper_duty::run(own, own_clock, keeper_messages, keeper_links, spawner)
+        })?;
+
         let question_control = control.clone();
         DutyThread::spawn("questions", move |spawner| {
             question_duty::run(peer_listener, question_control, spawner)
@@ -121,7 +141,8 @@
         let (front, store) = (links.front, links.caller_store);
         DutyThread::spawn("callers", move |spawner| {
             let client = H2Client::new(question_bounds(), spawner.clone());
-            let door = JobDoor::new(own, clock, store, control, client);
+            let asker = ShardAsker::new(control, client);
+            let door = JobDoor::new(own, clock, store, asker);
             let listeners = (callers_listener, ready_listener);
             async move {
                 serve_callers(
--- a/crates/node/src/owners.rs
+++ b/crates/node/src/owners.rs
@@ -1,9 +1,16 @@
-//! Which node is to be asked about a shard.
+//! Questions to the owners of shards.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use indexmap::IndexMap;
 use pw_base::prelude::*;
+use pw_link::prelude::*;
+use pw_ring::prelude::*;
+
+use crate::message::ControlMessage;
+use crate::question::{NodeAnswer, NodeQuestion, decode_message, encode_message};
 
 /// Owners of shards as the store's group names them; a hint only.
 #[derive(Debug, Clone, Default)]
@@ -11,6 +18,14 @@
     owners: IndexMap<ShardNumber, SocketAddr>,
 }
 
+/// Asks the owner of a shard: this node's control duty, or another node.
+#[derive(Clone)]
+pub struct ShardAsker {
+    control: RingSender<ControlMessage>,
+    client: H2Client,
+    owners: Rc<RefCell<OwnerTable>>,
+}
+
 impl OwnerTable {
     /// Replaces all owners; members whose names are not addresses are left out.
     pub fn replace(&mut self, rows: &[(ShardNumber, String)]) {
@@ -26,3 +41,48 @@
         self.owners.get(&shard).copied()
     }
 }
+
+impl ShardAsker {
+    /// Creates an asker that knows no owners yet.
+    pub fn new(control: RingSender<ControlMessage>, client: H2Client) -> Self {
+        Self {
+            control,
+            client,
+            owners: Rc::default(),
+        }
+    }
+
+    /// Takes the owners of all shards.
+    pub fn hear_owners(&self, rows: &[(ShardNumber, String)]) {
+        self.owners.borrow_mut().replace(rows);
+    }
+
+    /// Asks the owner of the question's shard; `None` when it can't be asked now.
+    pub async fn ask(&self, question: NodeQuestion) -> Option<NodeAnswer> {
+        let own = self.ask_own(question.clone()).await;
+        if own
+            .as_ref()
+            .is_some_and(|answer| *answer != NodeAnswer::NotOwner)
+        {
+            return own;
+        }
+        let owner = self.owners.borrow().owner(question.shard())?;
+        let bytes = encode_message(&question)?;
+        match self.client.ask(owner, bytes.into()).await {
+            Ok(bytes) => decode_message(&bytes),
+            Err(error) => {
+                let event = EventCode::PeerFailed.number();
+                let shard = question.shard();
+                tracing::warn!(event, %owner, shard, %error, "owner of a shard not reached");
+                None
+            }
+        }
+    }
+
+    async fn ask_own(&self, question: NodeQuestion) -> Option<NodeAnswer> {
+        let (reply, replies) = ring("question", 1);
+        let message = ControlMessage::Question(question, reply);
+        self.control.offer(message).ok()?;
+        replies.recv().await
+    }
+}
--- a/crates/node/src/question.rs
+++ b/crates/node/src/question.rs
@@ -2,6 +2,7 @@
 
 use bincode::config::{self, Configuration, Limit, LittleEndian};
 use pw_base::prelude::*;
+use pw_control::prelude::*;
 use pw_job::prelude::*;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -28,10 +29,17 @@
         /// The queue.
         queue: QueueId,
     },
+    /// The work of the shard's pools.
+    Survey {
+        /// The shard.
+        shard: ShardNumber,
+        /// Workers that are to be left by their runs; no others are.
+        vacate: Vec<WorkerId>,
+    },
 }
 
 /// What the owner answers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum NodeAnswer {
     /// State of the job.
     Status(JobStatus),
@@ -39,6 +47,13 @@
     UnknownJob,
     /// Number of pending jobs.
     Pending(u64),
+    /// Work of the shard's pools, and the vacated workers that run nothing.
+    Survey {
+        /// Work of each pool.
+        pools: Vec<PoolLoad>,
+        /// Workers that are clear.
+        clear: Vec<WorkerId>,
+    },
     /// The node does not own the shard.
     NotOwner,
 }
@@ -47,7 +62,9 @@
     /// Returns the shard that is asked.
     pub fn shard(&self) -> ShardNumber {
         match self {
-            Self::Status { shard, .. } | Self::Pending { shard, .. } => *shard,
+            Self::Status { shard, .. }
+            | Self::Pending { shard, .. }
+            | Self::Survey { shard, .. } => *shard,
         }
     }
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -20,6 +20,8 @@
     pub shards: u32,
     /// Settings of the shards' controllers.
     pub control: ControlSettings,
+    /// Settings of the keeper of machines.
+    pub keeper: KeeperSettings,
     /// Time between two joins of the group.
     pub join_gap: Duration,
     /// Silence after which the store takes the node for gone.
@@ -55,6 +57,7 @@
             peers: any,
             shards: 24,
             control: ControlSettings::default(),
+            keeper: KeeperSettings::default(),
             join_gap: Duration::from_millis(700),
             member_ttl: Duration::from_millis(2500),
             config_wait: Duration::from_secs(1),
