--- a/crates/control/tests/keeper.rs
+++ b/crates/control/tests/keeper.rs
@@ -244,7 +244,7 @@
     let mut platform = Platform::new(8, wave(4, 1));
     platform.run(Duration::from_millis(3000));
     let done = platform.begun();
-    assert!(done >= 1 && done < 4);
+    assert!((1..4).contains(&done));
     let progress = platform.notes.clone();
     platform.keeper = keeper(2, &platform.config, progress, platform.now);
     platform.run(Duration::from_secs(20));
--- a/crates/node/src/journal_duty.rs
+++ b/crates/node/src/journal_duty.rs
@@ -287,7 +287,7 @@
             append,
             future::or(prove, async {
                 follow.await;
-                future::pending().await
+                future::pending::<()>().await;
             }),
         )
         .await;
