Fail no job for want of a configuration, and move machines to where the work is

A node that could not read the configuration yet took a shard over; the queue of a job was unknown to it, one attempt was assumed, and an end `done` after one failure failed the job. Two tests, seen failing without the change. Second change: the keeper sizes pools by what runs and waits and moves machines, idle ones first, through the spare pool.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -119,6 +119,9 @@
     /// The platform answered an order for a machine.
     #[strum(message = "The platform answered an order for a machine.")]
     MachineAnswered = 650,
+    /// A machine goes to another pool.
+    #[strum(message = "A machine goes to another pool.")]
+    MachineMoved = 653,
     /// All machines of a maintenance wave have begun their upkeep.
     #[strum(message = "All machines of a maintenance wave have begun their upkeep.")]
     WaveCompleted = 651,
--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -1,4 +1,4 @@
-//! Decides which machines are taken for upkeep, and when.
+//! Decides which machines are taken for upkeep, which go to another pool, and when.
 //!
 //! One node at a time keeps the machines. A machine is first vacated: the owner of its pool's shard
 //! starts nothing on it any more and moves what lasts, within the availability budgets. Only then
@@ -14,6 +14,7 @@
 
 use crate::config::{FleetConfig, WaveRule, find_shard};
 use crate::message::PoolLoad;
+use crate::sizing::{PoolSizes, SizingSettings};
 
 /// State of a machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, AsRefStr, Display, EnumString)]
@@ -162,8 +163,15 @@
     pub order_retry: Duration,
     /// Time after which a machine that was ordered down and has not come back counts as up.
     pub settle_max: Duration,
+    /// Settings of the sizes of pools.
+    pub sizing: SizingSettings,
 }
 
+/// Refused moves after which a machine is let be.
+const MAX_BUSY: u32 = 3;
+/// How long such a machine is let be.
+const AVOID: Duration = Duration::from_secs(5);
+
 /// Keeps the machines of the fleet.
 pub struct FleetKeeper {
     settings: KeeperSettings,
@@ -176,6 +184,9 @@
     reported: IndexSet<WaveNumber>,
     /// Machines for which something is under way.
     tasks: IndexMap<MachineId, MachineTask>,
+    sizes: PoolSizes,
+    /// Machines that did not move when they were to, and until when they are let be.
+    avoided: IndexMap<MachineId, Instant>,
     surveys: IndexMap<ShardNumber, Instant>,
     list_due: Instant,
     commands: Vec<KeeperCommand>,
@@ -188,6 +199,8 @@
     /// Worker on the machine when it was taken.
     worker: Option<WorkerId>,
     phase: TaskStage,
+    /// Orders that the machine was too busy for.
+    busy: u32,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -220,6 +233,7 @@
             pool_part: 0.25,
             order_retry: Duration::from_millis(300),
             settle_max: Duration::from_secs(10),
+            sizing: SizingSettings::default(),
         }
     }
 }
@@ -242,6 +256,8 @@
             progress,
             reported: IndexSet::new(),
             tasks: IndexMap::new(),
+            sizes: PoolSizes::new(settings.sizing),
+            avoided: IndexMap::new(),
             surveys: IndexMap::new(),
             list_due: now,
             commands: Vec::new(),
@@ -273,6 +289,7 @@
                 asked,
             } => {
                 for load in pools {
+                    self.sizes.observe(&load, now);
                     self.loads.insert(load.pool.clone(), load);
                 }
                 if now < asked + self.settings.survey_age_max {
@@ -283,6 +300,7 @@
             KeeperEvent::Tick => {}
         }
         self.advance_waves(now);
+        self.move_machines(now);
         self.repeat_orders(now);
         self.send_surveys(now);
         if now >= self.list_due {
@@ -361,7 +379,15 @@
                 self.tasks.swap_remove(&order.machine);
                 self.note_begun(order);
             }
-            MachineOutcome::Busy => task.phase = TaskStage::Vacating { not_before: retry },
+            MachineOutcome::Busy => {
+                task.phase = TaskStage::Vacating { not_before: retry };
+                task.busy += 1;
+                let moves = matches!(task.action, MachineAction::Move(_));
+                if moves && task.busy >= MAX_BUSY {
+                    self.tasks.swap_remove(&order.machine);
+                    self.avoided.insert(order.machine.clone(), now + AVOID);
+                }
+            }
             MachineOutcome::TurnedAway | MachineOutcome::Unanswered => {
                 task.phase = TaskStage::Ordered { again: Some(retry) };
             }
@@ -472,6 +498,7 @@
                 pool: view.pool.clone(),
                 worker: view.worker.clone(),
                 phase: TaskStage::Vacating { not_before: now },
+                busy: 0,
             };
             let without_worker = view.worker.is_none();
             self.tasks.insert(machine, task);
@@ -496,10 +523,136 @@
     fn pool_has_room(&self, pool: &PoolId) -> bool {
         let members = self.machines.values().filter(|view| view.pool == *pool);
         let most = (members.count() as f64 * self.settings.pool_part).max(1.0) as usize;
-        let taken = self.tasks.values().filter(|task| task.pool == *pool);
+        let upkeep = |task: &&MachineTask| matches!(task.action, MachineAction::Upkeep(_));
+        let taken = self.tasks.values().filter(upkeep);
+        let taken = taken.filter(|task| task.pool == *pool);
         taken.count() < most
     }
 
+    /// Moves machines to pools that need them, and those that nobody needs to the spare pool.
+    fn move_machines(&mut self, now: Instant) {
+        self.avoided.retain(|_, until| now < *until);
+        let Some(spare) = self.spare_pool() else {
+            return;
+        };
+        let pools: Vec<PoolId> = self.loads.keys().cloned().collect();
+        let mut short = Vec::new();
+        for pool in &pools {
+            let need = self.sizes.need(pool);
+            let have = self.members(pool);
+            if need > have {
+                short.push((need - have, pool.clone()));
+            }
+        }
+        short.sort_by(|a, b| b.0.cmp(&a.0));
+        for (missing, pool) in short {
+            for _ in 0..missing {
+                let machine = self
+                    .idle_spare(&spare)
+                    .or_else(|| self.surplus_machine(&pools, false));
+                let Some(machine) = machine else {
+                    return;
+                };
+                self.start_move(&machine, pool.clone(), now);
+            }
+        }
+        while let Some(machine) = self.surplus_machine(&pools, true) {
+            self.start_move(&machine, spare.clone(), now);
+        }
+    }
+
+    fn spare_pool(&self) -> Option<PoolId> {
+        let mut pools = self.config.pools.iter();
+        let spare = pools.find(|(_, rule)| rule.spare);
+        spare.map(|(pool, _)| pool.clone())
+    }
+
+    /// Returns how many machines a pool has, with those that are on their way to it and without
+    /// those that are on their way from it.
+    fn members(&self, pool: &PoolId) -> usize {
+        let moves_to = |machine: &MachineId| match self.tasks.get(machine) {
+            Some(MachineTask {
+                action: MachineAction::Move(to),
+                ..
+            }) => Some(to),
+            _ => None,
+        };
+        let machines = self
+            .machines
+            .values()
+            .filter(|view| view.state != MachineState::Down);
+        let members = machines.filter(|view| match moves_to(&view.machine) {
+            Some(to) => to == pool,
+            None => view.pool == *pool,
+        });
+        members.count()
+    }
+
+    /// Returns a machine of the spare pool for which nothing is under way.
+    fn idle_spare(&self, spare: &PoolId) -> Option<MachineId> {
+        let idle = self.machines.values().find(|view| {
+            let settled = !matches!(view.state, MachineState::Moving | MachineState::Upkeep);
+            let free = !self.tasks.contains_key(&view.machine)
+                && !self.avoided.contains_key(&view.machine);
+            view.pool == *spare && settled && free
+        });
+        idle.map(|view| view.machine.clone())
+    }
+
+    /// Returns a machine that its pool does not need; where `lasting`, only one that it has not
+    /// needed for long.
+    fn surplus_machine(&self, pools: &[PoolId], lasting: bool) -> Option<MachineId> {
+        let surplus = |pool: &&PoolId| {
+            let need = if lasting {
+                self.sizes.lasting_need(pool)
+            } else {
+                self.sizes.need(pool)
+            };
+            self.members(pool).saturating_sub(need)
+        };
+        let pool = pools
+            .iter()
+            .filter(|pool| surplus(pool) > 0)
+            .max_by_key(surplus)?;
+        let load = self.loads.get(pool)?;
+        let free = load.movable.iter().filter_map(|worker| {
+            let mut views = self.machines.values();
+            let view = views.find(|view| view.worker.as_ref() == Some(worker))?;
+            let free = view.pool == *pool
+                && !self.tasks.contains_key(&view.machine)
+                && !self.avoided.contains_key(&view.machine);
+            free.then(|| view.machine.clone())
+        });
+        free.into_iter().next()
+    }
+
+    fn start_move(&mut self, machine: &MachineId, to: PoolId, now: Instant) {
+        let Some(view) = self.machines.get(machine) else {
+            return;
+        };
+        let event = EventCode::MachineMoved.number();
+        let (from, pool) = (&*view.pool, &*to);
+        tracing::info!(
+            event,
+            machine = &**machine,
+            from,
+            pool,
+            "machine goes to another pool"
+        );
+        let task = MachineTask {
+            action: MachineAction::Move(to),
+            pool: view.pool.clone(),
+            worker: view.worker.clone(),
+            phase: TaskStage::Vacating { not_before: now },
+            busy: 0,
+        };
+        let without_worker = view.worker.is_none();
+        self.tasks.insert(machine.clone(), task);
+        if without_worker {
+            self.order_clear(&[], now);
+        }
+    }
+
     fn complete(&mut self, wave: WaveNumber) {
         let progress = self.progress.entry(wave).or_default();
         progress.completed = true;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod quota;
 pub mod settings;
 pub mod shard;
+pub mod sizing;
 pub mod worker;
 
 /// The names that most users of this crate need.
@@ -27,9 +28,11 @@
         RunView, ShardCommand, ShardEvent, ShardImage, StartOrder, StartOutcome, StopOrder,
         StoreRecord,
     };
+    pub use crate::order::{JobUrgency, terms_of};
     pub use crate::place::{Candidate, PlacementPolicy, SpreadPlacement};
     pub use crate::quota::AccountBudget;
     pub use crate::settings::ControlSettings;
     pub use crate::shard::ShardController;
+    pub use crate::sizing::{PoolSizes, SizingSettings};
     pub use crate::worker::{WorkerEntry, WorkerPhase};
 }
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -288,6 +288,10 @@
     pub used: ResourceSize,
     /// What the tasks would take that could start now.
     pub waiting: ResourceSize,
+    /// Workers that run something that lasts.
+    pub anchors: u32,
+    /// Workers that take starts and run nothing that lasts, those with the fewest runs first.
+    pub movable: Vec<WorkerId>,
 }
 
 /// What a caller wants to know of a job.
--- a/crates/control/src/order.rs
+++ b/crates/control/src/order.rs
@@ -20,9 +20,13 @@
     pub deadline: Instant,
 }
 
-/// Returns the time that a job has from its acceptance to its objective.
-pub fn objective(spec: &JobSpec, rule: &QueueRule) -> Duration {
-    spec.longest_chain().mul_f64(rule.stretch.max(1.0)) + rule.target_latency
+/// Returns the rules of a job of `spec` on a queue.
+pub fn terms_of(spec: &JobSpec, rule: &QueueRule) -> JobTerms {
+    JobTerms {
+        attempts: rule.attempts,
+        priority: rule.priority,
+        objective: spec.longest_chain().mul_f64(rule.stretch.max(1.0)) + rule.target_latency,
+    }
 }
 
 /// Returns the declared run time that is left on the longest chain of an occurrence.
@@ -41,17 +45,11 @@
 }
 
 /// Returns the rank of a job that arrived at `arrived` and has `left` of its chain before it.
-pub fn urgency(
-    spec: &JobSpec,
-    rule: &QueueRule,
-    arrived: Instant,
-    left: Duration,
-    now: Instant,
-) -> JobUrgency {
-    let deadline = arrived + objective(spec, rule);
+pub fn urgency(terms: &JobTerms, arrived: Instant, left: Duration, now: Instant) -> JobUrgency {
+    let deadline = arrived + terms.objective;
     JobUrgency {
         late: now + left > deadline,
-        priority: rule.priority,
+        priority: terms.priority,
         deadline,
     }
 }
--- a/crates/control/src/shard/ends.rs
+++ b/crates/control/src/shard/ends.rs
@@ -12,8 +12,6 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause of a task after a run that failed.
 const FAILURE_PAUSE_MAX: Duration = Duration::from_secs(1);
-/// Failed runs after which a task is given up when its queue is not configured any more.
-const DEFAULT_ATTEMPTS: u32 = 1;
 
 impl ShardController {
     /// Takes note of the end of a run on a worker.
@@ -40,7 +38,7 @@
             return;
         };
         let rule = self.config.queues.get(&job.record.queue);
-        let attempts = rule.map_or(DEFAULT_ATTEMPTS, |rule| rule.attempts);
+        let attempts = rule.map_or(job.record.terms.attempts, |rule| rule.attempts);
         let place = (task.occurrence, task.step, task.index);
         let spec = &job.record.spec;
         if !job.state.end_run(spec, place, run, end, Some(attempts)) {
--- a/crates/control/src/shard/placing.rs
+++ b/crates/control/src/shard/placing.rs
@@ -7,8 +7,8 @@
 use pw_worker::prelude::*;
 
 use super::storing::PlannedStart;
-use super::{ShardController, TaskPlace, reserved_size};
-use crate::order::{JobUrgency, chain_left, urgency};
+use super::{JobRecord, ShardController, TaskPlace, reserved_size};
+use crate::order::{JobUrgency, chain_left, terms_of, urgency};
 use crate::place::Candidate;
 use crate::worker::{RunPhase, WorkerRecord};
 
@@ -31,7 +31,6 @@
     fn waiting_jobs(&self, now: Instant) -> Vec<(JobUrgency, JobId)> {
         let jobs = self.jobs.iter().filter(|(_, job)| !job.is_over());
         let waiting = jobs.filter_map(|(id, job)| {
-            let rule = self.config.queues.get(&job.record.queue)?;
             let spec = &job.record.spec;
             let mut waits = false;
             let mut left = std::time::Duration::ZERO;
@@ -39,11 +38,23 @@
                 waits |= occurrence.steps.iter().flatten().any(TaskState::is_waiting);
                 left = left.max(chain_left(spec, occurrence));
             }
-            waits.then(|| (urgency(spec, rule, job.arrived, left, now), id.clone()))
+            waits.then(|| {
+                (
+                    urgency(&self.terms(job), job.arrived, left, now),
+                    id.clone(),
+                )
+            })
         });
         waiting.collect()
     }
 
+    /// Returns the rules of a job: those of its queue today, or those of its acceptance where this
+    /// owner does not know the queue.
+    pub(super) fn terms(&self, job: &JobRecord) -> JobTerms {
+        let rule = self.config.queues.get(&job.record.queue);
+        rule.map_or(job.record.terms, |rule| terms_of(&job.record.spec, rule))
+    }
+
     /// Returns the steps of a job with tasks that wait and may start.
     fn ready_steps(&self, job: &JobId) -> Vec<(OccurrenceNumber, u32)> {
         let Some(job) = self.jobs.get(job) else {
--- a/crates/control/src/shard/vacating.rs
+++ b/crates/control/src/shard/vacating.rs
@@ -120,13 +120,21 @@
                 pool: pool.clone(),
                 ..Default::default()
             };
+            let mut movable = Vec::new();
             for worker in members {
                 load.used = load.used.plus(&worker.used);
+                let anchored = worker.runs.values().any(|run| run.lasts);
+                load.anchors += u32::from(anchored);
                 if worker.takes_starts(now) {
                     load.workers += 1;
                     load.capacity = load.capacity.plus(&worker.entry.capacity);
+                    if !anchored {
+                        movable.push((worker.runs.len(), worker.entry.id.clone()));
+                    }
                 }
             }
+            movable.sort();
+            load.movable = movable.into_iter().map(|(_, id)| id).collect();
             load.waiting = self.waiting_size(pool);
             load
         });
--- /dev/null
+++ b/crates/control/src/sizing.rs
@@ -0,0 +1,136 @@
+//! How many machines each pool needs.
+//!
+//! Demand goes round the pools: for some seconds one of them has several times its mean, and then
+//! next to nothing. A machine that stands idle in a pool is paid for, one in the spare pool is not,
+//! and a move takes longer than most tasks. So a pool is sized for what waits and runs now, with
+//! some room, and shrinks only when it has needed less for a while.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use pw_base::prelude::*;
+use pw_worker::prelude::*;
+
+use crate::message::PoolLoad;
+
+/// Settings of [`PoolSizes`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SizingSettings {
+    /// Machines for each machine's worth of work. What is over takes arrivals until a move is done.
+    pub headroom: f64,
+    /// Machines that a pool has beyond that.
+    pub reserve: usize,
+    /// Fewest machines of a pool.
+    pub smallest: usize,
+    /// How long a pool has to need less before it shrinks to the spare pool: a move there and back
+    /// costs as much as about three seconds in a pool.
+    pub shrink_after: Duration,
+}
+
+/// Sizes of the pools, from what their work was in the last seconds.
+#[derive(Debug, Clone)]
+pub struct PoolSizes {
+    settings: SizingSettings,
+    pools: IndexMap<PoolId, PoolHistory>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct PoolHistory {
+    /// Needs of the last seconds, the latest one last.
+    needs: VecDeque<(Instant, usize)>,
+    /// Size of one machine.
+    machine: ResourceSize,
+}
+
+impl Default for SizingSettings {
+    fn default() -> Self {
+        Self {
+            headroom: 1.25,
+            reserve: 1,
+            smallest: 2,
+            shrink_after: Duration::from_secs(3),
+        }
+    }
+}
+
+impl PoolSizes {
+    /// Creates sizes of which nothing is known.
+    pub fn new(settings: SizingSettings) -> Self {
+        Self {
+            settings,
+            pools: IndexMap::new(),
+        }
+    }
+
+    /// Takes the work of a pool.
+    pub fn observe(&mut self, load: &PoolLoad, now: Instant) {
+        let settings = self.settings;
+        let history = self.pools.entry(load.pool.clone()).or_default();
+        if load.workers > 0 {
+            history.machine = mean_machine(&load.capacity, load.workers);
+        }
+        let wanted = load.used.plus(&load.waiting);
+        let known = history.machine != ResourceSize::default();
+        let work = if known {
+            machines_for(&wanted, &history.machine) * settings.headroom
+        } else {
+            0.0
+        };
+        let need = (work.ceil() as usize + settings.reserve)
+            .max(load.anchors as usize)
+            .max(settings.smallest);
+        history.needs.push_back((now, need));
+        while history
+            .needs
+            .front()
+            .is_some_and(|(at, _)| now > *at + settings.shrink_after)
+        {
+            history.needs.pop_front();
+        }
+    }
+
+    /// Returns how many machines a pool needs now; without any knowledge it needs none.
+    pub fn need(&self, pool: &PoolId) -> usize {
+        let history = self.pools.get(pool);
+        let latest = history.and_then(|history| history.needs.back());
+        latest.map_or(0, |(_, need)| *need)
+    }
+
+    /// Returns the most machines that a pool has needed in the last seconds; without knowledge of
+    /// all of them no bound.
+    pub fn lasting_need(&self, pool: &PoolId) -> usize {
+        let Some(history) = self.pools.get(pool) else {
+            return usize::MAX;
+        };
+        let span = match (history.needs.front(), history.needs.back()) {
+            (Some((first, _)), Some((last, _))) => *last - *first,
+            _ => Duration::ZERO,
+        };
+        if span < self.settings.shrink_after.mul_f64(0.8) {
+            return usize::MAX;
+        }
+        let needs = history.needs.iter().map(|(_, need)| *need);
+        needs.max().unwrap_or(usize::MAX)
+    }
+}
+
+fn mean_machine(capacity: &ResourceSize, workers: u32) -> ResourceSize {
+    ResourceSize {
+        millicores: capacity.millicores / workers,
+        memory_mib: capacity.memory_mib / workers,
+        accelerators: capacity.accelerators / workers,
+    }
+}
+
+/// Returns how many machines of a size hold `wanted`.
+fn machines_for(wanted: &ResourceSize, machine: &ResourceSize) -> f64 {
+    let part = |wanted: u32, each: u32| match (wanted, each) {
+        (0, _) => 0.0,
+        (wanted, each) => f64::from(wanted) / f64::from(each.max(1)),
+    };
+    let cores = part(wanted.millicores, machine.millicores);
+    let memory = part(wanted.memory_mib, machine.memory_mib);
+    let accelerators = part(wanted.accelerators, machine.accelerators);
+    cores.max(memory).max(accelerators)
+}
--- a/crates/control/tests/shard.rs
+++ b/crates/control/tests/shard.rs
@@ -413,3 +413,36 @@
             .all(|holder| world.workers[holder].running.is_empty())
     );
 }
+
+/// A node that can't read the configuration yet takes a shard over and hears of ends.
+#[test]
+fn an_owner_without_a_configuration_fails_no_job() {
+    let mut world = World::new(2);
+    world.run_time = millis(100);
+    for worker in world.workers.values_mut() {
+        worker.fails = true;
+    }
+    world.submit("job", Some("ane"), vec![step(1)]);
+    assert!(world.run_until(seconds(1), |world| world.running("job.0.0.0") == 1));
+    let config = std::mem::take(&mut world.config);
+    world.take_over(None);
+    world.run(millis(120));
+    for worker in world.workers.values_mut() {
+        worker.fails = false;
+    }
+    world.run(seconds(1));
+    world.set_config(|known| *known = config);
+    assert!(world.run_until(seconds(3), |world| world.status("job") == COMPLETED));
+}
+
+#[test]
+fn an_end_that_is_done_does_not_fail_a_job_with_earlier_failures() {
+    let mut world = World::new(1);
+    world.run_time = millis(100);
+    world.workers[0].fails = true;
+    world.submit("job", Some("ane"), vec![step(1)]);
+    world.run_until(seconds(1), |world| world.start_count("job.0.0.0") == 2);
+    world.workers[0].fails = false;
+    world.set_config(|config| config.queues["queue"].attempts = 1);
+    assert!(world.run_until(seconds(3), |world| world.status("job") == COMPLETED));
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -226,6 +226,7 @@
             pool: "pool".into(),
             account: account.map(AccountId::from),
             accepted: self.wall,
+            terms: terms_of(&spec, &self.config.queues["queue"]),
             spec,
         });
         self.submissions.insert(job.into(), Arc::clone(&record));
--- a/crates/job/src/image.rs
+++ b/crates/job/src/image.rs
@@ -1,7 +1,7 @@
 //! Stored forms of submissions and states: a format version, the CRC-32 of the body, the body in
 //! bincode.
 
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 use bincode::config::{self, Configuration, Limit, LittleEndian};
 use pw_base::prelude::*;
@@ -30,10 +30,23 @@
     pub account: Option<AccountId>,
     /// When a node took it.
     pub accepted: SystemTime,
+    /// Rules of the queue at that time, for an owner that does not know the queue.
+    pub terms: JobTerms,
     /// What was submitted.
     pub spec: JobSpec,
 }
 
+/// Rules under which a job was accepted.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobTerms {
+    /// Failed runs after which a task is given up.
+    pub attempts: u32,
+    /// Rank of the queue; 0 goes first.
+    pub priority: u32,
+    /// Time from the acceptance to the objective.
+    pub objective: Duration,
+}
+
 /// Why bytes are not a stored form.
 #[derive(Debug, Error)]
 pub enum ImageError {
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -12,7 +12,7 @@
 /// The names that most users of this crate need.
 pub mod prelude {
     pub use crate::image::{
-        ImageError, SubmissionRecord, decode_state, decode_submission, encode_state,
+        ImageError, JobTerms, SubmissionRecord, decode_state, decode_submission, encode_state,
         encode_submission,
     };
     pub use crate::name::TaskName;
--- a/crates/job/src/state.rs
+++ b/crates/job/src/state.rs
@@ -257,7 +257,8 @@
             RunEnd::Failed => task.failures += 1,
             _ => {}
         }
-        let spent = !long_running && attempts.is_some_and(|attempts| task.failures >= attempts);
+        let counts = end == RunEnd::Failed && !long_running;
+        let spent = counts && attempts.is_some_and(|attempts| task.failures >= attempts);
         if spent && !over {
             self.failed = true;
         }
--- a/crates/node/src/door.rs
+++ b/crates/node/src/door.rs
@@ -50,6 +50,8 @@
     pub account: Option<AccountId>,
     /// Rest of the path after the queue's prefix.
     pub rest: String,
+    /// Rules of the queue.
+    pub rule: QueueRule,
     /// Version of the configuration that admitted it.
     pub version: u64,
 }
@@ -164,6 +166,7 @@
             pool: rule.pool.clone(),
             account,
             rest: rest.to_owned(),
+            rule: rule.clone(),
             version: config.version,
         })
     }
@@ -175,6 +178,7 @@
             pool: admission.pool.clone(),
             account: admission.account.clone(),
             accepted: self.shared.clock.wall(),
+            terms: terms_of(&spec, &admission.rule),
             spec,
         };
         match encode_submission(&record) {
