Size pools by the growth of their work, and start nothing where a machine has moved on

A worker that moved stays listed for up to 4.5 s, and tasks were placed there. Sizes followed the backlog, which is 2 s late, as a move takes that long. A machine to be vacated counted as capacity, so a task that needs a worker of its own waited for ever, and with it the wave. Lasting tasks stood on every machine. Change: the latest life on a machine is the only one; needs follow the growth over the last second for the time of a move; a task that no worker may take asks for another machine; lasting tasks share workers.

--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -226,7 +226,7 @@
     fn default() -> Self {
         Self {
             shards: 24,
-            survey_gap: Duration::from_millis(300),
+            survey_gap: Duration::from_millis(200),
             list_gap: Duration::from_millis(500),
             idle_list_gap: Duration::from_secs(2),
             survey_age_max: Duration::from_secs(1),
@@ -568,7 +568,7 @@
     }
 
     /// Returns how many machines a pool has, with those that are on their way to it and without
-    /// those that are on their way from it.
+    /// those that are on their way from it or are to have their upkeep.
     fn members(&self, pool: &PoolId) -> usize {
         let moves_to = |machine: &MachineId| match self.tasks.get(machine) {
             Some(MachineTask {
@@ -577,10 +577,15 @@
             }) => Some(to),
             _ => None,
         };
+        let in_upkeep = |machine: &MachineId| {
+            let task = self.tasks.get(machine);
+            task.is_some_and(|task| matches!(task.action, MachineAction::Upkeep(_)))
+        };
         let machines = self
             .machines
             .values()
             .filter(|view| view.state != MachineState::Down);
+        let machines = machines.filter(|view| !in_upkeep(&view.machine));
         let members = machines.filter(|view| match moves_to(&view.machine) {
             Some(to) => to == pool,
             None => view.pool == *pool,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,10 +29,10 @@
         StoreRecord,
     };
     pub use crate::order::{JobUrgency, terms_of};
-    pub use crate::place::{Candidate, PlacementPolicy, SpreadPlacement};
+    pub use crate::place::{Candidate, PlacementPolicy, PlacementRequest, SpreadPlacement};
     pub use crate::quota::AccountBudget;
     pub use crate::settings::ControlSettings;
     pub use crate::shard::ShardController;
     pub use crate::sizing::{PoolSizes, SizingSettings};
-    pub use crate::worker::{WorkerEntry, WorkerPhase};
+    pub use crate::worker::{WorkerEntry, WorkerPhase, current_workers};
 }
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -20,7 +20,12 @@
     /// A configuration is in force.
     Config(Arc<FleetConfig>),
     /// The workers that the platform lists for the shard's pools, all of them.
-    Workers(Vec<WorkerEntry>),
+    Workers {
+        /// The workers.
+        entries: Vec<WorkerEntry>,
+        /// Latest life on each machine of the whole fleet.
+        lives: Arc<IndexMap<MachineId, LifeStart>>,
+    },
     /// A submission is in the store.
     Submitted(JobId, Arc<SubmissionRecord>),
     /// A cancellation is in the store.
@@ -288,6 +293,8 @@
     pub used: ResourceSize,
     /// What the tasks would take that could start now.
     pub waiting: ResourceSize,
+    /// Tasks that wait although there is room, as no worker may take them.
+    pub blocked: u32,
     /// Workers that run something that lasts.
     pub anchors: u32,
     /// Workers that take starts and run nothing that lasts, those with the fewest runs first.
--- a/crates/control/src/order.rs
+++ b/crates/control/src/order.rs
@@ -16,8 +16,8 @@
     pub late: bool,
     /// Rank of its queue.
     pub priority: u32,
-    /// When it has to be done.
-    pub deadline: Instant,
+    /// When the rest of it has to start at the latest.
+    pub start_by: Instant,
 }
 
 /// Returns the rules of a job of `spec` on a queue.
@@ -47,9 +47,10 @@
 /// Returns the rank of a job that arrived at `arrived` and has `left` of its chain before it.
 pub fn urgency(terms: &JobTerms, arrived: Instant, left: Duration, now: Instant) -> JobUrgency {
     let deadline = arrived + terms.objective;
+    let start_by = deadline.checked_sub(left).unwrap_or(arrived);
     JobUrgency {
-        late: now + left > deadline,
+        late: now > start_by,
         priority: terms.priority,
-        deadline,
+        start_by,
     }
 }
--- a/crates/control/src/place.rs
+++ b/crates/control/src/place.rs
@@ -18,26 +18,41 @@
     pub siblings: usize,
     /// Runs there whose response times would suffer from a run that fills, and the other way round.
     pub disturbed: usize,
+    /// Something that lasts runs there.
+    pub anchored: bool,
+}
+
+/// What is known of a run that is to be placed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PlacementRequest {
+    /// What is set aside for it.
+    pub size: ResourceSize,
+    /// It runs until its job is cancelled.
+    pub lasts: bool,
 }
 
 /// Way to choose among workers.
 pub trait PlacementPolicy {
-    /// Returns the index of the candidate that takes a run of `size`; `None` when there is none.
-    fn choose(&self, size: &ResourceSize, candidates: &[Candidate<'_>]) -> Option<usize>;
+    /// Returns the index of the candidate that takes a run; `None` when there is none.
+    fn choose(&self, request: &PlacementRequest, candidates: &[Candidate<'_>]) -> Option<usize>;
 }
 
 /// Prefers the data's rack, then a worker without runs that would disturb each other, then the one
 /// with the largest free part, so that load and the loss of a worker spread evenly.
+///
+/// What lasts goes to workers where something lasts already, so that the machines of the others can
+/// be moved to another pool at any time.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct SpreadPlacement;
 
 impl PlacementPolicy for SpreadPlacement {
-    fn choose(&self, _size: &ResourceSize, candidates: &[Candidate<'_>]) -> Option<usize> {
+    fn choose(&self, request: &PlacementRequest, candidates: &[Candidate<'_>]) -> Option<usize> {
         let rank = |candidate: &Candidate<'_>| {
             let free = free_part(candidate);
             (
                 !candidate.near_data,
                 candidate.disturbed,
+                request.lasts && !candidate.anchored,
                 candidate.siblings,
                 u64::MAX - (free * 1e6) as u64,
             )
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -52,6 +52,8 @@
     recheck: Option<Instant>,
     /// When a pass is wanted although nothing is due.
     idle_tick: Instant,
+    /// Tasks of each pool that found no worker although there is room.
+    blocked: IndexMap<PoolId, u32>,
     commands: Vec<ShardCommand>,
 }
 
@@ -111,6 +113,7 @@
             changed: true,
             recheck: None,
             idle_tick: now,
+            blocked: IndexMap::new(),
             commands: Vec::new(),
         };
         controller.load(image, now, wall);
@@ -139,7 +142,7 @@
                 self.config = config;
                 self.changed = true;
             }
-            ShardEvent::Workers(entries) => self.take_list(entries, now),
+            ShardEvent::Workers { entries, lives } => self.take_list(entries, &lives, now),
             ShardEvent::Submitted(job, record) => self.submit(job, record, now, wall),
             ShardEvent::Cancelled(job) => self.cancel(&job, now),
             ShardEvent::Stored(sequence) => self.take_stored(sequence, now),
--- a/crates/control/src/shard/looking.rs
+++ b/crates/control/src/shard/looking.rs
@@ -13,7 +13,12 @@
 
 impl ShardController {
     /// Takes the list of workers; a worker that is missing takes no more starts.
-    pub(super) fn take_list(&mut self, entries: Vec<WorkerEntry>, now: Instant) {
+    pub(super) fn take_list(
+        &mut self,
+        entries: Vec<WorkerEntry>,
+        lives: &IndexMap<MachineId, LifeStart>,
+        now: Instant,
+    ) {
         for worker in self.workers.values_mut() {
             worker.listed = false;
         }
@@ -34,7 +39,7 @@
                 }
             }
         }
-        reborn.extend(self.displaced_workers());
+        reborn.extend(self.displaced_workers(lives));
         for id in reborn {
             self.lose_life(&id, now);
         }
@@ -42,14 +47,10 @@
     }
 
     /// Returns the workers on whose machine another one has begun its life since.
-    fn displaced_workers(&self) -> Vec<WorkerId> {
-        let listed = self.workers.values().filter(|worker| worker.listed);
-        let newest: IndexMap<&MachineId, LifeStart> = listed
-            .filter_map(|worker| Some((worker.entry.machine.as_ref()?, worker.entry.life)))
-            .collect();
+    fn displaced_workers(&self, lives: &IndexMap<MachineId, LifeStart>) -> Vec<WorkerId> {
         let displaced = self.workers.iter().filter(|(_, worker)| {
             let machine = worker.entry.machine.as_ref();
-            let later = machine.and_then(|machine| newest.get(machine));
+            let later = machine.and_then(|machine| lives.get(machine));
             let own = worker.life.unwrap_or(worker.entry.life);
             !worker.listed && !worker.runs.is_empty() && later.is_some_and(|life| *life > own)
         });
--- a/crates/control/src/shard/placing.rs
+++ b/crates/control/src/shard/placing.rs
@@ -9,7 +9,7 @@
 use super::storing::PlannedStart;
 use super::{JobRecord, ShardController, TaskPlace, reserved_size};
 use crate::order::{JobUrgency, chain_left, terms_of, urgency};
-use crate::place::Candidate;
+use crate::place::{Candidate, PlacementRequest};
 use crate::worker::{RunPhase, WorkerRecord};
 
 /// Sizes that found no room in this pass, by pool; what is as large is not tried again.
@@ -21,6 +21,7 @@
         let mut waiting = self.waiting_jobs(now);
         waiting.sort_by_key(|(urgency, _)| *urgency);
         let mut full = FullSizes::new();
+        self.blocked.clear();
         for (_, job) in waiting {
             for (occurrence, step) in self.ready_steps(&job) {
                 self.place_step(&job, occurrence, step, &mut full, now);
@@ -96,11 +97,30 @@
             }
             match self.find_worker(job, place, &spec, full, now) {
                 Some(worker) => self.place_task(job, place, &worker, now),
-                None => return,
+                None => return self.note_blocked(job, &spec, now),
             }
         }
     }
 
+    /// Counts a task that waits although some worker of its pool has room for it.
+    fn note_blocked(&mut self, job: &JobId, spec: &StepSpec, now: Instant) {
+        let Some(record) = self.jobs.get(job).map(|job| &job.record) else {
+            return;
+        };
+        let size = reserved_size(spec);
+        let within = |account: &AccountId| self.budget.allows(account, &size);
+        if !record.account.as_ref().is_none_or(within) {
+            return;
+        }
+        let room = self.workers.values().any(|worker| {
+            let open = worker.entry.pool == record.pool && worker.takes_starts(now);
+            open && size.fits_into(&worker.room())
+        });
+        if room {
+            *self.blocked.entry(record.pool.clone()).or_default() += 1;
+        }
+    }
+
     /// Returns whether a task waits and its pause is over.
     fn may_start(&self, job: &JobId, place: TaskPlace, now: Instant) -> bool {
         let Some(record) = self.jobs.get(job) else {
@@ -191,7 +211,11 @@
         });
         let candidates = open.filter_map(|worker| candidate(worker, &name, spec));
         let candidates: Vec<Candidate<'_>> = candidates.collect();
-        let chosen = self.placement.choose(&size, &candidates);
+        let request = PlacementRequest {
+            size,
+            lasts: spec.long_running,
+        };
+        let chosen = self.placement.choose(&request, &candidates);
         if chosen.is_none() && !bound {
             full.push((record.pool.clone(), size));
         }
@@ -280,5 +304,6 @@
         near_data: preferred.is_none_or(|rack| entry.rack.as_ref() == Some(rack)),
         siblings,
         disturbed: disturbed.count(),
+        anchored: worker.runs.values().any(|run| run.lasts),
     })
 }
--- a/crates/control/src/shard/vacating.rs
+++ b/crates/control/src/shard/vacating.rs
@@ -136,6 +136,7 @@
             movable.sort();
             load.movable = movable.into_iter().map(|(_, id)| id).collect();
             load.waiting = self.waiting_size(pool);
+            load.blocked = self.blocked.get(pool).copied().unwrap_or_default();
             load
         });
         loads.collect()
--- a/crates/control/src/sizing.rs
+++ b/crates/control/src/sizing.rs
@@ -14,6 +14,9 @@
 
 use crate::message::PoolLoad;
 
+/// Time over which the growth of work is taken: long enough for several jobs to fall into it.
+const GROWTH_SPAN: Duration = Duration::from_secs(1);
+
 /// Settings of [`PoolSizes`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SizingSettings {
@@ -21,10 +24,14 @@
     pub headroom: f64,
     /// Machines that a pool has beyond that.
     pub reserve: usize,
+    /// Part of the waiting work that is to run at once; the rest follows when that has ended.
+    pub backlog_part: f64,
+    /// Time from the decision to move a machine until it takes work.
+    pub move_time: Duration,
     /// Fewest machines of a pool.
     pub smallest: usize,
     /// How long a pool has to need less before it shrinks to the spare pool: a move there and back
-    /// costs as much as about three seconds in a pool.
+    /// costs as much as about two seconds in a pool.
     pub shrink_after: Duration,
 }
 
@@ -39,6 +46,8 @@
 struct PoolHistory {
     /// Needs of the last seconds, the latest one last.
     needs: VecDeque<(Instant, usize)>,
+    /// Work that ran and waited lately, in thousandths of a core.
+    work: VecDeque<(Instant, u32)>,
     /// Size of one machine.
     machine: ResourceSize,
 }
@@ -46,11 +55,41 @@
 impl Default for SizingSettings {
     fn default() -> Self {
         Self {
-            headroom: 1.25,
+            headroom: 1.2,
             reserve: 1,
+            backlog_part: 0.6,
+            move_time: Duration::from_secs(2),
             smallest: 2,
-            shrink_after: Duration::from_secs(3),
+            shrink_after: Duration::from_secs(2),
+        }
+    }
+}
+
+impl PoolHistory {
+    fn note_work(&mut self, millicores: u32, now: Instant) {
+        self.work.push_back((now, millicores));
+        while self
+            .work
+            .front()
+            .is_some_and(|(at, _)| now > *at + GROWTH_SPAN)
+        {
+            self.work.pop_front();
+        }
+    }
+
+    /// Returns the work that is expected after `lead`: as much as it has grown lately, it goes on
+    /// to grow. Work that does not grow gives no forecast.
+    fn forecast(&self, lead: Duration) -> u32 {
+        let (Some((first, before)), Some((last, now))) = (self.work.front(), self.work.back())
+        else {
+            return 0;
+        };
+        let span = last.saturating_duration_since(*first);
+        if span < GROWTH_SPAN / 2 || now <= before {
+            return 0;
         }
+        let growth = f64::from(now - before) / span.as_secs_f64();
+        now.saturating_add((growth * lead.as_secs_f64()) as u32)
     }
 }
 
@@ -70,7 +109,15 @@
         if load.workers > 0 {
             history.machine = mean_machine(&load.capacity, load.workers);
         }
-        let wanted = load.used.plus(&load.waiting);
+        let wanted = load
+            .used
+            .plus(&scaled(&load.waiting, settings.backlog_part));
+        let all = load.used.plus(&load.waiting);
+        history.note_work(all.millicores, now);
+        let wanted = ResourceSize {
+            millicores: wanted.millicores.max(history.forecast(settings.move_time)),
+            ..wanted
+        };
         let known = history.machine != ResourceSize::default();
         let work = if known {
             machines_for(&wanted, &history.machine) * settings.headroom
@@ -79,6 +126,11 @@
         };
         let need = (work.ceil() as usize + settings.reserve)
             .max(load.anchors as usize)
+            .max(if load.blocked > 0 {
+                load.workers as usize + 1
+            } else {
+                0
+            })
             .max(settings.smallest);
         history.needs.push_back((now, need));
         while history
@@ -115,6 +167,15 @@
     }
 }
 
+fn scaled(size: &ResourceSize, part: f64) -> ResourceSize {
+    let scale = |amount: u32| (f64::from(amount) * part) as u32;
+    ResourceSize {
+        millicores: scale(size.millicores),
+        memory_mib: scale(size.memory_mib),
+        accelerators: scale(size.accelerators),
+    }
+}
+
 fn mean_machine(capacity: &ResourceSize, workers: u32) -> ResourceSize {
     ResourceSize {
         millicores: capacity.millicores / workers,
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -51,6 +51,28 @@
     pub machine: Option<MachineId>,
 }
 
+/// Returns the workers without those on whose machine a later one lives, and the latest life on each
+/// machine.
+///
+/// A worker that is gone stays listed for some heartbeats. Until then, work would be placed there.
+pub fn current_workers(
+    mut workers: Vec<WorkerEntry>,
+) -> (Vec<WorkerEntry>, IndexMap<MachineId, LifeStart>) {
+    let mut lives: IndexMap<MachineId, LifeStart> = IndexMap::new();
+    for worker in &workers {
+        if let Some(machine) = &worker.machine {
+            let latest = lives.entry(machine.clone()).or_default();
+            *latest = worker.life.max(*latest);
+        }
+    }
+    workers.retain(|worker| {
+        let machine = worker.machine.as_ref();
+        let latest = machine.and_then(|machine| lives.get(machine));
+        latest.is_none_or(|life| worker.life >= *life)
+    });
+    (workers, lives)
+}
+
 /// What became known of a run on a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RunPhase {
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -201,8 +201,10 @@
     /// Hands the controller the workers that are alive.
     pub fn list_workers(&mut self) {
         let listed = self.workers.values().filter(|worker| !worker.dead);
-        let entries = listed.map(|worker| worker.entry.clone()).collect();
-        self.tell(ShardEvent::Workers(entries));
+        let entries: Vec<WorkerEntry> = listed.map(|worker| worker.entry.clone()).collect();
+        let (entries, lives) = current_workers(entries);
+        let lives = Arc::new(lives);
+        self.tell(ShardEvent::Workers { entries, lives });
     }
 
     pub fn set_config(&mut self, change: impl FnOnce(&mut FleetConfig)) {
--- a/crates/job/src/spec.rs
+++ b/crates/job/src/spec.rs
@@ -150,12 +150,17 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
-    /// Returns the declared work of one occurrence in core-seconds.
+    /// Returns the declared work of one occurrence in core-seconds, without what runs until the job
+    /// is cancelled.
     pub fn core_seconds(&self) -> f64 {
+        let steps = self
+            .steps
+            .iter()
+            .filter(|step| !step.long_running && !step.fills);
         let work = |step: &StepSpec| {
             f64::from(step.count) * f64::from(step.size.millicores) / 1000.0
                 * step.estimate.as_secs_f64()
         };
-        self.steps.iter().map(work).sum()
+        steps.map(work).sum()
     }
 }
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -26,6 +26,8 @@
     links: ControlLinks,
     config: Arc<FleetConfig>,
     workers: Vec<WorkerEntry>,
+    /// Latest life on each machine.
+    lives: Arc<IndexMap<MachineId, LifeStart>>,
     shards: IndexMap<ShardNumber, ShardController>,
 }
 
@@ -42,6 +44,7 @@
         links,
         config: Arc::default(),
         workers: Vec::new(),
+        lives: Arc::default(),
         shards: IndexMap::new(),
     };
     loop {
@@ -76,7 +79,9 @@
                 }
             }
             ControlMessage::Workers(workers) => {
+                let (workers, lives) = current_workers(workers);
                 self.workers = workers;
+                self.lives = Arc::new(lives);
                 let terms: Vec<ShardTerm> = self.terms().collect();
                 for term in terms {
                     self.hand_workers(term).await;
@@ -137,7 +142,10 @@
         let shards = self.settings.shards;
         let own = self.workers.iter();
         let own = own.filter(|worker| find_shard(&worker.pool, shards) == term.shard);
-        let event = ShardEvent::Workers(own.cloned().collect());
+        let event = ShardEvent::Workers {
+            entries: own.cloned().collect(),
+            lives: Arc::clone(&self.lives),
+        };
         self.hand_on(term, event).await;
     }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -62,7 +62,7 @@
             member_ttl: Duration::from_millis(2500),
             config_wait: Duration::from_secs(1),
             key_age_max: Duration::from_millis(4300),
-            worker_gap: Duration::from_millis(400),
+            worker_gap: Duration::from_millis(250),
             follow_wait: Duration::from_secs(2),
             store_retry: Duration::from_millis(200),
             submit_timeout: Duration::from_millis(1500),
