Keep accounts within their maxima by contracts in the store

Cause: an account's maximum spans pools, and nothing bounded it. Change: each shard has a part of each maximum, changed by appends on the condition that nothing came between, in one partition. A shard asks for somewhat more than its work and gives back what it has not needed for half a second. While the parts exceed a maximum that was lowered, nothing of the account starts. Tests: crates/control/tests/quota.rs.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -30,7 +30,7 @@
     };
     pub use crate::order::{JobUrgency, terms_of};
     pub use crate::place::{Candidate, PlacementPolicy, PlacementRequest, SpreadPlacement};
-    pub use crate::quota::AccountBudget;
+    pub use crate::quota::{AccountBudget, AccountDemand, PartKey, QuotaBook, QuotaPart};
     pub use crate::settings::ControlSettings;
     pub use crate::shard::ShardController;
     pub use crate::sizing::{PoolSizes, SizingSettings};
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -414,6 +414,22 @@
     }
 }
 
+/// Returns what the tasks of a job would take that wait and could start now.
+fn ready_size(job: &JobRecord) -> ResourceSize {
+    let spec = &job.record.spec;
+    let mut size = ResourceSize::default();
+    for occurrence in &job.state.occurrences {
+        for (number, tasks) in occurrence.steps.iter().enumerate() {
+            if occurrence.step_ready(spec, number) {
+                let own = reserved_size(&spec.steps[number]);
+                let waiting = tasks.iter().filter(|task| task.is_waiting());
+                size = waiting.fold(size, |sum, _| sum.plus(&own));
+            }
+        }
+    }
+    size
+}
+
 /// Returns the record of a worker that only an image names so far.
 fn unlisted_worker(placement: &TaskPlacement, now: Instant) -> WorkerRecord {
     let life = placement.life;
--- a/crates/control/src/shard/asking.rs
+++ b/crates/control/src/shard/asking.rs
@@ -1,10 +1,12 @@
 //! Answers of the owner about its jobs.
 
+use indexmap::IndexMap;
 use pw_base::prelude::*;
 use pw_job::prelude::*;
 
-use super::ShardController;
+use super::{ShardController, ready_size};
 use crate::message::{JobAnswer, QuestionScope};
+use crate::quota::{AccountDemand, PartKey};
 
 impl ShardController {
     /// Returns what callers are told about a job.
@@ -30,6 +32,29 @@
         waiting.count()
     }
 
+    /// Returns the work of each client account in the shard.
+    pub fn account_demands(&self) -> IndexMap<PartKey, AccountDemand> {
+        let mut demands: IndexMap<PartKey, AccountDemand> = IndexMap::new();
+        for job in self.jobs.values() {
+            let record = &job.record;
+            let Some(account) = &record.account else {
+                continue;
+            };
+            if job.is_over() && !job.state.has_placed() {
+                continue;
+            }
+            let key = (account.clone(), self.shard);
+            let demand = demands.entry(key).or_default();
+            if !job.is_over() {
+                demand.waiting = demand.waiting.plus(&ready_size(job));
+            }
+        }
+        for (key, demand) in &mut demands {
+            demand.used = self.budget.used(&key.0);
+        }
+        demands
+    }
+
     /// Returns the jobs that are not over.
     pub fn open_jobs(&self) -> Vec<JobId> {
         let open = self.jobs.iter().filter(|(_, job)| !job.is_over());
--- a/crates/control/src/shard/placing.rs
+++ b/crates/control/src/shard/placing.rs
@@ -102,14 +102,22 @@
         }
     }
 
+    /// Returns whether a run keeps the job's account within its part of its maximum.
+    fn within_maximum(&self, record: &SubmissionRecord, size: &ResourceSize) -> bool {
+        let Some(account) = &record.account else {
+            return true;
+        };
+        let rule = self.config.accounts.get(account);
+        rule.is_none_or(|rule| self.budget.allows(account, size, &rule.maximum))
+    }
+
     /// Counts a task that waits although some worker of its pool has room for it.
     fn note_blocked(&mut self, job: &JobId, spec: &StepSpec, now: Instant) {
         let Some(record) = self.jobs.get(job).map(|job| &job.record) else {
             return;
         };
         let size = reserved_size(spec);
-        let within = |account: &AccountId| self.budget.allows(account, &size);
-        if !record.account.as_ref().is_none_or(within) {
+        if !self.within_maximum(record, &size) {
             return;
         }
         let room = self.workers.values().any(|worker| {
@@ -191,9 +199,7 @@
     ) -> Option<WorkerId> {
         let record = &self.jobs.get(job)?.record;
         let size = reserved_size(spec);
-        if let Some(account) = &record.account
-            && !self.budget.allows(account, &size)
-        {
+        if !self.within_maximum(record, &size) {
             return None;
         }
         let bound = spec.required_label.is_some() || spec.max_per_worker > 0;
--- a/crates/control/src/shard/vacating.rs
+++ b/crates/control/src/shard/vacating.rs
@@ -144,21 +144,10 @@
 
     /// Returns what the tasks of a pool would take that could start now.
     fn waiting_size(&self, pool: &PoolId) -> ResourceSize {
-        let mut size = ResourceSize::default();
         let jobs = self.jobs.values().filter(|job| job.record.pool == *pool);
-        for job in jobs.filter(|job| !job.is_over()) {
-            let spec = &job.record.spec;
-            for occurrence in &job.state.occurrences {
-                for (number, tasks) in occurrence.steps.iter().enumerate() {
-                    if !occurrence.step_ready(spec, number) {
-                        continue;
-                    }
-                    let own = super::reserved_size(&spec.steps[number]);
-                    let waiting = tasks.iter().filter(|task| task.is_waiting());
-                    size = waiting.fold(size, |sum, _| sum.plus(&own));
-                }
-            }
-        }
-        size
+        let open = jobs.filter(|job| !job.is_over());
+        open.fold(ResourceSize::default(), |sum, job| {
+            sum.plus(&super::ready_size(job))
+        })
     }
 }
--- /dev/null
+++ b/crates/control/tests/quota.rs
@@ -0,0 +1,152 @@
+//! Parts of an account's maximum among shards.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use pw_base::prelude::*;
+use pw_control::prelude::*;
+use pw_worker::prelude::*;
+
+fn cores(cores: u32) -> ResourceSize {
+    ResourceSize {
+        millicores: cores * 1000,
+        ..Default::default()
+    }
+}
+
+fn key(shard: ShardNumber) -> PartKey {
+    ("ane".into(), shard)
+}
+
+/// Shards of one account, each with an owner of its own, that change their parts in turn.
+struct Shards {
+    book: QuotaBook,
+    maximum: ResourceSize,
+    now: Instant,
+}
+
+impl Shards {
+    fn new(maximum: u32) -> Self {
+        Self {
+            book: QuotaBook::default(),
+            maximum: cores(maximum),
+            now: Instant::now(),
+        }
+    }
+
+    fn rules(&self) -> IndexMap<AccountId, AccountRule> {
+        let rule = AccountRule {
+            weight: 1,
+            maximum: self.maximum,
+        };
+        IndexMap::from([(AccountId::from("ane"), rule)])
+    }
+
+    /// Lets the owner of a shard see to its part; returns the part in cores.
+    fn see_to(&mut self, shard: ShardNumber, used: u32, waiting: u32) -> u32 {
+        let demand = AccountDemand {
+            used: cores(used),
+            waiting: cores(waiting),
+        };
+        let demands = IndexMap::from([(key(shard), demand)]);
+        let rules = self.rules();
+        for (key, size) in self.book.propose(&rules, &demands, self.now) {
+            self.book.apply(key, QuotaPart { epoch: 1, size });
+        }
+        self.book.part(&key(shard)).millicores / 1000
+    }
+
+    fn total(&self) -> u32 {
+        self.book.total("ane").millicores / 1000
+    }
+}
+
+#[test]
+fn a_shard_gets_what_it_needs_and_some_more() {
+    let mut shards = Shards::new(100);
+    let part = shards.see_to(0, 0, 20);
+    assert!((20..=40).contains(&part), "{part}");
+    assert_eq!(
+        shards.see_to(0, 20, 0),
+        part,
+        "a part changes with each job"
+    );
+}
+
+#[test]
+fn the_parts_never_exceed_the_maximum() {
+    let mut shards = Shards::new(100);
+    for round in 0..50u32 {
+        for shard in 0..5 {
+            let used = shards.book.part(&key(shard)).millicores / 1000 / 2;
+            shards.see_to(shard, used, 17 * ((round + shard) % 7));
+            shards.now += Duration::from_millis(100);
+            assert!(shards.total() <= 100, "{} of 100", shards.total());
+        }
+    }
+}
+
+#[test]
+fn what_one_shard_no_longer_needs_goes_to_another() {
+    let mut shards = Shards::new(100);
+    let first = shards.see_to(0, 0, 90);
+    assert!(first >= 90);
+    let second = shards.see_to(1, 0, 80);
+    assert!(second <= 10);
+    shards.see_to(0, 0, 0);
+    shards.now += Duration::from_secs(1);
+    assert!(shards.see_to(0, 0, 0) <= 10);
+    assert!(shards.see_to(1, second, 80 - second) >= 80);
+}
+
+#[test]
+fn nothing_starts_while_the_parts_exceed_a_lowered_maximum() {
+    let mut shards = Shards::new(100);
+    shards.see_to(0, 0, 50);
+    shards.see_to(1, 0, 30);
+    shards.maximum = cores(40);
+    let maximum = shards.maximum;
+    assert_eq!(shards.book.allowance(&key(0), &maximum), cores(0));
+    // Runs end, and the parts follow what still runs.
+    shards.see_to(0, 30, 10);
+    assert_eq!(
+        shards.book.allowance(&key(1), &maximum),
+        cores(0),
+        "the other still runs too much"
+    );
+    shards.see_to(1, 5, 10);
+    shards.see_to(0, 20, 10);
+    assert!(shards.total() <= 40);
+    assert!(shards.book.allowance(&key(0), &maximum).millicores >= 20_000);
+}
+
+#[test]
+fn a_part_that_an_earlier_owner_sets_is_passed_over() {
+    let mut book = QuotaBook::default();
+    let part = |epoch, size| QuotaPart {
+        epoch,
+        size: cores(size),
+    };
+    book.apply(key(0), part(5, 30));
+    book.apply(key(0), part(4, 1));
+    assert_eq!(book.part(&key(0)), cores(30));
+    book.apply(key(0), part(6, 10));
+    assert_eq!(book.part(&key(0)), cores(10));
+}
+
+#[test]
+fn a_dimension_without_a_maximum_is_not_bounded() {
+    let mut budget = AccountBudget::default();
+    let maximum = cores(10);
+    budget.set_part("ane".into(), cores(10));
+    let large = ResourceSize {
+        memory_mib: 1_000_000,
+        ..cores(4)
+    };
+    assert!(budget.allows("ane", &large, &maximum));
+    budget.take(&"ane".into(), &large);
+    budget.take(&"ane".into(), &large);
+    assert!(!budget.allows("ane", &large, &maximum));
+    budget.give_back("ane", &large);
+    assert!(budget.allows("ane", &large, &maximum));
+}
--- a/crates/control/tests/shard.rs
+++ b/crates/control/tests/shard.rs
@@ -267,6 +267,7 @@
 fn an_account_keeps_within_its_part() {
     let mut world = World::new(4);
     world.run_time = seconds(1);
+    world.set_config(|config| config.accounts["ane"].maximum = size(9000, 0));
     if let Some(shard) = &mut world.controller {
         shard.set_part("ane".into(), size(3000, 0));
     }
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -1,23 +1,29 @@
 //! The duty that runs the controllers of the node's shards.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use pw_base::prelude::*;
 use pw_control::prelude::*;
 use pw_ring::prelude::*;
 
-use crate::message::{ControlMessage, JournalMessage, OrderMessage, ShardTerm};
+use crate::message::{ControlMessage, JournalMessage, OrderMessage, QuotaMessage, ShardTerm};
 use crate::question::{NodeAnswer, NodeQuestion};
 use crate::settings::NodeSettings;
 
+/// Shortest time between two reports of accounts' work. A shard that needs a larger part waits for
+/// it as long.
+const DEMANDS_GAP: Duration = Duration::from_millis(50);
+
 /// Where the control duty's commands go.
 pub struct ControlLinks {
     /// The journal duty.
     pub journal: RingSender<JournalMessage>,
     /// The orders duty.
     pub orders: RingSender<OrderMessage>,
+    /// The quota duty.
+    pub quota: RingSender<QuotaMessage>,
 }
 
 struct ControlDuty {
@@ -29,6 +35,12 @@
     /// Latest life on each machine.
     lives: Arc<IndexMap<MachineId, LifeStart>>,
     shards: IndexMap<ShardNumber, ShardController>,
+    /// Work of accounts as the quota duty was told last.
+    demands: IndexMap<PartKey, AccountDemand>,
+    /// When the quota duty may be told again.
+    demands_due: Instant,
+    /// Something happened since it was told.
+    demands_stale: bool,
 }
 
 /// Runs the controllers until all senders of `messages` are gone.
@@ -46,15 +58,22 @@
         workers: Vec::new(),
         lives: Arc::default(),
         shards: IndexMap::new(),
+        demands: IndexMap::new(),
+        demands_due: Instant::now(),
+        demands_stale: false,
     };
     loop {
         let Ok(message) = messages.recv_until(duty.wake_time()).await else {
             return;
         };
         match message {
-            Some(message) => duty.take(message).await,
+            Some(message) => {
+                duty.demands_stale = true;
+                duty.take(message).await;
+            }
             None => duty.tick().await,
         }
+        duty.tell_demands().await;
     }
 }
 
@@ -64,14 +83,22 @@
     fn wake_time(&self) -> Option<Instant> {
         let now = self.clock.now();
         let due = self.shards.values().map(ShardController::next_deadline);
-        let due = due.min()?;
-        Some(Instant::now() + due.saturating_duration_since(now))
+        let due = due.min();
+        let due = due.map(|due| Instant::now() + due.saturating_duration_since(now));
+        let demands = self.demands_stale.then_some(self.demands_due);
+        due.into_iter().chain(demands).min()
     }
 
     async fn take(&mut self, message: ControlMessage) {
         match message {
             ControlMessage::Config(config) => {
                 self.config = Arc::clone(&config);
+                // The ring is closed only when the node stops.
+                _ = self
+                    .links
+                    .quota
+                    .send(QuotaMessage::Config(Arc::clone(&config)))
+                    .await;
                 let terms: Vec<ShardTerm> = self.terms().collect();
                 for term in terms {
                     let event = ShardEvent::Config(Arc::clone(&config));
@@ -102,6 +129,19 @@
                 }
             }
             ControlMessage::Shard(term, event) => self.hand_on(term, *event).await,
+            ControlMessage::Parts(parts) => {
+                for (term, account, part) in parts {
+                    if self.owns(term)
+                        && let Some(shard) = self.shards.get_mut(&term.shard)
+                    {
+                        shard.set_part(account, part);
+                    }
+                }
+                let terms: Vec<ShardTerm> = self.terms().collect();
+                for term in terms {
+                    self.hand_on(term, ShardEvent::Tick).await;
+                }
+            }
             ControlMessage::Question(question, reply) => {
                 let answer = self.answer(question).await;
                 // Whoever asked may have given up.
@@ -110,6 +150,32 @@
         }
     }
 
+    /// Tells the quota duty the work of accounts, where it has changed and not too often.
+    async fn tell_demands(&mut self) {
+        let now = Instant::now();
+        if !self.demands_stale || now < self.demands_due {
+            return;
+        }
+        self.demands_stale = false;
+        let demands = self
+            .shards
+            .values()
+            .flat_map(ShardController::account_demands);
+        let demands: IndexMap<PartKey, AccountDemand> = demands.collect();
+        self.demands_due = now + DEMANDS_GAP;
+        if demands == self.demands {
+            return;
+        }
+        self.demands = demands.clone();
+        let terms = self.terms().map(|term| (term.shard, term.epoch)).collect();
+        // The ring is closed only when the node stops.
+        _ = self
+            .links
+            .quota
+            .send(QuotaMessage::Demands(terms, demands))
+            .await;
+    }
+
     async fn tick(&mut self) {
         let now = self.clock.now();
         let due = self.shards.values();
@@ -163,7 +229,9 @@
     }
 
     async fn carry_out(&self, term: ShardTerm, command: ShardCommand) {
-        let ControlLinks { journal, orders } = &self.links;
+        let ControlLinks {
+            journal, orders, ..
+        } = &self.links;
         let sent = match command {
             ShardCommand::Store { sequence, records } => {
                 let message = JournalMessage::Store {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod owners;
 pub mod question;
 pub mod question_duty;
+pub mod quota_duty;
 pub mod settings;
 
 /// The names that most users of this crate need.
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -8,6 +8,7 @@
 use pw_control::prelude::*;
 use pw_job::prelude::*;
 use pw_ring::prelude::*;
+use pw_worker::prelude::*;
 
 use crate::question::{NodeAnswer, NodeQuestion};
 
@@ -35,6 +36,8 @@
     Release(ShardTerm, RingSender<IndexMap<WorkerId, Duration>>),
     /// Something happened in a shard.
     Shard(ShardTerm, Box<ShardEvent>),
+    /// What accounts may have running in shards.
+    Parts(Vec<(ShardTerm, AccountId, ResourceSize)>),
     /// Somebody asks about jobs.
     Question(NodeQuestion, RingSender<NodeAnswer>),
 }
@@ -70,6 +73,18 @@
     Pace(ShardTerm, PaceOrder),
 }
 
+/// What the quota duty is told.
+#[derive(Debug, Clone)]
+pub enum QuotaMessage {
+    /// A configuration is in force.
+    Config(Arc<FleetConfig>),
+    /// The node's shards with their epochs, and the work of accounts in them.
+    Demands(
+        IndexMap<ShardNumber, OwnerEpoch>,
+        IndexMap<PartKey, AccountDemand>,
+    ),
+}
+
 /// What the keeper duty is told.
 #[derive(Debug, Clone)]
 pub enum KeeperMessage {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -21,6 +21,7 @@
 use crate::order_duty;
 use crate::owners::ShardAsker;
 use crate::question_duty::{self, question_bounds};
+use crate::quota_duty;
 use crate::settings::NodeSettings;
 
 /// Messages that may wait for a duty.
@@ -42,6 +43,8 @@
     pub machines: Box<dyn MachineGateway>,
     /// The store, for the keeper duty.
     pub keeper_store: Box<dyn JobStore>,
+    /// The store, for the quota duty.
+    pub quota_store: Box<dyn JobStore>,
     /// The protocol of callers.
     pub front: Box<dyn FrontEnd>,
 }
@@ -77,9 +80,11 @@
         let (phases, phase_messages) = ring("phases", PHASE_CAPACITY);
         let (served_sender, served) = ring("served", 1);
 
+        let (quota, quota_messages) = ring("quota", RING_CAPACITY);
         let control_links = ControlLinks {
             journal: journal.clone(),
             orders,
+            quota,
         };
         let (own, own_clock) = (settings.clone(), Arc::clone(&clock));
         DutyThread::spawn("control", move |_| {
@@ -121,6 +126,13 @@
             feed_duty::run(feed, own, own_clock, feed_links)
         })?;
 
+        let quota_control = control.clone();
+        let (own, own_clock) = (settings.clone(), Arc::clone(&clock));
+        let store = links.quota_store;
+        DutyThread::spawn("quota", move |_| {
+            quota_duty::run(store, own, own_clock, quota_messages, quota_control)
+        })?;
+
         let keeper_links = KeeperLinks {
             machines: links.machines,
             store: links.keeper_store,
