--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -116,18 +116,6 @@
     /// A worker did not answer a look.
     #[strum(message = "A worker did not answer a look.")]
     WorkerSilent = 622,
-    /// The platform answered an order for a machine.
-    #[strum(message = "The platform answered an order for a machine.")]
-    MachineAnswered = 650,
-    /// A machine goes to another pool.
-    #[strum(message = "A machine goes to another pool.")]
-    MachineMoved = 653,
-    /// All machines of a maintenance wave have begun their upkeep.
-    #[strum(message = "All machines of a maintenance wave have begun their upkeep.")]
-    WaveCompleted = 651,
-    /// A node keeps the machines, or no longer does.
-    #[strum(message = "A node keeps the machines, or no longer does.")]
-    KeeperRole = 652,
     /// A node took a shard over.
     #[strum(message = "A node took a shard over.")]
     ShardTaken = 630,
@@ -146,6 +134,18 @@
     /// The settings were read again.
     #[strum(message = "The settings were read again.")]
     SettingsReloaded = 641,
+    /// The platform answered an order for a machine.
+    #[strum(message = "The platform answered an order for a machine.")]
+    MachineAnswered = 650,
+    /// All machines of a maintenance wave have begun their upkeep.
+    #[strum(message = "All machines of a maintenance wave have begun their upkeep.")]
+    WaveCompleted = 651,
+    /// A node keeps the machines, or no longer does.
+    #[strum(message = "A node keeps the machines, or no longer does.")]
+    KeeperRole = 652,
+    /// A machine goes to another pool.
+    #[strum(message = "A machine goes to another pool.")]
+    MachineMoved = 653,
     /// A message of a peer was refused.
     #[strum(message = "A message of a peer was refused.")]
     PeerRefused = 700,
