Fill workers one after the other, and share machines by need when there are too few

Tasks spread over all machines of a pool, so after its surge each machine had to wait for the longest of its runs before it could go to the next pool in a surge: 5 s with 1,700 cores waiting there. A pool past its surge also kept room while another one starved. And a worker whose address another one has was asked without pause, 745 times in 2 s. Change: placement packs; targets are parts by need where machines are short; such a worker is asked once a second. Sizes of pools are logged (event 654).

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -146,6 +146,9 @@
     /// A machine goes to another pool.
     #[strum(message = "A machine goes to another pool.")]
     MachineMoved = 653,
+    /// A pool needs another number of machines.
+    #[strum(message = "A pool needs another number of machines.")]
+    PoolSized = 654,
     /// A message of a peer was refused.
     #[strum(message = "A message of a peer was refused.")]
     PeerRefused = 700,
--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -169,6 +169,8 @@
 
 /// Refused moves after which a machine is let be.
 const MAX_BUSY: u32 = 3;
+/// Shortest time between two log lines about the size of a pool.
+const SIZE_LOG_GAP: Duration = Duration::from_millis(900);
 /// How long such a machine is let be.
 const AVOID: Duration = Duration::from_secs(5);
 
@@ -185,6 +187,8 @@
     /// Machines for which something is under way.
     tasks: IndexMap<MachineId, MachineTask>,
     sizes: PoolSizes,
+    /// When each pool's need was logged last, and what it was.
+    logged: IndexMap<PoolId, (Instant, usize)>,
     /// Machines that did not move when they were to, and until when they are let be.
     avoided: IndexMap<MachineId, Instant>,
     surveys: IndexMap<ShardNumber, Instant>,
@@ -257,6 +261,7 @@
             reported: IndexSet::new(),
             tasks: IndexMap::new(),
             sizes: PoolSizes::new(settings.sizing),
+            logged: IndexMap::new(),
             avoided: IndexMap::new(),
             surveys: IndexMap::new(),
             list_due: now,
@@ -536,12 +541,13 @@
             return;
         };
         let pools: Vec<PoolId> = self.loads.keys().cloned().collect();
+        self.log_sizes(now);
+        let targets = self.targets(&pools, &spare);
         let mut short = Vec::new();
-        for pool in &pools {
-            let need = self.sizes.need(pool);
+        for (pool, target) in &targets {
             let have = self.members(pool);
-            if need > have {
-                short.push((need - have, pool.clone()));
+            if *target > have {
+                short.push((*target - have, pool.clone()));
             }
         }
         short.sort_by(|a, b| b.0.cmp(&a.0));
@@ -549,18 +555,73 @@
             for _ in 0..missing {
                 let machine = self
                     .idle_spare(&spare)
-                    .or_else(|| self.surplus_machine(&pools, false));
+                    .or_else(|| self.surplus_machine(&targets));
                 let Some(machine) = machine else {
                     return;
                 };
                 self.start_move(&machine, pool.clone(), now);
             }
         }
-        while let Some(machine) = self.surplus_machine(&pools, true) {
+        let lasting = pools
+            .iter()
+            .map(|pool| (pool.clone(), self.sizes.lasting_need(pool)));
+        let lasting: IndexMap<PoolId, usize> = lasting.collect();
+        while let Some(machine) = self.surplus_machine(&lasting) {
             self.start_move(&machine, spare.clone(), now);
         }
     }
 
+    /// Returns how many machines each pool is to have: what it needs or, where there are not as many
+    /// machines, its part of them by its need.
+    fn targets(&self, pools: &[PoolId], spare: &PoolId) -> IndexMap<PoolId, usize> {
+        let needs: usize = pools.iter().map(|pool| self.sizes.need(pool)).sum();
+        let members = pools.iter().chain([spare]).map(|pool| self.members(pool));
+        let machines: usize = members.sum();
+        let target = |pool: &PoolId| {
+            let need = self.sizes.need(pool);
+            if needs <= machines {
+                need
+            } else {
+                let floor = self.loads.get(pool).map_or(0, |load| load.anchors as usize);
+                (need * machines / needs).max(floor)
+            }
+        };
+        pools
+            .iter()
+            .map(|pool| (pool.clone(), target(pool)))
+            .collect()
+    }
+
+    /// Logs the pools whose need has changed, each at most once in a while.
+    fn log_sizes(&mut self, now: Instant) {
+        for (pool, load) in &self.loads {
+            let need = self.sizes.need(pool);
+            let logged = self.logged.get(pool);
+            let recent = logged.is_some_and(|(at, _)| now < *at + SIZE_LOG_GAP);
+            if recent || logged.is_some_and(|(_, before)| *before == need) {
+                continue;
+            }
+            self.logged.insert(pool.clone(), (now, need));
+            let event = EventCode::PoolSized.number();
+            let (workers, anchors, blocked) = (load.workers, load.anchors, load.blocked);
+            let (used, waiting) = (load.used.millicores, load.waiting.millicores);
+            let have = self.members(pool);
+            let pool = &**pool;
+            tracing::info!(
+                event,
+                pool,
+                need,
+                have,
+                workers,
+                anchors,
+                used,
+                waiting,
+                blocked,
+                "pool sized"
+            );
+        }
+    }
+
     fn spare_pool(&self) -> Option<PoolId> {
         let mut pools = self.config.pools.iter();
         let spare = pools.find(|(_, rule)| rule.spare);
@@ -604,19 +665,11 @@
         idle.map(|view| view.machine.clone())
     }
 
-    /// Returns a machine that its pool does not need; where `lasting`, only one that it has not
-    /// needed for long.
-    fn surplus_machine(&self, pools: &[PoolId], lasting: bool) -> Option<MachineId> {
-        let surplus = |pool: &&PoolId| {
-            let need = if lasting {
-                self.sizes.lasting_need(pool)
-            } else {
-                self.sizes.need(pool)
-            };
-            self.members(pool).saturating_sub(need)
-        };
-        let pool = pools
-            .iter()
+    /// Returns a machine of the pool that has the most beyond its target.
+    fn surplus_machine(&self, targets: &IndexMap<PoolId, usize>) -> Option<MachineId> {
+        let surplus = |pool: &&PoolId| self.members(pool).saturating_sub(targets[*pool]);
+        let pool = targets
+            .keys()
             .filter(|pool| surplus(pool) > 0)
             .max_by_key(surplus)?;
         let load = self.loads.get(pool)?;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,7 +29,7 @@
         StoreRecord,
     };
     pub use crate::order::{JobUrgency, terms_of};
-    pub use crate::place::{Candidate, PlacementPolicy, PlacementRequest, SpreadPlacement};
+    pub use crate::place::{Candidate, PackPlacement, PlacementPolicy, PlacementRequest};
     pub use crate::quota::{AccountBudget, AccountDemand, PartKey, QuotaBook, QuotaPart};
     pub use crate::settings::ControlSettings;
     pub use crate::shard::ShardController;
--- a/crates/control/src/place.rs
+++ b/crates/control/src/place.rs
@@ -37,24 +37,25 @@
     fn choose(&self, request: &PlacementRequest, candidates: &[Candidate<'_>]) -> Option<usize>;
 }
 
-/// Prefers the data's rack, then a worker without runs that would disturb each other, then the one
-/// with the largest free part, so that load and the loss of a worker spread evenly.
+/// Fills one worker after the other, so that machines of a pool that has more than it needs stand
+/// empty and can go to a pool in a surge at once. Spread evenly, each of them would have to wait for
+/// the longest of its runs.
 ///
-/// What lasts goes to workers where something lasts already, so that the machines of the others can
-/// be moved to another pool at any time.
+/// The data's rack goes first, then a worker without runs that would disturb each other. What lasts
+/// goes to workers where something lasts already, but away from tasks of its own step.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct SpreadPlacement;
+pub struct PackPlacement;
 
-impl PlacementPolicy for SpreadPlacement {
+impl PlacementPolicy for PackPlacement {
     fn choose(&self, request: &PlacementRequest, candidates: &[Candidate<'_>]) -> Option<usize> {
         let rank = |candidate: &Candidate<'_>| {
-            let free = free_part(candidate);
+            let siblings = if request.lasts { candidate.siblings } else { 0 };
             (
                 !candidate.near_data,
                 candidate.disturbed,
                 request.lasts && !candidate.anchored,
-                candidate.siblings,
-                u64::MAX - (free * 1e6) as u64,
+                siblings,
+                (free_part(candidate) * FREE_STEPS) as u64,
             )
         };
         let numbered = candidates.iter().enumerate();
@@ -63,6 +64,9 @@
     }
 }
 
+/// Steps in which free parts are compared.
+const FREE_STEPS: f64 = 1e6;
+
 /// Returns the smaller of the free parts of processors and memory.
 fn free_part(candidate: &Candidate<'_>) -> f64 {
     let part = |free: u32, total: u32| f64::from(free) / f64::from(total.max(1));
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -21,7 +21,7 @@
 use crate::config::FleetConfig;
 use crate::message::{ShardCommand, ShardEvent, ShardImage, StartOrder, StopOrder};
 use crate::pace::FULL_PACE;
-use crate::place::{PlacementPolicy, SpreadPlacement};
+use crate::place::{PackPlacement, PlacementPolicy};
 use crate::quota::AccountBudget;
 use crate::settings::ControlSettings;
 use crate::shard::storing::StoreDesk;
@@ -104,7 +104,7 @@
             epoch,
             settings,
             config,
-            placement: Box::new(SpreadPlacement),
+            placement: Box::new(PackPlacement),
             jobs: IndexMap::new(),
             workers: IndexMap::new(),
             budget: AccountBudget::default(),
--- a/crates/control/src/shard/ends.rs
+++ b/crates/control/src/shard/ends.rs
@@ -100,7 +100,8 @@
         worker.noted = 0;
         worker.stored = 0;
         worker.acknowledged = 0;
-        worker.look_due = now;
+        // What has its address now is asked again, should it be this worker after all.
+        worker.look_due = now + self.settings.look_retry_max;
         let event = EventCode::WorkerLifeEnded.number();
         let runs = worker.runs.len();
         tracing::warn!(event, worker = &**id, runs, "life of a worker ended");
--- a/crates/control/tests/keeper.rs
+++ b/crates/control/tests/keeper.rs
@@ -6,6 +6,7 @@
 use indexmap::{IndexMap, IndexSet};
 use pw_base::prelude::*;
 use pw_control::prelude::*;
+use pw_worker::prelude::*;
 
 /// Time for an order to be carried out.
 const UPKEEP: Duration = Duration::from_secs(2);
@@ -27,6 +28,8 @@
     reports: Vec<(WaveNumber, bool)>,
     contested: usize,
     lives: u32,
+    /// Cores that run and wait in each pool.
+    work: IndexMap<PoolId, (u32, u32)>,
 }
 
 impl Platform {
@@ -63,6 +66,7 @@
             reports: Vec::new(),
             contested: 0,
             lives: 0,
+            work: IndexMap::new(),
         }
     }
 
@@ -91,10 +95,10 @@
                     self.views.values().cloned().collect(),
                 ));
             }
-            KeeperCommand::Survey { vacate, .. } => {
+            KeeperCommand::Survey { shard, vacate } => {
                 let clear = if self.clear { vacate } else { Vec::new() };
                 return Some(KeeperEvent::Surveyed {
-                    pools: Vec::new(),
+                    pools: self.loads(shard),
                     clear,
                     asked: self.now,
                 });
@@ -102,7 +106,7 @@
             KeeperCommand::Order(order) => {
                 self.orders.push(order.clone());
                 if self.outcome == MachineOutcome::Done {
-                    self.begin(&order.machine);
+                    self.begin(&order);
                 }
                 let outcome = self.outcome;
                 return Some(KeeperEvent::Ordered { order, outcome });
@@ -116,9 +120,16 @@
         None
     }
 
-    fn begin(&mut self, machine: &MachineId) {
+    fn begin(&mut self, order: &MachineOrder) {
+        let machine = &order.machine;
         let view = &mut self.views[machine];
-        view.state = MachineState::Upkeep;
+        view.state = match &order.action {
+            MachineAction::Upkeep(_) => MachineState::Upkeep,
+            MachineAction::Move(pool) => {
+                view.pool = pool.clone();
+                MachineState::Moving
+            }
+        };
         view.worker = None;
         self.back_at.insert(machine.clone(), self.now + UPKEEP);
         let down = self
@@ -145,6 +156,38 @@
         }
     }
 
+    /// Returns the work of the pools of a shard, with all their workers free to move.
+    fn loads(&self, shard: ShardNumber) -> Vec<PoolLoad> {
+        let shards = KeeperSettings::default().shards;
+        let pools = self
+            .work
+            .iter()
+            .filter(|(pool, _)| find_shard(pool, shards) == shard);
+        let load = |(pool, (used, waiting)): (&PoolId, &(u32, u32))| {
+            let members = self.views.values().filter(|view| view.pool == *pool);
+            let up = members.filter(|view| view.state == MachineState::Up);
+            let movable: Vec<WorkerId> = up.filter_map(|view| view.worker.clone()).collect();
+            let workers = movable.len() as u32;
+            PoolLoad {
+                pool: pool.clone(),
+                workers,
+                capacity: cores(32 * workers),
+                used: cores(*used),
+                waiting: cores(*waiting),
+                movable,
+                ..Default::default()
+            }
+        };
+        pools.map(load).collect()
+    }
+
+    fn members(&self, pool: &str) -> usize {
+        self.views
+            .values()
+            .filter(|view| &*view.pool == pool)
+            .count()
+    }
+
     fn begun(&self) -> usize {
         let machines: IndexSet<&MachineId> = self.orders.iter().map(|o| &o.machine).collect();
         machines.len()
@@ -166,6 +209,88 @@
     )
 }
 
+fn cores(cores: u32) -> ResourceSize {
+    ResourceSize {
+        millicores: cores * 1000,
+        ..Default::default()
+    }
+}
+
+/// Creates a platform without a wave, with pools `a` and `b` of six machines each and a spare one of
+/// four.
+fn pools() -> Platform {
+    let mut platform = Platform::new(16, WaveRule::default());
+    for (number, view) in platform.views.values_mut().enumerate() {
+        view.pool = match number {
+            0..6 => "a".into(),
+            6..12 => "b".into(),
+            _ => "spare".into(),
+        };
+    }
+    let spare = PoolRule {
+        spare: true,
+        ..Default::default()
+    };
+    let rules = [
+        ("a", PoolRule::default()),
+        ("b", PoolRule::default()),
+        ("spare", spare),
+    ];
+    let rules = rules.map(|(pool, rule)| (PoolId::from(pool), rule));
+    platform.config = Arc::new(FleetConfig {
+        version: 1,
+        pools: IndexMap::from(rules),
+        ..Default::default()
+    });
+    platform.keeper = keeper(1, &platform.config, IndexMap::new(), platform.now);
+    platform
+}
+
+/// One pool is in its surge and the other one in its lull.
+#[test]
+fn machines_go_from_a_lull_to_a_surge_and_the_rest_to_the_spare_pool() {
+    let mut platform = pools();
+    platform.work.insert("a".into(), (190, 150));
+    platform.work.insert("b".into(), (20, 0));
+    platform.run(Duration::from_secs(6));
+    let (a, b) = (platform.members("a"), platform.members("b"));
+    assert!(a >= 10, "the surge got {a} machines");
+    assert_eq!(b, 2, "the lull kept machines that it doesn't need");
+    platform.work.insert("a".into(), (20, 0));
+    platform.run(Duration::from_secs(10));
+    assert_eq!(platform.members("a"), 2);
+    assert_eq!(platform.members("spare"), 12);
+}
+
+#[test]
+fn too_few_machines_are_shared_by_need() {
+    let mut platform = pools();
+    platform.work.insert("a".into(), (190, 600));
+    platform.work.insert("b".into(), (190, 200));
+    platform.run(Duration::from_secs(6));
+    let (a, b) = (platform.members("a"), platform.members("b"));
+    assert_eq!(a + b, 16, "a machine stands idle");
+    assert!(a > b && b >= 4, "{a} and {b} machines");
+}
+
+#[test]
+fn nothing_moves_while_the_work_is_unknown() {
+    let mut platform = pools();
+    platform.run(Duration::from_secs(5));
+    assert!(platform.orders.is_empty());
+}
+
+#[test]
+fn a_spare_machine_that_does_not_come_up_is_let_be() {
+    let mut platform = pools();
+    platform.outcome = MachineOutcome::Busy;
+    platform.work.insert("a".into(), (190, 400));
+    platform.work.insert("b".into(), (20, 0));
+    platform.run(Duration::from_secs(3));
+    let first: IndexSet<MachineId> = platform.orders.iter().map(|o| o.machine.clone()).collect();
+    assert!(first.len() > 4, "one refused machine held up the others");
+}
+
 fn wave(machines: usize, maximum: usize) -> WaveRule {
     WaveRule {
         machines: (0..machines)
--- /dev/null
+++ b/crates/control/tests/place.rs
@@ -0,0 +1,85 @@
+//! Which worker takes a run.
+
+use pw_base::prelude::*;
+use pw_control::prelude::*;
+use pw_worker::prelude::*;
+
+const CAPACITY: ResourceSize = ResourceSize {
+    millicores: 32_000,
+    memory_mib: 65_536,
+    accelerators: 0,
+};
+
+fn candidate(worker: &WorkerId, free_cores: u32) -> Candidate<'_> {
+    Candidate {
+        worker,
+        room: ResourceSize {
+            millicores: free_cores * 1000,
+            ..CAPACITY
+        },
+        capacity: CAPACITY,
+        near_data: true,
+        siblings: 0,
+        disturbed: 0,
+        anchored: false,
+    }
+}
+
+fn choose(request: PlacementRequest, candidates: &[Candidate<'_>]) -> Option<usize> {
+    PackPlacement.choose(&request, candidates)
+}
+
+/// In a surge the machines of other pools are wanted at once; they have to stand empty for that.
+#[test]
+fn runs_fill_one_worker_after_the_other() {
+    let id = WorkerId::from("w");
+    let candidates = [candidate(&id, 32), candidate(&id, 4), candidate(&id, 20)];
+    assert_eq!(choose(PlacementRequest::default(), &candidates), Some(1));
+    assert_eq!(choose(PlacementRequest::default(), &[]), None);
+}
+
+#[test]
+fn the_rack_of_the_data_goes_before_the_fullest_worker() {
+    let id = WorkerId::from("w");
+    let far = Candidate {
+        near_data: false,
+        ..candidate(&id, 4)
+    };
+    assert_eq!(
+        choose(PlacementRequest::default(), &[far, candidate(&id, 32)]),
+        Some(1)
+    );
+}
+
+#[test]
+fn what_fills_keeps_away_from_what_serves() {
+    let id = WorkerId::from("w");
+    let serving = Candidate {
+        disturbed: 2,
+        ..candidate(&id, 4)
+    };
+    assert_eq!(
+        choose(PlacementRequest::default(), &[serving, candidate(&id, 32)]),
+        Some(1)
+    );
+}
+
+#[test]
+fn what_lasts_shares_workers_but_not_with_its_own_step() {
+    let id = WorkerId::from("w");
+    let lasts = PlacementRequest {
+        lasts: true,
+        ..Default::default()
+    };
+    let anchored = Candidate {
+        anchored: true,
+        ..candidate(&id, 20)
+    };
+    let own = Candidate {
+        siblings: 1,
+        ..anchored.clone()
+    };
+    let full = candidate(&id, 4);
+    assert_eq!(choose(lasts, &[own, full.clone(), anchored]), Some(2));
+    assert_eq!(choose(lasts, &[full]), Some(0));
+}
--- a/crates/control/tests/shard.rs
+++ b/crates/control/tests/shard.rs
@@ -447,3 +447,20 @@
     world.set_config(|config| config.queues["queue"].attempts = 1);
     assert!(world.run_until(seconds(3), |world| world.status("job") == COMPLETED));
 }
+
+/// A worker is gone and another one has its address while the list still names the first.
+#[test]
+fn a_worker_at_another_ones_address_is_not_asked_without_pause() {
+    let mut world = World::new(2);
+    world.run(millis(500));
+    world.workers[0].other_at_address = true;
+    world.submit("job", Some("ane"), vec![step(4)]);
+    let before = world.looks;
+    world.run(seconds(3));
+    assert_eq!(world.status("job"), COMPLETED);
+    assert!(
+        world.looks - before < 60,
+        "{} looks in 3 s",
+        world.looks - before
+    );
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -32,6 +32,8 @@
     pub mute_starts: bool,
     /// It refuses everything as unhealthy.
     pub unhealthy: bool,
+    /// It is gone, and another worker has its address.
+    pub other_at_address: bool,
     /// Runs that it starts fail after this time; `None` lets them be done.
     pub fails: bool,
     pub fence: OwnerEpoch,
@@ -147,6 +149,7 @@
             dead: false,
             mute_starts: false,
             unhealthy: false,
+            other_at_address: false,
             fails: false,
             fence: 0,
             lease_until: 0,
@@ -384,6 +387,10 @@
             );
         }
         let worker = &mut self.workers[&order.worker];
+        if worker.other_at_address {
+            let result = Err(CallFault::OtherLife);
+            return self.reply(epoch, TRIP, ShardEvent::Looked { order, result });
+        }
         if worker.fence > order.epoch {
             let result = Err(CallFault::Fenced);
             return self.reply(epoch, TRIP, ShardEvent::Looked { order, result });
@@ -577,7 +584,7 @@
         if self.unhealthy {
             return StartOutcome::Unhealthy;
         }
-        if self.entry.life != order.life {
+        if self.entry.life != order.life || self.other_at_address {
             return StartOutcome::OtherLife;
         }
         if order.epoch < self.fence {
