--- a/crates/control/tests/keeper.rs
+++ b/crates/control/tests/keeper.rs
@@ -152,7 +152,9 @@
             self.lives += 1;
             let view = &mut self.views[&machine];
             view.state = MachineState::Up;
-            view.worker = Some(format!("again{}", self.lives).into());
+            // Machines of the spare pool are off.
+            let off = &*view.pool == "spare";
+            view.worker = (!off).then(|| format!("again{}", self.lives).into());
         }
     }
 
@@ -226,6 +228,9 @@
             6..12 => "b".into(),
             _ => "spare".into(),
         };
+        if number >= 12 {
+            view.worker = None;
+        }
     }
     let spare = PoolRule {
         spare: true,
