Size pools with a tenth of headroom and a shorter forecast

Change: headroom 1.2 to 1.1, growth is taken to go on for 1 s instead of 2 s, a pool keeps one machine beyond its need when it shrinks.

--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -501,11 +501,11 @@
             let task = MachineTask {
                 action: MachineAction::Upkeep(wave),
                 pool: view.pool.clone(),
-                worker: view.worker.clone(),
+                worker: view.worker.clone().filter(|_| !self.is_spare(&view.pool)),
                 phase: TaskStage::Vacating { not_before: now },
                 busy: 0,
             };
-            let without_worker = view.worker.is_none();
+            let without_worker = task.worker.is_none();
             self.tasks.insert(machine, task);
             room -= 1;
             if without_worker {
@@ -562,9 +562,11 @@
                 self.start_move(&machine, pool.clone(), now);
             }
         }
-        let lasting = pools
-            .iter()
-            .map(|pool| (pool.clone(), self.sizes.lasting_need(pool)));
+        let kept = self.settings.sizing.kept;
+        let lasting = pools.iter().map(|pool| {
+            let need = self.sizes.lasting_need(pool).saturating_add(kept);
+            (pool.clone(), need)
+        });
         let lasting: IndexMap<PoolId, usize> = lasting.collect();
         while let Some(machine) = self.surplus_machine(&lasting) {
             self.start_move(&machine, spare.clone(), now);
@@ -628,6 +630,10 @@
         spare.map(|(pool, _)| pool.clone())
     }
 
+    fn is_spare(&self, pool: &PoolId) -> bool {
+        self.config.pools.get(pool).is_some_and(|rule| rule.spare)
+    }
+
     /// Returns how many machines a pool has, with those that are on their way to it and without
     /// those that are on their way from it or are to have their upkeep.
     fn members(&self, pool: &PoolId) -> usize {
@@ -700,11 +706,12 @@
         let task = MachineTask {
             action: MachineAction::Move(to),
             pool: view.pool.clone(),
-            worker: view.worker.clone(),
+            // Nothing runs in the spare pool, whose machines are off.
+            worker: view.worker.clone().filter(|_| !self.is_spare(&view.pool)),
             phase: TaskStage::Vacating { not_before: now },
             busy: 0,
         };
-        let without_worker = view.worker.is_none();
+        let without_worker = task.worker.is_none();
         self.tasks.insert(machine.clone(), task);
         if without_worker {
             self.order_clear(&[], now);
--- a/crates/control/src/sizing.rs
+++ b/crates/control/src/sizing.rs
@@ -26,10 +26,13 @@
     pub reserve: usize,
     /// Part of the waiting work that is to run at once; the rest follows when that has ended.
     pub backlog_part: f64,
-    /// Time from the decision to move a machine until it takes work.
-    pub move_time: Duration,
+    /// Time for which the growth of work is taken to go on. A move takes longer, but the work of few
+    /// large jobs comes in steps, and a longer forecast overshoots.
+    pub growth_time: Duration,
     /// Fewest machines of a pool.
     pub smallest: usize,
+    /// Machines that a pool keeps beyond its need when it shrinks, so that small changes move none.
+    pub kept: usize,
     /// How long a pool has to need less before it shrinks to the spare pool: a move there and back
     /// costs as much as about two seconds in a pool.
     pub shrink_after: Duration,
@@ -55,11 +58,12 @@
 impl Default for SizingSettings {
     fn default() -> Self {
         Self {
-            headroom: 1.2,
+            headroom: 1.1,
             reserve: 1,
             backlog_part: 0.6,
-            move_time: Duration::from_secs(2),
+            growth_time: Duration::from_millis(1000),
             smallest: 2,
+            kept: 1,
             shrink_after: Duration::from_secs(2),
         }
     }
@@ -115,7 +119,9 @@
         let all = load.used.plus(&load.waiting);
         history.note_work(all.millicores, now);
         let wanted = ResourceSize {
-            millicores: wanted.millicores.max(history.forecast(settings.move_time)),
+            millicores: wanted
+                .millicores
+                .max(history.forecast(settings.growth_time)),
             ..wanted
         };
         let known = history.machine != ResourceSize::default();
