--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,7 +1,7 @@
 //! A node: its duties, the rings between them, and its end.
 
 use std::io;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -72,6 +72,13 @@
         let callers_listener = TcpListener::bind(settings.callers)?;
         let ready_listener = TcpListener::bind(settings.readiness)?;
         let peer_listener = TcpListener::bind(settings.peers)?;
+        // Where a port was left open, the addresses that were given are the ones that count.
+        let settings = NodeSettings {
+            callers: callers_listener.local_addr()?,
+            readiness: ready_listener.local_addr()?,
+            peers: peer_listener.local_addr()?,
+            ..settings
+        };
         let (control, control_messages) = ring("control", RING_CAPACITY);
         let (journal, journal_messages) = ring("journal", RING_CAPACITY);
         let (orders, order_messages) = ring("orders", RING_CAPACITY);
@@ -180,6 +187,16 @@
         })
     }
 
+    /// Returns where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        self.settings.callers
+    }
+
+    /// Returns where the balancer asks whether the node is ready.
+    pub fn readiness(&self) -> SocketAddr {
+        self.settings.readiness
+    }
+
     /// Serves until a stop is asked for, then ends gracefully.
     ///
     /// Shards are handed over at once; callers are answered until the balancer sends no more.
