Repeat appends without an answer soon, and let a keeper without proof of its role rest

Half of the store's answers are lost from 30.9 s on, and each append waited 1.5 s before it was repeated; callers got 42 answers 504, after which they may not try again. From 19 s to 23 s two nodes kept the machines, as the store turned the first one away, and each took back what the other one had vacated. Change: the wait for an answer to an append follows the times of the last answers (150 ms at least) and doubles with each one that does not come; submissions are repeated within 2 s. A keeper acts only with a proof of its role of the last 4.5 s, and owners refuse the surveys of an earlier keeper.

--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -550,7 +550,7 @@
                 short.push((*target - have, pool.clone()));
             }
         }
-        short.sort_by(|a, b| b.0.cmp(&a.0));
+        short.sort_by_key(|(missing, _)| std::cmp::Reverse(*missing));
         for (missing, pool) in short {
             for _ in 0..missing {
                 let machine = self
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -35,6 +35,8 @@
     /// Latest life on each machine.
     lives: Arc<IndexMap<MachineId, LifeStart>>,
     shards: IndexMap<ShardNumber, ShardController>,
+    /// Highest epoch of a keeper of machines that has asked.
+    keeper: OwnerEpoch,
     /// Work of accounts as the quota duty was told last.
     demands: IndexMap<PartKey, AccountDemand>,
     /// When the quota duty may be told again.
@@ -58,6 +60,7 @@
         workers: Vec::new(),
         lives: Arc::default(),
         shards: IndexMap::new(),
+        keeper: 0,
         demands: IndexMap::new(),
         demands_due: Instant::now(),
         demands_stale: false,
@@ -272,8 +275,10 @@
                     JobAnswer::Unknown => NodeAnswer::UnknownJob,
                 }
             }
-            NodeQuestion::Survey { vacate, .. } => {
+            NodeQuestion::Survey { keeper, .. } if keeper < self.keeper => NodeAnswer::NotOwner,
+            NodeQuestion::Survey { keeper, vacate, .. } => {
                 let term = term_of(shard);
+                self.keeper = keeper;
                 self.hand_on(term, ShardEvent::Vacate(vacate)).await;
                 let now = self.clock.now();
                 match self.shards.get(&term.shard) {
--- a/crates/node/src/door.rs
+++ b/crates/node/src/door.rs
@@ -6,7 +6,6 @@
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
-use futures_lite::future;
 use pw_base::prelude::*;
 use pw_control::prelude::*;
 use pw_job::prelude::*;
@@ -15,6 +14,7 @@
 use crate::links::{JobStore, StoreEntry, StoreFault, StorePart, StoreTopic};
 use crate::message::CallerMessage;
 use crate::owners::ShardAsker;
+use crate::patience::AnswerPatience;
 use crate::question::{NodeAnswer, NodeQuestion};
 use crate::settings::NodeSettings;
 
@@ -32,6 +32,8 @@
     clock: Arc<dyn ClockSource>,
     store: Box<dyn JobStore>,
     asker: ShardAsker,
+    /// Waits for answers to appends.
+    patience: AnswerPatience,
     /// `None` until the first one is read.
     config: RefCell<Option<Arc<FleetConfig>>>,
     /// When the configuration was asked for last with success.
@@ -94,12 +96,14 @@
         store: Box<dyn JobStore>,
         asker: ShardAsker,
     ) -> Self {
+        let patience = settings.append_patience();
         Self {
             shared: Rc::new(DoorState {
                 settings,
                 clock,
                 store,
                 asker,
+                patience,
                 config: RefCell::default(),
                 asked: Cell::default(),
                 stopping: Cell::default(),
@@ -261,15 +265,34 @@
             shard: self.shard(admission),
         };
         let entry = StoreEntry { key, value };
-        let append = state.store.append(part, vec![entry], None);
-        let late = async {
-            Timer::after(state.settings.submit_timeout).await;
-            Err(StoreFault::Unanswered)
-        };
-        match future::or(append, late).await {
-            Ok(_) => SubmitOutcome::Stored,
-            Err(StoreFault::TurnedAway(_)) => SubmitOutcome::NotStored,
-            Err(_) => SubmitOutcome::Unknown,
+        let end = state.clock.now() + state.settings.submit_timeout;
+        // The record is the same each time, so an append whose answer is lost can be repeated.
+        let mut in_doubt = false;
+        loop {
+            let sent = state.clock.now();
+            let left = end.saturating_duration_since(sent);
+            let wait = state.patience.wait().min(left);
+            match state
+                .store
+                .append(part, vec![entry.clone()], None, wait)
+                .await
+            {
+                Ok(_) => {
+                    state.patience.answered(state.clock.now() - sent);
+                    return SubmitOutcome::Stored;
+                }
+                Err(StoreFault::TurnedAway(_)) if !in_doubt => return SubmitOutcome::NotStored,
+                Err(StoreFault::Unanswered) => {
+                    state.patience.missed();
+                    in_doubt = true;
+                }
+                Err(_) => {
+                    Timer::after(state.settings.store_retry).await;
+                }
+            }
+            if state.clock.now() >= end {
+                return SubmitOutcome::Unknown;
+            }
         }
     }
 }
--- a/crates/node/src/journal_duty.rs
+++ b/crates/node/src/journal_duty.rs
@@ -20,6 +20,7 @@
     GroupJoin, JobStore, StoreEntry, StoreFault, StorePart, StoreTopic, StoreWriter,
 };
 use crate::message::{CallerMessage, ControlMessage, JournalMessage, KeeperMessage, ShardTerm};
+use crate::patience::AnswerPatience;
 use crate::settings::NodeSettings;
 
 /// Appends of one shard that may wait for the store.
@@ -49,6 +50,8 @@
     clock: Arc<dyn ClockSource>,
     links: JournalLinks,
     spawner: TaskSpawner,
+    /// Waits for answers to appends.
+    patience: AnswerPatience,
     /// Shards that the node owns or is taking over.
     shards: RefCell<IndexMap<ShardNumber, OwnedShard>>,
     leaving: Cell<bool>,
@@ -72,7 +75,9 @@
     links: JournalLinks,
     spawner: TaskSpawner,
 ) {
+    let patience = settings.append_patience();
     let duty = Rc::new(JournalDuty {
+        patience,
         store,
         settings,
         clock,
@@ -221,7 +226,7 @@
             value: ClaimRecord::Release { epoch, leases }.encode(),
         };
         let claims = part(StoreTopic::Claims, shard);
-        if let Err(fault) = self.store.append(claims, vec![entry], None).await {
+        if let Err(fault) = self.append(claims, vec![entry], None).await {
             let event = EventCode::StoreReach.number();
             tracing::warn!(event, shard, %fault, "release of a shard not stored");
         }
@@ -305,7 +310,7 @@
             .encode(),
         };
         let offset = loop {
-            match self.store.append(claims, vec![entry.clone()], None).await {
+            match self.append(claims, vec![entry.clone()], None).await {
                 Ok(offset) => break offset,
                 Err(_) => Timer::after(self.settings.store_retry).await,
             };
@@ -317,7 +322,7 @@
         let images = part(StoreTopic::Images, shard);
         let writer = StoreWriter { epoch, sequence: 0 };
         loop {
-            match self.store.append(images, Vec::new(), Some(writer)).await {
+            match self.append(images, Vec::new(), Some(writer)).await {
                 Ok(_) | Err(StoreFault::WrongSequence { .. }) => break,
                 Err(StoreFault::Fenced) => return None,
                 Err(_) => Timer::after(self.settings.store_retry).await,
@@ -335,6 +340,24 @@
         ClaimRecord::released_leases(&read.entries.first()?.value, claim)
     }
 
+    /// Appends once, with the usual wait for the answer.
+    async fn append(
+        &self,
+        part: StorePart,
+        entries: Vec<StoreEntry>,
+        writer: Option<StoreWriter>,
+    ) -> Result<LogOffset, StoreFault> {
+        let wait = self.patience.wait();
+        let sent = self.clock.now();
+        let appended = self.store.append(part, entries, writer, wait).await;
+        match &appended {
+            Ok(_) => self.patience.answered(self.clock.now() - sent),
+            Err(StoreFault::Unanswered) => self.patience.missed(),
+            Err(_) => {}
+        }
+        appended
+    }
+
     async fn load_images(&self, term: ShardTerm) -> Vec<(JobId, JobState)> {
         let (entries, _) = self.load_newest(part(StoreTopic::Images, term.shard)).await;
         let states = entries
@@ -440,12 +463,16 @@
                     epoch: term.epoch,
                     sequence: next,
                 };
-                match self
+                let sent = self.clock.now();
+                let wait = self.patience.wait();
+                let append = self
                     .store
-                    .append(images, entries.clone(), Some(writer))
-                    .await
-                {
-                    Ok(_) => break,
+                    .append(images, entries.clone(), Some(writer), wait);
+                match append.await {
+                    Ok(_) => {
+                        self.patience.answered(self.clock.now() - sent);
+                        break;
+                    }
                     Err(StoreFault::WrongSequence { expected }) => {
                         let done = in_doubt && expected == next + 1;
                         if done {
@@ -455,8 +482,13 @@
                         in_doubt = false;
                     }
                     Err(StoreFault::Fenced) => return,
+                    Err(StoreFault::Unanswered) => {
+                        // Repeated at once, with a longer wait.
+                        self.patience.missed();
+                        in_doubt = true;
+                        reach.note_fault(&StoreFault::Unanswered);
+                    }
                     Err(fault) => {
-                        in_doubt |= fault == StoreFault::Unanswered;
                         reach.note_fault(&fault);
                         Timer::after(self.settings.store_retry).await;
                     }
@@ -478,7 +510,7 @@
     /// Removes the submissions of jobs whose state is removed already.
     async fn forget_submissions(&self, term: ShardTerm, entries: Vec<StoreEntry>) {
         let submissions = part(StoreTopic::Submissions, term.shard);
-        if let Err(fault) = self.store.append(submissions, entries, None).await {
+        if let Err(fault) = self.append(submissions, entries, None).await {
             let event = EventCode::StoreReach.number();
             tracing::warn!(event, %fault, "submissions of old jobs not removed");
         }
@@ -498,6 +530,9 @@
                     if !self.tell(term, ShardEvent::Proved(asked)).await {
                         return;
                     }
+                    if term.shard == KEEPER_SHARD {
+                        _ = self.links.keeper.send(KeeperMessage::Proved(asked)).await;
+                    }
                 }
                 Ok(_) | Err(StoreFault::Expired { .. }) => return,
                 Err(_) => {
--- a/crates/node/src/keeper_duty.rs
+++ b/crates/node/src/keeper_duty.rs
@@ -75,6 +75,9 @@
     };
     let mut config: Arc<FleetConfig> = Arc::default();
     let mut keeper: Option<FleetKeeper> = None;
+    let mut proved = duty.clock.now();
+    // A configuration came while the role was in doubt.
+    let mut stale = false;
     loop {
         let deadline = keeper.as_ref().map(FleetKeeper::next_deadline);
         let event = match duty.next_input(&messages, &answers, deadline).await {
@@ -91,8 +94,13 @@
                 let event = EventCode::KeeperRole.number();
                 tracing::info!(event, epoch, "node keeps the machines");
                 keeper = Some(duty.take_role(epoch, &config).await);
+                proved = duty.clock.now();
                 KeeperEvent::Tick
             }
+            KeeperInput::Message(Some(KeeperMessage::Proved(asked))) => {
+                proved = proved.max(asked);
+                continue;
+            }
             KeeperInput::Message(Some(KeeperMessage::Dismissed)) => {
                 if let Some(keeper) = keeper.take() {
                     let event = EventCode::KeeperRole.number();
@@ -109,8 +117,22 @@
             }
             KeeperInput::Due => KeeperEvent::Tick,
         };
+        let now = duty.clock.now();
+        // Another node may have the role by now; what this one orders would only be in its way.
+        let trusted = now < proved + duty.settings.keeper_proof;
+        if !trusted {
+            stale |= matches!(event, KeeperEvent::Config(_));
+            Timer::after(duty.settings.store_retry).await;
+            continue;
+        }
+        if let Some(keeper) = keeper.as_mut().filter(|_| std::mem::take(&mut stale)) {
+            let event = KeeperEvent::Config(Arc::clone(&config));
+            for command in keeper.handle(now, event) {
+                duty.carry_out(keeper.epoch(), command);
+            }
+        }
         if let Some(keeper) = &mut keeper {
-            for command in keeper.handle(duty.clock.now(), event) {
+            for command in keeper.handle(now, event) {
                 duty.carry_out(keeper.epoch(), command);
             }
         }
@@ -190,7 +212,11 @@
             },
             KeeperCommand::Survey { shard, vacate } => {
                 let asked = self.clock.now();
-                let question = NodeQuestion::Survey { shard, vacate };
+                let question = NodeQuestion::Survey {
+                    shard,
+                    keeper: epoch,
+                    vacate,
+                };
                 if let Some(NodeAnswer::Survey { pools, clear }) = self.asker.ask(question).await {
                     return Some(KeeperEvent::Surveyed {
                         pools,
@@ -232,7 +258,12 @@
     async fn store_until_taken(&self, entry: StoreEntry) {
         while self
             .store
-            .append(waves_part(), vec![entry.clone()], None)
+            .append(
+                waves_part(),
+                vec![entry.clone()],
+                None,
+                self.settings.append_wait_max,
+            )
             .await
             .is_err()
         {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod node;
 pub mod order_duty;
 pub mod owners;
+pub mod patience;
 pub mod question;
 pub mod question_duty;
 pub mod quota_duty;
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -136,13 +136,14 @@
 
 /// The platform's store, as far as nodes write to it.
 pub trait JobStore: Send {
-    /// Appends records, all or none; `writer` fences the partition. Without records the epoch of
-    /// the writer is raised and nothing is appended.
+    /// Appends records, all or none, and waits up to `timeout` for the answer; `writer` fences the
+    /// partition. Without records the epoch of the writer is raised and nothing is appended.
     fn append(
         &self,
         part: StorePart,
         entries: Vec<StoreEntry>,
         writer: Option<StoreWriter>,
+        timeout: Duration,
     ) -> BoxedLocal<Result<LogOffset, StoreFault>>;
 
     /// Appends records on the condition that the partition ends at `end`.
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -94,6 +94,8 @@
     Owners(Vec<(ShardNumber, String)>),
     /// The node keeps the machines from now on, under this epoch.
     Appointed(OwnerEpoch),
+    /// The node had the role at this time.
+    Proved(Instant),
     /// The node no longer keeps the machines.
     Dismissed,
 }
--- a/crates/node/src/question.rs
+++ b/crates/node/src/question.rs
@@ -33,6 +33,8 @@
     Survey {
         /// The shard.
         shard: ShardNumber,
+        /// Epoch of the keeper; a later one has asked already where a higher epoch was heard.
+        keeper: OwnerEpoch,
         /// Workers that are to be left by their runs; no others are.
         vacate: Vec<WorkerId>,
     },
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -5,6 +5,8 @@
 
 use pw_control::prelude::*;
 
+use crate::patience::AnswerPatience;
+
 /// Settings of a [`JobNode`](crate::node::JobNode).
 #[derive(Debug, Clone, PartialEq)]
 pub struct NodeSettings {
@@ -22,6 +24,8 @@
     pub control: ControlSettings,
     /// Settings of the keeper of machines.
     pub keeper: KeeperSettings,
+    /// Age of the proof of the role from which a node stops to keep the machines.
+    pub keeper_proof: Duration,
     /// Time between two joins of the group.
     pub join_gap: Duration,
     /// Silence after which the store takes the node for gone.
@@ -37,6 +41,10 @@
     pub follow_wait: Duration,
     /// Pause after a call of the store that failed.
     pub store_retry: Duration,
+    /// Shortest wait for the answer to an append; the store answers within a few milliseconds.
+    pub append_wait_min: Duration,
+    /// Longest wait for the answer to an append. A slow store takes about half a second.
+    pub append_wait_max: Duration,
     /// Longest time for the store to take a submission.
     pub submit_timeout: Duration,
     /// When a caller that was turned away may come back.
@@ -58,6 +66,7 @@
             shards: 24,
             control: ControlSettings::default(),
             keeper: KeeperSettings::default(),
+            keeper_proof: Duration::from_millis(4500),
             join_gap: Duration::from_millis(700),
             member_ttl: Duration::from_millis(2500),
             config_wait: Duration::from_secs(1),
@@ -65,10 +74,19 @@
             worker_gap: Duration::from_millis(250),
             follow_wait: Duration::from_secs(2),
             store_retry: Duration::from_millis(200),
-            submit_timeout: Duration::from_millis(1500),
+            append_wait_min: Duration::from_millis(150),
+            append_wait_max: Duration::from_millis(1500),
+            submit_timeout: Duration::from_millis(2000),
             retry_after: Duration::from_secs(1),
             linger: Duration::from_millis(2500),
             grace: Duration::from_millis(5500),
         }
     }
 }
+
+impl NodeSettings {
+    /// Returns a patience for answers to appends that knows nothing yet.
+    pub fn append_patience(&self) -> AnswerPatience {
+        AnswerPatience::new(self.append_wait_min, self.append_wait_max)
+    }
+}
