Have submissions stored by the shard's owner where the store turns a node away

Change: such a node asks the shard's owner over h2 to store the record. Calls between nodes tell a connection that was not made from an answer that did not come, and have a timeout for each kind.

--- a/crates/link/src/h2_channel.rs
+++ b/crates/link/src/h2_channel.rs
@@ -29,6 +29,8 @@
 /// Bounds of a channel, the same at both ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ChannelBounds {
+    /// Longest time for a new connection.
+    pub connect_timeout: Duration,
     /// Longest time for one request and its answer.
     pub timeout: Duration,
     /// Largest request or answer in bytes.
@@ -45,8 +47,11 @@
     /// The server refused it.
     #[error("refused with status {0}")]
     Refused(StatusCode),
-    /// The server can't be reached or broke the connection.
-    #[error("can't be reached: {0}")]
+    /// There is no connection, so the server got nothing.
+    #[error("no connection: {0}")]
+    NotConnected(String),
+    /// The server broke the connection or gave no answer in time; it may have got the request.
+    #[error("no answer: {0}")]
     Unreachable(String),
 }
 
@@ -87,6 +92,7 @@
 impl Default for ChannelBounds {
     fn default() -> Self {
         Self {
+            connect_timeout: Duration::from_millis(500),
             timeout: Duration::from_secs(1),
             max_bytes: 256 * 1024,
             max_connections: 512,
@@ -111,20 +117,38 @@
     ///
     /// Fails when the server refuses, can't be reached, breaks the connection or is too slow.
     pub async fn ask(&self, address: SocketAddr, request: Bytes) -> Result<Bytes, ChannelError> {
-        let late = async {
-            Timer::after(self.bounds.timeout).await;
-            Err(ChannelError::Unreachable("no answer in time".to_owned()))
-        };
-        let answer = future::or(self.exchange(address, request), late).await;
+        self.ask_within(self.bounds.timeout, address, request).await
+    }
+
+    /// Sends one request and waits up to `timeout` for its whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the server refuses, can't be reached, breaks the connection or is too slow.
+    pub async fn ask_within(
+        &self,
+        timeout: Duration,
+        address: SocketAddr,
+        request: Bytes,
+    ) -> Result<Bytes, ChannelError> {
+        let connect = within(self.bounds.connect_timeout, self.connection(address)).await;
+        let late = || Err(ChannelError::NotConnected("not within its time".to_owned()));
+        let sender = connect.unwrap_or_else(late)?;
+        let answer = within(timeout, self.exchange(sender, request)).await;
+        let late = || Err(ChannelError::Unreachable("not within its time".to_owned()));
+        let answer = answer.unwrap_or_else(late);
         if matches!(answer, Err(ChannelError::Unreachable(_))) {
             self.connections.borrow_mut().swap_remove(&address);
         }
         answer
     }
 
-    async fn exchange(&self, address: SocketAddr, bytes: Bytes) -> Result<Bytes, ChannelError> {
+    async fn exchange(
+        &self,
+        sender: SendRequest<Bytes>,
+        bytes: Bytes,
+    ) -> Result<Bytes, ChannelError> {
         let unreachable = |error: h2::Error| ChannelError::Unreachable(error.to_string());
-        let sender = self.connection(address).await?;
         let mut sender = sender.ready().await.map_err(unreachable)?;
         let mut request = Request::new(());
         *request.method_mut() = Method::POST;
@@ -144,7 +168,7 @@
         if let Some(sender) = open {
             return Ok(sender);
         }
-        let unreachable = |error: String| ChannelError::Unreachable(error);
+        let unreachable = |error: String| ChannelError::NotConnected(error);
         let stream = Async::<TcpStream>::connect(address)
             .await
             .map_err(|error| unreachable(error.to_string()))?;
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -92,7 +92,9 @@
             let answer = link.client.ask(address, bytes.into()).await;
             answer.map(drop).map_err(|error| match error {
                 ChannelError::Refused(status) => PeerError::Refused(status),
-                ChannelError::Unreachable(error) => PeerError::Unreachable(error),
+                ChannelError::NotConnected(error) | ChannelError::Unreachable(error) => {
+                    PeerError::Unreachable(error)
+                }
             })
         }
         .boxed_local()
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -275,6 +275,8 @@
                     JobAnswer::Unknown => NodeAnswer::UnknownJob,
                 }
             }
+            // The duty that hears the questions answers this one itself.
+            NodeQuestion::Store { .. } => NodeAnswer::NotStored,
             NodeQuestion::Survey { keeper, .. } if keeper < self.keeper => NodeAnswer::NotOwner,
             NodeQuestion::Survey { keeper, vacate, .. } => {
                 let term = term_of(shard);
--- a/crates/node/src/door.rs
+++ b/crates/node/src/door.rs
@@ -5,18 +5,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use async_io::Timer;
 use pw_base::prelude::*;
 use pw_control::prelude::*;
 use pw_job::prelude::*;
 use strum::{AsRefStr, Display};
 
-use crate::links::{JobStore, StoreEntry, StoreFault, StorePart, StoreTopic};
 use crate::message::CallerMessage;
-use crate::owners::ShardAsker;
-use crate::patience::AnswerPatience;
+use crate::owners::{AskFault, ShardAsker};
 use crate::question::{NodeAnswer, NodeQuestion};
 use crate::settings::NodeSettings;
+use crate::writer::{SubmissionWriter, SubmitOutcome};
 
 /// End of the key under which a job's cancellation is stored.
 pub const CANCEL_SUFFIX: &str = "/cancel";
@@ -30,10 +28,8 @@
 struct DoorState {
     settings: NodeSettings,
     clock: Arc<dyn ClockSource>,
-    store: Box<dyn JobStore>,
+    writer: SubmissionWriter,
     asker: ShardAsker,
-    /// Waits for answers to appends.
-    patience: AnswerPatience,
     /// `None` until the first one is read.
     config: RefCell<Option<Arc<FleetConfig>>>,
     /// When the configuration was asked for last with success.
@@ -76,34 +72,20 @@
     UnknownJob,
 }
 
-/// What became of a submission or a cancellation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, AsRefStr, Display)]
-#[strum(serialize_all = "kebab-case")]
-pub enum SubmitOutcome {
-    /// It is stored.
-    Stored,
-    /// The store did nothing, so the request never runs.
-    NotStored,
-    /// It may be stored.
-    Unknown,
-}
-
 impl JobDoor {
     /// Creates the door of a node.
     pub fn new(
         settings: NodeSettings,
         clock: Arc<dyn ClockSource>,
-        store: Box<dyn JobStore>,
+        writer: SubmissionWriter,
         asker: ShardAsker,
     ) -> Self {
-        let patience = settings.append_patience();
         Self {
             shared: Rc::new(DoorState {
                 settings,
                 clock,
-                store,
+                writer,
                 asker,
-                patience,
                 config: RefCell::default(),
                 asked: Cell::default(),
                 stopping: Cell::default(),
@@ -258,41 +240,21 @@
         find_shard(&admission.pool, self.shared.settings.shards)
     }
 
+    /// Stores a record, or has the shard's owner store it where the store turns this node away.
     async fn store(&self, admission: &Admission, key: String, value: Vec<u8>) -> SubmitOutcome {
-        let state = &self.shared;
-        let part = StorePart {
-            topic: StoreTopic::Submissions,
-            shard: self.shard(admission),
-        };
-        let entry = StoreEntry { key, value };
-        let end = state.clock.now() + state.settings.submit_timeout;
-        // The record is the same each time, so an append whose answer is lost can be repeated.
-        let mut in_doubt = false;
-        loop {
-            let sent = state.clock.now();
-            let left = end.saturating_duration_since(sent);
-            let wait = state.patience.wait().min(left);
-            match state
-                .store
-                .append(part, vec![entry.clone()], None, wait)
-                .await
-            {
-                Ok(_) => {
-                    state.patience.answered(state.clock.now() - sent);
-                    return SubmitOutcome::Stored;
-                }
-                Err(StoreFault::TurnedAway(_)) if !in_doubt => return SubmitOutcome::NotStored,
-                Err(StoreFault::Unanswered) => {
-                    state.patience.missed();
-                    in_doubt = true;
-                }
-                Err(_) => {
-                    Timer::after(state.settings.store_retry).await;
-                }
-            }
-            if state.clock.now() >= end {
-                return SubmitOutcome::Unknown;
+        let shard = self.shard(admission);
+        let writer = &self.shared.writer;
+        let outcome = writer.write(shard, key.clone(), value.clone()).await;
+        if outcome != SubmitOutcome::NotStored {
+            return outcome;
+        }
+        let question = NodeQuestion::Store { shard, key, value };
+        match self.shared.asker.ask_node(question).await {
+            Ok(NodeAnswer::Stored) => SubmitOutcome::Stored,
+            Ok(NodeAnswer::NotStored | NodeAnswer::NotOwner) | Err(AskFault::NotAsked) => {
+                SubmitOutcome::NotStored
             }
+            Ok(_) | Err(AskFault::Unanswered) => SubmitOutcome::Unknown,
         }
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,14 +20,16 @@
 pub mod question_duty;
 pub mod quota_duty;
 pub mod settings;
+pub mod writer;
 
 /// The names that most users of this crate need.
 pub mod prelude {
-    pub use crate::door::{Admission, DoorRefusal, JobDoor, SubmitOutcome};
+    pub use crate::door::{Admission, DoorRefusal, JobDoor};
     pub use crate::links::{
         FleetFeed, FrontEnd, GroupJoin, GroupShare, JobStore, MachineGateway, StoreEntry,
         StoreFault, StorePage, StorePart, StoreRead, StoreTopic, StoreWriter, WorkerGateway,
     };
     pub use crate::node::{JobNode, NodeLinks};
     pub use crate::settings::NodeSettings;
+    pub use crate::writer::{SubmissionWriter, SubmitOutcome};
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -23,6 +23,7 @@
 use crate::question_duty::{self, question_bounds};
 use crate::quota_duty;
 use crate::settings::NodeSettings;
+use crate::writer::SubmissionWriter;
 
 /// Messages that may wait for a duty.
 const RING_CAPACITY: usize = 4096;
@@ -43,6 +44,8 @@
     pub machines: Box<dyn MachineGateway>,
     /// The store, for the keeper duty.
     pub keeper_store: Box<dyn JobStore>,
+    /// The store, for what other nodes have stored by this one.
+    pub question_store: Box<dyn JobStore>,
     /// The store, for the quota duty.
     pub quota_store: Box<dyn JobStore>,
     /// The protocol of callers.
@@ -152,8 +155,11 @@
         })?;
 
         let question_control = control.clone();
+        let (own, own_clock) = (settings.clone(), Arc::clone(&clock));
+        let store = links.question_store;
         DutyThread::spawn("questions", move |spawner| {
-            question_duty::run(peer_listener, question_control, spawner)
+            let writer = SubmissionWriter::new(own, own_clock, store);
+            question_duty::run(peer_listener, question_control, writer, spawner)
         })?;
 
         let own = settings.clone();
@@ -161,7 +167,8 @@
         DutyThread::spawn("callers", move |spawner| {
             let client = H2Client::new(question_bounds(), spawner.clone());
             let asker = ShardAsker::new(control, client);
-            let door = JobDoor::new(own, clock, store, asker);
+            let writer = SubmissionWriter::new(own.clone(), Arc::clone(&clock), store);
+            let door = JobDoor::new(own, clock, writer, asker);
             let listeners = (callers_listener, ready_listener);
             async move {
                 serve_callers(
--- a/crates/node/src/owners.rs
+++ b/crates/node/src/owners.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use pw_base::prelude::*;
@@ -12,6 +13,11 @@
 use crate::message::ControlMessage;
 use crate::question::{NodeAnswer, NodeQuestion, decode_message, encode_message};
 
+/// Longest wait for what an owner knows; it answers within a few milliseconds.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest wait for a record that another node stores; it may repeat its append for 2 s.
+const STORE_TIMEOUT: Duration = Duration::from_millis(2500);
+
 /// Owners of shards as the store's group names them; a hint only.
 #[derive(Debug, Clone, Default)]
 pub struct OwnerTable {
@@ -26,6 +32,15 @@
     owners: Rc<RefCell<OwnerTable>>,
 }
 
+/// Why the owner of a shard gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AskFault {
+    /// It got no question.
+    NotAsked,
+    /// It may have got the question.
+    Unanswered,
+}
+
 impl OwnerTable {
     /// Replaces all owners; members whose names are not addresses are left out.
     pub fn replace(&mut self, rows: &[(ShardNumber, String)]) {
@@ -66,15 +81,32 @@
         {
             return own;
         }
-        let owner = self.owners.borrow().owner(question.shard())?;
-        let bytes = encode_message(&question)?;
-        match self.client.ask(owner, bytes.into()).await {
-            Ok(bytes) => decode_message(&bytes),
+        self.ask_node(question).await.ok()
+    }
+
+    /// Asks the owner of the question's shard on another node.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it can't be asked or gives no answer.
+    pub async fn ask_node(&self, question: NodeQuestion) -> Result<NodeAnswer, AskFault> {
+        let owner = self.owners.borrow().owner(question.shard());
+        let owner = owner.ok_or(AskFault::NotAsked)?;
+        let bytes = encode_message(&question).ok_or(AskFault::NotAsked)?;
+        let timeout = match question {
+            NodeQuestion::Store { .. } => STORE_TIMEOUT,
+            _ => ANSWER_TIMEOUT,
+        };
+        match self.client.ask_within(timeout, owner, bytes.into()).await {
+            Ok(bytes) => decode_message(&bytes).ok_or(AskFault::Unanswered),
             Err(error) => {
                 let event = EventCode::PeerFailed.number();
                 let shard = question.shard();
                 tracing::warn!(event, %owner, shard, %error, "owner of a shard not reached");
-                None
+                Err(match error {
+                    ChannelError::Unreachable(_) => AskFault::Unanswered,
+                    ChannelError::NotConnected(_) | ChannelError::Refused(_) => AskFault::NotAsked,
+                })
             }
         }
     }
--- a/crates/node/src/question.rs
+++ b/crates/node/src/question.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Largest question or answer in bytes.
-pub const MAX_QUESTION_BYTES: usize = 16 * 1024;
+pub const MAX_QUESTION_BYTES: usize = 256 * 1024;
 
 /// What a node asks the owner of a shard.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -29,6 +29,15 @@
         /// The queue.
         queue: QueueId,
     },
+    /// Store a submission or a cancellation for a node that the store turns away.
+    Store {
+        /// Shard of the job's pool.
+        shard: ShardNumber,
+        /// Key of the record.
+        key: String,
+        /// The record.
+        value: Vec<u8>,
+    },
     /// The work of the shard's pools.
     Survey {
         /// The shard.
@@ -49,6 +58,12 @@
     UnknownJob,
     /// Number of pending jobs.
     Pending(u64),
+    /// The record is in the store.
+    Stored,
+    /// The store did nothing.
+    NotStored,
+    /// The record may be in the store.
+    MaybeStored,
     /// Work of the shard's pools, and the vacated workers that run nothing.
     Survey {
         /// Work of each pool.
@@ -66,6 +81,7 @@
         match self {
             Self::Status { shard, .. }
             | Self::Pending { shard, .. }
+            | Self::Store { shard, .. }
             | Self::Survey { shard, .. } => *shard,
         }
     }
