--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -107,6 +107,9 @@
     /// A run was stopped so that its worker's machine can be taken.
     #[strum(message = "A run was stopped so that its worker's machine can be taken.")]
     RunMoved = 614,
+    /// The service that knows which workers may run a step gave no answer.
+    #[strum(message = "The service that knows which workers may run a step gave no answer.")]
+    AdviceMissing = 615,
     /// A worker's life ended; its runs are lost.
     #[strum(message = "A worker's life ended; its runs are lost.")]
     WorkerLifeEnded = 620,
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -57,6 +57,19 @@
     pub target_latency: Duration,
     /// Its calls need no key.
     pub public: bool,
+    /// Only some workers may run its steps, and a service says which; `None` where all may.
+    pub advice: Option<AdviceRule>,
+}
+
+/// How a service that knows which workers may run a step answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdviceRule {
+    /// Time of each answer.
+    pub decide: Duration,
+    /// Time of an answer for each worker that the question names.
+    pub each: Duration,
+    /// How long a ticket is valid.
+    pub valid: Duration,
 }
 
 /// What operators declare about a pool.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,15 +18,17 @@
 
 /// The names that most users of this crate need.
 pub mod prelude {
-    pub use crate::config::{AccountRule, FleetConfig, PoolRule, QueueRule, WaveRule, find_shard};
+    pub use crate::config::{
+        AccountRule, AdviceRule, FleetConfig, PoolRule, QueueRule, WaveRule, find_shard,
+    };
     pub use crate::keeper::{
         FleetKeeper, KeeperCommand, KeeperEvent, KeeperSettings, MachineAction, MachineOrder,
         MachineOutcome, MachineState, MachineView, WaveProgress,
     };
     pub use crate::message::{
-        CallFault, EndView, JobAnswer, LookOrder, LookReport, PaceOrder, PoolLoad, QuestionScope,
-        RunView, ShardCommand, ShardEvent, ShardImage, StartOrder, StartOutcome, StopOrder,
-        StoreRecord,
+        AdviceOrder, AdviceReport, CallFault, EndView, JobAnswer, LookOrder, LookReport, PaceOrder,
+        PoolLoad, QuestionScope, RunView, ShardCommand, ShardEvent, ShardImage, StartOrder,
+        StartOutcome, StopOrder, StoreRecord,
     };
     pub use crate::order::{JobUrgency, terms_of};
     pub use crate::place::{Candidate, PackPlacement, PlacementPolicy, PlacementRequest};
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -62,6 +62,13 @@
         /// The answer.
         result: Result<(), CallFault>,
     },
+    /// The service that knows which workers may run a step answered, or did not.
+    Advised {
+        /// What was asked.
+        order: AdviceOrder,
+        /// The answer.
+        result: Result<AdviceReport, CallFault>,
+    },
     /// These workers, and no others, are to be left by their runs.
     Vacate(Vec<WorkerId>),
     /// Time has passed.
@@ -86,6 +93,8 @@
     Stop(StopOrder),
     /// Slow a run down or let it go on.
     Pace(PaceOrder),
+    /// Ask which workers may run a step.
+    Advise(AdviceOrder),
     /// A worker has heard of a later owner, so the ownership is to be checked.
     Contested,
 }
@@ -177,6 +186,28 @@
     pub checkpoint: Option<Arc<str>>,
 }
 
+/// Asks which workers may run a step.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AdviceOrder {
+    /// Job of the step.
+    pub job: JobId,
+    /// Occurrence of the job.
+    pub occurrence: OccurrenceNumber,
+    /// The step.
+    pub step: u32,
+    /// Workers that are asked about.
+    pub workers: Vec<WorkerId>,
+}
+
+/// Which workers may run a step.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AdviceReport {
+    /// Tickets of the workers that may.
+    pub tickets: IndexMap<WorkerId, Arc<str>>,
+    /// How long the tickets are valid.
+    pub valid: Duration,
+}
+
 /// Starts a run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StartOrder {
@@ -194,6 +225,8 @@
     pub payload: Arc<str>,
     /// Progress from which it goes on.
     pub checkpoint: Option<Arc<str>>,
+    /// Ticket for the step on the worker, where one is needed.
+    pub ticket: Option<Arc<str>>,
     /// End of the lease on the worker's clock.
     pub lease_until: WorkerMillis,
     /// Epoch of the owner.
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -1,5 +1,6 @@
 //! The controller of one shard.
 
+mod advising;
 mod asking;
 mod ends;
 mod looking;
@@ -24,6 +25,7 @@
 use crate::place::{PackPlacement, PlacementPolicy};
 use crate::quota::AccountBudget;
 use crate::settings::ControlSettings;
+use crate::shard::advising::{StepAdvice, StepKey};
 use crate::shard::storing::StoreDesk;
 use crate::worker::{RunPhase, RunRecord, WorkerEntry, WorkerPhase, WorkerRecord};
 
@@ -52,6 +54,8 @@
     recheck: Option<Instant>,
     /// When a pass is wanted although nothing is due.
     idle_tick: Instant,
+    /// Tickets of steps that need them.
+    advice: HashMap<StepKey, StepAdvice>,
     /// Tasks of each pool that found no worker although there is room.
     blocked: IndexMap<PoolId, u32>,
     commands: Vec<ShardCommand>,
@@ -113,6 +117,7 @@
             changed: true,
             recheck: None,
             idle_tick: now,
+            advice: HashMap::new(),
             blocked: IndexMap::new(),
             commands: Vec::new(),
         };
@@ -150,6 +155,7 @@
             ShardEvent::Looked { order, result } => self.take_look(&order, result, now),
             ShardEvent::Started { order, outcome } => self.take_start(&order, outcome, now),
             ShardEvent::Stopped { order, result } => self.take_stop(&order, result, now),
+            ShardEvent::Advised { order, result } => self.take_advice(&order, result, now),
             ShardEvent::Vacate(workers) => self.vacate(&workers, now),
             ShardEvent::Paced { .. } | ShardEvent::Tick => {}
         }
@@ -195,7 +201,7 @@
             .workers
             .values()
             .flat_map(|worker| [Some(worker.paused_until), worker.vacated_until]);
-        let ends = tasks.chain(workers.flatten());
+        let ends = tasks.chain(workers.flatten()).chain(self.next_advice());
         ends.filter(|end| *end > now).min()
     }
 
@@ -398,6 +404,9 @@
             over && !record.state.has_placed()
         });
         let old: Vec<JobId> = old.map(|(job, _)| job.clone()).collect();
+        if !self.advice.is_empty() {
+            self.forget_advice();
+        }
         for job in old {
             self.jobs.swap_remove(&job);
             self.desk.forget(job);
--- a/crates/control/src/shard/placing.rs
+++ b/crates/control/src/shard/placing.rs
@@ -97,7 +97,13 @@
             }
             match self.find_worker(job, place, &spec, full, now) {
                 Some(worker) => self.place_task(job, place, &worker, now),
-                None => return self.note_blocked(job, &spec, now),
+                None => {
+                    let queue = self.jobs.get(job).map(|job| job.record.queue.clone());
+                    if queue.is_some_and(|queue| self.advice_rule(&queue).is_some()) {
+                        self.ask_advice(&(job.clone(), occurrence, step), &spec, now);
+                    }
+                    return self.note_blocked(job, &spec, now);
+                }
             }
         }
     }
@@ -202,7 +208,9 @@
         if !self.within_maximum(record, &size) {
             return None;
         }
-        let bound = spec.required_label.is_some() || spec.max_per_worker > 0;
+        let ticketed = self.advice_rule(&record.queue).is_some();
+        let step_key = (job.clone(), place.0, place.1);
+        let bound = spec.required_label.is_some() || spec.max_per_worker > 0 || ticketed;
         let is_full =
             |(pool, tried): &(PoolId, ResourceSize)| *pool == record.pool && tried.fits_into(&size);
         if full.iter().any(is_full) {
@@ -214,6 +222,7 @@
                 && worker.takes_starts(now)
                 && !self.is_evacuated(&worker.entry.zone)
                 && size.fits_into(&worker.room())
+                && (!ticketed || self.ticket(&step_key, &worker.entry.id, now).is_some())
         });
         let candidates = open.filter_map(|worker| candidate(worker, &name, spec));
         let candidates: Vec<Candidate<'_>> = candidates.collect();
--- a/crates/control/src/shard/starting.rs
+++ b/crates/control/src/shard/starting.rs
@@ -13,6 +13,8 @@
     /// Sends the start of a run whose placement is stored.
     pub(super) fn order_start(&mut self, id: &WorkerId, task: &TaskName, now: Instant) {
         let lease = self.settings.lease;
+        let step = (task.job.clone(), task.occurrence, task.step);
+        let ticket = self.ticket(&step, id, now);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -38,6 +40,7 @@
             run: number,
             payload: job.record.spec.payload.clone(),
             checkpoint: state.and_then(|state| state.checkpoint.clone()),
+            ticket,
             lease_until,
             epoch: self.epoch,
         }));
@@ -112,7 +115,18 @@
                     now,
                 );
             }
-            StartOutcome::Unhealthy | StartOutcome::NotAllowed => {
+            StartOutcome::NotAllowed => {
+                self.drop_ticket(&order.task, &order.worker);
+                self.end_run(
+                    &order.worker,
+                    &order.task,
+                    order.run,
+                    RunEnd::Stopped,
+                    None,
+                    now,
+                );
+            }
+            StartOutcome::Unhealthy => {
                 let doubled = settings.unhealthy_pause * (1 << worker.unhealthy.min(4));
                 worker.unhealthy += 1;
                 worker.paused_until = now + doubled.min(settings.unhealthy_pause_max);
--- a/crates/control/tests/shard.rs
+++ b/crates/control/tests/shard.rs
@@ -464,3 +464,40 @@
         world.looks - before
     );
 }
+
+#[test]
+fn a_step_that_needs_a_ticket_runs_only_where_one_is_given() {
+    let mut world = World::new(4);
+    world.run(millis(100));
+    world.good = vec!["w2".into()];
+    world.set_config(|config| {
+        config.queues["queue"].advice = Some(AdviceRule {
+            decide: millis(20),
+            each: millis(1),
+            valid: seconds(3),
+        });
+    });
+    world.submit("job", Some("ane"), vec![step(6)]);
+    assert!(world.run_until(seconds(4), |world| world.status("job") == COMPLETED));
+    let mut starts = world.starts.values().flatten();
+    assert!(starts.all(|(worker, _, _)| &**worker == "w2"));
+    assert!(world.tickets.iter().all(Option::is_some));
+    assert_eq!(world.questions.len(), 1, "the same was asked again");
+}
+
+#[test]
+fn a_ticket_is_asked_for_again_when_its_time_is_over() {
+    let mut world = World::new(2);
+    world.run_time = seconds(4);
+    world.good = vec!["w0".into(), "w1".into()];
+    world.set_config(|config| {
+        config.queues["queue"].advice = Some(AdviceRule {
+            decide: millis(20),
+            each: millis(1),
+            valid: seconds(3),
+        });
+    });
+    world.submit("job", Some("ane"), vec![step(20)]);
+    assert!(world.run_until(seconds(12), |world| world.status("job") == COMPLETED));
+    assert!(world.questions.len() >= 2);
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -92,6 +92,11 @@
     pub starts: IndexMap<TaskName, Vec<(WorkerId, RunNumber, Instant)>>,
     pub looks: usize,
     pub contested: usize,
+    /// Workers that may run the steps of a queue with advice.
+    pub good: Vec<WorkerId>,
+    pub questions: Vec<AdviceOrder>,
+    /// Tickets that starts carried.
+    pub tickets: Vec<Option<Arc<str>>>,
     epoch: OwnerEpoch,
     /// Run time of each task.
     pub run_time: Duration,
@@ -119,6 +124,9 @@
             starts: IndexMap::new(),
             looks: 0,
             contested: 0,
+            good: Vec::new(),
+            questions: Vec::new(),
+            tickets: Vec::new(),
             epoch: 0,
             run_time: Duration::from_millis(500),
         };
@@ -335,6 +343,16 @@
                 );
             }
             ShardCommand::Contested => self.contested += 1,
+            ShardCommand::Advise(order) => {
+                self.questions.push(order.clone());
+                let good = order.workers.iter().filter(|id| self.good.contains(*id));
+                let report = AdviceReport {
+                    tickets: good.map(|id| (id.clone(), "ticket".into())).collect(),
+                    valid: Duration::from_secs(3),
+                };
+                let result = Ok(report);
+                self.reply(epoch, TRIP, ShardEvent::Advised { order, result });
+            }
         }
     }
 
@@ -446,6 +464,7 @@
             order.task
         );
         let worker = &mut self.workers[&order.worker];
+        self.tickets.push(order.ticket.clone());
         let outcome = worker.take_start(&order, &step, run_time, now);
         if outcome == StartOutcome::Accepted {
             let starts = self.starts.entry(order.task.clone()).or_default();
@@ -705,6 +724,7 @@
         stretch: 1.6,
         target_latency: Duration::from_millis(600),
         public: false,
+        advice: None,
     };
     let account = AccountRule {
         weight: 1,
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -248,6 +248,7 @@
             ShardCommand::Look(order) => orders.send(OrderMessage::Look(term, order)).await,
             ShardCommand::Start(order) => orders.send(OrderMessage::Start(term, order)).await,
             ShardCommand::Stop(order) => orders.send(OrderMessage::Stop(term, order)).await,
+            ShardCommand::Advise(order) => orders.send(OrderMessage::Advise(term, order)).await,
             ShardCommand::Pace(order) => orders.send(OrderMessage::Pace(term, order)).await,
         };
         if sent.is_err() {
--- a/crates/node/src/door.rs
+++ b/crates/node/src/door.rs
@@ -115,6 +115,12 @@
         self.shared.asked.get().is_some() && !self.shared.stopping.get()
     }
 
+    /// Returns the age of the configuration; `None` while there is none.
+    pub fn config_age(&self) -> Option<Duration> {
+        let asked = self.shared.asked.get()?;
+        Some(self.shared.clock.now().saturating_duration_since(asked))
+    }
+
     /// Returns when a caller that was turned away may come back.
     pub fn retry_after(&self) -> Duration {
         self.shared.settings.retry_after
--- a/crates/node/src/journal_duty.rs
+++ b/crates/node/src/journal_duty.rs
@@ -132,7 +132,11 @@
                 ttl: self.settings.member_ttl,
                 generation,
             };
-            let joined = self.store.join(join).await;
+            let late = async {
+                Timer::after(self.settings.join_timeout).await;
+                Err(StoreFault::Unanswered)
+            };
+            let joined = future::or(self.store.join(join), late).await;
             if self.leaving.get() {
                 return;
             }
@@ -152,7 +156,12 @@
                     }
                 }
                 Err(StoreFault::NotMember) => generation = 0,
-                Err(fault) => reach.note_fault(&fault),
+                Err(fault) => {
+                    // The store takes a node that it does not hear for gone.
+                    reach.note_fault(&fault);
+                    Timer::after(self.settings.store_retry).await;
+                    continue;
+                }
             }
             Timer::after(self.settings.join_gap).await;
         }
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -199,6 +199,8 @@
     fn stop(&self, order: StopOrder) -> BoxedLocal<Result<(), CallFault>>;
     /// Sets how fast a run works.
     fn pace(&self, order: PaceOrder) -> BoxedLocal<Result<(), CallFault>>;
+    /// Asks which workers may run a step.
+    fn advise(&self, order: AdviceOrder) -> BoxedLocal<Result<AdviceReport, CallFault>>;
 }
 
 /// The platform's control of machines.
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -71,6 +71,8 @@
     Stop(ShardTerm, StopOrder),
     /// Set how fast a run works.
     Pace(ShardTerm, PaceOrder),
+    /// Ask which workers may run a step.
+    Advise(ShardTerm, AdviceOrder),
 }
 
 /// What the quota duty is told.
--- a/crates/node/src/order_duty.rs
+++ b/crates/node/src/order_duty.rs
@@ -43,6 +43,10 @@
             let result = gateway.stop(order.clone()).await;
             (term, ShardEvent::Stopped { order, result })
         }
+        OrderMessage::Advise(term, order) => {
+            let result = gateway.advise(order.clone()).await;
+            (term, ShardEvent::Advised { order, result })
+        }
         OrderMessage::Pace(term, order) => {
             let result = gateway.pace(order.clone()).await;
             (term, ShardEvent::Paced { order, result })
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -28,6 +28,8 @@
     pub keeper_proof: Duration,
     /// Time between two joins of the group.
     pub join_gap: Duration,
+    /// Longest wait for the answer to a join, so that a lost one leaves time for others.
+    pub join_timeout: Duration,
     /// Silence after which the store takes the node for gone.
     pub member_ttl: Duration,
     /// Longest wait of a read of the configuration. Its age grows while it waits.
@@ -68,6 +70,7 @@
             keeper: KeeperSettings::default(),
             keeper_proof: Duration::from_millis(4500),
             join_gap: Duration::from_millis(700),
+            join_timeout: Duration::from_millis(700),
             member_ttl: Duration::from_millis(2500),
             config_wait: Duration::from_secs(1),
             key_age_max: Duration::from_millis(4300),
