Send appends again while the first one is still waited for

Where the store is slow, an append that was given up after a short wait was answered in vain, and submissions ended with 504, after which callers may not try again. Change: up to four attempts of an append are under way at once, and the first answer counts. Claims carry the time at which they were made, so that one that is carried out twice is not taken for a later owner's.

--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -15,6 +15,8 @@
     Claim {
         /// Name of the node.
         member: String,
+        /// When the node took it, in nanoseconds since 1970; tells its claims from each other.
+        taken: u128,
     },
     /// The owner has stopped giving orders.
     Release {
@@ -31,6 +33,11 @@
         encode_message(self).unwrap_or_default()
     }
 
+    /// Returns whether the bytes are this very claim, carried out once more.
+    pub fn is_repeated_by(&self, bytes: &[u8]) -> bool {
+        decode_message::<Self>(bytes).is_some_and(|other| other == *self)
+    }
+
     /// Returns the leases that the owner before left behind, if the record at the offset before
     /// `claim` is its release and nobody else claimed the shard since it did.
     pub fn released_leases(bytes: &[u8], claim: LogOffset) -> Option<IndexMap<WorkerId, Duration>> {
--- /dev/null
+++ b/crates/node/src/hedge.rs
@@ -0,0 +1,92 @@
+//! Appends that are sent again while the first one is still waited for.
+
+use std::future::poll_fn;
+use std::sync::Arc;
+use std::task::Poll;
+use std::time::Instant;
+
+use async_io::Timer;
+use futures_lite::future::{self, BoxedLocal, FutureExt};
+use pw_base::prelude::*;
+
+use crate::links::StoreFault;
+use crate::patience::AnswerPatience;
+
+/// Attempts of one append that may be under way at the same time.
+const MAX_FLYING: usize = 4;
+
+/// Result of one append.
+pub type AppendResult = Result<LogOffset, StoreFault>;
+
+/// What became of an append and its repeats.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HedgeOutcome {
+    /// The first success or, without one, the last fault.
+    pub result: AppendResult,
+    /// An attempt gave no answer, so that the append may have been carried out all the same.
+    pub in_doubt: bool,
+}
+
+struct FlyingAttempt {
+    sent: Instant,
+    future: BoxedLocal<AppendResult>,
+}
+
+/// Sends an append, and again when no answer comes in the usual time; the first answer counts.
+///
+/// The append has to be harmless when it is carried out more than once. An answer that is lost costs
+/// the usual time of an answer then, and one that is only slow is not thrown away.
+pub async fn append_hedged(
+    attempt: impl Fn() -> BoxedLocal<AppendResult>,
+    patience: &AnswerPatience,
+    clock: &Arc<dyn ClockSource>,
+) -> HedgeOutcome {
+    let launch = || FlyingAttempt {
+        sent: clock.now(),
+        future: attempt(),
+    };
+    let mut flying = vec![launch()];
+    let mut in_doubt = false;
+    loop {
+        let late = async {
+            Timer::after(patience.wait()).await;
+            None
+        };
+        let answered = async { Some(next_answer(&mut flying).await) };
+        let Some((sent, result)) = future::or(answered, late).await else {
+            patience.missed();
+            if flying.len() < MAX_FLYING {
+                flying.push(launch());
+            }
+            continue;
+        };
+        match result {
+            Ok(offset) => {
+                patience.answered(clock.now().saturating_duration_since(sent));
+                let result = Ok(offset);
+                return HedgeOutcome { result, in_doubt };
+            }
+            Err(fault) => {
+                in_doubt |= fault == StoreFault::Unanswered;
+                if flying.is_empty() {
+                    let result = Err(fault);
+                    return HedgeOutcome { result, in_doubt };
+                }
+            }
+        }
+    }
+}
+
+/// Waits for the next answer to any attempt, and takes that one out.
+async fn next_answer(flying: &mut Vec<FlyingAttempt>) -> (Instant, AppendResult) {
+    poll_fn(|context| {
+        for index in 0..flying.len() {
+            if let Poll::Ready(result) = flying[index].future.poll(context) {
+                let attempt = flying.swap_remove(index);
+                return Poll::Ready((attempt.sent, result));
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
--- a/crates/node/src/journal_duty.rs
+++ b/crates/node/src/journal_duty.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use async_io::Timer;
 use futures_lite::future;
@@ -16,6 +16,7 @@
 use crate::claim::ClaimRecord;
 use crate::door::CANCEL_SUFFIX;
 use crate::feed_duty::StoreReach;
+use crate::hedge::append_hedged;
 use crate::links::{
     GroupJoin, JobStore, StoreEntry, StoreFault, StorePart, StoreTopic, StoreWriter,
 };
@@ -272,7 +273,12 @@
 
     /// Takes a shard over, follows it and stores what its controller wants.
     async fn own_shard(self: &Rc<Self>, shard: ShardNumber, jobs: RingReceiver<StoreJob>) {
-        let term = match self.claim(shard).await {
+        let since = self.clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+        let claim = ClaimRecord::Claim {
+            member: self.settings.peers.to_string(),
+            taken: since.unwrap_or_default().as_nanos(),
+        };
+        let term = match self.claim(shard, &claim).await {
             Some(term) => term,
             None => {
                 self.shards.borrow_mut().swap_remove(&shard);
@@ -296,7 +302,7 @@
         }
         let follow = self.follow_submissions(term, end);
         let append = self.append_images(term, jobs);
-        let prove = self.prove_ownership(term);
+        let prove = self.prove_ownership(term, &claim);
         future::or(
             append,
             future::or(prove, async {
@@ -309,14 +315,11 @@
     }
 
     /// Claims a shard; `None` when a later owner is there already.
-    async fn claim(&self, shard: ShardNumber) -> Option<ShardTerm> {
+    async fn claim(&self, shard: ShardNumber, claim: &ClaimRecord) -> Option<ShardTerm> {
         let claims = part(StoreTopic::Claims, shard);
         let entry = StoreEntry {
             key: String::new(),
-            value: ClaimRecord::Claim {
-                member: self.settings.peers.to_string(),
-            }
-            .encode(),
+            value: claim.encode(),
         };
         let offset = loop {
             match self.append(claims, vec![entry.clone()], None).await {
@@ -349,22 +352,18 @@
         ClaimRecord::released_leases(&read.entries.first()?.value, claim)
     }
 
-    /// Appends once, with the usual wait for the answer.
+    /// Appends, and again where no answer comes in the usual time.
     async fn append(
         &self,
         part: StorePart,
         entries: Vec<StoreEntry>,
         writer: Option<StoreWriter>,
     ) -> Result<LogOffset, StoreFault> {
-        let wait = self.patience.wait();
-        let sent = self.clock.now();
-        let appended = self.store.append(part, entries, writer, wait).await;
-        match &appended {
-            Ok(_) => self.patience.answered(self.clock.now() - sent),
-            Err(StoreFault::Unanswered) => self.patience.missed(),
-            Err(_) => {}
-        }
-        appended
+        let wait = self.settings.append_wait_max;
+        let attempt = || self.store.append(part, entries.clone(), writer, wait);
+        append_hedged(attempt, &self.patience, &self.clock)
+            .await
+            .result
     }
 
     async fn load_images(&self, term: ShardTerm) -> Vec<(JobId, JobState)> {
@@ -472,16 +471,15 @@
                     epoch: term.epoch,
                     sequence: next,
                 };
-                let sent = self.clock.now();
-                let wait = self.patience.wait();
-                let append = self
-                    .store
-                    .append(images, entries.clone(), Some(writer), wait);
-                match append.await {
-                    Ok(_) => {
-                        self.patience.answered(self.clock.now() - sent);
-                        break;
-                    }
+                let attempt = || {
+                    let wait = self.settings.append_wait_max;
+                    self.store
+                        .append(images, entries.clone(), Some(writer), wait)
+                };
+                let outcome = append_hedged(attempt, &self.patience, &self.clock).await;
+                in_doubt |= outcome.in_doubt;
+                match outcome.result {
+                    Ok(_) => break,
                     Err(StoreFault::WrongSequence { expected }) => {
                         let done = in_doubt && expected == next + 1;
                         if done {
@@ -491,12 +489,6 @@
                         in_doubt = false;
                     }
                     Err(StoreFault::Fenced) => return,
-                    Err(StoreFault::Unanswered) => {
-                        // Repeated at once, with a longer wait.
-                        self.patience.missed();
-                        in_doubt = true;
-                        reach.note_fault(&StoreFault::Unanswered);
-                    }
                     Err(fault) => {
                         reach.note_fault(&fault);
                         Timer::after(self.settings.store_retry).await;
@@ -526,16 +518,19 @@
     }
 
     /// Proves the ownership again and again; ends when there is a later claim.
-    async fn prove_ownership(&self, term: ShardTerm) {
+    async fn prove_ownership(&self, term: ShardTerm, claim: &ClaimRecord) {
         let claims = part(StoreTopic::Claims, term.shard);
+        let mut from = term.epoch;
         loop {
             let asked = self.clock.now();
             let read = self
                 .store
-                .read(claims, term.epoch, self.settings.follow_wait)
+                .read(claims, from, self.settings.follow_wait)
                 .await;
             match read {
-                Ok(read) if read.entries.is_empty() => {
+                // An append of this claim without an answer may be carried out seconds later.
+                Ok(read) if read.entries.iter().all(|e| claim.is_repeated_by(&e.value)) => {
+                    from = read.next;
                     if !self.tell(term, ShardEvent::Proved(asked)).await {
                         return;
                     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod control_duty;
 pub mod door;
 pub mod feed_duty;
+pub mod hedge;
 pub mod journal_duty;
 pub mod keeper_duty;
 pub mod links;
--- a/crates/node/src/writer.rs
+++ b/crates/node/src/writer.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 
 use async_io::Timer;
+use futures_lite::future;
 use pw_base::prelude::*;
 use strum::{AsRefStr, Display};
 
+use crate::hedge::{HedgeOutcome, append_hedged};
 use crate::links::{JobStore, StoreEntry, StoreFault, StorePart, StoreTopic};
 use crate::patience::AnswerPatience;
 use crate::settings::NodeSettings;
@@ -55,31 +57,22 @@
             shard,
         };
         let entry = StoreEntry { key, value };
-        let end = self.clock.now() + self.settings.submit_timeout;
         // The record is the same each time, so that a repeated append does no harm.
-        let mut in_doubt = false;
-        loop {
-            let sent = self.clock.now();
-            let left = end.saturating_duration_since(sent);
-            let wait = self.patience.wait().min(left);
-            let append = self.store.append(part, vec![entry.clone()], None, wait);
-            match append.await {
-                Ok(_) => {
-                    self.patience.answered(self.clock.now() - sent);
-                    return SubmitOutcome::Stored;
-                }
-                Err(StoreFault::TurnedAway(_)) if !in_doubt => return SubmitOutcome::NotStored,
-                Err(StoreFault::Unanswered) => {
-                    self.patience.missed();
-                    in_doubt = true;
-                }
-                Err(_) => {
-                    Timer::after(self.settings.store_retry).await;
-                }
-            }
-            if self.clock.now() >= end {
-                return SubmitOutcome::Unknown;
+        let wait = self.settings.append_wait_max;
+        let attempt = || self.store.append(part, vec![entry.clone()], None, wait);
+        let append = append_hedged(attempt, &self.patience, &self.clock);
+        let late = async {
+            Timer::after(self.settings.submit_timeout).await;
+            HedgeOutcome {
+                result: Err(StoreFault::Unanswered),
+                in_doubt: true,
             }
+        };
+        let outcome = future::or(append, late).await;
+        match outcome.result {
+            Ok(_) => SubmitOutcome::Stored,
+            Err(StoreFault::TurnedAway(_)) if !outcome.in_doubt => SubmitOutcome::NotStored,
+            Err(_) => SubmitOutcome::Unknown,
         }
     }
 }
--- /dev/null
+++ b/crates/node/tests/hedge.rs
@@ -0,0 +1,93 @@
+//! Appends to a store that is quick, slow, or loses answers.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::future::{self, BoxedLocal, FutureExt};
+use pw_base::prelude::*;
+use pw_node::hedge::{AppendResult, append_hedged};
+use pw_node::links::StoreFault;
+use pw_node::patience::AnswerPatience;
+
+fn patience() -> AnswerPatience {
+    AnswerPatience::new(Duration::from_millis(20), Duration::from_millis(200))
+}
+
+/// Runs an append whose attempts behave as `behave` says of each by its number; returns the outcome
+/// and the number of attempts.
+fn append(behave: impl Fn(usize) -> BoxedLocal<AppendResult>) -> (AppendResult, bool, usize) {
+    let clock: Arc<dyn ClockSource> = Arc::new(SystemClock);
+    let sent = Rc::new(Cell::new(0));
+    let attempt = || {
+        let number = sent.get();
+        sent.set(number + 1);
+        behave(number)
+    };
+    let patience = patience();
+    let outcome = future::block_on(append_hedged(attempt, &patience, &clock));
+    (outcome.result, outcome.in_doubt, sent.get())
+}
+
+fn after(millis: u64, result: AppendResult) -> BoxedLocal<AppendResult> {
+    async move {
+        Timer::after(Duration::from_millis(millis)).await;
+        result
+    }
+    .boxed_local()
+}
+
+#[test]
+fn a_quick_answer_needs_one_attempt() {
+    let (result, in_doubt, attempts) = append(|_| after(0, Ok(7)));
+    assert_eq!((result, in_doubt, attempts), (Ok(7), false, 1));
+}
+
+#[test]
+fn a_lost_answer_is_made_up_for_by_the_next_attempt() {
+    let lost = |number| {
+        if number == 0 {
+            future::pending().boxed_local()
+        } else {
+            after(0, Ok(7))
+        }
+    };
+    let (result, _, attempts) = append(lost);
+    assert_eq!((result, attempts), (Ok(7), 2));
+}
+
+/// The answer to the first attempt comes long after the second one was sent.
+#[test]
+fn a_slow_answer_is_not_thrown_away() {
+    let slow = |number| {
+        if number == 0 {
+            after(150, Ok(7))
+        } else {
+            future::pending().boxed_local()
+        }
+    };
+    let (result, _, attempts) = append(slow);
+    assert_eq!(result, Ok(7));
+    assert!(attempts > 1);
+}
+
+#[test]
+fn a_refusal_after_silence_is_in_doubt() {
+    let fault = |number| match number {
+        0 => after(60, Err(StoreFault::Unanswered)),
+        _ => after(0, Err(StoreFault::TurnedAway(503))),
+    };
+    let (result, in_doubt, _) = append(fault);
+    assert!(result.is_err());
+    assert!(in_doubt, "the first attempt may have been carried out");
+}
+
+#[test]
+fn a_refusal_alone_is_not_in_doubt() {
+    let (result, in_doubt, attempts) = append(|_| after(0, Err(StoreFault::TurnedAway(503))));
+    assert_eq!(result, Err(StoreFault::TurnedAway(503)));
+    assert!(!in_doubt);
+    assert_eq!(attempts, 1);
+}
