Serve metrics, and bound the logs

Cause: on-call engineers have only logs and metrics; the node served none, and a flood of lines could hold up a duty. Change: counters and histograms in Prometheus text on the second port of the port range; logs are written by a thread of their own from a bounded buffer, each place in the code has 200 lines a second, and what is over is counted and reported. Tests: crates/node/tests/log_budget.rs.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -137,6 +137,9 @@
     /// The settings were read again.
     #[strum(message = "The settings were read again.")]
     SettingsReloaded = 641,
+    /// Log lines were suppressed to bound their volume.
+    #[strum(message = "Log lines were suppressed to bound their volume.")]
+    LinesSuppressed = 642,
     /// The platform answered an order for a machine.
     #[strum(message = "The platform answered an order for a machine.")]
     MachineAnswered = 650,
--- a/crates/control/src/shard/ends.rs
+++ b/crates/control/src/shard/ends.rs
@@ -44,6 +44,7 @@
         if !job.state.end_run(spec, place, run, end, Some(attempts)) {
             return;
         }
+        metrics::counter!("pw_run_ends_total", "end" => end.to_string()).increment(1);
         let event = EventCode::RunEnded.number();
         tracing::info!(event, %task, run, worker = &**worker, %end, "run ended");
         if let Some(state) = job.state.task_mut(task.occurrence, task.step, task.index) {
--- a/crates/control/src/shard/starting.rs
+++ b/crates/control/src/shard/starting.rs
@@ -216,6 +216,7 @@
 }
 
 fn log_start(order: &StartOrder, outcome: StartOutcome) {
+    metrics::counter!("pw_run_starts_total", "outcome" => outcome.to_string()).increment(1);
     let event = EventCode::RunStart.number();
     let (task, run, epoch) = (&order.task, order.run, order.epoch);
     let worker = &*order.worker;
--- a/crates/control/src/shard/storing.rs
+++ b/crates/control/src/shard/storing.rs
@@ -1,6 +1,6 @@
 //! What is stored, and what waits until it is.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
 use pw_base::prelude::*;
@@ -133,7 +133,8 @@
         for (job, status) in batch.shown {
             if let Some(record) = self.jobs.get_mut(&job) {
                 if record.shown != status {
-                    log_status(&job, record.shown, status);
+                    let age = now.saturating_duration_since(record.arrived);
+                    log_status(&job, record.shown, status, age);
                 }
                 record.shown = status;
             }
@@ -177,7 +178,9 @@
     }
 }
 
-fn log_status(job: &JobId, from: JobStatus, to: JobStatus) {
+fn log_status(job: &JobId, from: JobStatus, to: JobStatus, age: Duration) {
     let event = EventCode::JobStatusChanged.number();
-    tracing::info!(event, job = &**job, %from, %to, "job changed its state");
+    let age_ms = age.as_millis() as u64;
+    tracing::info!(event, job = &**job, %from, %to, age_ms, "job changed its state");
+    metrics::histogram!("pw_job_age_seconds", "state" => to.to_string()).record(age);
 }
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -194,6 +194,7 @@
         let (jobs, states) = (image.submissions.len(), image.states.len());
         let ShardTerm { shard, epoch } = term;
         tracing::info!(event, shard, epoch, jobs, states, "shard taken over");
+        metrics::counter!("pw_shards_taken_total").increment(1);
         let controller = ShardController::open(
             (shard, epoch),
             image,
--- a/crates/node/src/hedge.rs
+++ b/crates/node/src/hedge.rs
@@ -62,11 +62,14 @@
         };
         match result {
             Ok(offset) => {
-                patience.answered(clock.now().saturating_duration_since(sent));
+                let time = clock.now().saturating_duration_since(sent);
+                patience.answered(time);
+                metrics::histogram!("pw_store_append_seconds").record(time);
                 let result = Ok(offset);
                 return HedgeOutcome { result, in_doubt };
             }
             Err(fault) => {
+                metrics::counter!("pw_store_append_faults_total").increment(1);
                 in_doubt |= fault == StoreFault::Unanswered;
                 if flying.is_empty() {
                     let result = Err(fault);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! duty and by the [`JobDoor`](door::JobDoor) on the callers duty. The other duties turn their
 //! commands into calls of the traits in [`links`], and answers into events.
 
+pub mod admin_duty;
 pub mod claim;
 pub mod control_duty;
 pub mod door;
@@ -12,6 +13,7 @@
 pub mod journal_duty;
 pub mod keeper_duty;
 pub mod links;
+pub mod log_budget;
 pub mod message;
 pub mod node;
 pub mod order_duty;
@@ -30,6 +32,7 @@
         FleetFeed, FrontEnd, GroupJoin, GroupShare, JobStore, MachineGateway, StoreEntry,
         StoreFault, StorePage, StorePart, StoreRead, StoreTopic, StoreWriter, WorkerGateway,
     };
+    pub use crate::log_budget::LogBudget;
     pub use crate::node::{JobNode, NodeLinks};
     pub use crate::settings::NodeSettings;
     pub use crate::writer::{SubmissionWriter, SubmitOutcome};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -11,12 +11,14 @@
 use pw_link::prelude::*;
 use pw_ring::prelude::*;
 
+use crate::admin_duty;
 use crate::control_duty::{self, ControlLinks};
 use crate::door::JobDoor;
 use crate::feed_duty::{self, FeedLinks};
 use crate::journal_duty::{self, JournalLinks};
 use crate::keeper_duty::{self, KeeperLinks};
 use crate::links::{FleetFeed, FrontEnd, JobStore, MachineGateway, WorkerGateway};
+use crate::log_budget::LogBudget;
 use crate::message::{CallerMessage, JournalMessage};
 use crate::order_duty;
 use crate::owners::ShardAsker;
@@ -48,6 +50,8 @@
     pub question_store: Box<dyn JobStore>,
     /// The store, for the quota duty.
     pub quota_store: Box<dyn JobStore>,
+    /// Bound of the volume of logs, whose suppressed lines are reported.
+    pub log_budget: Option<&'static LogBudget>,
     /// The protocol of callers.
     pub front: Box<dyn FrontEnd>,
 }
@@ -82,6 +86,7 @@
             peers: peer_listener.local_addr()?,
             ..settings
         };
+        let metrics_listener = TcpListener::bind(settings.metrics)?;
         let (control, control_messages) = ring("control", RING_CAPACITY);
         let (journal, journal_messages) = ring("journal", RING_CAPACITY);
         let (orders, order_messages) = ring("orders", RING_CAPACITY);
@@ -143,6 +148,11 @@
             quota_duty::run(store, own, own_clock, quota_messages, quota_control)
         })?;
 
+        let budget = links.log_budget;
+        DutyThread::spawn("admin", move |spawner| {
+            admin_duty::run(metrics_listener, budget, spawner)
+        })?;
+
         let keeper_links = KeeperLinks {
             machines: links.machines,
             store: links.keeper_store,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -18,6 +18,8 @@
     pub readiness: SocketAddr,
     /// Where other nodes connect; also the node's name in the group.
     pub peers: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
     /// Number of shards of the fleet; all nodes have the same.
     pub shards: u32,
     /// Settings of the shards' controllers.
@@ -65,6 +67,7 @@
             callers: any,
             readiness: any,
             peers: any,
+            metrics: any,
             shards: 24,
             control: ControlSettings::default(),
             keeper: KeeperSettings::default(),
