--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -12,7 +12,8 @@
 use crate::digest::DigestArgs;
 use crate::explain::ExplainArgs;
 use crate::status::StatusArgs;
-use crate::{apply, audit, check, demo, diff, digest, explain, status};
+use crate::trace::TraceArgs;
+use crate::{apply, audit, check, demo, diff, digest, explain, status, trace};
 
 /// Checks and applies fleet files, and shows what became of them.
 #[derive(Debug, FromArgs)]
@@ -32,6 +33,7 @@
     Digest(DigestArgs),
     Explain(ExplainArgs),
     Demo(DemoArgs),
+    Trace(TraceArgs),
 }
 
 /// What the exit code of the command says.
@@ -83,5 +85,6 @@
         ActionChoice::Digest(args) => digest::run(&args),
         ActionChoice::Explain(args) => async_io::block_on(explain::run(args)),
         ActionChoice::Demo(args) => async_io::block_on(demo::run(args)),
+        ActionChoice::Trace(args) => trace::run(&args),
     }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod follow;
 pub mod output;
 pub mod status;
+pub mod trace;
 
 pub use command::{FleetArgs, run_command};
--- /dev/null
+++ b/crates/cli/src/trace.rs
@@ -0,0 +1,152 @@
+//! `trace`: puts the log lines of one job, task or request in order.
+
+use std::collections::BTreeSet;
+use std::fs;
+
+use anyhow::Context;
+use argh::FromArgs;
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+use crate::command::ExitStatus;
+use crate::output::{print_json, print_table};
+
+/// Fields that have a column of their own or say nothing about the event.
+const OWN_COLUMNS: [&str; 5] = ["timestamp", "level", "message", "event", "target"];
+/// Events that say what a node could reach and owned; they explain what happened to an id.
+const CONTEXT_EVENTS: std::ops::RangeInclusive<u64> = 620..=639;
+
+/// Shows what the logs of several processes say about one id, in order of time.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "trace")]
+pub struct TraceArgs {
+    /// a job's id, a task's name or any other value of a field
+    #[argh(positional)]
+    id: String,
+    /// log file of a process, in JSON lines; may be given several times
+    #[argh(option, long = "log")]
+    logs: Vec<String>,
+    /// also show what the same processes lost, regained and took over between the first and the last
+    /// of these lines
+    #[argh(switch)]
+    context: bool,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// A line of a log.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct TraceLine {
+    /// When it was written, as the process wrote it.
+    pub time: String,
+    /// Process, by the name of its log file.
+    pub process: String,
+    /// Number of the event.
+    pub event: u64,
+    /// What happened.
+    pub message: String,
+    /// The other fields, each as `name=value`.
+    pub fields: Vec<String>,
+}
+
+/// Prints the lines of an id.
+///
+/// # Errors
+///
+/// Fails when a log can't be read.
+pub fn run(args: &TraceArgs) -> anyhow::Result<ExitStatus> {
+    let mut logs = Vec::new();
+    for file in &args.logs {
+        let text = fs::read_to_string(file).with_context(|| format!("can't read {file}"))?;
+        let process = file.rsplit('/').next().unwrap_or(file);
+        logs.push((process.trim_end_matches(".log").to_owned(), text));
+    }
+    let lines = trace(&args.id, &logs, args.context);
+    if args.json {
+        print_json(&lines)?;
+    } else {
+        let rows = lines.iter().map(|line| {
+            let TraceLine {
+                time,
+                process,
+                event,
+                message,
+                fields,
+            } = line.clone();
+            vec![time, process, event.to_string(), message, fields.join(" ")]
+        });
+        print_table(
+            &["time", "process", "event", "message", "fields"],
+            rows.collect(),
+        )?;
+    }
+    let found = !lines.is_empty();
+    Ok(if found {
+        ExitStatus::Done
+    } else {
+        ExitStatus::Rejected
+    })
+}
+
+/// Returns the lines of an id in order of time; `logs` holds the name and the log of each process.
+pub fn trace(id: &str, logs: &[(String, String)], context: bool) -> Vec<TraceLine> {
+    let parsed = logs.iter().flat_map(|(process, text)| {
+        let objects = text
+            .lines()
+            .filter_map(|line| serde_json::from_str(line).ok());
+        objects.map(move |object: Map<String, Value>| (process, object))
+    });
+    let parsed: Vec<(&String, Map<String, Value>)> = parsed.collect();
+    let own = parsed.iter().filter(|(_, object)| names(object, id));
+    let mut lines: Vec<TraceLine> = own
+        .map(|(process, object)| line_of(process, object))
+        .collect();
+    lines.sort();
+    if !context || lines.is_empty() {
+        return lines;
+    }
+    let (first, last) = (lines[0].time.clone(), lines[lines.len() - 1].time.clone());
+    let processes: BTreeSet<String> = lines.iter().map(|line| line.process.clone()).collect();
+    let around = parsed
+        .iter()
+        .filter(|(process, _)| processes.contains(*process));
+    let around = around.map(|(process, object)| line_of(process, object));
+    let around = around.filter(|line| {
+        CONTEXT_EVENTS.contains(&line.event) && (&first..=&last).contains(&&line.time)
+    });
+    lines.extend(around.collect::<Vec<_>>());
+    lines.sort();
+    lines.dedup();
+    lines
+}
+
+/// Returns whether a field of a line names the id: as it is, as a task of a job, or in a path.
+fn names(object: &Map<String, Value>, id: &str) -> bool {
+    let mut texts = object.values().filter_map(Value::as_str);
+    texts.any(|text| text == id || text.split(['.', '/']).any(|part| part == id))
+}
+
+fn line_of(process: &str, object: &Map<String, Value>) -> TraceLine {
+    let text = |name: &str| {
+        let value = object.get(name).and_then(Value::as_str);
+        value.unwrap_or_default().to_owned()
+    };
+    let fields = object
+        .iter()
+        .filter(|(name, _)| !OWN_COLUMNS.contains(&name.as_str()));
+    let fields = fields.map(|(name, value)| match value {
+        Value::String(text) => format!("{name}={text}"),
+        value => format!("{name}={value}"),
+    });
+    TraceLine {
+        time: text("timestamp"),
+        process: process.to_owned(),
+        event: object
+            .get("event")
+            .and_then(Value::as_u64)
+            .unwrap_or_default(),
+        message: text("message"),
+        fields: fields.collect(),
+    }
+}
--- a/crates/control/src/shard/looking.rs
+++ b/crates/control/src/shard/looking.rs
@@ -111,9 +111,13 @@
                 worker.misses += 1;
                 let doubled = self.settings.look_retry * (1 << (worker.misses - 1).min(4));
                 worker.look_due = now + doubled.min(self.settings.look_retry_max);
-                let event = EventCode::WorkerSilent.number();
                 let misses = worker.misses;
-                tracing::warn!(event, worker = &*order.worker, %fault, misses, "worker not heard");
+                // A worker that is gone for good is asked for seconds; few lines say so.
+                if misses.is_power_of_two() {
+                    let event = EventCode::WorkerSilent.number();
+                    let worker = &*order.worker;
+                    tracing::warn!(event, worker, %fault, misses, "worker not heard");
+                }
             }
         }
     }
