Keep availability budgets when owners change during moves

A lasting task's stop takes up to 0.9 s; a new owner saw that task still at work and stopped another one of its step. Two more ways were found by reading: what the owner before told the keeper of machines (a worker is clear) may be acted on while the next owner places a lasting task there; and a task on a machine that was ordered away counted as at work until its worker's look ran out. Change: a new owner moves nothing until stops before it must be done; it places nothing that lasts on an empty worker until the keeper has asked it or 1.5 s are over; surveys name the machines that were ordered away; what lasts keeps away from machines that are due for upkeep. Surveys come each 120 ms; looks, appends and reads of parts are rarer. Tests: four in shard.rs and place.rs, the ones for the fault seen failing without the change.

--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -130,6 +130,8 @@
         shard: ShardNumber,
         /// Workers to be vacated; no others of the shard are.
         vacate: Vec<WorkerId>,
+        /// Those of them whose machines were ordered away.
+        taken: Vec<WorkerId>,
     },
     /// Read the list of machines.
     List,
@@ -230,10 +232,10 @@
     fn default() -> Self {
         Self {
             shards: 24,
-            survey_gap: Duration::from_millis(200),
+            survey_gap: Duration::from_millis(120),
             list_gap: Duration::from_millis(500),
             idle_list_gap: Duration::from_secs(2),
-            survey_age_max: Duration::from_secs(1),
+            survey_age_max: Duration::from_millis(500),
             pool_part: 0.25,
             order_retry: Duration::from_millis(300),
             settle_max: Duration::from_secs(10),
@@ -742,8 +744,22 @@
             self.surveys.insert(shard, now);
             let in_shard = self.tasks.values();
             let in_shard = in_shard.filter(|task| find_shard(&task.pool, shards) == shard);
-            let vacate = in_shard.filter_map(|task| task.worker.clone()).collect();
-            self.commands.push(KeeperCommand::Survey { shard, vacate });
+            let mut vacate = Vec::new();
+            let mut taken = Vec::new();
+            for task in in_shard {
+                let Some(worker) = &task.worker else {
+                    continue;
+                };
+                vacate.push(worker.clone());
+                if !matches!(task.phase, TaskStage::Vacating { .. }) {
+                    taken.push(worker.clone());
+                }
+            }
+            self.commands.push(KeeperCommand::Survey {
+                shard,
+                vacate,
+                taken,
+            });
         }
     }
 }
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -70,7 +70,13 @@
         result: Result<AdviceReport, CallFault>,
     },
     /// These workers, and no others, are to be left by their runs.
-    Vacate(Vec<WorkerId>),
+    Vacate {
+        /// The workers.
+        workers: Vec<WorkerId>,
+        /// Those of them whose machines were ordered away; what is still shown there is gone or will
+        /// be.
+        taken: Vec<WorkerId>,
+    },
     /// Time has passed.
     Tick,
 }
--- a/crates/control/src/place.rs
+++ b/crates/control/src/place.rs
@@ -20,6 +20,8 @@
     pub disturbed: usize,
     /// Something that lasts runs there.
     pub anchored: bool,
+    /// Its machine is to have its upkeep soon.
+    pub due: bool,
 }
 
 /// What is known of a run that is to be placed.
@@ -42,7 +44,8 @@
 /// the longest of its runs.
 ///
 /// The data's rack goes first, then a worker without runs that would disturb each other. What lasts
-/// goes to workers where something lasts already, but away from tasks of its own step.
+/// goes to workers whose machines are not due for upkeep, and then to those where something lasts
+/// already, but away from tasks of its own step.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct PackPlacement;
 
@@ -53,6 +56,7 @@
             (
                 !candidate.near_data,
                 candidate.disturbed,
+                request.lasts && candidate.due,
                 request.lasts && !candidate.anchored,
                 siblings,
                 (free_part(candidate) * FREE_STEPS) as u64,
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -31,6 +31,8 @@
     pub unhealthy_pause_max: Duration,
     /// Starts of one run that go unanswered before the run is stopped instead.
     pub start_tries: u32,
+    /// Longest time that a worker takes to stop a run; the platform's bound.
+    pub stop_time: Duration,
     /// Pause between two attempts to stop a run.
     pub stop_retry: Duration,
     /// How long after its end a job's state can be read.
@@ -49,14 +51,15 @@
             clock_drift: 0.02,
             owner_proof: Duration::from_secs(6),
             look_wait: Duration::from_secs(2),
-            look_gap: Duration::from_millis(100),
+            look_gap: Duration::from_millis(140),
             look_retry: Duration::from_millis(150),
             look_retry_max: Duration::from_secs(1),
-            store_gap: Duration::from_millis(20),
+            store_gap: Duration::from_millis(35),
             room_pause: Duration::from_millis(200),
             unhealthy_pause: Duration::from_millis(500),
             unhealthy_pause_max: Duration::from_secs(4),
             start_tries: 3,
+            stop_time: Duration::from_secs(1),
             stop_retry: Duration::from_millis(250),
             retention: Duration::from_secs(150),
             due_margin: Duration::from_millis(50),
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -27,6 +27,7 @@
 use crate::settings::ControlSettings;
 use crate::shard::advising::{StepAdvice, StepKey};
 use crate::shard::storing::StoreDesk;
+use crate::shard::vacating::UNASKED_FOR;
 use crate::worker::{RunPhase, RunRecord, WorkerEntry, WorkerPhase, WorkerRecord};
 
 /// Time between two passes over a shard in which nothing happens.
@@ -48,12 +49,18 @@
     desk: StoreDesk,
     /// Last proof of ownership.
     proved: Instant,
+    /// When this owner took the shard over.
+    opened: Instant,
+    /// The same, until the keeper of machines has asked this owner.
+    unasked_since: Option<Instant>,
     /// Something changed that may let a task start.
     changed: bool,
     /// When a task that waits may start although nothing changes: a pause ends.
     recheck: Option<Instant>,
     /// When a pass is wanted although nothing is due.
     idle_tick: Instant,
+    /// When this owner heard of each maintenance wave.
+    waves_heard: IndexMap<WaveNumber, SystemTime>,
     /// Tickets of steps that need them.
     advice: HashMap<StepKey, StepAdvice>,
     /// Tasks of each pool that found no worker although there is room.
@@ -114,14 +121,18 @@
             budget: AccountBudget::default(),
             desk: StoreDesk::new(now),
             proved: now,
+            opened: now,
+            unasked_since: Some(now),
             changed: true,
             recheck: None,
             idle_tick: now,
+            waves_heard: IndexMap::new(),
             advice: HashMap::new(),
             blocked: IndexMap::new(),
             commands: Vec::new(),
         };
         controller.load(image, now, wall);
+        controller.hear_waves(wall);
         controller
     }
 
@@ -146,6 +157,7 @@
             ShardEvent::Config(config) => {
                 self.config = config;
                 self.changed = true;
+                self.hear_waves(wall);
             }
             ShardEvent::Workers { entries, lives } => self.take_list(entries, &lives, now),
             ShardEvent::Submitted(job, record) => self.submit(job, record, now, wall),
@@ -156,7 +168,7 @@
             ShardEvent::Started { order, outcome } => self.take_start(&order, outcome, now),
             ShardEvent::Stopped { order, result } => self.take_stop(&order, result, now),
             ShardEvent::Advised { order, result } => self.take_advice(&order, result, now),
-            ShardEvent::Vacate(workers) => self.vacate(&workers, now),
+            ShardEvent::Vacate { workers, taken } => self.vacate(&workers, &taken, now),
             ShardEvent::Paced { .. } | ShardEvent::Tick => {}
         }
         self.advance(now, wall);
@@ -175,6 +187,12 @@
         due.fold(self.idle_tick, Instant::min)
     }
 
+    fn hear_waves(&mut self, wall: SystemTime) {
+        for wave in self.config.waves.keys() {
+            self.waves_heard.entry(*wave).or_insert(wall);
+        }
+    }
+
     /// Does what time or the last event made possible.
     fn advance(&mut self, now: Instant, wall: SystemTime) {
         self.lose_lapsed(now);
@@ -201,7 +219,11 @@
             .workers
             .values()
             .flat_map(|worker| [Some(worker.paused_until), worker.vacated_until]);
-        let ends = tasks.chain(workers.flatten()).chain(self.next_advice());
+        let unasked = self.unasked_since.map(|since| since + UNASKED_FOR);
+        let ends = tasks
+            .chain(workers.flatten())
+            .chain(self.next_advice())
+            .chain(unasked);
         ends.filter(|end| *end > now).min()
     }
 
--- a/crates/control/src/shard/placing.rs
+++ b/crates/control/src/shard/placing.rs
@@ -1,6 +1,6 @@
 //! Places waiting tasks on workers.
 
-use std::time::Instant;
+use std::time::{Duration, Instant, SystemTime};
 
 use pw_base::prelude::*;
 use pw_job::prelude::*;
@@ -117,6 +117,23 @@
         rule.is_none_or(|rule| self.budget.allows(account, size, &rule.maximum))
     }
 
+    /// Returns whether a worker's machine is in a maintenance wave and may not have had its upkeep:
+    /// a worker that began its life after this owner heard of the wave has.
+    fn is_due(&self, worker: &WorkerRecord) -> bool {
+        let Some(machine) = &worker.entry.machine else {
+            return false;
+        };
+        let life = Duration::from_millis(worker.entry.life);
+        let born = SystemTime::UNIX_EPOCH + life;
+        let waves = self.config.waves.iter();
+        let mut waves = waves.filter(|(_, wave)| wave.machines.contains(machine));
+        waves.any(|(number, _)| {
+            self.waves_heard
+                .get(number)
+                .is_none_or(|heard| born < *heard)
+        })
+    }
+
     /// Counts a task that waits although some worker of its pool has room for it.
     fn note_blocked(&mut self, job: &JobId, spec: &StepSpec, now: Instant) {
         let Some(record) = self.jobs.get(job).map(|job| &job.record) else {
@@ -222,9 +239,14 @@
                 && worker.takes_starts(now)
                 && !self.is_evacuated(&worker.entry.zone)
                 && size.fits_into(&worker.room())
+                && !(spec.long_running && self.may_be_taken(worker, now))
                 && (!ticketed || self.ticket(&step_key, &worker.entry.id, now).is_some())
         });
-        let candidates = open.filter_map(|worker| candidate(worker, &name, spec));
+        let candidates = open.filter_map(|worker| {
+            let candidate = candidate(worker, &name, spec)?;
+            let due = self.is_due(worker);
+            Some(Candidate { due, ..candidate })
+        });
         let candidates: Vec<Candidate<'_>> = candidates.collect();
         let request = PlacementRequest {
             size,
@@ -320,5 +342,6 @@
         siblings,
         disturbed: disturbed.count(),
         anchored: worker.runs.values().any(|run| run.lasts),
+        due: false,
     })
 }
--- a/crates/control/src/shard/vacating.rs
+++ b/crates/control/src/shard/vacating.rs
@@ -13,6 +13,11 @@
 
 /// How long a worker stays vacated after it was asked for last.
 const VACATED_FOR: Duration = Duration::from_secs(2);
+/// How long orders may come that rest on what the owner before said: the longest age of an answer
+/// to a survey, and the time of an order.
+pub(super) const UNASKED_FOR: Duration = Duration::from_millis(1500);
+/// Time from an owner's last order until the worker has it.
+const ORDER_TIME: Duration = Duration::from_millis(500);
 /// Time after which runs on a vacated worker are stopped that have not ended by themselves.
 const PATIENCE: Duration = Duration::from_secs(4);
 /// Tasks of a step that may be away where the step sets no bound.
@@ -22,8 +27,10 @@
 
 impl ShardController {
     /// Sets the workers that are to be left by their runs.
-    pub(super) fn vacate(&mut self, workers: &[WorkerId], now: Instant) {
+    pub(super) fn vacate(&mut self, workers: &[WorkerId], taken: &[WorkerId], now: Instant) {
+        self.changed |= self.unasked_since.take().is_some();
         for (id, worker) in &mut self.workers {
+            worker.taken = taken.contains(id);
             if workers.contains(id) {
                 worker.vacated_until = Some(now + VACATED_FOR);
                 worker.vacated_since.get_or_insert(now);
@@ -34,6 +41,16 @@
         }
     }
 
+    /// Returns whether the machine of a worker without runs may be on its way.
+    ///
+    /// The owner before may have told the keeper that the worker is clear. Until the keeper has asked
+    /// this owner, or its orders of that time are too old, nothing that lasts is placed there: the
+    /// order would end it, and nobody would know at once.
+    pub(super) fn may_be_taken(&self, worker: &WorkerRecord, now: Instant) -> bool {
+        let unasked = self.unasked_since;
+        worker.runs.is_empty() && unasked.is_some_and(|since| now < since + UNASKED_FOR)
+    }
+
     /// Returns the workers to be vacated that run nothing and get nothing.
     pub fn clear_workers(&self, now: Instant) -> Vec<WorkerId> {
         let vacated = self.workers.iter().filter(|(_, w)| w.is_vacated(now));
@@ -42,7 +59,12 @@
     }
 
     /// Stops the runs on vacated workers that would not end soon, within the availability budgets.
+    ///
+    /// A run that the owner before has just stopped is still shown at work until the stop is done.
     pub(super) fn move_lasting(&mut self, now: Instant) {
+        if now < self.opened + self.settings.stop_time + ORDER_TIME {
+            return;
+        }
         let vacated = self
             .workers
             .values()
@@ -99,7 +121,10 @@
 
     /// Returns the indices of the tasks of a step that are at work.
     fn workers_of_step<'a>(&'a self, task: &'a TaskName) -> impl Iterator<Item = u32> + 'a {
-        let sound = self.workers.values().filter(|worker| worker.misses == 0);
+        let sound = self
+            .workers
+            .values()
+            .filter(|worker| worker.misses == 0 && !worker.taken);
         let runs = sound.flat_map(|worker| worker.runs.iter());
         let at_work = runs.filter(|(name, run)| {
             let same = name.job == task.job
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -172,6 +172,8 @@
     pub inherited_lapse: Instant,
     /// Until when nothing starts there, so that its machine can be taken.
     pub vacated_until: Option<Instant>,
+    /// Its machine was ordered away.
+    pub taken: bool,
     /// When it was first to be vacated.
     pub vacated_since: Option<Instant>,
     /// Ends that have been applied.
@@ -204,6 +206,7 @@
             synced: false,
             inherited_lapse: now,
             vacated_until: None,
+            taken: false,
             vacated_since: None,
             noted: 0,
             stored: 0,
--- a/crates/control/tests/keeper.rs
+++ b/crates/control/tests/keeper.rs
@@ -95,7 +95,7 @@
                     self.views.values().cloned().collect(),
                 ));
             }
-            KeeperCommand::Survey { shard, vacate } => {
+            KeeperCommand::Survey { shard, vacate, .. } => {
                 let clear = if self.clear { vacate } else { Vec::new() };
                 return Some(KeeperEvent::Surveyed {
                     pools: self.loads(shard),
--- a/crates/control/tests/place.rs
+++ b/crates/control/tests/place.rs
@@ -22,6 +22,7 @@
         siblings: 0,
         disturbed: 0,
         anchored: false,
+        due: false,
     }
 }
 
@@ -83,3 +84,22 @@
     assert_eq!(choose(lasts, &[own, full.clone(), anchored]), Some(2));
     assert_eq!(choose(lasts, &[full]), Some(0));
 }
+
+#[test]
+fn what_lasts_keeps_away_from_machines_that_are_due_for_upkeep() {
+    let id = WorkerId::from("w");
+    let lasts = PlacementRequest {
+        lasts: true,
+        ..Default::default()
+    };
+    let due = Candidate {
+        anchored: true,
+        due: true,
+        ..candidate(&id, 4)
+    };
+    assert_eq!(choose(lasts, &[due.clone(), candidate(&id, 32)]), Some(1));
+    assert_eq!(
+        choose(PlacementRequest::default(), &[due, candidate(&id, 32)]),
+        Some(0)
+    );
+}
--- a/crates/control/tests/shard.rs
+++ b/crates/control/tests/shard.rs
@@ -375,7 +375,7 @@
     assert!(world.run_until(seconds(1), |world| world.running("lasting.0.0.0") == 1));
     world.run(seconds(2));
     let holder = world.starts[0][0].0.clone();
-    world.tell(ShardEvent::Vacate(vec![holder.clone()]));
+    world.vacate(std::slice::from_ref(&holder), &[]);
     world.submit("job", Some("ane"), vec![step(6)]);
     world.run(millis(1500));
     assert!(world.workers[&holder].running.is_empty());
@@ -400,7 +400,7 @@
         .collect();
     let least = std::cell::Cell::new(3);
     for _ in 0..40 {
-        world.tell(ShardEvent::Vacate(holders.clone()));
+        world.vacate(&holders, &[]);
         world.run_until(millis(500), |world| {
             let up = (0..3).filter(|i| world.running(&format!("lasting.0.0.{i}")) == 1);
             least.set(least.get().min(up.count()));
@@ -501,3 +501,67 @@
     assert!(world.run_until(seconds(12), |world| world.status("job") == COMPLETED));
     assert!(world.questions.len() >= 2);
 }
+
+/// The owner before told the keeper that a worker is clear; the next one takes over before the order
+/// for its machine arrives.
+#[test]
+fn nothing_that_lasts_is_placed_on_a_worker_whose_machine_may_be_on_its_way() {
+    let mut world = World::new(1);
+    world.keeper_up = false;
+    world.submit("lasting", None, vec![lasting(1)]);
+    world.take_over(None);
+    world.run(millis(1000));
+    assert_eq!(world.start_count("lasting.0.0.0"), 0);
+    world.vacate(&[], &[]);
+    assert!(world.run_until(millis(200), |world| world.running("lasting.0.0.0") == 1));
+}
+
+/// The machine of one task was ordered away, and its worker is still shown with the task at work.
+#[test]
+fn a_task_on_a_taken_machine_counts_as_away() {
+    let mut world = World::new(4);
+    let spec = StepSpec {
+        may_miss: Some(1),
+        ..lasting(2)
+    };
+    world.submit("lasting", None, vec![spec]);
+    world.run(seconds(3));
+    let holders: Vec<_> = world
+        .starts
+        .values()
+        .map(|starts| starts[0].0.clone())
+        .collect();
+    world.workers[&holders[1]].dead = true;
+    world.vacate(&holders, &holders[1..]);
+    world.run(millis(1000));
+    assert_eq!(world.starts[0].len(), 1, "two of a step were away");
+}
+
+/// The owner before stopped a task of the step just now; the worker shows it at work until then.
+#[test]
+fn a_new_owner_moves_nothing_until_the_stops_before_it_are_done() {
+    let mut world = World::new(4);
+    let spec = StepSpec {
+        may_miss: Some(1),
+        ..lasting(2)
+    };
+    world.submit("lasting", None, vec![spec]);
+    world.run(seconds(3));
+    let holders: Vec<_> = world
+        .starts
+        .values()
+        .map(|starts| starts[0].0.clone())
+        .collect();
+    world.hand_over();
+    world.vacate(&holders, &[]);
+    world.run(millis(1400));
+    assert!(
+        world.starts.values().all(|starts| starts.len() == 1),
+        "moved at once"
+    );
+    world.run(seconds(4));
+    assert!(
+        world.starts.values().all(|starts| starts.len() == 2),
+        "never moved"
+    );
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -18,6 +18,8 @@
 
 /// Step of the virtual time.
 pub const STEP: Duration = Duration::from_millis(5);
+/// Time between two surveys of the keeper of machines.
+const SURVEY_GAP: Duration = Duration::from_millis(120);
 /// Time for an order or an append to get its answer.
 const TRIP: Duration = Duration::from_millis(5);
 
@@ -92,6 +94,11 @@
     pub starts: IndexMap<TaskName, Vec<(WorkerId, RunNumber, Instant)>>,
     pub looks: usize,
     pub contested: usize,
+    /// There is a keeper of machines, which asks the owner again and again.
+    pub keeper_up: bool,
+    /// Workers that are to be vacated, and those of them whose machines were ordered away.
+    vacated: (Vec<WorkerId>, Vec<WorkerId>),
+    surveyed: Instant,
     /// Workers that may run the steps of a queue with advice.
     pub good: Vec<WorkerId>,
     pub questions: Vec<AdviceOrder>,
@@ -124,6 +131,9 @@
             starts: IndexMap::new(),
             looks: 0,
             contested: 0,
+            keeper_up: true,
+            vacated: Default::default(),
+            surveyed: now,
             good: Vec::new(),
             questions: Vec::new(),
             tickets: Vec::new(),
@@ -209,6 +219,19 @@
         self.take_over(leases);
     }
 
+    /// Has workers vacated, as the keeper of machines does; those in `taken` were ordered away.
+    pub fn vacate(&mut self, workers: &[WorkerId], taken: &[WorkerId]) {
+        self.vacated = (workers.to_vec(), taken.to_vec());
+        self.survey();
+    }
+
+    /// Asks the owner, as the keeper of machines does again and again.
+    fn survey(&mut self) {
+        let (workers, taken) = self.vacated.clone();
+        self.tell(ShardEvent::Vacate { workers, taken });
+        self.surveyed = self.now;
+    }
+
     /// Hands the controller the workers that are alive.
     pub fn list_workers(&mut self) {
         let listed = self.workers.values().filter(|worker| !worker.dead);
@@ -272,6 +295,9 @@
             self.wall += STEP;
             self.work();
             self.deliver();
+            if self.keeper_up && self.now >= self.surveyed + SURVEY_GAP {
+                self.survey();
+            }
             if self.store_up {
                 self.tell(ShardEvent::Proved(self.now));
             }
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -280,10 +280,17 @@
             // The duty that hears the questions answers this one itself.
             NodeQuestion::Store { .. } => NodeAnswer::NotStored,
             NodeQuestion::Survey { keeper, .. } if keeper < self.keeper => NodeAnswer::NotOwner,
-            NodeQuestion::Survey { keeper, vacate, .. } => {
+            NodeQuestion::Survey {
+                keeper,
+                vacate,
+                taken,
+                ..
+            } => {
                 let term = term_of(shard);
                 self.keeper = keeper;
-                self.hand_on(term, ShardEvent::Vacate(vacate)).await;
+                let workers = vacate;
+                self.hand_on(term, ShardEvent::Vacate { workers, taken })
+                    .await;
                 let now = self.clock.now();
                 match self.shards.get(&term.shard) {
                     Some(shard) => NodeAnswer::Survey {
--- a/crates/node/src/keeper_duty.rs
+++ b/crates/node/src/keeper_duty.rs
@@ -210,12 +210,17 @@
                     tracing::warn!(event, %fault, "machines not read");
                 }
             },
-            KeeperCommand::Survey { shard, vacate } => {
+            KeeperCommand::Survey {
+                shard,
+                vacate,
+                taken,
+            } => {
                 let asked = self.clock.now();
                 let question = NodeQuestion::Survey {
                     shard,
                     keeper: epoch,
                     vacate,
+                    taken,
                 };
                 if let Some(NodeAnswer::Survey { pools, clear }) = self.asker.ask(question).await {
                     return Some(KeeperEvent::Surveyed {
--- a/crates/node/src/question.rs
+++ b/crates/node/src/question.rs
@@ -46,6 +46,8 @@
         keeper: OwnerEpoch,
         /// Workers that are to be left by their runs; no others are.
         vacate: Vec<WorkerId>,
+        /// Those of them whose machines were ordered away.
+        taken: Vec<WorkerId>,
     },
 }
 
--- a/crates/node/src/quota_duty.rs
+++ b/crates/node/src/quota_duty.rs
@@ -19,7 +19,7 @@
 /// Partition that holds all parts, so that an append sees each change before it.
 const QUOTA_SHARD: ShardNumber = 0;
 /// Shortest time between two reads of the parts.
-const READ_GAP: Duration = Duration::from_millis(30);
+const READ_GAP: Duration = Duration::from_millis(80);
 
 struct QuotaDuty {
     store: Box<dyn JobStore>,
