Measure what a node costs, split two grown files, and bring the pages up to date

Change: waves, moves and messages of the keeper, an owned shard, and the fake worker have files of their own; nothing else in them changed.

--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod fit;
 pub mod fleet;
+pub mod jobs;
 pub mod measure;
 pub mod page;
 pub mod traffic;
--- a/crates/capacity/src/main.rs
+++ b/crates/capacity/src/main.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
+use pw_capacity::jobs::{measure_shards, write_section};
 use pw_capacity::measure::{MemoryProbe, measure_size};
 use pw_capacity::page::render;
 use pw_capacity::prelude::*;
@@ -38,7 +39,8 @@
     let args: CapacityArgs = argh::from_env();
     let sizes = SIZES.map(|workers| FleetSize::default().scaled_to(workers));
     let costs = sizes.map(|size| measure_size(&size, &AllocatorProbe));
-    let page = render(&costs);
+    let mut page = render(&costs);
+    write_section(&mut page, &measure_shards(&AllocatorProbe)).expect("writing to a string");
     match args.write {
         Some(path) => std::fs::write(path, page),
         None => {
--- /dev/null
+++ b/crates/control/src/keeper/moves.rs
@@ -0,0 +1,197 @@
+//! Moves: which pool gets a machine, and from where.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use pw_base::prelude::*;
+
+use super::message::{MachineAction, MachineState};
+use super::{FleetKeeper, MachineTask, TaskStage};
+
+/// Shortest time between two log lines about the size of a pool.
+const SIZE_LOG_GAP: Duration = Duration::from_millis(900);
+impl FleetKeeper {
+    /// Moves machines to pools that need them, and those that nobody needs to the spare pool.
+    pub(super) fn move_machines(&mut self, now: Instant) {
+        self.avoided.retain(|_, until| now < *until);
+        let Some(spare) = self.spare_pool() else {
+            return;
+        };
+        let pools: Vec<PoolId> = self.loads.keys().cloned().collect();
+        self.log_sizes(now);
+        let targets = self.targets(&pools, &spare);
+        let mut short = Vec::new();
+        for (pool, target) in &targets {
+            let have = self.members(pool);
+            if *target > have {
+                short.push((*target - have, pool.clone()));
+            }
+        }
+        short.sort_by_key(|(missing, _)| std::cmp::Reverse(*missing));
+        for (missing, pool) in short {
+            for _ in 0..missing {
+                let machine = self
+                    .idle_spare(&spare)
+                    .or_else(|| self.surplus_machine(&targets));
+                let Some(machine) = machine else {
+                    return;
+                };
+                self.start_move(&machine, pool.clone(), now);
+            }
+        }
+        let kept = self.settings.sizing.kept;
+        let lasting = pools.iter().map(|pool| {
+            let need = self.sizes.lasting_need(pool).saturating_add(kept);
+            (pool.clone(), need)
+        });
+        let lasting: IndexMap<PoolId, usize> = lasting.collect();
+        while let Some(machine) = self.surplus_machine(&lasting) {
+            self.start_move(&machine, spare.clone(), now);
+        }
+    }
+
+    /// Returns how many machines each pool is to have: what it needs or, where there are not as many
+    /// machines, its part of them by its need.
+    pub(super) fn targets(&self, pools: &[PoolId], spare: &PoolId) -> IndexMap<PoolId, usize> {
+        let needs: usize = pools.iter().map(|pool| self.sizes.need(pool)).sum();
+        let members = pools.iter().chain([spare]).map(|pool| self.members(pool));
+        let machines: usize = members.sum();
+        let target = |pool: &PoolId| {
+            let need = self.sizes.need(pool);
+            if needs <= machines {
+                need
+            } else {
+                let floor = self.loads.get(pool).map_or(0, |load| load.anchors as usize);
+                (need * machines / needs).max(floor)
+            }
+        };
+        pools
+            .iter()
+            .map(|pool| (pool.clone(), target(pool)))
+            .collect()
+    }
+
+    /// Logs the pools whose need has changed, each at most once in a while.
+    pub(super) fn log_sizes(&mut self, now: Instant) {
+        for (pool, load) in &self.loads {
+            let need = self.sizes.need(pool);
+            let logged = self.logged.get(pool);
+            let recent = logged.is_some_and(|(at, _)| now < *at + SIZE_LOG_GAP);
+            if recent || logged.is_some_and(|(_, before)| *before == need) {
+                continue;
+            }
+            self.logged.insert(pool.clone(), (now, need));
+            let event = EventCode::PoolSized.number();
+            let (workers, anchors, blocked) = (load.workers, load.anchors, load.blocked);
+            let (used, waiting) = (load.used.millicores, load.waiting.millicores);
+            let have = self.members(pool);
+            let pool = &**pool;
+            tracing::info!(
+                event,
+                pool,
+                need,
+                have,
+                workers,
+                anchors,
+                used,
+                waiting,
+                blocked,
+                "pool sized"
+            );
+        }
+    }
+
+    pub(super) fn spare_pool(&self) -> Option<PoolId> {
+        let mut pools = self.config.pools.iter();
+        let spare = pools.find(|(_, rule)| rule.spare);
+        spare.map(|(pool, _)| pool.clone())
+    }
+
+    pub(super) fn is_spare(&self, pool: &PoolId) -> bool {
+        self.config.pools.get(pool).is_some_and(|rule| rule.spare)
+    }
+
+    /// Returns how many machines a pool has, with those that are on their way to it and without
+    /// those that are on their way from it or are to have their upkeep.
+    pub(super) fn members(&self, pool: &PoolId) -> usize {
+        let moves_to = |machine: &MachineId| match self.tasks.get(machine) {
+            Some(MachineTask {
+                action: MachineAction::Move(to),
+                ..
+            }) => Some(to),
+            _ => None,
+        };
+        let in_upkeep = |machine: &MachineId| {
+            let task = self.tasks.get(machine);
+            task.is_some_and(|task| matches!(task.action, MachineAction::Upkeep(_)))
+        };
+        let machines = self
+            .machines
+            .values()
+            .filter(|view| view.state != MachineState::Down);
+        let machines = machines.filter(|view| !in_upkeep(&view.machine));
+        let members = machines.filter(|view| match moves_to(&view.machine) {
+            Some(to) => to == pool,
+            None => view.pool == *pool,
+        });
+        members.count()
+    }
+
+    /// Returns a machine of the spare pool for which nothing is under way.
+    pub(super) fn idle_spare(&self, spare: &PoolId) -> Option<MachineId> {
+        let idle = self.machines.values().find(|view| {
+            let settled = !matches!(view.state, MachineState::Moving | MachineState::Upkeep);
+            let free = !self.tasks.contains_key(&view.machine)
+                && !self.avoided.contains_key(&view.machine);
+            view.pool == *spare && settled && free
+        });
+        idle.map(|view| view.machine.clone())
+    }
+
+    /// Returns a machine of the pool that has the most beyond its target.
+    pub(super) fn surplus_machine(&self, targets: &IndexMap<PoolId, usize>) -> Option<MachineId> {
+        let surplus = |pool: &&PoolId| self.members(pool).saturating_sub(targets[*pool]);
+        let pool = targets
+            .keys()
+            .filter(|pool| surplus(pool) > 0)
+            .max_by_key(surplus)?;
+        let load = self.loads.get(pool)?;
+        let free = load.movable.iter().filter_map(|worker| {
+            let mut views = self.machines.values();
+            let view = views.find(|view| view.worker.as_ref() == Some(worker))?;
+            let free = view.pool == *pool
+                && !self.tasks.contains_key(&view.machine)
+                && !self.avoided.contains_key(&view.machine);
+            free.then(|| view.machine.clone())
+        });
+        free.into_iter().next()
+    }
+
+    pub(super) fn start_move(&mut self, machine: &MachineId, to: PoolId, now: Instant) {
+        let Some(view) = self.machines.get(machine) else {
+            return;
+        };
+        let event = EventCode::MachineMoved.number();
+        let (from, pool) = (&*view.pool, &*to);
+        tracing::info!(
+            event,
+            machine = &**machine,
+            from,
+            pool,
+            "machine goes to another pool"
+        );
+        let task = MachineTask {
+            action: MachineAction::Move(to),
+            pool: view.pool.clone(),
+            // Nothing runs in the spare pool, whose machines are off.
+            worker: view.worker.clone().filter(|_| !self.is_spare(&view.pool)),
+            phase: TaskStage::Vacating { not_before: now },
+            busy: 0,
+        };
+        let without_worker = task.worker.is_none();
+        self.tasks.insert(machine.clone(), task);
+        if without_worker {
+            self.order_clear(&[], now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/keeper/waves.rs
@@ -0,0 +1,141 @@
+//! Maintenance waves: which machine has its upkeep next, and when a wave is completed.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use pw_base::prelude::*;
+
+use super::message::{KeeperCommand, MachineAction, MachineOrder, MachineState};
+use super::{FleetKeeper, MachineTask, TaskStage};
+use crate::config::WaveRule;
+
+impl FleetKeeper {
+    pub(super) fn open_waves(&self) -> impl Iterator<Item = (&WaveNumber, &WaveRule)> {
+        let open = self.config.waves.iter();
+        open.filter(|(wave, _)| !self.progress.get(*wave).is_some_and(|p| p.completed))
+    }
+
+    pub(super) fn note_begun(&mut self, order: &MachineOrder) {
+        if let MachineAction::Upkeep(wave) = order.action {
+            let progress = self.progress.entry(wave).or_default();
+            progress.begun.insert(order.machine.clone());
+            let note = KeeperCommand::Note(wave, progress.clone());
+            self.commands.push(note);
+        }
+    }
+
+    /// Takes further machines of the waves, and tells when a wave is completed.
+    pub(super) fn advance_waves(&mut self, now: Instant) {
+        if self.machines.is_empty() {
+            return;
+        }
+        let open: Vec<WaveNumber> = self.open_waves().map(|(wave, _)| *wave).collect();
+        for wave in open {
+            if self.reported.insert(wave) {
+                self.commands.push(KeeperCommand::Report(wave, false));
+            }
+            let config = Arc::clone(&self.config);
+            let Some(rule) = config.waves.get(&wave) else {
+                continue;
+            };
+            let pending = self.pending_machines(wave, rule);
+            if pending.is_empty() {
+                self.complete(wave);
+                continue;
+            }
+            let room = rule.maximum.saturating_sub(self.down_machines(wave, rule));
+            self.take_pending(wave, pending, room, now);
+        }
+    }
+
+    /// Returns the machines of a wave that are there and have not begun.
+    pub(super) fn pending_machines(&self, wave: WaveNumber, rule: &WaveRule) -> Vec<MachineId> {
+        let begun = self.progress.get(&wave).map(|progress| &progress.begun);
+        let pending = rule.machines.iter().filter(|machine| {
+            let begun = begun.is_some_and(|begun| begun.contains(*machine));
+            !begun && self.machines.contains_key(*machine)
+        });
+        pending.cloned().collect()
+    }
+
+    /// Returns how many machines of a wave are down for it, or may be soon.
+    pub(super) fn down_machines(&self, wave: WaveNumber, rule: &WaveRule) -> usize {
+        let under_way = |machine: &MachineId| {
+            let task = self.tasks.get(machine);
+            task.is_some_and(|task| task.action == MachineAction::Upkeep(wave))
+        };
+        let in_upkeep = |machine: &MachineId| {
+            let view = self.machines.get(machine);
+            view.is_some_and(|view| view.state == MachineState::Upkeep)
+        };
+        let machines = rule.machines.iter();
+        machines
+            .filter(|machine| under_way(machine) || in_upkeep(machine))
+            .count()
+    }
+
+    pub(super) fn take_pending(
+        &mut self,
+        wave: WaveNumber,
+        mut pending: Vec<MachineId>,
+        mut room: usize,
+        now: Instant,
+    ) {
+        pending.sort_by(|a, b| self.machine_load(a).total_cmp(&self.machine_load(b)));
+        for machine in pending {
+            if room == 0 {
+                return;
+            }
+            let Some(view) = self.machines.get(&machine) else {
+                continue;
+            };
+            let free = !self.tasks.contains_key(&machine) && self.pool_has_room(&view.pool);
+            if !free || matches!(view.state, MachineState::Moving | MachineState::Upkeep) {
+                continue;
+            }
+            let task = MachineTask {
+                action: MachineAction::Upkeep(wave),
+                pool: view.pool.clone(),
+                worker: view.worker.clone().filter(|_| !self.is_spare(&view.pool)),
+                phase: TaskStage::Vacating { not_before: now },
+                busy: 0,
+            };
+            let without_worker = task.worker.is_none();
+            self.tasks.insert(machine, task);
+            room -= 1;
+            if without_worker {
+                self.order_clear(&[], now);
+            }
+        }
+    }
+
+    /// Returns how busy the pool of a machine is; idle pools give their machines first.
+    pub(super) fn machine_load(&self, machine: &MachineId) -> f64 {
+        let view = self.machines.get(machine);
+        let load = view.and_then(|view| self.loads.get(&view.pool));
+        load.map_or(0.0, |load| {
+            let wanted = load.used.millicores.saturating_add(load.waiting.millicores);
+            f64::from(wanted) / f64::from(load.capacity.millicores.max(1))
+        })
+    }
+
+    /// Returns whether another machine of the pool may be taken.
+    pub(super) fn pool_has_room(&self, pool: &PoolId) -> bool {
+        let members = self.machines.values().filter(|view| view.pool == *pool);
+        let most = (members.count() as f64 * self.settings.pool_part).max(1.0) as usize;
+        let upkeep = |task: &&MachineTask| matches!(task.action, MachineAction::Upkeep(_));
+        let taken = self.tasks.values().filter(upkeep);
+        let taken = taken.filter(|task| task.pool == *pool);
+        taken.count() < most
+    }
+
+    pub(super) fn complete(&mut self, wave: WaveNumber) {
+        let progress = self.progress.entry(wave).or_default();
+        progress.completed = true;
+        let note = KeeperCommand::Note(wave, progress.clone());
+        self.commands.push(note);
+        self.commands.push(KeeperCommand::Report(wave, true));
+        let event = EventCode::WaveCompleted.number();
+        tracing::info!(event, wave, "maintenance wave completed");
+    }
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -5,6 +5,8 @@
 
 #![allow(dead_code)]
 
+pub mod worker;
+
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
@@ -16,6 +18,8 @@
 use pw_team::prelude::*;
 use pw_worker::prelude::*;
 
+use self::worker::FakeWorker;
+
 /// Step of the virtual time.
 pub const STEP: Duration = Duration::from_millis(5);
 /// Time between two surveys of the keeper of machines.
@@ -23,47 +27,6 @@
 /// Time for an order or an append to get its answer.
 const TRIP: Duration = Duration::from_millis(5);
 
-/// A worker of the world.
-pub struct FakeWorker {
-    pub entry: WorkerEntry,
-    /// It answers nobody, and runs on.
-    pub silent: bool,
-    /// It has crashed.
-    pub dead: bool,
-    /// It does as it is told and answers no starts.
-    pub mute_starts: bool,
-    /// It refuses everything as unhealthy.
-    pub unhealthy: bool,
-    /// It is gone, and another worker has its address.
-    pub other_at_address: bool,
-    /// Runs that it starts fail after this time; `None` lets them be done.
-    pub fails: bool,
-    pub fence: OwnerEpoch,
-    pub lease_until: u64,
-    pub started: Instant,
-    pub running: IndexMap<TaskName, FakeRun>,
-    pub finished: Vec<EndView>,
-    pub barred: HashMap<TaskName, RunNumber>,
-    pub next_end: u64,
-    pub seen: u64,
-    /// Ends up to this one were not taken note of before the lease lapsed.
-    pub void_ends: u64,
-    /// Percent of pace by task, as it was set last.
-    pub paces: HashMap<TaskName, u8>,
-    /// Tail of response times that serving tasks show, in milliseconds.
-    pub tail_ms: u64,
-}
-
-/// A run on a fake worker.
-#[derive(Debug, Clone)]
-pub struct FakeRun {
-    pub run: RunNumber,
-    pub until: Option<Instant>,
-    pub begun: Instant,
-    pub size: ResourceSize,
-    pub serves: bool,
-}
-
 /// An answer that is on its way to the controller.
 struct Answer {
     at: Instant,
@@ -609,110 +572,6 @@
     }
 }
 
-impl FakeWorker {
-    fn clock(&self, now: Instant) -> u64 {
-        7000 + (now - self.started).as_millis() as u64
-    }
-
-    fn extend_lease(&mut self, until: u64, now: Instant) {
-        let bound = self.clock(now) + 6000;
-        self.lease_until = self.lease_until.max(until.min(bound));
-    }
-
-    fn take_start(
-        &mut self,
-        order: &StartOrder,
-        step: &StepSpec,
-        run_time: Duration,
-        now: Instant,
-    ) -> StartOutcome {
-        if self.unhealthy {
-            return StartOutcome::Unhealthy;
-        }
-        if self.entry.life != order.life || self.other_at_address {
-            return StartOutcome::OtherLife;
-        }
-        if order.epoch < self.fence {
-            return StartOutcome::Fenced;
-        }
-        self.fence = order.epoch;
-        if self
-            .running
-            .get(&order.task)
-            .is_some_and(|run| run.run == order.run)
-        {
-            return StartOutcome::Accepted;
-        }
-        if self
-            .barred
-            .get(&order.task)
-            .is_some_and(|run| *run >= order.run)
-        {
-            return StartOutcome::Superseded;
-        }
-        if order.lease_until <= self.clock(now) {
-            return StartOutcome::LeaseOver;
-        }
-        self.extend_lease(order.lease_until, now);
-        let millicores = if step.fills { 0 } else { step.size.millicores };
-        let size = ResourceSize {
-            millicores,
-            ..step.size
-        };
-        let used = self
-            .running
-            .values()
-            .fold(size, |sum, run| sum.plus(&run.size));
-        if !used.fits_into(&self.entry.capacity) {
-            return StartOutcome::NoRoom;
-        }
-        let run = FakeRun {
-            run: order.run,
-            until: (!step.long_running).then(|| now + run_time),
-            begun: now,
-            size,
-            serves: step.target_latency.is_some(),
-        };
-        self.running.insert(order.task.clone(), run);
-        StartOutcome::Accepted
-    }
-
-    pub fn end(&mut self, task: &TaskName, end: RunEnd) {
-        let Some(run) = self.running.swap_remove(task) else {
-            return;
-        };
-        self.barred.insert(task.clone(), run.run);
-        self.finished.push(EndView {
-            number: self.next_end,
-            task: task.clone(),
-            run: run.run,
-            end,
-            checkpoint: None,
-        });
-        self.next_end += 1;
-    }
-
-    fn report(&self, now: Instant) -> LookReport {
-        let running = self.running.iter().map(|(task, run)| RunView {
-            task: task.clone(),
-            run: run.run,
-            checkpoint: None,
-            percent: if now > run.begun + Duration::from_millis(300) {
-                100
-            } else {
-                10
-            },
-            load: Some(if run.serves { self.tail_ms } else { 0 }),
-        });
-        LookReport {
-            clock: self.clock(now),
-            life: self.entry.life,
-            running: running.collect(),
-            finished: self.finished.clone(),
-        }
-    }
-}
-
 /// A step of `count` tasks that take a core and a GiB each.
 pub fn step(count: u32) -> StepSpec {
     StepSpec {
