Pass over open jobs only, and only when something is free

Change: jobs that are over wait in a queue of their own; an answer that frees nothing begins no pass; siblings are counted where a step bounds them.

--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -9,12 +9,12 @@
 mod storing;
 mod vacating;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use pw_base::prelude::*;
 use pw_job::prelude::*;
 use pw_worker::prelude::*;
@@ -44,6 +44,10 @@
     config: Arc<FleetConfig>,
     placement: Box<dyn PlacementPolicy>,
     jobs: IndexMap<JobId, JobRecord>,
+    /// Jobs with something to run, or that still runs.
+    open: IndexSet<JobId>,
+    /// The other jobs, and when they were over; their states can still be read.
+    over: VecDeque<(Instant, JobId)>,
     workers: IndexMap<WorkerId, WorkerRecord>,
     budget: AccountBudget,
     desk: StoreDesk,
@@ -77,8 +81,6 @@
     arrived: Instant,
     /// Tasks that wait before their next run.
     delays: HashMap<TaskPlace, Instant>,
-    /// When the job was over.
-    over_since: Option<Instant>,
 }
 
 impl JobRecord {
@@ -91,7 +93,6 @@
             state,
             arrived: now.checked_sub(age).unwrap_or(now),
             delays: HashMap::new(),
-            over_since: None,
         }
     }
 
@@ -117,6 +118,8 @@
             config,
             placement: Box::new(PackPlacement),
             jobs: IndexMap::new(),
+            open: IndexSet::new(),
+            over: VecDeque::new(),
             workers: IndexMap::new(),
             budget: AccountBudget::default(),
             desk: StoreDesk::new(now),
@@ -136,6 +139,12 @@
         controller
     }
 
+    /// Returns the jobs with something to run, or that still runs.
+    fn open_records(&self) -> impl Iterator<Item = (&JobId, &JobRecord)> {
+        let open = self.open.iter();
+        open.filter_map(|job| Some((job, self.jobs.get(job)?)))
+    }
+
     /// Returns the shard's number.
     pub fn shard(&self) -> ShardNumber {
         self.shard
@@ -211,10 +220,8 @@
 
     /// Returns when the next pause of a task or a worker ends.
     fn next_pause_end(&self, now: Instant) -> Option<Instant> {
-        let tasks = self
-            .jobs
-            .values()
-            .flat_map(|job| job.delays.values().copied());
+        let jobs = self.open_records().map(|(_, job)| job);
+        let tasks = jobs.flat_map(|job| job.delays.values().copied());
         let workers = self
             .workers
             .values()
@@ -233,6 +240,7 @@
             let state = states.swap_remove(&job).unwrap_or_default();
             self.inherit_runs(&job, &record, &state, now);
             let record = JobRecord::new(record, state, now, wall);
+            self.open.insert(job.clone());
             self.jobs.insert(job, record);
         }
         for job in image.cancelled {
@@ -351,6 +359,7 @@
             "job taken in"
         );
         let record = JobRecord::new(record, JobState::default(), now, wall);
+        self.open.insert(job.clone());
         self.jobs.insert(job, record);
         self.changed = true;
     }
@@ -394,9 +403,15 @@
     /// Opens the occurrences whose time has come.
     fn open_due(&mut self, now: Instant, wall: SystemTime) {
         let due_wall = wall.checked_sub(self.settings.due_margin).unwrap_or(wall);
-        for (job, record) in &mut self.jobs {
+        let mut closed = Vec::new();
+        for job in &self.open {
+            let Some(record) = self.jobs.get_mut(job) else {
+                continue;
+            };
             if record.is_over() {
-                record.over_since.get_or_insert(now);
+                if !record.state.has_placed() {
+                    closed.push(job.clone());
+                }
                 continue;
             }
             let spec = &record.record.spec;
@@ -414,24 +429,27 @@
                 );
             }
         }
+        for job in closed {
+            self.open.swap_remove(&job);
+            self.over.push_back((now, job));
+        }
     }
 
     /// Removes what is kept of jobs that were over long ago.
     fn forget_old(&mut self, now: Instant) {
-        let retention = self.settings.retention;
-        let old = self.jobs.iter().filter(|(_, record)| {
-            let over = record
-                .over_since
-                .is_some_and(|over| now >= over + retention);
-            over && !record.state.has_placed()
-        });
-        let old: Vec<JobId> = old.map(|(job, _)| job.clone()).collect();
         if !self.advice.is_empty() {
             self.forget_advice();
         }
-        for job in old {
-            self.jobs.swap_remove(&job);
-            self.desk.forget(job);
+        let retention = self.settings.retention;
+        while self
+            .over
+            .front()
+            .is_some_and(|(at, _)| now >= *at + retention)
+        {
+            if let Some((_, job)) = self.over.pop_front() {
+                self.jobs.swap_remove(&job);
+                self.desk.forget(job);
+            }
         }
     }
 }
--- a/crates/control/src/shard/asking.rs
+++ b/crates/control/src/shard/asking.rs
@@ -27,7 +27,8 @@
 
     /// Returns how many jobs of a queue were accepted of which no task has started.
     pub fn pending(&self, queue: &str) -> usize {
-        let jobs = self.jobs.values().filter(|job| &*job.record.queue == queue);
+        let jobs = self.open_records().map(|(_, job)| job);
+        let jobs = jobs.filter(|job| &*job.record.queue == queue);
         let waiting = jobs.filter(|job| job.state.status(&job.record.spec) == JobStatus::Queued);
         waiting.count()
     }
@@ -35,7 +36,7 @@
     /// Returns the work of each client account in the shard.
     pub fn account_demands(&self) -> IndexMap<PartKey, AccountDemand> {
         let mut demands: IndexMap<PartKey, AccountDemand> = IndexMap::new();
-        for job in self.jobs.values() {
+        for (_, job) in self.open_records() {
             let record = &job.record;
             let Some(account) = &record.account else {
                 continue;
@@ -57,7 +58,7 @@
 
     /// Returns the jobs that are not over.
     pub fn open_jobs(&self) -> Vec<JobId> {
-        let open = self.jobs.iter().filter(|(_, job)| !job.is_over());
+        let open = self.open_records().filter(|(_, job)| !job.is_over());
         open.map(|(id, _)| id.clone()).collect()
     }
 
--- a/crates/control/src/shard/looking.rs
+++ b/crates/control/src/shard/looking.rs
@@ -140,6 +140,8 @@
             worker.acknowledged = worker.acknowledged.max(order.seen);
         }
         let lapsed = worker.synced && worker.lapsed_at(&report);
+        // A worker that was not used before may take what waits.
+        self.changed |= !worker.synced || worker.misses > 0;
         worker.life = Some(report.life);
         worker.misses = 0;
         if !worker.synced {
@@ -152,7 +154,6 @@
             clock: report.clock,
             at: now,
         });
-        self.changed = true;
         self.take_ends(&order.worker, &report, lapsed, now);
         self.compare_runs(order, &report, now);
         self.set_paces(&order.worker, now);
--- a/crates/control/src/shard/placing.rs
+++ b/crates/control/src/shard/placing.rs
@@ -30,7 +30,7 @@
     }
 
     fn waiting_jobs(&self, now: Instant) -> Vec<(JobUrgency, JobId)> {
-        let jobs = self.jobs.iter().filter(|(_, job)| !job.is_over());
+        let jobs = self.open_records().filter(|(_, job)| !job.is_over());
         let waiting = jobs.filter_map(|(id, job)| {
             let spec = &job.record.spec;
             let mut waits = false;
@@ -321,10 +321,13 @@
     {
         return None;
     }
-    let siblings = worker.runs.keys().filter(|other| {
-        other.job == task.job && other.occurrence == task.occurrence && other.step == task.step
-    });
-    let siblings = siblings.count();
+    // Counting is only worth its time where the count matters.
+    let counted = spec.max_per_worker > 0 || spec.long_running;
+    let siblings = if counted {
+        count_siblings(worker, task)
+    } else {
+        0
+    };
     if spec.max_per_worker > 0 && siblings >= spec.max_per_worker as usize {
         return None;
     }
@@ -345,3 +348,11 @@
         due: false,
     })
 }
+
+/// Returns how many other tasks of the step run on a worker.
+fn count_siblings(worker: &WorkerRecord, task: &TaskName) -> usize {
+    let siblings = worker.runs.keys().filter(|other| {
+        other.step == task.step && other.occurrence == task.occurrence && other.job == task.job
+    });
+    siblings.count()
+}
--- a/crates/control/src/shard/vacating.rs
+++ b/crates/control/src/shard/vacating.rs
@@ -169,7 +169,8 @@
 
     /// Returns what the tasks of a pool would take that could start now.
     fn waiting_size(&self, pool: &PoolId) -> ResourceSize {
-        let jobs = self.jobs.values().filter(|job| job.record.pool == *pool);
+        let jobs = self.open_records().map(|(_, job)| job);
+        let jobs = jobs.filter(|job| job.record.pool == *pool);
         let open = jobs.filter(|job| !job.is_over());
         open.fold(ResourceSize::default(), |sum, job| {
             sum.plus(&super::ready_size(job))
