--- a/crates/control/src/shard/asking.rs
+++ b/crates/control/src/shard/asking.rs
@@ -56,12 +56,6 @@
         demands
     }
 
-    /// Returns the jobs that are not over.
-    pub fn open_jobs(&self) -> Vec<JobId> {
-        let open = self.open_records().filter(|(_, job)| !job.is_over());
-        open.map(|(id, _)| id.clone()).collect()
-    }
-
     /// Sets the part of an account's maximum that this shard may use.
     pub fn set_part(&mut self, account: AccountId, part: pw_worker::prelude::ResourceSize) {
         self.budget.set_part(account, part);
--- a/crates/control/src/shard/starting.rs
+++ b/crates/control/src/shard/starting.rs
@@ -106,54 +106,32 @@
             StartOutcome::NoRoom => {
                 worker.paused_until = now + settings.room_pause;
                 worker.look_due = worker.look_due.min(now);
-                self.end_run(
-                    &order.worker,
-                    &order.task,
-                    order.run,
-                    RunEnd::Stopped,
-                    None,
-                    now,
-                );
+                self.return_run(order, now);
             }
             StartOutcome::NotAllowed => {
                 self.drop_ticket(&order.task, &order.worker);
-                self.end_run(
-                    &order.worker,
-                    &order.task,
-                    order.run,
-                    RunEnd::Stopped,
-                    None,
-                    now,
-                );
+                self.return_run(order, now);
             }
             StartOutcome::Unhealthy => {
                 let doubled = settings.unhealthy_pause * (1 << worker.unhealthy.min(4));
                 worker.unhealthy += 1;
                 worker.paused_until = now + doubled.min(settings.unhealthy_pause_max);
-                self.end_run(
-                    &order.worker,
-                    &order.task,
-                    order.run,
-                    RunEnd::Stopped,
-                    None,
-                    now,
-                );
+                self.return_run(order, now);
             }
             StartOutcome::LeaseOver | StartOutcome::NotSent => {
                 worker.paused_until = now + settings.room_pause;
                 worker.look_due = worker.look_due.min(now);
-                self.end_run(
-                    &order.worker,
-                    &order.task,
-                    order.run,
-                    RunEnd::Stopped,
-                    None,
-                    now,
-                );
+                self.return_run(order, now);
             }
         }
     }
 
+    /// Lets the task of a start that was not carried out wait again.
+    fn return_run(&mut self, order: &StartOrder, now: Instant) {
+        let end = RunEnd::Stopped;
+        self.end_run(&order.worker, &order.task, order.run, end, None, now);
+    }
+
     fn note_started(&mut self, task: &TaskName) {
         if let Some(job) = self.jobs.get_mut(&task.job)
             && !job.state.started
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -6,7 +6,6 @@
 use indexmap::IndexMap;
 use pw_base::prelude::*;
 use pw_control::prelude::*;
-use pw_job::prelude::*;
 use pw_ring::prelude::*;
 use pw_worker::prelude::*;
 
@@ -117,6 +116,3 @@
     /// The node stops.
     Stopping,
 }
-
-/// Submission of a job as its shard hears of it.
-pub type HeardSubmission = (JobId, Arc<SubmissionRecord>);
