--- a/crates/control/tests/shard.rs
+++ b/crates/control/tests/shard.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use pw_base::prelude::*;
 use pw_control::prelude::*;
 use pw_job::prelude::*;
 use support::{World, lasting, size, step};
@@ -18,6 +19,33 @@
     Duration::from_millis(millis)
 }
 
+/// A world in which one lasting task is at work.
+fn lasting_world(workers: usize) -> World {
+    let mut world = World::new(workers);
+    world.submit("job", None, vec![lasting(1)]);
+    assert!(world.run_until(seconds(1), |world| world.running("job.0.0.0") == 1));
+    world
+}
+
+/// A world in which a lasting step is at work, of which one task may be away, and the workers of its
+/// tasks.
+fn budget_world(workers: usize, count: u32) -> (World, Vec<WorkerId>) {
+    let mut world = World::new(workers);
+    let spec = StepSpec {
+        may_miss: Some(1),
+        ..lasting(count)
+    };
+    world.submit("lasting", None, vec![spec]);
+    world.run(seconds(3));
+    let holders: Vec<_> = world
+        .starts
+        .values()
+        .map(|starts| starts[0].0.clone())
+        .collect();
+    assert_eq!(holders.len(), count as usize, "a task did not start");
+    (world, holders)
+}
+
 #[test]
 fn steps_run_in_order_and_each_task_once() {
     let mut world = World::new(4);
@@ -85,9 +113,7 @@
 
 #[test]
 fn a_silent_worker_keeps_its_tasks_until_its_lease_is_over() {
-    let mut world = World::new(2);
-    world.submit("job", None, vec![lasting(1)]);
-    assert!(world.run_until(seconds(1), |world| world.running("job.0.0.0") == 1));
+    let mut world = lasting_world(2);
     let holder = world.starts[0][0].0.clone();
     let silent_since = world.now;
     world.workers[&holder].silent = true;
@@ -104,9 +130,7 @@
 
 #[test]
 fn an_owner_that_fell_silent_is_waited_for_longer() {
-    let mut world = World::new(2);
-    world.submit("job", None, vec![lasting(1)]);
-    assert!(world.run_until(seconds(1), |world| world.running("job.0.0.0") == 1));
+    let mut world = lasting_world(2);
     let holder = world.starts[0][0].0.clone();
     world.workers[&holder].silent = true;
     let taken = world.now;
@@ -121,9 +145,7 @@
 /// Every node is stopped and started in turn while a worker is away for good.
 #[test]
 fn a_task_on_a_lost_worker_restarts_although_owners_change() {
-    let mut world = World::new(3);
-    world.submit("job", None, vec![lasting(1)]);
-    assert!(world.run_until(seconds(1), |world| world.running("job.0.0.0") == 1));
+    let mut world = lasting_world(3);
     let holder = world.starts[0][0].0.clone();
     world.workers[&holder].dead = true;
     let lost = world.now;
@@ -141,9 +163,7 @@
 /// The worker's machine is back with another worker before the lease of the lost one is over.
 #[test]
 fn another_worker_on_the_machine_ends_the_wait() {
-    let mut world = World::new(3);
-    world.submit("job", None, vec![lasting(1)]);
-    assert!(world.run_until(seconds(1), |world| world.running("job.0.0.0") == 1));
+    let mut world = lasting_world(3);
     let holder = world.starts[0][0].0.clone();
     let machine = world.workers[&holder]
         .entry
@@ -162,9 +182,7 @@
 
 #[test]
 fn a_worker_that_was_only_cut_off_does_not_run_the_task_twice() {
-    let mut world = World::new(2);
-    world.submit("job", None, vec![lasting(1)]);
-    assert!(world.run_until(seconds(1), |world| world.running("job.0.0.0") == 1));
+    let mut world = lasting_world(2);
     let holder = world.starts[0][0].0.clone();
     world.workers[&holder].silent = true;
     for _ in 0..4 {
@@ -386,18 +404,7 @@
 
 #[test]
 fn no_more_tasks_of_a_step_are_away_than_it_allows() {
-    let mut world = World::new(6);
-    let spec = StepSpec {
-        may_miss: Some(1),
-        ..lasting(3)
-    };
-    world.submit("lasting", None, vec![spec]);
-    world.run(seconds(3));
-    let holders: Vec<_> = world
-        .starts
-        .values()
-        .map(|starts| starts[0].0.clone())
-        .collect();
+    let (mut world, holders) = budget_world(6, 3);
     let least = std::cell::Cell::new(3);
     for _ in 0..40 {
         world.vacate(&holders, &[]);
@@ -519,18 +526,7 @@
 /// The machine of one task was ordered away, and its worker is still shown with the task at work.
 #[test]
 fn a_task_on_a_taken_machine_counts_as_away() {
-    let mut world = World::new(4);
-    let spec = StepSpec {
-        may_miss: Some(1),
-        ..lasting(2)
-    };
-    world.submit("lasting", None, vec![spec]);
-    world.run(seconds(3));
-    let holders: Vec<_> = world
-        .starts
-        .values()
-        .map(|starts| starts[0].0.clone())
-        .collect();
+    let (mut world, holders) = budget_world(4, 2);
     world.workers[&holders[1]].dead = true;
     world.vacate(&holders, &holders[1..]);
     world.run(millis(1000));
@@ -540,18 +536,7 @@
 /// The owner before stopped a task of the step just now; the worker shows it at work until then.
 #[test]
 fn a_new_owner_moves_nothing_until_the_stops_before_it_are_done() {
-    let mut world = World::new(4);
-    let spec = StepSpec {
-        may_miss: Some(1),
-        ..lasting(2)
-    };
-    world.submit("lasting", None, vec![spec]);
-    world.run(seconds(3));
-    let holders: Vec<_> = world
-        .starts
-        .values()
-        .map(|starts| starts[0].0.clone())
-        .collect();
+    let (mut world, holders) = budget_world(4, 2);
     world.hand_over();
     world.vacate(&holders, &[]);
     world.run(millis(1400));
