--- a/crates/capacity/src/jobs.rs
+++ b/crates/capacity/src/jobs.rs
@@ -11,22 +11,17 @@
 use pw_worker::prelude::*;
 
 use crate::fit::LinearFit;
+use crate::limits::{BYTES_LIMIT, CORE_LIMIT, FULL_WORKERS};
 use crate::measure::MemoryProbe;
 
 /// Workers of the sizes that are measured.
 const SIZES: [usize; 4] = [48, 200, 800, 2_000];
 /// Tasks that run on each worker.
 const RUNS: u32 = 4;
-/// Workers of the size to design for.
-const FULL_WORKERS: f64 = 8_500.0;
 /// Partitions that the users' store gives a topic today; there are as many shards.
 const SHARDS: f64 = 24.0;
 /// Bytes of a look and its answer with [`RUNS`] runs, as HTTP with JSON.
 const LOOK_BYTES: f64 = 900.0;
-/// Limit on control in percent of a core.
-const CORE_LIMIT: f64 = 3.7;
-/// Limit on control in bytes a second.
-const BYTES_LIMIT: f64 = 4_000.0;
 
 /// Cost of a shard of one size.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fit;
 pub mod fleet;
 pub mod jobs;
+pub mod limits;
 pub mod measure;
 pub mod page;
 pub mod traffic;
--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -3,11 +3,10 @@
 use std::fmt::Write;
 
 use crate::fit::LinearFit;
+use crate::limits::{BYTES_LIMIT, CORE_LIMIT, FULL_WORKERS, MEMORY_LIMIT};
 use crate::measure::SizeCost;
 use crate::traffic::{heartbeat_rate, instance_poll};
 
-/// Workers of the size to design for.
-const FULL_WORKERS: f64 = 8_500.0;
 /// Configuration changes on a day of that size.
 const DAY_CHANGES: f64 = 13_000.0;
 /// Failures, restarts and replacements on a day of that size.
@@ -22,12 +21,6 @@
 const ENTRIES_A_ZONE: u32 = 9;
 /// Availability zones at the size to design for.
 const FULL_ZONES: u32 = 6;
-/// Limit on control in percent of a core.
-const CORE_LIMIT: f64 = 3.7;
-/// Limit on control in mebibytes.
-const MEMORY_LIMIT: f64 = 64.0;
-/// Limit on control in bytes a second.
-const BYTES_LIMIT: f64 = 4_000.0;
 
 /// Renders the page in Markdown.
 pub fn render(costs: &[SizeCost]) -> String {
