--- /dev/null
+++ b/crates/pool/tests/support/mod.rs
@@ -0,0 +1,189 @@
+//! A small fleet and the steps that the tests propose for it.
+
+use std::time::SystemTime;
+
+use pw_base::prelude::*;
+use pw_pool::prelude::*;
+use pw_worker::prelude::*;
+use pw_zone::prelude::*;
+
+/// Workers that lending leaves in the spare pool.
+const MIN_WORKERS: u32 = 2;
+/// Boot that every worker is first seen with.
+pub const FIRST_BOOT: BootId = 1;
+
+/// A small fleet and the ledger that follows it.
+pub struct Bench {
+    pub zones: Vec<ZoneSpec>,
+    pub workers: Vec<WorkerSpec>,
+    pub pools: Vec<PoolSpec>,
+    pub ledger: PoolLedger,
+    offset: LogOffset,
+}
+
+impl Bench {
+    /// Creates pools `cutting` and `quotes` of 4 and the spare pool `office` of 4, all seen alive.
+    ///
+    /// Worker `n` of a pool stands in zone `a` or `b` by turns, in the one rack of its zone.
+    pub fn new() -> Self {
+        let pool = |id: &str, spare| PoolSpec {
+            id: id.into(),
+            workers: (1..=4)
+                .map(|n| WorkerId::from(format!("{id}-{n}")))
+                .collect(),
+            max_unavailable: 1,
+            spare,
+            min_workers: MIN_WORKERS,
+        };
+        let pools = vec![
+            pool("cutting", false),
+            pool("quotes", false),
+            pool("office", true),
+        ];
+        let worker = |id: &WorkerId| WorkerSpec {
+            id: id.clone(),
+            zone: zone_of(id).into(),
+            rack: "r1".into(),
+            cores: 32,
+            memory_gib: 64,
+            accelerators: 0,
+            slots: 8,
+            connections: 64,
+        };
+        let zone = |id: &str| ZoneSpec {
+            id: id.into(),
+            ..ZoneSpec::default()
+        };
+        let mut bench = Self {
+            zones: vec![zone("a"), zone("b")],
+            workers: pools
+                .iter()
+                .flat_map(|pool| &pool.workers)
+                .map(worker)
+                .collect(),
+            pools,
+            ledger: PoolLedger::default(),
+            offset: 0,
+        };
+        bench.apply();
+        bench.claim("entry-1");
+        bench.see_all();
+        bench
+    }
+
+    pub fn apply(&mut self) {
+        self.offset += 1;
+        let fleet = DeclaredFleet {
+            zones: &self.zones,
+            workers: &self.workers,
+            pools: &self.pools,
+        };
+        self.ledger.apply_fleet(self.offset, fleet);
+    }
+
+    pub fn propose(&mut self, proposal: &PoolProposal) -> PoolVerdict {
+        self.offset += 1;
+        self.ledger.advance(self.offset, proposal)
+    }
+
+    pub fn claim(&mut self, holder: &str) -> PoolVerdict {
+        let base = self.ledger.planner().term;
+        let holder = holder.into();
+        self.propose(&PoolProposal::Claim { base, holder })
+    }
+
+    pub fn see_all(&mut self) {
+        let workers: Vec<WorkerId> = self.workers.iter().map(|spec| spec.id.clone()).collect();
+        let boot = FIRST_BOOT;
+        for worker in workers {
+            self.step(&worker, PoolChange::Appeared { boot })
+                .expect("seen");
+        }
+    }
+
+    /// Proposes one step from the ledger's own state.
+    pub fn step(&mut self, worker: &str, change: PoolChange) -> Result<(), StepRejection> {
+        let base = self
+            .ledger
+            .instance(worker)
+            .map_or(0, |instance| instance.changed);
+        self.step_from(base, worker, change)
+    }
+
+    pub fn step_from(
+        &mut self,
+        base: LogOffset,
+        worker: &str,
+        change: PoolChange,
+    ) -> Result<(), StepRejection> {
+        let worker = WorkerId::from(worker);
+        let step = PoolStep {
+            worker,
+            base,
+            change,
+        };
+        let proposal = PoolProposal::Steps {
+            term: self.ledger.planner().term,
+            steps: vec![step.clone()],
+        };
+        match self.propose(&proposal) {
+            PoolVerdict::Accepted { .. } => Ok(()),
+            PoolVerdict::Rejected(PoolRejection::NoStepAccepted) => {
+                let rejected = self.ledger.last_rejected(&step.worker);
+                Err(rejected.map_or(StepRejection::UnknownWorker, |rejected| rejected.reason))
+            }
+            PoolVerdict::Rejected(reason) => panic!("whole proposal rejected: {reason}"),
+        }
+    }
+
+    pub fn steps(&mut self, worker: &str, changes: Vec<PoolChange>) {
+        for change in changes {
+            self.step(worker, change.clone())
+                .unwrap_or_else(|reason| panic!("{worker} {change}: {reason}"));
+        }
+    }
+
+    pub fn open_wave(&mut self, wave: WaveNumber) -> PoolVerdict {
+        let term = self.ledger.planner().term;
+        let opened = SystemTime::UNIX_EPOCH;
+        self.propose(&PoolProposal::OpenWave { term, wave, opened })
+    }
+
+    pub fn phase(&self, worker: &str) -> PhaseKind {
+        self.ledger.instance(worker).expect("instance").kind()
+    }
+
+    pub fn set_zone(&mut self, zone: usize, status: ZoneStatus) {
+        self.zones[zone].status = status;
+        self.apply();
+    }
+}
+
+fn zone_of(worker: &str) -> &'static str {
+    if worker.ends_with('1') || worker.ends_with('3') {
+        "a"
+    } else {
+        "b"
+    }
+}
+
+pub fn maintain() -> PoolChange {
+    let purpose = DrainPurpose::Maintenance;
+    PoolChange::Drain { purpose }
+}
+
+pub fn lend(to: &str) -> PoolChange {
+    let purpose = DrainPurpose::Move { to: to.into() };
+    PoolChange::Drain { purpose }
+}
+
+pub fn change_pool(from: &str, to: &str) -> PoolChange {
+    PoolChange::Move {
+        from: from.into(),
+        to: to.into(),
+    }
+}
+
+pub fn appear(boot: BootId) -> PoolChange {
+    PoolChange::Appeared { boot }
+}
