--- a/crates/node/src/hedge.rs
+++ b/crates/node/src/hedge.rs
@@ -10,7 +10,7 @@
 use pw_base::prelude::*;
 
 use crate::links::StoreFault;
-use crate::patience::AnswerPatience;
+use crate::timeout::AppendTimeout;
 
 /// Attempts of one append that may be under way at the same time.
 const MAX_FLYING: usize = 4;
@@ -38,7 +38,7 @@
 /// the usual time of an answer then, and one that is only slow is not thrown away.
 pub async fn append_hedged(
     attempt: impl Fn() -> BoxedLocal<AppendResult>,
-    patience: &AnswerPatience,
+    timeout: &AppendTimeout,
     clock: &Arc<dyn ClockSource>,
 ) -> HedgeOutcome {
     let launch = || FlyingAttempt {
@@ -49,12 +49,12 @@
     let mut in_doubt = false;
     loop {
         let late = async {
-            Timer::after(patience.wait()).await;
+            Timer::after(timeout.wait()).await;
             None
         };
         let answered = async { Some(next_answer(&mut flying).await) };
         let Some((sent, result)) = future::or(answered, late).await else {
-            patience.missed();
+            timeout.missed();
             if flying.len() < MAX_FLYING {
                 flying.push(launch());
             }
@@ -63,7 +63,7 @@
         match result {
             Ok(offset) => {
                 let time = clock.now().saturating_duration_since(sent);
-                patience.answered(time);
+                timeout.answered(time);
                 metrics::histogram!("pw_store_append_seconds").record(time);
                 let result = Ok(offset);
                 return HedgeOutcome { result, in_doubt };
--- a/crates/node/src/journal_duty.rs
+++ b/crates/node/src/journal_duty.rs
@@ -21,8 +21,8 @@
     GroupJoin, JobStore, StoreEntry, StoreFault, StorePart, StoreTopic, StoreWriter,
 };
 use crate::message::{CallerMessage, ControlMessage, JournalMessage, KeeperMessage, ShardTerm};
-use crate::patience::AnswerPatience;
 use crate::settings::NodeSettings;
+use crate::timeout::AppendTimeout;
 
 /// Appends of one shard that may wait for the store.
 const STORE_CAPACITY: usize = 64;
@@ -52,7 +52,7 @@
     links: JournalLinks,
     spawner: TaskSpawner,
     /// Waits for answers to appends.
-    patience: AnswerPatience,
+    timeout: AppendTimeout,
     /// Shards that the node owns or is taking over.
     shards: RefCell<IndexMap<ShardNumber, OwnedShard>>,
     leaving: Cell<bool>,
@@ -76,9 +76,9 @@
     links: JournalLinks,
     spawner: TaskSpawner,
 ) {
-    let patience = settings.append_patience();
+    let timeout = settings.append_timeout();
     let duty = Rc::new(JournalDuty {
-        patience,
+        timeout,
         store,
         settings,
         clock,
@@ -280,7 +280,7 @@
     ) -> Result<LogOffset, StoreFault> {
         let wait = self.settings.append_wait_max;
         let attempt = || self.store.append(part, entries.clone(), writer, wait);
-        append_hedged(attempt, &self.patience, &self.clock)
+        append_hedged(attempt, &self.timeout, &self.clock)
             .await
             .result
     }
--- a/crates/node/src/journal_duty/owned_shard.rs
+++ b/crates/node/src/journal_duty/owned_shard.rs
@@ -14,11 +14,11 @@
 
 use super::{JournalDuty, KEEPER_SHARD, StoreJob, part};
 use crate::claim::ClaimRecord;
-use crate::door::CANCEL_SUFFIX;
 use crate::feed_duty::StoreReach;
 use crate::hedge::append_hedged;
 use crate::links::{StoreEntry, StoreFault, StorePart, StoreTopic, StoreWriter};
 use crate::message::{ControlMessage, KeeperMessage, ShardTerm};
+use crate::service::CANCEL_SUFFIX;
 
 impl JournalDuty {
     /// Takes a shard over, follows it and stores what its controller wants.
@@ -216,7 +216,7 @@
                     self.store
                         .append(images, entries.clone(), Some(writer), wait)
                 };
-                let outcome = append_hedged(attempt, &self.patience, &self.clock).await;
+                let outcome = append_hedged(attempt, &self.timeout, &self.clock).await;
                 in_doubt |= outcome.in_doubt;
                 match outcome.result {
                     Ok(_) => break,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,13 +1,12 @@
 //! Duties of a node that answers callers and owns shards of pools.
 //!
 //! Decisions are made by the [`ShardController`](pw_control::shard::ShardController) on the control
-//! duty and by the [`JobDoor`](door::JobDoor) on the callers duty. The other duties turn their
+//! duty and by the [`JobService`](service::JobService) on the callers duty. The other duties turn their
 //! commands into calls of the traits in [`links`], and answers into events.
 
 pub mod admin_duty;
 pub mod claim;
 pub mod control_duty;
-pub mod door;
 pub mod feed_duty;
 pub mod hedge;
 pub mod journal_duty;
@@ -18,22 +17,23 @@
 pub mod node;
 pub mod order_duty;
 pub mod owners;
-pub mod patience;
 pub mod question;
 pub mod question_duty;
 pub mod quota_duty;
+pub mod service;
 pub mod settings;
+pub mod timeout;
 pub mod writer;
 
 /// The names that most users of this crate need.
 pub mod prelude {
-    pub use crate::door::{Admission, DoorRefusal, JobDoor};
     pub use crate::links::{
         FleetFeed, FrontEnd, GroupJoin, GroupShare, JobStore, MachineGateway, StoreEntry,
         StoreFault, StorePage, StorePart, StoreRead, StoreTopic, StoreWriter, WorkerGateway,
     };
     pub use crate::log_budget::LogBudget;
     pub use crate::node::{JobNode, NodeLinks};
+    pub use crate::service::{Admission, JobService, ServiceRefusal};
     pub use crate::settings::NodeSettings;
     pub use crate::writer::{SubmissionWriter, SubmitOutcome};
 }
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -11,7 +11,7 @@
 use strum::{AsRefStr, Display, EnumIter};
 use thiserror::Error;
 
-use crate::door::JobDoor;
+use crate::service::JobService;
 
 /// Topics that a node keeps in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, AsRefStr, Display, EnumIter)]
@@ -216,7 +216,7 @@
 /// Speaks to callers in their protocol.
 pub trait FrontEnd: Send {
     /// Returns the handler of callers' requests.
-    fn callers(&self, door: JobDoor) -> Rc<dyn HttpHandler>;
+    fn callers(&self, service: JobService) -> Rc<dyn HttpHandler>;
     /// Returns the handler of the balancer's health checks.
-    fn readiness(&self, door: JobDoor) -> Rc<dyn HttpHandler>;
+    fn readiness(&self, service: JobService) -> Rc<dyn HttpHandler>;
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,7 +13,6 @@
 
 use crate::admin_duty;
 use crate::control_duty::{self, ControlLinks};
-use crate::door::JobDoor;
 use crate::feed_duty::{self, FeedLinks};
 use crate::journal_duty::{self, JournalLinks};
 use crate::keeper_duty::{self, KeeperLinks};
@@ -24,6 +23,7 @@
 use crate::owners::ShardAsker;
 use crate::question_duty::{self, question_bounds};
 use crate::quota_duty;
+use crate::service::JobService;
 use crate::settings::NodeSettings;
 use crate::writer::SubmissionWriter;
 
@@ -178,12 +178,12 @@
             let client = H2Client::new(question_bounds(), spawner.clone());
             let asker = ShardAsker::new(control, client);
             let writer = SubmissionWriter::new(own.clone(), Arc::clone(&clock), store);
-            let door = JobDoor::new(own, clock, writer, asker);
+            let service = JobService::new(own, clock, writer, asker);
             let listeners = (callers_listener, ready_listener);
             async move {
                 serve_callers(
                     front,
-                    door,
+                    service,
                     listeners,
                     caller_messages,
                     phase_messages,
@@ -241,20 +241,20 @@
 
 async fn serve_callers(
     front: Box<dyn FrontEnd>,
-    door: JobDoor,
+    service: JobService,
     (callers, readiness): (TcpListener, TcpListener),
     messages: RingReceiver<CallerMessage>,
     phases: RingReceiver<ServePhase>,
     spawner: TaskSpawner,
 ) {
-    let ready = front.readiness(door.clone());
+    let ready = front.readiness(service.clone());
     let ready_spawner = spawner.clone();
     spawner.spawn(async move {
         if let Err(error) = serve_http(readiness, ready_spawner, ready).await {
             tracing::error!(event = EventCode::CallerFailed.number(), %error, "listener failed");
         }
     });
-    let listening = door.clone();
+    let listening = service.clone();
     spawner.spawn(async move {
         while let Some(message) = messages.recv().await {
             listening.hear(message);
@@ -263,7 +263,7 @@
     let server = HttpServer {
         listener: callers,
         spawner,
-        handler: front.callers(door),
+        handler: front.callers(service),
         bounds: ServerBounds::default(),
     };
     if let Err(error) = server.serve(phases).await {
--- a/crates/node/src/door.rs
+++ b/crates/node/src/service.rs
@@ -21,11 +21,11 @@
 
 /// The way in for callers; clones share the same state.
 #[derive(Clone)]
-pub struct JobDoor {
-    shared: Rc<DoorState>,
+pub struct JobService {
+    shared: Rc<ServiceState>,
 }
 
-struct DoorState {
+struct ServiceState {
     settings: NodeSettings,
     clock: Arc<dyn ClockSource>,
     writer: SubmissionWriter,
@@ -57,7 +57,7 @@
 /// Why a request is not admitted, or has no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, AsRefStr, Display)]
 #[strum(serialize_all = "kebab-case")]
-pub enum DoorRefusal {
+pub enum ServiceRefusal {
     /// The node has no configuration yet.
     NoConfig,
     /// No queue belongs to the host and path.
@@ -72,8 +72,8 @@
     UnknownJob,
 }
 
-impl JobDoor {
-    /// Creates the door of a node.
+impl JobService {
+    /// Creates the service of a node.
     pub fn new(
         settings: NodeSettings,
         clock: Arc<dyn ClockSource>,
@@ -81,7 +81,7 @@
         asker: ShardAsker,
     ) -> Self {
         Self {
-            shared: Rc::new(DoorState {
+            shared: Rc::new(ServiceState {
                 settings,
                 clock,
                 writer,
@@ -136,22 +136,22 @@
         host: &str,
         path: &str,
         key: Option<&str>,
-    ) -> Result<Admission, DoorRefusal> {
+    ) -> Result<Admission, ServiceRefusal> {
         let state = &self.shared;
-        let asked = state.asked.get().ok_or(DoorRefusal::NoConfig)?;
+        let asked = state.asked.get().ok_or(ServiceRefusal::NoConfig)?;
         let config = state.config.borrow();
-        let config = config.as_ref().ok_or(DoorRefusal::NoConfig)?;
+        let config = config.as_ref().ok_or(ServiceRefusal::NoConfig)?;
         let found = config.find_queue(host, path);
-        let (queue, rule, rest) = found.ok_or(DoorRefusal::NoQueue)?;
+        let (queue, rule, rest) = found.ok_or(ServiceRefusal::NoQueue)?;
         let account = if rule.public {
             None
         } else {
             let age = state.clock.now().saturating_duration_since(asked);
             if age > state.settings.key_age_max {
-                return Err(DoorRefusal::StaleConfig);
+                return Err(ServiceRefusal::StaleConfig);
             }
             let account = key.and_then(|key| config.account_of(key));
-            Some(account.ok_or(DoorRefusal::NoKey)?.clone())
+            Some(account.ok_or(ServiceRefusal::NoKey)?.clone())
         };
         Ok(Admission {
             queue: queue.clone(),
@@ -187,14 +187,14 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`DoorRefusal::UnknownJob`] when there is no such job.
+    /// Fails with [`ServiceRefusal::UnknownJob`] when there is no such job.
     pub async fn cancel(
         &self,
         admission: &Admission,
         job: &JobId,
-    ) -> Result<SubmitOutcome, DoorRefusal> {
+    ) -> Result<SubmitOutcome, ServiceRefusal> {
         match self.status(admission, job).await {
-            Err(DoorRefusal::UnknownJob) => return Err(DoorRefusal::UnknownJob),
+            Err(ServiceRefusal::UnknownJob) => return Err(ServiceRefusal::UnknownJob),
             Ok(JobStatus::Cancelled | JobStatus::Completed | JobStatus::Failed) => {
                 return Ok(SubmitOutcome::Stored);
             }
@@ -213,7 +213,7 @@
         &self,
         admission: &Admission,
         job: &JobId,
-    ) -> Result<JobStatus, DoorRefusal> {
+    ) -> Result<JobStatus, ServiceRefusal> {
         let question = NodeQuestion::Status {
             shard: self.shard(admission),
             job: job.clone(),
@@ -221,8 +221,8 @@
         };
         match self.shared.asker.ask(question).await {
             Some(NodeAnswer::Status(status)) => Ok(status),
-            Some(NodeAnswer::UnknownJob) => Err(DoorRefusal::UnknownJob),
-            _ => Err(DoorRefusal::NoOwner),
+            Some(NodeAnswer::UnknownJob) => Err(ServiceRefusal::UnknownJob),
+            _ => Err(ServiceRefusal::NoOwner),
         }
     }
 
@@ -231,14 +231,14 @@
     /// # Errors
     ///
     /// Fails when the owner can't be asked.
-    pub async fn pending(&self, admission: &Admission) -> Result<u64, DoorRefusal> {
+    pub async fn pending(&self, admission: &Admission) -> Result<u64, ServiceRefusal> {
         let question = NodeQuestion::Pending {
             shard: self.shard(admission),
             queue: admission.queue.clone(),
         };
         match self.shared.asker.ask(question).await {
             Some(NodeAnswer::Pending(pending)) => Ok(pending),
-            _ => Err(DoorRefusal::NoOwner),
+            _ => Err(ServiceRefusal::NoOwner),
         }
     }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -5,7 +5,7 @@
 
 use pw_control::prelude::*;
 
-use crate::patience::AnswerPatience;
+use crate::timeout::AppendTimeout;
 
 /// Settings of a [`JobNode`](crate::node::JobNode).
 #[derive(Debug, Clone, PartialEq)]
@@ -91,8 +91,8 @@
 }
 
 impl NodeSettings {
-    /// Returns a patience for answers to appends that knows nothing yet.
-    pub fn append_patience(&self) -> AnswerPatience {
-        AnswerPatience::new(self.append_wait_min, self.append_wait_max)
+    /// Returns a timeout for answers to appends that knows nothing yet.
+    pub fn append_timeout(&self) -> AppendTimeout {
+        AppendTimeout::new(self.append_wait_min, self.append_wait_max)
     }
 }
--- a/crates/node/src/patience.rs
+++ b/crates/node/src/timeout.rs
@@ -16,21 +16,21 @@
 /// Where the store is slow, a short wait would repeat each append in vain; so the wait doubles with
 /// each answer that does not come in time.
 #[derive(Debug)]
-pub struct AnswerPatience {
+pub struct AppendTimeout {
     shortest: Duration,
     longest: Duration,
-    state: RefCell<PatienceState>,
+    state: RefCell<TimeoutState>,
 }
 
 #[derive(Debug, Default)]
-struct PatienceState {
+struct TimeoutState {
     times: VecDeque<Duration>,
     /// Answers in a row that did not come in time.
     missed: u32,
 }
 
-impl AnswerPatience {
-    /// Creates a patience between two bounds.
+impl AppendTimeout {
+    /// Creates a timeout between two bounds.
     pub fn new(shortest: Duration, longest: Duration) -> Self {
         Self {
             shortest,
--- a/crates/node/src/writer.rs
+++ b/crates/node/src/writer.rs
@@ -10,8 +10,8 @@
 
 use crate::hedge::{HedgeOutcome, append_hedged};
 use crate::links::{JobStore, StoreEntry, StoreFault, StorePart, StoreTopic};
-use crate::patience::AnswerPatience;
 use crate::settings::NodeSettings;
+use crate::timeout::AppendTimeout;
 
 /// What became of a submission or a cancellation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, AsRefStr, Display)]
@@ -31,7 +31,7 @@
     settings: NodeSettings,
     clock: Arc<dyn ClockSource>,
     store: Rc<dyn JobStore>,
-    patience: Rc<AnswerPatience>,
+    timeout: Rc<AppendTimeout>,
 }
 
 impl SubmissionWriter {
@@ -41,12 +41,12 @@
         clock: Arc<dyn ClockSource>,
         store: Box<dyn JobStore>,
     ) -> Self {
-        let patience = Rc::new(settings.append_patience());
+        let timeout = Rc::new(settings.append_timeout());
         Self {
             settings,
             clock,
             store: Rc::from(store),
-            patience,
+            timeout,
         }
     }
 
@@ -60,7 +60,7 @@
         // The record is the same each time, so that a repeated append does no harm.
         let wait = self.settings.append_wait_max;
         let attempt = || self.store.append(part, vec![entry.clone()], None, wait);
-        let append = append_hedged(attempt, &self.patience, &self.clock);
+        let append = append_hedged(attempt, &self.timeout, &self.clock);
         let late = async {
             Timer::after(self.settings.submit_timeout).await;
             HedgeOutcome {
--- a/crates/node/tests/hedge.rs
+++ b/crates/node/tests/hedge.rs
@@ -10,10 +10,10 @@
 use pw_base::prelude::*;
 use pw_node::hedge::{AppendResult, append_hedged};
 use pw_node::links::StoreFault;
-use pw_node::patience::AnswerPatience;
+use pw_node::timeout::AppendTimeout;
 
-fn patience() -> AnswerPatience {
-    AnswerPatience::new(Duration::from_millis(20), Duration::from_millis(200))
+fn timeout() -> AppendTimeout {
+    AppendTimeout::new(Duration::from_millis(20), Duration::from_millis(200))
 }
 
 /// Runs an append whose attempts behave as `behave` says of each by its number; returns the outcome
@@ -26,8 +26,8 @@
         sent.set(number + 1);
         behave(number)
     };
-    let patience = patience();
-    let outcome = future::block_on(append_hedged(attempt, &patience, &clock));
+    let timeout = timeout();
+    let outcome = future::block_on(append_hedged(attempt, &timeout, &clock));
     (outcome.result, outcome.in_doubt, sent.get())
 }
 
--- a/crates/node/tests/patience.rs
+++ b/crates/node/tests/timeout.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pw_node::patience::AnswerPatience;
+use pw_node::timeout::AppendTimeout;
 
 const SHORTEST: Duration = Duration::from_millis(150);
 const LONGEST: Duration = Duration::from_millis(1500);
@@ -13,22 +13,22 @@
 
 #[test]
 fn a_quick_store_is_not_waited_for_long() {
-    let patience = AnswerPatience::new(SHORTEST, LONGEST);
+    let timeout = AppendTimeout::new(SHORTEST, LONGEST);
     for _ in 0..30 {
-        patience.answered(millis(6));
+        timeout.answered(millis(6));
     }
-    assert_eq!(patience.wait(), SHORTEST);
+    assert_eq!(timeout.wait(), SHORTEST);
 }
 
 /// Half of the answers are lost; each append needs two tries, and each lost try costs the wait.
 #[test]
 fn lost_answers_of_a_quick_store_hold_up_little() {
-    let patience = AnswerPatience::new(SHORTEST, LONGEST);
+    let timeout = AppendTimeout::new(SHORTEST, LONGEST);
     let mut waited = Duration::ZERO;
     for _ in 0..10 {
-        waited += patience.wait();
-        patience.missed();
-        patience.answered(millis(6));
+        waited += timeout.wait();
+        timeout.missed();
+        timeout.answered(millis(6));
     }
     assert!(waited <= 10 * SHORTEST, "{waited:?} for ten appends");
 }
@@ -36,24 +36,24 @@
 /// Answers take 400 ms; after the first appends none is repeated any more.
 #[test]
 fn a_slow_store_is_waited_for() {
-    let patience = AnswerPatience::new(SHORTEST, LONGEST);
+    let timeout = AppendTimeout::new(SHORTEST, LONGEST);
     let answer = millis(400);
     let mut repeated = 0;
     for _ in 0..20 {
-        while patience.wait() < answer {
-            patience.missed();
+        while timeout.wait() < answer {
+            timeout.missed();
             repeated += 1;
         }
-        patience.answered(answer);
+        timeout.answered(answer);
     }
     assert!(repeated <= 3, "{repeated} appends were repeated in vain");
 }
 
 #[test]
 fn a_silent_store_is_asked_at_the_longest_wait() {
-    let patience = AnswerPatience::new(SHORTEST, LONGEST);
+    let timeout = AppendTimeout::new(SHORTEST, LONGEST);
     for _ in 0..100 {
-        patience.missed();
+        timeout.missed();
     }
-    assert_eq!(patience.wait(), LONGEST);
+    assert_eq!(timeout.wait(), LONGEST);
 }
