End the wait for workers whose machines the platform lists as down

Cause: a run on a worker that went dark waited until the last lease could be over, 10 s at the Guild. The list of machines shows the machines as down within half a second.

Change: the owner of a shard names the lives of the workers that may run something and can't be asked; the keeper reads the list of machines after that, each 250 ms, and tells the owner which of these lives are over. A list that was asked for before a life was named ends nothing, so a life that began since goes on. Machines listed as down get no starts. An owner that was cut off checks its ownership once a second instead of once for each refusal (hundreds of reads queued on lahore-1 when its cut healed).

--- a/crates/capacity/src/jobs.rs
+++ b/crates/capacity/src/jobs.rs
@@ -165,11 +165,7 @@
         let entries = (0..workers).map(worker_entry).collect();
         let lives = Arc::default();
         bench.tell(ShardEvent::Workers { entries, lives });
-        let (none, taken) = (Vec::new(), Vec::new());
-        bench.tell(ShardEvent::Vacate {
-            workers: none,
-            taken,
-        });
+        bench.tell(ShardEvent::Surveyed(SurveyOrder::default()));
         for number in 0..workers {
             bench.submit(&format!("lasting-{number}"), true);
         }
--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -4,6 +4,7 @@
 //! starts nothing on it any more and moves what lasts, within the availability budgets. Only then
 //! is it ordered down.
 
+mod lives;
 mod message;
 mod moves;
 mod waves;
@@ -19,7 +20,8 @@
     MachineView, WaveProgress,
 };
 use crate::config::{FleetConfig, find_shard};
-use crate::message::PoolLoad;
+use crate::keeper::lives::LifeWatch;
+use crate::message::{PoolLoad, SurveyOrder};
 use crate::sizing::{PoolSizes, SizingSettings};
 
 /// Settings of a [`FleetKeeper`].
@@ -31,6 +33,9 @@
     pub survey_gap: Duration,
     /// Time between two readings of the machines while something is under way.
     pub list_gap: Duration,
+    /// Time between two readings of the machines while a worker that may run something can't be
+    /// asked.
+    pub silent_list_gap: Duration,
     /// Time between two readings of the machines otherwise.
     pub idle_list_gap: Duration,
     /// Age from which the answer to a survey allows no order: vacated workers are free again soon
@@ -69,6 +74,8 @@
     /// Machines that did not move when they were to, and until when they are let be.
     avoided: IndexMap<MachineId, Instant>,
     surveys: IndexMap<ShardNumber, Instant>,
+    /// Workers that can't be asked.
+    lives: LifeWatch,
     list_due: Instant,
     commands: Vec<KeeperCommand>,
 }
@@ -109,6 +116,7 @@
             shards: 24,
             survey_gap: Duration::from_millis(120),
             list_gap: Duration::from_millis(500),
+            silent_list_gap: Duration::from_millis(250),
             idle_list_gap: Duration::from_secs(2),
             survey_age_max: Duration::from_millis(500),
             pool_part: 0.25,
@@ -141,6 +149,7 @@
             logged: IndexMap::new(),
             avoided: IndexMap::new(),
             surveys: IndexMap::new(),
+            lives: LifeWatch::default(),
             list_due: now,
             commands: Vec::new(),
         }
@@ -164,18 +173,25 @@
     pub fn handle(&mut self, now: Instant, event: KeeperEvent) -> Vec<KeeperCommand> {
         match event {
             KeeperEvent::Config(config) => self.config = config,
-            KeeperEvent::Machines(machines) => self.take_machines(machines, now),
+            KeeperEvent::Machines { machines, asked } => {
+                self.take_machines(machines, now);
+                self.lives.note_list(asked);
+            }
             KeeperEvent::Surveyed {
-                pools,
-                clear,
+                shard,
+                report,
                 asked,
             } => {
-                for load in pools {
+                for load in report.pools {
                     self.sizes.observe(&load, now);
                     self.loads.insert(load.pool.clone(), load);
                 }
                 if now < asked + self.settings.survey_age_max {
-                    self.order_clear(&clear, now);
+                    self.order_clear(&report.clear, now);
+                }
+                self.lives.note_silent(shard, report.silent, now);
+                if self.lives.any_silent() {
+                    self.list_due = self.list_due.min(now + self.settings.silent_list_gap);
                 }
             }
             KeeperEvent::Ordered { order, outcome } => self.take_outcome(&order, outcome, now),
@@ -186,18 +202,24 @@
         self.repeat_orders(now);
         self.send_surveys(now);
         if now >= self.list_due {
-            let busy = !self.tasks.is_empty() || self.open_waves().next().is_some();
-            let gap = if busy {
-                self.settings.list_gap
-            } else {
-                self.settings.idle_list_gap
-            };
-            self.list_due = now + gap;
+            self.list_due = now + self.list_gap();
             self.commands.push(KeeperCommand::List);
         }
         std::mem::take(&mut self.commands)
     }
 
+    /// Returns the time to the next reading of the machines.
+    fn list_gap(&self) -> Duration {
+        let settings = &self.settings;
+        if self.lives.any_silent() {
+            settings.silent_list_gap
+        } else if !self.tasks.is_empty() || self.open_waves().next().is_some() {
+            settings.list_gap
+        } else {
+            settings.idle_list_gap
+        }
+    }
+
     fn take_machines(&mut self, machines: Vec<MachineView>, now: Instant) {
         let named = machines
             .into_iter()
@@ -325,24 +347,30 @@
                 continue;
             }
             self.surveys.insert(shard, now);
-            let in_shard = self.tasks.values();
-            let in_shard = in_shard.filter(|task| find_shard(&task.pool, shards) == shard);
-            let mut vacate = Vec::new();
-            let mut taken = Vec::new();
-            for task in in_shard {
-                let Some(worker) = &task.worker else {
-                    continue;
-                };
-                vacate.push(worker.clone());
-                if !matches!(task.phase, TaskStage::Vacating { .. }) {
-                    taken.push(worker.clone());
-                }
+            let order = self.survey_order(shard);
+            self.commands.push(KeeperCommand::Survey(shard, order));
+        }
+    }
+
+    fn survey_order(&self, shard: ShardNumber) -> SurveyOrder {
+        let in_shard = |pool: &PoolId| find_shard(pool, self.settings.shards) == shard;
+        let mut order = SurveyOrder {
+            ended: self.lives.ended(shard, &self.machines),
+            ..Default::default()
+        };
+        for task in self.tasks.values().filter(|task| in_shard(&task.pool)) {
+            let Some(worker) = &task.worker else {
+                continue;
+            };
+            order.vacate.push(worker.clone());
+            if !matches!(task.phase, TaskStage::Vacating { .. }) {
+                order.taken.push(worker.clone());
             }
-            self.commands.push(KeeperCommand::Survey {
-                shard,
-                vacate,
-                taken,
-            });
         }
+        let down = self.machines.values().filter(|view| {
+            view.state == MachineState::Down && !self.is_spare(&view.pool) && in_shard(&view.pool)
+        });
+        order.down = down.map(|view| view.machine.clone()).collect();
+        order
     }
 }
--- a/crates/control/src/keeper/message.rs
+++ b/crates/control/src/keeper/message.rs
@@ -9,7 +9,7 @@
 use strum::{AsRefStr, Display, EnumString};
 
 use crate::config::FleetConfig;
-use crate::message::PoolLoad;
+use crate::message::{SurveyOrder, SurveyReport};
 
 /// State of a machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, AsRefStr, Display, EnumString)]
@@ -95,13 +95,18 @@
     /// A configuration is in force.
     Config(Arc<FleetConfig>),
     /// All machines, as the platform lists them.
-    Machines(Vec<MachineView>),
+    Machines {
+        /// The machines.
+        machines: Vec<MachineView>,
+        /// When the list was asked for.
+        asked: Instant,
+    },
     /// The owner of a shard answered a survey.
     Surveyed {
-        /// Work of the shard's pools.
-        pools: Vec<PoolLoad>,
-        /// Workers to be vacated that run nothing and take no starts.
-        clear: Vec<WorkerId>,
+        /// The shard.
+        shard: ShardNumber,
+        /// The answer.
+        report: SurveyReport,
         /// When it was asked.
         asked: Instant,
     },
@@ -119,15 +124,8 @@
 /// What the keeper wants done.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum KeeperCommand {
-    /// Ask the owner of a shard for the work of its pools, and have workers vacated.
-    Survey {
-        /// The shard.
-        shard: ShardNumber,
-        /// Workers to be vacated; no others of the shard are.
-        vacate: Vec<WorkerId>,
-        /// Those of them whose machines were ordered away.
-        taken: Vec<WorkerId>,
-    },
+    /// Ask the owner of a shard for the work of its pools, and tell it what it has to know.
+    Survey(ShardNumber, SurveyOrder),
     /// Read the list of machines.
     List,
     /// Give an order.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -27,8 +27,8 @@
     };
     pub use crate::message::{
         AdviceOrder, AdviceReport, CallFault, EndView, JobAnswer, LookOrder, LookReport, PaceOrder,
-        PoolLoad, QuestionScope, RunView, ShardCommand, ShardEvent, ShardImage, StartOrder,
-        StartOutcome, StopOrder, StoreRecord,
+        PoolLoad, QuestionScope, RunView, ShardCommand, ShardEvent, ShardImage, SilentWorker,
+        StartOrder, StartOutcome, StopOrder, StoreRecord, SurveyOrder, SurveyReport, WorkerLife,
     };
     pub use crate::order::{JobUrgency, terms_of};
     pub use crate::place::{Candidate, PackPlacement, PlacementPolicy, PlacementRequest};
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -69,14 +69,8 @@
         /// The answer.
         result: Result<AdviceReport, CallFault>,
     },
-    /// These workers, and no others, are to be left by their runs.
-    Vacate {
-        /// The workers.
-        workers: Vec<WorkerId>,
-        /// Those of them whose machines were ordered away; what is still shown there is gone or will
-        /// be.
-        taken: Vec<WorkerId>,
-    },
+    /// The keeper of machines asks.
+    Surveyed(SurveyOrder),
     /// Time has passed.
     Tick,
 }
@@ -319,6 +313,49 @@
     Unanswered,
 }
 
+/// What the keeper of machines tells the owner of a shard when it asks for its work.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SurveyOrder {
+    /// Workers that are to be left by their runs; no others are.
+    pub vacate: Vec<WorkerId>,
+    /// Those of them whose machines were ordered away; what is still shown there is gone or will be.
+    pub taken: Vec<WorkerId>,
+    /// Machines that the platform lists as down.
+    pub down: Vec<MachineId>,
+    /// Lives that are over: the owner named them, and a list of machines that was read after that
+    /// shows that they don't run any more.
+    pub ended: Vec<WorkerLife>,
+}
+
+/// What the owner of a shard answers the keeper of machines.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct SurveyReport {
+    /// Work of each pool.
+    pub pools: Vec<PoolLoad>,
+    /// Workers to be vacated that run nothing and take no starts.
+    pub clear: Vec<WorkerId>,
+    /// Workers that may run something and can't be asked.
+    pub silent: Vec<SilentWorker>,
+}
+
+/// One life of a worker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerLife {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Start of the life.
+    pub life: LifeStart,
+}
+
+/// A worker that may run something and can't be asked.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SilentWorker {
+    /// The machine on which the life began.
+    pub machine: MachineId,
+    /// The life that the owner knows.
+    pub life: WorkerLife,
+}
+
 /// How much work a pool has.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct PoolLoad {
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -5,7 +5,9 @@
 /// Settings of a [`ShardController`](crate::shard::ShardController).
 #[derive(Debug, Clone, PartialEq)]
 pub struct ControlSettings {
-    /// Longest lease that workers grant; the platform's bound.
+    /// Lease that workers are asked for; the platform bounds it. It outlasts the loss of an owner: a
+    /// look's wait, the time until the next owner is named and its first look make 5.5 s. Longer
+    /// leases let the tasks of a worker that is cut off wait longer.
     pub lease: Duration,
     /// How much slower than the owner's a worker's clock may run, as a part of 1; the platform's
     /// bound.
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -33,6 +33,10 @@
 /// Time between two passes over a shard in which nothing happens.
 const IDLE_TICK: Duration = Duration::from_millis(500);
 
+/// Shortest time between two checks of the ownership: all workers of a pool refuse an earlier owner
+/// at about the same time, and a check is a call of the store.
+const CONTEST_GAP: Duration = Duration::from_secs(1);
+
 /// Position of a task in its job.
 type TaskPlace = (OccurrenceNumber, u32, u32);
 
@@ -70,6 +74,8 @@
     /// Tasks of each pool that found no worker although there is room.
     blocked: IndexMap<PoolId, u32>,
     commands: Vec<ShardCommand>,
+    /// When the journal was last told that a later owner may be there.
+    contested_at: Option<Instant>,
 }
 
 /// A job and what is known of it.
@@ -133,6 +139,7 @@
             advice: HashMap::new(),
             blocked: IndexMap::new(),
             commands: Vec::new(),
+            contested_at: None,
         };
         controller.load(image, now, wall);
         controller.hear_waves(wall);
@@ -177,7 +184,7 @@
             ShardEvent::Started { order, outcome } => self.take_start(&order, outcome, now),
             ShardEvent::Stopped { order, result } => self.take_stop(&order, result, now),
             ShardEvent::Advised { order, result } => self.take_advice(&order, result, now),
-            ShardEvent::Vacate { workers, taken } => self.vacate(&workers, &taken, now),
+            ShardEvent::Surveyed(order) => self.take_survey(&order, now),
             ShardEvent::Paced { .. } | ShardEvent::Tick => {}
         }
         self.advance(now, wall);
@@ -196,6 +203,14 @@
         due.fold(self.idle_tick, Instant::min)
     }
 
+    /// Has the ownership checked, as a worker has heard of a later owner.
+    fn contest(&mut self, now: Instant) {
+        if self.contested_at.is_none_or(|at| now >= at + CONTEST_GAP) {
+            self.contested_at = Some(now);
+            self.commands.push(ShardCommand::Contested);
+        }
+    }
+
     fn hear_waves(&mut self, wall: SystemTime) {
         for wave in self.config.waves.keys() {
             self.waves_heard.entry(*wave).or_insert(wall);
--- a/crates/control/src/shard/looking.rs
+++ b/crates/control/src/shard/looking.rs
@@ -105,7 +105,7 @@
         worker.look_due = now + self.settings.look_gap;
         match result {
             Ok(report) => self.take_report(order, report, now),
-            Err(CallFault::Fenced) => self.commands.push(ShardCommand::Contested),
+            Err(CallFault::Fenced) => self.contest(now),
             Err(CallFault::OtherLife) => self.lose_life(&order.worker, now),
             Err(fault) => {
                 worker.misses += 1;
--- a/crates/control/src/shard/starting.rs
+++ b/crates/control/src/shard/starting.rs
@@ -83,7 +83,7 @@
             StartOutcome::Fenced => {
                 run.phase = RunPhase::Unanswered;
                 run.since = now;
-                self.commands.push(ShardCommand::Contested);
+                self.contest(now);
             }
             StartOutcome::Superseded => {
                 // The worker bars the run for ever; a look tells how it ended, if it ran.
@@ -186,7 +186,7 @@
                 }
             }
             Err(CallFault::OtherLife) => self.lose_life(&order.worker, now),
-            Err(CallFault::Fenced) => self.commands.push(ShardCommand::Contested),
+            Err(CallFault::Fenced) => self.contest(now),
             // Sent again by `send_stops`.
             Err(_) => {}
         }
--- a/crates/control/src/shard/vacating.rs
+++ b/crates/control/src/shard/vacating.rs
@@ -1,4 +1,5 @@
-//! Moves runs off workers whose machines are to be taken.
+//! What the keeper of machines asks and tells: workers whose machines are to be taken are left by
+//! their runs, and lives that ended with their machines are given up.
 
 use std::time::{Duration, Instant};
 
@@ -8,7 +9,7 @@
 use pw_worker::prelude::*;
 
 use super::ShardController;
-use crate::message::PoolLoad;
+use crate::message::{PoolLoad, SilentWorker, SurveyOrder, SurveyReport, WorkerLife};
 use crate::worker::{RunPhase, WorkerRecord};
 
 /// How long a worker stays vacated after it was asked for last.
@@ -26,8 +27,53 @@
 const AT_WORK: u8 = 100;
 
 impl ShardController {
+    /// Takes what the keeper of machines tells.
+    pub(super) fn take_survey(&mut self, order: &SurveyOrder, now: Instant) {
+        self.vacate(&order.vacate, &order.taken, now);
+        for worker in self.workers.values_mut() {
+            let machine = worker.entry.machine.as_ref();
+            worker.down = machine.is_some_and(|machine| order.down.contains(machine));
+        }
+        for WorkerLife { worker, life } in &order.ended {
+            let known = self.workers.get(worker).and_then(|worker| worker.life);
+            if known == Some(*life) {
+                self.lose_life(worker, now);
+            }
+        }
+    }
+
+    /// Returns what the keeper of machines is answered.
+    pub fn survey_report(&self, now: Instant) -> SurveyReport {
+        SurveyReport {
+            pools: self.pool_loads(now),
+            clear: self.clear_workers(now),
+            silent: self.silent_workers(),
+        }
+    }
+
+    /// Returns the workers that may run something and can't be asked, with the lives that are known.
+    ///
+    /// A list of machines that is read after this answer shows whether such a life is over, long
+    /// before its leases are.
+    fn silent_workers(&self) -> Vec<SilentWorker> {
+        let silent = self.workers.iter().filter(|(_, worker)| {
+            let unheard = worker.misses > 0 || worker.down || !worker.synced;
+            unheard && !worker.runs.is_empty()
+        });
+        let named = silent.filter_map(|(id, worker)| {
+            Some(SilentWorker {
+                machine: worker.entry.machine.clone()?,
+                life: WorkerLife {
+                    worker: id.clone(),
+                    life: worker.life?,
+                },
+            })
+        });
+        named.collect()
+    }
+
     /// Sets the workers that are to be left by their runs.
-    pub(super) fn vacate(&mut self, workers: &[WorkerId], taken: &[WorkerId], now: Instant) {
+    fn vacate(&mut self, workers: &[WorkerId], taken: &[WorkerId], now: Instant) {
         self.changed |= self.unasked_since.take().is_some();
         for (id, worker) in &mut self.workers {
             worker.taken = taken.contains(id);
@@ -52,7 +98,7 @@
     }
 
     /// Returns the workers to be vacated that run nothing and get nothing.
-    pub fn clear_workers(&self, now: Instant) -> Vec<WorkerId> {
+    fn clear_workers(&self, now: Instant) -> Vec<WorkerId> {
         let vacated = self.workers.iter().filter(|(_, w)| w.is_vacated(now));
         let clear = vacated.filter(|(_, worker)| worker.runs.is_empty());
         clear.map(|(id, _)| id.clone()).collect()
@@ -136,7 +182,7 @@
     }
 
     /// Returns how much work each pool of the shard has.
-    pub fn pool_loads(&self, now: Instant) -> Vec<PoolLoad> {
+    fn pool_loads(&self, now: Instant) -> Vec<PoolLoad> {
         let pools: IndexSet<&PoolId> = self.workers.values().map(|w| &w.entry.pool).collect();
         let loads = pools.into_iter().map(|pool| {
             let of_pool = |worker: &&WorkerRecord| worker.entry.pool == *pool;
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -174,6 +174,8 @@
     pub vacated_until: Option<Instant>,
     /// Its machine was ordered away.
     pub taken: bool,
+    /// The platform lists its machine as down.
+    pub down: bool,
     /// When it was first to be vacated.
     pub vacated_since: Option<Instant>,
     /// Ends that have been applied.
@@ -207,6 +209,7 @@
             inherited_lapse: now,
             vacated_until: None,
             taken: false,
+            down: false,
             vacated_since: None,
             noted: 0,
             stored: 0,
@@ -277,6 +280,7 @@
         self.listed
             && self.synced
             && self.misses == 0
+            && !self.down
             && self.entry.phase == WorkerPhase::Ready
             && now >= self.paused_until
             && !self.is_vacated(now)
--- a/crates/control/tests/keeper.rs
+++ b/crates/control/tests/keeper.rs
@@ -28,6 +28,10 @@
     reports: Vec<(WaveNumber, bool)>,
     contested: usize,
     lives: u32,
+    /// Workers that the owners can't ask.
+    silent: Vec<SilentWorker>,
+    /// Lives that an owner was last told are over.
+    ended: Vec<WorkerLife>,
     /// Cores that run and wait in each pool.
     work: IndexMap<PoolId, (u32, u32)>,
 }
@@ -66,6 +70,8 @@
             reports: Vec::new(),
             contested: 0,
             lives: 0,
+            silent: Vec::new(),
+            ended: Vec::new(),
             work: IndexMap::new(),
         }
     }
@@ -91,15 +97,24 @@
     fn perform(&mut self, command: KeeperCommand) -> Option<KeeperEvent> {
         match command {
             KeeperCommand::List => {
-                return Some(KeeperEvent::Machines(
-                    self.views.values().cloned().collect(),
-                ));
+                return Some(KeeperEvent::Machines {
+                    machines: self.views.values().cloned().collect(),
+                    asked: self.now,
+                });
             }
-            KeeperCommand::Survey { shard, vacate, .. } => {
-                let clear = if self.clear { vacate } else { Vec::new() };
-                return Some(KeeperEvent::Surveyed {
+            KeeperCommand::Survey(shard, order) => {
+                let shards = KeeperSettings::default().shards;
+                let own = shard == find_shard("pool", shards);
+                let clear = if self.clear { order.vacate } else { Vec::new() };
+                let report = SurveyReport {
                     pools: self.loads(shard),
                     clear,
+                    silent: if own { self.silent.clone() } else { Vec::new() },
+                };
+                self.ended = order.ended;
+                return Some(KeeperEvent::Surveyed {
+                    shard,
+                    report,
                     asked: self.now,
                 });
             }
@@ -251,6 +266,45 @@
     platform
 }
 
+/// Makes the worker of machine `m0` one that its owner can't ask.
+fn silent_first(platform: &mut Platform) {
+    platform.run(Duration::from_secs(1));
+    platform.silent = vec![SilentWorker {
+        machine: "m0".into(),
+        life: WorkerLife {
+            worker: "w0".into(),
+            life: 7,
+        },
+    }];
+}
+
+#[test]
+fn the_life_of_a_silent_worker_is_over_when_its_machine_is_listed_as_down() {
+    let mut platform = Platform::new(4, WaveRule::default());
+    silent_first(&mut platform);
+    platform.run(Duration::from_secs(1));
+    assert!(platform.ended.is_empty(), "the machine is up");
+    platform.views["m0"].state = MachineState::Down;
+    platform.views["m0"].worker = None;
+    platform.run(Duration::from_millis(500));
+    assert_eq!(platform.ended, [platform.silent[0].life.clone()]);
+}
+
+/// The machine came back between the reading of the list and the answer of the owner.
+#[test]
+fn a_list_from_before_the_life_was_named_ends_nothing() {
+    let mut platform = Platform::new(4, WaveRule::default());
+    platform.views["m0"].state = MachineState::Down;
+    platform.views["m0"].worker = None;
+    silent_first(&mut platform);
+    platform.views["m0"].state = MachineState::Up;
+    platform.views["m0"].worker = Some("w0".into());
+    platform.run(Duration::from_millis(150));
+    assert!(platform.ended.is_empty(), "an old list ended a life");
+    platform.run(Duration::from_secs(1));
+    assert!(platform.ended.is_empty());
+}
+
 /// One pool is in its surge and the other one in its lull.
 #[test]
 fn machines_go_from_a_lull_to_a_surge_and_the_rest_to_the_spare_pool() {
--- a/crates/control/tests/shard.rs
+++ b/crates/control/tests/shard.rs
@@ -128,6 +128,52 @@
     );
 }
 
+/// A rack goes dark in a surge: its machines are listed as down long before the leases are over.
+#[test]
+fn a_life_that_ended_with_its_machine_is_not_waited_for() {
+    let mut world = lasting_world(2);
+    let holder = world.starts[0][0].0.clone();
+    world.workers[&holder].dead = true;
+    world.run(seconds(3));
+    assert_eq!(world.start_count("job.0.0.0"), 1);
+    world.ended = world.silent_lives();
+    assert_eq!(world.ended.len(), 1);
+    assert!(world.run_until(millis(500), |world| world.start_count("job.0.0.0") == 2));
+}
+
+#[test]
+fn a_later_life_goes_on_when_the_one_before_is_told_to_be_over() {
+    let mut world = lasting_world(1);
+    let holder = world.starts[0][0].0.clone();
+    world.workers[&holder].dead = true;
+    world.run(seconds(3));
+    let ended = world.silent_lives();
+    world.workers.clear();
+    world.add_worker("w0", "m0");
+    assert!(world.run_until(seconds(3), |world| world.running("job.0.0.0") == 1));
+    world.ended = ended;
+    world.run(seconds(2));
+    assert_eq!(world.running("job.0.0.0"), 1);
+    assert_eq!(world.start_count("job.0.0.0"), 2);
+}
+
+/// All workers of a pool refuse the orders of an owner that was cut off.
+#[test]
+fn refusals_for_a_later_owner_are_checked_once() {
+    let mut world = World::new(20);
+    world.submit("job", None, vec![lasting(20)]);
+    assert!(world.run_until(seconds(2), |world| world.running("job.0.0.19") == 1));
+    for worker in world.workers.values_mut() {
+        worker.fence = 9;
+    }
+    world.run(seconds(3));
+    assert!(
+        (1..=4).contains(&world.contested),
+        "{} checks",
+        world.contested
+    );
+}
+
 #[test]
 fn an_owner_that_fell_silent_is_waited_for_longer() {
     let mut world = lasting_world(2);
@@ -398,7 +444,7 @@
     world.run(millis(1500));
     assert!(world.workers[&holder].running.is_empty());
     let shard = world.controller.as_ref().expect("a controller");
-    assert_eq!(shard.clear_workers(world.now), [holder]);
+    assert_eq!(shard.survey_report(world.now).clear, [holder]);
     assert_eq!(world.running("lasting.0.0.0"), 1);
 }
 
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -62,6 +62,8 @@
     pub keeper_up: bool,
     /// Workers that are to be vacated, and those of them whose machines were ordered away.
     vacated: (Vec<WorkerId>, Vec<WorkerId>),
+    /// Lives that the keeper of machines tells are over.
+    pub ended: Vec<WorkerLife>,
     surveyed: Instant,
     /// Workers that may run the steps of a queue with advice.
     pub good: Vec<WorkerId>,
@@ -97,6 +99,7 @@
             contested: 0,
             keeper_up: true,
             vacated: Default::default(),
+            ended: Vec::new(),
             surveyed: now,
             good: Vec::new(),
             questions: Vec::new(),
@@ -191,11 +194,23 @@
 
     /// Asks the owner, as the keeper of machines does again and again.
     fn survey(&mut self) {
-        let (workers, taken) = self.vacated.clone();
-        self.tell(ShardEvent::Vacate { workers, taken });
+        let (vacate, taken) = self.vacated.clone();
+        self.tell(ShardEvent::Surveyed(SurveyOrder {
+            vacate,
+            taken,
+            ended: self.ended.clone(),
+            ..Default::default()
+        }));
         self.surveyed = self.now;
     }
 
+    /// Returns the lives of the workers that may run something and can't be asked.
+    pub fn silent_lives(&self) -> Vec<WorkerLife> {
+        let shard = self.controller.as_ref().expect("an owner");
+        let silent = shard.survey_report(self.now).silent.into_iter();
+        silent.map(|silent| silent.life).collect()
+    }
+
     /// Hands the controller the workers that are alive.
     pub fn list_workers(&mut self) {
         let listed = self.workers.values().filter(|worker| !worker.dead);
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -280,23 +280,13 @@
             // The duty that hears the questions answers this one itself.
             NodeQuestion::Store { .. } => NodeAnswer::NotStored,
             NodeQuestion::Survey { keeper, .. } if keeper < self.keeper => NodeAnswer::NotOwner,
-            NodeQuestion::Survey {
-                keeper,
-                vacate,
-                taken,
-                ..
-            } => {
+            NodeQuestion::Survey { keeper, order, .. } => {
                 let term = term_of(shard);
                 self.keeper = keeper;
-                let workers = vacate;
-                self.hand_on(term, ShardEvent::Vacate { workers, taken })
-                    .await;
+                self.hand_on(term, ShardEvent::Surveyed(order)).await;
                 let now = self.clock.now();
                 match self.shards.get(&term.shard) {
-                    Some(shard) => NodeAnswer::Survey {
-                        pools: shard.pool_loads(now),
-                        clear: shard.clear_workers(now),
-                    },
+                    Some(shard) => NodeAnswer::Survey(shard.survey_report(now)),
                     None => NodeAnswer::NotOwner,
                 }
             }
--- a/crates/node/src/keeper_duty.rs
+++ b/crates/node/src/keeper_duty.rs
@@ -203,29 +203,27 @@
 
     async fn perform(&self, epoch: OwnerEpoch, command: KeeperCommand) -> Option<KeeperEvent> {
         match command {
-            KeeperCommand::List => match self.machines.list().await {
-                Ok(machines) => return Some(KeeperEvent::Machines(machines)),
-                Err(fault) => {
-                    let event = EventCode::MachinesUnreachable.number();
-                    tracing::warn!(event, %fault, "machines not read");
+            KeeperCommand::List => {
+                let asked = self.clock.now();
+                match self.machines.list().await {
+                    Ok(machines) => return Some(KeeperEvent::Machines { machines, asked }),
+                    Err(fault) => {
+                        let event = EventCode::MachinesUnreachable.number();
+                        tracing::warn!(event, %fault, "machines not read");
+                    }
                 }
-            },
-            KeeperCommand::Survey {
-                shard,
-                vacate,
-                taken,
-            } => {
+            }
+            KeeperCommand::Survey(shard, order) => {
                 let asked = self.clock.now();
                 let question = NodeQuestion::Survey {
                     shard,
                     keeper: epoch,
-                    vacate,
-                    taken,
+                    order,
                 };
-                if let Some(NodeAnswer::Survey { pools, clear }) = self.asker.ask(question).await {
+                if let Some(NodeAnswer::Survey(report)) = self.asker.ask(question).await {
                     return Some(KeeperEvent::Surveyed {
-                        pools,
-                        clear,
+                        shard,
+                        report,
                         asked,
                     });
                 }
--- a/crates/node/src/question.rs
+++ b/crates/node/src/question.rs
@@ -44,10 +44,8 @@
         shard: ShardNumber,
         /// Epoch of the keeper; a later one has asked already where a higher epoch was heard.
         keeper: OwnerEpoch,
-        /// Workers that are to be left by their runs; no others are.
-        vacate: Vec<WorkerId>,
-        /// Those of them whose machines were ordered away.
-        taken: Vec<WorkerId>,
+        /// What the owner has to know.
+        order: SurveyOrder,
     },
 }
 
@@ -66,13 +64,8 @@
     NotStored,
     /// The record may be in the store.
     MaybeStored,
-    /// Work of the shard's pools, and the vacated workers that run nothing.
-    Survey {
-        /// Work of each pool.
-        pools: Vec<PoolLoad>,
-        /// Workers that are clear.
-        clear: Vec<WorkerId>,
-    },
+    /// Work of the shard's pools and state of its workers.
+    Survey(SurveyReport),
     /// The node does not own the shard.
     NotOwner,
 }
