Count only machines that can be used, and free those of zones that were taken out

Cause: the keeper counted machines as members of a pool whose workers can't be asked, leave, or stand in a zone that was taken out.

Change: owners name the workers that are of no use, and the keeper leaves their machines out of the sizes; machines of a zone that was taken out go to the spare pool once nothing lasting runs there and are not taken from it. A task counts as blocked only where a worker outside such zones has room.

Both tests failed before (3 of 6 machines usable).

--- a/crates/control/src/keeper/moves.rs
+++ b/crates/control/src/keeper/moves.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use pw_base::prelude::*;
 
-use super::message::{MachineAction, MachineState};
+use super::message::{MachineAction, MachineState, MachineView};
 use super::{FleetKeeper, MachineTask};
 
 /// Shortest time between two log lines about the size of a pool.
@@ -48,6 +48,38 @@
         while let Some(machine) = self.surplus_machine(&lasting) {
             self.start_move(&machine, spare.clone(), now);
         }
+        for machine in self.evacuated_machines() {
+            self.start_move(&machine, spare.clone(), now);
+        }
+    }
+
+    /// Returns the machines in zones that were taken out that run nothing that lasts: they cost and
+    /// are of no use to their pools.
+    fn evacuated_machines(&self) -> Vec<MachineId> {
+        let evacuated = self.loads.iter().flat_map(|(pool, load)| {
+            let workers = load.evacuated.iter();
+            workers.filter_map(|worker| self.free_machine(pool, worker))
+        });
+        evacuated.collect()
+    }
+
+    /// Returns the machine of a worker of a pool; `None` when something is under way for it.
+    fn free_machine(&self, pool: &PoolId, worker: &WorkerId) -> Option<MachineId> {
+        let mut views = self.machines.values();
+        let view = views.find(|view| view.worker.as_ref() == Some(worker))?;
+        let free = view.pool == *pool
+            && !self.tasks.contains_key(&view.machine)
+            && !self.avoided.contains_key(&view.machine);
+        free.then(|| view.machine.clone())
+    }
+
+    /// Returns whether a machine can serve its pool, or another one.
+    fn is_usable(&self, view: &MachineView) -> bool {
+        let load = self.loads.get(&view.pool);
+        let unavailable = load
+            .zip(view.worker.as_ref())
+            .is_some_and(|(load, worker)| load.unavailable.contains(worker));
+        !unavailable && !self.config.evacuated.contains(&view.zone)
     }
 
     /// Returns how many machines each pool is to have: what it needs or, where there are not as many
@@ -112,7 +144,7 @@
     }
 
     /// Returns how many machines a pool has, with those that are on their way to it and without
-    /// those that are on their way from it or are to have their upkeep.
+    /// those that are on their way from it, are to have their upkeep or can't be used.
     pub(super) fn members(&self, pool: &PoolId) -> usize {
         let moves_to = |machine: &MachineId| match self.tasks.get(machine) {
             Some(MachineTask {
@@ -129,7 +161,7 @@
             .machines
             .values()
             .filter(|view| view.state != MachineState::Down);
-        let machines = machines.filter(|view| !in_upkeep(&view.machine));
+        let machines = machines.filter(|view| !in_upkeep(&view.machine) && self.is_usable(view));
         let members = machines.filter(|view| match moves_to(&view.machine) {
             Some(to) => to == pool,
             None => view.pool == *pool,
@@ -143,7 +175,7 @@
             let settled = !matches!(view.state, MachineState::Moving | MachineState::Upkeep);
             let free = !self.tasks.contains_key(&view.machine)
                 && !self.avoided.contains_key(&view.machine);
-            view.pool == *spare && settled && free
+            view.pool == *spare && settled && free && self.is_usable(view)
         });
         idle.map(|view| view.machine.clone())
     }
@@ -156,15 +188,8 @@
             .filter(|pool| surplus(pool) > 0)
             .max_by_key(surplus)?;
         let load = self.loads.get(pool)?;
-        let free = load.movable.iter().filter_map(|worker| {
-            let mut views = self.machines.values();
-            let view = views.find(|view| view.worker.as_ref() == Some(worker))?;
-            let free = view.pool == *pool
-                && !self.tasks.contains_key(&view.machine)
-                && !self.avoided.contains_key(&view.machine);
-            free.then(|| view.machine.clone())
-        });
-        free.into_iter().next()
+        let mut movable = load.movable.iter();
+        movable.find_map(|worker| self.free_machine(pool, worker))
     }
 
     pub(super) fn start_move(&mut self, machine: &MachineId, to: PoolId, now: Instant) {
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -375,6 +375,11 @@
     pub anchors: u32,
     /// Workers that take starts and run nothing that lasts, those with the fewest runs first.
     pub movable: Vec<WorkerId>,
+    /// Workers that take no starts although nobody wants their machines: they leave, can't be asked,
+    /// or their availability zone was taken out.
+    pub unavailable: Vec<WorkerId>,
+    /// Those in an availability zone that was taken out that run nothing that lasts.
+    pub evacuated: Vec<WorkerId>,
 }
 
 /// What a caller wants to know of a job.
--- a/crates/control/src/shard/placing.rs
+++ b/crates/control/src/shard/placing.rs
@@ -144,7 +144,9 @@
             return;
         }
         let room = self.workers.values().any(|worker| {
-            let open = worker.entry.pool == record.pool && worker.takes_starts(now);
+            let open = worker.entry.pool == record.pool
+                && worker.takes_starts(now)
+                && !self.is_evacuated(&worker.entry.zone);
             open && size.fits_into(&worker.room())
         });
         if room {
--- a/crates/control/src/shard/vacating.rs
+++ b/crates/control/src/shard/vacating.rs
@@ -196,11 +196,18 @@
                 load.used = load.used.plus(&worker.used);
                 let anchored = worker.runs.values().any(|run| run.lasts);
                 load.anchors += u32::from(anchored);
-                if worker.takes_starts(now) {
+                let evacuated = self.is_evacuated(&worker.entry.zone);
+                let id = &worker.entry.id;
+                if worker.takes_starts(now) && !evacuated {
                     load.workers += 1;
                     load.capacity = load.capacity.plus(&worker.entry.capacity);
                     if !anchored {
-                        movable.push((worker.runs.len(), worker.entry.id.clone()));
+                        movable.push((worker.runs.len(), id.clone()));
+                    }
+                } else if worker.listed && (evacuated || worker.is_unavailable()) {
+                    load.unavailable.push(id.clone());
+                    if evacuated && !anchored {
+                        load.evacuated.push(id.clone());
                     }
                 }
             }
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -286,6 +286,12 @@
             && !self.is_vacated(now)
     }
 
+    /// Returns whether the worker is of no use to its pool for now. One miss says little: an answer
+    /// may be lost.
+    pub fn is_unavailable(&self) -> bool {
+        self.down || self.misses > 1 || self.entry.phase == WorkerPhase::Draining
+    }
+
     /// Returns whether the worker is to be left by its runs.
     pub fn is_vacated(&self, now: Instant) -> bool {
         self.vacated_until.is_some_and(|until| now < until)
--- a/crates/control/tests/keeper.rs
+++ b/crates/control/tests/keeper.rs
@@ -28,6 +28,8 @@
     reports: Vec<(WaveNumber, bool)>,
     contested: usize,
     lives: u32,
+    /// Workers of no use to their pools.
+    unavailable: Vec<WorkerId>,
     /// Workers that the owners can't ask.
     silent: Vec<SilentWorker>,
     /// Lives that an owner was last told are over.
@@ -70,6 +72,7 @@
             reports: Vec::new(),
             contested: 0,
             lives: 0,
+            unavailable: Vec::new(),
             silent: Vec::new(),
             ended: Vec::new(),
             work: IndexMap::new(),
@@ -183,7 +186,9 @@
         let load = |(pool, (used, waiting)): (&PoolId, &(u32, u32))| {
             let members = self.views.values().filter(|view| view.pool == *pool);
             let up = members.filter(|view| view.state == MachineState::Up);
-            let movable: Vec<WorkerId> = up.filter_map(|view| view.worker.clone()).collect();
+            let workers = up.filter_map(|view| view.worker.clone());
+            let (unavailable, movable): (Vec<WorkerId>, Vec<WorkerId>) =
+                workers.partition(|worker| self.unavailable.contains(worker));
             let workers = movable.len() as u32;
             PoolLoad {
                 pool: pool.clone(),
@@ -192,6 +197,8 @@
                 used: cores(*used),
                 waiting: cores(*waiting),
                 movable,
+                evacuated: unavailable.clone(),
+                unavailable,
                 ..Default::default()
             }
         };
@@ -322,6 +329,57 @@
     assert_eq!(platform.members("spare"), 16 - 2 * lull);
 }
 
+/// A zone is cut off in a surge: its machines are there, but nothing can be started on them.
+#[test]
+fn machines_that_cannot_be_used_are_replaced_from_the_spare_pool() {
+    let mut platform = pools();
+    platform.work.insert("a".into(), (100, 20));
+    platform.work.insert("b".into(), (20, 0));
+    platform.run(Duration::from_secs(6));
+    let before = platform.members("a");
+    let pool = platform.views.values().filter(|view| &*view.pool == "a");
+    let cut: Vec<WorkerId> = pool
+        .filter_map(|view| view.worker.clone())
+        .take(3)
+        .collect();
+    platform.unavailable = cut.clone();
+    platform.run(Duration::from_secs(4));
+    let views = platform.views.values();
+    let usable = views.filter(|view| {
+        let cut = view
+            .worker
+            .as_ref()
+            .is_some_and(|worker| cut.contains(worker));
+        &*view.pool == "a" && !cut
+    });
+    // What it has beyond its need only delays that it shrinks.
+    let kept = SizingSettings::default().kept;
+    let usable = usable.count();
+    assert!(usable + kept >= before, "{usable} of {before}");
+}
+
+#[test]
+fn machines_of_a_zone_that_was_taken_out_go_to_the_spare_pool_and_stay_there() {
+    let mut platform = pools();
+    platform.work.insert("a".into(), (100, 20));
+    platform.work.insert("b".into(), (20, 0));
+    platform.run(Duration::from_secs(6));
+    for view in platform.views.values_mut().take(4) {
+        view.zone = "out".into();
+    }
+    let pool = platform.views.values().filter(|view| &*view.zone == "out");
+    platform.unavailable = pool.filter_map(|view| view.worker.clone()).collect();
+    let mut config = (*platform.config).clone();
+    config.evacuated = IndexSet::from(["out".into()]);
+    platform.config = Arc::new(config);
+    platform.tell(KeeperEvent::Config(Arc::clone(&platform.config)));
+    platform.run(Duration::from_secs(6));
+    platform.work.insert("a".into(), (300, 200));
+    platform.run(Duration::from_secs(4));
+    let out = platform.views.values().filter(|view| &*view.zone == "out");
+    assert!(out.into_iter().all(|view| &*view.pool == "spare"));
+}
+
 #[test]
 fn too_few_machines_are_shared_by_need() {
     let mut platform = pools();
