Let nodes reckon the owners of shards from the members, and hand shards on without a gap

Cause: the store's group deals all partitions anew whenever a node comes or goes.

Change: the group only says who is there. Each node gives the shards to the members by rendezvous hashing with a bound for each node, so a node that comes or goes moves little more than its own shards. An owner serves a shard until the next one's claim is stored, and stores its leases then; callers ask the former owner where the next one has not claimed yet. When most members disappear at once, as after an outage in which the store forgets its group, they are counted for 1.2 s more.

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -50,6 +50,8 @@
 pub type JobId = Arc<str>;
 /// Name of a client account, the customer that a job is counted for.
 pub type AccountId = Arc<str>;
+/// Name of a node in the group of all nodes: the address at which the others reach it.
+pub type NodeName = Arc<str>;
 /// Number of a shard of pools, counted from 0.
 pub type ShardNumber = u32;
 /// Epoch of a shard's owner; the later owner has the higher one.
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -113,8 +113,22 @@
 ///
 /// The result depends on the name alone (FNV-1a), so that all builds agree.
 pub fn find_shard(pool: &str, shards: u32) -> ShardNumber {
-    let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    let hash = pool.bytes().fold(0xcbf2_9ce4_8422_2325, mix);
+    let hash = hash_bytes(pool.bytes());
     let folded = hash ^ (hash >> 32);
     (folded % u64::from(shards.max(1))) as ShardNumber
 }
+
+/// Returns the FNV-1a hash of some bytes, which is the same in all versions of the program.
+pub(crate) fn hash_bytes(bytes: impl Iterator<Item = u8>) -> u64 {
+    let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    bytes.fold(0xcbf2_9ce4_8422_2325, mix)
+}
+
+/// Returns a hash all of whose bits depend on all bytes; the upper bits of [`hash_bytes`] hardly
+/// depend on the last byte.
+pub(crate) fn mix_hash(bytes: impl Iterator<Item = u8>) -> u64 {
+    let hash = hash_bytes(bytes);
+    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,7 @@
 //! run starts on which worker, what is stored first, when a worker is looked at. It knows nothing
 //! of sockets or encodings.
 
+pub mod assign;
 pub mod config;
 pub mod keeper;
 pub mod message;
@@ -18,6 +19,7 @@
 
 /// The names that most users of this crate need.
 pub mod prelude {
+    pub use crate::assign::{AssignSettings, ShardTable};
     pub use crate::config::{
         AccountRule, AdviceRule, FleetConfig, PoolRule, QueueRule, WaveRule, find_shard,
     };
--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -38,12 +38,21 @@
         decode_message::<Self>(bytes).is_some_and(|other| other == *self)
     }
 
-    /// Returns the leases that the owner before left behind, if the record at the offset before
-    /// `claim` is its release and nobody else claimed the shard since it did.
+    /// Returns whether the bytes are the release of an owner before the one with `epoch`.
+    pub fn is_earlier_release(bytes: &[u8], epoch: OwnerEpoch) -> bool {
+        let record = decode_message(bytes);
+        record.is_some_and(
+            |record| matches!(record, Self::Release { epoch: other, .. } if other < epoch),
+        )
+    }
+
+    /// Returns the leases that the owner before left behind, if the record is its release and nobody
+    /// else claimed the shard between it and the claim at the offset `claim`.
     pub fn released_leases(bytes: &[u8], claim: LogOffset) -> Option<IndexMap<WorkerId, Duration>> {
         match decode_message(bytes)? {
-            // The release follows its owner's claim at once, and the new claim follows the release.
-            Self::Release { epoch, leases } if claim == epoch + 1 => Some(leases),
+            // The owner before claimed at the offset `epoch - 1`. Between its claim and this one lies
+            // its release, or nothing if it released the shard only when it had seen this claim.
+            Self::Release { epoch, leases } if claim == epoch || claim == epoch + 1 => Some(leases),
             _ => None,
         }
     }
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -118,11 +118,6 @@
                 }
             }
             ControlMessage::Opened(term, image) => self.open(term, *image).await,
-            ControlMessage::Lost(term) => {
-                if self.owns(term) {
-                    self.shards.swap_remove(&term.shard);
-                }
-            }
             ControlMessage::Release(term, reply) => {
                 if self.owns(term)
                     && let Some(shard) = self.shards.swap_remove(&term.shard)
--- a/crates/node/src/journal_duty.rs
+++ b/crates/node/src/journal_duty.rs
@@ -5,7 +5,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use futures_lite::future;
@@ -26,8 +26,11 @@
 
 /// Appends of one shard that may wait for the store.
 const STORE_CAPACITY: usize = 64;
-/// Time between two readings of the shards' owners while nothing changes.
-const OWNERS_GAP: Duration = Duration::from_secs(5);
+/// Time between two readings of the group's members while nothing changes.
+const MEMBERS_GAP: Duration = Duration::from_secs(5);
+/// Readings of the members after a change of the group, one for each join: a new member has no part in
+/// the group until the others have joined once more.
+const READS_OF_CHANGE: u32 = 3;
 
 /// Where the journal duty's readings go.
 pub struct JournalLinks {
@@ -39,6 +42,12 @@
     pub keeper: RingSender<KeeperMessage>,
 }
 
+/// How long a node serves a shard that is another one's by now and was not claimed yet. The others
+/// hear of a change with their next joins.
+const HANDOVER_MAX: Duration = Duration::from_millis(1500);
+/// Time between two looks of a leaving node at whether its shards were claimed.
+const HANDOVER_CHECK: Duration = Duration::from_millis(50);
+
 /// Shard whose owner keeps the machines of the whole fleet.
 pub const KEEPER_SHARD: ShardNumber = 0;
 
@@ -96,7 +105,7 @@
 }
 
 impl JournalDuty {
-    async fn take(&self, message: JournalMessage) {
+    async fn take(self: &Rc<Self>, message: JournalMessage) {
         match message {
             JournalMessage::Store {
                 term,
@@ -115,21 +124,27 @@
                 let ShardTerm { shard, epoch } = term;
                 tracing::warn!(event, shard, epoch, "a worker heard of a later owner");
                 if !self.is_owner(term).await {
-                    self.give_up(term.shard).await;
+                    self.spawn_release(shard);
                 }
             }
             JournalMessage::Leave => self.leave().await,
         }
     }
 
-    /// Stays in the group and takes over what it assigns.
+    /// Stays in the group and takes over what follows from its members.
     async fn keep_membership(self: Rc<Self>) {
         let mut reach = StoreReach::new("group");
         let mut generation = 0;
-        let mut owners_read = None;
+        let mut table = ShardTable::new(AssignSettings {
+            shards: self.settings.shards,
+            ..Default::default()
+        });
+        let mut handed = IndexMap::new();
+        let mut members_read = None;
+        let mut reads_due = 0;
         while !self.leaving.get() {
             let join = GroupJoin {
-                member: self.settings.peers.to_string(),
+                member: self.name(),
                 ttl: self.settings.member_ttl,
                 generation,
             };
@@ -142,19 +157,20 @@
                 return;
             }
             match joined {
-                Ok(share) => {
+                Ok(latest) => {
                     reach.note(true);
-                    let changed = share.generation != generation;
-                    generation = share.generation;
-                    self.follow_share(&share.shards).await;
-                    let now = self.clock.now();
-                    if changed || owners_read.is_none_or(|at| now > at + OWNERS_GAP) {
-                        owners_read = self.read_owners().await.then_some(now);
+                    if latest != generation {
+                        generation = latest;
+                        reads_due = READS_OF_CHANGE;
                     }
-                    if changed {
-                        // Joining with the new generation hands the shards on that were given up.
-                        continue;
+                    let now = self.clock.now();
+                    let stale = members_read.is_none_or(|at| now > at + MEMBERS_GAP);
+                    if reads_due > 0 || stale || table.holds_members() {
+                        reads_due = reads_due.saturating_sub(1);
+                        members_read = self.read_members(&mut table).await.then_some(now);
                     }
+                    let share = table.shards_of(&self.name());
+                    self.follow_share(&share, &mut handed).await;
                 }
                 Err(StoreFault::NotMember) => generation = 0,
                 Err(fault) => {
@@ -168,11 +184,54 @@
         }
     }
 
-    /// Gives up the shards that are not in the share, and takes the others over.
-    async fn follow_share(self: &Rc<Self>, share: &[ShardNumber]) {
+    /// Returns the name of this node in the group.
+    fn name(&self) -> NodeName {
+        self.settings.peers.to_string().into()
+    }
+
+    /// Reads the members of the group, and tells whom they make the owners; returns whether that
+    /// could be done.
+    async fn read_members(&self, table: &mut ShardTable) -> bool {
+        match self.store.members().await {
+            Ok(members) => {
+                table.update(members, self.clock.now());
+                self.tell_owners(table).await
+            }
+            Err(fault) => {
+                let event = EventCode::StoreReach.number();
+                tracing::warn!(event, %fault, "members of the group not read");
+                false
+            }
+        }
+    }
+
+    /// Tells the other duties whom to ask; returns whether they were there.
+    async fn tell_owners(&self, table: &ShardTable) -> bool {
+        let rows = table.owners().map(|(shard, name)| (shard, name.clone()));
+        let rows: Vec<(ShardNumber, NodeName)> = rows.collect();
+        let keeper = KeeperMessage::Owners(rows.clone());
+        let told = self.links.keeper.send(keeper).await;
+        let sent = self.links.callers.send(CallerMessage::Owners(rows)).await;
+        told.is_ok() && sent.is_ok()
+    }
+
+    /// Takes over the shards of the share that others have, and hands on those that are not in it.
+    ///
+    /// A shard that is handed on is served until its next owner has claimed it, so that it is never
+    /// without one; `handed` says since when.
+    async fn follow_share(
+        self: &Rc<Self>,
+        share: &[ShardNumber],
+        handed: &mut IndexMap<ShardNumber, Instant>,
+    ) {
         let owned: Vec<ShardNumber> = self.shards.borrow().keys().copied().collect();
+        let now = self.clock.now();
+        handed.retain(|shard, _| owned.contains(shard) && !share.contains(shard));
         for shard in owned.iter().filter(|shard| !share.contains(shard)) {
-            self.release(*shard).await;
+            let since = *handed.entry(*shard).or_insert(now);
+            if now >= since + HANDOVER_MAX {
+                self.release(*shard).await;
+            }
         }
         for shard in share.iter().filter(|shard| !owned.contains(shard)) {
             let (appends, jobs) = ring("shard-appends", STORE_CAPACITY);
@@ -196,15 +255,10 @@
         }
     }
 
-    async fn give_up(&self, shard: ShardNumber) {
-        let owned = self.shards.borrow_mut().swap_remove(&shard);
-        if let Some(epoch) = owned.and_then(|owned| owned.epoch) {
-            let event = EventCode::ShardLost.number();
-            tracing::info!(event, shard, epoch, "shard given up");
-            let lost = ControlMessage::Lost(ShardTerm { shard, epoch });
-            _ = self.links.control.send(lost).await;
-            self.dismiss(shard).await;
-        }
+    /// Releases a shard in a task of its own, as the task that serves the shard ends with it.
+    fn spawn_release(self: &Rc<Self>, shard: ShardNumber) {
+        let duty = Rc::clone(self);
+        self.spawner.spawn(async move { duty.release(shard).await });
     }
 
     /// Ends the role that comes with the keeper's shard.
@@ -244,30 +298,17 @@
 
     async fn leave(&self) {
         self.leaving.set(true);
-        let owned: Vec<ShardNumber> = self.shards.borrow().keys().copied().collect();
-        for shard in owned {
-            self.release(shard).await;
-        }
-        let member = self.settings.peers.to_string();
-        if let Err(fault) = self.store.leave(member).await {
+        if let Err(fault) = self.store.leave(self.name()).await {
             let event = EventCode::StoreReach.number();
             tracing::warn!(event, %fault, "group not left; its time for this node has to run out");
         }
-    }
-
-    async fn read_owners(&self) -> bool {
-        match self.store.owners().await {
-            Ok(rows) => {
-                let keeper = KeeperMessage::Owners(rows.clone());
-                let told = self.links.keeper.send(keeper).await;
-                let sent = self.links.callers.send(CallerMessage::Owners(rows)).await;
-                told.is_ok() && sent.is_ok()
-            }
-            Err(fault) => {
-                let event = EventCode::StoreReach.number();
-                tracing::warn!(event, %fault, "owners of shards not read");
-                false
-            }
+        let end = self.clock.now() + HANDOVER_MAX;
+        while !self.shards.borrow().is_empty() && self.clock.now() < end {
+            Timer::after(HANDOVER_CHECK).await;
+        }
+        let owned: Vec<ShardNumber> = self.shards.borrow().keys().copied().collect();
+        for shard in owned {
+            self.release(shard).await;
         }
     }
 
@@ -289,7 +330,10 @@
         let claims = part(StoreTopic::Claims, term.shard);
         let read = self.store.read(claims, term.epoch, Duration::ZERO).await;
         match read {
-            Ok(read) => read.entries.is_empty(),
+            Ok(read) => read
+                .entries
+                .iter()
+                .all(|entry| ClaimRecord::is_earlier_release(&entry.value, term.epoch)),
             Err(StoreFault::Expired { .. }) => false,
             // Unknown: the append of the next image will tell.
             Err(_) => true,
--- a/crates/node/src/journal_duty/owned_shard.rs
+++ b/crates/node/src/journal_duty/owned_shard.rs
@@ -65,7 +65,7 @@
             }),
         )
         .await;
-        self.give_up(shard).await;
+        self.spawn_release(shard);
     }
 
     /// Claims a shard; `None` when a later owner is there already.
@@ -97,13 +97,15 @@
         Some(ShardTerm { shard, epoch })
     }
 
-    /// Reads what the owner before left behind when it released the shard.
+    /// Reads what the owner before left behind when it released the shard: before this claim, or
+    /// just after it.
     async fn read_release(&self, term: ShardTerm) -> Option<IndexMap<WorkerId, Duration>> {
         let claims = part(StoreTopic::Claims, term.shard);
         let claim = term.epoch - 1;
         let before = claim.checked_sub(1)?;
         let read = self.store.read(claims, before, Duration::ZERO).await.ok()?;
-        ClaimRecord::released_leases(&read.entries.first()?.value, claim)
+        let mut entries = read.entries.iter();
+        entries.find_map(|entry| ClaimRecord::released_leases(&entry.value, claim))
     }
 
     async fn load_images(&self, term: ShardTerm) -> Vec<(JobId, JobState)> {
@@ -268,8 +270,14 @@
                 .read(claims, from, self.settings.follow_wait)
                 .await;
             match read {
-                // An append of this claim without an answer may be carried out seconds later.
-                Ok(read) if read.entries.iter().all(|e| claim.is_repeated_by(&e.value)) => {
+                // An append of this claim without an answer may be carried out seconds later, and the
+                // owner before releases the shard once it has seen this claim.
+                Ok(read)
+                    if read.entries.iter().all(|entry| {
+                        claim.is_repeated_by(&entry.value)
+                            || ClaimRecord::is_earlier_release(&entry.value, term.epoch)
+                    }) =>
+                {
                     from = read.next;
                     if !self.tell(term, ShardEvent::Proved(asked)).await {
                         return;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,8 +28,8 @@
 /// The names that most users of this crate need.
 pub mod prelude {
     pub use crate::links::{
-        FleetFeed, FrontEnd, GroupJoin, GroupShare, JobStore, MachineGateway, StoreEntry,
-        StoreFault, StorePage, StorePart, StoreRead, StoreTopic, StoreWriter, WorkerGateway,
+        FleetFeed, FrontEnd, GroupJoin, JobStore, MachineGateway, StoreEntry, StoreFault,
+        StorePage, StorePart, StoreRead, StoreTopic, StoreWriter, WorkerGateway,
     };
     pub use crate::log_budget::LogBudget;
     pub use crate::node::{JobNode, NodeLinks};
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures_lite::future::BoxedLocal;
+use indexmap::IndexSet;
 use pw_base::prelude::*;
 use pw_control::prelude::*;
 use pw_link::prelude::*;
@@ -80,22 +81,13 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GroupJoin {
     /// Name of the node in the group.
-    pub member: String,
+    pub member: NodeName,
     /// Silence after which the store takes the node for gone.
     pub ttl: Duration,
     /// Generation that the node heard of last; 0 at first.
     pub generation: u64,
 }
 
-/// What a node is to own.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct GroupShare {
-    /// Generation of the group.
-    pub generation: u64,
-    /// Shards of the node.
-    pub shards: Vec<ShardNumber>,
-}
-
 /// Why the store did not do what it was asked.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum StoreFault {
@@ -169,14 +161,15 @@
         after: Option<String>,
     ) -> BoxedLocal<Result<StorePage, StoreFault>>;
 
-    /// Joins the group of nodes, or stays in it.
-    fn join(&self, join: GroupJoin) -> BoxedLocal<Result<GroupShare, StoreFault>>;
+    /// Joins the group of nodes, or stays in it; returns the group's generation, which rises with
+    /// each change.
+    fn join(&self, join: GroupJoin) -> BoxedLocal<Result<u64, StoreFault>>;
 
     /// Leaves the group of nodes.
-    fn leave(&self, member: String) -> BoxedLocal<Result<(), StoreFault>>;
+    fn leave(&self, member: NodeName) -> BoxedLocal<Result<(), StoreFault>>;
 
-    /// Reads which member is to own each shard.
-    fn owners(&self) -> BoxedLocal<Result<Vec<(ShardNumber, String)>, StoreFault>>;
+    /// Reads the members of the group.
+    fn members(&self) -> BoxedLocal<Result<IndexSet<NodeName>, StoreFault>>;
 }
 
 /// What operators and workers say through the platform.
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -29,8 +29,6 @@
     Workers(Vec<WorkerEntry>),
     /// The node took a shard over.
     Opened(ShardTerm, Box<ShardImage>),
-    /// The node no longer owns a shard.
-    Lost(ShardTerm),
     /// The node gives a shard up; the answer says how long the leases on workers last.
     Release(ShardTerm, RingSender<IndexMap<WorkerId, Duration>>),
     /// Something happened in a shard.
@@ -92,7 +90,7 @@
     /// A configuration is in force.
     Config(Arc<FleetConfig>),
     /// Which member is to own each shard.
-    Owners(Vec<(ShardNumber, String)>),
+    Owners(Vec<(ShardNumber, NodeName)>),
     /// The node keeps the machines from now on, under this epoch.
     Appointed(OwnerEpoch),
     /// The node had the role at this time.
@@ -112,7 +110,7 @@
         config: Option<Arc<FleetConfig>>,
     },
     /// Which member is to own each shard.
-    Owners(Vec<(ShardNumber, String)>),
+    Owners(Vec<(ShardNumber, NodeName)>),
     /// The node stops.
     Stopping,
 }
--- a/crates/node/src/owners.rs
+++ b/crates/node/src/owners.rs
@@ -18,10 +18,12 @@
 /// Longest wait for a record that another node stores; it may repeat its append for 2 s.
 const STORE_TIMEOUT: Duration = Duration::from_millis(2500);
 
-/// Owners of shards as the store's group names them; a hint only.
+/// Owners of shards as they follow from the members of the group; a hint only.
 #[derive(Debug, Clone, Default)]
 pub struct OwnerTable {
     owners: IndexMap<ShardNumber, SocketAddr>,
+    /// Owners before the last change; a shard is served by them until the next owner has claimed it.
+    former: IndexMap<ShardNumber, SocketAddr>,
 }
 
 /// Asks the owner of a shard: this node's control duty, or another node.
@@ -43,17 +45,25 @@
 
 impl OwnerTable {
     /// Replaces all owners; members whose names are not addresses are left out.
-    pub fn replace(&mut self, rows: &[(ShardNumber, String)]) {
+    pub fn replace(&mut self, rows: &[(ShardNumber, NodeName)]) {
         let addressed = rows.iter().filter_map(|(shard, member)| {
             let address = member.parse().ok()?;
             Some((*shard, address))
         });
-        self.owners = addressed.collect();
+        let before = std::mem::replace(&mut self.owners, addressed.collect());
+        for (shard, owner) in before {
+            if self.owners.get(&shard) != Some(&owner) {
+                self.former.insert(shard, owner);
+            }
+        }
     }
 
-    /// Returns the owner of a shard.
-    pub fn owner(&self, shard: ShardNumber) -> Option<SocketAddr> {
-        self.owners.get(&shard).copied()
+    /// Returns the nodes that may own a shard, the likeliest first.
+    pub fn candidates(&self, shard: ShardNumber) -> Vec<SocketAddr> {
+        let owner = self.owners.get(&shard).copied();
+        let former = self.former.get(&shard).copied();
+        let former = former.filter(|former| owner != Some(*former));
+        owner.into_iter().chain(former).collect()
     }
 }
 
@@ -68,7 +78,7 @@
     }
 
     /// Takes the owners of all shards.
-    pub fn hear_owners(&self, rows: &[(ShardNumber, String)]) {
+    pub fn hear_owners(&self, rows: &[(ShardNumber, NodeName)]) {
         self.owners.borrow_mut().replace(rows);
     }
 
@@ -90,9 +100,25 @@
     ///
     /// Fails when it can't be asked or gives no answer.
     pub async fn ask_node(&self, question: NodeQuestion) -> Result<NodeAnswer, AskFault> {
-        let owner = self.owners.borrow().owner(question.shard());
-        let owner = owner.ok_or(AskFault::NotAsked)?;
-        let bytes = encode_message(&question).ok_or(AskFault::NotAsked)?;
+        let candidates = self.owners.borrow().candidates(question.shard());
+        let mut result = Err(AskFault::NotAsked);
+        for owner in candidates {
+            result = self.ask_at(owner, &question).await;
+            // Only a node that did nothing may be followed by another one.
+            let next = matches!(result, Ok(NodeAnswer::NotOwner) | Err(AskFault::NotAsked));
+            if !next {
+                break;
+            }
+        }
+        result
+    }
+
+    async fn ask_at(
+        &self,
+        owner: SocketAddr,
+        question: &NodeQuestion,
+    ) -> Result<NodeAnswer, AskFault> {
+        let bytes = encode_message(question).ok_or(AskFault::NotAsked)?;
         let timeout = match question {
             NodeQuestion::Store { .. } => STORE_TIMEOUT,
             _ => ANSWER_TIMEOUT,
--- /dev/null
+++ b/crates/node/tests/owners.rs
@@ -0,0 +1,26 @@
+//! Whom a node asks about a shard.
+
+use pw_base::prelude::*;
+use pw_node::owners::OwnerTable;
+
+fn rows(names: &[&str]) -> Vec<(ShardNumber, NodeName)> {
+    let names = names.iter().map(|name| NodeName::from(*name));
+    (0..).zip(names).collect()
+}
+
+/// A shard that is handed on is served by its former owner until the next one has claimed it.
+#[test]
+fn the_former_owner_is_asked_after_the_one_that_follows() {
+    let mut table = OwnerTable::default();
+    table.replace(&rows(&["10.0.0.1:1", "10.0.0.2:1"]));
+    table.replace(&rows(&["10.0.0.3:1", "10.0.0.2:1"]));
+    let addresses = |shard| {
+        let candidates = table.candidates(shard).into_iter();
+        candidates
+            .map(|address| address.to_string())
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(addresses(0), ["10.0.0.3:1", "10.0.0.1:1"]);
+    assert_eq!(addresses(1), ["10.0.0.2:1"]);
+    assert!(addresses(2).is_empty());
+}
