--- a/crates/control/src/keeper/waves.rs
+++ b/crates/control/src/keeper/waves.rs
@@ -81,7 +81,11 @@
         mut room: usize,
         now: Instant,
     ) {
-        pending.sort_by(|a, b| self.machine_load(a).total_cmp(&self.machine_load(b)));
+        // Tasks that last leave a machine one after the other, which takes several seconds.
+        pending.sort_by(|a, b| {
+            let slow_first = self.is_anchored(b).cmp(&self.is_anchored(a));
+            slow_first.then(self.machine_load(a).total_cmp(&self.machine_load(b)))
+        });
         for machine in pending {
             if room == 0 {
                 return;
@@ -98,6 +102,16 @@
         }
     }
 
+    /// Returns whether something that lasts may run on a machine.
+    fn is_anchored(&self, machine: &MachineId) -> bool {
+        let view = self.machines.get(machine);
+        let worker = view.and_then(|view| Some((&view.pool, view.worker.as_ref()?)));
+        worker.is_some_and(|(pool, worker)| {
+            let load = self.loads.get(pool);
+            load.is_some_and(|load| !load.movable.contains(worker))
+        })
+    }
+
     /// Returns how busy the pool of a machine is; idle pools give their machines first.
     pub(super) fn machine_load(&self, machine: &MachineId) -> f64 {
         let view = self.machines.get(machine);
--- a/crates/control/src/shard/looking.rs
+++ b/crates/control/src/shard/looking.rs
@@ -61,6 +61,7 @@
     pub(super) fn send_looks(&mut self, now: Instant) {
         let settings = &self.settings;
         let proved = now < self.proved + settings.owner_proof;
+        let moving = self.moves_lasting(now);
         for (id, worker) in &mut self.workers {
             let known = worker.entry.address.port() != 0;
             if worker.look_flying || !known || !worker.needs_look() || now < worker.look_due {
@@ -74,6 +75,12 @@
                 None
             };
             let waits = worker.synced && worker.misses == 0 && worker.may_end();
+            // The next task is moved once this one is at work, which is no end that ends the wait.
+            let wait = if moving && worker.starts_lasting() {
+                settings.look_gap
+            } else {
+                settings.look_wait
+            };
             worker.look_flying = true;
             self.commands.push(ShardCommand::Look(LookOrder {
                 worker: id.clone(),
@@ -82,11 +89,7 @@
                 epoch: self.epoch,
                 seen: worker.stored,
                 lease_until,
-                wait: if waits {
-                    settings.look_wait
-                } else {
-                    Duration::ZERO
-                },
+                wait: if waits { wait } else { Duration::ZERO },
                 asked: now,
             }));
         }
--- a/crates/control/src/shard/vacating.rs
+++ b/crates/control/src/shard/vacating.rs
@@ -10,7 +10,7 @@
 
 use super::ShardController;
 use crate::message::{PoolLoad, SilentWorker, SurveyOrder, SurveyReport, WorkerLife};
-use crate::worker::{RunPhase, WorkerRecord};
+use crate::worker::{AT_WORK, RunPhase, WorkerRecord};
 
 /// How long a worker stays vacated after it was asked for last.
 const VACATED_FOR: Duration = Duration::from_secs(2);
@@ -23,8 +23,6 @@
 const PATIENCE: Duration = Duration::from_secs(4);
 /// Tasks of a step that may be away where the step sets no bound.
 const DEFAULT_MAY_MISS: u32 = 1;
-/// Progress of a lasting task that is at work, in percent.
-const AT_WORK: u8 = 100;
 
 impl ShardController {
     /// Takes what the keeper of machines tells.
@@ -143,6 +141,15 @@
         }
     }
 
+    /// Returns whether something that lasts is to leave a worker.
+    pub(super) fn moves_lasting(&self, now: Instant) -> bool {
+        let mut vacated = self
+            .workers
+            .values()
+            .filter(|worker| worker.is_vacated(now));
+        vacated.any(|worker| worker.runs.values().any(|run| run.lasts))
+    }
+
     /// Returns whether a run may be stopped without too many of its step being away.
     fn budget_allows(&self, id: &WorkerId, task: &TaskName) -> bool {
         let Some(run) = self
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -73,6 +73,9 @@
     (workers, lives)
 }
 
+/// Progress of a lasting task that is at work, in percent.
+pub(crate) const AT_WORK: u8 = 100;
+
 /// What became known of a run on a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RunPhase {
@@ -302,6 +305,12 @@
         self.lapse(drift).unwrap_or(self.inherited_lapse)
     }
 
+    /// Returns whether something that lasts was placed there and is not at work yet.
+    pub fn starts_lasting(&self) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|run| run.lasts && run.phase != RunPhase::Stopping && run.percent < AT_WORK)
+    }
+
     /// Returns whether a run there may end.
     pub fn may_end(&self) -> bool {
         !self.runs.is_empty()
--- a/crates/control/tests/keeper.rs
+++ b/crates/control/tests/keeper.rs
@@ -28,6 +28,8 @@
     reports: Vec<(WaveNumber, bool)>,
     contested: usize,
     lives: u32,
+    /// Workers that run something that lasts.
+    anchored: Vec<WorkerId>,
     /// Workers of no use to their pools.
     unavailable: Vec<WorkerId>,
     /// Workers that the owners can't ask.
@@ -72,6 +74,7 @@
             reports: Vec::new(),
             contested: 0,
             lives: 0,
+            anchored: Vec::new(),
             unavailable: Vec::new(),
             silent: Vec::new(),
             ended: Vec::new(),
@@ -190,6 +193,9 @@
             let (unavailable, movable): (Vec<WorkerId>, Vec<WorkerId>) =
                 workers.partition(|worker| self.unavailable.contains(worker));
             let workers = movable.len() as u32;
+            let movable = movable.into_iter();
+            let movable = movable.filter(|worker| !self.anchored.contains(worker));
+            let movable = movable.collect();
             PoolLoad {
                 pool: pool.clone(),
                 workers,
@@ -430,6 +436,21 @@
     assert!(platform.notes[&1].completed);
 }
 
+/// It takes seconds until the last task that lasts has left a machine.
+#[test]
+fn machines_with_tasks_that_last_are_taken_first() {
+    let mut platform = Platform::new(8, WaveRule::default());
+    platform.work.insert("pool".into(), (10, 0));
+    platform.anchored = vec!["w5".into(), "w7".into()];
+    platform.run(Duration::from_secs(1));
+    let mut config = (*platform.config).clone();
+    config.waves.insert(2, wave(8, 2));
+    platform.tell(KeeperEvent::Config(Arc::new(config)));
+    platform.run(Duration::from_secs(4));
+    let first: Vec<&str> = platform.orders[..2].iter().map(|o| &*o.machine).collect();
+    assert_eq!(first, ["m5", "m7"]);
+}
+
 #[test]
 fn no_more_than_a_part_of_a_pool_is_taken_at_a_time() {
     let mut platform = Platform::new(8, wave(8, 8));
--- a/crates/control/tests/shard.rs
+++ b/crates/control/tests/shard.rs
@@ -469,6 +469,18 @@
 }
 
 /// A node that can't read the configuration yet takes a shard over and hears of ends.
+/// A wave reaches the workers of a pool in its lull, on which nothing ends that would end a look.
+#[test]
+fn lasting_tasks_leave_one_after_the_other_without_idle_waits() {
+    let (mut world, holders) = budget_world(6, 3);
+    world.vacate(&holders, &[]);
+    let clear = |world: &World| {
+        let mut holders = holders.iter();
+        holders.all(|holder| world.workers[holder].running.is_empty())
+    };
+    assert!(world.run_until(millis(2500), clear));
+}
+
 #[test]
 fn an_owner_without_a_configuration_fails_no_job() {
     let mut world = World::new(2);
