--- a/benches/benches/micro.rs
+++ b/benches/benches/micro.rs
@@ -19,7 +19,7 @@
     let before = generate_fleet(&FleetSize::default());
     let mut after = before.clone();
     after.workers[4_000].slots += 1;
-    after.teams[100].limit += 1;
+    after.accounts[100].limit += 1;
     let mut group = c.benchmark_group("fleet-file");
     group.sample_size(FEW_SAMPLES);
     group.bench_function("check", |b| {
@@ -67,13 +67,15 @@
 
 fn permit(c: &mut Criterion) {
     let fleet = generate_fleet(&FleetSize::default());
-    let (team, zone) = (&fleet.teams[0].id, &fleet.zones[0].id);
+    let (account, zone) = (&fleet.accounts[0].id, &fleet.zones[0].id);
     let now = Instant::now();
     let mut gate = EvenSplit::new(1);
-    gate.set_teams(&fleet.teams);
+    gate.set_accounts(&fleet.accounts);
     c.bench_function("permit/even-split-take-and-give-back", |b| {
         b.iter(|| {
-            let permit = gate.take(now, black_box(team), zone).expect("free permit");
+            let permit = gate
+                .take(now, black_box(account), zone)
+                .expect("free permit");
             gate.give_back(now, permit);
         });
     });
--- a/benches/benches/path.rs
+++ b/benches/benches/path.rs
@@ -21,6 +21,7 @@
 use futures_lite::future;
 use hdrhistogram::Histogram;
 use http_types::{Method, Request, StatusCode};
+use pw_account::prelude::*;
 use pw_base::prelude::*;
 use pw_entry::daemon::{EntryArgs, run_daemon};
 use pw_entry::prelude::*;
@@ -28,7 +29,6 @@
 use pw_link::prelude::*;
 use pw_log::prelude::*;
 use pw_standin::daemon::{StandinArgs, run_standin};
-use pw_team::prelude::*;
 use pw_worker::prelude::*;
 
 const CALLERS: [usize; 3] = [1, 16, 256];
@@ -238,7 +238,7 @@
         workers = [{{ id = "bench-01", zone = "a", rack = "r", cores = 512, memory_gib = 512, slots = {SLOTS}, connections = 1024 }}]
         pools = [{{ id = "p", workers = ["bench-01"], max_unavailable = 0 }}]
         queues = [{{ id = "plans", pool = "p", run_timeout = "10s", deadline = "20s" }}]
-        teams = [{{ id = "bench", share = 1, limit = 100000, keys = [{{ id = "1", sha256 = "{key}" }}] }}]
+        accounts = [{{ id = "bench", share = 1, limit = 100000, keys = [{{ id = "1", sha256 = "{key}" }}] }}]
         "#
     );
     let record = LogRecord {
--- a/benches/benches/placement.rs
+++ b/benches/benches/placement.rs
@@ -48,7 +48,7 @@
             min_workers: 0,
         }],
         workers,
-        teams: Vec::new(),
+        accounts: Vec::new(),
         queues: Vec::new(),
     }
 }
--- a/benches/benches/policy/demand.rs
+++ b/benches/benches/policy/demand.rs
@@ -26,11 +26,11 @@
     },
 }
 
-/// Demand of one team on one queue.
+/// Demand of one account on one queue.
 #[derive(Debug, Clone)]
 pub struct DemandStream {
-    /// Number of the team.
-    pub team: usize,
+    /// Number of the account.
+    pub account: usize,
     /// Name of the queue.
     pub queue: String,
     /// Mean arrivals per second.
--- a/benches/benches/policy/fleet.rs
+++ b/benches/benches/policy/fleet.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use pw_account::prelude::*;
 use pw_fleet::prelude::*;
 use pw_pool::prelude::*;
-use pw_team::prelude::*;
 use pw_worker::prelude::*;
 use pw_zone::prelude::*;
 
@@ -19,9 +19,9 @@
     pub pool_workers: usize,
     /// Slots of each worker.
     pub slots: u32,
-    /// Share and upper limit of each team.
-    pub teams: Vec<(u32, u32)>,
-    /// Whether the queues are open to all, so that teams are not told apart.
+    /// Share and upper limit of each account.
+    pub accounts: Vec<(u32, u32)>,
+    /// Whether the queues are open to all, so that accounts are not told apart.
     pub is_open: bool,
     /// Longest time from acceptance to the answer on the queues of callers who wait.
     pub deadline: Duration,
@@ -34,7 +34,7 @@
             pools: 1,
             pool_workers: 10,
             slots: 8,
-            teams: [30, 25, 20, 15, 7, 3].map(|share| (share, 1000)).into(),
+            accounts: [30, 25, 20, 15, 7, 3].map(|share| (share, 1000)).into(),
             is_open: false,
             deadline: Duration::from_secs(10),
         }
@@ -48,14 +48,14 @@
             id: format!("z{zone}").into(),
             ..ZoneSpec::default()
         });
-        let teams = self.teams.iter().enumerate();
-        let teams = teams.map(|(team, (share, limit))| TeamSpec {
-            id: format!("t{team}").into(),
+        let accounts = self.accounts.iter().enumerate();
+        let accounts = accounts.map(|(account, (share, limit))| AccountSpec {
+            id: format!("t{account}").into(),
             share: *share,
             limit: *limit,
             keys: vec![KeySpec {
-                id: format!("t{team}-1").into(),
-                sha256: digest_key(&format!("t{team}")),
+                id: format!("t{account}-1").into(),
+                sha256: digest_key(&format!("t{account}")),
             }],
         });
         FleetSpec {
@@ -65,7 +65,7 @@
                 .map(|index| self.worker(index))
                 .collect(),
             pools: (0..self.pools).map(|pool| self.pool(pool)).collect(),
-            teams: teams.collect(),
+            accounts: accounts.collect(),
             queues: (0..self.pools).flat_map(|pool| self.queues(pool)).collect(),
         }
     }
--- a/benches/benches/policy/meter.rs
+++ b/benches/benches/policy/meter.rs
@@ -1,4 +1,4 @@
-//! Measures of what the teams were served and of how long their tasks waited.
+//! Measures of what the accounts were served and of how long their tasks waited.
 
 use std::time::Duration;
 
@@ -12,11 +12,11 @@
 pub struct ServiceSample {
     /// Slots that can be used.
     pub capacity: f64,
-    /// Tasks that run, by team.
+    /// Tasks that run, by account.
     pub running: Vec<f64>,
-    /// Tasks that run or wait, by team.
+    /// Tasks that run or wait, by account.
     pub demand: Vec<f64>,
-    /// Slot-seconds that were newly offered since the last sample, by team.
+    /// Slot-seconds that were newly offered since the last sample, by account.
     pub offered: Vec<f64>,
 }
 
@@ -44,16 +44,16 @@
     pub starts: u64,
     /// Starts that found no free slot.
     pub busy: u64,
-    /// Most running tasks of a team above its limit.
+    /// Most running tasks of an account above its limit.
     pub over_limit: f64,
-    /// Running tasks of limited teams against what limits and demand allow.
+    /// Running tasks of limited accounts against what limits and demand allow.
     pub limit_used: f64,
     /// What limits and demand allow.
     pub limit_usable: f64,
 }
 
 impl ServiceMeter {
-    /// Creates a meter of teams with these shares, sampled every `step`.
+    /// Creates a meter of accounts with these shares, sampled every `step`.
     pub fn new(shares: Vec<f64>, step: Duration) -> Self {
         Self {
             shares,
@@ -99,12 +99,12 @@
         average(&self.mean)
     }
 
-    /// Returns the largest distance of a team in a window, as a part of the pool.
+    /// Returns the largest distance of an account in a window, as a part of the pool.
     pub fn worst_distance(&self) -> f64 {
         self.worst
     }
 
-    /// Returns the mean distance of a team as a part of its own entitlement.
+    /// Returns the mean distance of an account as a part of its own entitlement.
     pub fn relative_distance(&self) -> f64 {
         average(&self.relative)
     }
@@ -126,7 +126,7 @@
 
     /// Compares service and entitlement in a window that was full throughout.
     ///
-    /// The entitlement divides the work done in the window by shares; a team is entitled to no more
+    /// The entitlement divides the work done in the window by shares; an account is entitled to no more
     /// than it offered.
     fn close_window(&mut self) {
         let window = std::mem::take(&mut self.window);
@@ -136,16 +136,19 @@
             return;
         }
         let step = WINDOW.as_secs_f64() / window.len() as f64;
-        let sum = |part: fn(&ServiceSample) -> &Vec<f64>, team: usize| {
-            window.iter().map(|sample| part(sample)[team]).sum::<f64>()
+        let sum = |part: fn(&ServiceSample) -> &Vec<f64>, account: usize| {
+            window
+                .iter()
+                .map(|sample| part(sample)[account])
+                .sum::<f64>()
         };
-        let teams = 0..self.shares.len();
-        let served: Vec<f64> = teams
+        let accounts = 0..self.shares.len();
+        let served: Vec<f64> = accounts
             .clone()
-            .map(|team| step * sum(|sample| &sample.running, team))
+            .map(|account| step * sum(|sample| &sample.running, account))
             .collect();
-        let offered: Vec<f64> = teams
-            .map(|team| sum(|sample| &sample.offered, team))
+        let offered: Vec<f64> = accounts
+            .map(|account| sum(|sample| &sample.offered, account))
             .collect();
         let total: f64 = served.iter().sum();
         let entitled = fill(total, &self.shares, &offered);
@@ -166,30 +169,30 @@
     values.iter().sum::<f64>() / values.len().max(1) as f64
 }
 
-/// Returns the division of `total` by shares in which no team has more than its demand.
+/// Returns the division of `total` by shares in which no account has more than its demand.
 fn fill(total: f64, shares: &[f64], demand: &[f64]) -> Vec<f64> {
     let mut parts = vec![0.0; shares.len()];
     let mut is_open = vec![true; shares.len()];
     let mut left = total;
     loop {
         let weight: f64 = (0..shares.len())
-            .filter(|team| is_open[*team])
-            .map(|team| shares[team])
+            .filter(|account| is_open[*account])
+            .map(|account| shares[account])
             .sum();
         let level = left / weight.max(f64::EPSILON);
         let full = (0..shares.len())
-            .filter(|team| is_open[*team] && demand[*team] < shares[*team] * level)
+            .filter(|account| is_open[*account] && demand[*account] < shares[*account] * level)
             .collect::<Vec<_>>();
         if full.is_empty() || weight == 0.0 {
-            for team in (0..shares.len()).filter(|team| is_open[*team]) {
-                parts[team] = shares[team] * level;
+            for account in (0..shares.len()).filter(|account| is_open[*account]) {
+                parts[account] = shares[account] * level;
             }
             return parts;
         }
-        for team in full {
-            parts[team] = demand[team];
-            left -= demand[team];
-            is_open[team] = false;
+        for account in full {
+            parts[account] = demand[account];
+            left -= demand[account];
+            is_open[account] = false;
         }
     }
 }
--- a/benches/benches/policy/scenario.rs
+++ b/benches/benches/policy/scenario.rs
@@ -25,12 +25,12 @@
 
 /// Seeds that every variant is run with.
 const SEEDS: [u64; 3] = [1, 2, 3];
-/// Part of all demand that each of six teams has: a few are large.
-const TEAM_DEMAND: [f64; 6] = [0.1, 0.35, 0.25, 0.05, 0.15, 0.1];
+/// Part of all demand that each of six accounts has: a few are large.
+const ACCOUNT_DEMAND: [f64; 6] = [0.1, 0.35, 0.25, 0.05, 0.15, 0.1];
 /// Mean run time of a caller's task.
 const MEAN_RUN: Duration = Duration::from_millis(500);
 
-/// Demand of `load` times the capacity of the first pool, split among the teams.
+/// Demand of `load` times the capacity of the first pool, split among the accounts.
 fn streams(
     form: &FleetForm,
     load: f64,
@@ -39,15 +39,15 @@
 ) -> Vec<DemandStream> {
     let slots = form.pool_workers as f64 * f64::from(form.slots);
     let all = load * slots / MEAN_RUN.as_secs_f64();
-    let teams = TEAM_DEMAND.iter().enumerate();
-    teams
-        .map(|(team, part)| DemandStream {
-            team,
+    let accounts = ACCOUNT_DEMAND.iter().enumerate();
+    accounts
+        .map(|(account, part)| DemandStream {
+            account,
             queue: "q0".to_owned(),
             rate: all * part,
             form: rate,
             mean_run: MEAN_RUN,
-            affinity: affinity.map(|part| (team, part)),
+            affinity: affinity.map(|part| (account, part)),
             from: Duration::ZERO,
             until: Duration::MAX,
         })
@@ -92,7 +92,7 @@
             ),
             ("worst_distance_pct", 100.0 * worst.fold(0.0, f64::max)),
             (
-                "team_distance_pct",
+                "account_distance_pct",
                 mean(&|world| 100.0 * world.meter.relative_distance()),
             ),
             (
@@ -117,7 +117,7 @@
     }
 }
 
-/// One scheduler alone: what its own division of a pool among teams gives.
+/// One scheduler alone: what its own division of a pool among accounts gives.
 fn one_scheduler() -> Vec<ReportRow> {
     let base = |seed, is_open| {
         let form = FleetForm {
@@ -144,7 +144,7 @@
     let mut rows = Vec::new();
     for (routing, affinity) in [
         ("even routing", None),
-        ("each team at one entry", Some(0.9)),
+        ("each account at one entry", Some(0.9)),
     ] {
         let base = move |seed, is_open, peer_way| {
             let form = FleetForm {
@@ -173,7 +173,7 @@
             format!("first come first served, {routing}"),
             |seed| {
                 let mut settings = base(seed, true, None);
-                settings.make_scheduler = without_teams;
+                settings.make_scheduler = without_accounts;
                 settings
             },
         ));
@@ -181,8 +181,8 @@
     rows
 }
 
-/// A scheduler that serves all tasks in the order of their arrival: no keys, no teams.
-fn without_teams(settings: SchedulerSettings, _entries: usize) -> TaskScheduler {
+/// A scheduler that serves all tasks in the order of their arrival: no keys, no accounts.
+fn without_accounts(settings: SchedulerSettings, _entries: usize) -> TaskScheduler {
     TaskScheduler::new(settings, Box::new(EvenSplit::new(1)))
 }
 
@@ -277,34 +277,34 @@
     rows
 }
 
-/// Callers of 370 teams beside deferred work that fills one of 112 pools of 8512 workers.
+/// Callers of 370 accounts beside deferred work that fills one of 112 pools of 8512 workers.
 fn urgent() -> Vec<ReportRow> {
-    const TEAMS: usize = 370;
+    const ACCOUNTS: usize = 370;
     const DEFERRED_RUN: Duration = Duration::from_secs(20);
     let base = |seed, deferred_load: f64| {
         let form = FleetForm {
             zones: 6,
             pools: 112,
             pool_workers: 76,
-            teams: vec![(10, 1000); TEAMS],
+            accounts: vec![(10, 1000); ACCOUNTS],
             ..FleetForm::default()
         };
         let slots = form.pool_workers as f64 * f64::from(form.slots);
-        let stream = |team, queue: &str, load: f64, mean_run: Duration| DemandStream {
-            team,
+        let stream = |account, queue: &str, load: f64, mean_run: Duration| DemandStream {
+            account,
             queue: queue.to_owned(),
-            rate: load * slots / mean_run.as_secs_f64() / TEAMS as f64,
+            rate: load * slots / mean_run.as_secs_f64() / ACCOUNTS as f64,
             form: RateForm::Steady,
             mean_run,
             affinity: None,
             from: Duration::ZERO,
             until: Duration::MAX,
         };
-        let teams = 0..TEAMS;
-        let demand = teams.flat_map(|team| {
+        let accounts = 0..ACCOUNTS;
+        let demand = accounts.flat_map(|account| {
             [
-                stream(team, "q0", 0.3, MEAN_RUN),
-                stream(team, "d0", deferred_load, DEFERRED_RUN),
+                stream(account, "q0", 0.3, MEAN_RUN),
+                stream(account, "d0", deferred_load, DEFERRED_RUN),
             ]
         });
         WorldSettings {
--- a/benches/benches/policy/world.rs
+++ b/benches/benches/policy/world.rs
@@ -7,12 +7,12 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use indexmap::IndexMap;
+use pw_account::prelude::*;
 use pw_base::prelude::*;
 use pw_contract::prelude::*;
 use pw_dispatch::prelude::*;
 use pw_fleet::prelude::*;
 use pw_log::prelude::*;
-use pw_team::prelude::*;
 use pw_worker::prelude::*;
 use pw_zone::prelude::*;
 use rand::rngs::SmallRng;
@@ -121,7 +121,7 @@
 
 #[derive(Clone)]
 struct FakeTask {
-    team: usize,
+    account: usize,
     queue: QueueId,
     entry: usize,
     run: Duration,
@@ -228,9 +228,9 @@
             (worker.id.clone(), fake)
         });
         let shares: Vec<f64> = spec
-            .teams
+            .accounts
             .iter()
-            .map(|team| f64::from(team.share))
+            .map(|account| f64::from(account.share))
             .collect();
         Self {
             origin,
@@ -315,7 +315,7 @@
         }
         self.next_task += 1;
         let task = FakeTask {
-            team: stream.team,
+            account: stream.account,
             queue: stream.queue.as_str().into(),
             entry: stream.entry(self.schedulers.len(), &mut self.random),
             run: stream.run_time(&mut self.random),
@@ -334,10 +334,10 @@
         };
         task.is_open = true;
         let entry = task.entry;
-        self.open[task.team] += 1.0;
+        self.open[task.account] += 1.0;
         let left = self.window_end.saturating_duration_since(self.now);
-        self.offered[task.team] += task.run.min(left).as_secs_f64();
-        let key = digest_key(&format!("t{}", task.team));
+        self.offered[task.account] += task.run.min(left).as_secs_f64();
+        let key = digest_key(&format!("t{}", task.account));
         let request = TaskRequest {
             id,
             queue: task.queue.clone(),
@@ -428,7 +428,7 @@
         let Some(task) = self.tasks.get_mut(&id) else {
             return;
         };
-        self.open[task.team] -= 1.0;
+        self.open[task.account] -= 1.0;
         let TaskVerdict::Refused { reason, .. } = verdict else {
             self.meter.answered += is_measured;
             self.tasks.swap_remove(&id);
@@ -566,36 +566,36 @@
         for worker in self.workers.values().filter(usable) {
             capacity += f64::from(worker.slots);
             for task in worker.running.keys().filter_map(|id| self.tasks.get(id)) {
-                running[task.team] += 1.0;
+                running[task.account] += 1.0;
             }
         }
         let limits: Vec<f64> = self
             .spec
-            .teams
+            .accounts
             .iter()
-            .map(|team| f64::from(team.limit))
+            .map(|account| f64::from(account.limit))
             .collect();
         if self.meter.begins_window() {
             self.window_end = self.now + WINDOW;
             self.offered = self.offered_by_open_tasks();
         }
-        let teams = self.open.len();
+        let accounts = self.open.len();
         let sample = ServiceSample {
             capacity,
             running,
             demand: self.open.clone(),
-            offered: std::mem::replace(&mut self.offered, vec![0.0; teams]),
+            offered: std::mem::replace(&mut self.offered, vec![0.0; accounts]),
         };
         self.meter.sample(sample, &limits);
     }
 
-    /// Returns the slot-seconds that the open tasks of each team can use in a window.
+    /// Returns the slot-seconds that the open tasks of each account can use in a window.
     fn offered_by_open_tasks(&self) -> Vec<f64> {
         let mut offered = vec![0.0; self.open.len()];
         for task in self.tasks.values().filter(|task| task.is_open) {
             let end = task.taken.map(|taken| taken + task.run);
             let left = end.map_or(task.run, |end| end.saturating_duration_since(self.now));
-            offered[task.team] += left.min(WINDOW).as_secs_f64();
+            offered[task.account] += left.min(WINDOW).as_secs_f64();
         }
         offered
     }
--- a/crates/team/src/share.rs
+++ b/crates/account/src/share.rs
@@ -1,12 +1,12 @@
-//! Service that each team has had from one pool, measured against its share.
+//! Service that each account has had from one pool, measured against its share.
 
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use pw_base::prelude::*;
 
-/// Team whose service is measured; `None` stands for the callers of open queues without a key.
-pub type ShareTeam = Option<TeamId>;
+/// Account whose service is measured; `None` stands for the callers of open queues without a key.
+pub type ShareAccount = Option<AccountId>;
 
 /// Settings of a share book.
 #[derive(Debug, Clone)]
@@ -21,28 +21,28 @@
     pub peer_timeout: Duration,
 }
 
-/// Decayed slot-seconds of each team on one pool, here and at peers.
+/// Decayed slot-seconds of each account on one pool, here and at peers.
 ///
 /// Service is counted while tasks run, so neither declared nor estimated run times matter.
 #[derive(Debug, Clone, Default)]
 pub struct ShareBook {
     settings: ShareSettings,
-    weights: IndexMap<ShareTeam, f64>,
-    teams: IndexMap<ShareTeam, TeamService>,
+    weights: IndexMap<ShareAccount, f64>,
+    accounts: IndexMap<ShareAccount, AccountService>,
     peers: IndexMap<EntryId, PeerService>,
-    elsewhere: IndexMap<ShareTeam, TeamService>,
+    elsewhere: IndexMap<ShareAccount, AccountService>,
 }
 
-/// Slot-seconds that a team has had, decayed, with the tasks that run now.
+/// Slot-seconds that an account has had, decayed, with the tasks that run now.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct TeamService {
+pub struct AccountService {
     /// Decayed slot-seconds.
     pub served: f64,
     /// Tasks that run.
     pub running: u32,
     /// Tasks that wait.
     pub waiting: u32,
-    /// Decayed slot-seconds that count although they were not served: a team that begins to wait
+    /// Decayed slot-seconds that count although they were not served: an account that begins to wait
     /// has no claim from the time before.
     pub raised: f64,
     /// When the amounts were measured.
@@ -52,7 +52,7 @@
 #[derive(Debug, Clone, Default)]
 struct PeerService {
     heard: Option<Instant>,
-    teams: IndexMap<ShareTeam, TeamService>,
+    accounts: IndexMap<ShareAccount, AccountService>,
 }
 
 impl Default for ShareSettings {
@@ -66,7 +66,7 @@
     }
 }
 
-impl TeamService {
+impl AccountService {
     /// Returns the decayed slot-seconds at `now`, with those of the running tasks so far.
     fn served_at(&self, now: Instant, memory: Duration) -> f64 {
         let kept = self.kept_at(now, memory);
@@ -101,36 +101,36 @@
         }
     }
 
-    /// Sets the shares; a team that is not named has the share of open queues.
-    pub fn set_shares<'a>(&mut self, shares: impl Iterator<Item = (&'a TeamId, u32)>) {
+    /// Sets the shares; an account that is not named has the share of open queues.
+    pub fn set_shares<'a>(&mut self, shares: impl Iterator<Item = (&'a AccountId, u32)>) {
         self.weights = shares
-            .map(|(team, share)| (Some(team.clone()), f64::from(share.max(1))))
+            .map(|(account, share)| (Some(account.clone()), f64::from(share.max(1))))
             .collect();
-        let is_used = |service: &TeamService| service.running > 0 || service.waiting > 0;
+        let is_used = |service: &AccountService| service.running > 0 || service.waiting > 0;
         let weights = &self.weights;
-        self.teams
-            .retain(|team, service| is_used(service) || weights.contains_key(team));
+        self.accounts
+            .retain(|account, service| is_used(service) || weights.contains_key(account));
     }
 
     /// Counts a task that starts.
-    pub fn note_start(&mut self, now: Instant, team: &ShareTeam) {
-        self.settled(now, team).running += 1;
+    pub fn note_start(&mut self, now: Instant, account: &ShareAccount) {
+        self.settled(now, account).running += 1;
     }
 
     /// Counts a task that has ended.
-    pub fn note_end(&mut self, now: Instant, team: &ShareTeam) {
-        let service = self.settled(now, team);
+    pub fn note_end(&mut self, now: Instant, account: &ShareAccount) {
+        let service = self.settled(now, account);
         service.running = service.running.saturating_sub(1);
     }
 
-    /// Sets how many tasks of the team wait; a team that begins to wait has no claim from before.
-    pub fn set_waiting(&mut self, now: Instant, team: &ShareTeam, waiting: u32) {
-        let is_new = waiting > 0 && !self.is_waiting(team);
+    /// Sets how many tasks of the account wait; an account that begins to wait has no claim from before.
+    pub fn set_waiting(&mut self, now: Instant, account: &ShareAccount, waiting: u32) {
+        let is_new = waiting > 0 && !self.is_waiting(account);
         let floor = if is_new { self.floor(now) } else { None };
-        let score = floor.map(|floor| floor - self.score(now, team));
-        let weight = self.weight(team);
-        let known = self.raised(now, team);
-        let service = self.settled(now, team);
+        let score = floor.map(|floor| floor - self.score(now, account));
+        let weight = self.weight(account);
+        let known = self.raised(now, account);
+        let service = self.settled(now, account);
         service.waiting = waiting;
         if let Some(missing) = score.filter(|missing| *missing > 0.0) {
             service.raised = known + missing * weight;
@@ -142,11 +142,11 @@
         &mut self,
         now: Instant,
         peer: &EntryId,
-        report: impl IntoIterator<Item = (ShareTeam, TeamService)>,
+        report: impl IntoIterator<Item = (ShareAccount, AccountService)>,
     ) {
         let service = PeerService {
             heard: Some(now),
-            teams: report.into_iter().collect(),
+            accounts: report.into_iter().collect(),
         };
         self.peers.insert(peer.clone(), service);
         self.forget_silent(now);
@@ -170,29 +170,29 @@
     }
 
     /// Returns this entry instance's own service, for its peers.
-    pub fn report(&self, now: Instant) -> Vec<(ShareTeam, TeamService)> {
+    pub fn report(&self, now: Instant) -> Vec<(ShareAccount, AccountService)> {
         let memory = self.settings.memory;
-        self.teams
+        self.accounts
             .iter()
-            .map(|(team, service)| {
+            .map(|(account, service)| {
                 let mut service = *service;
                 service.settle(now, memory);
-                (team.clone(), service)
+                (account.clone(), service)
             })
             .filter(|(_, report)| report.served > 0.001 || report.running + report.waiting > 0)
             .collect()
     }
 
-    /// Returns the team's slot-seconds for each unit of its share; the lowest goes first.
-    pub fn score(&self, now: Instant, team: &ShareTeam) -> f64 {
+    /// Returns the account's slot-seconds for each unit of its share; the lowest goes first.
+    pub fn score(&self, now: Instant, account: &ShareAccount) -> f64 {
         let horizon = self.settings.horizon.as_secs_f64();
         let memory = self.settings.memory;
-        let served: f64 = [&self.teams, &self.elsewhere]
+        let served: f64 = [&self.accounts, &self.elsewhere]
             .into_iter()
-            .filter_map(|teams| teams.get(team))
+            .filter_map(|accounts| accounts.get(account))
             .map(|service| service.served_at(now, memory) + f64::from(service.running) * horizon)
             .sum();
-        (served + self.raised(now, team)) / self.weight(team)
+        (served + self.raised(now, account)) / self.weight(account)
     }
 
     /// Returns the age of the oldest report of a peer that counts.
@@ -201,54 +201,56 @@
         heard.map_or(Duration::ZERO, |heard| now.saturating_duration_since(heard))
     }
 
-    /// Returns by how much one running task raises the team's score at once.
-    pub fn task_score(&self, team: &ShareTeam) -> f64 {
-        self.settings.horizon.as_secs_f64() / self.weight(team)
+    /// Returns by how much one running task raises the account's score at once.
+    pub fn task_score(&self, account: &ShareAccount) -> f64 {
+        self.settings.horizon.as_secs_f64() / self.weight(account)
     }
 
-    /// Returns the lowest score of the teams that wait at this entry instance or at a peer.
+    /// Returns the lowest score of the accounts that wait at this entry instance or at a peer.
     pub fn floor(&self, now: Instant) -> Option<f64> {
-        self.teams
+        self.accounts
             .iter()
             .chain(&self.elsewhere)
             .filter(|(_, service)| service.waiting > 0)
-            .map(|(team, _)| self.score(now, team))
+            .map(|(account, _)| self.score(now, account))
             .min_by(f64::total_cmp)
     }
 
-    /// Returns the sum of the shares of the teams that wait here or at a peer.
+    /// Returns the sum of the shares of the accounts that wait here or at a peer.
     pub fn waiting_weight(&self) -> f64 {
-        let here = self.teams.iter();
+        let here = self.accounts.iter();
         let elsewhere = self.elsewhere.iter();
-        let elsewhere = elsewhere.filter(|(team, _)| {
-            let service = self.teams.get(*team);
+        let elsewhere = elsewhere.filter(|(account, _)| {
+            let service = self.accounts.get(*account);
             service.is_none_or(|service| service.waiting == 0)
         });
         here.chain(elsewhere)
             .filter(|(_, service)| service.waiting > 0)
-            .map(|(team, _)| self.weight(team))
+            .map(|(account, _)| self.weight(account))
             .sum()
     }
 
-    /// Returns the part of a full pool that the team is entitled to through this entry instance.
+    /// Returns the part of a full pool that the account is entitled to through this entry instance.
     ///
-    /// The team's part is divided among the entry instances by how many of its tasks wait there.
-    pub fn entitled_part(&self, team: &ShareTeam) -> f64 {
-        let waiting = |teams: &IndexMap<ShareTeam, TeamService>| {
-            let service = teams.get(team);
+    /// The account's part is divided among the entry instances by how many of its tasks wait there.
+    pub fn entitled_part(&self, account: &ShareAccount) -> f64 {
+        let waiting = |accounts: &IndexMap<ShareAccount, AccountService>| {
+            let service = accounts.get(account);
             service.map_or(0.0, |service| f64::from(service.waiting))
         };
-        let here = waiting(&self.teams);
+        let here = waiting(&self.accounts);
         let all = here + waiting(&self.elsewhere);
         if all == 0.0 {
             return 0.0;
         }
-        here / all * self.weight(team) / self.waiting_weight()
+        here / all * self.weight(account) / self.waiting_weight()
     }
 
-    /// Returns how many tasks of the team run through this entry instance.
-    pub fn running(&self, team: &ShareTeam) -> u32 {
-        self.teams.get(team).map_or(0, |service| service.running)
+    /// Returns how many tasks of the account run through this entry instance.
+    pub fn running(&self, account: &ShareAccount) -> u32 {
+        self.accounts
+            .get(account)
+            .map_or(0, |service| service.running)
     }
 
     /// Returns how many peers have reported lately.
@@ -256,26 +258,26 @@
         self.peers.len()
     }
 
-    /// Returns the team's share.
-    pub fn weight(&self, team: &ShareTeam) -> f64 {
+    /// Returns the account's share.
+    pub fn weight(&self, account: &ShareAccount) -> f64 {
         let open = f64::from(self.settings.open_share.max(1));
-        self.weights.get(team).copied().unwrap_or(open)
+        self.weights.get(account).copied().unwrap_or(open)
     }
 
-    /// Returns what counts for the team without service; peers raise it for the same reason.
-    fn raised(&self, now: Instant, team: &ShareTeam) -> f64 {
+    /// Returns what counts for the account without service; peers raise it for the same reason.
+    fn raised(&self, now: Instant, account: &ShareAccount) -> f64 {
         let memory = self.settings.memory;
-        [&self.teams, &self.elsewhere]
+        [&self.accounts, &self.elsewhere]
             .into_iter()
-            .filter_map(|teams| teams.get(team))
+            .filter_map(|accounts| accounts.get(account))
             .map(|service| service.raised_at(now, memory))
             .fold(0.0, f64::max)
     }
 
-    fn is_waiting(&self, team: &ShareTeam) -> bool {
-        [&self.teams, &self.elsewhere]
+    fn is_waiting(&self, account: &ShareAccount) -> bool {
+        [&self.accounts, &self.elsewhere]
             .into_iter()
-            .filter_map(|teams| teams.get(team))
+            .filter_map(|accounts| accounts.get(account))
             .any(|service| service.waiting > 0)
     }
 
@@ -285,10 +287,10 @@
         let latest = self.peers.values().filter_map(|peer| peer.heard).max();
         self.elsewhere.clear();
         for peer in self.peers.values() {
-            for (team, service) in &peer.teams {
+            for (account, service) in &peer.accounts {
                 let mut service = *service;
                 service.as_of = peer.heard;
-                let sum = self.elsewhere.entry(team.clone()).or_default();
+                let sum = self.elsewhere.entry(account.clone()).or_default();
                 sum.as_of = latest;
                 sum.served += latest.map_or(0.0, |latest| service.served_at(latest, memory));
                 let raised = latest.map_or(0.0, |latest| service.raised_at(latest, memory));
@@ -299,8 +301,8 @@
         }
     }
 
-    fn settled(&mut self, now: Instant, team: &ShareTeam) -> &mut TeamService {
-        let service = self.teams.entry(team.clone()).or_default();
+    fn settled(&mut self, now: Instant, account: &ShareAccount) -> &mut AccountService {
+        let service = self.accounts.entry(account.clone()).or_default();
         service.settle(now, self.settings.memory);
         service
     }
--- a/crates/team/src/spec.rs
+++ b/crates/account/src/spec.rs
@@ -1,17 +1,17 @@
-//! A team as operators declare it.
+//! An account as operators declare it.
 
 use pw_base::prelude::*;
 use serde::{Deserialize, Serialize};
 
 use crate::key::KeyDigest;
 
-/// Declared team.
+/// Declared account.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct TeamSpec {
-    /// Name of the team.
-    pub id: TeamId,
-    /// Weight of the team when all is full.
+pub struct AccountSpec {
+    /// Name of the account.
+    pub id: AccountId,
+    /// Weight of the account when all is full.
     pub share: u32,
     /// Upper limit on its running tasks, fleet-wide.
     pub limit: u32,
@@ -20,7 +20,7 @@
     pub keys: Vec<KeySpec>,
 }
 
-/// Declared key of a team; only its digest is stored.
+/// Declared key of an account; only its digest is stored.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct KeySpec {
--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -10,9 +10,9 @@
 pub type RackId = Arc<str>;
 /// Name of a pool.
 pub type PoolId = Arc<str>;
-/// Name of a team.
-pub type TeamId = Arc<str>;
-/// Name of a team's key; the secret itself is never stored.
+/// Name of a client account: a customer whose tasks and jobs are counted together.
+pub type AccountId = Arc<str>;
+/// Name of an account's key; the secret itself is never stored.
 pub type KeyId = Arc<str>;
 /// Name of a queue.
 pub type QueueId = Arc<str>;
@@ -48,8 +48,6 @@
 pub type RecordSequence = u64;
 /// Identity of a job, chosen by its caller; it is unique within the fleet.
 pub type JobId = Arc<str>;
-/// Name of a client account, the customer that a job is counted for.
-pub type AccountId = Arc<str>;
 /// Name of a node in the group of all nodes: the address at which the others reach it.
 pub type NodeName = Arc<str>;
 /// Number of a shard of pools, counted from 0.
--- a/crates/capacity/src/fleet.rs
+++ b/crates/capacity/src/fleet.rs
@@ -10,7 +10,7 @@
 const WORKER_SLOTS: usize = 8;
 /// Share of each pool's workers that may be unavailable: one in this many.
 const BUDGET_DIVISOR: usize = 10;
-/// Upper limit of a team, as a multiple of its even part of all slots.
+/// Upper limit of an account, as a multiple of its even part of all slots.
 const LIMIT_FACTOR: usize = 2;
 
 /// Size of a generated fleet; the default is the size to design for.
@@ -20,8 +20,8 @@
     pub workers: usize,
     /// Pools; the last one is the spare pool when there are several.
     pub pools: usize,
-    /// Teams, each with one key.
-    pub teams: usize,
+    /// Accounts, each with one key.
+    pub accounts: usize,
     /// Availability zones.
     pub zones: usize,
     /// Regions.
@@ -33,7 +33,7 @@
         Self {
             workers: 8_500,
             pools: 112,
-            teams: 370,
+            accounts: 370,
             zones: 6,
             regions: 3,
         }
@@ -49,7 +49,7 @@
         Self {
             workers,
             pools: scale(self.pools).min(workers / 2).max(1),
-            teams: scale(self.teams),
+            accounts: scale(self.accounts),
             ..self
         }
     }
@@ -112,12 +112,12 @@
              run_timeout = \"30s\"\ndeadline = \"5m\""
         )?;
     }
-    let limit = (LIMIT_FACTOR * WORKER_SLOTS * size.workers).div_ceil(size.teams);
-    for team in 0..size.teams {
+    let limit = (LIMIT_FACTOR * WORKER_SLOTS * size.workers).div_ceil(size.accounts);
+    for account in 0..size.accounts {
         writeln!(
             text,
-            "\n[[teams]]\nid = \"team-{team}\"\nshare = 1\nlimit = {limit}\n\
-             keys = [{{ id = \"key-{team}\", sha256 = \"{team:064x}\" }}]"
+            "\n[[accounts]]\nid = \"account-{account}\"\nshare = 1\nlimit = {limit}\n\
+             keys = [{{ id = \"key-{account}\", sha256 = \"{account:064x}\" }}]"
         )?;
     }
     Ok(())
--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -49,7 +49,7 @@
         page,
         "Written by `cargo run --release -p pw_capacity -- --write docs/CAPACITY.md`. Fleets of \
          several sizes are generated, the production objects are driven at each, and a line is \
-         fitted by least squares. The size to design for: 8,500 workers, 112 pools, 370 teams, 6 \
+         fitted by least squares. The size to design for: 8,500 workers, 112 pools, 370 accounts, 6 \
          zones in 3 regions, 13,000 changes of configuration, 150 failures and 2,600 restarts a \
          day.\n"
     )?;
--- a/crates/capacity/tests/fleet.rs
+++ b/crates/capacity/tests/fleet.rs
@@ -7,8 +7,8 @@
     for workers in [2, 12, 50, 500, 2_000, 8_500] {
         let size = FleetSize::default().scaled_to(workers);
         let fleet = generate_fleet(&size);
-        let counts = (fleet.workers.len(), fleet.pools.len(), fleet.teams.len());
-        assert_eq!(counts, (size.workers, size.pools, size.teams));
+        let counts = (fleet.workers.len(), fleet.pools.len(), fleet.accounts.len());
+        assert_eq!(counts, (size.workers, size.pools, size.accounts));
     }
 }
 
@@ -17,6 +17,6 @@
     let fleet = generate_fleet(&FleetSize::default());
     assert_eq!(fleet.workers.len(), 8_500);
     assert_eq!(fleet.pools.len(), 112);
-    assert_eq!(fleet.teams.len(), 370);
+    assert_eq!(fleet.accounts.len(), 370);
     assert_eq!(fleet.zones.len(), 6);
 }
--- a/crates/cli/src/audit.rs
+++ b/crates/cli/src/audit.rs
@@ -175,7 +175,7 @@
     let kept = hold.keep_floor.saturating_add(hold.keep_float);
     format!(
         "keep {kept} and want {} permits of {}",
-        hold.want, hold.team
+        hold.want, hold.account
     )
 }
 
--- a/crates/cli/src/demo/caller.rs
+++ b/crates/cli/src/demo/caller.rs
@@ -14,7 +14,7 @@
 /// One request of a caller.
 #[derive(Debug, Clone)]
 pub(super) struct CallerRequest {
-    pub(super) team: String,
+    pub(super) account: String,
     pub(super) queue: String,
     /// Unique text that the backend server's journal repeats.
     pub(super) marker: String,
@@ -60,7 +60,7 @@
     let payload = json!({ "work_ms": work_ms, "marker": request.marker }).to_string();
     let url = format!("http://{entry}/v1/queues/{}/tasks", request.queue);
     let mut http = Request::new(Method::Post, url.as_str());
-    http.insert_header("Authorization", format!("Bearer {}-key", request.team));
+    http.insert_header("Authorization", format!("Bearer {}-key", request.account));
     http.set_body(payload.clone());
     match call_http(entry, http, CALL_TIMEOUT).await {
         Ok(response) if response.status() == StatusCode::Ok => {
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -1,7 +1,7 @@
 //! `demo`: a whole fleet in one process, with its promises put to the test.
 //!
 //! Stand-ins of the platform's services, a backend server for each worker and an entry instance
-//! in each availability zone talk over TCP on loopback. Callers of several teams send requests
+//! in each availability zone talk over TCP on loopback. Callers of several accounts send requests
 //! while operators change the fleet; the backend servers' journals tell what really ran.
 
 mod caller;
--- a/crates/cli/src/demo/scene.rs
+++ b/crates/cli/src/demo/scene.rs
@@ -24,8 +24,8 @@
 const LONG_WORK: Duration = Duration::from_millis(400);
 /// Queue that most requests go to.
 const QUEUE: &str = "custom-quotes";
-/// Team whose limit is reached and whose key is withdrawn.
-const SMALL_TEAM: &str = "atelier";
+/// Account whose limit is reached and whose key is withdrawn.
+const SMALL_ACCOUNT: &str = "atelier";
 /// Availability zone that is taken out and brought back.
 const ZONE: &str = "cantabrico-b";
 
@@ -38,10 +38,10 @@
     ("applying the fleet file", |fleet| {
         apply_file(fleet).boxed_local()
     }),
-    ("requests of every team", |fleet| {
-        serve_teams(fleet).boxed_local()
+    ("requests of every account", |fleet| {
+        serve_accounts(fleet).boxed_local()
     }),
-    ("a team reaches its upper limit", |fleet| {
+    ("an account reaches its upper limit", |fleet| {
         reach_limit(fleet).boxed_local()
     }),
     ("a maintenance wave", |fleet| maintain(fleet).boxed_local()),
@@ -58,13 +58,13 @@
     Ok(vec![check])
 }
 
-async fn serve_teams(fleet: &DemoFleet) -> anyhow::Result<Vec<PromiseCheck>> {
-    const REQUESTS_PER_TEAM: usize = 40;
+async fn serve_accounts(fleet: &DemoFleet) -> anyhow::Result<Vec<PromiseCheck>> {
+    const REQUESTS_PER_ACCOUNT: usize = 40;
     let requests = fleet
         .spec()
-        .teams
+        .accounts
         .iter()
-        .flat_map(|team| requests(&team.id, "teams", REQUESTS_PER_TEAM, SHORT_WORK))
+        .flat_map(|account| requests(&account.id, "accounts", REQUESTS_PER_ACCOUNT, SHORT_WORK))
         .collect();
     let outcomes = call_all(&fleet.callers(), requests).await;
     Ok(check_calls(fleet, &outcomes).await?.to_vec())
@@ -74,18 +74,18 @@
     const REQUESTS: usize = 160;
     let limit = fleet
         .spec()
-        .teams
+        .accounts
         .iter()
-        .find(|team| &*team.id == SMALL_TEAM)
+        .find(|account| &*account.id == SMALL_ACCOUNT)
         .map(|t| t.limit);
     let limit = limit.unwrap_or_default() as usize;
-    let requests = requests(SMALL_TEAM, "limit", REQUESTS, LONG_WORK);
+    let requests = requests(SMALL_ACCOUNT, "limit", REQUESTS, LONG_WORK);
     let outcomes = call_all(&fleet.callers(), requests).await;
     let mut checks = check_calls(fleet, &outcomes).await?.to_vec();
     let runs = runs_of(fleet, &outcomes).await?;
     let most = most_at_once(&runs);
     checks.push(PromiseCheck::new(
-        "no team has more running than its upper limit",
+        "no account has more running than its upper limit",
         most <= limit && most > 0,
         format!("{} runs, at most {most} at once of {limit}", runs.len()),
     ));
@@ -155,10 +155,13 @@
 async fn withdraw_key(fleet: &DemoFleet) -> anyhow::Result<Vec<PromiseCheck>> {
     const REQUESTS: usize = 20;
     let mut spec = fleet.spec().clone();
-    let teams = spec.teams.iter_mut().filter(|team| &*team.id == SMALL_TEAM);
-    teams.for_each(|team| team.keys.clear());
+    let accounts = spec
+        .accounts
+        .iter_mut()
+        .filter(|account| &*account.id == SMALL_ACCOUNT);
+    accounts.for_each(|account| account.keys.clear());
     let applied = apply_everywhere(fleet, spec).await?;
-    let requests = requests(SMALL_TEAM, "withdrawn", REQUESTS, SHORT_WORK);
+    let requests = requests(SMALL_ACCOUNT, "withdrawn", REQUESTS, SHORT_WORK);
     let outcomes = call_all(&fleet.callers(), requests).await;
     let refused = outcomes
         .iter()
@@ -178,12 +181,12 @@
     requests("bilbao", name, REQUESTS, LONG_WORK)
 }
 
-fn requests(team: &str, scene: &str, count: usize, work: Duration) -> Vec<CallerRequest> {
+fn requests(account: &str, scene: &str, count: usize, work: Duration) -> Vec<CallerRequest> {
     (0..count)
         .map(|number| CallerRequest {
-            team: team.to_owned(),
+            account: account.to_owned(),
             queue: QUEUE.to_owned(),
-            marker: format!("{scene}-{team}-{number}"),
+            marker: format!("{scene}-{account}-{number}"),
             work,
         })
         .collect()
--- a/crates/cli/src/digest.rs
+++ b/crates/cli/src/digest.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Context, ensure};
 use argh::FromArgs;
-use pw_team::prelude::*;
+use pw_account::prelude::*;
 
 use crate::command::ExitStatus;
 use crate::output::print_lines;
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -123,7 +123,7 @@
         pool_rows(spec),
     )?;
     print_lines([String::new()])?;
-    print_table(&["TEAM", "SHARE", "LIMIT", "KEYS"], team_rows(spec))?;
+    print_table(&["ACCOUNT", "SHARE", "LIMIT", "KEYS"], account_rows(spec))?;
     print_lines([String::new()])?;
     print_table(
         &["ENTRY", "REVISION", "OPEN TASKS", "WAITING"],
@@ -174,14 +174,14 @@
         .collect()
 }
 
-fn team_rows(spec: &FleetSpec) -> Vec<Vec<String>> {
-    spec.teams
+fn account_rows(spec: &FleetSpec) -> Vec<Vec<String>> {
+    spec.accounts
         .iter()
-        .map(|team| {
-            let keys: Vec<&str> = team.keys.iter().map(|key| &*key.id).collect();
-            let numbers = [team.share.to_string(), team.limit.to_string()];
+        .map(|account| {
+            let keys: Vec<&str> = account.keys.iter().map(|key| &*key.id).collect();
+            let numbers = [account.share.to_string(), account.limit.to_string()];
             let [share, limit] = numbers;
-            vec![team.id.to_string(), share, limit, keys.join(" ")]
+            vec![account.id.to_string(), share, limit, keys.join(" ")]
         })
         .collect()
 }
--- a/crates/contract/src/team_use.rs
+++ b/crates/contract/src/account_use.rs
@@ -1,4 +1,4 @@
-//! One holder's use of the permits of one team.
+//! One holder's use of the permits of one account.
 
 use std::time::{Duration, Instant};
 
@@ -13,9 +13,9 @@
 /// Permits wanted beyond the demand: one for this many tasks, and one more.
 const HEADROOM_DIVISOR: u32 = 8;
 
-/// Permits of one team as their holder sees and uses them.
+/// Permits of one account as their holder sees and uses them.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
-pub(crate) struct TeamUse {
+pub(crate) struct AccountUse {
     /// Tasks that wait for a permit.
     pub(crate) waiting: u32,
     /// Floor permits that the holder should have when nobody needs them more.
@@ -45,7 +45,7 @@
     others_unmet: Option<Instant>,
 }
 
-impl TeamUse {
+impl AccountUse {
     /// Forgets what an earlier incarnation held; its tasks count against its own permits.
     pub(crate) fn forget_grants(&mut self) {
         *self = Self {
@@ -59,21 +59,21 @@
         &mut self,
         now: Instant,
         key: &MemberKey,
-        team: &TeamId,
+        account: &AccountId,
         permits: &PermitLedger,
         members: &MemberLedger,
     ) {
-        self.limit = permits.table().limit(team);
-        self.grant = permits.grant(team, key);
-        self.fair = permits.fair_part(team, key);
+        self.limit = permits.table().limit(account);
+        self.grant = permits.grant(account, key);
+        self.fair = permits.fair_part(account, key);
         let unmet: Vec<(&MemberKey, &PermitGrant)> = permits
-            .grants(team)
+            .grants(account)
             .filter(|(other, grant)| *other != key && grant.unmet() > 0)
             .filter(|(other, _)| members.is_trusted(other))
             .collect();
         self.others_lack = unmet
             .iter()
-            .any(|(other, grant)| grant.held() < permits.fair_part(team, other));
+            .any(|(other, grant)| grant.held() < permits.fair_part(account, other));
         self.others_starve = unmet.iter().any(|(_, grant)| grant.held() == 0);
         if self.others_wait || !unmet.is_empty() {
             self.others_unmet = Some(now);
@@ -90,12 +90,12 @@
         self.ceiling = None;
     }
 
-    /// Returns whether the team is gone and nothing of it is held or waits.
+    /// Returns whether the account is gone and nothing of it is held or waits.
     pub(crate) fn is_unused(&self) -> bool {
         self.limit == 0 && self.used() == 0 && self.waiting == 0 && self.grant.held() == 0
     }
 
-    /// Returns whether the holder should look at the team again soon.
+    /// Returns whether the holder should look at the account again soon.
     pub(crate) fn needs_attention(&self) -> bool {
         self.waiting > 0 || self.surplus_since.is_some() || self.others_lack || self.others_starve
     }
@@ -132,7 +132,7 @@
     pub(crate) fn plan(
         &mut self,
         now: Instant,
-        team: &TeamId,
+        account: &AccountId,
         settings: &HolderSettings,
     ) -> Option<PermitHold> {
         let want_floor = self.wanted_floor(now, settings.floor_return);
@@ -151,7 +151,7 @@
             self.surplus_since = None;
         }
         Some(PermitHold {
-            team: team.clone(),
+            account: account.clone(),
             keep_floor,
             keep_float,
             want_floor,
--- a/crates/contract/src/even_split.rs
+++ b/crates/contract/src/even_split.rs
@@ -3,8 +3,8 @@
 use std::time::Instant;
 
 use indexmap::IndexMap;
+use pw_account::prelude::*;
 use pw_base::prelude::*;
-use pw_team::prelude::*;
 
 use crate::gate::{PermitGate, PermitKind, TaskPermit};
 
@@ -14,11 +14,11 @@
 #[derive(Debug, Clone)]
 pub struct EvenSplit {
     entries: u32,
-    parts: IndexMap<TeamId, TeamPart>,
+    parts: IndexMap<AccountId, AccountPart>,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
-struct TeamPart {
+struct AccountPart {
     limit: u32,
     running: u32,
 }
@@ -34,34 +34,35 @@
 }
 
 impl PermitGate for EvenSplit {
-    fn set_teams(&mut self, teams: &[TeamSpec]) {
+    fn set_accounts(&mut self, accounts: &[AccountSpec]) {
         self.parts.values_mut().for_each(|part| part.limit = 0);
-        for team in teams {
-            let part = self.parts.entry(team.id.clone()).or_default();
-            part.limit = team.limit / self.entries;
+        for account in accounts {
+            let part = self.parts.entry(account.id.clone()).or_default();
+            part.limit = account.limit / self.entries;
         }
-        self.parts
-            .retain(|id, part| part.running > 0 || teams.iter().any(|team| team.id == *id));
+        self.parts.retain(|id, part| {
+            part.running > 0 || accounts.iter().any(|account| account.id == *id)
+        });
     }
 
-    fn take(&mut self, _now: Instant, team: &TeamId, _zone: &ZoneId) -> Option<TaskPermit> {
-        let part = self.parts.get_mut(team)?;
+    fn take(&mut self, _now: Instant, account: &AccountId, _zone: &ZoneId) -> Option<TaskPermit> {
+        let part = self.parts.get_mut(account)?;
         if part.running >= part.limit {
             return None;
         }
         part.running += 1;
         Some(TaskPermit {
-            team: team.clone(),
+            account: account.clone(),
             kind: PermitKind::Float,
             incarnation: 0,
         })
     }
 
     fn give_back(&mut self, _now: Instant, permit: TaskPermit) {
-        if let Some(part) = self.parts.get_mut(&permit.team) {
+        if let Some(part) = self.parts.get_mut(&permit.account) {
             part.running = part.running.saturating_sub(1);
         }
     }
 
-    fn set_demand(&mut self, _now: Instant, _team: &TeamId, _waiting: u32) {}
+    fn set_demand(&mut self, _now: Instant, _account: &AccountId, _waiting: u32) {}
 }
--- a/crates/contract/src/gate.rs
+++ b/crates/contract/src/gate.rs
@@ -2,20 +2,20 @@
 
 use std::time::Instant;
 
+use pw_account::prelude::*;
 use pw_base::prelude::*;
 use pw_member::prelude::*;
-use pw_team::prelude::*;
 use serde::{Deserialize, Serialize};
 use strum::Display;
 
 use crate::ledger::PermitLedger;
 use crate::proposal::PermitProposal;
 
-/// Right to have one task of a team running.
+/// Right to have one task of an account running.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct TaskPermit {
-    /// Team that the permit counts against.
-    pub team: TeamId,
+    /// Account that the permit counts against.
+    pub account: AccountId,
     /// Which of the holder's permits it is.
     pub kind: PermitKind,
     /// Incarnation of the holder that took it.
@@ -49,21 +49,21 @@
 /// So at most one renewal takes effect after the last check that passed, and what runs has ended two
 /// lease lengths after it.
 pub trait PermitGate: Send {
-    /// Sets the teams with their limits; tasks that run keep running above a lowered one.
+    /// Sets the accounts with their limits; tasks that run keep running above a lowered one.
     ///
     /// A gate that is told by [`observe`](Self::observe) needs no more.
-    fn set_teams(&mut self, teams: &[TeamSpec]) {
-        _ = teams;
+    fn set_accounts(&mut self, accounts: &[AccountSpec]) {
+        _ = accounts;
     }
 
-    /// Takes a permit to start a task of `team` on a worker in `zone`.
-    fn take(&mut self, now: Instant, team: &TeamId, zone: &ZoneId) -> Option<TaskPermit>;
+    /// Takes a permit to start a task of `account` on a worker in `zone`.
+    fn take(&mut self, now: Instant, account: &AccountId, zone: &ZoneId) -> Option<TaskPermit>;
 
     /// Gives a permit back once its task has certainly ended.
     fn give_back(&mut self, now: Instant, permit: TaskPermit);
 
-    /// Sets how many tasks of `team` wait for a permit.
-    fn set_demand(&mut self, now: Instant, team: &TeamId, waiting: u32);
+    /// Sets how many tasks of `account` wait for a permit.
+    fn set_demand(&mut self, now: Instant, account: &AccountId, waiting: u32);
 
     /// Takes in the folded state after a reading of the log.
     ///
--- a/crates/contract/src/holder.rs
+++ b/crates/contract/src/holder.rs
@@ -6,11 +6,11 @@
 use pw_base::prelude::*;
 use pw_member::prelude::*;
 
+use crate::account_use::AccountUse;
 use crate::gate::{PermitGate, PermitKind, TaskPermit};
 use crate::ledger::PermitLedger;
 use crate::limit::{FLOAT_VALIDITY, even_part};
 use crate::proposal::{PermitProposal, PermitRound};
-use crate::team_use::TeamUse;
 
 /// Times and place of a permit holder.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -53,7 +53,7 @@
     ready: bool,
     /// Whether there may be something to propose soon.
     attention: bool,
-    teams: BTreeMap<TeamId, TeamUse>,
+    accounts: BTreeMap<AccountId, AccountUse>,
 }
 
 impl Default for HolderSettings {
@@ -88,7 +88,7 @@
             checked: None,
             ready: false,
             attention: false,
-            teams: BTreeMap::new(),
+            accounts: BTreeMap::new(),
         }
     }
 
@@ -115,11 +115,13 @@
         self.round = 0;
         self.folded_round = 0;
         self.proposed = None;
-        self.teams.values_mut().for_each(TeamUse::forget_grants);
+        self.accounts
+            .values_mut()
+            .for_each(AccountUse::forget_grants);
         true
     }
 
-    fn observe_teams(&mut self, now: Instant, permits: &PermitLedger, members: &MemberLedger) {
+    fn observe_accounts(&mut self, now: Instant, permits: &PermitLedger, members: &MemberLedger) {
         let Some(key) = &self.key else {
             return;
         };
@@ -128,23 +130,24 @@
         let place = mates.take_while(|(mate, _)| *mate != key).count();
         let count = members.zone_members(zone);
         let table = permits.table();
-        for team in table.limits.keys().chain(permits.teams()) {
-            if !self.teams.contains_key(team) {
-                self.teams.insert(team.clone(), TeamUse::default());
+        for account in table.limits.keys().chain(permits.accounts()) {
+            if !self.accounts.contains_key(account) {
+                self.accounts.insert(account.clone(), AccountUse::default());
             }
         }
         self.folded_round = permits.round(key);
         let all_folded = self.folded_round >= self.round;
-        for (team, team_use) in &mut self.teams {
-            team_use.observe(now, key, team, permits, members);
-            team_use.floor_part = even_part(table.zone_floor(team, zone), count, place);
-            team_use.reserve = even_part(table.zone_reserve(team, zone), count, place);
-            team_use.in_service = table.zones.get(zone).is_some_and(|zone| zone.in_service);
+        for (account, account_use) in &mut self.accounts {
+            account_use.observe(now, key, account, permits, members);
+            account_use.floor_part = even_part(table.zone_floor(account, zone), count, place);
+            account_use.reserve = even_part(table.zone_reserve(account, zone), count, place);
+            account_use.in_service = table.zones.get(zone).is_some_and(|zone| zone.in_service);
             if all_folded {
-                team_use.clear_ceiling();
+                account_use.clear_ceiling();
             }
         }
-        self.teams.retain(|_, team_use| !team_use.is_unused());
+        self.accounts
+            .retain(|_, account_use| !account_use.is_unused());
     }
 
     /// Returns whether a proposal may be made, as far as the pace allows it.
@@ -160,22 +163,22 @@
 }
 
 impl PermitGate for PermitHolder {
-    fn take(&mut self, now: Instant, team: &TeamId, zone: &ZoneId) -> Option<TaskPermit> {
+    fn take(&mut self, now: Instant, account: &AccountId, zone: &ZoneId) -> Option<TaskPermit> {
         let incarnation = self.key.as_ref()?.incarnation;
         let is_fresh = self.is_fresh(now);
-        let team_use = self.teams.get_mut(team)?;
-        if !team_use.has_fair_room(now, self.settings.turn) {
+        let account_use = self.accounts.get_mut(account)?;
+        if !account_use.has_fair_room(now, self.settings.turn) {
             return None;
         }
-        let kind = if *zone == self.settings.zone && team_use.take_floor() {
+        let kind = if *zone == self.settings.zone && account_use.take_floor() {
             PermitKind::Floor
-        } else if is_fresh && team_use.take_float() {
+        } else if is_fresh && account_use.take_float() {
             PermitKind::Float
         } else {
             return None;
         };
         Some(TaskPermit {
-            team: team.clone(),
+            account: account.clone(),
             kind,
             incarnation,
         })
@@ -186,15 +189,15 @@
         if incarnation != Some(permit.incarnation) {
             return;
         }
-        if let Some(team_use) = self.teams.get_mut(&permit.team) {
-            team_use.give_back(permit.kind);
+        if let Some(account_use) = self.accounts.get_mut(&permit.account) {
+            account_use.give_back(permit.kind);
             self.attention = true;
         }
     }
 
-    fn set_demand(&mut self, _now: Instant, team: &TeamId, waiting: u32) {
-        if let Some(team_use) = self.teams.get_mut(team) {
-            team_use.waiting = waiting;
+    fn set_demand(&mut self, _now: Instant, account: &AccountId, waiting: u32) {
+        if let Some(account_use) = self.accounts.get_mut(account) {
+            account_use.waiting = waiting;
             self.attention = true;
         }
     }
@@ -212,7 +215,7 @@
         if is_new || self.seen != Some(permits.changed()) {
             self.seen = Some(permits.changed());
             self.attention = true;
-            self.observe_teams(now, permits, members);
+            self.observe_accounts(now, permits, members);
         }
     }
 
@@ -251,9 +254,9 @@
         }
         self.attention = false;
         let mut holds = Vec::new();
-        for (team, team_use) in &mut self.teams {
-            holds.extend(team_use.plan(now, team, &self.settings));
-            self.attention |= team_use.needs_attention();
+        for (account, account_use) in &mut self.accounts {
+            holds.extend(account_use.plan(now, account, &self.settings));
+            self.attention |= account_use.needs_attention();
         }
         if holds.is_empty() {
             return Vec::new();
--- a/crates/contract/src/ledger.rs
+++ b/crates/contract/src/ledger.rs
@@ -12,19 +12,19 @@
 
 /// Permits after a prefix of the log.
 ///
-/// At every offset, the granted permits of a team are at most its limit, or not more than before
+/// At every offset, the granted permits of an account are at most its limit, or not more than before
 /// when the limit was lowered below them. The usable ones are always at most the limit.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct PermitLedger {
     table: LimitTable,
-    teams: BTreeMap<TeamId, TeamGrants>,
+    accounts: BTreeMap<AccountId, AccountGrants>,
     holders: BTreeMap<MemberKey, HolderState>,
     changed: LogOffset,
 }
 
-type TeamGrants = BTreeMap<MemberKey, PermitGrant>;
+type AccountGrants = BTreeMap<MemberKey, PermitGrant>;
 
-/// Permits of one team that one member holds.
+/// Permits of one account that one member holds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct PermitGrant {
     /// Floor permits that nobody else can get.
@@ -111,28 +111,28 @@
         self.changed
     }
 
-    /// Returns what `member` holds of the permits of `team`.
-    pub fn grant(&self, team: &TeamId, member: &MemberKey) -> PermitGrant {
-        let grants = self.teams.get(team);
+    /// Returns what `member` holds of the permits of `account`.
+    pub fn grant(&self, account: &AccountId, member: &MemberKey) -> PermitGrant {
+        let grants = self.accounts.get(account);
         grants
             .and_then(|grants| grants.get(member))
             .copied()
             .unwrap_or_default()
     }
 
-    /// Returns the holders of permits of `team`, retired ones with floor permits included.
-    pub fn grants(&self, team: &TeamId) -> impl Iterator<Item = (&MemberKey, &PermitGrant)> {
-        self.teams.get(team).into_iter().flatten()
+    /// Returns the holders of permits of `account`, retired ones with floor permits included.
+    pub fn grants(&self, account: &AccountId) -> impl Iterator<Item = (&MemberKey, &PermitGrant)> {
+        self.accounts.get(account).into_iter().flatten()
     }
 
-    /// Returns the teams of which permits are granted or wanted.
-    pub fn teams(&self) -> impl Iterator<Item = &TeamId> {
-        self.teams.keys()
+    /// Returns the accounts of which permits are granted or wanted.
+    pub fn accounts(&self) -> impl Iterator<Item = &AccountId> {
+        self.accounts.keys()
     }
 
-    /// Returns how many permits of `team` are granted.
-    pub fn granted(&self, team: &TeamId) -> u32 {
-        self.grants(team).map(|(_, grant)| grant.held()).sum()
+    /// Returns how many permits of `account` are granted.
+    pub fn granted(&self, account: &AccountId) -> u32 {
+        self.grants(account).map(|(_, grant)| grant.held()).sum()
     }
 
     /// Returns the newest folded round of `member`; 0 before the first one.
@@ -152,11 +152,12 @@
     /// Returns the part of the limit that is fair to `member` among those who want permits.
     ///
     /// It is the max-min fair part, rounded down.
-    pub fn fair_part(&self, team: &TeamId, member: &MemberKey) -> u32 {
-        let (orphans, standing): (Vec<_>, Vec<_>) =
-            self.grants(team).partition(|(key, _)| self.is_retired(key));
+    pub fn fair_part(&self, account: &AccountId, member: &MemberKey) -> u32 {
+        let (orphans, standing): (Vec<_>, Vec<_>) = self
+            .grants(account)
+            .partition(|(key, _)| self.is_retired(key));
         let orphaned: u32 = orphans.iter().map(|(_, grant)| grant.held()).sum();
-        let mut left = self.table.limit(team).saturating_sub(orphaned);
+        let mut left = self.table.limit(account).saturating_sub(orphaned);
         let mut wants: Vec<(u32, &MemberKey)> = standing
             .into_iter()
             .map(|(key, grant)| (grant.want, key))
@@ -178,10 +179,10 @@
     pub fn set_table(&mut self, offset: LogOffset, table: LimitTable, members: &MemberLedger) {
         self.table = table;
         self.changed = offset;
-        let teams: Vec<TeamId> = self.teams.keys().cloned().collect();
-        for team in teams {
-            self.fit_usable(&team);
-            self.distribute(offset, &team, members);
+        let accounts: Vec<AccountId> = self.accounts.keys().cloned().collect();
+        for account in accounts {
+            self.fit_usable(&account);
+            self.distribute(offset, &account, members);
         }
     }
 
@@ -225,11 +226,11 @@
 
     /// Grants to a member whose suspicion was refuted what it has wanted meanwhile.
     pub fn trust(&mut self, offset: LogOffset, member: &MemberKey, members: &MemberLedger) {
-        let is_holder = |grants: &TeamGrants| grants.contains_key(member);
-        let teams = self.teams.iter().filter(|(_, grants)| is_holder(grants));
-        let teams: Vec<TeamId> = teams.map(|(team, _)| team.clone()).collect();
-        for team in teams {
-            self.distribute(offset, &team, members);
+        let is_holder = |grants: &AccountGrants| grants.contains_key(member);
+        let accounts = self.accounts.iter().filter(|(_, grants)| is_holder(grants));
+        let accounts: Vec<AccountId> = accounts.map(|(account, _)| account.clone()).collect();
+        for account in accounts {
+            self.distribute(offset, &account, members);
         }
     }
 
@@ -255,7 +256,7 @@
             grant.floor > 0
         });
         let has_floor = self
-            .teams
+            .accounts
             .values()
             .any(|grants| grants.contains_key(member));
         if !has_floor {
@@ -275,13 +276,13 @@
         hold: &PermitHold,
         members: &MemberLedger,
     ) {
-        let known = self.table.limits.contains_key(&hold.team);
-        if !known && !self.teams.contains_key(&hold.team) {
+        let known = self.table.limits.contains_key(&hold.account);
+        if !known && !self.accounts.contains_key(&hold.account) {
             return;
         }
-        let grants = self.teams.entry(hold.team.clone()).or_default();
+        let grants = self.accounts.entry(hold.account.clone()).or_default();
         grants.entry(author.clone()).or_default().keep(hold);
-        self.distribute(offset, &hold.team, members);
+        self.distribute(offset, &hold.account, members);
     }
 
     fn reclaim(
@@ -323,27 +324,27 @@
         mut keep: impl FnMut(&mut PermitGrant) -> bool,
     ) {
         let mut freed = Vec::new();
-        for (team, grants) in &mut self.teams {
+        for (account, grants) in &mut self.accounts {
             if let Some(grant) = grants.get_mut(member) {
                 if !keep(grant) {
                     grants.remove(member);
                 }
-                freed.push(team.clone());
+                freed.push(account.clone());
             }
         }
-        for team in freed {
-            self.distribute(offset, &team, members);
+        for account in freed {
+            self.distribute(offset, &account, members);
         }
     }
 
-    /// Fits the usable permits of `team` to its limit.
+    /// Fits the usable permits of `account` to its limit.
     ///
     /// While more are granted than the limit allows, usable permits only ever decrease, so that
     /// holders at different offsets stay within the limit together.
-    fn fit_usable(&mut self, team: &TeamId) {
-        let limit = self.table.limit(team);
-        let granted = self.granted(team);
-        let Some(grants) = self.teams.get_mut(team) else {
+    fn fit_usable(&mut self, account: &AccountId) {
+        let limit = self.table.limit(account);
+        let granted = self.granted(account);
+        let Some(grants) = self.accounts.get_mut(account) else {
             return;
         };
         if granted <= limit {
@@ -371,13 +372,13 @@
         }
     }
 
-    /// Grants free permits of `team` to trusted members that want them.
-    fn distribute(&mut self, offset: LogOffset, team: &TeamId, members: &MemberLedger) {
+    /// Grants free permits of `account` to trusted members that want them.
+    fn distribute(&mut self, offset: LogOffset, account: &AccountId, members: &MemberLedger) {
         self.changed = offset;
-        let limit = self.table.limit(team);
-        let free = limit.saturating_sub(self.granted(team));
-        let mut zone_free = self.zone_free(team);
-        let Some(grants) = self.teams.get_mut(team) else {
+        let limit = self.table.limit(account);
+        let free = limit.saturating_sub(self.granted(account));
+        let mut zone_free = self.zone_free(account);
+        let Some(grants) = self.accounts.get_mut(account) else {
             return;
         };
         let holders = &self.holders;
@@ -395,18 +396,18 @@
         grant_float(offset, grants, free, trusted);
         grants.retain(|_, grant| grant.held() > 0 || grant.want > 0);
         if grants.is_empty() {
-            self.teams.remove(team);
+            self.accounts.remove(account);
         }
-        self.fit_usable(team);
+        self.fit_usable(account);
     }
 
-    /// Returns the floor permits of `team` that each zone has left.
-    fn zone_free(&self, team: &TeamId) -> BTreeMap<ZoneId, u32> {
-        let floor = |zone: &ZoneId| self.table.zone_floor(team, zone);
+    /// Returns the floor permits of `account` that each zone has left.
+    fn zone_free(&self, account: &AccountId) -> BTreeMap<ZoneId, u32> {
+        let floor = |zone: &ZoneId| self.table.zone_floor(account, zone);
         let zones = self.table.zones.keys();
         let mut free: BTreeMap<ZoneId, u32> =
             zones.map(|zone| (zone.clone(), floor(zone))).collect();
-        for (key, grant) in self.grants(team) {
+        for (key, grant) in self.grants(account) {
             let zone = self.holders.get(key).map(|holder| &holder.zone);
             if let Some(left) = zone.and_then(|zone| free.get_mut(zone)) {
                 *left = left.saturating_sub(grant.floor);
@@ -421,7 +422,7 @@
 /// `take_part` takes up to so many permits out of the part of the member's zone.
 fn grant_floor(
     offset: LogOffset,
-    grants: &mut TeamGrants,
+    grants: &mut AccountGrants,
     free: u32,
     trusted: impl Fn(&MemberKey) -> bool,
     mut take_part: impl FnMut(&MemberKey, u32) -> u32,
@@ -441,7 +442,7 @@
 /// Grants float permits, first to whoever holds the fewest and has waited the longest.
 fn grant_float(
     offset: LogOffset,
-    grants: &mut TeamGrants,
+    grants: &mut AccountGrants,
     mut free: u32,
     trusted: impl Fn(&MemberKey) -> bool,
 ) {
--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -1,10 +1,11 @@
-//! Permits that keep each team under its upper limit, fleet-wide.
+//! Permits that keep each account under its upper limit, fleet-wide.
 //!
-//! An entry instance starts a task of a team only on a permit that it holds. The permits of all
-//! entry instances together never exceed the team's upper limit. [`PermitLedger`](prelude::PermitLedger)
+//! An entry instance starts a task of an account only on a permit that it holds. The permits of all
+//! entry instances together never exceed the account's upper limit. [`PermitLedger`](prelude::PermitLedger)
 //! is the folded state that says who holds which permits, [`PermitHolder`](prelude::PermitHolder)
 //! the decisions of one holder.
 
+mod account_use;
 pub mod even_split;
 pub mod gate;
 pub mod holder;
@@ -12,7 +13,6 @@
 pub mod limit;
 pub mod proposal;
 pub mod reclaim;
-mod team_use;
 
 /// The names that most users of this crate need.
 pub mod prelude {
--- a/crates/contract/src/limit.rs
+++ b/crates/contract/src/limit.rs
@@ -19,8 +19,8 @@
 /// Limits and zones of the configuration in force, as the permits need them.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LimitTable {
-    /// Upper limit of each team in running tasks.
-    pub limits: BTreeMap<TeamId, u32>,
+    /// Upper limit of each account in running tasks.
+    pub limits: BTreeMap<AccountId, u32>,
     /// Declared availability zones.
     pub zones: BTreeMap<ZoneId, ZoneFloor>,
 }
@@ -35,19 +35,19 @@
 }
 
 impl LimitTable {
-    /// Returns the upper limit of `team`; 0 for a team that is not declared.
-    pub fn limit(&self, team: &TeamId) -> u32 {
-        self.limits.get(team).copied().unwrap_or_default()
+    /// Returns the upper limit of `account`; 0 for an account that is not declared.
+    pub fn limit(&self, account: &AccountId) -> u32 {
+        self.limits.get(account).copied().unwrap_or_default()
     }
 
-    /// Returns the floor permits of `team` that belong to `zone`.
-    pub fn zone_floor(&self, team: &TeamId, zone: &ZoneId) -> u32 {
-        self.zone_part(self.limit(team) / FLOOR_DIVISOR, zone)
+    /// Returns the floor permits of `account` that belong to `zone`.
+    pub fn zone_floor(&self, account: &AccountId, zone: &ZoneId) -> u32 {
+        self.zone_part(self.limit(account) / FLOOR_DIVISOR, zone)
     }
 
-    /// Returns the floor permits of `team` that `zone` never lends to others.
-    pub fn zone_reserve(&self, team: &TeamId, zone: &ZoneId) -> u32 {
-        self.zone_part(self.limit(team) / RESERVE_DIVISOR, zone)
+    /// Returns the floor permits of `account` that `zone` never lends to others.
+    pub fn zone_reserve(&self, account: &AccountId, zone: &ZoneId) -> u32 {
+        self.zone_part(self.limit(account) / RESERVE_DIVISOR, zone)
     }
 
     fn zone_part(&self, whole: u32, zone: &ZoneId) -> u32 {
--- a/crates/contract/src/proposal.rs
+++ b/crates/contract/src/proposal.rs
@@ -16,7 +16,7 @@
     Hold {
         /// Number of the proposal; the fold takes each number at most once and in order.
         round: PermitRound,
-        /// One for each team that changes.
+        /// One for each account that changes.
         holds: Vec<PermitHold>,
     },
     /// The floor permits of a retired member are free again.
@@ -28,13 +28,13 @@
     },
 }
 
-/// What a holder keeps and wants of the permits of one team.
+/// What a holder keeps and wants of the permits of one account.
 ///
 /// The author keeps to it before it proposes it, so a release takes effect when it is folded.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct PermitHold {
-    /// Team of the permits.
-    pub team: TeamId,
+    /// Account of the permits.
+    pub account: AccountId,
     /// Most floor permits that the author keeps.
     pub keep_floor: u32,
     /// Most float permits that the author keeps.
--- a/crates/contract/tests/ledger.rs
+++ b/crates/contract/tests/ledger.rs
@@ -16,7 +16,7 @@
     }
 }
 
-fn team() -> TeamId {
+fn account() -> AccountId {
     "t".into()
 }
 
@@ -33,14 +33,14 @@
         workers: workers(count),
     };
     LimitTable {
-        limits: [(team(), limit)].into(),
+        limits: [(account(), limit)].into(),
         zones: [("a".into(), floor)].into(),
     }
 }
 
 fn hold(round: PermitRound, keep: u32, want_floor: u32, want: u32) -> PermitProposal {
     let hold = PermitHold {
-        team: team(),
+        account: account(),
         keep_floor: keep,
         keep_float: keep,
         want_floor,
@@ -95,7 +95,7 @@
         self.offset += 1;
         let (permits, members) = (&mut self.permits, &self.members);
         let result = permits.apply(self.offset, &key(process), &proposal, members);
-        assert!(self.permits.granted(&team()) <= LIMIT);
+        assert!(self.permits.granted(&account()) <= LIMIT);
         result
     }
 
@@ -113,7 +113,7 @@
     }
 
     fn held(&self, process: ProcessId) -> (u32, u32) {
-        let grant = self.permits.grant(&team(), &key(process));
+        let grant = self.permits.grant(&account(), &key(process));
         (grant.floor, grant.float)
     }
 }
@@ -180,8 +180,8 @@
     world.permit(1, hold(1, 0, 2, 5)).expect("claims");
     world.permit(2, hold(1, 0, 2, 8)).expect("claims");
     let usable = |world: &World| {
-        let team = team();
-        let grants = world.permits.grants(&team);
+        let account = account();
+        let grants = world.permits.grants(&account);
         grants
             .map(|(_, grant)| grant.usable_floor + grant.usable_float)
             .sum::<u32>()
@@ -189,7 +189,7 @@
     world
         .permits
         .set_table(world.offset, table(3, 2), &world.members);
-    assert_eq!((world.permits.granted(&team()), usable(&world)), (8, 3));
+    assert_eq!((world.permits.granted(&account()), usable(&world)), (8, 3));
     // Another change of the configuration does not give back what was cut.
     world
         .permits
@@ -197,9 +197,9 @@
     assert_eq!(usable(&world), 3);
     world.permit(1, hold(2, 0, 0, 0)).expect("releases");
     assert_eq!(world.held(1), (0, 0));
-    assert!(world.permits.granted(&team()) <= 3);
+    assert!(world.permits.granted(&account()) <= 3);
     world
         .permits
         .set_table(world.offset, LimitTable::default(), &world.members);
-    assert_eq!(usable(&world), 0, "a removed team");
+    assert_eq!(usable(&world), 0, "a removed account");
 }
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
+use pw_account::prelude::*;
 use pw_base::prelude::*;
-use pw_team::prelude::*;
 use pw_worker::prelude::*;
 
 /// A configuration as a whole.
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -13,10 +13,10 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use indexmap::IndexMap;
+use pw_account::prelude::*;
 use pw_base::prelude::*;
 use pw_control::prelude::*;
 use pw_job::prelude::*;
-use pw_team::prelude::*;
 use pw_worker::prelude::*;
 
 use self::worker::FakeWorker;
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -1,12 +1,12 @@
-//! Which tasks may use which queue, for which team.
+//! Which tasks may use which queue, for which account.
 
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use pw_account::prelude::*;
 use pw_base::prelude::*;
 use pw_fleet::prelude::*;
 use pw_pool::prelude::*;
-use pw_team::prelude::*;
 
 use crate::message::{RefusalReason, TaskRequest};
 
@@ -14,29 +14,34 @@
 #[derive(Debug, Default)]
 pub struct AdmissionRules {
     queues: IndexMap<QueueId, Arc<QueueSpec>>,
-    key_teams: IndexMap<KeyDigest, TeamId>,
+    key_accounts: IndexMap<KeyDigest, AccountId>,
 }
 
-/// Queue and team that a task counts for.
+/// Queue and account that a task counts for.
 #[derive(Debug, Clone)]
 pub struct AdmittedTask {
     /// Queue that the task uses.
     pub queue: Arc<QueueSpec>,
-    /// Team whose key came with the task; `None` on a queue open to all without a known key.
-    pub team: ShareTeam,
+    /// Account whose key came with the task; `None` on a queue open to all without a known key.
+    pub account: ShareAccount,
 }
 
 impl AdmissionRules {
     /// Creates the rules of a configuration.
     pub fn new(spec: &FleetSpec) -> Self {
         let queues = spec.queues.iter();
-        let teams = spec.teams.iter();
+        let accounts = spec.accounts.iter();
         Self {
             queues: queues
                 .map(|queue| (queue.id.clone(), Arc::new(queue.clone())))
                 .collect(),
-            key_teams: teams
-                .flat_map(|team| team.keys.iter().map(|key| (key.sha256, team.id.clone())))
+            key_accounts: accounts
+                .flat_map(|account| {
+                    account
+                        .keys
+                        .iter()
+                        .map(|key| (key.sha256, account.id.clone()))
+                })
                 .collect(),
         }
     }
@@ -52,18 +57,18 @@
             .queues
             .get(&request.queue)
             .ok_or(RefusalReason::UnknownQueue)?;
-        let team = request.key.as_ref().and_then(|key| self.team_of(key));
-        if team.is_none() && !queue.open {
+        let account = request.key.as_ref().and_then(|key| self.account_of(key));
+        if account.is_none() && !queue.open {
             return Err(RefusalReason::KeyRejected);
         }
         Ok(AdmittedTask {
             queue: Arc::clone(queue),
-            team,
+            account,
         })
     }
 
-    /// Returns the team of a key; `None` when the key is unknown or withdrawn.
-    pub fn team_of(&self, key: &KeyDigest) -> Option<TeamId> {
-        self.key_teams.get(key).cloned()
+    /// Returns the account of a key; `None` when the key is unknown or withdrawn.
+    pub fn account_of(&self, key: &KeyDigest) -> Option<AccountId> {
+        self.key_accounts.get(key).cloned()
     }
 }
--- a/crates/dispatch/src/backlog.rs
+++ b/crates/dispatch/src/backlog.rs
@@ -1,13 +1,13 @@
-//! The tasks that wait for one pool, by team.
+//! The tasks that wait for one pool, by account.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::time::Instant;
 
 use indexmap::{IndexMap, IndexSet};
+use pw_account::prelude::*;
 use pw_base::prelude::*;
 use pw_pool::prelude::*;
-use pw_team::prelude::*;
 use serde::Serialize;
 use strum::{AsRefStr, Display};
 
@@ -21,7 +21,7 @@
 #[serde(rename_all = "kebab-case")]
 #[strum(serialize_all = "kebab-case")]
 pub enum WaitReason {
-    /// Earlier tasks of its team go first.
+    /// Earlier tasks of its account go first.
     Turn,
     /// No worker of its pool has a free slot.
     Slots,
@@ -29,11 +29,11 @@
     Zone,
     /// No worker with a free slot has the resources that it needs.
     Resources,
-    /// Its team runs as many tasks as this entry instance may start.
+    /// Its account runs as many tasks as this entry instance may start.
     Permit,
-    /// Its team runs as many tasks as may be started outside the home zone.
+    /// Its account runs as many tasks as may be started outside the home zone.
     RemotePermit,
-    /// Its team is ahead of its share of a full pool.
+    /// Its account is ahead of its share of a full pool.
     Share,
     /// The free slots are kept for tasks whose callers wait.
     Reserve,
@@ -41,7 +41,7 @@
     Retry,
 }
 
-/// Which tasks of a team go first.
+/// Which tasks of an account go first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum TaskClass {
     /// A caller waits, or a deferred task has to start now to meet its deadline.
@@ -53,24 +53,24 @@
 /// Tasks that wait for one pool.
 #[derive(Debug, Default)]
 pub struct PoolBacklog {
-    teams: IndexMap<ShareTeam, TeamBacklog>,
-    active: IndexSet<ShareTeam>,
-    held: IndexMap<ShareTeam, WaitReason>,
+    accounts: IndexMap<ShareAccount, AccountBacklog>,
+    active: IndexSet<ShareAccount>,
+    held: IndexMap<ShareAccount, WaitReason>,
     waiting: u32,
 }
 
-/// Tasks of one team that wait for one pool.
+/// Tasks of one account that wait for one pool.
 ///
 /// Entries of cancelled tasks stay until their turn or until they are the larger part, so that a
 /// cancellation takes constant time.
 #[derive(Debug, Default)]
-struct TeamBacklog {
+struct AccountBacklog {
     interactive: VecDeque<TaskId>,
     deferred: BinaryHeap<Reverse<(Instant, TaskId)>>,
     waiting: u32,
 }
 
-impl TeamBacklog {
+impl AccountBacklog {
     fn entries(&self) -> usize {
         self.interactive.len() + self.deferred.len()
     }
@@ -142,26 +142,28 @@
         self.waiting
     }
 
-    /// Returns how many tasks of `team` wait.
-    pub fn waiting_of(&self, team: &ShareTeam) -> u32 {
-        self.teams.get(team).map_or(0, |team| team.waiting)
+    /// Returns how many tasks of `account` wait.
+    pub fn waiting_of(&self, account: &ShareAccount) -> u32 {
+        self.accounts
+            .get(account)
+            .map_or(0, |account| account.waiting)
     }
 
-    /// Returns why no task of `team` starts, when the reason concerns the whole team.
-    pub fn held(&self, team: &ShareTeam) -> Option<WaitReason> {
-        self.held.get(team).copied()
+    /// Returns why no task of `account` starts, when the reason concerns the whole account.
+    pub fn held(&self, account: &ShareAccount) -> Option<WaitReason> {
+        self.held.get(account).copied()
     }
 
     /// Adds a task; one that is tried again goes first. `latest_start` orders deferred tasks.
     pub fn push(
         &mut self,
-        team: &ShareTeam,
+        account: &ShareAccount,
         id: TaskId,
         kind: QueueKind,
         latest_start: Instant,
         is_retry: bool,
     ) {
-        let backlog = self.teams.entry(team.clone()).or_default();
+        let backlog = self.accounts.entry(account.clone()).or_default();
         match (kind, is_retry) {
             (QueueKind::Interactive, false) => backlog.interactive.push_back(id),
             (QueueKind::Interactive, true) => backlog.interactive.push_front(id),
@@ -169,32 +171,32 @@
         }
         backlog.waiting += 1;
         self.waiting += 1;
-        self.active.insert(team.clone());
+        self.active.insert(account.clone());
     }
 
     /// Counts a task that no longer waits; its entry is dropped later.
-    pub fn forget(&mut self, team: &ShareTeam, tasks: &TaskTable) {
-        if let Some(backlog) = self.teams.get_mut(team) {
+    pub fn forget(&mut self, account: &ShareAccount, tasks: &TaskTable) {
+        if let Some(backlog) = self.accounts.get_mut(account) {
             backlog.waiting = backlog.waiting.saturating_sub(1);
             self.waiting = self.waiting.saturating_sub(1);
             backlog.compact(tasks);
         }
-        self.retire(team);
+        self.retire(account);
     }
 
     /// Takes the task that [`PoolBacklog::next`] named out of the backlog.
-    pub fn take(&mut self, team: &ShareTeam, id: TaskId) {
-        if let Some(backlog) = self.teams.get_mut(team) {
+    pub fn take(&mut self, account: &ShareAccount, id: TaskId) {
+        if let Some(backlog) = self.accounts.get_mut(account) {
             backlog.pop(id);
             backlog.waiting = backlog.waiting.saturating_sub(1);
             self.waiting = self.waiting.saturating_sub(1);
         }
-        self.retire(team);
+        self.retire(account);
     }
 
-    /// Returns the next task: that of the team with the lowest score, urgent ones first.
+    /// Returns the next task: that of the account with the lowest score, urgent ones first.
     ///
-    /// Teams more than one running task above `max_score` are passed over.
+    /// Accounts more than one running task above `max_score` are passed over.
     pub fn next(
         &mut self,
         now: Instant,
@@ -202,24 +204,24 @@
         shares: &ShareBook,
         max_score: f64,
         may_start: impl Fn(TaskClass) -> bool,
-    ) -> Option<(ShareTeam, TaskId)> {
+    ) -> Option<(ShareAccount, TaskId)> {
         [TaskClass::Urgent, TaskClass::Relaxed]
             .into_iter()
             .filter(|class| may_start(*class))
             .filter_map(|class| self.next_of(now, tasks, shares, class))
-            .find(|(score, team, _)| *score <= max_score + shares.task_score(team))
-            .map(|(_, team, task)| (team, task))
+            .find(|(score, account, _)| *score <= max_score + shares.task_score(account))
+            .map(|(_, account, task)| (account, task))
     }
 
-    /// Starts no task of `team` until its hold is released.
-    pub fn hold(&mut self, team: &ShareTeam, reason: WaitReason) {
-        self.held.insert(team.clone(), reason);
+    /// Starts no task of `account` until its hold is released.
+    pub fn hold(&mut self, account: &ShareAccount, reason: WaitReason) {
+        self.held.insert(account.clone(), reason);
     }
 
-    /// Releases the hold of `team` when it has that reason.
-    pub fn release(&mut self, team: &ShareTeam, reason: WaitReason) {
-        if self.held.get(team) == Some(&reason) {
-            self.held.swap_remove(team);
+    /// Releases the hold of `account` when it has that reason.
+    pub fn release(&mut self, account: &ShareAccount, reason: WaitReason) {
+        if self.held.get(account) == Some(&reason) {
+            self.held.swap_remove(account);
         }
     }
 
@@ -234,33 +236,33 @@
         tasks: &TaskTable,
         shares: &ShareBook,
         class: TaskClass,
-    ) -> Option<(f64, ShareTeam, TaskId)> {
+    ) -> Option<(f64, ShareAccount, TaskId)> {
         let Self {
-            teams,
+            accounts,
             active,
             held,
             ..
         } = self;
         active
             .iter()
-            .filter(|team| !held.contains_key(*team))
-            .filter_map(|team| {
-                let backlog = teams.get_mut(team)?;
+            .filter(|account| !held.contains_key(*account))
+            .filter_map(|account| {
+                let backlog = accounts.get_mut(account)?;
                 backlog.drop_dead_heads(tasks);
                 let head = backlog
                     .has(now, class)
                     .then(|| backlog.head(now, class))??;
-                Some((shares.score(now, team), team, head))
+                Some((shares.score(now, account), account, head))
             })
             .min_by(|(a, ..), (b, ..)| a.total_cmp(b))
-            .map(|(score, team, head)| (score, team.clone(), head))
+            .map(|(score, account, head)| (score, account.clone(), head))
     }
 
-    /// Takes a team without waiting tasks out of the turn.
-    fn retire(&mut self, team: &ShareTeam) {
-        if self.waiting_of(team) == 0 {
-            self.active.swap_remove(team);
-            self.held.swap_remove(team);
+    /// Takes an account without waiting tasks out of the turn.
+    fn retire(&mut self, account: &ShareAccount) {
+        if self.waiting_of(account) == 0 {
+            self.active.swap_remove(account);
+            self.held.swap_remove(account);
         }
     }
 }
--- a/crates/dispatch/src/idempotency.rs
+++ b/crates/dispatch/src/idempotency.rs
@@ -35,11 +35,11 @@
     answer_bytes: usize,
 }
 
-/// Idempotency key within its team.
+/// Idempotency key within its account.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct RequestKey {
-    /// Team whose key came with the request; `None` for a caller without one.
-    pub team: Option<TeamId>,
+    /// Account whose key came with the request; `None` for a caller without one.
+    pub account: Option<AccountId>,
     /// Idempotency key as the caller sent it.
     pub key: Arc<str>,
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -25,8 +25,8 @@
         RequestKey,
     };
     pub use crate::message::{
-        DispatchCommand, DispatchEvent, DispatchNotice, PoolService, RefusalReason, RunCertainty,
-        RunReport, ShareReport, TaskRequest, TaskStart, TaskVerdict, TeamShare,
+        AccountShare, DispatchCommand, DispatchEvent, DispatchNotice, PoolService, RefusalReason,
+        RunCertainty, RunReport, ShareReport, TaskRequest, TaskStart, TaskVerdict,
     };
     pub use crate::pool_scheduler::LeadSettings;
     pub use crate::retry::RetrySettings;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use pw_account::prelude::*;
 use pw_base::prelude::*;
 use pw_contract::prelude::*;
 use pw_log::prelude::*;
-use pw_team::prelude::*;
 use pw_worker::prelude::*;
 use serde::{Deserialize, Serialize};
 use strum::{AsRefStr, Display, EnumIter};
@@ -35,7 +35,7 @@
     InstancesListed(Vec<InstanceEntry>),
     /// Workers reported their load.
     UsageReported(Vec<WorkerUsage>),
-    /// A peer reported the service that its teams have had.
+    /// A peer reported the service that its accounts have had.
     SharesHeard(ShareReport),
     /// A caller submitted a task.
     TaskSubmitted(TaskRequest),
@@ -68,15 +68,15 @@
 pub struct PoolService {
     /// Pool that gave the service.
     pub pool: PoolId,
-    /// Service by team.
-    pub teams: Vec<TeamShare>,
+    /// Service by account.
+    pub accounts: Vec<AccountShare>,
 }
 
-/// Service that one team has had from one pool through one entry instance.
+/// Service that one account has had from one pool through one entry instance.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct TeamShare {
-    /// Team; `None` for the callers of open queues without a key.
-    pub team: ShareTeam,
+pub struct AccountShare {
+    /// Account; `None` for the callers of open queues without a key.
+    pub account: ShareAccount,
     /// Decayed slot-seconds.
     pub served: f64,
     /// Decayed slot-seconds that count although they were not served.
@@ -119,7 +119,7 @@
         /// How it ended.
         verdict: TaskVerdict,
     },
-    /// Tell the peers what service the teams have had.
+    /// Tell the peers what service the accounts have had.
     TellPeers(ShareReport),
     /// Write down something that operators want to know.
     Note(DispatchNotice),
--- a/crates/dispatch/src/pool_scheduler.rs
+++ b/crates/dispatch/src/pool_scheduler.rs
@@ -2,29 +2,29 @@
 
 use std::time::{Duration, Instant};
 
+use pw_account::prelude::*;
 use pw_base::prelude::*;
 use pw_place::prelude::*;
-use pw_team::prelude::*;
 
 use crate::backlog::{PoolBacklog, TaskClass, WaitReason};
-use crate::message::{PoolService, RunReport, TeamShare};
+use crate::message::{AccountShare, PoolService, RunReport};
 use crate::probe::ProbeLimit;
 use crate::task::TaskTable;
 
 /// Part of a pool's slots that is kept for tasks whose callers wait.
 const URGENT_RESERVE: f64 = 0.1;
 
-/// Time for which the level of the teams that wait is not looked up again.
+/// Time for which the level of the accounts that wait is not looked up again.
 const LEVEL_VALIDITY: Duration = Duration::from_millis(5);
 
 /// How a full pool is shared with the other entry instances.
 #[derive(Debug, Clone)]
 pub struct LeadSettings {
-    /// Time of the whole pool's service by which a team may be ahead of the one furthest behind.
+    /// Time of the whole pool's service by which an account may be ahead of the one furthest behind.
     pub max_lead: Duration,
     /// Longest time for which free slots are left to other entry instances.
     pub max_hold: Duration,
-    /// Pause before a held team is looked at again.
+    /// Pause before a held account is looked at again.
     pub pause: Duration,
 }
 
@@ -33,7 +33,7 @@
 pub struct PoolScheduler {
     /// Tasks that wait.
     pub backlog: PoolBacklog,
-    /// Service of each team.
+    /// Service of each account.
     pub shares: ShareBook,
     /// Limit on starts to workers that may have no free slot.
     pub probes: ProbeLimit,
@@ -45,7 +45,7 @@
     level: Option<PoolLevel>,
 }
 
-/// Level that the teams of a pool are compared with.
+/// Level that the accounts of a pool are compared with.
 #[derive(Debug, Clone, Copy)]
 struct PoolLevel {
     measured: Instant,
@@ -79,7 +79,7 @@
         tasks: &TaskTable,
         roster: &PoolRoster,
         lead: &LeadSettings,
-    ) -> Option<(ShareTeam, TaskId)> {
+    ) -> Option<(ShareAccount, TaskId)> {
         let may_relax = self.may_start_relaxed(roster);
         let may_start = |class| match class {
             TaskClass::Urgent => true,
@@ -96,14 +96,14 @@
         next
     }
 
-    /// Returns whether free slots are left to teams that wait elsewhere.
+    /// Returns whether free slots are left to accounts that wait elsewhere.
     pub fn yields(&self) -> bool {
         self.held_since.is_some()
     }
 
     /// Counts a start.
-    pub fn note_start(&mut self, now: Instant, team: &ShareTeam, is_deferred: bool) {
-        self.shares.note_start(now, team);
+    pub fn note_start(&mut self, now: Instant, account: &ShareAccount, is_deferred: bool) {
+        self.shares.note_start(now, account);
         self.running_deferred += u32::from(is_deferred);
         self.held_since = None;
     }
@@ -112,11 +112,11 @@
     pub fn note_end(
         &mut self,
         now: Instant,
-        team: &ShareTeam,
+        account: &ShareAccount,
         is_deferred: bool,
         report: RunReport,
     ) {
-        self.shares.note_end(now, team);
+        self.shares.note_end(now, account);
         self.running_deferred = self.running_deferred.saturating_sub(u32::from(is_deferred));
         if report == RunReport::Busy {
             self.probes.note_busy();
@@ -137,33 +137,38 @@
         self.looks_again = None;
     }
 
-    /// Returns the expected wait of one more task of `team` on a pool of `slots`.
+    /// Returns the expected wait of one more task of `account` on a pool of `slots`.
     ///
     /// Its tasks leave the backlog at least as fast as those that run now end, and as its share of
     /// the pool lets them. Zero while nothing is known.
-    pub fn expected_wait(&self, team: &ShareTeam, slots: u32, usual_run: Duration) -> Duration {
-        let running = f64::from(self.shares.running(team)).max(1.0);
-        let slots = if self.is_limited(team) {
+    pub fn expected_wait(
+        &self,
+        account: &ShareAccount,
+        slots: u32,
+        usual_run: Duration,
+    ) -> Duration {
+        let running = f64::from(self.shares.running(account)).max(1.0);
+        let slots = if self.is_limited(account) {
             running
         } else {
-            running.max(f64::from(slots) * self.shares.entitled_part(team))
+            running.max(f64::from(slots) * self.shares.entitled_part(account))
         };
-        usual_run.mul_f64(f64::from(self.backlog.waiting_of(team)) / slots)
+        usual_run.mul_f64(f64::from(self.backlog.waiting_of(account)) / slots)
     }
 
-    /// Brings the shares in line with how many tasks of `team` could use a slot.
-    pub fn note_waiting(&mut self, now: Instant, team: &ShareTeam) {
-        let waiting = if self.is_limited(team) {
+    /// Brings the shares in line with how many tasks of `account` could use a slot.
+    pub fn note_waiting(&mut self, now: Instant, account: &ShareAccount) {
+        let waiting = if self.is_limited(account) {
             0
         } else {
-            self.backlog.waiting_of(team)
+            self.backlog.waiting_of(account)
         };
-        self.shares.set_waiting(now, team, waiting);
+        self.shares.set_waiting(now, account, waiting);
     }
 
-    /// Returns the highest score at which a team may start tasks.
+    /// Returns the highest score at which an account may start tasks.
     ///
-    /// Teams above it leave the free slots to a team that waits elsewhere, for a bounded time.
+    /// Accounts above it leave the free slots to an account that waits elsewhere, for a bounded time.
     fn max_score(&mut self, now: Instant, slots: u32, lead: &LeadSettings) -> f64 {
         let is_over = |since| now >= since + lead.max_hold;
         if !self.shares.has_peers() || self.held_since.is_some_and(is_over) {
@@ -180,9 +185,9 @@
     /// Returns this entry instance's service on the pool for its peers, if they need it.
     pub fn report(&self, now: Instant, pool: &PoolId) -> Option<PoolService> {
         self.shares.floor(now)?;
-        let teams = self.shares.report(now).into_iter();
-        let teams = teams.map(|(team, service)| TeamShare {
-            team,
+        let accounts = self.shares.report(now).into_iter();
+        let accounts = accounts.map(|(account, service)| AccountShare {
+            account,
             served: service.served,
             raised: service.raised,
             running: service.running,
@@ -190,7 +195,7 @@
         });
         Some(PoolService {
             pool: pool.clone(),
-            teams: teams.collect(),
+            accounts: accounts.collect(),
         })
     }
 
@@ -206,8 +211,8 @@
         level
     }
 
-    fn is_limited(&self, team: &ShareTeam) -> bool {
-        let held = self.backlog.held(team);
+    fn is_limited(&self, account: &ShareAccount) -> bool {
+        let held = self.backlog.held(account);
         matches!(held, Some(WaitReason::Permit | WaitReason::RemotePermit))
     }
 
--- a/crates/dispatch/src/probe.rs
+++ b/crates/dispatch/src/probe.rs
@@ -9,7 +9,7 @@
 
 /// Limit on the probes of one pool.
 ///
-/// While a pool is full, one probe at a time keeps the order of the teams: of several, a random one
+/// While a pool is full, one probe at a time keeps the order of the accounts: of several, a random one
 /// would find the free slot. While probes succeed, their number doubles.
 #[derive(Debug, Clone, Copy)]
 pub struct ProbeLimit {
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -9,11 +9,11 @@
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
+use pw_account::prelude::*;
 use pw_base::prelude::*;
 use pw_contract::prelude::*;
 use pw_log::prelude::*;
 use pw_place::prelude::*;
-use pw_team::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -30,11 +30,11 @@
 /// Part of a queue's deadline that is kept as slack when a deferred task is put off.
 const DEFERRED_SLACK: u32 = 4;
 
-/// Factor by which an expected wait has to be too long; waits shorten as other teams finish.
+/// Factor by which an expected wait has to be too long; waits shorten as other accounts finish.
 const WAIT_MARGIN: f64 = 1.15;
 
-/// Bytes that a team's part of a report takes, about.
-const TEAM_SHARE_BYTES: f64 = 24.0;
+/// Bytes that an account's part of a report takes, about.
+const ACCOUNT_SHARE_BYTES: f64 = 24.0;
 
 /// Bounds of a task scheduler.
 #[derive(Debug, Clone)]
@@ -45,7 +45,7 @@
     pub home: ZoneId,
     /// Tasks that may wait at the same time.
     pub max_waiting: usize,
-    /// Tasks of a team that may wait for a pool whatever their expected wait.
+    /// Tasks of an account that may wait for a pool whatever their expected wait.
     pub min_waiting: u32,
     /// Longest time that the start of a task may be under way to its worker.
     pub delivery_bound: Duration,
@@ -71,18 +71,18 @@
     fold: FleetFold,
     revision: FleetRevision,
     pub(crate) rules: AdmissionRules,
-    pub(crate) shares: Vec<(TeamId, u32)>,
+    pub(crate) shares: Vec<(AccountId, u32)>,
     pub(crate) pools: IndexMap<PoolId, PoolScheduler>,
     pub(crate) workers: WorkerTable,
     pub(crate) tasks: TaskTable,
     pub(crate) histories: IndexMap<QueueId, QueueHistory>,
     pub(crate) picker: Box<dyn WorkerPicker>,
     pub(crate) gate: Box<dyn PermitGate>,
-    pub(crate) permit_waits: IndexMap<TeamId, IndexSet<PoolId>>,
+    pub(crate) permit_waits: IndexMap<AccountId, IndexSet<PoolId>>,
     pub(crate) touched: IndexSet<PoolId>,
     pub(crate) pool_pauses: TimerHeap<PoolId>,
     pub(crate) budget: RetryBudget,
-    demand: IndexMap<TeamId, u32>,
+    demand: IndexMap<AccountId, u32>,
     lingering: LingeringPermits,
     deadlines: TimerHeap<TaskId>,
     pauses: TimerHeap<TaskId>,
@@ -111,7 +111,7 @@
 }
 
 impl TaskScheduler {
-    /// Creates a scheduler that knows no fleet yet; `gate` keeps the teams' upper limits.
+    /// Creates a scheduler that knows no fleet yet; `gate` keeps the accounts' upper limits.
     pub fn new(settings: SchedulerSettings, gate: Box<dyn PermitGate>) -> Self {
         let picker = TwoChoices::new(TwoChoicesSettings {
             home: settings.home.clone(),
@@ -216,18 +216,18 @@
         &*self.gate
     }
 
-    /// Returns the team of a key; `None` when the key is unknown or withdrawn.
-    pub fn team_of(&self, key: &KeyDigest) -> Option<TeamId> {
-        self.rules.team_of(key)
+    /// Returns the account of a key; `None` when the key is unknown or withdrawn.
+    pub fn account_of(&self, key: &KeyDigest) -> Option<AccountId> {
+        self.rules.account_of(key)
     }
 
     /// Returns whether whoever shows `key` may cancel the open task called `id`.
     ///
-    /// Only the team of a task may; the identity alone is enough for a task of no team.
+    /// Only the account of a task may; the identity alone is enough for a task of no account.
     pub fn may_cancel(&self, id: TaskId, key: Option<&KeyDigest>) -> bool {
-        let team = key.and_then(|key| self.team_of(key));
+        let account = key.and_then(|key| self.account_of(key));
         let task = self.tasks.get(id);
-        task.is_some_and(|task| task.admitted.team.is_none() || task.admitted.team == team)
+        task.is_some_and(|task| task.admitted.account.is_none() || task.admitted.account == account)
     }
 
     /// Returns how many tasks wait or run.
@@ -270,33 +270,33 @@
         let Some(task) = self.tasks.get(id) else {
             return;
         };
-        let AdmittedTask { queue, team } = task.admitted.clone();
+        let AdmittedTask { queue, account } = task.admitted.clone();
         let slack = queue.run_timeout + queue.deadline / DEFERRED_SLACK;
         let latest_start = task.deadline.checked_sub(slack).unwrap_or(task.accepted);
         let pool = self.pools.entry(queue.pool.clone()).or_default();
         pool.backlog
-            .push(&team, id, queue.kind, latest_start, is_retry);
-        pool.note_waiting(now, &team);
+            .push(&account, id, queue.kind, latest_start, is_retry);
+        pool.note_waiting(now, &account);
         self.touched.insert(queue.pool.clone());
-        self.change_demand(now, &team, true);
+        self.change_demand(now, &account, true);
         self.next_report
             .get_or_insert(now + self.settings.report_interval);
     }
 
-    pub(crate) fn change_demand(&mut self, now: Instant, team: &ShareTeam, is_more: bool) {
-        let Some(team) = team else {
+    pub(crate) fn change_demand(&mut self, now: Instant, account: &ShareAccount, is_more: bool) {
+        let Some(account) = account else {
             return;
         };
-        let demand = self.demand.entry(team.clone()).or_default();
+        let demand = self.demand.entry(account.clone()).or_default();
         *demand = if is_more {
             *demand + 1
         } else {
             demand.saturating_sub(1)
         };
-        self.gate.set_demand(now, team, *demand);
+        self.gate.set_demand(now, account, *demand);
     }
 
-    /// Lets every team that waits for permits ask again.
+    /// Lets every account that waits for permits ask again.
     fn release_permit_holds(&mut self) {
         let is_over = |reason| matches!(reason, WaitReason::Permit | WaitReason::RemotePermit);
         for (_, pools) in self.permit_waits.drain(..) {
--- a/crates/dispatch/src/scheduler/ending.rs
+++ b/crates/dispatch/src/scheduler/ending.rs
@@ -70,7 +70,7 @@
         report: RunReport,
         commands: &mut Vec<DispatchCommand>,
     ) {
-        let AdmittedTask { queue, team } = &task.admitted;
+        let AdmittedTask { queue, account } = &task.admitted;
         let length = now.saturating_duration_since(run.started);
         let history = self.histories.entry(queue.id.clone()).or_default();
         let outcome = match report {
@@ -100,7 +100,7 @@
         }
         let is_deferred = queue.kind == QueueKind::Deferred;
         if let Some(pool) = self.pools.get_mut(&queue.pool) {
-            pool.note_end(now, team, is_deferred, report);
+            pool.note_end(now, account, is_deferred, report);
             self.touched.insert(queue.pool.clone());
         }
         self.release_slot_holds(&queue.pool, &run.worker);
@@ -134,14 +134,16 @@
     }
 
     pub(super) fn give_back(&mut self, now: Instant, permit: TaskPermit) {
-        let team = permit.team.clone();
+        let account = permit.account.clone();
         self.gate.give_back(now, permit);
-        for pool in self.permit_waits.swap_remove(&team).unwrap_or_default() {
+        for pool in self.permit_waits.swap_remove(&account).unwrap_or_default() {
             if let Some(scheduler) = self.pools.get_mut(&pool) {
-                let team = Some(team.clone());
-                scheduler.backlog.release(&team, WaitReason::Permit);
-                scheduler.backlog.release(&team, WaitReason::RemotePermit);
-                scheduler.note_waiting(now, &team);
+                let account = Some(account.clone());
+                scheduler.backlog.release(&account, WaitReason::Permit);
+                scheduler
+                    .backlog
+                    .release(&account, WaitReason::RemotePermit);
+                scheduler.note_waiting(now, &account);
             }
             self.touched.insert(pool);
         }
--- a/crates/dispatch/src/scheduler/explain.rs
+++ b/crates/dispatch/src/scheduler/explain.rs
@@ -34,9 +34,9 @@
     }
 
     pub(super) fn explain_waiting(&self, task: &OpenTask) -> WaitReason {
-        let AdmittedTask { queue, team } = &task.admitted;
+        let AdmittedTask { queue, account } = &task.admitted;
         let held = self.pools.get(&queue.pool);
-        if let Some(reason) = held.and_then(|pool| pool.backlog.held(team)) {
+        if let Some(reason) = held.and_then(|pool| pool.backlog.held(account)) {
             return reason;
         }
         if held.is_some_and(PoolScheduler::yields) {
--- a/crates/dispatch/src/scheduler/following.rs
+++ b/crates/dispatch/src/scheduler/following.rs
@@ -2,12 +2,12 @@
 
 use std::time::Instant;
 
+use pw_account::prelude::*;
 use pw_base::prelude::*;
 use pw_fleet::prelude::*;
 use pw_log::prelude::*;
 use pw_place::prelude::*;
 use pw_pool::prelude::*;
-use pw_team::prelude::*;
 
 use super::TaskScheduler;
 use crate::admission::{AdmissionRules, AdmittedTask};
@@ -64,20 +64,22 @@
         commands: &mut Vec<DispatchCommand>,
     ) {
         self.rules = AdmissionRules::new(spec);
-        self.gate.set_teams(&spec.teams);
+        self.gate.set_accounts(&spec.accounts);
         self.workers.set_fleet(now, spec);
-        let teams = spec.teams.iter();
-        self.shares = teams.map(|team| (team.id.clone(), team.share)).collect();
+        let accounts = spec.accounts.iter();
+        self.shares = accounts
+            .map(|account| (account.id.clone(), account.share))
+            .collect();
         let shares = &self.shares;
         for (id, pool) in &mut self.pools {
-            let named = shares.iter().map(|(team, share)| (team, *share));
+            let named = shares.iter().map(|(account, share)| (account, *share));
             pool.shares.set_shares(named);
             pool.has_callers = has_callers(spec, id);
         }
         for pool in &spec.pools {
             if !self.pools.contains_key(&pool.id) {
                 let mut book = ShareBook::new(self.settings.share.clone());
-                book.set_shares(shares.iter().map(|(team, share)| (team, *share)));
+                book.set_shares(shares.iter().map(|(account, share)| (account, *share)));
                 let mut scheduler = PoolScheduler::new(book);
                 scheduler.has_callers = has_callers(spec, &pool.id);
                 self.pools.insert(pool.id.clone(), scheduler);
@@ -94,7 +96,7 @@
             .not_running()
             .map(|(id, task)| (id, self.rules.admit(&task.request), &task.admitted))
             .filter(|(_, admitted, known)| {
-                !matches!(admitted, Ok(new) if new.team == known.team && new.queue == known.queue)
+                !matches!(admitted, Ok(new) if new.account == known.account && new.queue == known.queue)
             })
             .map(|(id, admitted, _)| (id, admitted))
             .collect();
@@ -106,7 +108,7 @@
         }
     }
 
-    /// Moves a task that does not run to another team, queue or pool.
+    /// Moves a task that does not run to another account, queue or pool.
     pub(super) fn move_waiting(&mut self, now: Instant, id: TaskId, admitted: AdmittedTask) {
         let is_pausing = !self.tasks.is_waiting(id);
         let Some(mut task) = self.remove_waiting(now, id) else {
--- a/crates/dispatch/src/scheduler/sharing.rs
+++ b/crates/dispatch/src/scheduler/sharing.rs
@@ -2,10 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use pw_team::prelude::*;
+use pw_account::prelude::*;
 use pw_worker::prelude::*;
 
-use super::{TEAM_SHARE_BYTES, TaskScheduler};
+use super::{ACCOUNT_SHARE_BYTES, TaskScheduler};
 use crate::message::{DispatchCommand, PoolService, ShareReport};
 
 impl TaskScheduler {
@@ -34,17 +34,17 @@
             let Some(pool) = self.pools.get_mut(&service.pool) else {
                 continue;
             };
-            let teams = service.teams.into_iter().map(|share| {
-                let service = TeamService {
+            let accounts = service.accounts.into_iter().map(|share| {
+                let service = AccountService {
                     served: share.served,
                     raised: share.raised,
                     running: share.running,
                     waiting: share.waiting,
-                    ..TeamService::default()
+                    ..AccountService::default()
                 };
-                (share.team, service)
+                (share.account, service)
             });
-            pool.shares.hear(now, &report.entry, teams);
+            pool.shares.hear(now, &report.entry, accounts);
             self.touched.insert(service.pool);
         }
         self.next_report.get_or_insert(now);
@@ -73,9 +73,9 @@
 
     /// Returns the time until the next report, such that the reports stay in their budget.
     pub(super) fn report_interval(&self, pools: &[PoolService]) -> Duration {
-        let teams: usize = pools.iter().map(|pool| pool.teams.len()).sum();
+        let accounts: usize = pools.iter().map(|pool| pool.accounts.len()).sum();
         let peers = self.pools.values().map(|pool| pool.shares.peers()).max();
-        let bytes = teams as f64 * TEAM_SHARE_BYTES * peers.unwrap_or(0) as f64;
+        let bytes = accounts as f64 * ACCOUNT_SHARE_BYTES * peers.unwrap_or(0) as f64;
         let needed = Duration::from_secs_f64(bytes / self.settings.report_budget);
         self.settings.report_interval.max(needed)
     }
--- a/crates/dispatch/src/scheduler/submitting.rs
+++ b/crates/dispatch/src/scheduler/submitting.rs
@@ -59,7 +59,7 @@
         admitted: &AdmittedTask,
         deadline: Instant,
     ) -> Result<(), RefusalReason> {
-        let AdmittedTask { queue, team } = admitted;
+        let AdmittedTask { queue, account } = admitted;
         if deadline <= now {
             return Err(RefusalReason::DeadlinePassed);
         }
@@ -73,8 +73,8 @@
             .max_waiting
             .saturating_sub(self.tasks.waiting());
         let pool = self.pools.get(&queue.pool);
-        let waiting = pool.map_or(0, |pool| pool.backlog.waiting_of(team));
-        // A team may fill as much of the backlog as it leaves free, so that none fills it all.
+        let waiting = pool.map_or(0, |pool| pool.backlog.waiting_of(account));
+        // An account may fill as much of the backlog as it leaves free, so that none fills it all.
         if waiting as usize >= room {
             return Err(RefusalReason::Overloaded);
         }
@@ -82,7 +82,9 @@
             let history = self.histories.get(&queue.id);
             let run = history.map_or(Duration::ZERO, QueueHistory::usual_run);
             let slots = roster.map_or(0, PoolRoster::slots);
-            let wait = pool.map_or(Duration::ZERO, |pool| pool.expected_wait(team, slots, run));
+            let wait = pool.map_or(Duration::ZERO, |pool| {
+                pool.expected_wait(account, slots, run)
+            });
             if wait.div_f64(WAIT_MARGIN).saturating_add(run) > deadline - now {
                 return Err(RefusalReason::Overloaded);
             }
@@ -94,11 +96,11 @@
     pub(super) fn remove_waiting(&mut self, now: Instant, id: TaskId) -> Option<OpenTask> {
         let was_queued = self.tasks.is_waiting(id);
         let task = self.tasks.remove_waiting(id)?;
-        let AdmittedTask { queue, team } = &task.admitted;
+        let AdmittedTask { queue, account } = &task.admitted;
         if was_queued && let Some(pool) = self.pools.get_mut(&queue.pool) {
-            pool.backlog.forget(team, &self.tasks);
-            pool.note_waiting(now, team);
-            self.change_demand(now, team, false);
+            pool.backlog.forget(account, &self.tasks);
+            pool.note_waiting(now, account);
+            self.change_demand(now, account, false);
         }
         Some(task)
     }
--- a/crates/dispatch/src/starting.rs
+++ b/crates/dispatch/src/starting.rs
@@ -2,11 +2,11 @@
 
 use std::time::Instant;
 
+use pw_account::prelude::*;
 use pw_base::prelude::*;
 use pw_contract::prelude::*;
 use pw_place::prelude::*;
 use pw_pool::prelude::*;
-use pw_team::prelude::*;
 use pw_worker::prelude::*;
 
 use crate::admission::AdmittedTask;
@@ -65,7 +65,7 @@
             self.look_again(pool, end.unwrap_or(now));
             return false;
         }
-        let Some((team, task)) = scheduler.next(now, &self.tasks, roster, &self.settings.lead)
+        let Some((account, task)) = scheduler.next(now, &self.tasks, roster, &self.settings.lead)
         else {
             if scheduler.yields() {
                 self.look_again(pool, now + self.settings.lead.pause);
@@ -76,9 +76,9 @@
             Err(reason) => self.close_waiting(now, task, reason, commands),
             Ok(size) => {
                 let need = StartNeed { task, size, tier };
-                match self.find_slot(now, &need, pool, &team) {
+                match self.find_slot(now, &need, pool, &account) {
                     Ok(slot) => commands.extend(self.start(now, &need, slot)),
-                    Err(reason) => self.hold(now, pool, &team, reason),
+                    Err(reason) => self.hold(now, pool, &account, reason),
                 }
             }
         }
@@ -125,18 +125,18 @@
         now: Instant,
         need: &StartNeed,
         pool: &PoolId,
-        team: &ShareTeam,
+        account: &ShareAccount,
     ) -> Result<StartSlot, WaitReason> {
         let worker = self
             .pick(now, need, pool, false)
             .ok_or(WaitReason::Resources)?;
-        let Some(team) = team else {
+        let Some(account) = account else {
             return Ok(StartSlot {
                 worker,
                 permit: None,
             });
         };
-        if let Some(permit) = self.take_permit(now, team, &worker) {
+        if let Some(permit) = self.take_permit(now, account, &worker) {
             let permit = Some(permit);
             return Ok(StartSlot { worker, permit });
         }
@@ -147,7 +147,7 @@
             .pick(now, need, pool, true)
             .ok_or(WaitReason::RemotePermit)?;
         let permit = self
-            .take_permit(now, team, &worker)
+            .take_permit(now, account, &worker)
             .ok_or(WaitReason::Permit)?;
         let permit = Some(permit);
         Ok(StartSlot { worker, permit })
@@ -183,11 +183,11 @@
     fn take_permit(
         &mut self,
         now: Instant,
-        team: &TeamId,
+        account: &AccountId,
         worker: &WorkerId,
     ) -> Option<TaskPermit> {
         let zone = &self.workers.worker(worker)?.spec().zone;
-        self.gate.take(now, team, zone)
+        self.gate.take(now, account, zone)
     }
 
     fn is_at_home(&self, worker: &WorkerId) -> bool {
@@ -195,15 +195,15 @@
         worker.is_some_and(|worker| worker.spec().zone == self.settings.home)
     }
 
-    fn hold(&mut self, now: Instant, pool: &PoolId, team: &ShareTeam, reason: WaitReason) {
+    fn hold(&mut self, now: Instant, pool: &PoolId, account: &ShareAccount, reason: WaitReason) {
         let is_limit = matches!(reason, WaitReason::Permit | WaitReason::RemotePermit);
-        if let Some(team) = team.as_ref().filter(|_| is_limit) {
-            let pools = self.permit_waits.entry(team.clone()).or_default();
+        if let Some(account) = account.as_ref().filter(|_| is_limit) {
+            let pools = self.permit_waits.entry(account.clone()).or_default();
             pools.insert(pool.clone());
         }
         if let Some(scheduler) = self.pools.get_mut(pool) {
-            scheduler.backlog.hold(team, reason);
-            scheduler.note_waiting(now, team);
+            scheduler.backlog.hold(account, reason);
+            scheduler.note_waiting(now, account);
         }
     }
 
@@ -217,7 +217,7 @@
         let StartNeed { task: id, size, .. } = *need;
         let address = self.workers.worker(&worker)?.address()?;
         let task = self.tasks.get(id)?;
-        let AdmittedTask { queue, team } = task.admitted.clone();
+        let AdmittedTask { queue, account } = task.admitted.clone();
         let run_timeout = queue.run_timeout.min(task.deadline - now);
         if task.failures == 0 {
             self.budget.note_first_attempt();
@@ -232,15 +232,15 @@
             permit,
         };
         if let Some(pool) = self.pools.get_mut(&queue.pool) {
-            pool.backlog.take(&team, id);
+            pool.backlog.take(&account, id);
             if need.tier == SlotTier::Probe {
                 pool.probes.note_probe(now);
             }
-            pool.note_start(now, &team, queue.kind == QueueKind::Deferred);
-            pool.note_waiting(now, &team);
+            pool.note_start(now, &account, queue.kind == QueueKind::Deferred);
+            pool.note_waiting(now, &account);
         }
         self.tasks.start(id, run);
-        self.change_demand(now, &team, false);
+        self.change_demand(now, &account, false);
         Some(DispatchCommand::StartTask(TaskStart {
             task: id,
             worker,
--- a/crates/dispatch/src/task.rs
+++ b/crates/dispatch/src/task.rs
@@ -15,7 +15,7 @@
 pub struct OpenTask {
     /// What the caller submitted.
     pub request: TaskRequest,
-    /// Queue and team that it counts for.
+    /// Queue and account that it counts for.
     pub admitted: AdmittedTask,
     /// When it was accepted.
     pub accepted: Instant,
@@ -55,7 +55,7 @@
     pub lease_end: Instant,
     /// Resources that were reserved for it.
     pub size: ResourceSize,
-    /// Permit that it runs on; `None` for tasks of no team.
+    /// Permit that it runs on; `None` for tasks of no account.
     pub permit: Option<TaskPermit>,
 }
 
--- a/crates/dispatch/tests/idempotency.rs
+++ b/crates/dispatch/tests/idempotency.rs
@@ -35,7 +35,7 @@
     ) -> IdempotencyVerdict {
         let now = self.start + Duration::from_secs(secs);
         let key = RequestKey {
-            team: Some("own".into()),
+            account: Some("own".into()),
             key: key.into(),
         };
         self.book.judge(now, key, digest, task)
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -19,9 +19,9 @@
 struct LoadRun {
     bench: Bench,
     running: VecDeque<(std::time::Instant, TaskId)>,
-    queues: IndexMap<TaskId, TeamId>,
+    queues: IndexMap<TaskId, AccountId>,
     started: IndexMap<WorkerId, u32>,
-    done: IndexMap<TeamId, u32>,
+    done: IndexMap<AccountId, u32>,
     refused: u32,
     fails: fn(&str) -> bool,
 }
@@ -39,10 +39,10 @@
         }
     }
 
-    fn submit(&mut self, count: usize, queue: &str, team: &str) {
+    fn submit(&mut self, count: usize, queue: &str, account: &str) {
         for _ in 0..count {
-            let request = self.bench.request(queue, Some(team));
-            self.queues.insert(request.id, team.into());
+            let request = self.bench.request(queue, Some(account));
+            self.queues.insert(request.id, account.into());
             let commands = self.bench.feed(DispatchEvent::TaskSubmitted(request));
             self.carry_out(commands);
         }
@@ -82,13 +82,13 @@
         }
     }
 
-    fn done(&self, team: &str) -> u32 {
-        self.done.get(team).copied().unwrap_or_default()
+    fn done(&self, account: &str) -> u32 {
+        self.done.get(account).copied().unwrap_or_default()
     }
 }
 
 #[test]
-fn full_pool_serves_teams_by_share_whatever_they_ask_for() {
+fn full_pool_serves_accounts_by_share_whatever_they_ask_for() {
     let mut run = LoadRun::new(small_fleet(4));
     for _ in 0..300 {
         run.submit(8, "plain", "b");
@@ -100,20 +100,20 @@
 }
 
 #[test]
-fn idle_team_earns_no_claim_and_leaves_its_part_to_others() {
+fn idle_account_earns_no_claim_and_leaves_its_part_to_others() {
     let mut run = LoadRun::new(small_fleet(4));
     for _ in 0..200 {
         run.submit(1, "plain", "b");
         run.step();
     }
     let alone = run.done("b");
-    assert!(alone > 130, "all 8 slots serve the only team: {alone}");
+    assert!(alone > 130, "all 8 slots serve the only account: {alone}");
     for round in 0..110 {
         run.submit(1, "plain", "b");
         run.submit(1, "plain", "a");
         run.step();
         if round == 10 {
-            // What ran when the other team came back has ended.
+            // What ran when the other account came back has ended.
             run.done.clear();
         }
     }
@@ -201,7 +201,7 @@
 }
 
 #[test]
-fn one_team_cannot_fill_the_backlog() {
+fn one_account_cannot_fill_the_backlog() {
     let settings = SchedulerSettings {
         max_waiting: 100,
         ..SchedulerSettings::default()
@@ -279,14 +279,14 @@
     assert!(attempts < 60, "{attempts} attempts in a second");
 }
 
-/// Returns a report of a peer whose team `b` waits and has had no service.
+/// Returns a report of a peer whose account `b` waits and has had no service.
 fn peer_behind() -> DispatchEvent {
     DispatchEvent::SharesHeard(ShareReport {
         entry: "peer".into(),
         pools: vec![PoolService {
             pool: "pool".into(),
-            teams: vec![TeamShare {
-                team: Some("b".into()),
+            accounts: vec![AccountShare {
+                account: Some("b".into()),
                 served: 0.0,
                 raised: 0.0,
                 running: 0,
@@ -297,7 +297,7 @@
 }
 
 #[test]
-fn team_ahead_leaves_slots_to_a_peer_for_a_bounded_time() {
+fn account_ahead_leaves_slots_to_a_peer_for_a_bounded_time() {
     let mut bench = Bench::new(small_fleet(8));
     bench.feed(peer_behind());
     let commands = bench.submit_many(16, "plain", "a");
@@ -319,7 +319,7 @@
     bench.submit_many(3, "plain", "a");
     let commands = bench.advance(SECOND);
     let told = commands.iter().find_map(|command| match command {
-        DispatchCommand::TellPeers(report) => Some(&report.pools[0].teams[0]),
+        DispatchCommand::TellPeers(report) => Some(&report.pools[0].accounts[0]),
         _ => None,
     });
     let share = told.expect("a report");
--- a/crates/dispatch/tests/promises.rs
+++ b/crates/dispatch/tests/promises.rs
@@ -18,7 +18,7 @@
 fn withdrawn_key_refuses_what_waits_and_what_comes() {
     let mut bench = Bench::new(small_fleet(1));
     bench.submit_many(4, "plain", "a");
-    bench.spec.teams[0].keys.clear();
+    bench.spec.accounts[0].keys.clear();
     let refused = refusals(&bench.apply());
     let expected = (RefusalReason::KeyRejected, RunCertainty::NotRun);
     assert_eq!(refused, vec![expected; 2], "two run, two wait");
@@ -26,16 +26,16 @@
 }
 
 #[test]
-fn key_moved_to_another_team_counts_for_that_team() {
+fn key_moved_to_another_account_counts_for_that_account() {
     let mut bench = Bench::new(small_fleet(1));
     let running = bench.submit_many(3, "plain", "a");
-    let moved = std::mem::take(&mut bench.spec.teams[0].keys);
-    bench.spec.teams[1].keys.extend(moved);
-    bench.spec.teams[1].limit = 0;
+    let moved = std::mem::take(&mut bench.spec.accounts[0].keys);
+    bench.spec.accounts[1].keys.extend(moved);
+    bench.spec.accounts[1].limit = 0;
     assert!(refusals(&bench.apply()).is_empty());
     let task = starts(&running)[0].task;
     let commands = bench.end(task, RunReport::Answered);
-    assert!(starts(&commands).is_empty(), "the new team's limit is 0");
+    assert!(starts(&commands).is_empty(), "the new account's limit is 0");
     assert_eq!(bench.scheduler.explain(3), Some(WaitReason::Permit));
 }
 
@@ -99,7 +99,7 @@
     ];
     for (report, held) in cases {
         let mut fleet = small_fleet(4);
-        fleet.teams[0].limit = 1;
+        fleet.accounts[0].limit = 1;
         let mut bench = Bench::new(fleet);
         let commands = bench.submit("plain", "a");
         let task = starts(&commands)[0].task;
@@ -124,7 +124,7 @@
 fn lowered_limit_stops_nothing_and_starts_nothing() {
     let mut bench = Bench::new(small_fleet(4));
     let running = bench.submit_many(3, "plain", "a");
-    bench.spec.teams[0].limit = 1;
+    bench.spec.accounts[0].limit = 1;
     assert!(refusals(&bench.apply()).is_empty());
     bench.submit("plain", "a");
     for (index, start) in starts(&running).into_iter().enumerate() {
@@ -136,7 +136,10 @@
 #[test]
 fn open_queue_without_a_key_needs_no_permit() {
     let mut fleet = small_fleet(4);
-    fleet.teams.iter_mut().for_each(|team| team.limit = 0);
+    fleet
+        .accounts
+        .iter_mut()
+        .for_each(|account| account.limit = 0);
     let mut bench = Bench::new(fleet);
     let request = bench.request("open", None);
     let commands = bench.feed(DispatchEvent::TaskSubmitted(request));
@@ -324,10 +327,10 @@
 }
 
 impl PermitGate for FreshGate {
-    fn take(&mut self, now: Instant, team: &TeamId, _zone: &ZoneId) -> Option<TaskPermit> {
+    fn take(&mut self, now: Instant, account: &AccountId, _zone: &ZoneId) -> Option<TaskPermit> {
         let is_fresh = self.fresh_until.is_some_and(|until| now < until);
         is_fresh.then(|| TaskPermit {
-            team: team.clone(),
+            account: account.clone(),
             kind: PermitKind::Float,
             incarnation: 0,
         })
@@ -335,7 +338,7 @@
 
     fn give_back(&mut self, _now: Instant, _permit: TaskPermit) {}
 
-    fn set_demand(&mut self, _now: Instant, _team: &TeamId, _waiting: u32) {}
+    fn set_demand(&mut self, _now: Instant, _account: &AccountId, _waiting: u32) {}
 
     fn observe(
         &mut self,
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
+use pw_account::prelude::*;
 use pw_base::prelude::*;
 use pw_contract::prelude::*;
 use pw_dispatch::prelude::*;
 use pw_fleet::prelude::*;
 use pw_log::prelude::*;
 use pw_pool::prelude::*;
-use pw_team::prelude::*;
 use pw_worker::prelude::*;
 use pw_zone::prelude::*;
 
@@ -48,8 +48,8 @@
     }
 }
 
-pub fn team(id: &str, share: u32, limit: u32) -> TeamSpec {
-    TeamSpec {
+pub fn account(id: &str, share: u32, limit: u32) -> AccountSpec {
+    AccountSpec {
         id: id.into(),
         share,
         limit,
@@ -72,7 +72,7 @@
     }
 }
 
-/// Two zones with one worker each, teams `a` and `b`, and a queue of each kind.
+/// Two zones with one worker each, accounts `a` and `b`, and a queue of each kind.
 pub fn small_fleet(slots: u32) -> FleetSpec {
     let workers = vec![worker("w1", "z1", slots), worker("w2", "z2", slots)];
     FleetSpec {
@@ -86,7 +86,7 @@
             min_workers: 0,
         }],
         workers,
-        teams: vec![team("a", 3, 100), team("b", 1, 100)],
+        accounts: vec![account("a", 3, 100), account("b", 1, 100)],
         queues: vec![
             queue("plain"),
             QueueSpec {
--- a/crates/entry/src/dispatch_duty.rs
+++ b/crates/entry/src/dispatch_duty.rs
@@ -132,13 +132,13 @@
             return IdempotencyVerdict::Submit;
         }
         let shown = submission.request.key.as_ref();
-        let team = shown.and_then(|key| self.scheduler.team_of(key));
-        if shown.is_some() && team.is_none() {
+        let account = shown.and_then(|key| self.scheduler.account_of(key));
+        if shown.is_some() && account.is_none() {
             // The scheduler refuses the key.
             return IdempotencyVerdict::Submit;
         }
         let key = RequestKey {
-            team,
+            account,
             key: Arc::clone(&mark.key),
         };
         self.requests
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -4,12 +4,12 @@
 use std::time::Instant;
 
 use indexmap::IndexMap;
+use pw_account::prelude::*;
 use pw_base::prelude::*;
 use pw_dispatch::prelude::*;
 use pw_link::prelude::*;
 use pw_member::prelude::*;
 use pw_ring::prelude::*;
-use pw_team::prelude::*;
 use serde::Serialize;
 use strum::Display;
 
@@ -77,7 +77,7 @@
 pub enum CancelOutcome {
     /// It has been told to stop; its submitter hears whether it ran.
     Cancelled,
-    /// No open task of the caller's team has this identity here.
+    /// No open task of the caller's account has this identity here.
     Unknown,
 }
 
--- a/crates/entry/src/peer_duty.rs
+++ b/crates/entry/src/peer_duty.rs
@@ -26,7 +26,7 @@
         /// Addresses of its peers.
         peers: Vec<SocketAddr>,
     },
-    /// Tell every peer what service the teams have had.
+    /// Tell every peer what service the accounts have had.
     TellShares(ShareReport),
 }
 
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -26,7 +26,7 @@
     MalformedHeader,
     /// The body can't be read.
     MalformedBody,
-    /// No open task of the caller's team has this identity here.
+    /// No open task of the caller's account has this identity here.
     UnknownTask,
 }
 
--- a/crates/entry/tests/callers.rs
+++ b/crates/entry/tests/callers.rs
@@ -6,12 +6,12 @@
 use std::time::{Duration, SystemTime};
 
 use http_types::{Method, Request, StatusCode};
+use pw_account::prelude::*;
 use pw_entry::prelude::*;
 use pw_fleet::prelude::*;
 use pw_link::prelude::*;
 use pw_log::prelude::*;
 use pw_standin::prelude::*;
-use pw_team::prelude::*;
 use pw_worker::prelude::*;
 use serde_json::Value;
 
@@ -63,12 +63,12 @@
         workers = [{{ id = "w", zone = "a", rack = "r", cores = 4, memory_gib = 4, slots = 1, connections = 64 }}]
         pools = [{{ id = "p", workers = ["w"], max_unavailable = 0 }}]
         queues = [{{ id = "plans", pool = "p", run_timeout = "20s", deadline = "20s" }}]
-        [[teams]]
+        [[accounts]]
         id = "own"
         share = 1
         limit = 900
         keys = [{{ id = "1", sha256 = "{}" }}, {{ id = "2", sha256 = "{}" }}]
-        [[teams]]
+        [[accounts]]
         id = "other"
         share = 1
         limit = 900
@@ -217,7 +217,7 @@
 }
 
 #[test]
-fn task_is_cancelled_by_its_team_only() {
+fn task_is_cancelled_by_its_account_only() {
     let site = TestSite::start();
     let id = "000000000000000000000000000000aa";
     let path = format!("/v1/tasks/{id}");
@@ -292,7 +292,11 @@
     assert_eq!(changed.refusal(), expected);
     let other = site.submit(OTHER, &body, &mark);
     assert_eq!(other.status, StatusCode::Ok);
-    assert_eq!(site.starts("quote"), 2, "another team's key is another key");
+    assert_eq!(
+        site.starts("quote"),
+        2,
+        "another account's key is another key"
+    );
 }
 
 #[test]
--- a/crates/fleet/src/check.rs
+++ b/crates/fleet/src/check.rs
@@ -49,10 +49,10 @@
     /// An availability budget can't be kept or allows no maintenance.
     #[strum(serialize = "F011", message = "An availability budget is impossible.")]
     Budget,
-    /// A team's upper limit is under what its share entitles it to.
+    /// An account's upper limit is under what its share entitles it to.
     #[strum(
         serialize = "F012",
-        message = "An upper limit is under the team's share."
+        message = "An upper limit is under the account's share."
     )]
     LimitUnderShare,
     /// Two keys have the same digest.
--- a/crates/fleet/src/diff.rs
+++ b/crates/fleet/src/diff.rs
@@ -58,7 +58,7 @@
             ("zones", by_id(&before.zones), by_id(&after.zones)),
             ("workers", by_id(&before.workers), by_id(&after.workers)),
             ("pools", by_id(&before.pools), by_id(&after.pools)),
-            ("teams", by_id(&before.teams), by_id(&after.teams)),
+            ("accounts", by_id(&before.accounts), by_id(&after.accounts)),
             ("queues", by_id(&before.queues), by_id(&after.queues)),
         ];
         let changes = sections
--- a/crates/fleet/src/rules.rs
+++ b/crates/fleet/src/rules.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{HashMap, HashSet};
 
+use pw_account::prelude::*;
 use pw_base::prelude::*;
 use pw_pool::prelude::*;
-use pw_team::prelude::*;
 use pw_worker::prelude::*;
 use pw_zone::prelude::*;
 
@@ -15,7 +15,7 @@
 /// Longest name in characters.
 const MAX_NAME_CHARS: usize = 64;
 /// Top-level fields of a fleet file.
-const SECTIONS: [&str; 6] = ["fleet", "zones", "workers", "pools", "teams", "queues"];
+const SECTIONS: [&str; 6] = ["fleet", "zones", "workers", "pools", "accounts", "queues"];
 
 /// The sections of a fleet file with the places of their elements.
 pub(crate) struct FleetSections {
@@ -23,7 +23,7 @@
     zones: Vec<SectionItem<ZoneSpec>>,
     workers: Vec<SectionItem<WorkerSpec>>,
     pools: Vec<SectionItem<PoolSpec>>,
-    teams: Vec<SectionItem<TeamSpec>>,
+    accounts: Vec<SectionItem<AccountSpec>>,
     queues: Vec<SectionItem<QueueSpec>>,
 }
 
@@ -50,7 +50,7 @@
                 ],
             ),
             pools: document.take_section("pools", &["id", "workers", "max_unavailable"]),
-            teams: document.take_section("teams", &["id", "share", "limit"]),
+            accounts: document.take_section("accounts", &["id", "share", "limit"]),
             queues: document.take_section("queues", &["id", "pool", "run_timeout", "deadline"]),
         };
         document.reject_rest(&SECTIONS);
@@ -64,7 +64,7 @@
             zones: specs(self.zones),
             workers: specs(self.workers),
             pools: specs(self.pools),
-            teams: specs(self.teams),
+            accounts: specs(self.accounts),
             queues: specs(self.queues),
         }
     }
@@ -75,7 +75,9 @@
     check_ids(document, "zone", &sections.zones, |zone| &zone.id);
     check_ids(document, "worker", &sections.workers, |worker| &worker.id);
     check_ids(document, "pool", &sections.pools, |pool| &pool.id);
-    check_ids(document, "team", &sections.teams, |team| &team.id);
+    check_ids(document, "account", &sections.accounts, |account| {
+        &account.id
+    });
     check_ids(document, "queue", &sections.queues, |queue| &queue.id);
     check_workers(sections, document);
     check_racks(sections, document);
@@ -233,7 +235,7 @@
 fn check_keys(sections: &FleetSections, document: &mut FleetDocument<'_>) {
     let mut digests = HashMap::new();
     let mut ids = HashSet::new();
-    for SectionItem { spec, places } in &sections.teams {
+    for SectionItem { spec, places } in &sections.accounts {
         for (index, key) in spec.keys.iter().enumerate() {
             let offset = places.element("keys", index);
             check_name(document, "key", &key.id, offset);
@@ -259,7 +261,7 @@
     }
 }
 
-/// Checks that each limit lets its team reach its share when all workers outside spare pools are full.
+/// Checks that each limit lets its account reach its share when all workers outside spare pools are full.
 fn check_limits(sections: &FleetSections, document: &mut FleetDocument<'_>) {
     let slots_of: HashMap<&str, u64> = sections
         .workers
@@ -274,11 +276,11 @@
         .filter_map(|id| slots_of.get(&**id))
         .sum();
     let shares: u64 = sections
-        .teams
+        .accounts
         .iter()
         .map(|item| u64::from(item.spec.share))
         .sum();
-    for SectionItem { spec, places } in &sections.teams {
+    for SectionItem { spec, places } in &sections.accounts {
         check_above_zero(document, places, "share", spec.share == 0);
         check_above_zero(document, places, "limit", spec.limit == 0);
         let entitled = (u64::from(spec.share) * slots)
--- a/crates/fleet/src/spec.rs
+++ b/crates/fleet/src/spec.rs
@@ -1,8 +1,8 @@
 //! A whole fleet as operators declare it.
 
+use pw_account::prelude::*;
 use pw_base::prelude::*;
 use pw_pool::prelude::*;
-use pw_team::prelude::*;
 use pw_worker::prelude::*;
 use pw_zone::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -22,9 +22,9 @@
     /// Pools.
     #[serde(default)]
     pub pools: Vec<PoolSpec>,
-    /// Teams.
+    /// Accounts.
     #[serde(default)]
-    pub teams: Vec<TeamSpec>,
+    pub accounts: Vec<AccountSpec>,
     /// Queues.
     #[serde(default)]
     pub queues: Vec<QueueSpec>,
--- a/crates/fleet/tests/fuzz_file.rs
+++ b/crates/fleet/tests/fuzz_file.rs
@@ -8,9 +8,9 @@
 use proptest::prelude::*;
 use proptest::sample::{Index, select};
 use proptest::test_runner::RngSeed;
+use pw_account::prelude::*;
 use pw_fleet::prelude::*;
 use pw_pool::prelude::*;
-use pw_team::prelude::*;
 use pw_worker::prelude::*;
 use pw_zone::prelude::*;
 
@@ -60,16 +60,16 @@
     })
 }
 
-fn team() -> impl Strategy<Value = TeamSpec> {
+fn account() -> impl Strategy<Value = AccountSpec> {
     (name(), 1..9_u32, 9..99_u32, name()).prop_map(|(id, share, limit, key)| {
-        let mut team: TeamSpec =
+        let mut account: AccountSpec =
             toml::from_str(&format!("id = {id:?}\nshare = {share}\nlimit = {limit}\n"))
-                .expect("team in TOML");
-        team.keys.push(KeySpec {
+                .expect("account in TOML");
+        account.keys.push(KeySpec {
             sha256: digest_key(&format!("{id}/{key}")),
             id: key,
         });
-        team
+        account
     })
 }
 
@@ -89,15 +89,15 @@
         vec(zone(), 0..3),
         vec(worker(), 0..4),
         vec(pool(), 0..3),
-        vec(team(), 0..3),
+        vec(account(), 0..3),
         vec(queue(), 0..3),
     );
-    parts.prop_map(|(zones, workers, pools, teams, queues)| {
+    parts.prop_map(|(zones, workers, pools, accounts, queues)| {
         let mut fleet: FleetSpec = toml::from_str("fleet = \"fuzz\"").expect("empty fleet");
         fleet.zones = zones;
         fleet.workers = workers;
         fleet.pools = pools;
-        fleet.teams = teams;
+        fleet.accounts = accounts;
         fleet.queues = queues;
         fleet
     })
@@ -111,7 +111,7 @@
     repeats(fleet.zones.iter().map(|zone| &zone.id))
         || repeats(fleet.workers.iter().map(|worker| &worker.id))
         || repeats(fleet.pools.iter().map(|pool| &pool.id))
-        || repeats(fleet.teams.iter().map(|team| &team.id))
+        || repeats(fleet.accounts.iter().map(|account| &account.id))
         || repeats(fleet.queues.iter().map(|queue| &queue.id))
         || repeats(fleet.pools.iter().flat_map(|pool| &pool.workers))
 }
@@ -149,7 +149,7 @@
     fn arbitrary_tokens_never_panic(
         tokens in vec(
             select(vec![
-                "[[zones]]\n", "[[workers]]\n", "[[pools]]\n", "[[teams]]\n", "[[queues]]\n",
+                "[[zones]]\n", "[[workers]]\n", "[[pools]]\n", "[[accounts]]\n", "[[queues]]\n",
                 "fleet = \"f\"\n", "id = \"a\"\n", "id = 7\n", "workers = [\"a\", \"a\"]\n",
                 "limit = -1\n", "share = 99999999999999999999\n", "max_unavailable = 4294967295\n",
                 "deadline = \"99999999999999999999y\"\n", "status = \"gone\"\n", "\u{0}", "[", "\"",
--- a/crates/link/src/peer_wire.rs
+++ b/crates/link/src/peer_wire.rs
@@ -30,7 +30,7 @@
 pub enum PeerMessage {
     /// The member is alive.
     Heartbeat(MemberKey),
-    /// Service that the teams have had through the sender.
+    /// Service that the accounts have had through the sender.
     Shares(ShareReport),
 }
 
--- a/crates/log/src/delta.rs
+++ b/crates/log/src/delta.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use pw_account::prelude::*;
 use pw_base::prelude::*;
 use pw_fleet::prelude::*;
 use pw_pool::prelude::*;
-use pw_team::prelude::*;
 use pw_worker::prelude::*;
 use pw_zone::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -23,8 +23,8 @@
     pub workers: ListDelta<WorkerSpec>,
     /// Changed pools.
     pub pools: ListDelta<PoolSpec>,
-    /// Changed teams.
-    pub teams: ListDelta<TeamSpec>,
+    /// Changed accounts.
+    pub accounts: ListDelta<AccountSpec>,
     /// Changed queues.
     pub queues: ListDelta<QueueSpec>,
 }
@@ -54,7 +54,7 @@
     };
 }
 
-named_specs!(ZoneSpec, WorkerSpec, PoolSpec, TeamSpec, QueueSpec);
+named_specs!(ZoneSpec, WorkerSpec, PoolSpec, AccountSpec, QueueSpec);
 
 impl FleetDelta {
     /// Returns what leads from `before` to `after`.
@@ -66,7 +66,7 @@
             zones: ListDelta::between(&before.zones, &after.zones),
             workers: ListDelta::between(&before.workers, &after.workers),
             pools: ListDelta::between(&before.pools, &after.pools),
-            teams: ListDelta::between(&before.teams, &after.teams),
+            accounts: ListDelta::between(&before.accounts, &after.accounts),
             queues: ListDelta::between(&before.queues, &after.queues),
         };
         let is_exact = before.fleet == after.fleet && delta.apply(before) == *after;
@@ -80,7 +80,7 @@
             zones: self.zones.apply(&before.zones),
             workers: self.workers.apply(&before.workers),
             pools: self.pools.apply(&before.pools),
-            teams: self.teams.apply(&before.teams),
+            accounts: self.accounts.apply(&before.accounts),
             queues: self.queues.apply(&before.queues),
         }
     }
--- a/crates/log/src/fold.rs
+++ b/crates/log/src/fold.rs
@@ -319,7 +319,10 @@
             zone.workers.insert(worker.id.clone());
         }
     }
-    let limits = spec.teams.iter().map(|team| (team.id.clone(), team.limit));
+    let limits = spec
+        .accounts
+        .iter()
+        .map(|account| (account.id.clone(), account.limit));
     LimitTable {
         limits: limits.collect(),
         zones,
--- a/crates/log/tests/fold.rs
+++ b/crates/log/tests/fold.rs
@@ -53,8 +53,8 @@
 fn delta_leads_to_the_same_fleet_in_fewer_bytes() {
     let before = shipped();
     let mut after = before.clone();
-    after.teams[1].limit += 1;
-    after.teams[0].keys.clear();
+    after.accounts[1].limit += 1;
+    after.accounts[0].keys.clear();
     after.workers.remove(3);
     after.zones[2].region = "elsewhere".to_owned();
     after.queues.push(pw_pool::prelude::QueueSpec {
--- a/crates/log/tests/fuzz_record.rs
+++ b/crates/log/tests/fuzz_record.rs
@@ -39,7 +39,7 @@
         spec.zones.truncate(kept);
         spec.workers.truncate(kept);
         spec.pools.truncate(kept);
-        spec.teams.truncate(kept);
+        spec.accounts.truncate(kept);
         spec.queues.truncate(kept);
         LogRecord {
             id,
--- a/crates/log/tests/limits/main.rs
+++ b/crates/log/tests/limits/main.rs
@@ -9,7 +9,7 @@
 use proptest::test_runner::RngSeed;
 use pw_contract::prelude::*;
 
-use world::{Disturbance, ENTRIES, Fault, LEASE_TTL, LIMIT, STEP, World, team};
+use world::{Disturbance, ENTRIES, Fault, LEASE_TTL, LIMIT, STEP, World, account};
 
 const SEED: u64 = 0x0011_2175;
 /// Time for all to join and to spread the permits.
@@ -75,15 +75,15 @@
 fn permits_of_a_vanished_holder_come_back() {
     let mut world = settled();
     let gone = world.entries[0].holder.member().cloned().expect("a member");
-    let grant = world.judge.permits().grant(&team(), &gone);
+    let grant = world.judge.permits().grant(&account(), &gone);
     assert!(grant.floor > 0 && grant.float > 0, "{grant:?}");
     disturb(&mut world, 0, Fault::Pause, Duration::from_secs(3600));
     let bound = Duration::from_secs(60);
     let float = world.run_until(bound, |world| {
-        world.judge.permits().grant(&team(), &gone).float == 0
+        world.judge.permits().grant(&account(), &gone).float == 0
     });
     let floor = world.run_until(bound, |world| {
-        world.judge.permits().grant(&team(), &gone).floor == 0
+        world.judge.permits().grant(&account(), &gone).floor == 0
     });
     println!("float permits after {float:?}, floor permits {floor:?} later");
     assert!(float >= hold_down(LEASE_TTL), "the hold-down was kept");
@@ -100,7 +100,7 @@
     disturb(&mut world, 0, Fault::CutFromLog, Duration::from_secs(3600));
     world.run(Duration::from_secs(60), &[]);
     assert!(world.judge.members().get(&gone).is_none());
-    assert!(world.judge.permits().grant(&team(), &gone).floor > 0);
+    assert!(world.judge.permits().grant(&account(), &gone).floor > 0);
     let started = world.started;
     world.demand = [6, 0, 0, 0];
     world.run(Duration::from_secs(30), &[]);
@@ -114,7 +114,7 @@
     disturb(&mut world, 0, Fault::Leave, Duration::ZERO);
     let time = world.run_until(Duration::from_secs(30), |world| world.entries[0].is_gone);
     println!("left after {time:?}, the longest task included");
-    assert_eq!(world.judge.permits().grant(&team(), &leaver).held(), 0);
+    assert_eq!(world.judge.permits().grant(&account(), &leaver).held(), 0);
     world.run(Duration::from_secs(10), &[]);
     assert!(world.mean_open(Duration::from_secs(10)) > f64::from(LIMIT) * 0.95);
 }
@@ -127,7 +127,7 @@
     let floor: u32 = world
         .judge
         .permits()
-        .grants(&team())
+        .grants(&account())
         .map(|(_, grant)| grant.usable_floor)
         .sum();
     let started = world.started;
@@ -149,7 +149,7 @@
         world.bound = limit;
         world.run(Duration::from_secs(20), &[]);
         assert!(world.running() <= limit as usize);
-        assert!(world.judge.permits().granted(&team()) <= limit);
+        assert!(world.judge.permits().granted(&account()) <= limit);
     }
     assert!(world.mean_running(Duration::from_secs(10)) > 4.0);
 }
--- a/crates/log/tests/limits/world.rs
+++ b/crates/log/tests/limits/world.rs
@@ -115,13 +115,13 @@
 
 pub fn fleet(limit: u32) -> FleetSpec {
     let text = format!(
-        "fleet = \"f\"\n{}[[teams]]\nid = \"t\"\nshare = 1\nlimit = {limit}\n",
+        "fleet = \"f\"\n{}[[accounts]]\nid = \"t\"\nshare = 1\nlimit = {limit}\n",
         ZONES.map(|zone| format!("[[zones]]\nid = \"{zone}\"\n[[workers]]\nid = \"w-{zone}\"\nzone = \"{zone}\"\nrack = \"r\"\ncores = 1\nmemory_gib = 1\nslots = 64\nconnections = 64\n")).concat()
     );
     toml::from_str(&text).expect("a fleet")
 }
 
-pub fn team() -> TeamId {
+pub fn account() -> AccountId {
     "t".into()
 }
 
@@ -245,16 +245,19 @@
             written: SystemTime::UNIX_EPOCH,
             body,
         };
-        let granted = self.judge.permits().granted(&team());
+        let granted = self.judge.permits().granted(&account());
         self.judge.advance(self.log.len() as LogOffset, &record);
         self.log.push(Arc::new(record));
         let permits = self.judge.permits();
-        let limit = permits.table().limit(&team());
+        let limit = permits.table().limit(&account());
         let bound = limit.max(granted);
-        assert!(permits.granted(&team()) <= bound, "granted over the limit");
+        assert!(
+            permits.granted(&account()) <= bound,
+            "granted over the limit"
+        );
         let usable = |grant: &PermitGrant| grant.usable_floor + grant.usable_float;
         let usable: u32 = permits
-            .grants(&team())
+            .grants(&account())
             .map(|(_, grant)| usable(grant))
             .sum();
         assert!(usable <= limit, "usable over the limit");
@@ -554,7 +557,7 @@
             self.demand[index]
         };
         let waiting = wanted.saturating_sub(entry.open);
-        entry.holder.set_demand(self.now, &team(), waiting);
+        entry.holder.set_demand(self.now, &account(), waiting);
         waiting
     }
 
@@ -565,7 +568,7 @@
             let worker = self.random.random_range(0..self.workers.len());
             let zone = ZONES[worker].into();
             let entry = &mut self.entries[index];
-            let Some(permit) = entry.holder.take(now, &team(), &zone) else {
+            let Some(permit) = entry.holder.take(now, &account(), &zone) else {
                 continue;
             };
             let holder = entry.holder.member().cloned().expect("a member");
--- a/crates/model/src/permit/member.rs
+++ b/crates/model/src/permit/member.rs
@@ -111,7 +111,7 @@
         &mut self,
         now: Instant,
         reading: &LogReading,
-        demand: (&TeamId, u32),
+        demand: (&AccountId, u32),
         settings: &PermitSettings,
     ) -> MemberOutput {
         if reading.next_offset > self.fold.state().next_offset {
@@ -131,9 +131,9 @@
         let seen = trusting.then(|| without_suspicion(members, self.monitor.key()));
         let seen = seen.as_ref().unwrap_or(members);
         self.holder.observe(now, fresh, self.fold.permits(), seen);
-        let (team, waiting) = demand;
+        let (account, waiting) = demand;
         let unstarted = waiting.saturating_sub(self.tasks.len() as u32);
-        self.holder.set_demand(now, team, unstarted);
+        self.holder.set_demand(now, account, unstarted);
         let event = ReclaimEvent::LogRead {
             permits: self.fold.permits(),
             members,
@@ -156,8 +156,14 @@
     }
 
     /// Takes a permit for a task.
-    pub fn take(&mut self, now: Instant, team: &TeamId, zone: &ZoneId, worker: usize) -> bool {
-        let Some(permit) = self.holder.take(now, team, zone) else {
+    pub fn take(
+        &mut self,
+        now: Instant,
+        account: &AccountId,
+        zone: &ZoneId,
+        worker: usize,
+    ) -> bool {
+        let Some(permit) = self.holder.take(now, account, zone) else {
             return false;
         };
         let member = MemberKey {
--- a/crates/model/src/permit/mod.rs
+++ b/crates/model/src/permit/mod.rs
@@ -1,6 +1,6 @@
 //! Holders of permits that are paused, cut off, replaced and reclaimed from.
 //!
-//! A team has an upper limit. Its permits pass between entry instances through the log while
+//! An account has an upper limit. Its permits pass between entry instances through the log while
 //! tasks run under leases of workers. The first member of a world may be paused between any two
 //! steps, its messages may be late, and nobody hears its heartbeats. The others do all they can in
 //! every tick, after the first member's steps: they suspect, retire, reclaim and start tasks as early as the rules let them.
@@ -12,7 +12,7 @@
 use pw_contract::prelude::*;
 use strum::{Display, EnumIter};
 
-/// No team has more running than its upper limit.
+/// No account has more running than its upper limit.
 pub const WITHIN_LIMIT: &str = "within limit";
 /// The permits that the fold grants never exceed the upper limit.
 pub const GRANTED_WITHIN_LIMIT: &str = "granted within limit";
@@ -50,7 +50,7 @@
     pub members: usize,
     /// Whether the zone of the first member has floor permits.
     pub floor: bool,
-    /// Upper limit of the team.
+    /// Upper limit of the account.
     pub limit: u32,
     /// Validity of float permits after the sending of a read.
     pub validity: u32,
--- a/crates/model/src/permit/world.rs
+++ b/crates/model/src/permit/world.rs
@@ -25,11 +25,11 @@
 /// Newest records that may be appended once more.
 const REPEATABLE_RECORDS: usize = 3;
 
-/// Members that share the limit of one team.
+/// Members that share the limit of one account.
 #[derive(Debug, Clone)]
 pub struct PermitWorld {
     settings: PermitSettings,
-    team: TeamId,
+    account: AccountId,
     origin: Instant,
     now: Tick,
     ends: Tick,
@@ -111,7 +111,7 @@
         });
         let mut world = Self {
             settings,
-            team: "team".into(),
+            account: "account".into(),
             origin,
             now: 0,
             ends: Tick::MAX,
@@ -129,7 +129,7 @@
         world
     }
 
-    /// Returns how many tasks of the team run.
+    /// Returns how many tasks of the account run.
     pub fn running(&self) -> u32 {
         self.workers.iter().map(WorkerNode::running).sum()
     }
@@ -202,7 +202,7 @@
         // Every member would run as many tasks as the limit allows, the first one from the start.
         let wants = member == 0 || self.ends != Tick::MAX;
         let waiting = if wants { self.settings.limit } else { 0 };
-        let demand = (&self.team.clone(), waiting);
+        let demand = (&self.account.clone(), waiting);
         let output = self.members[member].read(now, &reading, demand, &self.settings);
         self.carry_out(member, output);
     }
@@ -245,7 +245,7 @@
     fn take(&mut self, member: usize, worker: usize) -> bool {
         let now = self.instant(self.now);
         let zone = self.workers[worker].zone.clone();
-        self.members[member].take(now, &self.team, &zone, worker)
+        self.members[member].take(now, &self.account, &zone, worker)
     }
 
     /// Returns the lease that `member` uses now for `kind`.
@@ -536,7 +536,7 @@
 
     fn broken(&self) -> Option<BrokenProperty> {
         let limit = self.settings.limit;
-        let granted = self.whole.permits().granted(&self.team);
+        let granted = self.whole.permits().granted(&self.account);
         let running = self.running();
         let (name, count) = if running > limit {
             (WITHIN_LIMIT, running)
@@ -564,7 +564,7 @@
     let text = fleet_text(settings);
     let mut spec = check_fleet("model.toml", &text).expect("fleet of the model");
     // Limits so small that the check of fleet files does not allow them.
-    spec.teams[0].limit = settings.limit;
+    spec.accounts[0].limit = settings.limit;
     LogRecord {
         id: 0,
         author: "operator".to_owned(),
@@ -590,7 +590,7 @@
         .collect();
     let rest = format!(
         "[[pools]]\nid = \"pool\"\nworkers = {workers:?}\nmax_unavailable = 1\n\
-         [[teams]]\nid = \"team\"\nshare = 1\nlimit = {}\n",
+         [[accounts]]\nid = \"account\"\nshare = 1\nlimit = {}\n",
         settings.members
     );
     format!("fleet = \"model\"\n{}{rest}", zones.collect::<String>())
--- a/crates/model/tests/permit.rs
+++ b/crates/model/tests/permit.rs
@@ -55,7 +55,7 @@
 }
 
 #[test]
-fn no_team_exceeds_its_limit() {
+fn no_account_exceeds_its_limit() {
     let scenarios = [
         ("late", late()),
         ("floor", floor()),
--- a/crates/place/tests/table.rs
+++ b/crates/place/tests/table.rs
@@ -39,7 +39,7 @@
         }],
         workers: workers.into(),
         pools: Vec::new(),
-        teams: Vec::new(),
+        accounts: Vec::new(),
         queues: Vec::new(),
     };
     let instances = names.map(|worker| InstanceEntry {
@@ -125,7 +125,7 @@
         zones: Vec::new(),
         workers: Vec::new(),
         pools: Vec::new(),
-        teams: Vec::new(),
+        accounts: Vec::new(),
         queues: Vec::new(),
     };
     table.set_fleet(now, &empty);
--- a/crates/pool/src/spec.rs
+++ b/crates/pool/src/spec.rs
@@ -54,7 +54,7 @@
 #[serde(rename_all = "kebab-case")]
 #[strum(serialize_all = "kebab-case")]
 pub enum QueueKind {
-    /// Its tasks start as soon as their team's share allows.
+    /// Its tasks start as soon as their account's share allows.
     #[default]
     Interactive,
     /// Its tasks go after interactive ones until their slack is used; their callers wait as well.
--- a/examples/contracts_alone.rs
+++ b/examples/contracts_alone.rs
@@ -13,21 +13,22 @@
 
 fn main() {
     let fleet = check_fleet("telar-norte.toml", FLEET_FILE).expect("shipped fleet file");
-    let team = &fleet.teams[0];
+    let account = &fleet.accounts[0];
     let zone: ZoneId = fleet.zones[0].id.clone();
     let now = Instant::now();
     let mut gate = EvenSplit::new(ENTRIES);
-    gate.set_teams(&fleet.teams);
-    let permits: Vec<TaskPermit> = std::iter::from_fn(|| gate.take(now, &team.id, &zone)).collect();
+    gate.set_accounts(&fleet.accounts);
+    let permits: Vec<TaskPermit> =
+        std::iter::from_fn(|| gate.take(now, &account.id, &zone)).collect();
     println!(
-        "one of {ENTRIES} entry instances may run {} of the {} tasks of team {}",
+        "one of {ENTRIES} entry instances may run {} of the {} tasks of account {}",
         permits.len(),
-        team.limit,
-        team.id
+        account.limit,
+        account.id
     );
     for permit in permits {
         gate.give_back(now, permit);
     }
-    let again = gate.take(now, &team.id, &zone).is_some();
+    let again = gate.take(now, &account.id, &zone).is_some();
     println!("after all tasks have ended, another one may start: {again}");
 }
--- a/examples/line_front_end.rs
+++ b/examples/line_front_end.rs
@@ -20,7 +20,7 @@
     let open = fleet.queues.iter().find(|queue| queue.open);
     let queues: Vec<String> = open.iter().map(|queue| queue.id.to_string()).collect();
     let mut gate = EvenSplit::new(1);
-    gate.set_teams(&fleet.teams);
+    gate.set_accounts(&fleet.accounts);
     let mut scheduler = TaskScheduler::new(SchedulerSettings::default(), Box::new(gate));
     scheduler.handle(now, DispatchEvent::InstancesListed(live_instances(&fleet)));
     scheduler.handle(now, DispatchEvent::LogRead(reading(now, fleet)));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! Operators apply declarative fleet files; entry instances take tasks from callers, place them on
 //! workers and keep the promises of the fleet. Each area is a crate of its own, re-exported here.
 
+pub use pw_account as account;
 pub use pw_base as base;
 pub use pw_contract as contract;
 pub use pw_dispatch as dispatch;
@@ -16,12 +17,12 @@
 pub use pw_pool as pool;
 pub use pw_ring as ring;
 pub use pw_standin as standin;
-pub use pw_team as team;
 pub use pw_worker as worker;
 pub use pw_zone as zone;
 
 /// The names that most users need, of all areas.
 pub mod prelude {
+    pub use pw_account::prelude::*;
     pub use pw_base::prelude::*;
     pub use pw_contract::prelude::*;
     pub use pw_dispatch::prelude::*;
@@ -34,7 +35,6 @@
     pub use pw_plan::prelude::*;
     pub use pw_pool::prelude::*;
     pub use pw_ring::prelude::*;
-    pub use pw_team::prelude::*;
     pub use pw_worker::prelude::*;
     pub use pw_zone::prelude::*;
 }
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -1,4 +1,4 @@
-//! A team's upper limit across two entry processes, one of which vanishes, and the log after it.
+//! An account's upper limit across two entry processes, one of which vanishes, and the log after it.
 
 use std::fs;
 use std::io::{BufRead, BufReader};
@@ -44,14 +44,14 @@
 id = "pool"
 workers = ["w-a", "w-b"]
 max_unavailable = 1
-[[teams]]
-id = "team"
+[[accounts]]
+id = "account"
 share = 1
 limit = 4
-[[teams.keys]]
+[[accounts.keys]]
 id = "key"
 sha256 = "KEY"
-[[teams]]
+[[accounts]]
 id = "other"
 share = 3
 limit = 16
