Read the parts of maxima whatever the shards ask for meanwhile

It had never read the parts of accounts' maxima; the reading was dropped each time a shard reported its work, which a busy one does every 50 ms, and without a reading no part can be changed.

Change: reading and changing go on side by side; a reading that was overtaken by a change is done again.

--- a/crates/node/src/quota_duty.rs
+++ b/crates/node/src/quota_duty.rs
@@ -18,8 +18,8 @@
 
 /// Partition that holds all parts, so that an append sees each change before it.
 const QUOTA_SHARD: ShardNumber = 0;
-/// Shortest time between two reads of the parts.
-const READ_GAP: Duration = Duration::from_millis(80);
+/// Shortest time between two changes of parts, and between two reads.
+const CHANGE_GAP: Duration = Duration::from_millis(80);
 
 struct QuotaDuty {
     store: Box<dyn JobStore>,
@@ -55,15 +55,18 @@
         control,
         state: RefCell::default(),
     };
-    let (wake, woken) = ring("quota-wake", 1);
+    // One message is enough to wake a part of the duty, so a full ring needs no further one.
+    let (follow, followed) = ring("quota-follow", 1);
+    let (change, changed) = ring("quota-change", 1);
     let hear = async {
         while let Some(message) = messages.recv().await {
             duty.hear(message).await;
-            // One message is enough to wake the other part.
-            _ = wake.offer(());
+            _ = follow.offer(());
+            _ = change.offer(());
         }
     };
-    future::or(hear, duty.work(woken)).await;
+    let work = future::or(duty.follow(followed, change.clone()), duty.change(changed));
+    future::or(hear, work).await;
 }
 
 impl QuotaDuty {
@@ -79,8 +82,11 @@
         self.publish().await;
     }
 
-    /// Follows the parts while the node owns shards with work, and changes its own.
-    async fn work(&self, woken: RingReceiver<()>) {
+    /// Follows the parts while the node owns shards with work.
+    ///
+    /// Reading goes on whatever the shards ask for meanwhile: under load they ask all the time, and a
+    /// node that has read nothing yet can change nothing.
+    async fn follow(&self, woken: RingReceiver<()>, change: RingSender<()>) {
         loop {
             if self.state.borrow().demands.is_empty() {
                 if woken.recv().await.is_none() {
@@ -88,24 +94,23 @@
                 }
                 continue;
             }
-            let followed = async {
-                self.follow().await;
-                true
-            };
-            let asked = async { woken.recv().await.is_some() };
-            if !future::or(asked, followed).await {
-                return;
+            match self.catch_up(self.settings.follow_wait).await {
+                Ok(()) => {
+                    _ = change.offer(());
+                    Timer::after(CHANGE_GAP).await;
+                }
+                Err(_) => {
+                    Timer::after(self.settings.store_retry).await;
+                }
             }
-            self.change_parts().await;
-            Timer::after(READ_GAP).await;
         }
     }
 
-    /// Reads what has changed, waiting for a change.
-    async fn follow(&self) {
-        let wait = self.settings.follow_wait;
-        if self.catch_up(wait).await.is_err() {
-            Timer::after(self.settings.store_retry).await;
+    /// Changes the parts of the node's shards whenever something is new.
+    async fn change(&self, woken: RingReceiver<()>) {
+        while woken.recv().await.is_some() {
+            self.change_parts().await;
+            Timer::after(CHANGE_GAP).await;
         }
     }
 
@@ -115,13 +120,17 @@
             Some(from) => self.store.read(quota_part(), from, wait).await,
             None => Err(StoreFault::Expired { first: 0 }),
         };
-        let (entries, next) = match read {
+        let (entries, end) = match read {
             Ok(read) => (read.entries, read.next),
             Err(StoreFault::Expired { .. }) => self.read_all().await?,
             Err(fault) => return Err(fault),
         };
+        if self.state.borrow().next != next {
+            // Something later was applied while this was read, and is not to be undone.
+            return Ok(());
+        }
         let changed = !entries.is_empty();
-        self.apply(&entries, next);
+        self.apply(&entries, end);
         if changed {
             self.publish().await;
         }
