Count the work on workers that are gone for their pool, and move no machine to unknown pools

After a takeover the runs on a worker that is no longer listed belonged to a pool without a name. The keeper gave that pool its smallest size and ordered a machine to it each 120 ms, which the platform refused as impossible; each try vacated a worker of another pool that was in its surge.

Change: such a worker belongs to the pool of its runs, and the keeper takes loads of configured pools only.

Tests: work_on_a_worker_that_is_gone_belongs_to_its_pool and no_machine_goes_to_a_pool_that_is_not_configured, which failed before.

--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -182,7 +182,9 @@
                 report,
                 asked,
             } => {
-                for load in report.pools {
+                let config = Arc::clone(&self.config);
+                let known = report.pools.into_iter();
+                for load in known.filter(|load| config.pools.contains_key(&load.pool)) {
                     self.sizes.observe(&load, now);
                     self.loads.insert(load.pool.clone(), load);
                 }
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -317,7 +317,8 @@
                     let run =
                         self.run_record(record, step, task.last_run, RunPhase::Inherited, now);
                     let worker = self.workers.entry(placement.worker.clone());
-                    let worker = worker.or_insert_with(|| unlisted_worker(placement, now));
+                    let worker =
+                        worker.or_insert_with(|| unlisted_worker(&record.pool, placement, now));
                     if let Some(account) = &run.account {
                         self.budget.take(account, &run.size);
                     }
@@ -494,12 +495,12 @@
     size
 }
 
-/// Returns the record of a worker that only an image names so far.
-fn unlisted_worker(placement: &TaskPlacement, now: Instant) -> WorkerRecord {
+/// Returns the record of a worker of a pool that only an image names so far.
+fn unlisted_worker(pool: &PoolId, placement: &TaskPlacement, now: Instant) -> WorkerRecord {
     let life = placement.life;
     let entry = WorkerEntry {
         id: placement.worker.clone(),
-        pool: PoolId::from(""),
+        pool: pool.clone(),
         address: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
         zone: ZoneId::from(""),
         rack: None,
--- a/crates/control/tests/keeper.rs
+++ b/crates/control/tests/keeper.rs
@@ -386,6 +386,32 @@
     assert!(out.into_iter().all(|view| &*view.pool == "spare"));
 }
 
+#[test]
+fn no_machine_goes_to_a_pool_that_is_not_configured() {
+    let mut platform = pools();
+    platform.work.insert("a".into(), (20, 0));
+    platform.run(Duration::from_secs(1));
+    let load = PoolLoad {
+        pool: "unknown".into(),
+        used: cores(300),
+        waiting: cores(300),
+        ..Default::default()
+    };
+    let report = SurveyReport {
+        pools: vec![load],
+        ..Default::default()
+    };
+    platform.tell(KeeperEvent::Surveyed {
+        shard: 0,
+        report,
+        asked: platform.now,
+    });
+    platform.run(Duration::from_secs(5));
+    let moves = platform.orders.iter().map(|order| &order.action);
+    let unknown = MachineAction::Move("unknown".into());
+    assert_eq!(moves.filter(|action| **action == unknown).count(), 0);
+}
+
 #[test]
 fn too_few_machines_are_shared_by_need() {
     let mut platform = pools();
--- a/crates/control/tests/shard.rs
+++ b/crates/control/tests/shard.rs
@@ -206,6 +206,21 @@
     );
 }
 
+/// Until its leases are over, a worker that is gone still counts for the pool of its runs.
+#[test]
+fn work_on_a_worker_that_is_gone_belongs_to_its_pool() {
+    let mut world = lasting_world(2);
+    let holder = world.starts[0][0].0.clone();
+    world.workers[&holder].dead = true;
+    world.take_over(None);
+    world.run(millis(200));
+    let shard = world.controller.as_ref().expect("an owner");
+    let pools = shard.survey_report(world.now).pools;
+    let names: Vec<&str> = pools.iter().map(|load| &*load.pool).collect();
+    assert_eq!(names, ["pool"]);
+    assert_eq!(pools[0].used, size(1000, 1024));
+}
+
 /// The worker's machine is back with another worker before the lease of the lost one is over.
 #[test]
 fn another_worker_on_the_machine_ends_the_wait() {
