Let upkeep follow the worker on the machine, and take two machines of a small pool at a time

Pools in their lull have three or four machines, of which one was taken at a time, for several seconds each.

Change: a machine that is being vacated follows the worker on it; two machines may be taken at a time however small the pool is.

Both tests failed before.

--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -43,6 +43,9 @@
     pub survey_age_max: Duration,
     /// Largest part of a pool that is taken at the same time.
     pub pool_part: f64,
+    /// Machines that may be taken at the same time from a pool however small it is: tasks that last
+    /// take seconds to leave a machine, and a wave would be late one machine at a time.
+    pub pool_least: usize,
     /// Pause after an order that was not carried out.
     pub order_retry: Duration,
     /// Time after which a machine that was ordered down and has not come back counts as up.
@@ -120,6 +123,7 @@
             idle_list_gap: Duration::from_secs(2),
             survey_age_max: Duration::from_millis(500),
             pool_part: 0.25,
+            pool_least: 2,
             order_retry: Duration::from_millis(300),
             settle_max: Duration::from_secs(10),
             sizing: SizingSettings::default(),
@@ -127,6 +131,18 @@
     }
 }
 
+impl MachineTask {
+    /// Turns to the worker that is on the machine now: one that crashed comes back as another one,
+    /// and nobody would ever say that the one before is clear.
+    fn follow(&mut self, view: &MachineView, spare: bool) {
+        let vacating = matches!(self.phase, TaskStage::Vacating { .. });
+        if vacating && view.state == MachineState::Up && !spare && view.worker.is_some() {
+            self.worker.clone_from(&view.worker);
+            self.pool.clone_from(&view.pool);
+        }
+    }
+}
+
 impl FleetKeeper {
     /// Takes the role over, with what earlier keepers have stored of the waves.
     pub fn new(
@@ -229,13 +245,16 @@
         self.machines = named.collect();
         let settle_max = self.settings.settle_max;
         let machines = &self.machines;
+        let config = &self.config;
+        let spare = |pool: &PoolId| config.pools.get(pool).is_some_and(|rule| rule.spare);
         self.tasks.retain(|machine, task| {
-            let TaskStage::Settling { since } = task.phase else {
-                return machines.contains_key(machine);
-            };
             let Some(view) = machines.get(machine) else {
                 return false;
             };
+            let TaskStage::Settling { since } = task.phase else {
+                task.follow(view, spare(&view.pool));
+                return true;
+            };
             let back = view.state == MachineState::Up && view.worker != task.worker;
             !back && now < since + settle_max
         });
--- a/crates/control/src/keeper/waves.rs
+++ b/crates/control/src/keeper/waves.rs
@@ -125,7 +125,8 @@
     /// Returns whether another machine of the pool may be taken.
     pub(super) fn pool_has_room(&self, pool: &PoolId) -> bool {
         let members = self.machines.values().filter(|view| view.pool == *pool);
-        let most = (members.count() as f64 * self.settings.pool_part).max(1.0) as usize;
+        let part = (members.count() as f64 * self.settings.pool_part) as usize;
+        let most = part.max(self.settings.pool_least);
         let upkeep = |task: &&MachineTask| matches!(task.action, MachineAction::Upkeep(_));
         let taken = self.tasks.values().filter(upkeep);
         let taken = taken.filter(|task| task.pool == *pool);
--- a/crates/control/tests/keeper.rs
+++ b/crates/control/tests/keeper.rs
@@ -111,7 +111,17 @@
             KeeperCommand::Survey(shard, order) => {
                 let shards = KeeperSettings::default().shards;
                 let own = shard == find_shard("pool", shards);
-                let clear = if self.clear { order.vacate } else { Vec::new() };
+                // Nobody speaks for a worker that is gone.
+                let there = |worker: &WorkerId| {
+                    let mut views = self.views.values();
+                    views.any(|view| view.worker.as_ref() == Some(worker))
+                };
+                let clear = order.vacate.into_iter().filter(there);
+                let clear = if self.clear {
+                    clear.collect()
+                } else {
+                    Vec::new()
+                };
                 let report = SurveyReport {
                     pools: self.loads(shard),
                     clear,
@@ -485,6 +495,32 @@
     assert_eq!(platform.most_down, 2, "a quarter of eight machines");
 }
 
+/// A rack goes dark while its machines are being vacated for their upkeep.
+#[test]
+fn a_machine_that_came_back_with_another_worker_still_has_its_upkeep() {
+    let mut platform = Platform::new(4, wave(4, 4));
+    platform.clear = false;
+    platform.run(Duration::from_secs(1));
+    for (number, view) in platform.views.values_mut().enumerate() {
+        view.worker = Some(format!("reborn{number}").into());
+    }
+    platform.clear = true;
+    platform.run(Duration::from_secs(15));
+    assert_eq!(platform.begun(), 4);
+    assert!(platform.notes[&1].completed);
+}
+
+/// A pool in its lull has few machines, and what lasts on them takes seconds to leave.
+#[test]
+fn two_machines_of_a_small_pool_are_taken_at_a_time() {
+    let mut platform = Platform::new(4, wave(4, 4));
+    platform.clear = false;
+    platform.run(Duration::from_secs(2));
+    platform.clear = true;
+    platform.run(Duration::from_millis(200));
+    assert_eq!(platform.begun(), 2);
+}
+
 #[test]
 fn a_machine_is_ordered_only_once_its_worker_is_clear() {
     let mut platform = Platform::new(8, wave(2, 2));
