Let changes that come together share a pass over the waiting tasks

Cause: on the grown site the owner of the pool in its surge used up the processor time of its node (an eighth of a core): each end of a run began a pass over all waiting jobs.

Change: 20 ms lie between two passes at least.

The test failed before.

--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -25,6 +25,9 @@
     pub look_retry_max: Duration,
     /// Shortest time between two appends of images. Changes that come within it share one append.
     pub store_gap: Duration,
+    /// Shortest time between two passes over the waiting tasks. What changes within it shares one pass:
+    /// under load each pass costs as much as hundreds of answers of workers.
+    pub place_gap: Duration,
     /// Pause of a worker that refused a start for want of room.
     pub room_pause: Duration,
     /// Pause of a worker that said that it is unhealthy; doubled with each further one.
@@ -57,6 +60,7 @@
             look_retry: Duration::from_millis(150),
             look_retry_max: Duration::from_secs(1),
             store_gap: Duration::from_millis(35),
+            place_gap: Duration::from_millis(20),
             room_pause: Duration::from_millis(200),
             unhealthy_pause: Duration::from_millis(500),
             unhealthy_pause_max: Duration::from_secs(4),
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -63,6 +63,8 @@
     unasked_since: Option<Instant>,
     /// Something changed that may let a task start.
     changed: bool,
+    /// No pass over the waiting tasks begins before this time.
+    place_due: Instant,
     /// When a task that waits may start although nothing changes: a pause ends.
     recheck: Option<Instant>,
     /// When a pass is wanted although nothing is due.
@@ -133,6 +135,7 @@
             opened: now,
             unasked_since: Some(now),
             changed: true,
+            place_due: now,
             recheck: None,
             idle_tick: now,
             waves_heard: IndexMap::new(),
@@ -199,7 +202,10 @@
             .values()
             .filter(|w| w.needs_look() && !w.look_flying);
         let looks = looks.map(|worker| worker.look_due).min();
-        let due = [looks, self.recheck, self.desk.due()].into_iter().flatten();
+        let place = self.changed.then_some(self.place_due);
+        let recheck = self.recheck.map(|at| at.max(self.place_due));
+        let due = [looks, place, recheck, self.desk.due()];
+        let due = due.into_iter().flatten();
         due.fold(self.idle_tick, Instant::min)
     }
 
@@ -222,8 +228,10 @@
         self.lose_lapsed(now);
         self.open_due(now, wall);
         self.move_lasting(now);
-        if self.changed || self.recheck.is_some_and(|at| now >= at) {
+        let wanted = self.changed || self.recheck.is_some_and(|at| now >= at);
+        if wanted && now >= self.place_due {
             self.changed = false;
+            self.place_due = now + self.settings.place_gap;
             self.recheck = self.next_pause_end(now);
             self.place_waiting(now);
         }
--- a/crates/control/tests/shard.rs
+++ b/crates/control/tests/shard.rs
@@ -75,6 +75,22 @@
     assert!(world.starts.values().all(|starts| starts.len() == 1));
 }
 
+/// In a surge of hundreds of ends a second, each would else cost a pass over all waiting jobs.
+#[test]
+fn what_comes_just_after_a_pass_waits_for_the_next_one_and_no_longer() {
+    let mut world = World::new(2);
+    world.run(millis(100));
+    world.submit("first", None, vec![step(1)]);
+    world.submit("second", None, vec![step(1)]);
+    let shard = world.controller.as_ref().expect("an owner");
+    let load = shard.survey_report(world.now).pools.remove(0);
+    assert_eq!(load.used, size(1000, 1024), "each job took a pass");
+    assert!(shard.next_deadline() <= world.now + world.settings.place_gap);
+    assert!(world.run_until(millis(100), |world| {
+        world.start_count("second.0.0.0") == 1
+    }));
+}
+
 #[test]
 fn nothing_starts_and_no_end_is_forgotten_while_the_store_is_away() {
     let mut world = World::new(2);
