Give nodes with more processor time more shards

Change: a node's name in the group carries its processor time, and the rendezvous hashing weighs members by its square.

Where all nodes are alike nothing changes.

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -48,7 +48,7 @@
 pub type RecordSequence = u64;
 /// Identity of a job, chosen by its caller; it is unique within the fleet.
 pub type JobId = Arc<str>;
-/// Name of a node in the group of all nodes: the address at which the others reach it.
+/// Name of a node in the group of all nodes: the address at which the others reach it, and its weight.
 pub type NodeName = Arc<str>;
 /// Number of a shard of pools, counted from 0.
 pub type ShardNumber = u32;
--- a/crates/control/src/assign.rs
+++ b/crates/control/src/assign.rs
@@ -3,9 +3,10 @@
 //! The store's group tells which nodes are there, and deals its partitions anew whenever one comes or
 //! goes, or for reasons of its own. Each change of an owner stops a shard for a moment, so nodes take
 //! only the members from the group, and each of them reckons the same owners from these: a node that
-//! comes or goes moves little more than its own shards.
+//! comes or goes moves little more than its own shards. Nodes with more processor time get more shards:
+//! the owner of a pool in its surge needs several times what another node needs.
 
-use std::cmp::Reverse;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
@@ -13,6 +14,9 @@
 
 use crate::config::mix_hash;
 
+/// Between the address and the weight in the name of a member.
+const WEIGHT_MARK: char = '#';
+
 /// Settings of a [`ShardTable`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct AssignSettings {
@@ -25,6 +29,15 @@
     pub mass_hold: Duration,
 }
 
+/// A node as a member of the group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemberIdentity {
+    /// Address at which the other nodes reach it.
+    pub peers: SocketAddr,
+    /// Processor time of the node in hundredths of a core.
+    pub weight: u32,
+}
+
 /// Members of the group, and the owners that follow from them.
 #[derive(Debug, Clone)]
 pub struct ShardTable {
@@ -45,6 +58,22 @@
     }
 }
 
+impl MemberIdentity {
+    /// Returns the name under which the node joins the group.
+    pub fn name(&self) -> NodeName {
+        format!("{}{WEIGHT_MARK}{}", self.peers, self.weight).into()
+    }
+
+    /// Parses the name of a member; `None` when it is not one of a node.
+    pub fn parse(name: &str) -> Option<Self> {
+        let (peers, weight) = name.rsplit_once(WEIGHT_MARK)?;
+        Some(Self {
+            peers: peers.parse().ok()?,
+            weight: weight.parse().ok()?,
+        })
+    }
+}
+
 impl ShardTable {
     /// Creates a table without members.
     pub fn new(settings: AssignSettings) -> Self {
@@ -99,15 +128,22 @@
     let mut loads: IndexMap<&NodeName, usize> = members.iter().map(|name| (*name, 0)).collect();
     let owners = (0..settings.shards).filter_map(|shard| {
         let open = loads.iter_mut().filter(|(_, load)| **load < most);
-        let rank = |name: &NodeName| (rank_of(name, shard), Reverse(name.clone()));
-        let (name, load) = open.max_by_key(|(name, _)| rank(name))?;
+        let ranked = open.map(|(name, load)| (rank_of(name, shard), *name, load));
+        let best = ranked.max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
+        let (_, name, load) = best?;
         *load += 1;
-        Some((*name).clone())
+        Some(name.clone())
     });
     owners.collect()
 }
 
-/// Returns how high a member ranks for a shard: the same on all nodes, and unrelated between shards.
-fn rank_of(name: &str, shard: ShardNumber) -> u64 {
-    mix_hash(name.bytes().chain(shard.to_be_bytes()))
+/// Returns how high a member ranks for a shard: the same on all nodes, unrelated between shards, and
+/// highest for a part of the shards that grows with the square of the member's weight. The owner of a
+/// busy shard is bound by its processor time, so a weak node should own none while a strong one has
+/// room.
+fn rank_of(name: &str, shard: ShardNumber) -> f64 {
+    let weight = MemberIdentity::parse(name).map_or(1, |member| member.weight.max(1));
+    let hash = mix_hash(name.bytes().chain(shard.to_be_bytes()));
+    let unit = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    f64::from(weight).powi(2) / -unit.ln()
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,7 +19,7 @@
 
 /// The names that most users of this crate need.
 pub mod prelude {
-    pub use crate::assign::{AssignSettings, ShardTable};
+    pub use crate::assign::{AssignSettings, MemberIdentity, ShardTable};
     pub use crate::config::{
         AccountRule, AdviceRule, FleetConfig, PoolRule, QueueRule, WaveRule, find_shard,
     };
--- a/crates/control/tests/assign.rs
+++ b/crates/control/tests/assign.rs
@@ -1,16 +1,23 @@
 //! Owners of shards as members of the group come and go.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use indexmap::IndexSet;
 use pw_base::prelude::*;
 use pw_control::prelude::*;
 
+fn name(number: u32, weight: u32) -> NodeName {
+    let address: SocketAddr = format!("10.1.{number}.7:7000").parse().expect("an address");
+    let identity = MemberIdentity {
+        peers: address,
+        weight,
+    };
+    identity.name()
+}
+
 fn names(numbers: impl IntoIterator<Item = u32>) -> IndexSet<NodeName> {
-    let names = numbers.into_iter();
-    names
-        .map(|number| format!("10.1.{number}.7:7000").into())
-        .collect()
+    numbers.into_iter().map(|number| name(number, 25)).collect()
 }
 
 fn owners(table: &ShardTable) -> Vec<NodeName> {
@@ -63,11 +70,34 @@
     }
 }
 
+#[test]
+fn a_name_says_the_address_and_the_weight() {
+    let identity = MemberIdentity {
+        peers: ([10, 1, 2, 3], 7000).into(),
+        weight: 12,
+    };
+    assert_eq!(MemberIdentity::parse(&identity.name()), Some(identity));
+    for foreign in ["", "10.1.2.3:7000", "10.1.2.3:7000#", "#12", "node#12"] {
+        assert_eq!(MemberIdentity::parse(foreign), None, "{foreign}");
+    }
+}
+
+/// Machines of an eighth and of half a core serve one fleet; a pool in its surge saturates the small
+/// ones.
+#[test]
+fn strong_nodes_own_most_shards() {
+    let members = (0..40).map(|number| name(number, if number < 10 { 50 } else { 12 }));
+    let table = table(members.collect(), Instant::now());
+    let strong = table.owners().filter(|(_, name)| name.ends_with("#50"));
+    let strong = strong.count();
+    assert!(strong >= 15, "{strong} of 24 shards");
+}
+
 #[test]
 fn without_members_nobody_owns_anything() {
     let table = table(names([]), Instant::now());
     assert_eq!(table.owners().count(), 0);
-    assert!(table.shards_of("10.1.0.7:7000").is_empty());
+    assert!(table.shards_of(&name(0, 25)).is_empty());
 }
 
 /// The store has forgotten the group in an outage; its members join again one after the other.
--- a/crates/node/src/journal_duty.rs
+++ b/crates/node/src/journal_duty.rs
@@ -186,7 +186,11 @@
 
     /// Returns the name of this node in the group.
     fn name(&self) -> NodeName {
-        self.settings.peers.to_string().into()
+        let identity = MemberIdentity {
+            peers: self.settings.peers,
+            weight: self.settings.weight,
+        };
+        identity.name()
     }
 
     /// Reads the members of the group, and tells whom they make the owners; returns whether that
--- a/crates/node/src/owners.rs
+++ b/crates/node/src/owners.rs
@@ -7,6 +7,7 @@
 
 use indexmap::IndexMap;
 use pw_base::prelude::*;
+use pw_control::prelude::*;
 use pw_link::prelude::*;
 use pw_ring::prelude::*;
 
@@ -44,11 +45,11 @@
 }
 
 impl OwnerTable {
-    /// Replaces all owners; members whose names are not addresses are left out.
+    /// Replaces all owners; members whose names are not those of nodes are left out.
     pub fn replace(&mut self, rows: &[(ShardNumber, NodeName)]) {
         let addressed = rows.iter().filter_map(|(shard, member)| {
-            let address = member.parse().ok()?;
-            Some((*shard, address))
+            let member = MemberIdentity::parse(member)?;
+            Some((*shard, member.peers))
         });
         let before = std::mem::replace(&mut self.owners, addressed.collect());
         for (shard, owner) in before {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -16,8 +16,10 @@
     pub callers: SocketAddr,
     /// Where the balancer asks whether the node is ready.
     pub readiness: SocketAddr,
-    /// Where other nodes connect; also the node's name in the group.
+    /// Where other nodes connect; also a part of the node's name in the group.
     pub peers: SocketAddr,
+    /// Processor time of the node in hundredths of a core; nodes with more own more shards.
+    pub weight: u32,
     /// Where metrics are served.
     pub metrics: SocketAddr,
     /// Number of shards of the fleet; all nodes have the same.
@@ -67,6 +69,7 @@
             callers: any,
             readiness: any,
             peers: any,
+            weight: 100,
             metrics: any,
             shards: 24,
             control: ControlSettings::default(),
--- a/crates/node/tests/owners.rs
+++ b/crates/node/tests/owners.rs
@@ -4,7 +4,9 @@
 use pw_node::owners::OwnerTable;
 
 fn rows(names: &[&str]) -> Vec<(ShardNumber, NodeName)> {
-    let names = names.iter().map(|name| NodeName::from(*name));
+    let names = names
+        .iter()
+        .map(|name| NodeName::from(format!("{name}#25")));
     (0..).zip(names).collect()
 }
 
