--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -341,6 +341,43 @@
     }
 }
 
+pub const COMPLETED: JobAnswer = JobAnswer::Known(JobStatus::Completed);
+
+pub fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+pub fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A world in which one lasting task is at work.
+pub fn lasting_world(workers: usize) -> World {
+    let mut world = World::new(workers);
+    world.submit("job", None, vec![lasting(1)]);
+    assert!(world.run_until(seconds(1), |world| world.running("job.0.0.0") == 1));
+    world
+}
+
+/// A world in which a lasting step is at work, of which one task may be away, and the workers of its
+/// tasks.
+pub fn budget_world(workers: usize, count: u32) -> (World, Vec<WorkerId>) {
+    let mut world = World::new(workers);
+    let spec = StepSpec {
+        may_miss: Some(1),
+        ..lasting(count)
+    };
+    world.submit("lasting", None, vec![spec]);
+    world.run(seconds(3));
+    let holders: Vec<_> = world
+        .starts
+        .values()
+        .map(|starts| starts[0].0.clone())
+        .collect();
+    assert_eq!(holders.len(), count as usize, "a task did not start");
+    (world, holders)
+}
+
 /// A step of `count` tasks that take a core and a GiB each.
 pub fn step(count: u32) -> StepSpec {
     StepSpec {
