Count the release of a shard only right before the next claim or right after it

With three claims in a row the last owner took the leases that the first one released, although the second one may have renewed them since; since handovers, releases come after the next claim. A run on a silent worker could be started elsewhere while its lease lasted.

Change: a release before a claim counts at the offset just before it, one after it only when the record before the claim is the releasing owner's own claim.

Test: a_release_of_an_owner_before_the_last_one_does_not_count states the case; the check before would have taken these leases.

--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -46,14 +46,23 @@
         )
     }
 
-    /// Returns the leases that the owner before left behind, if the record is its release and nobody
-    /// else claimed the shard between it and the claim at the offset `claim`.
-    pub fn released_leases(bytes: &[u8], claim: LogOffset) -> Option<IndexMap<WorkerId, Duration>> {
-        match decode_message(bytes)? {
-            // The owner before claimed at the offset `epoch - 1`. Between its claim and this one lies
-            // its release, or nothing if it released the shard only when it had seen this claim.
-            Self::Release { epoch, leases } if claim == epoch || claim == epoch + 1 => Some(leases),
-            _ => None,
+    /// Returns the leases that the owner before left behind, where nobody else claimed the shard
+    /// between its claim and the one at the offset `claim`.
+    ///
+    /// `records` are those from the offset before `claim` on. The owner before claimed at the offset
+    /// `epoch - 1`. It released the shard just before this claim, or when it had seen it; in the latter
+    /// case its own claim is the record before this one.
+    pub fn released_leases<'a>(
+        records: impl IntoIterator<Item = &'a [u8]>,
+        claim: LogOffset,
+    ) -> Option<IndexMap<WorkerId, Duration>> {
+        let mut records = records.into_iter();
+        match decode_message(records.next()?)? {
+            Self::Release { epoch, leases } => (epoch + 1 == claim).then_some(leases),
+            Self::Claim { .. } => records.find_map(|bytes| match decode_message(bytes)? {
+                Self::Release { epoch, leases } if epoch == claim => Some(leases),
+                _ => None,
+            }),
         }
     }
 }
--- a/crates/node/src/journal_duty/owned_shard.rs
+++ b/crates/node/src/journal_duty/owned_shard.rs
@@ -104,8 +104,8 @@
         let claim = term.epoch - 1;
         let before = claim.checked_sub(1)?;
         let read = self.store.read(claims, before, Duration::ZERO).await.ok()?;
-        let mut entries = read.entries.iter();
-        entries.find_map(|entry| ClaimRecord::released_leases(&entry.value, claim))
+        let records = read.entries.iter().map(|entry| &entry.value[..]);
+        ClaimRecord::released_leases(records, claim)
     }
 
     async fn load_images(&self, term: ShardTerm) -> Vec<(JobId, JobState)> {
--- a/crates/node/tests/claim.rs
+++ b/crates/node/tests/claim.rs
@@ -18,27 +18,36 @@
     ClaimRecord::Release { epoch, leases }
 }
 
-/// The owner before claimed at offset 4, so its epoch is 5.
+/// Returns whether the leases are known to an owner that claimed at offset 5, from the records from
+/// offset 4 on.
+fn known(records: &[ClaimRecord]) -> bool {
+    let encoded: Vec<Vec<u8>> = records.iter().map(ClaimRecord::encode).collect();
+    ClaimRecord::released_leases(encoded.iter().map(Vec::as_slice), 5).is_some()
+}
+
+/// The owner before claimed at offset 3, so its epoch is 4.
 #[test]
-fn a_release_counts_just_before_the_next_claim_and_after_it() {
-    let bytes = release(5).encode();
-    assert!(
-        ClaimRecord::released_leases(&bytes, 6).is_some(),
-        "4, 5, then the claim at 6"
-    );
+fn a_release_counts_just_before_the_next_claim() {
+    assert!(known(&[release(4), claim("b")]));
     assert!(
-        ClaimRecord::released_leases(&bytes, 5).is_some(),
-        "4, then the claim at 5"
+        !known(&[release(3), claim("b")]),
+        "somebody claimed at offset 3"
     );
 }
 
-/// Somebody else may have renewed leases in between.
+/// The owner before claimed at offset 4, so its epoch is 5.
+#[test]
+fn a_release_counts_after_the_claim_that_follows_the_owner_s_own() {
+    assert!(known(&[claim("a"), claim("b"), release(5)]));
+    assert!(!known(&[claim("a"), claim("b")]));
+}
+
+/// Three nodes claim a shard one after the other, and the first one releases it last: the second one
+/// may have renewed leases since.
 #[test]
-fn a_release_before_another_claim_does_not_count() {
-    let bytes = release(5).encode();
-    assert!(ClaimRecord::released_leases(&bytes, 7).is_none());
-    assert!(ClaimRecord::released_leases(&bytes, 4).is_none());
-    assert!(ClaimRecord::released_leases(&claim("a").encode(), 5).is_none());
+fn a_release_of_an_owner_before_the_last_one_does_not_count() {
+    assert!(!known(&[claim("b"), claim("c"), release(4)]));
+    assert!(known(&[claim("b"), claim("c"), release(4), release(5)]));
 }
 
 /// The owner before releases the shard when it has seen the claim of the next one.
