Take an end for void only where a run that lapsed after it shows the lapse

The owner of a pool has no processor time there and hears of ends up to 9 s late. By the worker's clock the lease was over at the answer, so it took ends that were done for lapsed and started their tasks again. Its log has 54 to 203 more runs lapsed than the workers had: a lease that is over while nothing runs ends nothing, and the ends before it stand.

Change: an end does not count where a run that lapsed is listed after it, and in no other case.

Tests: the fake worker lapsed, as the controller thought, although nothing ran. It lapses now only with its runs, an_end_before_a_lapsed_lease_does_not_count has a second run that lapses, and an_end_counts_although_the_lease_is_over_where_nothing_lapsed failed before.

--- a/crates/control/src/shard/looking.rs
+++ b/crates/control/src/shard/looking.rs
@@ -142,7 +142,6 @@
         } else {
             worker.acknowledged = worker.acknowledged.max(order.seen);
         }
-        let lapsed = worker.synced && worker.lapsed_at(&report);
         // A worker that was not used before may take what waits.
         self.changed |= !worker.synced || worker.misses > 0;
         worker.life = Some(report.life);
@@ -157,7 +156,7 @@
             clock: report.clock,
             at: now,
         });
-        self.take_ends(&order.worker, &report, lapsed, now);
+        self.take_ends(&order.worker, &report, now);
         self.compare_runs(order, &report, now);
         self.set_paces(&order.worker, now);
     }
@@ -165,8 +164,9 @@
     /// Applies the ends that are new.
     ///
     /// An end that the worker listed before its lease lapsed was not taken note of in time, so its
-    /// task runs again.
-    fn take_ends(&mut self, id: &WorkerId, report: &LookReport, lapsed: bool, now: Instant) {
+    /// task runs again. Only the end of a run that lapsed shows a lapse: where nothing ran, a lease
+    /// that is over ends nothing, and the ends before it stand.
+    fn take_ends(&mut self, id: &WorkerId, report: &LookReport, now: Instant) {
         let lapses = report
             .finished
             .iter()
@@ -184,8 +184,11 @@
                 .runs
                 .get(&end.task)
                 .is_some_and(|run| run.run == end.run);
-            let lapsed = lapsed || end.number < last_lapse;
-            let how = if lapsed { RunEnd::Lapsed } else { end.end };
+            let how = if end.number < last_lapse {
+                RunEnd::Lapsed
+            } else {
+                end.end
+            };
             if known {
                 self.note_run(&end.task);
                 self.end_run(id, &end.task, end.run, how, end.checkpoint.clone(), now);
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -11,7 +11,6 @@
 use serde::{Deserialize, Serialize};
 use strum::{AsRefStr, Display, EnumString};
 
-use crate::message::LookReport;
 use crate::pace::FULL_PACE;
 
 /// Whether a worker takes new work.
@@ -250,12 +249,6 @@
         Some(reading.at + left)
     }
 
-    /// Returns whether the lease was over when the worker answered, so that nothing of before runs
-    /// and ends of before do not count.
-    pub fn lapsed_at(&self, report: &LookReport) -> bool {
-        self.lease_sent > 0 && report.clock >= self.lease_sent
-    }
-
     pub fn add_run(&mut self, task: TaskName, run: RunRecord) {
         self.used = self.used.plus(&run.size);
         if let Some(old) = self.runs.insert(task, run) {
--- a/crates/control/tests/lives.rs
+++ b/crates/control/tests/lives.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use pw_control::prelude::*;
+use pw_job::prelude::*;
 use support::{COMPLETED, World, lasting, lasting_world, millis, seconds, size, step};
 
 #[test]
@@ -132,15 +134,16 @@
     assert_eq!(world.running("job.0.0.0"), 1);
 }
 
+/// A worker that is cut off ends one run, and loses another one with its lease.
 #[test]
 fn an_end_before_a_lapsed_lease_does_not_count() {
     let mut world = World::new(1);
-    world.submit("job", Some("ane"), vec![step(1), step(1)]);
-    let names = ["job.0.0.0", "job.0.1.0"];
+    world.submit("job", Some("ane"), vec![step(1)]);
+    world.submit("lasting", None, vec![lasting(1)]);
+    let names = ["job.0.0.0", "lasting.0.0.0"];
     assert!(world.run_until(seconds(1), |world| {
         names.iter().all(|n| world.running(n) == 1)
     }));
-    // The lease lapses on the worker's clock after one of them is done, and nobody was told.
     world.workers[0].silent = true;
     world.run(seconds(8));
     world.workers[0].silent = false;
@@ -151,6 +154,34 @@
     );
 }
 
+/// An owner without processor time hears of an end when the lease is long over, but nothing else ran
+/// there that could lapse.
+#[test]
+fn an_end_counts_although_the_lease_is_over_where_nothing_lapsed() {
+    let mut world = World::new(1);
+    world.submit("job", Some("ane"), vec![step(1)]);
+    assert!(world.run_until(seconds(1), |world| world.running("job.0.0.0") == 1));
+    let now = world.now;
+    let worker = &mut world.workers[0];
+    worker.end(&"job.0.0.0".parse().expect("a task's name"), RunEnd::Done);
+    let mut report = worker.report(now);
+    report.clock += 60_000;
+    let order = LookOrder {
+        worker: worker.entry.id.clone(),
+        address: worker.entry.address,
+        life: Some(report.life),
+        epoch: 1,
+        seen: 0,
+        lease_until: None,
+        wait: millis(0),
+        asked: now,
+    };
+    let result = Ok(report);
+    world.tell(ShardEvent::Looked { order, result });
+    assert!(world.run_until(seconds(5), |world| world.status("job") == COMPLETED));
+    assert_eq!(world.start_count("job.0.0.0"), 1);
+}
+
 #[test]
 fn a_worker_reborn_under_its_name_gets_lost_tasks_back() {
     let mut world = World::new(1);
--- a/crates/control/tests/support/answers.rs
+++ b/crates/control/tests/support/answers.rs
@@ -214,10 +214,14 @@
             let clock = worker.clock(now);
             if worker.lease_until > 0 && clock >= worker.lease_until {
                 let names: Vec<_> = worker.running.keys().cloned().collect();
+                let lapses = !names.is_empty();
                 for name in names {
                     worker.end(&name, RunEnd::Lapsed);
                 }
-                worker.void_ends = worker.next_end - 1;
+                // Nothing lapses on a worker that runs nothing, and its ends stand.
+                if lapses {
+                    worker.void_ends = worker.next_end - 1;
+                }
             }
             let ended = worker.running.iter();
             let ended = ended.filter(|(_, run)| run.until.is_some_and(|until| now >= until));
