--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -190,8 +190,9 @@
         match event {
             KeeperEvent::Config(config) => self.config = config,
             KeeperEvent::Machines { machines, asked } => {
-                self.take_machines(machines, now);
-                self.lives.note_list(asked);
+                if self.lives.note_list(asked) {
+                    self.take_machines(machines, now);
+                }
             }
             KeeperEvent::Surveyed {
                 shard,
--- a/crates/control/src/keeper/lives.rs
+++ b/crates/control/src/keeper/lives.rs
@@ -39,9 +39,14 @@
         self.silent.insert(shard, noted.collect());
     }
 
-    /// Takes note of a list of machines.
-    pub fn note_list(&mut self, asked: Instant) {
-        self.listed = self.listed.max(Some(asked));
+    /// Takes note of a list of machines; returns whether it is later than those before. One that was
+    /// overtaken may show a machine as it was before a life was named.
+    pub fn note_list(&mut self, asked: Instant) -> bool {
+        let later = self.listed.is_none_or(|listed| asked >= listed);
+        if later {
+            self.listed = Some(asked);
+        }
+        later
     }
 
     /// Returns whether a worker that may run something can't be asked.
--- a/crates/control/tests/keeper.rs
+++ b/crates/control/tests/keeper.rs
@@ -328,6 +328,26 @@
     assert!(platform.ended.is_empty());
 }
 
+/// The platform answers slowly, and an answer from before arrives after a later one.
+#[test]
+fn a_list_that_was_overtaken_ends_nothing() {
+    let mut platform = Platform::new(4, WaveRule::default());
+    let early = platform.now;
+    silent_first(&mut platform);
+    platform.run(Duration::from_millis(500));
+    let mut machines: Vec<MachineView> = platform.views.values().cloned().collect();
+    machines[0].state = MachineState::Down;
+    machines[0].worker = None;
+    platform.tell(KeeperEvent::Machines {
+        machines,
+        asked: early,
+    });
+    for _ in 0..6 {
+        platform.run(Duration::from_millis(50));
+        assert!(platform.ended.is_empty(), "an old list ended a life");
+    }
+}
+
 /// One pool is in its surge and the other one in its lull.
 #[test]
 fn machines_go_from_a_lull_to_a_surge_and_the_rest_to_the_spare_pool() {
