--- /dev/null
+++ b/crates/control/tests/keeper/main.rs
@@ -0,0 +1,195 @@
+//! The keeper of machines against a fake platform.
+
+mod platform;
+mod waves;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexSet;
+use pw_base::prelude::*;
+use pw_control::prelude::*;
+
+use platform::{Platform, cores, pools};
+
+/// Makes the worker of machine `m0` one that its owner can't ask.
+fn silent_first(platform: &mut Platform) {
+    platform.run(Duration::from_secs(1));
+    platform.silent = vec![SilentWorker {
+        machine: "m0".into(),
+        life: WorkerLife {
+            worker: "w0".into(),
+            life: 7,
+        },
+    }];
+}
+
+#[test]
+fn the_life_of_a_silent_worker_is_over_when_its_machine_is_listed_as_down() {
+    let mut platform = Platform::new(4, WaveRule::default());
+    silent_first(&mut platform);
+    platform.run(Duration::from_secs(1));
+    assert!(platform.ended.is_empty(), "the machine is up");
+    platform.views["m0"].state = MachineState::Down;
+    platform.views["m0"].worker = None;
+    platform.run(Duration::from_millis(500));
+    assert_eq!(platform.ended, [platform.silent[0].life.clone()]);
+}
+
+/// The machine came back between the reading of the list and the answer of the owner.
+#[test]
+fn a_list_from_before_the_life_was_named_ends_nothing() {
+    let mut platform = Platform::new(4, WaveRule::default());
+    platform.views["m0"].state = MachineState::Down;
+    platform.views["m0"].worker = None;
+    silent_first(&mut platform);
+    platform.views["m0"].state = MachineState::Up;
+    platform.views["m0"].worker = Some("w0".into());
+    platform.run(Duration::from_millis(150));
+    assert!(platform.ended.is_empty(), "an old list ended a life");
+    platform.run(Duration::from_secs(1));
+    assert!(platform.ended.is_empty());
+}
+
+/// The platform answers slowly, and an answer from before arrives after a later one.
+#[test]
+fn a_list_that_was_overtaken_ends_nothing() {
+    let mut platform = Platform::new(4, WaveRule::default());
+    let early = platform.now;
+    silent_first(&mut platform);
+    platform.run(Duration::from_millis(500));
+    let mut machines: Vec<MachineView> = platform.views.values().cloned().collect();
+    machines[0].state = MachineState::Down;
+    machines[0].worker = None;
+    platform.tell(KeeperEvent::Machines {
+        machines,
+        asked: early,
+    });
+    for _ in 0..6 {
+        platform.run(Duration::from_millis(50));
+        assert!(platform.ended.is_empty(), "an old list ended a life");
+    }
+}
+
+/// One pool is in its surge and the other one in its lull.
+#[test]
+fn machines_go_from_a_lull_to_a_surge_and_the_rest_to_the_spare_pool() {
+    let mut platform = pools();
+    platform.work.insert("a".into(), (190, 150));
+    platform.work.insert("b".into(), (20, 0));
+    platform.run(Duration::from_secs(6));
+    let (a, b) = (platform.members("a"), platform.members("b"));
+    assert!(a >= 10, "the surge got {a} machines");
+    let lull = SizingSettings::default().smallest + SizingSettings::default().kept;
+    assert_eq!(b, lull, "the lull kept machines that it doesn't need");
+    platform.work.insert("a".into(), (20, 0));
+    platform.run(Duration::from_secs(10));
+    assert_eq!(platform.members("a"), lull);
+    assert_eq!(platform.members("spare"), 16 - 2 * lull);
+}
+
+/// A zone is cut off in a surge: its machines are there, but nothing can be started on them.
+#[test]
+fn machines_that_cannot_be_used_are_replaced_from_the_spare_pool() {
+    let mut platform = pools();
+    platform.work.insert("a".into(), (100, 20));
+    platform.work.insert("b".into(), (20, 0));
+    platform.run(Duration::from_secs(6));
+    let before = platform.members("a");
+    let pool = platform.views.values().filter(|view| &*view.pool == "a");
+    let cut: Vec<WorkerId> = pool
+        .filter_map(|view| view.worker.clone())
+        .take(3)
+        .collect();
+    platform.unavailable = cut.clone();
+    platform.run(Duration::from_secs(4));
+    let views = platform.views.values();
+    let usable = views.filter(|view| {
+        let cut = view
+            .worker
+            .as_ref()
+            .is_some_and(|worker| cut.contains(worker));
+        &*view.pool == "a" && !cut
+    });
+    // What it has beyond its need only delays that it shrinks.
+    let kept = SizingSettings::default().kept;
+    let usable = usable.count();
+    assert!(usable + kept >= before, "{usable} of {before}");
+}
+
+#[test]
+fn machines_of_a_zone_that_was_taken_out_go_to_the_spare_pool_and_stay_there() {
+    let mut platform = pools();
+    platform.work.insert("a".into(), (100, 20));
+    platform.work.insert("b".into(), (20, 0));
+    platform.run(Duration::from_secs(6));
+    for view in platform.views.values_mut().take(4) {
+        view.zone = "out".into();
+    }
+    let pool = platform.views.values().filter(|view| &*view.zone == "out");
+    platform.unavailable = pool.filter_map(|view| view.worker.clone()).collect();
+    let mut config = (*platform.config).clone();
+    config.evacuated = IndexSet::from(["out".into()]);
+    platform.config = Arc::new(config);
+    platform.tell(KeeperEvent::Config(Arc::clone(&platform.config)));
+    platform.run(Duration::from_secs(6));
+    platform.work.insert("a".into(), (300, 200));
+    platform.run(Duration::from_secs(4));
+    let out = platform.views.values().filter(|view| &*view.zone == "out");
+    assert!(out.into_iter().all(|view| &*view.pool == "spare"));
+}
+
+#[test]
+fn no_machine_goes_to_a_pool_that_is_not_configured() {
+    let mut platform = pools();
+    platform.work.insert("a".into(), (20, 0));
+    platform.run(Duration::from_secs(1));
+    let load = PoolLoad {
+        pool: "unknown".into(),
+        used: cores(300),
+        waiting: cores(300),
+        ..Default::default()
+    };
+    let report = SurveyReport {
+        pools: vec![load],
+        ..Default::default()
+    };
+    platform.tell(KeeperEvent::Surveyed {
+        shard: 0,
+        report,
+        asked: platform.now,
+    });
+    platform.run(Duration::from_secs(5));
+    let moves = platform.orders.iter().map(|order| &order.action);
+    let unknown = MachineAction::Move("unknown".into());
+    assert_eq!(moves.filter(|action| **action == unknown).count(), 0);
+}
+
+#[test]
+fn too_few_machines_are_shared_by_need() {
+    let mut platform = pools();
+    platform.work.insert("a".into(), (190, 600));
+    platform.work.insert("b".into(), (190, 200));
+    platform.run(Duration::from_secs(6));
+    let (a, b) = (platform.members("a"), platform.members("b"));
+    assert_eq!(a + b, 16, "a machine stands idle");
+    assert!(a > b && b >= 4, "{a} and {b} machines");
+}
+
+#[test]
+fn nothing_moves_while_the_work_is_unknown() {
+    let mut platform = pools();
+    platform.run(Duration::from_secs(5));
+    assert!(platform.orders.is_empty());
+}
+
+#[test]
+fn a_spare_machine_that_does_not_come_up_is_let_be() {
+    let mut platform = pools();
+    platform.outcome = MachineOutcome::Busy;
+    platform.work.insert("a".into(), (190, 400));
+    platform.work.insert("b".into(), (20, 0));
+    platform.run(Duration::from_secs(3));
+    let first: IndexSet<MachineId> = platform.orders.iter().map(|o| o.machine.clone()).collect();
+    assert!(first.len() > 4, "one refused machine held up the others");
+}
