Log why a task is started again, and how late the control duty is

A trace of a task that ran twice needs the discarded run ends, the answers to starts that had ended here, why a worker's life counts as ended and how many of its starts were unanswered, and the owner's lag. None of these was logged.

Cause: the lines 610, 620 and 621 left out what decided, and nothing measured the time between a worker's answer and its handling.

Change: events 616, 617 and 643, more fields on 610, 620 and 621, and the histogram pw_poll_lag_seconds. No decision changes. The tests of pw_control and pw_base pass.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -110,6 +110,12 @@
     /// The service that advises which workers may run a step did not answer.
     #[strum(message = "The service that advises which workers may run a step did not answer.")]
     AdviceMissing = 615,
+    /// The end of a run was not applied as the worker reported it.
+    #[strum(message = "The end of a run was not applied as the worker reported it.")]
+    EndDiscarded = 616,
+    /// A task whose earlier run did not end as done is placed again.
+    #[strum(message = "A task whose earlier run did not end as done is placed again.")]
+    RunRepeated = 617,
     /// A worker's life ended; its runs are lost.
     #[strum(message = "A worker's life ended; its runs are lost.")]
     WorkerLifeEnded = 620,
@@ -140,6 +146,9 @@
     /// Log lines were suppressed to bound their volume.
     #[strum(message = "Log lines were suppressed to bound their volume.")]
     LinesSuppressed = 642,
+    /// The control duty handles events late.
+    #[strum(message = "The control duty handles events late.")]
+    DutyLate = 643,
     /// The platform answered an order for a machine.
     #[strum(message = "The platform answered an order for a machine.")]
     MachineAnswered = 650,
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -7,7 +7,7 @@
 use pw_job::prelude::*;
 
 use super::ShardController;
-use crate::message::{CallFault, PaceOrder, PollOrder, PollReport, ShardCommand};
+use crate::message::{CallFault, FinishedRun, PaceOrder, PollOrder, PollReport, ShardCommand};
 use crate::pace::next_pace;
 use crate::worker::{ClockReading, RunPhase, WorkerEntry, WorkerRecord};
 
@@ -41,7 +41,7 @@
         }
         restarted.extend(self.replaced_workers(lives));
         for id in restarted {
-            self.end_worker_life(&id, now);
+            self.end_worker_life(&id, "later life listed", now);
         }
         self.placement_needed = true;
     }
@@ -114,7 +114,9 @@
         match result {
             Ok(report) => self.apply_report(order, report, now),
             Err(CallFault::Fenced) => self.check_ownership(now),
-            Err(CallFault::OtherLife) => self.end_worker_life(&order.worker, now),
+            Err(CallFault::OtherLife) => {
+                self.end_worker_life(&order.worker, "address answers for another worker", now);
+            }
             Err(fault) => {
                 worker.missed_polls += 1;
                 let doubled = self.settings.poll_retry * (1 << (worker.missed_polls - 1).min(4));
@@ -137,7 +139,7 @@
         };
         let other_life = worker.life.is_some_and(|life| life != report.life);
         if other_life {
-            self.end_worker_life(&order.worker, now);
+            self.end_worker_life(&order.worker, "poll answered by another life", now);
         }
         let Some(worker) = self.workers.get_mut(&order.worker) else {
             return;
@@ -196,6 +198,9 @@
             } else {
                 end.end
             };
+            if !known || effective_end != end.end {
+                log_discarded_end(id, end, known, last_lapse);
+            }
             if known {
                 self.set_started(&end.task);
                 self.end_run(
@@ -382,3 +387,14 @@
         }
     }
 }
+
+/// Logs the end of a run that is not placed on the worker (`known` is false), or that counts as
+/// lapsed because the lease expired after it.
+fn log_discarded_end(worker: &WorkerId, end: &FinishedRun, known: bool, last_lapse: EndNumber) {
+    let event = EventCode::EndDiscarded.number();
+    let (worker, task, run, number) = (&**worker, &end.task, end.run, end.number);
+    let end = end.end;
+    tracing::warn!(
+        event, %task, run, worker, %end, number, known, last_lapse, "run end discarded"
+    );
+}
--- a/crates/control/src/shard/queries.rs
+++ b/crates/control/src/shard/queries.rs
@@ -25,6 +25,11 @@
         }
     }
 
+    /// Returns the number of jobs that are not over or still have placed runs.
+    pub fn active_job_count(&self) -> usize {
+        self.active_jobs.len()
+    }
+
     /// Returns the number of accepted jobs of a queue of which no task has started.
     pub fn pending(&self, queue: &str) -> usize {
         let jobs = self.active_records().map(|(_, job)| job);
--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -46,7 +46,11 @@
         }
         metrics::counter!("pw_run_ends_total", "end" => end.to_string()).increment(1);
         let event = EventCode::RunEnded.number();
-        tracing::info!(event, %task, run, worker = &**worker, %end, "run ended");
+        if end == RunEnd::Done {
+            tracing::info!(event, %task, run, worker = &**worker, %end, "run ended");
+        } else {
+            tracing::warn!(event, %task, run, worker = &**worker, %end, "run ended");
+        }
         if let Some(state) = job.state.task_mut(task.occurrence, task.step, task.index) {
             if checkpoint.is_some() {
                 state.checkpoint = checkpoint;
@@ -90,10 +94,11 @@
     }
 
     /// Resets a worker whose life has ended and ends its runs as lost.
-    pub(super) fn end_worker_life(&mut self, id: &WorkerId, now: Instant) {
+    pub(super) fn end_worker_life(&mut self, id: &WorkerId, cause: &str, now: Instant) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        let life = worker.life.unwrap_or_default();
         worker.synced = false;
         worker.life = None;
         worker.clock_reading = None;
@@ -105,7 +110,17 @@
         worker.poll_due = now + self.settings.poll_retry_max;
         let event = EventCode::WorkerLifeEnded.number();
         let runs = worker.runs.len();
-        tracing::warn!(event, worker = &**id, runs, "life of a worker ended");
+        let unanswered = worker.runs.values().filter(|run| run.is_unanswered());
+        let unanswered = unanswered.count();
+        tracing::warn!(
+            event,
+            worker = &**id,
+            life,
+            cause,
+            runs,
+            unanswered,
+            "life of a worker ended"
+        );
         self.end_runs_as_lost(id, now);
     }
 
@@ -134,9 +149,16 @@
         let unreachable: Vec<WorkerId> = unreachable.map(|(id, _)| id.clone()).collect();
         for id in unreachable {
             let event = EventCode::WorkerLapsed.number();
+            let worker = self.workers.get(&id);
+            let runs = worker.map_or(0, |worker| worker.runs.len());
+            let misses = worker.map_or(0, |worker| worker.missed_polls);
+            let inherited = worker.is_none_or(|worker| worker.clock_reading.is_none());
             tracing::warn!(
                 event,
                 worker = &*id,
+                runs,
+                misses,
+                inherited,
                 "leases on an unreachable worker expired"
             );
             self.end_runs_as_lost(&id, now);
--- a/crates/control/src/shard/scheduling.rs
+++ b/crates/control/src/shard/scheduling.rs
@@ -301,6 +301,10 @@
             self.budget.reserve(account, &run_record.size);
         }
         let task = task_name(job, position);
+        if run > 1 {
+            let event = EventCode::RunRepeated.number();
+            tracing::info!(event, %task, run, worker = &**id, life, "task is placed again");
+        }
         if let Some(worker) = self.workers.get_mut(id) {
             worker.add_run(task.clone(), run_record);
         }
--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -51,12 +51,15 @@
         let Some(worker) = self.workers.get_mut(&order.worker) else {
             return;
         };
-        let same_life = worker.life == Some(order.life);
+        let known_life = worker.life;
         let run = worker.runs.get_mut(&order.task);
-        let Some(run) = run.filter(|run| same_life && run.run == order.run) else {
+        let run = run.filter(|run| known_life == Some(order.life) && run.run == order.run);
+        let Some(run) = run else {
+            log_ignored_start(order, outcome, known_life);
             return;
         };
-        log_start(order, outcome);
+        let answer_ms = now.saturating_duration_since(run.since).as_millis() as u64;
+        log_start(order, outcome, run.start_attempts, answer_ms);
         let stopping = run.phase == RunPhase::Stopping;
         match outcome {
             StartOutcome::Accepted => {
@@ -92,7 +95,9 @@
                 run.stop_acknowledged = Some(now);
                 worker.poll_due = worker.poll_due.min(now);
             }
-            StartOutcome::OtherLife => self.end_worker_life(&order.worker, now),
+            StartOutcome::OtherLife => {
+                self.end_worker_life(&order.worker, "address answers for another worker", now)
+            }
             StartOutcome::Malformed => {
                 self.end_run(
                     &order.worker,
@@ -185,7 +190,9 @@
                     run.stop_acknowledged = Some(now);
                 }
             }
-            Err(CallFault::OtherLife) => self.end_worker_life(&order.worker, now),
+            Err(CallFault::OtherLife) => {
+                self.end_worker_life(&order.worker, "address answers for another worker", now)
+            }
             Err(CallFault::Fenced) => self.check_ownership(now),
             // `send_stops` retries.
             Err(_) => {}
@@ -193,14 +200,32 @@
     }
 }
 
-fn log_start(order: &StartOrder, outcome: StartOutcome) {
+/// Logs the answer to a start; `unanswered` earlier requests of the same start may still be
+/// executed.
+fn log_start(order: &StartOrder, outcome: StartOutcome, unanswered: u32, answer_ms: u64) {
     metrics::counter!("pw_run_starts_total", "outcome" => outcome.to_string()).increment(1);
     let event = EventCode::RunStart.number();
     let (task, run, epoch) = (&order.task, order.run, order.epoch);
     let worker = &*order.worker;
+    let life = order.life;
     if outcome == StartOutcome::Accepted {
-        tracing::info!(event, %task, run, worker, epoch, %outcome, "start answered");
+        tracing::info!(
+            event, %task, run, worker, life, epoch, %outcome, unanswered, answer_ms, "start answered"
+        );
     } else {
-        tracing::warn!(event, %task, run, worker, epoch, %outcome, "start not accepted");
+        tracing::warn!(
+            event, %task, run, worker, life, epoch, %outcome, unanswered, answer_ms,
+            "start not accepted"
+        );
     }
 }
+
+/// Logs the answer to a start whose run has ended here, or whose worker's life has.
+fn log_ignored_start(order: &StartOrder, outcome: StartOutcome, known_life: Option<LifeStart>) {
+    let event = EventCode::RunStart.number();
+    let (task, run, life) = (&order.task, order.run, order.life);
+    let (worker, known_life) = (&*order.worker, known_life.unwrap_or_default());
+    tracing::warn!(
+        event, %task, run, worker, life, known_life, %outcome, "answer to an ended start ignored"
+    );
+}
--- a/crates/control/src/shard/survey.rs
+++ b/crates/control/src/shard/survey.rs
@@ -35,7 +35,7 @@
         for WorkerLife { worker, life } in &order.ended {
             let known = self.workers.get(worker).and_then(|worker| worker.life);
             if known == Some(*life) {
-                self.end_worker_life(worker, now);
+                self.end_worker_life(worker, "machine has ended it", now);
             }
         }
     }
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -128,6 +128,11 @@
 }
 
 impl RunRecord {
+    /// Returns whether a start of the run may still be executed.
+    pub fn is_unanswered(&self) -> bool {
+        self.start_attempts > 0 || matches!(self.phase, RunPhase::Sent | RunPhase::Unanswered)
+    }
+
     /// Returns the record of a run that was not placed on the worker.
     pub fn orphan(run: RunNumber, now: Instant) -> Self {
         Self {
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -16,6 +16,13 @@
 /// waits up to this time before the need is reported.
 const DEMAND_REPORT_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Lag of a worker's answer above which the load is logged; an idle node takes a few milliseconds.
+const REPORTED_LAG: Duration = Duration::from_millis(250);
+/// Timers within an interval above which the load is logged: more than two per placement interval.
+const REPORTED_TICKS: u32 = 200;
+/// Shortest interval between log lines about the load.
+const LOAD_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Duties that execute the commands of the controllers.
 pub struct ControlLinks {
     /// The journal duty.
@@ -43,6 +50,46 @@
     demands_due: Instant,
     /// Whether the demand may have changed since the last check.
     demands_stale: bool,
+    /// Load since the last report of it.
+    load: DutyLoad,
+}
+
+/// What the duty has handled since `since`.
+struct DutyLoad {
+    since: Instant,
+    messages: u32,
+    ticks: u32,
+    /// Longest time from the sending of a poll to the handling of its answer, without the time for
+    /// which the worker held it open.
+    longest_lag: Duration,
+}
+
+impl DutyLoad {
+    fn new(now: Instant) -> Self {
+        Self {
+            since: now,
+            messages: 0,
+            ticks: 0,
+            longest_lag: Duration::ZERO,
+        }
+    }
+
+    fn record_message(&mut self, message: &ControlMessage, now: Instant) {
+        self.messages += 1;
+        let ControlMessage::Shard(_, event) = message else {
+            return;
+        };
+        if let ShardEvent::Polled {
+            order,
+            result: Ok(_),
+        } = &**event
+        {
+            let waited = now.saturating_duration_since(order.sent_at);
+            let lag = waited.saturating_sub(order.wait);
+            metrics::histogram!("pw_poll_lag_seconds").record(lag);
+            self.longest_lag = self.longest_lag.max(lag);
+        }
+    }
 }
 
 /// Runs the controllers until all senders of `messages` are gone.
@@ -54,7 +101,6 @@
 ) {
     let mut duty = ControlDuty {
         settings,
-        clock,
         links,
         config: Arc::default(),
         workers: Vec::new(),
@@ -64,6 +110,8 @@
         reported_demands: IndexMap::new(),
         demands_due: Instant::now(),
         demands_stale: false,
+        load: DutyLoad::new(clock.now()),
+        clock,
     };
     loop {
         let Ok(message) = messages.recv_until(duty.wake_time()).await else {
@@ -72,15 +120,54 @@
         match message {
             Some(message) => {
                 duty.demands_stale = true;
+                duty.load.record_message(&message, duty.clock.now());
                 duty.handle_message(message).await;
             }
-            None => duty.tick().await,
+            None => {
+                duty.load.ticks += 1;
+                duty.tick().await;
+            }
         }
+        duty.report_load();
         duty.report_demands().await;
     }
 }
 
 impl ControlDuty {
+    /// Logs the load of the last interval if answers of workers were handled late or timers fired
+    /// without pause.
+    fn report_load(&mut self) {
+        let now = self.clock.now();
+        let elapsed = now.saturating_duration_since(self.load.since);
+        if elapsed < LOAD_REPORT_INTERVAL {
+            return;
+        }
+        let load = std::mem::replace(&mut self.load, DutyLoad::new(now));
+        if load.longest_lag < REPORTED_LAG && load.ticks < REPORTED_TICKS {
+            return;
+        }
+        let event = EventCode::DutyLate.number();
+        let (messages, ticks) = (load.messages, load.ticks);
+        let lag_ms = load.longest_lag.as_millis() as u64;
+        let elapsed_ms = elapsed.as_millis() as u64;
+        let shards: Vec<ShardNumber> = self.shards.keys().copied().collect();
+        let jobs: usize = self
+            .shards
+            .values()
+            .map(ShardController::active_job_count)
+            .sum();
+        tracing::warn!(
+            event,
+            lag_ms,
+            elapsed_ms,
+            messages,
+            ticks,
+            jobs,
+            ?shards,
+            "control duty is late"
+        );
+    }
+
     /// Returns when to wake next, as a time of the timers' clock. That clock may pause, during a
     /// suspend for instance, while the duty's clock advances.
     fn wake_time(&self) -> Option<Instant> {
