Log the worker's clock and the acknowledged end beside a discarded run end

Cause: whether the worker had listed or acknowledged an end before its lease expired did not show. Change: two fields of event 616; no decision changes.

--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -165,7 +165,7 @@
             clock: report.clock,
             at: now,
         });
-        self.apply_run_ends(&order.worker, &report, now);
+        self.apply_run_ends(order, &report, now);
         self.reconcile_runs(order, &report, now);
         self.adjust_paces(&order.worker, now);
     }
@@ -175,7 +175,8 @@
     /// An end that precedes a lapse of the lease was not acknowledged in time, so it counts as
     /// lapsed too and its task runs again. A lapse shows only as a run that ended with it: a lease
     /// that expires on a worker without runs voids no earlier end.
-    fn apply_run_ends(&mut self, id: &WorkerId, report: &PollReport, now: Instant) {
+    fn apply_run_ends(&mut self, order: &PollOrder, report: &PollReport, now: Instant) {
+        let (id, acknowledged) = (&order.worker, order.acknowledged);
         let lapses = report
             .finished
             .iter()
@@ -199,7 +200,7 @@
                 end.end
             };
             if !known || effective_end != end.end {
-                log_discarded_end(id, end, known, last_lapse);
+                log_discarded_end(id, end, (known, last_lapse), (report.clock, acknowledged));
             }
             if known {
                 self.set_started(&end.task);
@@ -390,11 +391,17 @@
 
 /// Logs the end of a run that is not placed on the worker (`known` is false), or that counts as
 /// lapsed because the lease expired after it.
-fn log_discarded_end(worker: &WorkerId, end: &FinishedRun, known: bool, last_lapse: EndNumber) {
+fn log_discarded_end(
+    worker: &WorkerId,
+    end: &FinishedRun,
+    (known, last_lapse): (bool, EndNumber),
+    (clock, acknowledged): (WorkerMillis, EndNumber),
+) {
     let event = EventCode::EndDiscarded.number();
     let (worker, task, run, number) = (&**worker, &end.task, end.run, end.number);
     let end = end.end;
     tracing::warn!(
-        event, %task, run, worker, %end, number, known, last_lapse, "run end discarded"
+        event, %task, run, worker, %end, number, known, last_lapse, clock, acknowledged,
+        "run end discarded"
     );
 }
