Simulate lagging owners, late orders and restarted workers in the shard's fixture

Owners are now processes with delayed events and commands, and several may exist at the same time; the store rejects all but the last. The network may lose an order or let its worker carry it out seconds later. A worker may restart under its id; orders name a worker by id alone, as on the platform. Gangs start as a whole, and end when a member is lost. Each acknowledged run end is compared with the starts after it, and failed ends with the attempts.

--- a/crates/control/tests/drain.rs
+++ b/crates/control/tests/drain.rs
@@ -15,7 +15,7 @@
     cluster.submit("job", Some("ane"), vec![step(6)]);
     cluster.run(millis(1500));
     assert!(cluster.workers[&holder].running.is_empty());
-    let shard = cluster.controller.as_ref().expect("a controller");
+    let shard = cluster.controller();
     assert_eq!(shard.survey_report(cluster.now).drained, [holder]);
     assert_eq!(cluster.running("lasting.0.0.0"), 1);
 }
--- a/crates/control/tests/shard.rs
+++ b/crates/control/tests/shard.rs
@@ -43,7 +43,7 @@
     cluster.run(millis(100));
     cluster.submit("first", None, vec![step(1)]);
     cluster.submit("second", None, vec![step(1)]);
-    let shard = cluster.controller.as_ref().expect("a controller");
+    let shard = cluster.controller();
     let load = shard.survey_report(cluster.now).pools.remove(0);
     assert_eq!(
         load.used,
@@ -171,9 +171,8 @@
     let mut cluster = TestCluster::new(4);
     cluster.run_time = seconds(1);
     cluster.set_config(|config| config.accounts["ane"].maximum = size(9000, 0));
-    if let Some(shard) = &mut cluster.controller {
-        shard.set_allocation("ane".into(), size(3000, 0));
-    }
+    let shard = &mut cluster.owner_mut().controller;
+    shard.set_allocation("ane".into(), size(3000, 0));
     cluster.submit("job", Some("ane"), vec![step(6)]);
     let max_running = std::cell::Cell::new(0);
     let done = cluster.run_until(seconds(5), |cluster| {
--- a/crates/control/tests/support/answers.rs
+++ b/crates/control/tests/support/answers.rs
@@ -6,32 +6,18 @@
 use pw_control::prelude::*;
 use pw_job::prelude::*;
 
-use super::{Answer, ROUND_TRIP, TestCluster};
+use super::{Answer, PendingAppend, ROUND_TRIP, TestCluster};
 
 impl TestCluster {
     pub(super) fn execute(&mut self, epoch: OwnerEpoch, command: ShardCommand) {
         match command {
             ShardCommand::Store { sequence, records } => {
-                self.pending_stores.push((epoch, sequence, records));
-            }
-            ShardCommand::Poll(order) => {
-                self.poll_count += 1;
-                self.poll(epoch, order);
-            }
-            ShardCommand::Start(order) => self.start(epoch, order),
-            ShardCommand::Stop(order) => self.stop(epoch, order),
-            ShardCommand::Pace(order) => {
-                if let Some(worker) = self.workers.get_mut(&order.worker) {
-                    worker.paces.insert(order.task.clone(), order.percent);
-                }
-                self.reply(
+                self.pending_appends.push(PendingAppend {
+                    at: self.now + self.append_time,
                     epoch,
-                    ROUND_TRIP,
-                    ShardEvent::Paced {
-                        order,
-                        result: Ok(()),
-                    },
-                );
+                    sequence,
+                    records,
+                });
             }
             ShardCommand::CheckOwnership => self.ownership_checks += 1,
             ShardCommand::Advise(order) => {
@@ -45,144 +31,117 @@
                     validity: Duration::from_secs(3),
                 };
                 let result = Ok(report);
-                self.reply(epoch, ROUND_TRIP, ShardEvent::Advised { order, result });
+                let event = ShardEvent::Advised { order, result };
+                self.reply(epoch, ROUND_TRIP, None, event);
+            }
+            ShardCommand::Poll(_) => {
+                self.poll_count += 1;
+                self.send_order(epoch, command);
+            }
+            ShardCommand::Start(_) | ShardCommand::Stop(_) | ShardCommand::Pace(_) => {
+                self.send_order(epoch, command);
             }
         }
     }
 
-    fn reply(&mut self, epoch: OwnerEpoch, after: Duration, event: ShardEvent) {
+    /// Sends an answer to an owner; that of a poll comes from a life of the worker.
+    pub(super) fn reply(
+        &mut self,
+        epoch: OwnerEpoch,
+        after: Duration,
+        life: Option<LifeStart>,
+        event: ShardEvent,
+    ) {
         let at = self.now + after;
-        self.answers.push(Answer { at, epoch, event });
+        self.answers.push(Answer {
+            at,
+            epoch,
+            life,
+            event,
+        });
     }
 
     pub(super) fn deliver(&mut self) {
+        let now = self.now;
         if self.store_up {
-            for (epoch, sequence, records) in std::mem::take(&mut self.pending_stores) {
-                if epoch != self.epoch {
-                    continue;
-                }
-                for record in records {
-                    match record {
-                        StoreRecord::State(job, bytes) => {
-                            let state = decode_state(&bytes).expect("decodable job state");
-                            self.images.insert(job, state);
-                        }
-                        StoreRecord::Remove(job) => {
-                            self.images.swap_remove(&job);
-                        }
-                    }
-                }
-                self.reply(epoch, ROUND_TRIP, ShardEvent::Stored(sequence));
+            let appends = std::mem::take(&mut self.pending_appends);
+            let (due, later): (Vec<_>, Vec<_>) = appends.into_iter().partition(|a| a.at <= now);
+            self.pending_appends = later;
+            for append in due {
+                self.apply_append(append);
             }
         }
-        let now = self.now;
-        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.answers)
-            .into_iter()
-            .partition(|a| a.at <= now);
+        let answers = std::mem::take(&mut self.answers);
+        let (due, later): (Vec<_>, Vec<_>) = answers.into_iter().partition(|a| a.at <= now);
         self.answers = later;
         for answer in due {
-            if answer.epoch == self.epoch {
-                self.handle_event(answer.event);
+            self.send_event(answer.epoch, answer.event);
+        }
+    }
+
+    /// Stores an append; one of an earlier owner is rejected and gets no answer.
+    fn apply_append(&mut self, append: PendingAppend) {
+        if append.epoch != self.epoch {
+            return;
+        }
+        for record in append.records {
+            match record {
+                StoreRecord::State(job, bytes) => {
+                    let state = decode_state(&bytes).expect("decodable job state");
+                    self.images.insert(job, state);
+                }
+                StoreRecord::Remove(job) => {
+                    self.images.swap_remove(&job);
+                }
             }
         }
+        let event = ShardEvent::Stored(append.sequence);
+        self.reply(append.epoch, ROUND_TRIP, None, event);
     }
 
-    fn poll(&mut self, epoch: OwnerEpoch, order: PollOrder) {
+    pub(super) fn apply_poll(&mut self, order: &PollOrder) -> Result<(), CallFault> {
         let now = self.now;
-        let reachable = self.reachable(&order.worker);
-        if !reachable {
-            let result = Err(CallFault::Unanswered);
-            return self.reply(
-                epoch,
-                order.wait + ROUND_TRIP,
-                ShardEvent::Polled { order, result },
-            );
-        }
         let worker = &mut self.workers[&order.worker];
         if worker.address_reused {
-            let result = Err(CallFault::OtherLife);
-            return self.reply(epoch, ROUND_TRIP, ShardEvent::Polled { order, result });
+            return Err(CallFault::OtherLife);
         }
         if worker.fence > order.epoch {
-            let result = Err(CallFault::Fenced);
-            return self.reply(epoch, ROUND_TRIP, ShardEvent::Polled { order, result });
+            return Err(CallFault::Fenced);
         }
         worker.fence = order.epoch;
         if let Some(until) = order.lease_until {
             worker.extend_lease(until, now);
         }
-        if order.acknowledged > worker.acknowledged {
-            worker.acknowledged = order.acknowledged;
-            for end in &worker.finished {
-                let counts = end.number > worker.void_ends && end.number <= order.acknowledged;
-                if counts && end.end == RunEnd::Done {
-                    self.done.insert(end.task.clone());
-                }
-            }
-            worker
-                .finished
-                .retain(|end| end.number > order.acknowledged);
+        for acknowledged in worker.acknowledge(order.acknowledged) {
+            self.record_end(acknowledged);
         }
-        // `advance_workers` fills in the report when the wait is over or a run has ended.
-        let report = Ok(PollReport::default());
-        let wait = order.wait;
-        self.reply(
-            epoch,
-            wait + ROUND_TRIP,
-            ShardEvent::Polled {
-                order,
-                result: report,
-            },
-        );
+        Ok(())
     }
 
-    fn start(&mut self, epoch: OwnerEpoch, order: StartOrder) {
+    pub(super) fn apply_start(&mut self, order: &StartOrder) -> StartOutcome {
         let now = self.now;
-        if !self.reachable(&order.worker) {
-            let outcome = StartOutcome::Unanswered;
-            return self.reply(epoch, ROUND_TRIP, ShardEvent::Started { order, outcome });
-        }
         let run_time = self.run_time;
         let step = self.step_of(&order.task);
-        let stored = self.images.get(&order.task.job).and_then(|state| {
-            let task = &order.task;
-            state.task(task.occurrence, task.step, task.index)
-        });
-        let stored = stored.is_some_and(|t| t.last_run == order.run && t.placement().is_some());
-        assert!(
-            stored,
-            "{} started before its placement was stored",
-            order.task
-        );
-        assert!(
-            !self.done.contains(&order.task),
-            "{} started after it was done",
-            order.task
-        );
         let worker = &mut self.workers[&order.worker];
         self.tickets.push(order.ticket.clone());
-        let outcome = worker.handle_start(&order, &step, run_time, now);
-        if outcome == StartOutcome::Accepted {
-            let starts = self.starts.entry(order.task.clone()).or_default();
-            if starts.last().is_none_or(|(_, run, _)| *run != order.run) {
-                starts.push((order.worker.clone(), order.run, now));
-            }
+        let active = worker.running.len();
+        let outcome = worker.handle_start(order, &step, run_time, now);
+        if worker.running.len() > active {
+            self.record_start(order);
         }
-        let outcome = if self.workers[&order.worker].drops_start_answers {
-            StartOutcome::Unanswered
-        } else {
-            outcome
-        };
-        self.reply(epoch, ROUND_TRIP, ShardEvent::Started { order, outcome });
+        outcome
     }
 
-    fn stop(&mut self, epoch: OwnerEpoch, order: StopOrder) {
-        if !self.reachable(&order.worker) {
-            let result = Err(CallFault::Unanswered);
-            return self.reply(epoch, ROUND_TRIP, ShardEvent::Stopped { order, result });
-        }
+    pub(super) fn apply_stop(&mut self, order: &StopOrder) -> Result<(), CallFault> {
+        let now = self.now;
         let worker = &mut self.workers[&order.worker];
-        worker.fence = worker.fence.max(order.epoch);
+        if worker.address_reused {
+            return Err(CallFault::OtherLife);
+        }
+        if worker.fence > order.epoch {
+            return Err(CallFault::Fenced);
+        }
+        worker.fence = order.epoch;
         let rejected_runs = worker.rejected_runs.entry(order.task.clone()).or_default();
         *rejected_runs = (*rejected_runs).max(order.run);
         if worker
@@ -190,24 +149,12 @@
             .get(&order.task)
             .is_some_and(|run| run.run == order.run)
         {
-            worker.end(&order.task, RunEnd::Stopped);
+            worker.end(&order.task, RunEnd::Stopped, now);
         }
-        self.reply(
-            epoch,
-            ROUND_TRIP,
-            ShardEvent::Stopped {
-                order,
-                result: Ok(()),
-            },
-        );
+        Ok(())
     }
 
-    fn reachable(&self, worker: &WorkerId) -> bool {
-        let worker = self.workers.get(worker);
-        worker.is_some_and(|worker| !worker.unreachable && !worker.crashed)
-    }
-
-    fn step_of(&self, task: &TaskName) -> StepSpec {
+    pub(super) fn step_of(&self, task: &TaskName) -> StepSpec {
         let record = &self.submissions[&task.job];
         record.spec.steps[task.step as usize].clone()
     }
@@ -216,30 +163,9 @@
     pub(super) fn advance_workers(&mut self) {
         let now = self.now;
         for worker in self.workers.values_mut().filter(|worker| !worker.crashed) {
-            let clock = worker.clock(now);
-            if worker.lease_until > 0 && clock >= worker.lease_until {
-                let names: Vec<_> = worker.running.keys().cloned().collect();
-                let has_lapsed_runs = !names.is_empty();
-                for name in names {
-                    worker.end(&name, RunEnd::LeaseExpired);
-                }
-                // A lapse on a worker without runs voids no earlier end.
-                if has_lapsed_runs {
-                    worker.void_ends = worker.next_end - 1;
-                }
-            }
-            let ended = worker.running.iter();
-            let ended = ended.filter(|(_, run)| run.ends_at.is_some_and(|until| now >= until));
-            let ended: Vec<_> = ended.map(|(name, _)| name.clone()).collect();
-            let end = if worker.runs_fail {
-                RunEnd::Failed
-            } else {
-                RunEnd::Done
-            };
-            for name in ended {
-                worker.end(&name, end);
-            }
+            worker.advance(now);
         }
+        self.advance_gangs();
         for answer in &mut self.answers {
             if let ShardEvent::Polled {
                 order,
@@ -247,14 +173,18 @@
             } = &mut answer.event
             {
                 let worker = self.workers.get(&order.worker);
-                if worker.is_some_and(|worker| !worker.finished.is_empty()) {
+                // A restart of the worker breaks its connections.
+                let restarted = worker.is_some_and(|w| Some(w.entry.life) != answer.life);
+                if restarted || worker.is_some_and(|worker| !worker.finished.is_empty()) {
                     answer.at = answer.at.min(now + ROUND_TRIP);
                 }
                 if answer.at > now {
                     continue;
                 }
                 match worker {
-                    Some(w) if !w.crashed && !w.unreachable => *report = w.report(now),
+                    Some(w) if !w.crashed && !w.unreachable && !restarted => {
+                        *report = w.report(now);
+                    }
                     _ => {
                         let order = order.clone();
                         let result = Err(CallFault::Unanswered);
@@ -264,4 +194,37 @@
             }
         }
     }
+
+    /// Lets the complete gangs work, and ends members that wait too long or have lost another.
+    fn advance_gangs(&mut self) {
+        let now = self.now;
+        let mut sizes = std::collections::HashMap::new();
+        let alive = || self.workers.values().filter(|worker| !worker.crashed);
+        for (name, run) in alive().flat_map(|worker| &worker.running) {
+            if run.gang {
+                let key = (name.job.clone(), name.occurrence, name.step, run.run);
+                *sizes.entry(key).or_insert(0) += 1;
+            }
+        }
+        let run_time = self.run_time;
+        let submissions = &self.submissions;
+        for worker in self.workers.values_mut().filter(|worker| !worker.crashed) {
+            let mut ended = Vec::new();
+            for (name, run) in worker.running.iter_mut().filter(|(_, run)| run.gang) {
+                let key = (name.job.clone(), name.occurrence, name.step, run.run);
+                let count = submissions[&name.job].spec.steps[name.step as usize].count;
+                let complete = sizes[&key] == count;
+                if complete {
+                    run.ends_at.get_or_insert(now + run_time);
+                } else if run.ends_at.is_some() {
+                    ended.push((name.clone(), RunEnd::GangBroken));
+                } else if now >= run.started_at + Duration::from_secs(3) {
+                    ended.push((name.clone(), RunEnd::GangTimeout));
+                }
+            }
+            for (name, end) in ended {
+                worker.end(&name, end, now);
+            }
+        }
+    }
 }
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -2,12 +2,16 @@
 //! virtual time.
 //!
 //! Each time step checks that no task runs twice at the same time or after it is done, and that no
-//! worker exceeds its capacity. Each start checks that the placement of its run is stored and that
-//! its task is not done yet.
+//! worker exceeds its capacity. Each start of an owner without delay checks that the placement of
+//! its run is stored. Each start and each acknowledged run end check that no task starts again after
+//! a successful end that counts, or after its last attempt.
 
 #![allow(dead_code)]
 
 mod answers;
+mod checks;
+pub mod network;
+pub mod owner;
 pub mod worker;
 
 use std::collections::{HashMap, HashSet};
@@ -21,12 +25,17 @@
 use pw_job::prelude::*;
 use pw_worker::prelude::*;
 
+use self::checks::AcknowledgedEnd;
+use self::network::{FatePolicy, LateOrder, OrderFate};
+use self::owner::OwnerProcess;
 use self::worker::FakeWorker;
 
 /// Step of the virtual time.
 pub const STEP: Duration = Duration::from_millis(5);
 /// Interval of the machine controller's surveys.
 const SURVEY_INTERVAL: Duration = Duration::from_millis(120);
+/// Highest number of failed runs of a task that any configuration allows.
+const ATTEMPTS: u32 = 3;
 /// Round-trip time of an order or an append.
 const ROUND_TRIP: Duration = Duration::from_millis(5);
 
@@ -34,15 +43,26 @@
 struct Answer {
     at: Instant,
     epoch: OwnerEpoch,
+    /// Life of the worker that answers a poll.
+    life: Option<LifeStart>,
     event: ShardEvent,
 }
 
+/// An append in flight to the store.
+struct PendingAppend {
+    at: Instant,
+    epoch: OwnerEpoch,
+    sequence: u64,
+    records: Vec<StoreRecord>,
+}
+
 /// A simulated cluster with one shard.
 pub struct TestCluster {
     pub now: Instant,
     pub origin: Instant,
     pub wall: SystemTime,
-    pub controller: Option<ShardController>,
+    /// Owners that run; the last one has claimed the shard.
+    pub owners: Vec<OwnerProcess>,
     pub config: FleetConfig,
     pub settings: ControlSettings,
     pub workers: IndexMap<WorkerId, FakeWorker>,
@@ -52,12 +72,19 @@
     pub images: IndexMap<JobId, JobState>,
     /// The store is available.
     pub store_up: bool,
-    pending_stores: Vec<(OwnerEpoch, u64, Vec<StoreRecord>)>,
+    pending_appends: Vec<PendingAppend>,
+    /// Time until the store executes an append.
+    pub append_time: Duration,
+    /// Decides what happens to each order.
+    pub order_fate: FatePolicy,
+    late_orders: Vec<LateOrder>,
     answers: Vec<Answer>,
     /// Tasks whose successful end was acknowledged to the worker.
     pub done: HashSet<TaskName>,
     /// Starts that workers executed, by task.
     pub starts: IndexMap<TaskName, Vec<(WorkerId, RunNumber, Instant)>>,
+    /// Run ends that count, by task.
+    pub acknowledged_ends: HashMap<TaskName, Vec<AcknowledgedEnd>>,
     pub poll_count: usize,
     pub ownership_checks: usize,
     /// The machine controller surveys the owner periodically.
@@ -75,6 +102,8 @@
     epoch: OwnerEpoch,
     /// Run time of each task.
     pub run_time: Duration,
+    /// Step of the virtual time.
+    pub time_step: Duration,
 }
 
 impl TestCluster {
@@ -85,7 +114,7 @@
             now,
             origin: now,
             wall: SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000),
-            controller: None,
+            owners: Vec::new(),
             config: config(),
             settings: ControlSettings::default(),
             workers: IndexMap::new(),
@@ -93,10 +122,14 @@
             cancelled: Vec::new(),
             images: IndexMap::new(),
             store_up: true,
-            pending_stores: Vec::new(),
+            pending_appends: Vec::new(),
+            append_time: Duration::ZERO,
+            order_fate: Box::new(|_| OrderFate::Delivered),
+            late_orders: Vec::new(),
             answers: Vec::new(),
             done: HashSet::new(),
             starts: IndexMap::new(),
+            acknowledged_ends: HashMap::new(),
             poll_count: 0,
             ownership_checks: 0,
             surveys_enabled: true,
@@ -108,6 +141,7 @@
             tickets: Vec::new(),
             epoch: 0,
             run_time: Duration::from_millis(500),
+            time_step: STEP,
         };
         for number in 0..workers {
             cluster.add_worker(&format!("w{number}"), &format!("m{number}"));
@@ -130,35 +164,32 @@
             life,
             machine: Some(machine.into()),
         };
-        let worker = FakeWorker {
-            entry,
-            unreachable: false,
-            crashed: false,
-            drops_start_answers: false,
-            unhealthy: false,
-            address_reused: false,
-            runs_fail: false,
-            fence: 0,
-            lease_until: 0,
-            started: self.now,
-            running: IndexMap::new(),
-            finished: Vec::new(),
-            rejected_runs: HashMap::new(),
-            next_end: 1,
-            acknowledged: 0,
-            void_ends: 0,
-            paces: HashMap::new(),
-            tail_ms: 0,
-        };
+        let worker = FakeWorker::new(entry, 7000, self.now);
         self.workers.insert(id.into(), worker);
     }
 
+    /// Ends the life of a worker and starts another one with the same id, which knows nothing of the
+    /// first.
+    pub fn restart_worker(&mut self, id: &WorkerId) {
+        let old = &self.workers[id];
+        let mut entry = old.entry.clone();
+        entry.life = (entry.life + 1).max(1000 + self.elapsed().as_millis() as u64);
+        let worker = FakeWorker::new(entry, 0, self.now);
+        self.workers.insert(id.clone(), worker);
+    }
+
     pub fn elapsed(&self) -> Duration {
         self.now - self.origin
     }
 
-    /// Lets a new owner take the shard over from the stored state.
+    /// Lets a new owner take the shard over from the stored state; the earlier ones stop.
     pub fn take_over(&mut self, leases: Option<IndexMap<WorkerId, Duration>>) {
+        self.owners.clear();
+        self.claim(leases);
+    }
+
+    /// Lets a new owner claim the shard while the earlier ones go on and do not know of it.
+    pub fn claim(&mut self, leases: Option<IndexMap<WorkerId, Duration>>) {
         self.epoch += 1;
         let image = ShardImage {
             submissions: self.submissions.clone().into_iter().collect(),
@@ -174,18 +205,14 @@
             self.now,
             self.wall,
         );
-        self.controller = Some(controller);
-        self.pending_stores.clear();
+        self.owners.push(OwnerProcess::new(controller));
         self.list_workers();
     }
 
     /// Lets the owner release the shard and a new owner take it over.
     pub fn hand_over(&mut self) {
-        let leases = self
-            .controller
-            .as_ref()
-            .map(|shard| shard.remaining_leases(self.now));
-        self.take_over(leases);
+        let leases = self.controller().remaining_leases(self.now);
+        self.take_over(Some(leases));
     }
 
     /// Drains workers as the machine controller does; the machines of those in `ordered` have an
@@ -209,8 +236,11 @@
 
     /// Returns the lives of the unreachable workers that may have runs.
     pub fn unreachable_lives(&self) -> Vec<WorkerLife> {
-        let shard = self.controller.as_ref().expect("a controller");
-        let unreachable = shard.survey_report(self.now).unreachable.into_iter();
+        let unreachable = self
+            .controller()
+            .survey_report(self.now)
+            .unreachable
+            .into_iter();
         unreachable.map(|unreachable| unreachable.life).collect()
     }
 
@@ -220,12 +250,12 @@
         let entries: Vec<WorkerEntry> = listed.map(|worker| worker.entry.clone()).collect();
         let (entries, lives) = current_workers(entries);
         let lives = Arc::new(lives);
-        self.handle_event(ShardEvent::Workers { entries, lives });
+        self.broadcast(&ShardEvent::Workers { entries, lives });
     }
 
     pub fn set_config(&mut self, change: impl FnOnce(&mut FleetConfig)) {
         change(&mut self.config);
-        self.handle_event(ShardEvent::Config(Arc::new(self.config.clone())));
+        self.broadcast(&ShardEvent::Config(Arc::new(self.config.clone())));
     }
 
     pub fn submit(&mut self, job: &str, account: Option<&str>, steps: Vec<StepSpec>) {
@@ -248,12 +278,12 @@
             spec,
         });
         self.submissions.insert(job.into(), Arc::clone(&record));
-        self.handle_event(ShardEvent::Submitted(job.into(), record));
+        self.broadcast(&ShardEvent::Submitted(job.into(), record));
     }
 
     pub fn cancel(&mut self, job: &str) {
         self.cancelled.push(job.into());
-        self.handle_event(ShardEvent::Cancelled(job.into()));
+        self.broadcast(&ShardEvent::Cancelled(job.into()));
     }
 
     pub fn status(&self, job: &str) -> JobAnswer {
@@ -265,28 +295,26 @@
     }
 
     pub fn query(&self, job: &str, scope: QueryScope<'_>) -> JobAnswer {
-        let shard = self.controller.as_ref();
-        shard.map_or(JobAnswer::Unknown, |shard| shard.job_status(job, scope))
+        self.controller().job_status(job, scope)
     }
 
     /// Advances the virtual time.
     pub fn run(&mut self, time: Duration) {
         let end = self.now + time;
         while self.now < end {
-            self.now += STEP;
-            self.wall += STEP;
+            self.now += self.time_step;
+            self.wall += self.time_step;
+            self.deliver_late_orders();
             self.advance_workers();
             self.deliver();
             if self.surveys_enabled && self.now >= self.surveyed_at + SURVEY_INTERVAL {
                 self.survey();
             }
-            if self.store_up {
+            // A process without CPU time requests no confirmation.
+            if self.store_up && !self.owner().frozen {
                 self.handle_event(ShardEvent::OwnershipConfirmed(self.now));
             }
-            let due = self.controller.as_ref().map(ShardController::next_deadline);
-            if due.is_some_and(|due| due <= self.now) {
-                self.handle_event(ShardEvent::Tick);
-            }
+            self.run_owners();
             self.check_invariants();
         }
     }
@@ -317,32 +345,63 @@
         self.starts.get(&name).map_or(0, Vec::len)
     }
 
+    /// Sends an event to the owner that has claimed the shard.
     pub fn handle_event(&mut self, event: ShardEvent) {
-        let Some(shard) = &mut self.controller else {
-            return;
-        };
-        let epoch = shard.epoch();
-        for command in shard.handle(self.now, self.wall, event) {
-            self.execute(epoch, command);
+        self.send_event(self.epoch, event);
+    }
+
+    fn broadcast(&mut self, event: &ShardEvent) {
+        let epochs: Vec<OwnerEpoch> = self.owners.iter().map(OwnerProcess::epoch).collect();
+        for epoch in epochs {
+            self.send_event(epoch, event.clone());
         }
     }
 
-    fn check_invariants(&self) {
-        let mut active: HashSet<&TaskName> = HashSet::new();
-        for worker in self.workers.values().filter(|worker| !worker.crashed) {
-            let mut used = ResourceSize::default();
-            for (name, run) in &worker.running {
-                assert!(active.insert(name), "{name} runs twice at the same time");
-                assert!(!self.done.contains(name), "{name} runs after it was done");
-                used = used.plus(&run.size);
+    /// Sends an event to an owner, which handles it once it has the time to.
+    fn send_event(&mut self, epoch: OwnerEpoch, event: ShardEvent) {
+        let index = self.owners.iter().position(|owner| owner.epoch() == epoch);
+        if let Some(index) = index {
+            self.owners[index].receive(event, self.now);
+            self.run_owner(index);
+        }
+    }
+
+    /// Lets the owners handle the events and send the commands that are due.
+    fn run_owners(&mut self) {
+        for index in 0..self.owners.len() {
+            if self.owners[index].needs_tick(self.now) {
+                self.owners[index].receive(ShardEvent::Tick, self.now);
             }
-            assert!(
-                used.fits_into(&worker.entry.capacity),
-                "{} exceeds its capacity",
-                worker.entry.id
-            );
+            self.run_owner(index);
+        }
+    }
+
+    fn run_owner(&mut self, index: usize) {
+        let (now, wall) = (self.now, self.wall);
+        let owner = &mut self.owners[index];
+        let epoch = owner.epoch();
+        while let Some(event) = owner.next_event(now) {
+            for command in owner.controller.handle(now, wall, event) {
+                owner.queue_command(command, now);
+            }
+        }
+        while let Some(command) = self.owners[index].next_command(now) {
+            self.execute(epoch, command);
         }
     }
+
+    /// Returns the owner that has claimed the shard.
+    pub fn owner(&self) -> &OwnerProcess {
+        self.owners.last().expect("an owner")
+    }
+
+    pub fn owner_mut(&mut self) -> &mut OwnerProcess {
+        self.owners.last_mut().expect("an owner")
+    }
+
+    pub fn controller(&self) -> &ShardController {
+        &self.owner().controller
+    }
 }
 
 pub const COMPLETED: JobAnswer = JobAnswer::Known(JobStatus::Completed);
@@ -415,7 +474,7 @@
         path_prefix: "/queue/".into(),
         pool: "pool".into(),
         priority: 0,
-        attempts: 3,
+        attempts: ATTEMPTS,
         stretch: 1.6,
         target_latency: Duration::from_millis(600),
         public: false,
--- /dev/null
+++ b/crates/control/tests/support/owner.rs
@@ -0,0 +1,73 @@
+//! The process of an owner, which may lag or get no CPU time at all.
+
+use std::collections::{HashSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use pw_base::prelude::*;
+use pw_control::prelude::*;
+
+/// An owner of the shard, with the events and commands that wait in its process.
+pub struct OwnerProcess {
+    pub controller: ShardController,
+    /// Time from the arrival of an event until the owner handles it.
+    pub event_lag: Duration,
+    /// Time that a command waits before it leaves the process.
+    pub command_lag: Duration,
+    /// The process gets no CPU time.
+    pub frozen: bool,
+    /// The process was frozen before.
+    pub thawed: bool,
+    /// Workers that the owner does not reach.
+    pub cut_off: HashSet<WorkerId>,
+    inbox: VecDeque<(Instant, ShardEvent)>,
+    outbox: VecDeque<(Instant, ShardCommand)>,
+}
+
+impl OwnerProcess {
+    pub fn new(controller: ShardController) -> Self {
+        Self {
+            controller,
+            event_lag: Duration::ZERO,
+            command_lag: Duration::ZERO,
+            frozen: false,
+            thawed: false,
+            cut_off: HashSet::new(),
+            inbox: VecDeque::new(),
+            outbox: VecDeque::new(),
+        }
+    }
+
+    pub fn epoch(&self) -> OwnerEpoch {
+        self.controller.epoch()
+    }
+
+    pub fn receive(&mut self, event: ShardEvent, now: Instant) {
+        self.inbox.push_back((now, event));
+    }
+
+    /// Returns whether a tick is due and none is waiting.
+    pub fn needs_tick(&self, now: Instant) -> bool {
+        let mut waiting = self.inbox.iter();
+        self.controller.next_deadline() <= now
+            && !waiting.any(|(_, event)| matches!(event, ShardEvent::Tick))
+    }
+
+    /// Takes the next event to handle, in the order of arrival.
+    pub fn next_event(&mut self, now: Instant) -> Option<ShardEvent> {
+        let (arrived, _) = self.inbox.front()?;
+        let due = !self.frozen && now >= *arrived + self.event_lag;
+        due.then(|| self.inbox.pop_front())?.map(|(_, event)| event)
+    }
+
+    pub fn queue_command(&mut self, command: ShardCommand, now: Instant) {
+        self.outbox.push_back((now, command));
+    }
+
+    /// Takes the next command to send, in the order of the controller.
+    pub fn next_command(&mut self, now: Instant) -> Option<ShardCommand> {
+        let (emitted, _) = self.outbox.front()?;
+        let due = !self.frozen && now >= *emitted + self.command_lag;
+        due.then(|| self.outbox.pop_front())?
+            .map(|(_, command)| command)
+    }
+}
--- a/crates/control/tests/support/worker.rs
+++ b/crates/control/tests/support/worker.rs
@@ -9,6 +9,8 @@
 use pw_job::prelude::*;
 use pw_worker::prelude::*;
 
+use super::checks::AcknowledgedEnd;
+
 /// A worker of the test cluster.
 pub struct FakeWorker {
     pub entry: WorkerEntry,
@@ -27,8 +29,14 @@
     pub fence: OwnerEpoch,
     pub lease_until: u64,
     pub started: Instant,
+    /// Reading of the worker's clock at its start.
+    pub clock_base: u64,
+    /// Speed of the worker's clock.
+    pub clock_rate: f64,
     pub running: IndexMap<TaskName, FakeRun>,
     pub finished: Vec<FinishedRun>,
+    /// When each run of `finished` ended.
+    end_times: HashMap<EndNumber, Instant>,
     pub rejected_runs: HashMap<TaskName, RunNumber>,
     pub next_end: u64,
     pub acknowledged: u64,
@@ -48,11 +56,39 @@
     pub started_at: Instant,
     pub size: ResourceSize,
     pub serving: bool,
+    pub gang: bool,
 }
 
 impl FakeWorker {
+    pub fn new(entry: WorkerEntry, clock_base: u64, now: Instant) -> Self {
+        Self {
+            entry,
+            unreachable: false,
+            crashed: false,
+            drops_start_answers: false,
+            unhealthy: false,
+            address_reused: false,
+            runs_fail: false,
+            fence: 0,
+            lease_until: 0,
+            started: now,
+            clock_base,
+            clock_rate: 1.0,
+            running: IndexMap::new(),
+            finished: Vec::new(),
+            end_times: HashMap::new(),
+            rejected_runs: HashMap::new(),
+            next_end: 1,
+            acknowledged: 0,
+            void_ends: 0,
+            paces: HashMap::new(),
+            tail_ms: 0,
+        }
+    }
+
     pub fn clock(&self, now: Instant) -> u64 {
-        7000 + (now - self.started).as_millis() as u64
+        let passed = (now - self.started).mul_f64(self.clock_rate);
+        self.clock_base + passed.as_millis() as u64
     }
 
     pub fn extend_lease(&mut self, until: u64, now: Instant) {
@@ -70,13 +106,15 @@
         if self.unhealthy {
             return StartOutcome::Unhealthy;
         }
-        if self.entry.life != order.life || self.address_reused {
+        // An order names its worker by id alone, so a later life with the same id accepts it.
+        if self.address_reused {
             return StartOutcome::OtherLife;
         }
         if order.epoch < self.fence {
             return StartOutcome::Fenced;
         }
         self.fence = order.epoch;
+        self.extend_lease(order.lease_until, now);
         if self
             .running
             .get(&order.task)
@@ -94,7 +132,6 @@
         if order.lease_until <= self.clock(now) {
             return StartOutcome::LeaseOver;
         }
-        self.extend_lease(order.lease_until, now);
         let millicores = if step.best_effort {
             0
         } else {
@@ -113,20 +150,67 @@
         }
         let run = FakeRun {
             run: order.run,
-            ends_at: (!step.long_running).then(|| now + run_time),
+            // A gang works once it is complete.
+            ends_at: (!step.long_running && !step.gang).then(|| now + run_time),
             started_at: now,
             size,
             serving: step.target_latency.is_some(),
+            gang: step.gang,
         };
         self.running.insert(order.task.clone(), run);
         StartOutcome::Accepted
     }
 
-    pub fn end(&mut self, task: &TaskName, end: RunEnd) {
+    /// Kills everything if the lease has expired, and ends the runs that are due.
+    pub fn advance(&mut self, now: Instant) {
+        let lapsed = self.lease_until > 0 && self.clock(now) >= self.lease_until;
+        if lapsed && !self.running.is_empty() {
+            let names: Vec<_> = self.running.keys().cloned().collect();
+            for name in names {
+                self.end(&name, RunEnd::LeaseExpired, now);
+            }
+            // A lapse on a worker without runs voids no earlier end.
+            self.void_ends = self.next_end - 1;
+        }
+        let ended = self.running.iter();
+        let ended = ended.filter(|(_, run)| run.ends_at.is_some_and(|until| now >= until));
+        let ended: Vec<_> = ended.map(|(name, _)| name.clone()).collect();
+        let end = if self.runs_fail {
+            RunEnd::Failed
+        } else {
+            RunEnd::Done
+        };
+        for name in ended {
+            self.end(&name, end, now);
+        }
+    }
+
+    /// Forgets the ends up to `number` and returns those of them that count.
+    pub fn acknowledge(&mut self, number: EndNumber) -> Vec<AcknowledgedEnd> {
+        self.acknowledged = self.acknowledged.max(number);
+        let (forgotten, finished): (Vec<_>, Vec<_>) = std::mem::take(&mut self.finished)
+            .into_iter()
+            .partition(|end| end.number <= number);
+        self.finished = finished;
+        let counting = forgotten
+            .into_iter()
+            .filter(|end| end.number > self.void_ends);
+        counting
+            .map(|end| AcknowledgedEnd {
+                ended_at: self.end_times[&end.number],
+                task: end.task,
+                run: end.run,
+                end: end.end,
+            })
+            .collect()
+    }
+
+    pub fn end(&mut self, task: &TaskName, end: RunEnd, now: Instant) {
         let Some(run) = self.running.swap_remove(task) else {
             return;
         };
         self.rejected_runs.insert(task.clone(), run.run);
+        self.end_times.insert(self.next_end, now);
         self.finished.push(FinishedRun {
             number: self.next_end,
             task: task.clone(),
--- a/crates/control/tests/worker_lives.rs
+++ b/crates/control/tests/worker_lives.rs
@@ -95,7 +95,7 @@
     cluster.workers[&holder].crashed = true;
     cluster.take_over(None);
     cluster.run(millis(200));
-    let shard = cluster.controller.as_ref().expect("a controller");
+    let shard = cluster.controller();
     let pools = shard.survey_report(cluster.now).pools;
     let names: Vec<&str> = pools.iter().map(|load| &*load.pool).collect();
     assert_eq!(names, ["pool"]);
@@ -166,7 +166,8 @@
     assert!(cluster.run_until(seconds(1), |cluster| cluster.running("job.0.0.0") == 1));
     let now = cluster.now;
     let worker = &mut cluster.workers[0];
-    worker.end(&"job.0.0.0".parse().expect("valid task name"), RunEnd::Done);
+    let task = "job.0.0.0".parse().expect("valid task name");
+    worker.end(&task, RunEnd::Done, now);
     let mut report = worker.report(now);
     report.clock += 60_000;
     let order = PollOrder {
