Add seeded random runs of a shard's owners, workers and store

Mixes lags and freezes of owners, lost answers, late orders, restarts under the same id, partitions, claims beside a lagging owner and releases, with gangs, steps that follow each other and long-running tasks, in virtual time. SOAK_SEED selects a seed and prints what happens.

--- /dev/null
+++ b/crates/control/tests/soak.rs
@@ -0,0 +1,106 @@
+//! Random runs of a shard's owners, workers and store in virtual time.
+//!
+//! The environment variable `SOAK_SEED` selects a single seed and prints what happens.
+
+mod support;
+
+use support::soak::{DisturbanceRates, soak};
+
+/// Rates with failing runs only, which no other disturbance adds to.
+fn rates() -> DisturbanceRates {
+    DisturbanceRates {
+        failures: 0.05,
+        ..Default::default()
+    }
+}
+
+#[test]
+fn tasks_run_once_without_disturbances() {
+    soak(0..40, rates());
+}
+
+#[test]
+fn tasks_run_once_while_answers_are_lost() {
+    let lost_answers = 0.1;
+    let rates = DisturbanceRates {
+        lost_answers,
+        ..rates()
+    };
+    soak(100..140, rates);
+}
+
+#[test]
+fn tasks_run_once_while_orders_are_late() {
+    let rates = DisturbanceRates {
+        late_orders: 0.1,
+        ..rates()
+    };
+    soak(200..240, rates);
+}
+
+#[test]
+fn tasks_run_once_while_the_owner_lags() {
+    let rates = DisturbanceRates {
+        lags: 0.3,
+        freezes: 0.05,
+        ..rates()
+    };
+    soak(300..340, rates);
+}
+
+#[test]
+fn tasks_run_once_while_workers_are_partitioned() {
+    let rates = DisturbanceRates {
+        partitions: 0.2,
+        ..rates()
+    };
+    soak(400..440, rates);
+}
+
+#[test]
+fn tasks_run_once_while_workers_restart_under_their_ids() {
+    let rates = DisturbanceRates {
+        restarts: 0.3,
+        ..rates()
+    };
+    soak(500..540, rates);
+}
+
+#[test]
+fn tasks_run_once_while_owners_follow_each_other() {
+    let rates = DisturbanceRates {
+        claims: 0.07,
+        releases: 0.1,
+        ..rates()
+    };
+    soak(600..640, rates);
+}
+
+#[test]
+fn tasks_run_once_while_lagging_owners_follow_each_other() {
+    let rates = DisturbanceRates {
+        lags: 0.3,
+        freezes: 0.05,
+        claims: 0.07,
+        releases: 0.1,
+        partitions: 0.1,
+        ..rates()
+    };
+    soak(700..740, rates);
+}
+
+#[test]
+fn tasks_run_once_under_all_disturbances() {
+    let rates = DisturbanceRates {
+        lost_answers: 0.05,
+        late_orders: 0.05,
+        lags: 0.2,
+        freezes: 0.05,
+        restarts: 0.1,
+        partitions: 0.1,
+        claims: 0.07,
+        releases: 0.05,
+        failures: 0.05,
+    };
+    soak(800..840, rates);
+}
--- a/crates/control/tests/support/answers.rs
+++ b/crates/control/tests/support/answers.rs
@@ -1,5 +1,6 @@
 //! Answers of the fake workers, store and advice service to the commands of the controller.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use pw_base::prelude::*;
@@ -8,6 +9,9 @@
 
 use super::{Answer, PendingAppend, ROUND_TRIP, TestCluster};
 
+/// Longest time that a member of a gang waits for the others.
+const GANG_WAIT: Duration = Duration::from_secs(3);
+
 impl TestCluster {
     pub(super) fn execute(&mut self, epoch: OwnerEpoch, command: ShardCommand) {
         match command {
@@ -101,6 +105,20 @@
 
     pub(super) fn apply_poll(&mut self, order: &PollOrder) -> Result<(), CallFault> {
         let now = self.now;
+        self.trace(|| {
+            let PollOrder {
+                worker,
+                epoch,
+                acknowledged,
+                lease_until,
+                ..
+            } = order;
+            let clock = self.workers[worker].clock(now);
+            format!(
+                "epoch {epoch} polls {worker} at {clock}: acknowledged {acknowledged}, \
+                 lease until {lease_until:?}"
+            )
+        });
         let worker = &mut self.workers[&order.worker];
         if worker.address_reused {
             return Err(CallFault::OtherLife);
@@ -126,6 +144,14 @@
         self.tickets.push(order.ticket.clone());
         let active = worker.running.len();
         let outcome = worker.handle_start(order, &step, run_time, now);
+        self.trace(|| {
+            let StartOrder {
+                worker, task, run, ..
+            } = order;
+            let epoch = order.epoch;
+            format!("epoch {epoch} starts {task} run {run} on {worker}: {outcome}")
+        });
+        let worker = &self.workers[&order.worker];
         if worker.running.len() > active {
             self.record_start(order);
         }
@@ -162,10 +188,17 @@
     /// Ends the runs that are due and fills in the poll reports that are due.
     pub(super) fn advance_workers(&mut self) {
         let now = self.now;
+        let numbers: Vec<_> = self.workers.values().map(|w| w.next_end).collect();
         for worker in self.workers.values_mut().filter(|worker| !worker.crashed) {
             worker.advance(now);
         }
         self.advance_gangs();
+        for (worker, number) in self.workers.values().zip(numbers) {
+            for end in worker.finished.iter().filter(|end| end.number >= number) {
+                let FinishedRun { task, run, end, .. } = end;
+                self.trace(|| format!("{} ends {task} run {run}: {end}", worker.entry.id));
+            }
+        }
         for answer in &mut self.answers {
             if let ShardEvent::Polled {
                 order,
@@ -195,32 +228,42 @@
         }
     }
 
-    /// Lets the complete gangs work, and ends members that wait too long or have lost another.
+    /// Lets the complete gangs work, and ends members that wait too long or have lost another. A
+    /// failed member breaks its gang.
     fn advance_gangs(&mut self) {
         let now = self.now;
-        let mut sizes = std::collections::HashMap::new();
-        let alive = || self.workers.values().filter(|worker| !worker.crashed);
-        for (name, run) in alive().flat_map(|worker| &worker.running) {
-            if run.gang {
-                let key = (name.job.clone(), name.occurrence, name.step, run.run);
-                *sizes.entry(key).or_insert(0) += 1;
+        let run_time = self.run_time;
+        let mut gangs: HashMap<(JobId, OccurrenceNumber, u32, RunNumber), (u32, bool)> =
+            HashMap::new();
+        let key = |name: &TaskName, run| (name.job.clone(), name.occurrence, name.step, run);
+        for worker in self.workers.values().filter(|worker| !worker.crashed) {
+            for (name, run) in worker.running.iter().filter(|(_, run)| run.gang) {
+                let gang = gangs.entry(key(name, run.run)).or_default();
+                gang.0 += 1;
+                gang.1 |= worker.runs_fail;
             }
         }
-        let run_time = self.run_time;
         let submissions = &self.submissions;
         for worker in self.workers.values_mut().filter(|worker| !worker.crashed) {
             let mut ended = Vec::new();
             for (name, run) in worker.running.iter_mut().filter(|(_, run)| run.gang) {
-                let key = (name.job.clone(), name.occurrence, name.step, run.run);
+                let (members, fails) = gangs[&key(name, run.run)];
                 let count = submissions[&name.job].spec.steps[name.step as usize].count;
-                let complete = sizes[&key] == count;
-                if complete {
-                    run.ends_at.get_or_insert(now + run_time);
-                } else if run.ends_at.is_some() {
-                    ended.push((name.clone(), RunEnd::GangBroken));
-                } else if now >= run.started_at + Duration::from_secs(3) {
-                    ended.push((name.clone(), RunEnd::GangTimeout));
-                }
+                let waited = now >= run.started_at + GANG_WAIT;
+                let end = match (members == count, run.ends_at.is_some()) {
+                    (true, false) => {
+                        run.ends_at = Some(now + run_time);
+                        None
+                    }
+                    (true, true) => run.is_due(now).then_some(match (fails, worker.runs_fail) {
+                        (false, _) => RunEnd::Done,
+                        (true, true) => RunEnd::Failed,
+                        (true, false) => RunEnd::GangBroken,
+                    }),
+                    (false, true) => Some(RunEnd::GangBroken),
+                    (false, false) => waited.then_some(RunEnd::GangTimeout),
+                };
+                ended.extend(end.map(|end| (name.clone(), end)));
             }
             for (name, end) in ended {
                 worker.end(&name, end, now);
--- a/crates/control/tests/support/checks.rs
+++ b/crates/control/tests/support/checks.rs
@@ -58,6 +58,12 @@
     /// Records a run end that counts, because it was acknowledged before the lease lapsed.
     pub(super) fn record_end(&mut self, acknowledged: AcknowledgedEnd) {
         let task = acknowledged.task.clone();
+        self.trace(|| {
+            format!(
+                "end {} of {task} run {} counts",
+                acknowledged.end, acknowledged.run
+            )
+        });
         let long_running = self.step_of(&task).long_running;
         if acknowledged.end == RunEnd::Done && !long_running {
             let starts = self.starts.get(&task).into_iter().flatten();
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -12,6 +12,7 @@
 mod checks;
 pub mod network;
 pub mod owner;
+pub mod soak;
 pub mod worker;
 
 use std::collections::{HashMap, HashSet};
@@ -104,6 +105,8 @@
     pub run_time: Duration,
     /// Step of the virtual time.
     pub time_step: Duration,
+    /// Orders, run ends and changes are printed.
+    pub traced: bool,
 }
 
 impl TestCluster {
@@ -142,6 +145,7 @@
             epoch: 0,
             run_time: Duration::from_millis(500),
             time_step: STEP,
+            traced: false,
         };
         for number in 0..workers {
             cluster.add_worker(&format!("w{number}"), &format!("m{number}"));
@@ -174,10 +178,18 @@
         let old = &self.workers[id];
         let mut entry = old.entry.clone();
         entry.life = (entry.life + 1).max(1000 + self.elapsed().as_millis() as u64);
+        self.trace(|| format!("{id} restarts"));
         let worker = FakeWorker::new(entry, 0, self.now);
         self.workers.insert(id.clone(), worker);
     }
 
+    /// Prints what happens, for the analysis of a failure.
+    pub fn trace(&self, text: impl FnOnce() -> String) {
+        if self.traced {
+            eprintln!("{:8.3} {}", self.elapsed().as_secs_f64(), text());
+        }
+    }
+
     pub fn elapsed(&self) -> Duration {
         self.now - self.origin
     }
@@ -191,6 +203,7 @@
     /// Lets a new owner claim the shard while the earlier ones go on and do not know of it.
     pub fn claim(&mut self, leases: Option<IndexMap<WorkerId, Duration>>) {
         self.epoch += 1;
+        self.trace(|| format!("epoch {} claims the shard, leases {leases:?}", self.epoch));
         let image = ShardImage {
             submissions: self.submissions.clone().into_iter().collect(),
             cancelled: self.cancelled.clone(),
--- /dev/null
+++ b/crates/control/tests/support/soak.rs
@@ -0,0 +1,324 @@
+//! Random runs of the test cluster with seeded disturbances.
+
+use std::cell::Cell;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use pw_base::prelude::*;
+use pw_control::prelude::*;
+use pw_job::prelude::*;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+
+use super::network::OrderFate;
+use super::{COMPLETED, TestCluster, long_running, millis, seconds, size, step};
+
+/// Environment variable that selects a single seed and has it traced.
+const SEED_VARIABLE: &str = "SOAK_SEED";
+/// Interval of the random decisions.
+const ACTION_INTERVAL: Duration = Duration::from_millis(100);
+/// Time with disturbances.
+const DISTURBED_TIME: Duration = Duration::from_secs(30);
+/// Time without disturbances, after which all jobs have to be over.
+const CALM_TIME: Duration = Duration::from_secs(40);
+
+/// Probabilities of the disturbances: of orders for each order, of all others for each second.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct DisturbanceRates {
+    /// The worker carries an order out, but its answer is lost.
+    pub lost_answers: f64,
+    /// The worker carries an order out seconds later.
+    pub late_orders: f64,
+    /// The lag of the owner changes.
+    pub lags: f64,
+    /// The owner gets no CPU time for seconds.
+    pub freezes: f64,
+    /// A worker starts again under its id.
+    pub restarts: f64,
+    /// A worker can't be reached for seconds.
+    pub partitions: f64,
+    /// Another owner claims the shard, and the earlier one learns of it later.
+    pub claims: f64,
+    /// The owner releases the shard to another one.
+    pub releases: f64,
+    /// A worker's runs begin or cease to fail.
+    pub failures: f64,
+}
+
+/// One random run.
+struct SoakRun {
+    cluster: TestCluster,
+    rng: SmallRng,
+    rates: DisturbanceRates,
+    calm: Rc<Cell<bool>>,
+    jobs: Vec<JobId>,
+    /// Changes to undo later.
+    ends: Vec<(Instant, DisturbanceEnd)>,
+}
+
+/// End of a disturbance.
+#[derive(Clone)]
+enum DisturbanceEnd {
+    Thaw(OwnerEpoch),
+    Heal(WorkerId),
+    Retire(OwnerEpoch),
+    List,
+}
+
+/// Runs all seeds and fails with the list of those that broke a check.
+pub fn soak(seeds: std::ops::Range<u64>, rates: DisturbanceRates) {
+    let seeds = match std::env::var(SEED_VARIABLE) {
+        Ok(seed) => {
+            let seed = seed.parse().expect("a seed");
+            seed..seed + 1
+        }
+        Err(_) => seeds,
+    };
+    let broken: Vec<String> = seeds
+        .filter_map(|seed| {
+            let run = AssertUnwindSafe(|| SoakRun::new(seed, rates).run());
+            let fault = catch_unwind(run).err()?;
+            let text = fault.downcast_ref::<String>().cloned();
+            let text = text.or_else(|| fault.downcast_ref::<&str>().map(|s| (*s).to_owned()));
+            Some(format!("seed {seed}: {}", text.unwrap_or_default()))
+        })
+        .collect();
+    assert!(
+        broken.is_empty(),
+        "{} seeds broke a check:\n{}",
+        broken.len(),
+        broken.join("\n")
+    );
+}
+
+impl SoakRun {
+    fn new(seed: u64, rates: DisturbanceRates) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut cluster = TestCluster::new(4);
+        cluster.time_step = millis(10);
+        cluster.traced = std::env::var(SEED_VARIABLE).is_ok();
+        cluster.run_time = millis(rng.random_range(200..3000));
+        for worker in cluster.workers.values_mut() {
+            worker.clock_rate = *[1.0, 0.98].choose(&mut rng).expect("a rate");
+            worker.entry.capacity = size(4000, 8192);
+        }
+        cluster.list_workers();
+        let calm = Rc::new(Cell::new(false));
+        let mut fates = SmallRng::seed_from_u64(seed + 1_000_000);
+        let is_calm = Rc::clone(&calm);
+        cluster.order_fate = Box::new(move |_| {
+            let draw: f64 = fates.random();
+            if is_calm.get() || draw >= rates.lost_answers + rates.late_orders {
+                OrderFate::Delivered
+            } else if draw < rates.lost_answers {
+                OrderFate::Late(Duration::ZERO)
+            } else {
+                OrderFate::Late(millis(fates.random_range(0..6000)))
+            }
+        });
+        Self {
+            cluster,
+            rng,
+            rates,
+            calm,
+            jobs: Vec::new(),
+            ends: Vec::new(),
+        }
+    }
+
+    fn run(mut self) {
+        let calm_at = self.cluster.now + DISTURBED_TIME;
+        while self.cluster.now < calm_at {
+            self.submit();
+            self.disturb();
+            self.undo(false);
+            self.cluster.run(ACTION_INTERVAL);
+        }
+        self.calm.set(true);
+        self.undo(true);
+        let owner = self.cluster.owner_mut();
+        (owner.event_lag, owner.command_lag) = Default::default();
+        for worker in self.cluster.workers.values_mut() {
+            worker.runs_fail = false;
+        }
+        self.cluster.list_workers();
+        self.cluster.run(CALM_TIME);
+        self.check_jobs();
+    }
+
+    /// Draws whether something happens that happens `rate` times a second.
+    fn occurs(&mut self, rate: f64) -> bool {
+        self.rng.random::<f64>() < rate * ACTION_INTERVAL.as_secs_f64()
+    }
+
+    fn any_time(&mut self, limit: u64) -> Duration {
+        millis(self.rng.random_range(0..limit))
+    }
+
+    fn any_worker(&mut self) -> WorkerId {
+        let index = self.rng.random_range(0..self.cluster.workers.len());
+        self.cluster.workers[index].entry.id.clone()
+    }
+
+    fn submit(&mut self) {
+        if !self.occurs(1.0) {
+            return;
+        }
+        let count = self.rng.random_range(1..5);
+        let gang = StepSpec {
+            gang: true,
+            ..step(count)
+        };
+        let second = StepSpec {
+            depends_on: vec![0],
+            ..step(2)
+        };
+        let steps = match self.rng.random_range(0..8) {
+            0 => vec![long_running(1)],
+            1 => vec![gang],
+            2 | 3 => vec![step(count), second],
+            _ => vec![step(count)],
+        };
+        // Lasting jobs must leave room for the others.
+        let lasting = self.jobs.iter().filter(|job| job.starts_with("lasting"));
+        let lasting = lasting.count();
+        let long_running = steps[0].long_running;
+        if long_running && lasting >= 3 {
+            return;
+        }
+        let kind = if long_running { "lasting" } else { "job" };
+        let id = format!("{kind}{}", self.jobs.len());
+        self.cluster.submit(&id, None, steps);
+        self.jobs.push(id.as_str().into());
+    }
+
+    fn disturb(&mut self) {
+        let rates = self.rates;
+        if self.occurs(rates.lags) {
+            let event_lag = match self.rng.random_range(0..3) {
+                0 => Duration::ZERO,
+                1 => self.any_time(1000),
+                _ => self.any_time(9000),
+            };
+            let command_lag = match self.rng.random_range(0..3) {
+                0 => self.any_time(3000),
+                _ => Duration::ZERO,
+            };
+            let owner = self.cluster.owner_mut();
+            (owner.event_lag, owner.command_lag) = (event_lag, command_lag);
+            self.cluster
+                .trace(|| format!("the owner lags by {event_lag:?} and {command_lag:?}"));
+        }
+        if self.occurs(rates.freezes) {
+            let time = self.any_time(12_000);
+            let owner = self.cluster.owner_mut();
+            (owner.frozen, owner.thawed) = (true, true);
+            let epoch = owner.epoch();
+            self.cluster
+                .trace(|| format!("epoch {epoch} is frozen for {time:?}"));
+            self.end_after(time, DisturbanceEnd::Thaw(epoch));
+        }
+        if self.occurs(rates.restarts) {
+            let worker = self.any_worker();
+            self.cluster.restart_worker(&worker);
+            let time = self.any_time(2000);
+            self.end_after(time, DisturbanceEnd::List);
+        }
+        if self.occurs(rates.partitions) {
+            let worker = self.any_worker();
+            self.cluster.trace(|| format!("{worker} is partitioned"));
+            self.cluster.workers[&worker].unreachable = true;
+            let time = self.any_time(14_000);
+            self.end_after(time, DisturbanceEnd::Heal(worker));
+        }
+        if self.occurs(rates.claims) {
+            self.claim();
+        }
+        if self.occurs(rates.releases) && self.cluster.owners.len() == 1 {
+            let leases = self.cluster.controller().remaining_leases(self.cluster.now);
+            self.hand_over(leases);
+        }
+        if self.occurs(rates.failures) {
+            let worker = self.any_worker();
+            let worker = &mut self.cluster.workers[&worker];
+            worker.runs_fail = !worker.runs_fail;
+        }
+    }
+
+    /// Lets a new owner claim the shard; some workers are reached by the old or the new one only.
+    fn claim(&mut self) {
+        for id in self.cluster.workers.keys().cloned().collect::<Vec<_>>() {
+            if self.rng.random_bool(0.3) {
+                self.cluster.owner_mut().cut_off.insert(id);
+            }
+        }
+        let old = self.cluster.owner().epoch();
+        self.cluster.claim(None);
+        for id in self.cluster.workers.keys().cloned().collect::<Vec<_>>() {
+            if self.rng.random_bool(0.3) {
+                self.cluster.owner_mut().cut_off.insert(id);
+            }
+        }
+        let time = self.any_time(20_000);
+        self.end_after(time, DisturbanceEnd::Retire(old));
+    }
+
+    /// Lets the owner release the shard; the commands in its process are still sent.
+    fn hand_over(&mut self, leases: indexmap::IndexMap<WorkerId, Duration>) {
+        let old = self.cluster.owner_mut();
+        old.event_lag = seconds(3600);
+        let epoch = old.epoch();
+        self.cluster.claim(Some(leases));
+        self.end_after(seconds(5), DisturbanceEnd::Retire(epoch));
+    }
+
+    fn end_after(&mut self, time: Duration, end: DisturbanceEnd) {
+        self.ends.push((self.cluster.now + time, end));
+    }
+
+    /// Ends the disturbances that are over, or all of them.
+    fn undo(&mut self, all: bool) {
+        let now = self.cluster.now;
+        let ends = std::mem::take(&mut self.ends);
+        let (due, later): (Vec<_>, Vec<_>) =
+            ends.into_iter().partition(|(at, _)| all || *at <= now);
+        self.ends = later;
+        for (_, end) in due {
+            match end {
+                DisturbanceEnd::Thaw(epoch) => {
+                    let mut owners = self.cluster.owners.iter_mut();
+                    if let Some(owner) = owners.find(|owner| owner.epoch() == epoch) {
+                        owner.frozen = false;
+                    }
+                }
+                DisturbanceEnd::Heal(worker) => {
+                    self.cluster
+                        .trace(|| format!("{worker} is reachable again"));
+                    self.cluster.workers[&worker].unreachable = false;
+                }
+                DisturbanceEnd::Retire(epoch) => {
+                    self.cluster.trace(|| format!("epoch {epoch} retires"));
+                    self.cluster.owners.retain(|owner| owner.epoch() != epoch);
+                    self.cluster.owner_mut().cut_off.clear();
+                }
+                DisturbanceEnd::List => self.cluster.list_workers(),
+            }
+        }
+    }
+
+    fn check_jobs(&self) {
+        let failed = JobAnswer::Known(JobStatus::Failed);
+        for job in &self.jobs {
+            if job.starts_with("lasting") {
+                let running = self.cluster.running(&format!("{job}.0.0.0"));
+                assert_eq!(running, 1, "{job} does not run after the disturbances");
+                continue;
+            }
+            let status = self.cluster.status(job);
+            let over = status == COMPLETED || status == failed && self.rates.failures > 0.0;
+            assert!(over, "{job} is {status:?} after the disturbances");
+        }
+    }
+}
--- a/crates/control/tests/support/worker.rs
+++ b/crates/control/tests/support/worker.rs
@@ -59,6 +59,13 @@
     pub gang: bool,
 }
 
+impl FakeRun {
+    /// Returns whether the run's work is done.
+    pub fn is_due(&self, now: Instant) -> bool {
+        self.ends_at.is_some_and(|until| now >= until)
+    }
+}
+
 impl FakeWorker {
     pub fn new(entry: WorkerEntry, clock_base: u64, now: Instant) -> Self {
         Self {
@@ -173,7 +180,7 @@
             self.void_ends = self.next_end - 1;
         }
         let ended = self.running.iter();
-        let ended = ended.filter(|(_, run)| run.ends_at.is_some_and(|until| now >= until));
+        let ended = ended.filter(|(_, run)| run.is_due(now) && !run.gang);
         let ended: Vec<_> = ended.map(|(name, _)| name.clone()).collect();
         let end = if self.runs_fail {
             RunEnd::Failed
