--- a/crates/control/tests/soak.rs
+++ b/crates/control/tests/soak.rs
@@ -81,6 +81,7 @@
     let rates = DisturbanceRates {
         lags: 0.3,
         freezes: 0.05,
+        store_delays: 0.2,
         claims: 0.07,
         releases: 0.1,
         partitions: 0.1,
@@ -100,6 +101,7 @@
         partitions: 0.1,
         claims: 0.07,
         releases: 0.05,
+        store_delays: 0.1,
         failures: 0.05,
     };
     soak(800..840, rates);
--- a/crates/control/tests/support/network.rs
+++ b/crates/control/tests/support/network.rs
@@ -18,6 +18,8 @@
     Late(Duration),
     /// The owner gets no answer, and the order never reaches the worker.
     Lost,
+    /// The order does not leave the process of the owner.
+    NotSent,
 }
 
 /// Decides the fate of each order.
@@ -46,6 +48,14 @@
                 self.give_up(epoch, command);
             }
             OrderFate::Lost => self.give_up(epoch, command),
+            OrderFate::NotSent => match command {
+                ShardCommand::Start(order) => {
+                    let outcome = StartOutcome::NotSent;
+                    let event = ShardEvent::Started { order, outcome };
+                    self.reply(epoch, ROUND_TRIP, None, event);
+                }
+                command => self.give_up(epoch, command),
+            },
         }
     }
 
