Count the records that a controller visits

Cause: how much work an event costs showed only as elapsed time, which a test can't bound.

Change: a shard controller counts its visits of jobs and workers and returns the counts.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -37,7 +37,7 @@
         AccountBudget, AccountDemand, AllocationKey, QuotaAllocation, QuotaTable,
     };
     pub use crate::settings::ControlSettings;
-    pub use crate::shard::ShardController;
+    pub use crate::shard::{ShardController, VisitCount};
     pub use crate::sizing::{PoolSizes, SizingSettings};
     pub use crate::urgency::{JobUrgency, terms_of};
     pub use crate::worker::{WorkerEntry, WorkerPhase, current_workers};
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -78,6 +78,16 @@
     commands: Vec<ShardCommand>,
     /// When the last check of the ownership was requested.
     ownership_checked_at: Option<Instant>,
+    visits: VisitCount,
+}
+
+/// Number of records that the controller has visited to handle its events.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct VisitCount {
+    /// Visits of jobs and of their steps.
+    pub jobs: u64,
+    /// Visits of workers, apart from the search for a worker with room.
+    pub workers: u64,
 }
 
 /// A job and its state.
@@ -148,6 +158,7 @@
             blocked: IndexMap::new(),
             commands: Vec::new(),
             ownership_checked_at: None,
+            visits: VisitCount::default(),
         };
         controller.load(image, now, wall);
         controller.record_waves(wall);
@@ -170,6 +181,11 @@
         self.epoch
     }
 
+    /// Returns the number of visited records, which measures the work without a clock.
+    pub fn visits(&self) -> VisitCount {
+        self.visits
+    }
+
     /// Handles an event and returns the commands to execute.
     pub fn handle(
         &mut self,
@@ -233,6 +249,7 @@
 
     /// Runs the periodic work that is due and emits the resulting commands.
     fn advance(&mut self, now: Instant, wall: SystemTime) {
+        self.visits.workers += 5 * self.workers.len() as u64;
         self.expire_leases(now);
         self.open_due_occurrences(now, wall);
         self.stop_runs_to_drain(now);
@@ -240,6 +257,7 @@
         if due && now >= self.next_placement {
             self.placement_needed = false;
             self.next_placement = now + self.settings.placement_interval;
+            self.visits.jobs += 2 * self.active_jobs.len() as u64;
             self.recheck_at = self.next_pause_end(now);
             self.place_waiting(now);
         }
@@ -436,6 +454,7 @@
     fn open_due_occurrences(&mut self, now: Instant, wall: SystemTime) {
         let due_wall = wall.checked_sub(self.settings.due_margin).unwrap_or(wall);
         let mut finished = Vec::new();
+        self.visits.jobs += self.active_jobs.len() as u64;
         for job in &self.active_jobs {
             let Some(record) = self.jobs.get_mut(job) else {
                 continue;
--- a/crates/control/src/shard/scheduling.rs
+++ b/crates/control/src/shard/scheduling.rs
@@ -84,6 +84,7 @@
         unplaceable: &mut UnplaceableSizes,
         now: Instant,
     ) {
+        self.visits.jobs += 1;
         let Some(record) = self.jobs.get(job) else {
             return;
         };
