Index the active jobs, so that the backlog does not slow an owner down

What callers saw: in a pool's surge its owner fell behind by seconds, and jobs were served late or not at all.

Cause: each event visited every active job to find due occurrences and finished jobs. Each pass ranked every waiting job and, for each of its steps, searched all workers for room, although the pool was full. The reports of demands and of pool loads visited all tasks. So the cost of each event grew with the backlog, which grew while the owner was late.

Change: jobs that change are indexed again: their ready steps by pool, size and priority, in the order of their latest start, with the sums of the waiting tasks. Later occurrences and ends of pauses are ordered by time. A pass skips the steps of a size for which no worker has room. The order of scheduling is the same as before, except that steps of equal rank are ordered by acceptance.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -39,6 +39,6 @@
     pub use crate::settings::ControlSettings;
     pub use crate::shard::{ShardController, VisitCount};
     pub use crate::sizing::{PoolSizes, SizingSettings};
-    pub use crate::urgency::{JobUrgency, terms_of};
+    pub use crate::urgency::terms_of;
     pub use crate::worker::{WorkerEntry, WorkerPhase, current_workers};
 }
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -1,6 +1,7 @@
 //! The controller of one shard.
 
 mod advice;
+mod backlog;
 mod persistence;
 mod polling;
 mod queries;
@@ -9,8 +10,9 @@
 mod start_stop;
 mod survey;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::ops::Bound;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -26,8 +28,10 @@
 use crate::quota::AccountBudget;
 use crate::settings::ControlSettings;
 use crate::shard::advice::{StepAdvice, StepKey};
+use crate::shard::backlog::{BacklogEntry, BacklogIndex, ReadyStep};
 use crate::shard::persistence::StoreQueue;
 use crate::shard::survey::STALE_ORDER_TIME;
+use crate::urgency::{latest_start, remaining_critical_path};
 use crate::worker::{RunPhase, RunRecord, WorkerEntry, WorkerPhase, WorkerRecord};
 
 /// Interval of ticks while no event arrives.
@@ -49,8 +53,14 @@
     placement: Box<dyn PlacementPolicy>,
     jobs: IndexMap<JobId, JobRecord>,
     /// Jobs that are not over or still have placed runs.
-    active_jobs: IndexSet<JobId>,
-    /// The remaining jobs with the time at which they left `active_jobs`, kept for status queries.
+    backlog: BacklogIndex,
+    /// Jobs whose state has changed since they were indexed in `backlog`.
+    changed_jobs: IndexSet<JobId>,
+    /// Due times of the next occurrences of the jobs that have more of them.
+    due_occurrences: BTreeSet<(SystemTime, JobId)>,
+    /// Ends of the pauses of tasks that failed.
+    pause_ends: BTreeSet<Instant>,
+    /// The remaining jobs with the time at which they left `backlog`, kept for status queries.
     finished_jobs: VecDeque<(Instant, JobId)>,
     workers: IndexMap<WorkerId, WorkerRecord>,
     budget: AccountBudget,
@@ -99,6 +109,8 @@
     accepted_at: Instant,
     /// Earliest time of the next run of tasks that failed.
     retry_after: HashMap<TaskPosition, Instant>,
+    /// The job is over and has no placed runs.
+    finished: bool,
 }
 
 impl JobRecord {
@@ -116,6 +128,7 @@
             state,
             accepted_at: now.checked_sub(age).unwrap_or(now),
             retry_after: HashMap::new(),
+            finished: false,
         }
     }
 
@@ -141,7 +154,10 @@
             config,
             placement: Box::new(PackPlacement),
             jobs: IndexMap::new(),
-            active_jobs: IndexSet::new(),
+            backlog: BacklogIndex::default(),
+            changed_jobs: IndexSet::new(),
+            due_occurrences: BTreeSet::new(),
+            pause_ends: BTreeSet::new(),
             finished_jobs: VecDeque::new(),
             workers: IndexMap::new(),
             budget: AccountBudget::default(),
@@ -167,8 +183,8 @@
 
     /// Returns the jobs that are not over or still have placed runs.
     fn active_records(&self) -> impl Iterator<Item = (&JobId, &JobRecord)> {
-        let open = self.active_jobs.iter();
-        open.filter_map(|job| Some((job, self.jobs.get(job)?)))
+        let active = self.backlog.jobs();
+        active.filter_map(|job| Some((job, self.jobs.get(job)?)))
     }
 
     /// Returns the shard's number.
@@ -197,6 +213,8 @@
             ShardEvent::Config(config) => {
                 self.config = config;
                 self.placement_needed = true;
+                // The terms of a queue determine the urgency of its jobs.
+                self.changed_jobs.extend(self.backlog.jobs().cloned());
                 self.record_waves(wall);
             }
             ShardEvent::Workers { entries, lives } => self.update_workers(entries, &lives, now),
@@ -251,15 +269,16 @@
     fn advance(&mut self, now: Instant, wall: SystemTime) {
         self.visits.workers += 5 * self.workers.len() as u64;
         self.expire_leases(now);
-        self.open_due_occurrences(now, wall);
+        self.review_due_jobs(wall);
+        self.review_changed_jobs(now, wall);
         self.stop_runs_to_drain(now);
         let due = self.placement_needed || self.recheck_at.is_some_and(|at| now >= at);
         if due && now >= self.next_placement {
             self.placement_needed = false;
             self.next_placement = now + self.settings.placement_interval;
-            self.visits.jobs += 2 * self.active_jobs.len() as u64;
             self.recheck_at = self.next_pause_end(now);
             self.place_waiting(now);
+            self.review_changed_jobs(now, wall);
         }
         self.send_polls(now);
         self.send_stops(now);
@@ -268,9 +287,10 @@
     }
 
     /// Returns when the next pause of a task or a worker ends.
-    fn next_pause_end(&self, now: Instant) -> Option<Instant> {
-        let jobs = self.active_records().map(|(_, job)| job);
-        let tasks = jobs.flat_map(|job| job.retry_after.values().copied());
+    fn next_pause_end(&mut self, now: Instant) -> Option<Instant> {
+        self.pause_ends = self.pause_ends.split_off(&now);
+        let after = (Bound::Excluded(now), Bound::Unbounded);
+        let tasks = self.pause_ends.range(after).take(1).copied();
         let workers = self
             .workers
             .values()
@@ -289,7 +309,7 @@
             let state = states.swap_remove(&job).unwrap_or_default();
             self.inherit_runs(&job, &record, &state, now);
             let record = JobRecord::new(record, state, now, wall);
-            self.active_jobs.insert(job.clone());
+            self.changed_jobs.insert(job.clone());
             self.jobs.insert(job, record);
         }
         for job in image.cancelled {
@@ -409,7 +429,7 @@
             "job taken in"
         );
         let record = JobRecord::new(record, JobState::default(), now, wall);
-        self.active_jobs.insert(job.clone());
+        self.changed_jobs.insert(job.clone());
         self.jobs.insert(job, record);
         self.placement_needed = true;
     }
@@ -423,6 +443,7 @@
         }
         record.state.cancelled = true;
         record.stored_status = JobStatus::Cancelled;
+        self.changed_jobs.insert(job.clone());
         self.stop_job(job, now);
         self.store_queue.mark_changed(job);
         tracing::info!(
@@ -450,39 +471,77 @@
         }
     }
 
-    /// Opens the occurrences that are due.
-    fn open_due_occurrences(&mut self, now: Instant, wall: SystemTime) {
-        let due_wall = wall.checked_sub(self.settings.due_margin).unwrap_or(wall);
-        let mut finished = Vec::new();
-        self.visits.jobs += self.active_jobs.len() as u64;
-        for job in &self.active_jobs {
-            let Some(record) = self.jobs.get_mut(job) else {
-                continue;
-            };
-            if record.is_over() {
-                if !record.state.has_placed_runs() {
-                    finished.push(job.clone());
-                }
-                continue;
+    /// Marks the jobs with an occurrence that is due as changed.
+    fn review_due_jobs(&mut self, wall: SystemTime) {
+        let due_wall = self.due_wall(wall);
+        while self
+            .due_occurrences
+            .first()
+            .is_some_and(|(due, _)| *due <= due_wall)
+        {
+            let first = self.due_occurrences.pop_first();
+            self.changed_jobs.extend(first.map(|(_, job)| job));
+        }
+    }
+
+    /// Opens the due occurrences of the changed jobs and indexes these jobs again.
+    fn review_changed_jobs(&mut self, now: Instant, wall: SystemTime) {
+        for job in std::mem::take(&mut self.changed_jobs) {
+            self.visits.jobs += 1;
+            self.review_job(&job, now, wall);
+        }
+    }
+
+    fn review_job(&mut self, job: &JobId, now: Instant, wall: SystemTime) {
+        let due_wall = self.due_wall(wall);
+        let Some(record) = self.jobs.get_mut(job) else {
+            return;
+        };
+        if record.is_over() && !record.state.has_placed_runs() {
+            if !record.finished {
+                record.finished = true;
+                self.backlog.remove(job);
+                self.finished_jobs.push_back((now, job.clone()));
             }
-            let spec = &record.submission.spec;
-            while record.state.opened < spec.occurrences
-                && spec
-                    .due(record.state.opened)
-                    .is_none_or(|due| due <= due_wall)
-            {
-                record.state.open_next(spec);
-                self.placement_needed = true;
-                tracing::debug!(
-                    job = &**job,
-                    opened = record.state.opened,
-                    "occurrence is due"
-                );
+            return;
+        }
+        let spec = &record.submission.spec;
+        while !record.is_over() && record.state.opened < spec.occurrences {
+            if let Some(due) = spec.due(record.state.opened).filter(|due| *due > due_wall) {
+                self.due_occurrences.insert((due, job.clone()));
+                break;
             }
+            record.state.open_next(spec);
+            self.placement_needed = true;
+            tracing::debug!(
+                job = &**job,
+                opened = record.state.opened,
+                "occurrence is due"
+            );
         }
-        for job in finished {
-            self.active_jobs.swap_remove(&job);
-            self.finished_jobs.push_back((now, job));
+        if let Some(entry) = self.jobs.get(job).map(|record| self.backlog_entry(record)) {
+            self.backlog.insert(job, entry);
+        }
+    }
+
+    /// Returns the latest due time of the occurrences to open.
+    fn due_wall(&self, wall: SystemTime) -> SystemTime {
+        wall.checked_sub(self.settings.due_margin).unwrap_or(wall)
+    }
+
+    fn backlog_entry(&self, job: &JobRecord) -> BacklogEntry {
+        let terms = self.terms(job);
+        let occurrences = &job.state.occurrences;
+        let spec = &job.submission.spec;
+        let remaining = occurrences.iter();
+        let remaining = remaining.map(|occurrence| remaining_critical_path(spec, occurrence));
+        let remaining = remaining.max().unwrap_or_default();
+        BacklogEntry {
+            pool: job.submission.pool.clone(),
+            account: job.submission.account.clone(),
+            priority: terms.priority,
+            start_by: latest_start(&terms, job.accepted_at, remaining),
+            steps: ready_steps(job),
         }
     }
 
@@ -518,20 +577,27 @@
     }
 }
 
-/// Returns the resources that a job's waiting tasks need that are ready to start.
-fn ready_size(job: &JobRecord) -> ResourceSize {
+/// Returns the ready steps of a job with waiting tasks; none if the job is over.
+fn ready_steps(job: &JobRecord) -> Vec<ReadyStep> {
+    if job.is_over() {
+        return Vec::new();
+    }
     let spec = &job.submission.spec;
-    let mut size = ResourceSize::default();
+    let mut ready = Vec::new();
     for occurrence in &job.state.occurrences {
-        for (number, tasks) in occurrence.steps.iter().enumerate() {
-            if occurrence.step_ready(spec, number) {
-                let own = reserved_size(&spec.steps[number]);
-                let waiting = tasks.iter().filter(|task| task.is_waiting());
-                size = waiting.fold(size, |sum, _| sum.plus(&own));
+        for (step, tasks) in occurrence.steps.iter().enumerate() {
+            let waiting = tasks.iter().filter(|task| task.is_waiting()).count() as u64;
+            if waiting > 0 && occurrence.step_ready(spec, step) {
+                ready.push(ReadyStep {
+                    occurrence: occurrence.number,
+                    step: step as u32,
+                    size: reserved_size(&spec.steps[step]),
+                    waiting,
+                });
             }
         }
     }
-    size
+    ready
 }
 
 /// Creates the record of a worker that is known only from a stored placement.
--- a/crates/control/src/shard/queries.rs
+++ b/crates/control/src/shard/queries.rs
@@ -4,7 +4,7 @@
 use pw_base::prelude::*;
 use pw_job::prelude::*;
 
-use super::{ShardController, ready_size};
+use super::ShardController;
 use crate::message::{JobAnswer, QueryScope};
 use crate::quota::{AccountDemand, AllocationKey};
 
@@ -36,25 +36,15 @@
 
     /// Returns the resources that each client account uses and waits for in the shard.
     pub fn account_demands(&self) -> IndexMap<AllocationKey, AccountDemand> {
-        let mut demands: IndexMap<AllocationKey, AccountDemand> = IndexMap::new();
-        for (_, job) in self.active_records() {
-            let record = &job.submission;
-            let Some(account) = &record.account else {
-                continue;
-            };
-            if job.is_over() && !job.state.has_placed_runs() {
-                continue;
-            }
-            let key = (account.clone(), self.shard);
-            let demand = demands.entry(key).or_default();
-            if !job.is_over() {
-                demand.waiting = demand.waiting.plus(&ready_size(job));
-            }
-        }
-        for (key, demand) in &mut demands {
-            demand.used = self.budget.used(&key.0);
-        }
-        demands
+        let waits = self.backlog.account_waits();
+        let demands = waits.map(|(account, waiting)| {
+            let used = self.budget.used(account);
+            (
+                (account.clone(), self.shard),
+                AccountDemand { used, waiting },
+            )
+        });
+        demands.collect()
     }
 
     /// Sets this shard's allocation of a client account's maximum.
--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -53,13 +53,15 @@
             }
             if end == RunEnd::Failed {
                 let doubled = FAILURE_PAUSE * (1 << state.failures.min(5));
-                job.retry_after
-                    .insert(position, now + doubled.min(FAILURE_PAUSE_MAX));
+                let pause_end = now + doubled.min(FAILURE_PAUSE_MAX);
+                job.retry_after.insert(position, pause_end);
+                self.pause_ends.insert(pause_end);
             }
         }
         let gang = spec.steps[task.step as usize].gang;
         let failed = job.state.failed;
         self.store_queue.mark_changed(&task.job);
+        self.changed_jobs.insert(task.job.clone());
         if gang {
             self.propagate_gang_end(task, run, end, now);
         }
--- a/crates/control/src/shard/scheduling.rs
+++ b/crates/control/src/shard/scheduling.rs
@@ -6,47 +6,33 @@
 use pw_job::prelude::*;
 use pw_worker::prelude::*;
 
+use super::backlog::StepGroup;
 use super::persistence::PlannedStart;
 use super::{JobRecord, ShardController, TaskPosition, reserved_size};
 use crate::placement::{Candidate, PlacementRequest};
-use crate::urgency::{JobUrgency, remaining_critical_path, terms_of, urgency};
+use crate::urgency::terms_of;
 use crate::worker::{RunPhase, WorkerRecord};
 
 /// Sizes that no worker of a pool could fit in this pass; tasks at least as large are skipped.
 type UnplaceableSizes = Vec<(PoolId, ResourceSize)>;
 
 impl ShardController {
-    /// Places as many waiting tasks as fit, the most urgent jobs first.
+    /// Places as many waiting tasks as fit, the most urgent jobs first. The steps of a group are
+    /// skipped once no worker has room for one of their tasks.
     pub(super) fn place_waiting(&mut self, now: Instant) {
-        let mut waiting = self.waiting_jobs(now);
-        waiting.sort_by_key(|(urgency, _)| *urgency);
         let mut unplaceable = UnplaceableSizes::new();
         self.blocked.clear();
-        for (_, job) in waiting {
-            for (occurrence, step) in self.ready_steps(&job) {
-                self.place_step(&job, occurrence, step, &mut unplaceable, now);
+        // Placing tasks marks their jobs as changed; they are indexed again after the pass.
+        let backlog = std::mem::take(&mut self.backlog);
+        let has_room = |group: &StepGroup| self.has_room(&group.pool, &group.size, now);
+        let mut steps = backlog.ready_steps(now, has_room);
+        while let Some((group, (job, occurrence, step))) = steps.next() {
+            let fits = self.place_step(job, occurrence, step, &mut unplaceable, now);
+            if !fits && !self.has_room(&group.pool, &group.size, now) {
+                steps.skip_group(group);
             }
         }
-    }
-
-    fn waiting_jobs(&self, now: Instant) -> Vec<(JobUrgency, JobId)> {
-        let jobs = self.active_records().filter(|(_, job)| !job.is_over());
-        let waiting = jobs.filter_map(|(id, job)| {
-            let spec = &job.submission.spec;
-            let mut waits = false;
-            let mut remaining = std::time::Duration::ZERO;
-            for occurrence in &job.state.occurrences {
-                waits |= occurrence.steps.iter().flatten().any(TaskState::is_waiting);
-                remaining = remaining.max(remaining_critical_path(spec, occurrence));
-            }
-            waits.then(|| {
-                (
-                    urgency(&self.terms(job), job.accepted_at, remaining, now),
-                    id.clone(),
-                )
-            })
-        });
-        waiting.collect()
+        self.backlog = backlog;
     }
 
     /// Returns the terms of a job by its queue's current rule, or those of its submission if this
@@ -58,24 +44,7 @@
         })
     }
 
-    /// Returns the ready steps of a job that have waiting tasks.
-    fn ready_steps(&self, job: &JobId) -> Vec<(OccurrenceNumber, u32)> {
-        let Some(job) = self.jobs.get(job) else {
-            return Vec::new();
-        };
-        let spec = &job.submission.spec;
-        let mut ready = Vec::new();
-        for occurrence in &job.state.occurrences {
-            for (step, tasks) in occurrence.steps.iter().enumerate() {
-                let waits = tasks.iter().any(TaskState::is_waiting);
-                if waits && occurrence.step_ready(spec, step) {
-                    ready.push((occurrence.number, step as u32));
-                }
-            }
-        }
-        ready
-    }
-
+    /// Places the tasks of a step; returns `false` if no worker was found for one of them.
     fn place_step(
         &mut self,
         job: &JobId,
@@ -83,10 +52,10 @@
         step: u32,
         unplaceable: &mut UnplaceableSizes,
         now: Instant,
-    ) {
+    ) -> bool {
         self.visits.jobs += 1;
         let Some(record) = self.jobs.get(job) else {
-            return;
+            return true;
         };
         let spec = record.submission.spec.steps[step as usize].clone();
         let count = spec.count;
@@ -105,10 +74,12 @@
                     if queue.is_some_and(|queue| self.advice_rule(&queue).is_some()) {
                         self.request_advice(&(job.clone(), occurrence, step), &spec, now);
                     }
-                    return self.count_blocked(job, &spec, now);
+                    self.count_blocked(job, &spec, now);
+                    return false;
                 }
             }
         }
+        true
     }
 
     /// Returns whether a run keeps the job's client account within this shard's allocation.
@@ -146,17 +117,21 @@
         if !self.within_quota(record, &size) {
             return;
         }
-        let has_room = self.workers.values().any(|worker| {
-            let open = worker.entry.pool == record.pool
-                && worker.accepts_starts(now)
-                && !self.is_evacuated(&worker.entry.zone);
-            open && size.fits_into(&worker.room())
-        });
-        if has_room {
+        if self.has_room(&record.pool, &size, now) {
             *self.blocked.entry(record.pool.clone()).or_default() += 1;
         }
     }
 
+    /// Returns whether some worker of a pool has room for a task of `size`.
+    fn has_room(&self, pool: &PoolId, size: &ResourceSize, now: Instant) -> bool {
+        self.workers.values().any(|worker| {
+            worker.entry.pool == *pool
+                && size.fits_into(&worker.room())
+                && worker.accepts_starts(now)
+                && !self.is_evacuated(&worker.entry.zone)
+        })
+    }
+
     /// Returns whether a task waits and its retry pause has ended.
     fn is_startable(&self, job: &JobId, position: TaskPosition, now: Instant) -> bool {
         let Some(record) = self.jobs.get(job) else {
@@ -171,7 +146,7 @@
                 .is_none_or(|until| now >= *until)
     }
 
-    /// Places all tasks of a gang, or none.
+    /// Places all tasks of a gang, or none; returns `false` if no worker was found for one of them.
     fn place_gang(
         &mut self,
         job: &JobId,
@@ -179,13 +154,13 @@
         step: u32,
         spec: &StepSpec,
         now: Instant,
-    ) {
+    ) -> bool {
         let positions: Vec<TaskPosition> = (0..spec.count).map(|i| (occurrence, step, i)).collect();
         if !positions
             .iter()
             .all(|position| self.is_startable(job, *position, now))
         {
-            return;
+            return true;
         }
         self.align_runs(job, &positions);
         let mut placed = Vec::new();
@@ -197,7 +172,8 @@
             self.place_task(job, *position, &worker, now);
             placed.push((worker, *position));
         }
-        if placed.len() < positions.len() {
+        let fits = placed.len() == positions.len();
+        if !fits {
             for (worker, position) in placed {
                 let name = task_name(job, position);
                 let run = self.workers.get(&worker).and_then(|w| w.runs.get(&name));
@@ -207,6 +183,7 @@
             }
             self.placement_needed = false;
         }
+        fits
     }
 
     /// Sets the same last run number for all tasks of a gang, so that their next runs share one.
@@ -295,6 +272,7 @@
             return;
         };
         record.retry_after.remove(&position);
+        self.changed_jobs.insert(job.clone());
         let submission = record.submission.clone();
         let step = position.1 as usize;
         let run_record = self.run_record(&submission, step, run, RunPhase::Planned, now);
--- a/crates/control/src/shard/survey.rs
+++ b/crates/control/src/shard/survey.rs
@@ -6,7 +6,6 @@
 use indexmap::IndexSet;
 use pw_base::prelude::*;
 use pw_job::prelude::*;
-use pw_worker::prelude::*;
 
 use super::ShardController;
 use crate::message::{PoolLoad, SurveyOrder, SurveyReport, UnreachableWorker, WorkerLife};
@@ -224,20 +223,10 @@
             }
             movable.sort();
             load.movable = movable.into_iter().map(|(_, id)| id).collect();
-            load.waiting = self.waiting_size(pool);
+            load.waiting = self.backlog.waiting_size(pool);
             load.blocked = self.blocked.get(pool).copied().unwrap_or_default();
             load
         });
         loads.collect()
     }
-
-    /// Returns the resources that a pool's waiting tasks need that are ready to start.
-    fn waiting_size(&self, pool: &PoolId) -> ResourceSize {
-        let jobs = self.active_records().map(|(_, job)| job);
-        let jobs = jobs.filter(|job| job.submission.pool == *pool);
-        let open = jobs.filter(|job| !job.is_over());
-        open.fold(ResourceSize::default(), |sum, job| {
-            sum.plus(&super::ready_size(job))
-        })
-    }
 }
--- a/crates/control/src/urgency.rs
+++ b/crates/control/src/urgency.rs
@@ -1,4 +1,4 @@
-//! Order in which jobs are scheduled.
+//! Terms of jobs, and when they have to start to meet their objectives.
 
 use std::time::{Duration, Instant};
 
@@ -6,20 +6,6 @@
 
 use crate::config::QueueRule;
 
-/// Scheduling rank of a job; the smallest is scheduled first.
-///
-/// Under overload, more work waits than the pool can run. In order of age alone, every job would
-/// miss its objective, so jobs that can no longer meet it rank after those that can.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct JobUrgency {
-    /// The job can no longer meet its objective.
-    pub late: bool,
-    /// Priority of its queue; 0 is the highest.
-    pub priority: u32,
-    /// Latest time to start the remaining work and still meet the objective.
-    pub start_by: Instant,
-}
-
 /// Returns the terms of a job with `spec` under a queue's rule.
 pub fn terms_of(spec: &JobSpec, rule: &QueueRule) -> JobTerms {
     JobTerms {
@@ -44,19 +30,9 @@
     ends.into_iter().max().unwrap_or_default()
 }
 
-/// Returns the rank of a job that was accepted at `accepted_at` and whose critical path has the
-/// estimated run time `remaining` left.
-pub fn urgency(
-    terms: &JobTerms,
-    accepted_at: Instant,
-    remaining: Duration,
-    now: Instant,
-) -> JobUrgency {
+/// Returns the latest time to start the remaining work of a job and still meet its objective, if it
+/// was accepted at `accepted_at` and its critical path has the estimated run time `remaining` left.
+pub fn latest_start(terms: &JobTerms, accepted_at: Instant, remaining: Duration) -> Instant {
     let deadline = accepted_at + terms.objective;
-    let start_by = deadline.checked_sub(remaining).unwrap_or(accepted_at);
-    JobUrgency {
-        late: now > start_by,
-        priority: terms.priority,
-        start_by,
-    }
+    deadline.checked_sub(remaining).unwrap_or(accepted_at)
 }
