Keep a new owner idle while the address of a lost worker is unknown

What callers saw: an owner that takes a shard over while workers are lost uses all of its processor time, and serves its pool late.

Cause: a worker that is known only from a stored placement has no address, so no poll is sent to it. `next_deadline` counted its poll all the same. The deadline stayed in the past until the lease expired, up to 12 s later, and the control duty ran one tick after the other.

Change: the deadline and the sending of polls use the same condition.

Measured result: the new test failed before and passes, as do the tests of pw_control and pw_node.

--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -236,11 +236,8 @@
 
     /// Returns when the next [`ShardEvent::Tick`] is due.
     pub fn next_deadline(&self) -> Instant {
-        let polls = self
-            .workers
-            .values()
-            .filter(|w| w.needs_poll() && !w.poll_in_flight);
-        let polls = polls.map(|worker| worker.poll_due).min();
+        let polls = self.workers.values().filter_map(WorkerRecord::next_poll);
+        let polls = polls.min();
         let placement = self.placement_needed.then_some(self.next_placement);
         let recheck_at = self.recheck_at.map(|at| at.max(self.next_placement));
         let due = [polls, placement, recheck_at, self.store_queue.due()];
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -63,12 +63,7 @@
         let confirmed = now < self.confirmed_at + settings.ownership_validity;
         let moving = self.is_moving_long_running(now);
         for (id, worker) in &mut self.workers {
-            let has_address = worker.entry.address.port() != 0;
-            if worker.poll_in_flight
-                || !has_address
-                || !worker.needs_poll()
-                || now < worker.poll_due
-            {
+            if worker.next_poll().is_none_or(|due| now < due) {
                 continue;
             }
             // The lease of an unreachable worker is not renewed, so that it expires in time.
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -314,10 +314,18 @@
     }
 
     /// Returns whether the worker has to be polled.
-    pub fn needs_poll(&self) -> bool {
+    fn needs_poll(&self) -> bool {
         let unreachable = !self.synced || self.missed_polls > 0;
         !self.runs.is_empty()
             || self.acknowledged_end < self.stored_end
             || unreachable && self.listed
     }
+
+    /// Returns when the next poll is due; `None` while none can be sent or is needed. The address
+    /// of a worker that is known only from a stored placement is unknown.
+    pub fn next_poll(&self) -> Option<Instant> {
+        let has_address = self.entry.address.port() != 0;
+        let sendable = has_address && !self.poll_in_flight && self.needs_poll();
+        sendable.then_some(self.poll_due)
+    }
 }
--- a/crates/control/tests/worker_lives.rs
+++ b/crates/control/tests/worker_lives.rs
@@ -231,3 +231,17 @@
         cluster.ownership_checks
     );
 }
+
+/// Such a worker was always due for a poll that could not be sent, so the owner ran without a
+/// pause until its lease expired.
+#[test]
+fn a_worker_without_an_address_does_not_keep_its_new_owner_busy() {
+    let mut cluster = long_running_cluster(2);
+    let holder = cluster.starts[0][0].0.clone();
+    cluster.workers[&holder].crashed = true;
+    cluster.take_over(None);
+    cluster.run(seconds(1));
+    cluster.handle_event(ShardEvent::Tick);
+    let shard = cluster.controller.as_ref().expect("an owner");
+    assert!(shard.next_deadline() > cluster.now);
+}
