Count the runs of each kind on a worker

Cause: the search for a worker looked at every run of every worker for each task that it placed, to find long-running tasks and latency conflicts.

Change: the record of a worker counts its runs by kind as they are added and removed.

--- a/crates/control/src/shard/scheduling.rs
+++ b/crates/control/src/shard/scheduling.rs
@@ -327,17 +327,17 @@
     }
     let preferred = spec.preferred_rack.as_ref();
     let is_serving = spec.target_latency.is_some();
-    let conflicts = worker.runs.values().filter(|run| {
-        spec.best_effort && run.target_latency.is_some() || is_serving && run.best_effort
-    });
+    let counts = worker.counts;
+    let serving = if spec.best_effort { counts.serving } else { 0 };
+    let best_effort = if is_serving { counts.best_effort } else { 0 };
     Some(Candidate {
         worker: &entry.id,
         room: worker.room(),
         capacity: entry.capacity,
         on_preferred_rack: preferred.is_none_or(|rack| entry.rack.as_ref() == Some(rack)),
         siblings,
-        conflicts: conflicts.count(),
-        has_long_running: worker.runs.values().any(|run| run.long_running),
+        conflicts: serving + best_effort,
+        has_long_running: counts.long_running > 0,
         maintenance_due: false,
     })
 }
--- a/crates/control/src/shard/survey.rs
+++ b/crates/control/src/shard/survey.rs
@@ -150,7 +150,7 @@
             .workers
             .values()
             .filter(|worker| worker.has_drain_request(now));
-        draining.any(|worker| worker.runs.values().any(|run| run.long_running))
+        draining.any(|worker| worker.counts.long_running > 0)
     }
 
     /// Returns whether stopping a run keeps its step within its limit of unavailable tasks.
@@ -204,7 +204,7 @@
             let mut movable = Vec::new();
             for worker in members {
                 load.used = load.used.plus(&worker.used);
-                let has_long_running = worker.runs.values().any(|run| run.long_running);
+                let has_long_running = worker.counts.long_running > 0;
                 load.long_running_workers += u32::from(has_long_running);
                 let evacuated = self.is_evacuated(&worker.entry.zone);
                 let id = &worker.entry.id;
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -151,6 +151,29 @@
     }
 }
 
+/// Number of a worker's runs of each kind.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct RunCounts {
+    pub long_running: usize,
+    pub best_effort: usize,
+    /// Runs with an upper bound of their tail latency.
+    pub serving: usize,
+}
+
+impl RunCounts {
+    fn add(&mut self, run: &RunRecord) {
+        self.long_running += usize::from(run.long_running);
+        self.best_effort += usize::from(run.best_effort);
+        self.serving += usize::from(run.target_latency.is_some());
+    }
+
+    fn subtract(&mut self, run: &RunRecord) {
+        self.long_running -= usize::from(run.long_running);
+        self.best_effort -= usize::from(run.best_effort);
+        self.serving -= usize::from(run.target_latency.is_some());
+    }
+}
+
 /// A reading of a worker's clock.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ClockReading {
@@ -199,6 +222,8 @@
     pub runs: IndexMap<TaskName, RunRecord>,
     /// Resources reserved for the runs.
     pub used: ResourceSize,
+    /// Number of the runs of each kind.
+    pub counts: RunCounts,
 }
 
 impl WorkerRecord {
@@ -225,6 +250,7 @@
             unhealthy_refusals: 0,
             runs: IndexMap::new(),
             used: ResourceSize::default(),
+            counts: RunCounts::default(),
         }
     }
 
@@ -253,8 +279,10 @@
 
     pub fn add_run(&mut self, task: TaskName, run: RunRecord) {
         self.used = self.used.plus(&run.size);
+        self.counts.add(&run);
         if let Some(old) = self.runs.insert(task, run) {
             self.used = self.used.minus(&old.size);
+            self.counts.subtract(&old);
         }
     }
 
@@ -265,6 +293,7 @@
         }
         let removed = self.runs.swap_remove(task)?;
         self.used = self.used.minus(&removed.size);
+        self.counts.subtract(&removed);
         Some(removed)
     }
 
