--- a/crates/control/src/shard/survey.rs
+++ b/crates/control/src/shard/survey.rs
@@ -6,7 +6,6 @@
 use indexmap::IndexSet;
 use pw_base::prelude::*;
 use pw_job::prelude::*;
-use pw_worker::prelude::*;
 
 use super::ShardController;
 use crate::message::{PoolLoad, SurveyOrder, SurveyReport, UnreachableWorker, WorkerLife};
@@ -151,7 +150,7 @@
             .workers
             .values()
             .filter(|worker| worker.has_drain_request(now));
-        draining.any(|worker| worker.runs.values().any(|run| run.long_running))
+        draining.any(|worker| worker.counts.long_running > 0)
     }
 
     /// Returns whether stopping a run keeps its step within its limit of unavailable tasks.
@@ -205,7 +204,7 @@
             let mut movable = Vec::new();
             for worker in members {
                 load.used = load.used.plus(&worker.used);
-                let has_long_running = worker.runs.values().any(|run| run.long_running);
+                let has_long_running = worker.counts.long_running > 0;
                 load.long_running_workers += u32::from(has_long_running);
                 let evacuated = self.is_evacuated(&worker.entry.zone);
                 let id = &worker.entry.id;
@@ -224,20 +223,10 @@
             }
             movable.sort();
             load.movable = movable.into_iter().map(|(_, id)| id).collect();
-            load.waiting = self.waiting_size(pool);
+            load.waiting = self.backlog.waiting_size(pool);
             load.blocked = self.blocked.get(pool).copied().unwrap_or_default();
             load
         });
         loads.collect()
     }
-
-    /// Returns the resources that a pool's waiting tasks need that are ready to start.
-    fn waiting_size(&self, pool: &PoolId) -> ResourceSize {
-        let jobs = self.active_records().map(|(_, job)| job);
-        let jobs = jobs.filter(|job| job.submission.pool == *pool);
-        let open = jobs.filter(|job| !job.is_over());
-        open.fold(ResourceSize::default(), |sum, job| {
-            sum.plus(&super::ready_size(job))
-        })
-    }
 }
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -156,6 +156,29 @@
     }
 }
 
+/// Number of a worker's runs of each kind.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct RunCounts {
+    pub long_running: usize,
+    pub best_effort: usize,
+    /// Runs with an upper bound of their tail latency.
+    pub serving: usize,
+}
+
+impl RunCounts {
+    fn add(&mut self, run: &RunRecord) {
+        self.long_running += usize::from(run.long_running);
+        self.best_effort += usize::from(run.best_effort);
+        self.serving += usize::from(run.target_latency.is_some());
+    }
+
+    fn subtract(&mut self, run: &RunRecord) {
+        self.long_running -= usize::from(run.long_running);
+        self.best_effort -= usize::from(run.best_effort);
+        self.serving -= usize::from(run.target_latency.is_some());
+    }
+}
+
 /// A reading of a worker's clock.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ClockReading {
@@ -204,6 +227,8 @@
     pub runs: IndexMap<TaskName, RunRecord>,
     /// Resources reserved for the runs.
     pub used: ResourceSize,
+    /// Number of the runs of each kind.
+    pub counts: RunCounts,
 }
 
 impl WorkerRecord {
@@ -230,6 +255,7 @@
             unhealthy_refusals: 0,
             runs: IndexMap::new(),
             used: ResourceSize::default(),
+            counts: RunCounts::default(),
         }
     }
 
@@ -258,8 +284,10 @@
 
     pub fn add_run(&mut self, task: TaskName, run: RunRecord) {
         self.used = self.used.plus(&run.size);
+        self.counts.add(&run);
         if let Some(old) = self.runs.insert(task, run) {
             self.used = self.used.minus(&old.size);
+            self.counts.subtract(&old);
         }
     }
 
@@ -270,6 +298,7 @@
         }
         let removed = self.runs.swap_remove(task)?;
         self.used = self.used.minus(&removed.size);
+        self.counts.subtract(&removed);
         Some(removed)
     }
 
@@ -319,10 +348,18 @@
     }
 
     /// Returns whether the worker has to be polled.
-    pub fn needs_poll(&self) -> bool {
+    fn needs_poll(&self) -> bool {
         let unreachable = !self.synced || self.missed_polls > 0;
         !self.runs.is_empty()
             || self.acknowledged_end < self.stored_end
             || unreachable && self.listed
     }
+
+    /// Returns when the next poll is due; `None` while none can be sent or is needed. The address
+    /// of a worker that is known only from a stored placement is unknown.
+    pub fn next_poll(&self) -> Option<Instant> {
+        let has_address = self.entry.address.port() != 0;
+        let sendable = has_address && !self.poll_in_flight && self.needs_poll();
+        sendable.then_some(self.poll_due)
+    }
 }
