--- a/crates/control/src/shard/queries.rs
+++ b/crates/control/src/shard/queries.rs
@@ -27,7 +27,7 @@
 
     /// Returns the number of jobs that are not over or still have placed runs.
     pub fn active_job_count(&self) -> usize {
-        self.active_jobs.len()
+        self.backlog.jobs().count()
     }
 
     /// Returns the number of accepted jobs of a queue of which no task has started.
--- a/crates/control/tests/backlog.rs
+++ b/crates/control/tests/backlog.rs
@@ -12,7 +12,7 @@
         cluster.submit(&format!("job-{number}"), None, vec![step(8), step(2)]);
     }
     cluster.run(seconds(1));
-    let visits = |cluster: &TestCluster| cluster.controller.as_ref().expect("an owner").visits();
+    let visits = |cluster: &TestCluster| cluster.controller().visits();
     let before = visits(&cluster);
     cluster.run(seconds(1));
     let after = visits(&cluster);
--- a/crates/control/tests/worker_lives.rs
+++ b/crates/control/tests/worker_lives.rs
@@ -243,6 +243,6 @@
     cluster.take_over(None);
     cluster.run(seconds(1));
     cluster.handle_event(ShardEvent::Tick);
-    let shard = cluster.controller.as_ref().expect("an owner");
+    let shard = cluster.controller();
     assert!(shard.next_deadline() > cluster.now);
 }
