Store the run ends of a worker's later life before acknowledging them

Callers would see a task run again: a worker forgets an end that is acknowledged, and a new owner finds it neither there nor in the store.

Cause: a confirmed append counted as storing the ends of whichever life the worker had by then, up to the number that the former life had reached. Change: a batch records the life of the ends that it stores, and counts for that life alone.

--- a/crates/control/src/shard/persistence.rs
+++ b/crates/control/src/shard/persistence.rs
@@ -35,8 +35,9 @@
     starts: Vec<PlannedStart>,
     /// Status of each job in the batch.
     statuses: Vec<(JobId, JobStatus)>,
-    /// Last applied run end per worker that the batch makes durable.
-    applied_ends: IndexMap<WorkerId, EndNumber>,
+    /// Last applied run end of each worker's life that the batch makes durable.
+    applied_ends: IndexMap<(WorkerId, LifeStart), EndNumber>,
+    sent_at: Instant,
 }
 
 impl StoreQueue {
@@ -106,7 +107,10 @@
             .workers
             .iter()
             .filter(|(_, w)| w.applied_end > w.stored_end);
-        let applied_ends = applied_ends.map(|(id, worker)| (id.clone(), worker.applied_end));
+        let applied_ends = applied_ends.filter_map(|(id, worker)| {
+            let life = worker.life?;
+            Some(((id.clone(), life), worker.applied_end))
+        });
         self.store_queue.sequence += 1;
         let sequence = self.store_queue.sequence;
         self.store_queue.in_flight = Some(StoreBatch {
@@ -114,6 +118,7 @@
             starts: std::mem::take(&mut self.store_queue.starts),
             statuses,
             applied_ends: applied_ends.collect(),
+            sent_at: now,
         });
         self.store_queue.next_append = now + self.settings.store_interval;
         self.commands
@@ -143,10 +148,12 @@
                 record.stored_status = status;
             }
         }
-        for (id, applied) in batch.applied_ends {
-            if let Some(worker) = self.workers.get_mut(&id) {
-                // A new life restarts the numbering of run ends.
-                worker.stored_end = worker.stored_end.max(applied.min(worker.applied_end));
+        for ((id, life), applied) in batch.applied_ends {
+            // Each life numbers its run ends from the start.
+            if let Some(worker) = self.workers.get_mut(&id)
+                && worker.life == Some(life)
+            {
+                worker.stored_end = worker.stored_end.max(applied);
             }
         }
         for start in batch.starts {
