Date the ownership by when a proof was requested, and check it before each start

Callers would see a task run twice at the same time: an owner that lagged went on renewing leases after its successor counted them as expired.

Cause: three assumptions of a prompt owner. A stored append confirmed the ownership as of when its answer was handled; starts, which renew the lease, did not check the ownership; and a lease was computed from a reading of the worker's clock as if that clock could not be slow. Change: an append confirms the ownership as of when it was sent, starts need a confirmed ownership like polls, and the worker's clock is estimated by its lower bound. Evidence: five tests failed before with a task that runs twice, and pass. The test of the slow clock freezes its owner for 5.5 s instead of 10 s, since an owner that is 10 s late starts nothing now; at 5.5 s it passes with the former estimate too, so the lower bound itself rests on reasoning.

--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -245,6 +245,11 @@
         due.fold(self.next_idle_tick, Instant::min)
     }
 
+    /// Returns whether the ownership was confirmed recently enough to send orders that renew leases.
+    fn is_confirmed(&self, now: Instant) -> bool {
+        now < self.confirmed_at + self.settings.ownership_validity
+    }
+
     /// Requests a check of the ownership, because a worker reported a later owner.
     fn check_ownership(&mut self, now: Instant) {
         if self
--- a/crates/control/src/shard/persistence.rs
+++ b/crates/control/src/shard/persistence.rs
@@ -138,7 +138,8 @@
         let Some(batch) = self.store_queue.in_flight.take() else {
             return;
         };
-        self.confirmed_at = now.max(self.confirmed_at);
+        // The append succeeded at some time after it was sent.
+        self.confirmed_at = batch.sent_at.max(self.confirmed_at);
         for (job, status) in batch.statuses {
             if let Some(record) = self.jobs.get_mut(&job) {
                 if record.stored_status != status {
@@ -162,10 +163,12 @@
     }
 
     fn send_stored_start(&mut self, start: &PlannedStart, now: Instant) {
+        let confirmed = self.is_confirmed(now);
         let planned = self.workers.get(&start.worker).and_then(|worker| {
             let run = worker.runs.get(&start.task)?;
             let planned = run.run == start.run && run.phase == RunPhase::Planned;
-            planned.then(|| worker.accepts_starts(now) && !self.is_evacuated(&worker.entry.zone))
+            let zone = &worker.entry.zone;
+            planned.then(|| confirmed && worker.accepts_starts(now) && !self.is_evacuated(zone))
         });
         match planned {
             None => {}
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -60,7 +60,7 @@
     /// Sends the polls that are due.
     pub(super) fn send_polls(&mut self, now: Instant) {
         let settings = &self.settings;
-        let confirmed = now < self.confirmed_at + settings.ownership_validity;
+        let confirmed = self.is_confirmed(now);
         let moving = self.is_moving_long_running(now);
         for (id, worker) in &mut self.workers {
             if worker.next_poll().is_none_or(|due| now < due) {
@@ -69,7 +69,7 @@
             // The lease of an unreachable worker is not renewed, so that it expires in time.
             let renewable = confirmed && worker.missed_polls == 0 && worker.synced;
             let lease_until = if renewable {
-                worker.renew(now, settings.lease)
+                worker.renew(now, settings.lease, settings.clock_drift)
             } else {
                 None
             };
--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -12,13 +12,16 @@
 impl ShardController {
     /// Sends the start of a run whose placement is stored.
     pub(super) fn send_start(&mut self, id: &WorkerId, task: &TaskName, now: Instant) {
-        let lease = self.settings.lease;
+        if !self.is_confirmed(now) {
+            return;
+        }
+        let (lease, drift) = (self.settings.lease, self.settings.clock_drift);
         let step = (task.job.clone(), task.occurrence, task.step);
         let ticket = self.ticket(&step, id, now);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let (Some(life), Some(lease_until)) = (worker.life, worker.renew(now, lease)) else {
+        let (Some(life), Some(lease_until)) = (worker.life, worker.renew(now, lease, drift)) else {
             return;
         };
         let address = worker.entry.address;
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -259,16 +259,18 @@
         }
     }
 
-    /// Returns an estimate of the worker's clock, if a reading is known.
-    pub fn clock(&self, now: Instant) -> Option<WorkerMillis> {
+    /// Returns a lower bound of the worker's clock, which may be slower than the owner's by at most
+    /// `drift`, if a reading is known.
+    pub fn clock(&self, now: Instant, drift: f64) -> Option<WorkerMillis> {
         let reading = self.clock_reading?;
         let passed = now.saturating_duration_since(reading.at);
+        let passed = passed.mul_f64(1.0 - drift);
         Some(reading.clock + passed.as_millis() as WorkerMillis)
     }
 
     /// Returns and records the end of a lease that is requested now.
-    pub fn renew(&mut self, now: Instant, lease: Duration) -> Option<WorkerMillis> {
-        let until = self.clock(now)? + lease.as_millis() as WorkerMillis;
+    pub fn renew(&mut self, now: Instant, lease: Duration, drift: f64) -> Option<WorkerMillis> {
+        let until = self.clock(now, drift)? + lease.as_millis() as WorkerMillis;
         self.lease_granted_until = self.lease_granted_until.max(until);
         Some(until)
     }
