Stop a run whose start went unanswered before its task starts elsewhere

Callers would see a task run twice: a request that went unanswered may be executed seconds later, after a repeat of it was refused.

Cause: a refused repeat (no room, unhealthy, not sent) returned the task to the waiting ones, whether or not an earlier request was unanswered. Change: such a run is stopped first; the worker then rejects the earlier request for good. Evidence: three tests a_late_start_does_not_run_twice_after_... failed before and pass.

--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -134,8 +134,19 @@
         }
     }
 
-    /// Returns the task of a start that was not executed to the waiting tasks.
+    /// Returns the task of a refused start to the waiting tasks.
+    ///
+    /// An earlier request of the same start may still be executed if it went unanswered; the worker
+    /// rejects it only after a stop of the run.
     fn requeue_task(&mut self, order: &StartOrder, now: Instant) {
+        let worker = self.workers.get_mut(&order.worker);
+        let run = worker.and_then(|worker| worker.runs.get_mut(&order.task));
+        if let Some(run) = run
+            && run.start_attempts > 0
+        {
+            run.phase = RunPhase::Stopping;
+            return;
+        }
         let end = RunEnd::Stopped;
         self.end_run(&order.worker, &order.task, order.run, end, None, now);
     }
