Poll a silent worker once more after its lease expired

Callers saw tasks run again: their owner had no processor time, its polls timed out while the workers answered, and it took their runs for lost as the leases expired.

Cause: an expired lease proves that a run no longer runs, not that it is not done. The worker keeps the end until it is acknowledged. Change: runs on a silent worker are lost only when a poll that was sent after the expiry goes unanswered too; it is due at the expiry.

--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -114,8 +114,14 @@
             }
             Err(fault) => {
                 worker.missed_polls += 1;
+                worker.silent_at = Some(order.sent_at);
                 let doubled = self.settings.poll_retry * (1 << (worker.missed_polls - 1).min(4));
                 worker.poll_due = now + doubled.min(self.settings.poll_retry_max);
+                // One more poll once the lease has expired, before the runs count as lost.
+                let lease_end = worker.latest_lease_end(self.settings.clock_drift);
+                if order.sent_at < lease_end {
+                    worker.poll_due = worker.poll_due.min(lease_end.max(now));
+                }
                 let misses = worker.missed_polls;
                 // A lost worker is polled for seconds; logging only at powers of two keeps the
                 // number of lines low.
--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -142,11 +142,17 @@
     }
 
     /// Ends the runs on unreachable workers whose last possible lease has expired.
+    ///
+    /// The lease of a worker that does answer may expire too, if its owner lacks processor time. Its
+    /// answer says how its runs ended, so a poll after the expiry has to go unanswered first.
     pub(super) fn expire_leases(&mut self, now: Instant) {
         let drift = self.settings.clock_drift;
         let unreachable = self.workers.iter().filter(|(_, worker)| {
             let unreachable = worker.missed_polls > 0 || !worker.listed && !worker.synced;
-            unreachable && !worker.runs.is_empty() && now >= worker.latest_lease_end(drift)
+            let lease_end = worker.latest_lease_end(drift);
+            let is_silent = worker.silent_at.is_some_and(|at| at >= lease_end);
+            let asked = is_silent || !worker.has_address();
+            unreachable && !worker.runs.is_empty() && now >= lease_end && asked
         });
         let unreachable: Vec<WorkerId> = unreachable.map(|(id, _)| id.clone()).collect();
         for id in unreachable {
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -220,6 +220,8 @@
     pub poll_due: Instant,
     /// Number of consecutive polls without an answer.
     pub missed_polls: u32,
+    /// When the last poll that went unanswered was sent.
+    pub silent_at: Option<Instant>,
     /// The worker gets no starts before this time.
     pub paused_until: Instant,
     /// Number of consecutive starts that the worker refused as unhealthy.
@@ -251,6 +253,7 @@
             poll_in_flight: false,
             poll_due: now,
             missed_polls: 0,
+            silent_at: None,
             paused_until: now,
             unhealthy_refusals: 0,
             runs: IndexMap::new(),
@@ -344,6 +347,18 @@
         })
     }
 
+    /// Returns whether the worker's address is known; it is not while only a stored placement names
+    /// the worker.
+    pub fn has_address(&self) -> bool {
+        self.entry.address.port() != 0
+    }
+
+    /// Returns whether a run on the worker has to be stopped.
+    pub fn is_stopping(&self) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|run| run.phase == RunPhase::Stopping)
+    }
+
     /// Returns whether the worker has runs.
     pub fn has_runs(&self) -> bool {
         !self.runs.is_empty()
@@ -360,8 +375,7 @@
     /// Returns when the next poll is due; `None` while none can be sent or is needed. The address
     /// of a worker that is known only from a stored placement is unknown.
     pub fn next_poll(&self) -> Option<Instant> {
-        let has_address = self.entry.address.port() != 0;
-        let sendable = has_address && !self.poll_in_flight && self.needs_poll();
+        let sendable = self.has_address() && !self.poll_in_flight && self.needs_poll();
         sendable.then_some(self.poll_due)
     }
 }
