Stop runs that may start on a later life of their worker

Callers would see a task run twice: an order names its worker by id alone, so a worker that restarts under its id executes a start that was meant for its former life.

Cause: the end of a life ended all runs as lost and started their tasks elsewhere, also those whose start was unanswered, in the owner's queue, or not yet reported by the life that it was sent to. Change: such runs are stopped on the later life before their tasks start again. A worker that does not come back is waited for as long as its lease; a machine that is gone or has another worker ends its runs at once, except for unanswered starts. The later life is polled without a pause.

--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -399,6 +399,7 @@
             account: record.account.clone(),
             phase,
             since: now,
+            reported: false,
             start_attempts: 0,
             stop_sent: None,
             stop_acknowledged: None,
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -9,7 +9,7 @@
 use super::ShardController;
 use crate::message::{CallFault, FinishedRun, PaceOrder, PollOrder, PollReport, ShardCommand};
 use crate::pace::next_pace;
-use crate::worker::{ClockReading, RunPhase, WorkerEntry, WorkerRecord};
+use crate::worker::{ClockReading, LifeEnd, RunPhase, WorkerEntry, WorkerRecord};
 
 impl ShardController {
     /// Applies a new list of workers; a worker that is missing from it gets no more starts.
@@ -22,13 +22,13 @@
         for worker in self.workers.values_mut() {
             worker.listed = false;
         }
-        let mut restarted = Vec::new();
+        let mut ended = Vec::new();
         for entry in entries {
             match self.workers.get_mut(&entry.id) {
                 Some(worker) => {
                     // A later life in the list means that the known one has ended.
                     if worker.life.is_some_and(|life| entry.life > life) {
-                        restarted.push(entry.id.clone());
+                        ended.push((entry.id.clone(), LifeEnd::Listed));
                     }
                     worker.listed = true;
                     worker.entry = entry;
@@ -39,9 +39,10 @@
                 }
             }
         }
-        restarted.extend(self.replaced_workers(lives));
-        for id in restarted {
-            self.end_worker_life(&id, "later life listed", now);
+        let replaced = self.replaced_workers(lives).into_iter();
+        ended.extend(replaced.map(|id| (id, LifeEnd::Replaced)));
+        for (id, cause) in ended {
+            self.end_worker_life(&id, cause, now);
         }
         self.placement_needed = true;
     }
@@ -76,7 +77,9 @@
             let waits = worker.synced && worker.missed_polls == 0 && worker.has_runs();
             // The next task moves once this one is ready. Readiness does not end a worker's wait,
             // so the wait is short.
-            let wait = if moving && worker.is_starting_long_running() {
+            // Nothing ends a wait for a stopped run that never started.
+            let stopping = worker.is_stopping();
+            let wait = if stopping || moving && worker.is_starting_long_running() {
                 settings.poll_gap
             } else {
                 settings.poll_wait
@@ -110,7 +113,7 @@
             Ok(report) => self.apply_report(order, report, now),
             Err(CallFault::Fenced) => self.check_ownership(now),
             Err(CallFault::OtherLife) => {
-                self.end_worker_life(&order.worker, "address answers for another worker", now);
+                self.end_worker_life(&order.worker, LifeEnd::AddressReused, now);
             }
             Err(fault) => {
                 worker.missed_polls += 1;
@@ -140,7 +143,7 @@
         };
         let other_life = worker.life.is_some_and(|life| life != report.life);
         if other_life {
-            self.end_worker_life(&order.worker, "poll answered by another life", now);
+            self.end_worker_life(&order.worker, LifeEnd::Reported, now);
         }
         let Some(worker) = self.workers.get_mut(&order.worker) else {
             return;
@@ -283,6 +286,7 @@
             .is_none_or(|job| job.is_over());
         match worker.runs.get_mut(&active.task) {
             Some(run) if run.run == active.run => {
+                run.reported = true;
                 run.load = active.load;
                 run.percent = active.percent;
                 match run.phase {
--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -7,6 +7,7 @@
 use pw_job::prelude::*;
 
 use super::ShardController;
+use crate::worker::{LifeEnd, RunPhase};
 
 /// Pause of a task after a failed run, doubled for each run of it that has failed so far.
 const FAILURE_PAUSE: Duration = Duration::from_millis(50);
@@ -90,13 +91,15 @@
             } else if let Some(worker) = self.workers.get_mut(&id)
                 && let Some(record) = worker.runs.get_mut(&name)
             {
-                record.phase = crate::worker::RunPhase::Stopping;
+                record.phase = RunPhase::Stopping;
             }
         }
     }
 
-    /// Resets a worker whose life has ended and ends its runs as lost.
-    pub(super) fn end_worker_life(&mut self, id: &WorkerId, cause: &str, now: Instant) {
+    /// Resets a worker whose life has ended and ends its runs as lost, except for those that may
+    /// still start on a later life, which are stopped there first.
+    pub(super) fn end_worker_life(&mut self, id: &WorkerId, cause: LifeEnd, now: Instant) {
+        let lease = self.settings.lease.div_f64(1.0 - self.settings.clock_drift);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -108,22 +111,31 @@
         worker.applied_end = 0;
         worker.stored_end = 0;
         worker.acknowledged_end = 0;
+        worker.inherited_lease_end = now + lease;
+        worker.silent_at = None;
         // The address is polled again later, in case it still belongs to this worker.
-        worker.poll_due = now + self.settings.poll_retry_max;
+        worker.poll_due = match cause {
+            LifeEnd::Listed | LifeEnd::Reported => now,
+            _ => now + self.settings.poll_retry_max,
+        };
+        let mut lost = Vec::new();
+        for (name, run) in &mut worker.runs {
+            if cause.may_survive(run) {
+                run.stop_sent = None;
+                run.stop_acknowledged = None;
+                run.phase = RunPhase::Stopping;
+            } else {
+                lost.push((name.clone(), run.run));
+            }
+        }
         let event = EventCode::WorkerLifeEnded.number();
-        let runs = worker.runs.len();
-        let unanswered = worker.runs.values().filter(|run| run.is_unanswered());
-        let unanswered = unanswered.count();
+        let (runs, surviving) = (worker.runs.len(), worker.runs.len() - lost.len());
         tracing::warn!(
-            event,
-            worker = &**id,
-            life,
-            cause,
-            runs,
-            unanswered,
-            "life of a worker ended"
+            event, worker = &**id, life, %cause, runs, surviving, "life of a worker ended"
         );
-        self.end_runs_as_lost(id, now);
+        for (name, run) in lost {
+            self.end_run(id, &name, run, RunEnd::Lost, None, now);
+        }
     }
 
     /// Ends all runs on a worker as lost.
--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -7,7 +7,7 @@
 
 use super::{ShardController, StartOrder, StopOrder};
 use crate::message::{CallFault, ShardCommand, StartOutcome};
-use crate::worker::RunPhase;
+use crate::worker::{LifeEnd, RunPhase};
 
 impl ShardController {
     /// Sends the start of a run whose placement is stored.
@@ -99,7 +99,7 @@
                 worker.poll_due = worker.poll_due.min(now);
             }
             StartOutcome::OtherLife => {
-                self.end_worker_life(&order.worker, "address answers for another worker", now)
+                self.end_worker_life(&order.worker, LifeEnd::AddressReused, now)
             }
             StartOutcome::Malformed => {
                 self.end_run(
@@ -205,7 +205,7 @@
                 }
             }
             Err(CallFault::OtherLife) => {
-                self.end_worker_life(&order.worker, "address answers for another worker", now)
+                self.end_worker_life(&order.worker, LifeEnd::AddressReused, now)
             }
             Err(CallFault::Fenced) => self.check_ownership(now),
             // `send_stops` retries.
--- a/crates/control/src/shard/survey.rs
+++ b/crates/control/src/shard/survey.rs
@@ -9,7 +9,7 @@
 
 use super::ShardController;
 use crate::message::{PoolLoad, SurveyOrder, SurveyReport, UnreachableWorker, WorkerLife};
-use crate::worker::{READY_PERCENT, RunPhase, WorkerRecord};
+use crate::worker::{LifeEnd, READY_PERCENT, RunPhase, WorkerRecord};
 
 /// How long a worker continues to drain after the last survey that requested it.
 const DRAIN_REQUEST_TTL: Duration = Duration::from_secs(2);
@@ -34,7 +34,7 @@
         for WorkerLife { worker, life } in &order.ended {
             let known = self.workers.get(worker).and_then(|worker| worker.life);
             if known == Some(*life) {
-                self.end_worker_life(worker, "machine has ended it", now);
+                self.end_worker_life(worker, LifeEnd::MachineEnded, now);
             }
         }
     }
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -73,6 +73,34 @@
     (workers, lives)
 }
 
+/// How the end of a worker's life became known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum LifeEnd {
+    /// A later life answered a poll.
+    Reported,
+    /// The platform lists a later life.
+    Listed,
+    /// Another worker answers at the address.
+    AddressReused,
+    /// Another worker has started on the machine.
+    Replaced,
+    /// The list of machines shows that the machine or its worker is gone.
+    MachineEnded,
+}
+
+impl LifeEnd {
+    /// Returns whether a run may still start on a later life of the worker, although its own life
+    /// has ended: an order names its worker by id alone and may be executed late.
+    pub fn may_survive(self, run: &RunRecord) -> bool {
+        match self {
+            Self::Reported | Self::Listed => run.is_unanswered() || !run.reported,
+            Self::MachineEnded => run.is_unanswered(),
+            Self::AddressReused | Self::Replaced => false,
+        }
+    }
+}
+
 /// Progress in percent at which a long-running task is ready.
 pub(crate) const READY_PERCENT: u8 = 100;
 
@@ -103,6 +131,8 @@
     pub phase: RunPhase,
     /// When the phase began.
     pub since: Instant,
+    /// The worker has reported the run as active to this owner.
+    pub reported: bool,
     /// Number of starts that went unanswered.
     pub start_attempts: u32,
     /// When the last stop was sent.
@@ -141,6 +171,7 @@
             account: None,
             phase: RunPhase::Stopping,
             since: now,
+            reported: true,
             start_attempts: 0,
             stop_sent: None,
             stop_acknowledged: None,
