Count run ends as reported, also those before a lapse of the lease

Cause: an owner without processor time handles answers seconds late, its leases lapse, and one report then lists ends that are done followed by a run that lapsed. The owner took all ends before the lapse for lapsed, although the worker had listed them before in answers that were late, lost in the owner's process, or sent to the previous owner. Change: an end counts as it is reported. A run that counted as lost and is reported as done after all completes its task, or its gang, and a later run is stopped.

A task must not start once an answer that reached its owner's process, handled or not, says that it is done.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -110,8 +110,8 @@
     /// The service that advises which workers may run a step did not answer.
     #[strum(message = "The service that advises which workers may run a step did not answer.")]
     AdviceMissing = 615,
-    /// The end of a run was not applied as the worker reported it.
-    #[strum(message = "The end of a run was not applied as the worker reported it.")]
+    /// A worker reported the end of a run that is not placed there.
+    #[strum(message = "A worker reported the end of a run that is not placed there.")]
     EndDiscarded = 616,
     /// A task whose earlier run did not end as done is placed again.
     #[strum(message = "A task whose earlier run did not end as done is placed again.")]
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -176,16 +176,10 @@
 
     /// Applies the run ends that are new.
     ///
-    /// An end that precedes a lapse of the lease was not acknowledged in time, so it counts as
-    /// lapsed too and its task runs again. A lapse shows only as a run that ended with it: a lease
-    /// that expires on a worker without runs voids no earlier end.
+    /// An end counts whether or not the lease expired before its acknowledgement: the worker reports
+    /// it until then, and an owner that lacks processor time learns of it late.
     fn apply_run_ends(&mut self, order: &PollOrder, report: &PollReport, now: Instant) {
         let (id, acknowledged) = (&order.worker, order.acknowledged);
-        let lapses = report
-            .finished
-            .iter()
-            .filter(|end| end.end == RunEnd::LeaseExpired);
-        let last_lapse = lapses.map(|end| end.number).max().unwrap_or_default();
         for end in &report.finished {
             let Some(worker) = self.workers.get_mut(id) else {
                 return;
@@ -198,24 +192,12 @@
                 .runs
                 .get(&end.task)
                 .is_some_and(|run| run.run == end.run);
-            let effective_end = if end.number < last_lapse {
-                RunEnd::LeaseExpired
-            } else {
-                end.end
-            };
-            if !known || effective_end != end.end {
-                log_discarded_end(id, end, (known, last_lapse), (report.clock, acknowledged));
-            }
             if known {
                 self.set_started(&end.task);
-                self.end_run(
-                    id,
-                    &end.task,
-                    end.run,
-                    effective_end,
-                    end.checkpoint.clone(),
-                    now,
-                );
+                let checkpoint = end.checkpoint.clone();
+                self.end_run(id, &end.task, end.run, end.end, checkpoint, now);
+            } else if end.end != RunEnd::Done || !self.complete_lost(&end.task, end.run, now) {
+                log_discarded_end(id, end, (report.clock, acknowledged));
             }
             // The end is acknowledged to the worker only after a later append is stored.
             self.store_queue.mark_changed(&end.task.job);
@@ -394,19 +376,16 @@
     }
 }
 
-/// Logs the end of a run that is not placed on the worker (`known` is false), or that counts as
-/// lapsed because the lease expired after it.
+/// Logs the end of a run that is not placed on the worker.
 fn log_discarded_end(
     worker: &WorkerId,
     end: &FinishedRun,
-    (known, last_lapse): (bool, EndNumber),
     (clock, acknowledged): (WorkerMillis, EndNumber),
 ) {
     let event = EventCode::EndDiscarded.number();
     let (worker, task, run, number) = (&**worker, &end.task, end.run, end.number);
     let end = end.end;
     tracing::warn!(
-        event, %task, run, worker, %end, number, known, last_lapse, clock, acknowledged,
-        "run end discarded"
+        event, %task, run, worker, %end, number, clock, acknowledged, "run end discarded"
     );
 }
--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -75,6 +75,53 @@
         }
     }
 
+    /// Completes a task of which a run that counted as lost is done after all, and stops a later run
+    /// of it; returns whether the task is now done.
+    pub(super) fn complete_lost(&mut self, task: &TaskName, run: RunNumber, now: Instant) -> bool {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return false;
+        };
+        let position = (task.occurrence, task.step, task.index);
+        let spec = &job.submission.spec;
+        let gang = spec
+            .steps
+            .get(task.step as usize)
+            .is_some_and(|step| step.gang);
+        let completed = job.state.complete_lost(spec, position, run);
+        if completed {
+            self.store_queue.mark_changed(&task.job);
+            self.changed_jobs.insert(task.job.clone());
+            self.placement_needed = true;
+            let event = EventCode::RunEnded.number();
+            tracing::info!(event, %task, run, "a run that counted as lost is done");
+        }
+        if completed {
+            self.stop_later_runs(task, gang, now);
+        }
+        completed
+    }
+
+    /// Stops the runs of a task that is done already, or of all members of its gang.
+    fn stop_later_runs(&mut self, task: &TaskName, gang: bool, now: Instant) {
+        let mut planned = Vec::new();
+        for (id, worker) in &mut self.workers {
+            let same_step = |name: &TaskName| {
+                name.job == task.job && name.occurrence == task.occurrence && name.step == task.step
+            };
+            let runs = worker.runs.iter_mut();
+            for (name, run) in runs.filter(|(name, _)| *name == task || gang && same_step(name)) {
+                if run.phase == RunPhase::Planned {
+                    planned.push((id.clone(), name.clone(), run.run));
+                } else {
+                    run.phase = RunPhase::Stopping;
+                }
+            }
+        }
+        for (worker, name, run) in planned {
+            self.end_run(&worker, &name, run, RunEnd::Stopped, None, now);
+        }
+    }
+
     /// Ends or stops the other members of a gang after one of them ended.
     fn propagate_gang_end(&mut self, task: &TaskName, run: RunNumber, end: RunEnd, now: Instant) {
         let mut others = Vec::new();
@@ -85,6 +132,12 @@
             });
             others.extend(members.map(|(name, _)| (id.clone(), name.clone())));
         }
+        if end == RunEnd::Done
+            && let Some(job) = self.jobs.get_mut(&task.job)
+        {
+            let position = (task.occurrence, task.step, task.index);
+            job.state.complete_lost(&job.submission.spec, position, run);
+        }
         for (id, name) in others {
             if end == RunEnd::Done {
                 self.end_run(&id, &name, run, RunEnd::Done, None, now);
--- a/crates/control/tests/support/checks.rs
+++ b/crates/control/tests/support/checks.rs
@@ -48,6 +48,13 @@
         let started = (order.worker.clone(), order.run, self.now);
         let starts = self.starts.entry(task.clone()).or_default();
         starts.push(started);
+        let owner = self.owners.iter();
+        let mut owner = owner.filter(|owner| owner.epoch() == order.epoch);
+        let told = owner.any(|owner| owner.is_told_done(task));
+        assert!(
+            !told || self.step_of(task).long_running,
+            "{task} started although its owner was told that it is done"
+        );
         assert!(
             !self.done.contains(task),
             "{task} started after it was done"
@@ -55,7 +62,7 @@
         self.check_attempts(task);
     }
 
-    /// Records a run end that counts, because it was acknowledged before the lease lapsed.
+    /// Records a run end that counts, because it was acknowledged before the lease expired.
     pub(super) fn record_end(&mut self, acknowledged: AcknowledgedEnd) {
         let task = acknowledged.task.clone();
         self.trace(|| {
--- a/crates/control/tests/support/owner.rs
+++ b/crates/control/tests/support/owner.rs
@@ -5,6 +5,7 @@
 
 use pw_base::prelude::*;
 use pw_control::prelude::*;
+use pw_job::prelude::*;
 
 /// An owner of the shard, with the events and commands that wait in its process.
 pub struct OwnerProcess {
@@ -19,6 +20,8 @@
     pub thawed: bool,
     /// Workers that the owner does not reach.
     pub cut_off: HashSet<WorkerId>,
+    /// Tasks that are done according to the answers that have reached the process.
+    told_done: HashSet<TaskName>,
     inbox: VecDeque<(Instant, ShardEvent)>,
     outbox: VecDeque<(Instant, ShardCommand)>,
 }
@@ -32,6 +35,7 @@
             frozen: false,
             thawed: false,
             cut_off,
+            told_done: HashSet::new(),
             inbox: VecDeque::new(),
             outbox: VecDeque::new(),
         }
@@ -42,6 +46,13 @@
     }
 
     pub fn receive(&mut self, event: ShardEvent, now: Instant) {
+        if let ShardEvent::Polled {
+            result: Ok(report), ..
+        } = &event
+        {
+            let done = report.finished.iter().filter(|end| end.end == RunEnd::Done);
+            self.told_done.extend(done.map(|end| end.task.clone()));
+        }
         self.inbox.push_back((now, event));
     }
 
@@ -59,6 +70,12 @@
         due.then(|| self.inbox.pop_front())?.map(|(_, event)| event)
     }
 
+    /// Returns whether an answer that has reached the process, handled or not, says that a task is
+    /// done.
+    pub fn is_told_done(&self, task: &TaskName) -> bool {
+        self.told_done.contains(task)
+    }
+
     pub fn queue_command(&mut self, command: ShardCommand, now: Instant) {
         self.outbox.push_back((now, command));
     }
--- a/crates/job/src/state.rs
+++ b/crates/job/src/state.rs
@@ -232,6 +232,36 @@
         Some(task.last_run)
     }
 
+    /// Records that a run that counted as lost is done after all. The end of one member of a gang
+    /// completes the others too.
+    ///
+    /// Returns `false` and changes nothing when the task is done or never counts as done.
+    pub fn complete_lost(
+        &mut self,
+        spec: &JobSpec,
+        (occurrence, step, index): (OccurrenceNumber, u32, u32),
+        run: RunNumber,
+    ) -> bool {
+        let step_spec = spec.steps.get(step as usize);
+        let Some(step_spec) = step_spec.filter(|step| !step.long_running) else {
+            return false;
+        };
+        let mut occurrences = self.occurrences.iter_mut();
+        let tasks = occurrences
+            .find(|o| o.number == occurrence)
+            .and_then(|found| found.steps.get_mut(step as usize));
+        let mut completed = false;
+        for (number, task) in tasks.into_iter().flatten().enumerate() {
+            let covered = step_spec.gang || number == index as usize;
+            if covered && task.last_run >= run && !task.is_done() {
+                task.phase = TaskPhase::Done;
+                completed = true;
+            }
+        }
+        self.occurrences.retain(|occurrence| !occurrence.all_done());
+        completed
+    }
+
     /// Records the end of a task's last run.
     ///
     /// Returns `false` and changes nothing when `run` is not the placed run. The job fails when a
