--- a/crates/control/tests/soak.rs
+++ b/crates/control/tests/soak.rs
@@ -32,7 +32,8 @@
 #[test]
 fn tasks_run_once_while_orders_are_late() {
     let rates = DisturbanceRates {
-        late_orders: 0.1,
+        late_orders: 0.15,
+        refusals: 0.3,
         ..rates()
     };
     soak(200..240, rates);
@@ -79,17 +80,28 @@
 #[test]
 fn tasks_run_once_while_lagging_owners_follow_each_other() {
     let rates = DisturbanceRates {
-        lags: 0.3,
+        lags: 0.15,
         freezes: 0.05,
-        store_delays: 0.2,
-        claims: 0.07,
-        releases: 0.1,
+        store_delays: 0.4,
+        claims: 0.05,
+        releases: 0.03,
         partitions: 0.1,
         ..rates()
     };
     soak(700..740, rates);
 }
 
+#[test]
+fn tasks_run_once_while_a_successor_and_a_frozen_owner_reach_different_workers() {
+    let rates = DisturbanceRates {
+        freezes: 0.02,
+        store_delays: 1.0,
+        claims: 0.05,
+        ..rates()
+    };
+    soak(900..940, rates);
+}
+
 #[test]
 fn tasks_run_once_under_all_disturbances() {
     let rates = DisturbanceRates {
@@ -102,6 +114,7 @@
         claims: 0.07,
         releases: 0.05,
         store_delays: 0.1,
+        refusals: 0.1,
         failures: 0.05,
     };
     soak(800..840, rates);
--- a/crates/control/tests/support/soak.rs
+++ b/crates/control/tests/support/soak.rs
@@ -46,6 +46,8 @@
     pub releases: f64,
     /// The time that an answer of the store takes changes.
     pub store_delays: f64,
+    /// A worker begins or ceases to refuse starts as unhealthy.
+    pub refusals: f64,
     /// A worker's runs begin or cease to fail.
     pub failures: f64,
 }
@@ -133,6 +135,9 @@
     }
 
     fn run(mut self) {
+        for _ in 0..3 {
+            self.submit_job(vec![long_running(1)]);
+        }
         let calm_at = self.cluster.now + DISTURBED_TIME;
         while self.cluster.now < calm_at {
             self.submit();
@@ -146,7 +151,7 @@
         let owner = self.cluster.owner_mut();
         (owner.event_lag, owner.command_lag) = Default::default();
         for worker in self.cluster.workers.values_mut() {
-            worker.runs_fail = false;
+            (worker.runs_fail, worker.unhealthy) = (false, false);
         }
         self.cluster.list_workers();
         self.cluster.run(CALM_TIME);
@@ -180,19 +185,16 @@
             depends_on: vec![0],
             ..step(2)
         };
-        let steps = match self.rng.random_range(0..8) {
-            0 => vec![long_running(1)],
-            1 => vec![gang],
-            2 | 3 => vec![step(count), second],
+        let steps = match self.rng.random_range(0..6) {
+            0 => vec![gang],
+            1 | 2 => vec![step(count), second],
             _ => vec![step(count)],
         };
-        // Lasting jobs must leave room for the others.
-        let lasting = self.jobs.iter().filter(|job| job.starts_with("lasting"));
-        let lasting = lasting.count();
+        self.submit_job(steps);
+    }
+
+    fn submit_job(&mut self, steps: Vec<StepSpec>) {
         let long_running = steps[0].long_running;
-        if long_running && lasting >= 3 {
-            return;
-        }
         let kind = if long_running { "lasting" } else { "job" };
         let id = format!("{kind}{}", self.jobs.len());
         self.cluster.submit(&id, None, steps);
@@ -218,12 +220,7 @@
         }
         if self.occurs(rates.freezes) {
             let time = self.any_time(12_000);
-            let owner = self.cluster.owner_mut();
-            (owner.frozen, owner.thawed) = (true, true);
-            let epoch = owner.epoch();
-            self.cluster
-                .trace(|| format!("epoch {epoch} is frozen for {time:?}"));
-            self.end_after(time, DisturbanceEnd::Thaw(epoch));
+            self.freeze(time);
         }
         if self.occurs(rates.restarts) {
             let worker = self.any_worker();
@@ -251,6 +248,11 @@
                 _ => self.any_time(6000),
             };
         }
+        if self.occurs(rates.refusals) {
+            let worker = self.any_worker();
+            let worker = &mut self.cluster.workers[&worker];
+            worker.unhealthy = !worker.unhealthy;
+        }
         if self.occurs(rates.failures) {
             let worker = self.any_worker();
             let worker = &mut self.cluster.workers[&worker];
@@ -262,12 +264,26 @@
     fn claim(&mut self) {
         let old = self.cluster.owner().epoch();
         self.cluster.owner_mut().cut_off = self.any_workers();
+        if self.rates.freezes > 0.0 && self.rng.random_bool(0.5) {
+            let time = self.any_time(8000);
+            self.freeze(time);
+        }
         let cut_off = self.any_workers();
         self.cluster.claim(None, cut_off);
-        let time = self.any_time(20_000);
+        let time = seconds(5) + self.any_time(20_000);
         self.end_after(time, DisturbanceEnd::Retire(old));
     }
 
+    /// Takes the CPU time of the owner away.
+    fn freeze(&mut self, time: Duration) {
+        let owner = self.cluster.owner_mut();
+        (owner.frozen, owner.thawed) = (true, true);
+        let epoch = owner.epoch();
+        self.cluster
+            .trace(|| format!("epoch {epoch} is frozen for {time:?}"));
+        self.end_after(time, DisturbanceEnd::Thaw(epoch));
+    }
+
     fn any_workers(&mut self) -> HashSet<WorkerId> {
         let ids = self.cluster.workers.keys().cloned();
         let drawn = ids.filter(|_| self.rng.random_bool(0.3));
