Test a run that ended on a silent worker while its task waits again

The owner ends the run when the worker's lease is over, hears of its successful end once the worker is back, and starts the task again all the same: "job.0.0.0 started again although its end counts".

--- a/crates/control/tests/starved_owner.rs
+++ b/crates/control/tests/starved_owner.rs
@@ -309,6 +309,20 @@
     assert_eq!(cluster.status("job"), COMPLETED);
 }
 
+/// The same, where no other worker has room for the task before the worker is back.
+#[test]
+fn a_run_that_ended_on_a_silent_worker_counts_while_its_task_waits() {
+    let mut cluster = TestCluster::new(1);
+    cluster.run_time = seconds(2);
+    cluster.submit("job", None, vec![step(1)]);
+    assert!(cluster.run_until(seconds(1), |cluster| cluster.running(TASK) == 1));
+    cluster.workers[0].unreachable = true;
+    cluster.run(seconds(9));
+    cluster.workers[0].unreachable = false;
+    assert!(cluster.run_until(seconds(10), |cluster| cluster.status("job") == COMPLETED));
+    assert_eq!(cluster.start_count(TASK), 1);
+}
+
 /// The clock of a worker is slow, and the owner's last reading of it is 10 s old.
 #[test]
 fn a_lease_by_an_old_reading_of_a_slow_clock_does_not_outlast_the_wait_of_the_next_owner() {
