Test a late poll of a former life that acknowledges ends of a later one

A worker restarts under its id and carries out a poll that was meant for its former life. It forgets two ends of the new one before its owner has learned of them, and the owner starts the task again: "other.0.0.0 started after it was done".

--- a/crates/control/tests/starved_owner.rs
+++ b/crates/control/tests/starved_owner.rs
@@ -131,6 +131,36 @@
     );
 }
 
+/// A poll acknowledges two ends of the former life; the later life has two ends by then.
+#[test]
+fn a_late_poll_of_a_former_life_does_not_acknowledge_ends_of_a_later_one() {
+    let mut cluster = TestCluster::new(1);
+    cluster.submit("first", None, vec![step(2)]);
+    assert!(cluster.run_until(seconds(2), |cluster| cluster.done.len() == 2));
+    cluster.submit("lasting", None, vec![long_running(1)]);
+    cluster.order_fate = Box::new(|command| match command {
+        ShardCommand::Poll(order) if order.acknowledged == 2 => OrderFate::Late(millis(4600)),
+        _ => OrderFate::Delivered,
+    });
+    cluster.run(millis(200));
+    let worker = cluster.workers[0].entry.id.clone();
+    cluster.restart_worker(&worker);
+    cluster.list_workers();
+    cluster.order_fate = Box::new(|_| OrderFate::Delivered);
+    cluster.run_time = millis(1000);
+    cluster.submit("job", None, vec![step(1)]);
+    assert!(cluster.run_until(seconds(3), |cluster| cluster.running(TASK) == 1));
+    cluster.run(millis(300));
+    cluster.submit("other", None, vec![step(1)]);
+    assert!(cluster.run_until(seconds(1), |cluster| cluster.running("other.0.0.0") == 1));
+    cluster.run(millis(100));
+    cluster.owner_mut().frozen = true;
+    cluster.run(seconds(3));
+    cluster.owner_mut().frozen = false;
+    cluster.run(seconds(10));
+    assert_eq!(cluster.status("other"), COMPLETED);
+}
+
 /// The worker of a long-running task is reached by the earlier owner only, which still holds its
 /// lease.
 fn run_beside_successor(cluster: &mut TestCluster, holder: &str, time: Duration) {
