--- a/crates/control/tests/starved_owner.rs
+++ b/crates/control/tests/starved_owner.rs
@@ -131,6 +131,36 @@
     );
 }
 
+/// A poll acknowledges two ends of the former life; the later life has two ends by then.
+#[test]
+fn a_late_poll_of_a_former_life_does_not_acknowledge_ends_of_a_later_one() {
+    let mut cluster = TestCluster::new(1);
+    cluster.submit("first", None, vec![step(2)]);
+    assert!(cluster.run_until(seconds(2), |cluster| cluster.done.len() == 2));
+    cluster.submit("lasting", None, vec![long_running(1)]);
+    cluster.order_fate = Box::new(|command| match command {
+        ShardCommand::Poll(order) if order.acknowledged == 2 => OrderFate::Late(millis(4600)),
+        _ => OrderFate::Delivered,
+    });
+    cluster.run(millis(200));
+    let worker = cluster.workers[0].entry.id.clone();
+    cluster.restart_worker(&worker);
+    cluster.list_workers();
+    cluster.order_fate = Box::new(|_| OrderFate::Delivered);
+    cluster.run_time = millis(1000);
+    cluster.submit("job", None, vec![step(1)]);
+    assert!(cluster.run_until(seconds(3), |cluster| cluster.running(TASK) == 1));
+    cluster.run(millis(300));
+    cluster.submit("other", None, vec![step(1)]);
+    assert!(cluster.run_until(seconds(1), |cluster| cluster.running("other.0.0.0") == 1));
+    cluster.run(millis(100));
+    cluster.owner_mut().frozen = true;
+    cluster.run(seconds(3));
+    cluster.owner_mut().frozen = false;
+    cluster.run(seconds(10));
+    assert_eq!(cluster.status("other"), COMPLETED);
+}
+
 /// The worker of a long-running task is reached by the earlier owner only, which still holds its
 /// lease.
 fn run_beside_successor(cluster: &mut TestCluster, holder: &str, time: Duration) {
@@ -235,7 +265,9 @@
     let mut cluster = TestCluster::new(1);
     cluster.submit("lasting", None, vec![long_running(1)]);
     cluster.submit("job", None, vec![step(1)]);
-    assert!(cluster.run_until(seconds(1), |cluster| cluster.running(TASK) == 1));
+    assert!(cluster.run_until(seconds(1), |cluster| {
+        cluster.running(TASK) == 1 && cluster.running("lasting.0.0.0") == 1
+    }));
     let ended = |c: &TestCluster| !c.workers[0].finished.is_empty();
     assert!(cluster.run_until(seconds(1), ended));
     cluster.run(millis(50));
@@ -255,7 +287,9 @@
     let mut cluster = TestCluster::new(1);
     cluster.submit("lasting", None, vec![long_running(1)]);
     cluster.submit("job", None, vec![step(1)]);
-    assert!(cluster.run_until(seconds(1), |cluster| cluster.running(TASK) == 1));
+    assert!(cluster.run_until(seconds(1), |cluster| {
+        cluster.running(TASK) == 1 && cluster.running("lasting.0.0.0") == 1
+    }));
     let ended = |c: &TestCluster| !c.workers[0].finished.is_empty();
     assert!(cluster.run_until(seconds(1), ended));
     cluster.append_time = millis(500);
@@ -269,6 +303,25 @@
     assert_eq!(cluster.start_count(TASK), 1);
 }
 
+/// The same, where one report lists the end and the lapse, and reaches the owner 9 s late.
+#[test]
+fn an_end_reported_late_together_with_a_lapse_counts() {
+    let mut cluster = TestCluster::new(1);
+    cluster.submit("lasting", None, vec![long_running(1)]);
+    cluster.submit("job", None, vec![step(1)]);
+    assert!(cluster.run_until(seconds(1), |cluster| {
+        cluster.running(TASK) == 1 && cluster.running("lasting.0.0.0") == 1
+    }));
+    cluster.workers[0].unreachable = true;
+    cluster.run(seconds(8));
+    cluster.workers[0].unreachable = false;
+    cluster.owner_mut().event_lag = seconds(9);
+    cluster.run(seconds(30));
+    cluster.owner_mut().event_lag = Duration::ZERO;
+    assert!(cluster.run_until(seconds(20), |cluster| cluster.status("job") == COMPLETED));
+    assert_eq!(cluster.start_count(TASK), 1);
+}
+
 /// A worker ends its only run while it is silent for longer than its lease.
 #[test]
 fn a_run_that_ended_on_a_silent_worker_does_not_count_beside_its_restart() {
@@ -284,6 +337,20 @@
     assert_eq!(cluster.status("job"), COMPLETED);
 }
 
+/// The same, where no other worker has room for the task before the worker is back.
+#[test]
+fn a_run_that_ended_on_a_silent_worker_counts_while_its_task_waits() {
+    let mut cluster = TestCluster::new(1);
+    cluster.run_time = seconds(2);
+    cluster.submit("job", None, vec![step(1)]);
+    assert!(cluster.run_until(seconds(1), |cluster| cluster.running(TASK) == 1));
+    cluster.workers[0].unreachable = true;
+    cluster.run(seconds(9));
+    cluster.workers[0].unreachable = false;
+    assert!(cluster.run_until(seconds(10), |cluster| cluster.status("job") == COMPLETED));
+    assert_eq!(cluster.start_count(TASK), 1);
+}
+
 /// The clock of a worker is slow, and the owner's last reading of it is seconds old.
 #[test]
 fn a_lease_by_an_old_reading_of_a_slow_clock_does_not_outlast_the_wait_of_the_next_owner() {
