Look for runs to stop only on workers that have changed

Cause: after each event the owner looked at all runs of all workers for stops to send: 1,600 runs in the surge of a large pool, which was 3 of the 3.5 us that every event cost.

Change: the table of workers marks a worker as changed when it is borrowed mutably. Only these workers are searched, and a list keeps the ones with unacknowledged stops.

The new test fails with 32 visits of runs in place of 0 when all workers are searched. It and the tests of pw_control and pw_node pass.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod sizing;
 pub mod urgency;
 pub mod worker;
+mod worker_table;
 
 /// Commonly used items of this crate.
 pub mod prelude {
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -33,6 +33,7 @@
 use crate::shard::survey::STALE_ORDER_TIME;
 use crate::urgency::{latest_start, remaining_critical_path};
 use crate::worker::{RunPhase, RunRecord, WorkerEntry, WorkerPhase, WorkerRecord};
+use crate::worker_table::WorkerTable;
 
 /// Interval of ticks while no event arrives.
 const IDLE_TICK: Duration = Duration::from_millis(500);
@@ -62,7 +63,9 @@
     pause_ends: BTreeSet<Instant>,
     /// The remaining jobs with the time at which they left `backlog`, kept for status queries.
     finished_jobs: VecDeque<(Instant, JobId)>,
-    workers: IndexMap<WorkerId, WorkerRecord>,
+    workers: WorkerTable,
+    /// Workers with runs whose stop is not acknowledged.
+    stopping_workers: IndexSet<WorkerId>,
     budget: AccountBudget,
     store_queue: StoreQueue,
     /// Latest time at which the ownership was confirmed.
@@ -98,6 +101,8 @@
     pub jobs: u64,
     /// Visits of workers, apart from the search for a worker with room.
     pub workers: u64,
+    /// Visits of runs to find those that have to be stopped.
+    pub runs: u64,
 }
 
 /// A job and its state.
@@ -159,7 +164,8 @@
             due_occurrences: BTreeSet::new(),
             pause_ends: BTreeSet::new(),
             finished_jobs: VecDeque::new(),
-            workers: IndexMap::new(),
+            workers: WorkerTable::default(),
+            stopping_workers: IndexSet::new(),
             budget: AccountBudget::default(),
             store_queue: StoreQueue::new(now),
             confirmed_at: now,
@@ -264,7 +270,7 @@
 
     /// Runs the periodic work that is due and emits the resulting commands.
     fn advance(&mut self, now: Instant, wall: SystemTime) {
-        self.visits.workers += 5 * self.workers.len() as u64;
+        self.visits.workers += 4 * self.workers.len() as u64;
         self.expire_leases(now);
         self.review_due_jobs(wall);
         self.review_changed_jobs(now, wall);
@@ -322,7 +328,7 @@
     fn inherit_leases(&mut self, released: Option<&IndexMap<WorkerId, Duration>>, now: Instant) {
         let settings = &self.settings;
         let corrected = |left: Duration| left.div_f64(1.0 - settings.clock_drift);
-        for (id, worker) in &mut self.workers {
+        for (id, worker) in self.workers.iter_mut() {
             let left = match released {
                 Some(leases) => leases.get(id).copied().unwrap_or(settings.lease),
                 None => settings.ownership_validity + settings.lease,
@@ -367,12 +373,12 @@
                     };
                     let run =
                         self.run_record(record, step, task.last_run, RunPhase::Inherited, now);
-                    let worker = self.workers.entry(placement.worker.clone());
-                    let worker =
-                        worker.or_insert_with(|| unlisted_worker(&record.pool, placement, now));
                     if let Some(account) = &run.account {
                         self.budget.reserve(account, &run.size);
                     }
+                    let worker = self.workers.get_or_insert_with(&placement.worker, || {
+                        unlisted_worker(&record.pool, placement, now)
+                    });
                     worker.add_run(name, run);
                 }
             }
@@ -453,7 +459,7 @@
     /// Stops all runs of a job.
     fn stop_job(&mut self, job: &JobId, now: Instant) {
         let mut planned = Vec::new();
-        for (id, worker) in &mut self.workers {
+        for (id, worker) in self.workers.iter_mut() {
             let runs = worker.runs.iter_mut().filter(|(name, _)| name.job == *job);
             for (name, run) in runs {
                 match run.phase {
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -19,7 +19,7 @@
         lives: &IndexMap<MachineId, LifeStart>,
         now: Instant,
     ) {
-        for worker in self.workers.values_mut() {
+        for (_, worker) in self.workers.iter_mut() {
             worker.listed = false;
         }
         let mut restarted = Vec::new();
@@ -34,8 +34,9 @@
                     worker.entry = entry;
                 }
                 None => {
-                    let worker = WorkerRecord::new(entry, now);
-                    self.workers.insert(worker.entry.id.clone(), worker);
+                    let id = entry.id.clone();
+                    let record = || WorkerRecord::new(entry, now);
+                    self.workers.get_or_insert_with(&id, record);
                 }
             }
         }
@@ -62,10 +63,15 @@
         let settings = &self.settings;
         let confirmed = now < self.confirmed_at + settings.ownership_validity;
         let moving = self.is_moving_long_running(now);
-        for (id, worker) in &mut self.workers {
-            if worker.next_poll().is_none_or(|due| now < due) {
+        let due = self.workers.iter().filter(|(_, worker)| {
+            let due = worker.next_poll();
+            due.is_some_and(|due| now >= due)
+        });
+        let due: Vec<WorkerId> = due.map(|(id, _)| id.clone()).collect();
+        for id in due {
+            let Some(worker) = self.workers.get_mut(&id) else {
                 continue;
-            }
+            };
             // The lease of an unreachable worker is not renewed, so that it expires in time.
             let renewable = confirmed && worker.missed_polls == 0 && worker.synced;
             let lease_until = if renewable {
@@ -83,7 +89,7 @@
             };
             worker.poll_in_flight = true;
             self.commands.push(ShardCommand::Poll(PollOrder {
-                worker: id.clone(),
+                worker: id,
                 address: worker.entry.address,
                 life: worker.life,
                 epoch: self.epoch,
--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -73,7 +73,7 @@
     /// Ends or stops the other members of a gang after one of them ended.
     fn propagate_gang_end(&mut self, task: &TaskName, run: RunNumber, end: RunEnd, now: Instant) {
         let mut others = Vec::new();
-        for (id, worker) in &self.workers {
+        for (id, worker) in self.workers.iter() {
             let members = worker.runs.iter().filter(|(name, record)| {
                 let same_step = name.occurrence == task.occurrence && name.step == task.step;
                 name.job == task.job && same_step && record.run == run
@@ -145,6 +145,6 @@
         }
         // An unlisted worker without runs needs no further tracking.
         let gone = |worker: &crate::worker::WorkerRecord| !worker.listed && worker.runs.is_empty();
-        self.workers.retain(|_, worker| !gone(worker));
+        self.workers.retain(|worker| !gone(worker));
     }
 }
--- a/crates/control/src/shard/survey.rs
+++ b/crates/control/src/shard/survey.rs
@@ -27,7 +27,7 @@
     /// Applies the requests of the machine controller.
     pub(super) fn apply_survey(&mut self, order: &SurveyOrder, now: Instant) {
         self.drain(&order.drain, &order.ordered, now);
-        for worker in self.workers.values_mut() {
+        for (_, worker) in self.workers.iter_mut() {
             let machine = worker.entry.machine.as_ref();
             worker.machine_down = machine.is_some_and(|machine| order.down.contains(machine));
         }
@@ -72,7 +72,7 @@
     /// Sets the workers to drain; all others accept starts again.
     fn drain(&mut self, workers: &[WorkerId], ordered: &[WorkerId], now: Instant) {
         self.placement_needed |= self.unsurveyed_since.take().is_some();
-        for (id, worker) in &mut self.workers {
+        for (id, worker) in self.workers.iter_mut() {
             worker.machine_ordered = ordered.contains(id);
             if workers.contains(id) {
                 worker.drain_until = Some(now + DRAIN_REQUEST_TTL);
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -224,6 +224,8 @@
     pub used: ResourceSize,
     /// Number of the runs of each kind.
     pub counts: RunCounts,
+    /// The worker has changed since its table was last asked for changes.
+    pub is_changed: bool,
 }
 
 impl WorkerRecord {
@@ -251,6 +253,7 @@
             runs: IndexMap::new(),
             used: ResourceSize::default(),
             counts: RunCounts::default(),
+            is_changed: false,
         }
     }
 
@@ -337,6 +340,12 @@
         })
     }
 
+    /// Returns whether the stop of a run is not acknowledged.
+    pub fn has_pending_stops(&self) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|run| run.phase == RunPhase::Stopping && run.stop_acknowledged.is_none())
+    }
+
     /// Returns whether the worker has runs.
     pub fn has_runs(&self) -> bool {
         !self.runs.is_empty()
--- a/crates/control/tests/backlog.rs
+++ b/crates/control/tests/backlog.rs
@@ -5,32 +5,45 @@
 use pw_control::prelude::*;
 use support::{TestCluster, seconds, step};
 
-/// Returns the visits within a second of a full pool with `jobs` waiting jobs.
-fn visits_with_backlog(jobs: usize) -> VisitCount {
+/// Creates a full pool with `jobs` waiting jobs.
+fn cluster_with_backlog(jobs: usize) -> TestCluster {
     let mut cluster = TestCluster::new(4);
     for number in 0..jobs {
         cluster.submit(&format!("job-{number}"), None, vec![step(8), step(2)]);
     }
     cluster.run(seconds(1));
-    let visits = |cluster: &TestCluster| cluster.controller.as_ref().expect("an owner").visits();
+    cluster
+}
+
+fn visits(cluster: &TestCluster) -> VisitCount {
+    cluster.controller.as_ref().expect("an owner").visits()
+}
+
+/// Returns the visits of jobs within a second of a full pool with `jobs` waiting jobs.
+fn job_visits_with_backlog(jobs: usize) -> u64 {
+    let mut cluster = cluster_with_backlog(jobs);
     let before = visits(&cluster);
     cluster.run(seconds(1));
-    let after = visits(&cluster);
-    VisitCount {
-        jobs: after.jobs - before.jobs,
-        workers: after.workers - before.workers,
-    }
+    visits(&cluster).jobs - before.jobs
 }
 
 /// The cost of each event grew with the backlog, so an overloaded owner fell behind ever faster.
 #[test]
 fn waiting_jobs_do_not_slow_events_down() {
-    let few = visits_with_backlog(100);
-    let many = visits_with_backlog(4_000);
+    let few = job_visits_with_backlog(100);
+    let many = job_visits_with_backlog(4_000);
     assert!(
-        many.jobs <= few.jobs + few.jobs / 2,
-        "{} visits of jobs with 4,000 waiting jobs, {} with 100",
-        many.jobs,
-        few.jobs
+        many <= few + few / 2,
+        "{many} visits of jobs with 4,000 waiting jobs, {few} with 100"
     );
 }
+
+/// Each event looked at all runs of all workers for runs to stop.
+#[test]
+fn an_event_visits_no_runs_of_workers_that_have_not_changed() {
+    let mut cluster = cluster_with_backlog(100);
+    cluster.handle_event(ShardEvent::Tick);
+    let before = visits(&cluster);
+    cluster.handle_event(ShardEvent::Tick);
+    assert_eq!(visits(&cluster).runs - before.runs, 0);
+}
