Group ready steps by the magnitude of their tasks' size

Cause: the index of ready steps had a group for each exact size. The users' steps nearly all differ in size, so there was about one group for each step: a pass searched all workers for each group, and compared all groups for each step that it placed.

Change: a group holds the steps of a pool and priority whose tasks have the same magnitude of millicores and of memory, and knows its smallest amounts. A pass knows the largest rooms on the workers of each pool and passes over groups and steps that fit into none of them without a search.

--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -5,6 +5,7 @@
 mod persistence;
 mod polling;
 mod queries;
+mod room;
 mod run_ends;
 mod scheduling;
 mod start_stop;
--- a/crates/control/src/shard/backlog.rs
+++ b/crates/control/src/shard/backlog.rs
@@ -11,16 +11,29 @@
 use pw_base::prelude::*;
 use pw_worker::prelude::*;
 
+use super::room::PoolRoom;
+
 /// Number of a job in the order in which this owner accepted it.
 type JobNumber = u64;
 
-/// Ready steps whose tasks have the same pool, size and priority.
+/// Ready steps of one pool and priority whose tasks have about the same size.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub(super) struct StepGroup {
-    pub pool: PoolId,
-    pub size: ResourceSize,
+struct GroupKey {
+    pool: PoolId,
     /// Priority of the queue; 0 is the highest.
-    pub priority: u32,
+    priority: u32,
+    /// Magnitudes of the millicores and of the memory of a task.
+    magnitudes: (u32, u32),
+}
+
+/// Ready steps with the same [`GroupKey`].
+#[derive(Debug, Default)]
+struct StepGroup {
+    steps: BTreeMap<StepRank, (JobId, ResourceSize)>,
+    /// Number of steps by the millicores of their tasks.
+    millicores: BTreeMap<u32, usize>,
+    /// Number of steps by the memory of their tasks.
+    memory: BTreeMap<u32, usize>,
 }
 
 /// Order of the steps of a group.
@@ -44,7 +57,16 @@
 }
 
 /// A step to place, as returned by [`StepCursor`].
-pub(super) type NextStep<'a> = (&'a JobId, OccurrenceNumber, u32);
+#[derive(Debug, Clone, Copy)]
+pub(super) struct NextStep<'a> {
+    pub pool: &'a PoolId,
+    pub job: &'a JobId,
+    pub occurrence: OccurrenceNumber,
+    pub step: u32,
+}
+
+/// Room in each pool of the shard.
+pub(super) type PoolRooms = IndexMap<PoolId, PoolRoom>;
 
 /// An active job with its ready steps.
 #[derive(Debug, Clone)]
@@ -57,15 +79,19 @@
     pub steps: Vec<ReadyStep>,
 }
 
-/// Number of waiting tasks of each size.
-#[derive(Debug, Clone, Default)]
-struct TaskCounts(IndexMap<ResourceSize, u64>);
+/// Sum of the resources that waiting tasks need.
+#[derive(Debug, Clone, Copy, Default)]
+struct WaitingSum {
+    millicores: u64,
+    memory_mib: u64,
+    accelerators: u64,
+}
 
 /// Demand of one account.
 #[derive(Debug, Clone, Default)]
 struct AccountBacklog {
     active_jobs: usize,
-    waiting: TaskCounts,
+    waiting: WaitingSum,
 }
 
 /// Index of the active jobs: those that are not over or still have placed runs.
@@ -73,12 +99,12 @@
 pub(super) struct BacklogIndex {
     jobs: IndexMap<JobId, (JobNumber, BacklogEntry)>,
     next_number: JobNumber,
-    groups: IndexMap<StepGroup, BTreeMap<StepRank, JobId>>,
-    pools: IndexMap<PoolId, TaskCounts>,
+    groups: IndexMap<GroupKey, StepGroup>,
+    pools: IndexMap<PoolId, WaitingSum>,
     accounts: IndexMap<AccountId, AccountBacklog>,
 }
 
-/// Iterates over the steps of some groups in scheduling order.
+/// Iterates over the ready steps in scheduling order.
 ///
 /// Under overload, more work waits than the pool can run. In order of age alone, every job would
 /// miss its objective, so jobs that can no longer meet it rank after those that can.
@@ -87,12 +113,14 @@
     /// The cursor has passed all steps that can still meet their objective.
     late: bool,
     groups: Vec<GroupCursor<'a>>,
+    /// Number of steps that the cursor has passed.
+    pub visits: u64,
 }
 
 struct GroupCursor<'a> {
+    key: &'a GroupKey,
     group: &'a StepGroup,
-    steps: &'a BTreeMap<StepRank, JobId>,
-    range: Peekable<Range<'a, StepRank, JobId>>,
+    range: Peekable<Range<'a, StepRank, (JobId, ResourceSize)>>,
 }
 
 impl BacklogIndex {
@@ -114,14 +142,13 @@
             let account = self.accounts.entry(account.clone()).or_default();
             account.active_jobs += 1;
             for step in &entry.steps {
-                account.waiting.add(step.size, step.waiting);
+                account.waiting.add(step);
             }
         }
         for step in &entry.steps {
-            let counts = self.pools.entry(entry.pool.clone()).or_default();
-            counts.add(step.size, step.waiting);
-            let group = self.groups.entry(entry.group_of(step)).or_default();
-            group.insert(entry.rank_of(step, number), job.clone());
+            self.pools.entry(entry.pool.clone()).or_default().add(step);
+            let group = self.groups.entry(entry.key_of(step)).or_default();
+            group.insert(entry.rank_of(step, number), job.clone(), step.size);
         }
         self.jobs.insert(job.clone(), (number, entry));
     }
@@ -141,21 +168,21 @@
         {
             sums.active_jobs -= 1;
             for step in &entry.steps {
-                sums.waiting.subtract(step.size, step.waiting);
+                sums.waiting.subtract(step);
             }
             if sums.active_jobs == 0 {
                 self.accounts.swap_remove(account);
             }
         }
         for step in &entry.steps {
-            if let Some(counts) = self.pools.get_mut(&entry.pool) {
-                counts.subtract(step.size, step.waiting);
+            if let Some(sum) = self.pools.get_mut(&entry.pool) {
+                sum.subtract(step);
             }
-            let group = entry.group_of(step);
-            if let Some(steps) = self.groups.get_mut(&group) {
-                steps.remove(&entry.rank_of(step, number));
-                if steps.is_empty() {
-                    self.groups.swap_remove(&group);
+            let key = entry.key_of(step);
+            if let Some(group) = self.groups.get_mut(&key) {
+                group.remove(&entry.rank_of(step, number));
+                if group.steps.is_empty() {
+                    self.groups.swap_remove(&key);
                 }
             }
         }
@@ -164,73 +191,133 @@
 
     /// Returns the resources that the waiting tasks of a pool need.
     pub fn waiting_size(&self, pool: &str) -> ResourceSize {
-        let counts = self.pools.get(pool);
-        counts.map(TaskCounts::total).unwrap_or_default()
+        self.pools
+            .get(pool)
+            .map(WaitingSum::size)
+            .unwrap_or_default()
     }
 
     /// Returns the accounts of the active jobs, with the resources that their waiting tasks need.
     pub fn account_waits(&self) -> impl Iterator<Item = (&AccountId, ResourceSize)> {
         let accounts = self.accounts.iter();
-        accounts.map(|(account, backlog)| (account, backlog.waiting.total()))
+        accounts.map(|(account, backlog)| (account, backlog.waiting.size()))
+    }
+
+    /// Returns the pools with ready steps.
+    pub fn pools(&self) -> impl Iterator<Item = &PoolId> {
+        self.pools.keys()
     }
 
-    /// Returns the steps of the groups that `has_room` accepts, the most urgent first.
-    pub fn ready_steps(
-        &self,
-        now: Instant,
-        has_room: impl Fn(&StepGroup) -> bool,
-    ) -> StepCursor<'_> {
-        let groups = self.groups.iter().filter(|(group, _)| has_room(group));
-        let groups = groups.map(|(group, steps)| GroupCursor {
+    /// Returns a cursor before the most urgent step.
+    pub fn ready_steps(&self, now: Instant) -> StepCursor<'_> {
+        let groups = self.groups.iter().map(|(key, group)| GroupCursor {
+            key,
             group,
-            steps,
-            range: steps.range(StepRank::first_at(now)..).peekable(),
+            range: group.steps.range(StepRank::first_at(now)..).peekable(),
         });
         StepCursor {
             now,
             late: false,
             groups: groups.collect(),
+            visits: 0,
         }
     }
 }
 
 impl<'a> StepCursor<'a> {
-    /// Returns the most urgent step that is left, with its group.
-    pub fn next(&mut self) -> Option<(&'a StepGroup, NextStep<'a>)> {
+    /// Returns the next step with a task that fits into `rooms`.
+    pub fn next(&mut self, rooms: &PoolRooms) -> Option<NextStep<'a>> {
         loop {
-            let cursors = self.groups.iter_mut().enumerate();
-            let ranks = cursors.filter_map(|(index, cursor)| {
-                let (rank, _) = cursor.range.peek()?;
-                Some(((cursor.group.priority, **rank), index))
-            });
-            if let Some((_, index)) = ranks.min() {
-                let cursor = &mut self.groups[index];
-                let (rank, job) = cursor.range.next()?;
-                return Some((cursor.group, (job, rank.occurrence, rank.step)));
-            }
-            if self.late {
-                return None;
+            let Some(index) = self.next_group() else {
+                if self.late {
+                    return None;
+                }
+                self.start_late_steps();
+                continue;
+            };
+            let cursor = &mut self.groups[index];
+            let room = rooms.get(&cursor.key.pool)?;
+            if !room.fits(&cursor.group.smallest_size()) {
+                self.groups.swap_remove(index);
+                continue;
             }
-            self.late = true;
-            for cursor in &mut self.groups {
-                let late = cursor.steps.range(..StepRank::first_at(self.now));
-                cursor.range = late.peekable();
+            let (rank, (job, size)) = cursor.range.next()?;
+            self.visits += 1;
+            if room.fits(size) {
+                return Some(NextStep {
+                    pool: &cursor.key.pool,
+                    job,
+                    occurrence: rank.occurrence,
+                    step: rank.step,
+                });
             }
         }
     }
 
-    /// Skips the remaining steps of a group.
-    pub fn skip_group(&mut self, group: &StepGroup) {
-        self.groups.retain(|cursor| cursor.group != group);
+    /// Returns the index of the group with the most urgent step.
+    fn next_group(&mut self) -> Option<usize> {
+        let cursors = self.groups.iter_mut().enumerate();
+        let ranks = cursors.filter_map(|(index, cursor)| {
+            let (rank, _) = cursor.range.peek()?;
+            Some(((cursor.key.priority, **rank), index))
+        });
+        ranks.min().map(|(_, index)| index)
+    }
+
+    fn start_late_steps(&mut self) {
+        self.late = true;
+        for cursor in &mut self.groups {
+            let late = cursor.group.steps.range(..StepRank::first_at(self.now));
+            cursor.range = late.peekable();
+        }
+    }
+}
+
+impl StepGroup {
+    fn insert(&mut self, rank: StepRank, job: JobId, size: ResourceSize) {
+        *self.millicores.entry(size.millicores).or_default() += 1;
+        *self.memory.entry(size.memory_mib).or_default() += 1;
+        self.steps.insert(rank, (job, size));
+    }
+
+    fn remove(&mut self, rank: &StepRank) {
+        if let Some((_, size)) = self.steps.remove(rank) {
+            subtract_one(&mut self.millicores, size.millicores);
+            subtract_one(&mut self.memory, size.memory_mib);
+        }
+    }
+
+    /// Returns a size that fits wherever some task of the group does.
+    fn smallest_size(&self) -> ResourceSize {
+        let first = |counts: &BTreeMap<u32, usize>| counts.keys().next().copied();
+        ResourceSize {
+            millicores: first(&self.millicores).unwrap_or_default(),
+            memory_mib: first(&self.memory).unwrap_or_default(),
+            accelerators: 0,
+        }
+    }
+}
+
+/// Removes one of the steps that are counted under `key`.
+fn subtract_one(counts: &mut BTreeMap<u32, usize>, key: u32) {
+    if let Some(count) = counts.get_mut(&key) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(&key);
+        }
     }
 }
 
 impl BacklogEntry {
-    fn group_of(&self, step: &ReadyStep) -> StepGroup {
-        StepGroup {
+    fn key_of(&self, step: &ReadyStep) -> GroupKey {
+        let magnitude = |amount: u32| amount.checked_ilog2().unwrap_or_default();
+        GroupKey {
             pool: self.pool.clone(),
-            size: step.size,
             priority: self.priority,
+            magnitudes: (
+                magnitude(step.size.millicores),
+                magnitude(step.size.memory_mib),
+            ),
         }
     }
 
@@ -256,22 +343,25 @@
     }
 }
 
-impl TaskCounts {
-    fn add(&mut self, size: ResourceSize, tasks: u64) {
-        *self.0.entry(size).or_default() += tasks;
+impl WaitingSum {
+    fn add(&mut self, step: &ReadyStep) {
+        self.millicores += step.waiting * u64::from(step.size.millicores);
+        self.memory_mib += step.waiting * u64::from(step.size.memory_mib);
+        self.accelerators += step.waiting * u64::from(step.size.accelerators);
     }
 
-    fn subtract(&mut self, size: ResourceSize, tasks: u64) {
-        if let Some(count) = self.0.get_mut(&size) {
-            *count -= tasks;
-            if *count == 0 {
-                self.0.swap_remove(&size);
-            }
-        }
+    fn subtract(&mut self, step: &ReadyStep) {
+        self.millicores -= step.waiting * u64::from(step.size.millicores);
+        self.memory_mib -= step.waiting * u64::from(step.size.memory_mib);
+        self.accelerators -= step.waiting * u64::from(step.size.accelerators);
     }
 
-    fn total(&self) -> ResourceSize {
-        let sizes = self.0.iter().map(|(size, count)| size.times(*count));
-        sizes.fold(ResourceSize::default(), |sum, size| sum.plus(&size))
+    fn size(&self) -> ResourceSize {
+        let saturate = |sum: u64| u32::try_from(sum).unwrap_or(u32::MAX);
+        ResourceSize {
+            millicores: saturate(self.millicores),
+            memory_mib: saturate(self.memory_mib),
+            accelerators: saturate(self.accelerators),
+        }
     }
 }
--- a/crates/control/src/shard/scheduling.rs
+++ b/crates/control/src/shard/scheduling.rs
@@ -6,8 +6,9 @@
 use pw_job::prelude::*;
 use pw_worker::prelude::*;
 
-use super::backlog::StepGroup;
+use super::backlog::{NextStep, PoolRooms};
 use super::persistence::PlannedStart;
+use super::room::PoolRoom;
 use super::{JobRecord, ShardController, TaskPosition, reserved_size};
 use crate::placement::{Candidate, PlacementRequest};
 use crate::urgency::terms_of;
@@ -17,24 +18,42 @@
 type UnplaceableSizes = Vec<(PoolId, ResourceSize)>;
 
 impl ShardController {
-    /// Places as many waiting tasks as fit, the most urgent jobs first. The steps of a group are
-    /// skipped once no worker has room for one of their tasks.
+    /// Places as many waiting tasks as fit, the most urgent jobs first.
     pub(super) fn place_waiting(&mut self, now: Instant) {
         let mut unplaceable = UnplaceableSizes::new();
         self.blocked.clear();
         // Placing tasks marks their jobs as changed; they are indexed again after the pass.
         let backlog = std::mem::take(&mut self.backlog);
-        let has_room = |group: &StepGroup| self.has_room(&group.pool, &group.size, now);
-        let mut steps = backlog.ready_steps(now, has_room);
-        while let Some((group, (job, occurrence, step))) = steps.next() {
-            let fits = self.place_step(job, occurrence, step, &mut unplaceable, now);
-            if !fits && !self.has_room(&group.pool, &group.size, now) {
-                steps.skip_group(group);
+        let rooms = backlog
+            .pools()
+            .map(|pool| (pool.clone(), self.pool_room(pool, now)));
+        let mut rooms: PoolRooms = rooms.collect();
+        let mut steps = backlog.ready_steps(now);
+        while let Some(next) = steps.next(&rooms) {
+            let NextStep {
+                pool,
+                job,
+                occurrence,
+                step,
+            } = next;
+            if self.place_step(job, occurrence, step, &mut unplaceable, now) {
+                rooms.insert(pool.clone(), self.pool_room(pool, now));
             }
         }
+        self.visits.jobs += steps.visits;
         self.backlog = backlog;
     }
 
+    /// Returns the room on the workers of a pool that accept starts.
+    fn pool_room(&self, pool: &PoolId, now: Instant) -> PoolRoom {
+        let open = self.workers.values().filter(|worker| {
+            worker.entry.pool == *pool
+                && worker.accepts_starts(now)
+                && !self.is_evacuated(&worker.entry.zone)
+        });
+        PoolRoom::of(open.map(WorkerRecord::room))
+    }
+
     /// Returns the terms of a job by its queue's current rule, or those of its submission if this
     /// owner does not know the queue.
     pub(super) fn terms(&self, job: &JobRecord) -> JobTerms {
@@ -44,7 +63,7 @@
         })
     }
 
-    /// Places the tasks of a step; returns `false` if no worker was found for one of them.
+    /// Places the tasks of a step; returns whether any was placed.
     fn place_step(
         &mut self,
         job: &JobId,
@@ -53,33 +72,36 @@
         unplaceable: &mut UnplaceableSizes,
         now: Instant,
     ) -> bool {
-        self.visits.jobs += 1;
         let Some(record) = self.jobs.get(job) else {
-            return true;
+            return false;
         };
         let spec = record.submission.spec.steps[step as usize].clone();
         let count = spec.count;
         if spec.gang {
             return self.place_gang(job, occurrence, step, &spec, now);
         }
+        let mut any_placed = false;
         for index in 0..count {
             let position = (occurrence, step, index);
             if !self.is_startable(job, position, now) {
                 continue;
             }
             match self.find_worker(job, position, &spec, unplaceable, now) {
-                Some(worker) => self.place_task(job, position, &worker, now),
+                Some(worker) => {
+                    self.place_task(job, position, &worker, now);
+                    any_placed = true;
+                }
                 None => {
                     let queue = self.jobs.get(job).map(|job| job.submission.queue.clone());
                     if queue.is_some_and(|queue| self.advice_rule(&queue).is_some()) {
                         self.request_advice(&(job.clone(), occurrence, step), &spec, now);
                     }
                     self.count_blocked(job, &spec, now);
-                    return false;
+                    break;
                 }
             }
         }
-        true
+        any_placed
     }
 
     /// Returns whether a run keeps the job's client account within this shard's allocation.
@@ -117,21 +139,11 @@
         if !self.within_quota(record, &size) {
             return;
         }
-        if self.has_room(&record.pool, &size, now) {
+        if self.pool_room(&record.pool, now).fits(&size) {
             *self.blocked.entry(record.pool.clone()).or_default() += 1;
         }
     }
 
-    /// Returns whether some worker of a pool has room for a task of `size`.
-    fn has_room(&self, pool: &PoolId, size: &ResourceSize, now: Instant) -> bool {
-        self.workers.values().any(|worker| {
-            worker.entry.pool == *pool
-                && size.fits_into(&worker.room())
-                && worker.accepts_starts(now)
-                && !self.is_evacuated(&worker.entry.zone)
-        })
-    }
-
     /// Returns whether a task waits and its retry pause has ended.
     fn is_startable(&self, job: &JobId, position: TaskPosition, now: Instant) -> bool {
         let Some(record) = self.jobs.get(job) else {
@@ -146,7 +158,7 @@
                 .is_none_or(|until| now >= *until)
     }
 
-    /// Places all tasks of a gang, or none; returns `false` if no worker was found for one of them.
+    /// Places all tasks of a gang, or none; returns whether they were placed.
     fn place_gang(
         &mut self,
         job: &JobId,
@@ -160,7 +172,7 @@
             .iter()
             .all(|position| self.is_startable(job, *position, now))
         {
-            return true;
+            return false;
         }
         self.align_runs(job, &positions);
         let mut placed = Vec::new();
--- a/crates/control/tests/backlog.rs
+++ b/crates/control/tests/backlog.rs
@@ -3,13 +3,24 @@
 mod support;
 
 use pw_control::prelude::*;
-use support::{TestCluster, seconds, step};
+use pw_job::prelude::*;
+use support::{TestCluster, seconds, size, step};
 
-/// Creates a full pool with `jobs` waiting jobs.
+/// Creates a full pool with `jobs` waiting jobs, whose tasks differ in size.
 fn cluster_with_backlog(jobs: usize) -> TestCluster {
     let mut cluster = TestCluster::new(4);
     for number in 0..jobs {
-        cluster.submit(&format!("job-{number}"), None, vec![step(8), step(2)]);
+        let cores = 700 + (number as u32 * 617) % 1_100;
+        let memory = 500 + (number as u32 * 331) % 3_000;
+        let first = StepSpec {
+            size: size(cores, memory),
+            ..step(8)
+        };
+        let second = StepSpec {
+            depends_on: vec![0],
+            ..step(2)
+        };
+        cluster.submit(&format!("job-{number}"), None, vec![first, second]);
     }
     cluster.run(seconds(1));
     cluster
--- a/crates/worker/src/resource.rs
+++ b/crates/worker/src/resource.rs
@@ -35,16 +35,6 @@
         }
     }
 
-    /// Returns the amount of `count` tasks of this size, saturating at the numeric bounds.
-    pub fn times(&self, count: u64) -> Self {
-        let count = u32::try_from(count).unwrap_or(u32::MAX);
-        Self {
-            millicores: self.millicores.saturating_mul(count),
-            memory_mib: self.memory_mib.saturating_mul(count),
-            accelerators: self.accelerators.saturating_mul(count),
-        }
-    }
-
     /// Returns the difference of both amounts, saturating at zero.
     pub fn minus(&self, other: &Self) -> Self {
         Self {
