Test the order in which waiting jobs start

Cause: no test covered the order of jobs by their latest start and that late jobs come last.

Change: five jobs with tasks of different magnitudes, of which one can't meet its objective any more.

--- a/crates/control/tests/backlog.rs
+++ b/crates/control/tests/backlog.rs
@@ -4,7 +4,7 @@
 
 use pw_control::prelude::*;
 use pw_job::prelude::*;
-use support::{TestCluster, seconds, size, step};
+use support::{TestCluster, millis, seconds, size, step};
 
 /// Creates a full pool with `jobs` waiting jobs, whose tasks differ in size.
 fn cluster_with_backlog(jobs: usize) -> TestCluster {
@@ -58,3 +58,32 @@
     cluster.handle_event(ShardEvent::Tick);
     assert_eq!(visits(&cluster).runs - before.runs, 0);
 }
+
+#[test]
+fn jobs_start_in_the_order_of_their_latest_start_and_late_ones_last() {
+    let mut cluster = TestCluster::new(1);
+    cluster.run_time = millis(400);
+    cluster.submit("blocker", None, vec![step(8)]);
+    cluster.run(millis(50));
+    // All of them need most of the worker's memory, so they start one at a time.
+    let jobs = [
+        ("fourth", 3_000, 8_000),
+        ("late", 100, 400),
+        ("first", 20, 4_000),
+        ("third", 2_000, 1_000),
+        ("second", 1_000, 100),
+    ];
+    for (job, estimate_ms, millicores) in jobs {
+        let spec = StepSpec {
+            size: size(millicores, 9_000 + millicores / 2),
+            estimate: millis(estimate_ms),
+            ..step(1)
+        };
+        cluster.submit(job, None, vec![spec]);
+    }
+    cluster.run(seconds(4));
+    let mut starts: Vec<_> = cluster.starts.iter().collect();
+    starts.sort_by_key(|(_, starts)| starts[0].2);
+    let order: Vec<&str> = starts.iter().map(|(task, _)| &*task.job).collect();
+    assert_eq!(order[8..], ["first", "second", "third", "fourth", "late"]);
+}
