--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -103,42 +103,43 @@
 
     /// Stops the runs of a task that is done already, or of all members of its gang.
     fn stop_later_runs(&mut self, task: &TaskName, gang: bool, now: Instant) {
-        let mut planned = Vec::new();
-        for (id, worker) in &mut self.workers {
-            let same_step = |name: &TaskName| {
-                name.job == task.job && name.occurrence == task.occurrence && name.step == task.step
-            };
-            let runs = worker.runs.iter_mut();
-            for (name, run) in runs.filter(|(name, _)| *name == task || gang && same_step(name)) {
-                if run.phase == RunPhase::Planned {
-                    planned.push((id.clone(), name.clone(), run.run));
-                } else {
-                    run.phase = RunPhase::Stopping;
+        let mut runs = self.runs_of_step(task);
+        runs.retain(|(_, name, _)| gang || name == task);
+        for (id, name, run) in runs {
+            let worker = self.workers.get_mut(&id);
+            match worker.and_then(|worker| worker.runs.get_mut(&name)) {
+                Some(record) if record.phase != RunPhase::Planned => {
+                    record.phase = RunPhase::Stopping;
                 }
+                _ => self.end_run(&id, &name, run, RunEnd::Stopped, None, now),
             }
         }
-        for (worker, name, run) in planned {
-            self.end_run(&worker, &name, run, RunEnd::Stopped, None, now);
-        }
     }
 
-    /// Ends or stops the other members of a gang after one of them ended.
-    fn propagate_gang_end(&mut self, task: &TaskName, run: RunNumber, end: RunEnd, now: Instant) {
-        let mut others = Vec::new();
-        for (id, worker) in &self.workers {
-            let members = worker.runs.iter().filter(|(name, record)| {
+    /// Returns the placed runs of the tasks in the same step as `task`.
+    fn runs_of_step(&self, task: &TaskName) -> Vec<(WorkerId, TaskName, RunNumber)> {
+        let mut found = Vec::new();
+        for (id, worker) in self.workers.iter() {
+            let runs = worker.runs.iter().filter(|(name, _)| {
                 let same_step = name.occurrence == task.occurrence && name.step == task.step;
-                name.job == task.job && same_step && record.run == run
+                name.job == task.job && same_step
             });
-            others.extend(members.map(|(name, _)| (id.clone(), name.clone())));
+            found.extend(runs.map(|(name, record)| (id.clone(), name.clone(), record.run)));
         }
+        found
+    }
+
+    /// Ends or stops the other members of a gang after one of them ended.
+    fn propagate_gang_end(&mut self, task: &TaskName, run: RunNumber, end: RunEnd, now: Instant) {
+        let mut others = self.runs_of_step(task);
+        others.retain(|(_, _, other)| *other == run);
         if end == RunEnd::Done
             && let Some(job) = self.jobs.get_mut(&task.job)
         {
             let position = (task.occurrence, task.step, task.index);
             job.state.complete_lost(&job.submission.spec, position, run);
         }
-        for (id, name) in others {
+        for (id, name, _) in others {
             if end == RunEnd::Done {
                 self.end_run(&id, &name, run, RunEnd::Done, None, now);
             } else if let Some(worker) = self.workers.get_mut(&id)
@@ -238,6 +239,6 @@
         }
         // An unlisted worker without runs needs no further tracking.
         let gone = |worker: &crate::worker::WorkerRecord| !worker.listed && worker.runs.is_empty();
-        self.workers.retain(|_, worker| !gone(worker));
+        self.workers.retain(|worker| !gone(worker));
     }
 }
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -262,6 +262,8 @@
     pub used: ResourceSize,
     /// Number of the runs of each kind.
     pub counts: RunCounts,
+    /// The worker has changed since its table was last asked for changes.
+    pub is_changed: bool,
 }
 
 impl WorkerRecord {
@@ -290,6 +292,7 @@
             runs: IndexMap::new(),
             used: ResourceSize::default(),
             counts: RunCounts::default(),
+            is_changed: false,
         }
     }
 
@@ -390,6 +393,12 @@
         runs.any(|run| run.phase == RunPhase::Stopping)
     }
 
+    /// Returns whether the stop of a run is not acknowledged.
+    pub fn has_pending_stops(&self) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|run| run.phase == RunPhase::Stopping && run.stop_acknowledged.is_none())
+    }
+
     /// Returns whether the worker has runs.
     pub fn has_runs(&self) -> bool {
         !self.runs.is_empty()
--- a/crates/control/tests/backlog.rs
+++ b/crates/control/tests/backlog.rs
@@ -3,34 +3,87 @@
 mod support;
 
 use pw_control::prelude::*;
-use support::{TestCluster, seconds, step};
+use pw_job::prelude::*;
+use support::{TestCluster, millis, seconds, size, step};
 
-/// Returns the visits within a second of a full pool with `jobs` waiting jobs.
-fn visits_with_backlog(jobs: usize) -> VisitCount {
+/// Creates a full pool with `jobs` waiting jobs, whose tasks differ in size.
+fn cluster_with_backlog(jobs: usize) -> TestCluster {
     let mut cluster = TestCluster::new(4);
     for number in 0..jobs {
-        cluster.submit(&format!("job-{number}"), None, vec![step(8), step(2)]);
+        let cores = 700 + (number as u32 * 617) % 1_100;
+        let memory = 500 + (number as u32 * 331) % 3_000;
+        let first = StepSpec {
+            size: size(cores, memory),
+            ..step(8)
+        };
+        let second = StepSpec {
+            depends_on: vec![0],
+            ..step(2)
+        };
+        cluster.submit(&format!("job-{number}"), None, vec![first, second]);
     }
     cluster.run(seconds(1));
-    let visits = |cluster: &TestCluster| cluster.controller().visits();
+    cluster
+}
+
+fn visits(cluster: &TestCluster) -> VisitCount {
+    cluster.controller().visits()
+}
+
+/// Returns the visits of jobs within a second of a full pool with `jobs` waiting jobs.
+fn job_visits_with_backlog(jobs: usize) -> u64 {
+    let mut cluster = cluster_with_backlog(jobs);
     let before = visits(&cluster);
     cluster.run(seconds(1));
-    let after = visits(&cluster);
-    VisitCount {
-        jobs: after.jobs - before.jobs,
-        workers: after.workers - before.workers,
-    }
+    visits(&cluster).jobs - before.jobs
 }
 
 /// The cost of each event grew with the backlog, so an overloaded owner fell behind ever faster.
 #[test]
 fn waiting_jobs_do_not_slow_events_down() {
-    let few = visits_with_backlog(100);
-    let many = visits_with_backlog(4_000);
+    let few = job_visits_with_backlog(100);
+    let many = job_visits_with_backlog(4_000);
     assert!(
-        many.jobs <= few.jobs + few.jobs / 2,
-        "{} visits of jobs with 4,000 waiting jobs, {} with 100",
-        many.jobs,
-        few.jobs
+        many <= few + few / 2,
+        "{many} visits of jobs with 4,000 waiting jobs, {few} with 100"
     );
 }
+
+/// Each event looked at all runs of all workers for runs to stop.
+#[test]
+fn an_event_visits_no_runs_of_workers_that_have_not_changed() {
+    let mut cluster = cluster_with_backlog(100);
+    cluster.handle_event(ShardEvent::Tick);
+    let before = visits(&cluster);
+    cluster.handle_event(ShardEvent::Tick);
+    assert_eq!(visits(&cluster).runs - before.runs, 0);
+}
+
+#[test]
+fn jobs_start_in_the_order_of_their_latest_start_and_late_ones_last() {
+    let mut cluster = TestCluster::new(1);
+    cluster.run_time = millis(400);
+    cluster.submit("blocker", None, vec![step(8)]);
+    cluster.run(millis(50));
+    // All of them need most of the worker's memory, so they start one at a time.
+    let jobs = [
+        ("fourth", 3_000, 8_000),
+        ("late", 100, 400),
+        ("first", 20, 4_000),
+        ("third", 2_000, 1_000),
+        ("second", 1_000, 100),
+    ];
+    for (job, estimate_ms, millicores) in jobs {
+        let spec = StepSpec {
+            size: size(millicores, 9_000 + millicores / 2),
+            estimate: millis(estimate_ms),
+            ..step(1)
+        };
+        cluster.submit(job, None, vec![spec]);
+    }
+    cluster.run(seconds(4));
+    let mut starts: Vec<_> = cluster.starts.iter().collect();
+    starts.sort_by_key(|(_, starts)| starts[0].2);
+    let order: Vec<&str> = starts.iter().map(|(task, _)| &*task.job).collect();
+    assert_eq!(order[8..], ["first", "second", "third", "fourth", "late"]);
+}
