Deliver the configuration to callers while the control duty lags

Cause: the feed sent each configuration to the control duty first and waited for room in its ring. Change: callers get each read first; the other duties get the latest configuration as soon as their rings have room, and no read waits for them.

--- a/crates/node/src/feed_duty.rs
+++ b/crates/node/src/feed_duty.rs
@@ -6,6 +6,7 @@
 use async_io::Timer;
 use futures_lite::future;
 use pw_base::prelude::*;
+use pw_control::prelude::*;
 use pw_ring::prelude::*;
 
 use crate::links::FleetFeed;
@@ -42,6 +43,7 @@
     links: &FeedLinks,
 ) {
     let mut outage = OutageLog::new("configuration");
+    let mut unsent = UnsentConfig::default();
     loop {
         let requested_at = clock.now();
         match feed.config(settings.config_timeout).await {
@@ -51,14 +53,10 @@
                     let event = EventCode::FleetAccepted.number();
                     let (version, queues) = (config.version, config.queues.len());
                     tracing::info!(event, version, queues, "configuration took effect");
-                    let message = ControlMessage::Config(Arc::clone(config));
-                    if links.control.send(message).await.is_err() {
-                        return;
-                    }
-                    let message = MachineMessage::Config(Arc::clone(config));
-                    if links.machines.send(message).await.is_err() {
-                        return;
-                    }
+                    unsent = UnsentConfig {
+                        control: Some(Arc::clone(config)),
+                        machines: Some(Arc::clone(config)),
+                    };
                 }
                 let read = CallerMessage::ConfigRead {
                     requested_at,
@@ -73,6 +71,42 @@
                 Timer::after(settings.store_retry_delay).await;
             }
         }
+        if unsent.offer(links).is_err() {
+            return;
+        }
+    }
+}
+
+/// The latest configuration for the duties that have not received it.
+///
+/// A duty that lags must not delay the reads: callers are refused once the last one is too old.
+#[derive(Default)]
+struct UnsentConfig {
+    control: Option<Arc<FleetConfig>>,
+    machines: Option<Arc<FleetConfig>>,
+}
+
+impl UnsentConfig {
+    /// Sends the configuration to the duties whose rings have room.
+    fn offer(&mut self, links: &FeedLinks) -> Result<(), RingClosed> {
+        if let Some(config) = self.control.take() {
+            let message = ControlMessage::Config(Arc::clone(&config));
+            self.control = is_full(links.control.offer(message))?.then_some(config);
+        }
+        if let Some(config) = self.machines.take() {
+            let message = MachineMessage::Config(Arc::clone(&config));
+            self.machines = is_full(links.machines.offer(message))?.then_some(config);
+        }
+        Ok(())
+    }
+}
+
+/// Returns whether a message was not taken since the ring is full.
+fn is_full<T>(offered: Result<(), OfferError<T>>) -> Result<bool, RingClosed> {
+    match offered {
+        Ok(()) => Ok(false),
+        Err(OfferError::Full(_)) => Ok(true),
+        Err(OfferError::Closed(_)) => Err(RingClosed),
     }
 }
 
