Admit and refuse callers only by a configuration that may be in force

Callers would see 404 or 401 by an old configuration, or be served under a dropped route.

Cause: only calls with a valid key were checked against the configuration's age, at 4.3 s, and an unknown queue was refused before that check.

--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -64,7 +64,7 @@
     NoQueue,
     /// The queue requires a key, and the request has no valid one.
     NoKey,
-    /// The configuration is too old to accept keys.
+    /// The configuration is too old to admit or refuse a request by it.
     StaleConfig,
     /// The shard's owner can't be reached.
     NoOwner,
@@ -149,15 +149,15 @@
         let requested_at = state.config_read_at.get().ok_or(ServiceRefusal::NoConfig)?;
         let config = state.config.borrow();
         let config = config.as_ref().ok_or(ServiceRefusal::NoConfig)?;
+        let age = state.clock.now().saturating_duration_since(requested_at);
+        if age > state.settings.max_config_age {
+            return Err(ServiceRefusal::StaleConfig);
+        }
         let found = config.find_queue(host, path);
         let (queue, rule, rest) = found.ok_or(ServiceRefusal::NoQueue)?;
         let account = if rule.public {
             None
         } else {
-            let age = state.clock.now().saturating_duration_since(requested_at);
-            if age > state.settings.max_config_age {
-                return Err(ServiceRefusal::StaleConfig);
-            }
             let account = key.and_then(|key| config.account_of(key));
             Some(account.ok_or(ServiceRefusal::NoKey)?.clone())
         };
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -38,8 +38,8 @@
     pub member_ttl: Duration,
     /// Long-poll timeout of configuration reads. The configuration's age grows during a read.
     pub config_timeout: Duration,
-    /// Age of the configuration above which keys are rejected: the platform's limit for the use of
-    /// revoked keys minus the time of a request.
+    /// Age of the configuration above which no request is admitted or refused by it: the platform's
+    /// limit until a change is in force everywhere, or until a revoked key is rejected.
     pub max_config_age: Duration,
     /// Shortest interval between reads of the worker list.
     pub worker_interval: Duration,
