Start tasks only by inputs read recently, and date clock readings by arrival

Cause: an owner acts by what it has handled, however late that is. Cancellations, drains and evacuations wait in its ring behind other events, while starts go out. A worker's clock was taken as read when its answer was handled, so each lease was short by the lag, 11 s in one trace. Change: the feeds tell a shard as of when it knows each input. No task is placed or started once one of them, or the ownership, is older than the platform's limit for a change of it; a start that waited longer than that in the orders duty is not sent. A clock reading is dated by the answer's arrival. pw_poll_lag_seconds is now the time from an answer's arrival to its handling.

--- a/crates/capacity/src/jobs.rs
+++ b/crates/capacity/src/jobs.rs
@@ -209,6 +209,9 @@
         for _ in 0..20 {
             self.now += Duration::from_millis(200);
             self.handle_event(ShardEvent::OwnershipConfirmed(self.now));
+            for input in ShardInput::ALL {
+                self.handle_event(ShardEvent::InputRead(input, self.now));
+            }
             for order in std::mem::take(&mut self.polls) {
                 self.answer_poll(order);
             }
@@ -250,7 +253,12 @@
             finished: Vec::new(),
         };
         let result = Ok(report);
-        self.handle_event(ShardEvent::Polled { order, result });
+        let answered_at = self.now;
+        self.handle_event(ShardEvent::Polled {
+            order,
+            result,
+            answered_at,
+        });
     }
 
     /// Returns the mean time to handle a poll response without changes, in microseconds.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -30,7 +30,7 @@
     pub use crate::message::{
         ActiveRun, AdviceOrder, AdviceReport, CallFault, FinishedRun, JobAnswer, PaceOrder,
         PollOrder, PollReport, PoolLoad, QueryScope, ShardCommand, ShardEvent, ShardImage,
-        StartOrder, StartOutcome, StopOrder, StoreRecord, SurveyOrder, SurveyReport,
+        ShardInput, StartOrder, StartOutcome, StopOrder, StoreRecord, SurveyOrder, SurveyReport,
         UnreachableWorker, WorkerLife,
     };
     pub use crate::placement::{Candidate, PackPlacement, PlacementPolicy, PlacementRequest};
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -34,12 +34,16 @@
     Stored(u64),
     /// The ownership of the shard was confirmed as of this time.
     OwnershipConfirmed(Instant),
+    /// All changes of an input that were in force at this time have been handed over.
+    InputRead(ShardInput, Instant),
     /// A poll of a worker completed or failed.
     Polled {
         /// The request.
         order: PollOrder,
         /// Its result.
         result: Result<PollReport, CallFault>,
+        /// When the result arrived.
+        answered_at: Instant,
     },
     /// A start completed or failed.
     Started {
@@ -75,6 +79,23 @@
     Tick,
 }
 
+/// What an owner has to know recently in order to start tasks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, AsRefStr, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum ShardInput {
+    /// The configuration with the evacuated availability zones.
+    Config,
+    /// The list of workers with those that drain.
+    Workers,
+    /// The submissions and cancellations.
+    Submissions,
+}
+
+impl ShardInput {
+    /// All inputs.
+    pub const ALL: [Self; 3] = [Self::Config, Self::Workers, Self::Submissions];
+}
+
 /// An output of a shard's controller.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ShardCommand {
@@ -231,6 +252,9 @@
     pub lease_until: WorkerMillis,
     /// Epoch of the owner.
     pub epoch: OwnerEpoch,
+    /// Time after which the start must not be sent, because a cancellation, a drain or a change of
+    /// owner may be in force that this owner has not seen.
+    pub send_by: Instant,
 }
 
 /// Result of a start.
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -13,6 +13,13 @@
     pub clock_drift: f64,
     /// How long after its last confirmation of ownership an owner continues to renew leases.
     pub ownership_validity: Duration,
+    /// Age of the last read of the configuration above which no task is started: the platform's limit
+    /// until an evacuation is in force, minus the time of a start.
+    pub max_config_age: Duration,
+    /// The same for the list of workers: the limit until a drain is in force.
+    pub max_worker_age: Duration,
+    /// The same for the submissions: the limit until a cancellation is in force.
+    pub max_submission_age: Duration,
     /// Longest time that a worker holds a poll open until a run ends; the platform's limit.
     pub poll_wait: Duration,
     /// Shortest time from a worker's answer to the next poll. Runs that end within it are reported
@@ -54,6 +61,9 @@
             lease: Duration::from_secs(6),
             clock_drift: 0.02,
             ownership_validity: Duration::from_secs(6),
+            max_config_age: Duration::from_millis(4700),
+            max_worker_age: Duration::from_millis(1700),
+            max_submission_age: Duration::from_millis(2700),
             poll_wait: Duration::from_secs(2),
             poll_gap: Duration::from_millis(140),
             poll_retry: Duration::from_millis(150),
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -23,7 +23,7 @@
 use pw_worker::prelude::*;
 
 use crate::config::FleetConfig;
-use crate::message::{ShardCommand, ShardEvent, ShardImage, StartOrder, StopOrder};
+use crate::message::{ShardCommand, ShardEvent, ShardImage, ShardInput, StartOrder, StopOrder};
 use crate::pace::FULL_PACE;
 use crate::placement::{PackPlacement, PlacementPolicy};
 use crate::quota::AccountBudget;
@@ -71,6 +71,8 @@
     store_queue: StoreQueue,
     /// Latest time at which the ownership was confirmed.
     confirmed_at: Instant,
+    /// As of when each input is known.
+    inputs_read: IndexMap<ShardInput, Instant>,
     /// When this owner took the shard over.
     taken_over_at: Instant,
     /// The same, until the first survey of the machine controller.
@@ -170,6 +172,7 @@
             budget: AccountBudget::default(),
             store_queue: StoreQueue::new(now),
             confirmed_at: now,
+            inputs_read: IndexMap::new(),
             taken_over_at: now,
             unsurveyed_since: Some(now),
             placement_needed: true,
@@ -228,8 +231,13 @@
             ShardEvent::Submitted(job, record) => self.submit(job, record, now, wall),
             ShardEvent::Cancelled(job) => self.cancel(&job, now),
             ShardEvent::Stored(sequence) => self.handle_stored(sequence, now),
-            ShardEvent::OwnershipConfirmed(at) => self.confirmed_at = self.confirmed_at.max(at),
-            ShardEvent::Polled { order, result } => self.handle_poll(&order, result, now),
+            ShardEvent::OwnershipConfirmed(at) => self.record_confirmation(at, now),
+            ShardEvent::InputRead(input, at) => self.record_read(input, at, now),
+            ShardEvent::Polled {
+                order,
+                result,
+                answered_at,
+            } => self.handle_poll(&order, result, answered_at, now),
             ShardEvent::Started { order, outcome } => self.handle_start(&order, outcome, now),
             ShardEvent::Stopped { order, result } => self.handle_stop(&order, result, now),
             ShardEvent::Advised { order, result } => self.handle_advice(&order, result, now),
@@ -257,6 +265,35 @@
         now < self.confirmed_at + self.settings.ownership_validity
     }
 
+    /// Records that this owner owned the shard at `at`.
+    fn record_confirmation(&mut self, at: Instant, now: Instant) {
+        self.placement_needed |= now >= self.start_deadline();
+        self.confirmed_at = at.max(self.confirmed_at);
+    }
+
+    /// Records that the changes of an input up to `at` are known.
+    fn record_read(&mut self, input: ShardInput, at: Instant, now: Instant) {
+        self.placement_needed |= now >= self.start_deadline();
+        let read = self.inputs_read.entry(input).or_insert(at);
+        *read = at.max(*read);
+    }
+
+    /// Returns until when tasks may be started by what this owner knows.
+    fn start_deadline(&self) -> Instant {
+        let settings = &self.settings;
+        let limits = [
+            (ShardInput::Config, settings.max_config_age),
+            (ShardInput::Workers, settings.max_worker_age),
+            (ShardInput::Submissions, settings.max_submission_age),
+        ];
+        let deadlines = limits.map(|(input, limit)| {
+            let read = self.inputs_read.get(&input);
+            read.map_or(self.taken_over_at, |at| *at + limit)
+        });
+        let confirmed = self.confirmed_at + settings.ownership_validity;
+        deadlines.into_iter().fold(confirmed, Instant::min)
+    }
+
     /// Requests a check of the ownership, because a worker reported a later owner.
     fn check_ownership(&mut self, now: Instant) {
         if self
@@ -286,8 +323,10 @@
             self.placement_needed = false;
             self.next_placement = now + self.settings.placement_interval;
             self.recheck_at = self.next_pause_end(now);
-            self.place_waiting(now);
-            self.review_changed_jobs(now, wall);
+            if now < self.start_deadline() {
+                self.place_waiting(now);
+                self.review_changed_jobs(now, wall);
+            }
         }
         self.send_polls(now);
         self.send_stops(now);
--- a/crates/control/src/shard/persistence.rs
+++ b/crates/control/src/shard/persistence.rs
@@ -139,7 +139,7 @@
             return;
         };
         // The append succeeded at some time after it was sent.
-        self.confirmed_at = batch.sent_at.max(self.confirmed_at);
+        self.record_confirmation(batch.sent_at, now);
         for (job, status) in batch.statuses {
             if let Some(record) = self.jobs.get_mut(&job) {
                 if record.stored_status != status {
@@ -163,12 +163,12 @@
     }
 
     fn send_stored_start(&mut self, start: &PlannedStart, now: Instant) {
-        let confirmed = self.is_confirmed(now);
+        let allowed = now < self.start_deadline();
         let planned = self.workers.get(&start.worker).and_then(|worker| {
             let run = worker.runs.get(&start.task)?;
             let planned = run.run == start.run && run.phase == RunPhase::Planned;
             let zone = &worker.entry.zone;
-            planned.then(|| confirmed && worker.accepts_starts(now) && !self.is_evacuated(zone))
+            planned.then(|| allowed && worker.accepts_starts(now) && !self.is_evacuated(zone))
         });
         match planned {
             None => {}
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -108,6 +108,7 @@
         &mut self,
         order: &PollOrder,
         result: Result<PollReport, CallFault>,
+        answered_at: Instant,
         now: Instant,
     ) {
         let Some(worker) = self.workers.get_mut(&order.worker) else {
@@ -116,7 +117,7 @@
         worker.poll_in_flight = false;
         worker.poll_due = now + self.settings.poll_gap;
         match result {
-            Ok(report) => self.apply_report(order, report, now),
+            Ok(report) => self.apply_report(order, report, answered_at, now),
             Err(CallFault::Fenced) => self.check_ownership(now),
             Err(CallFault::OtherLife) => {
                 self.end_worker_life(&order.worker, LifeEnd::AddressReused, now);
@@ -143,7 +144,13 @@
         }
     }
 
-    fn apply_report(&mut self, order: &PollOrder, report: PollReport, now: Instant) {
+    fn apply_report(
+        &mut self,
+        order: &PollOrder,
+        report: PollReport,
+        answered_at: Instant,
+        now: Instant,
+    ) {
         let Some(worker) = self.workers.get_mut(&order.worker) else {
             return;
         };
@@ -173,7 +180,7 @@
         }
         worker.clock_reading = Some(ClockReading {
             clock: report.clock,
-            at: now,
+            at: answered_at,
         });
         self.apply_run_ends(order, &report, now);
         self.reconcile_runs(order, &report, now);
--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -12,7 +12,8 @@
 impl ShardController {
     /// Sends the start of a run whose placement is stored.
     pub(super) fn send_start(&mut self, id: &WorkerId, task: &TaskName, now: Instant) {
-        if !self.is_confirmed(now) {
+        let send_by = self.start_deadline();
+        if now >= send_by {
             return;
         }
         let (lease, drift) = (self.settings.lease, self.settings.clock_drift);
@@ -46,6 +47,7 @@
             ticket,
             lease_until,
             epoch: self.epoch,
+            send_by,
         }));
     }
 
--- a/crates/control/tests/starved_owner.rs
+++ b/crates/control/tests/starved_owner.rs
@@ -394,3 +394,32 @@
     cluster.list_workers();
     assert!(cluster.run_until(seconds(20), |cluster| cluster.status("job") == COMPLETED));
 }
+
+/// A worker may drain, a zone be evacuated or a job be cancelled without the owner's knowledge.
+#[test]
+fn no_task_starts_while_an_input_may_be_out_of_date() {
+    for input in ShardInput::ALL {
+        let mut cluster = TestCluster::new(2);
+        cluster.run(seconds(1));
+        cluster.known_inputs.retain(|known| *known != input);
+        cluster.run(seconds(5));
+        cluster.submit("job", None, vec![step(1)]);
+        cluster.run(seconds(2));
+        assert_eq!(cluster.start_count(TASK), 0, "{input} is out of date");
+        cluster.known_inputs.push(input);
+        assert!(cluster.run_until(seconds(1), |cluster| cluster.start_count(TASK) == 1));
+    }
+}
+
+#[test]
+fn a_placed_task_does_not_start_once_an_input_is_out_of_date() {
+    let mut cluster = TestCluster::new(2);
+    cluster.run(seconds(1));
+    cluster.append_answer_time = seconds(4);
+    cluster.submit("job", None, vec![step(1)]);
+    cluster.run(millis(100));
+    assert_eq!(cluster.running(TASK), 0);
+    cluster.known_inputs.clear();
+    cluster.run(seconds(5));
+    assert_eq!(cluster.start_count(TASK), 0);
+}
--- a/crates/control/tests/support/answers.rs
+++ b/crates/control/tests/support/answers.rs
@@ -1,7 +1,7 @@
 //! Answers of the fake workers, store and advice service to the commands of the controller.
 
 use std::collections::HashMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use pw_base::prelude::*;
 use pw_control::prelude::*;
@@ -203,6 +203,7 @@
             if let ShardEvent::Polled {
                 order,
                 result: Ok(report),
+                ..
             } = &mut answer.event
             {
                 let worker = self.workers.get(&order.worker);
@@ -221,7 +222,7 @@
                     _ => {
                         let order = order.clone();
                         let result = Err(CallFault::Unanswered);
-                        answer.event = ShardEvent::Polled { order, result };
+                        answer.event = polled(order, result, now);
                     }
                 }
             }
@@ -271,3 +272,16 @@
         }
     }
 }
+
+/// Returns the event of an answered poll; the answer's arrival is set when it is delivered.
+pub(super) fn polled(
+    order: PollOrder,
+    result: Result<PollReport, CallFault>,
+    now: Instant,
+) -> ShardEvent {
+    ShardEvent::Polled {
+        order,
+        result,
+        answered_at: now,
+    }
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -73,6 +73,8 @@
     pub submissions: IndexMap<JobId, Arc<SubmissionRecord>>,
     pub cancelled: Vec<JobId>,
     pub images: IndexMap<JobId, JobState>,
+    /// Inputs of which the owner knows all changes.
+    pub known_inputs: Vec<ShardInput>,
     /// The store is available.
     pub store_up: bool,
     pending_appends: Vec<PendingAppend>,
@@ -131,6 +133,7 @@
             submissions: IndexMap::new(),
             cancelled: Vec::new(),
             images: IndexMap::new(),
+            known_inputs: ShardInput::ALL.to_vec(),
             store_up: true,
             pending_appends: Vec::new(),
             append_time: Duration::ZERO,
@@ -235,6 +238,7 @@
         );
         self.owners.push(OwnerProcess::new(controller, cut_off));
         self.list_workers();
+        self.confirm_inputs();
     }
 
     /// Lets the owner release the shard and a new owner take it over.
@@ -343,6 +347,7 @@
             if due && self.store_up && !self.owner().frozen {
                 self.confirmed_at = self.now;
                 self.handle_event(ShardEvent::OwnershipConfirmed(self.now));
+                self.confirm_inputs();
             }
             self.run_owners();
             self.check_invariants();
@@ -384,6 +389,13 @@
     }
 
     /// Sends an event to the owner that has claimed the shard.
+    /// Tells the owner that it knows its inputs.
+    fn confirm_inputs(&mut self) {
+        for input in self.known_inputs.clone() {
+            self.handle_event(ShardEvent::InputRead(input, self.now));
+        }
+    }
+
     pub fn handle_event(&mut self, event: ShardEvent) {
         self.send_event(self.epoch, event);
     }
--- a/crates/control/tests/support/network.rs
+++ b/crates/control/tests/support/network.rs
@@ -5,6 +5,7 @@
 use pw_base::prelude::*;
 use pw_control::prelude::*;
 
+use super::answers::polled;
 use super::{ROUND_TRIP, TestCluster};
 
 /// Time until an owner gives up an order.
@@ -101,7 +102,7 @@
                     Err(fault) => (Duration::ZERO, Err(fault)),
                 };
                 let life = self.workers[&order.worker].entry.life;
-                let event = ShardEvent::Polled { order, result };
+                let event = polled(order, result, self.now);
                 self.reply(epoch, wait + ROUND_TRIP, Some(life), event);
             }
             ShardCommand::Start(order) => {
@@ -137,7 +138,7 @@
         let (wait, event) = match command {
             ShardCommand::Poll(order) => {
                 let result = Err(fault);
-                (order.wait, ShardEvent::Polled { order, result })
+                (order.wait, polled(order, result, self.now))
             }
             ShardCommand::Start(order) => {
                 let outcome = StartOutcome::Unanswered;
--- a/crates/control/tests/support/owner.rs
+++ b/crates/control/tests/support/owner.rs
@@ -45,7 +45,10 @@
         self.controller.epoch()
     }
 
-    pub fn receive(&mut self, event: ShardEvent, now: Instant) {
+    pub fn receive(&mut self, mut event: ShardEvent, now: Instant) {
+        if let ShardEvent::Polled { answered_at, .. } = &mut event {
+            *answered_at = now;
+        }
         if let ShardEvent::Polled {
             result: Ok(report), ..
         } = &event
--- a/crates/control/tests/worker_lives.rs
+++ b/crates/control/tests/worker_lives.rs
@@ -180,7 +180,11 @@
         sent_at: now,
     };
     let result = Ok(report);
-    cluster.handle_event(ShardEvent::Polled { order, result });
+    cluster.handle_event(ShardEvent::Polled {
+        order,
+        result,
+        answered_at: now,
+    });
     assert!(cluster.run_until(seconds(5), |cluster| cluster.status("job") == COMPLETED));
     assert_eq!(cluster.start_count("job.0.0.0"), 1);
 }
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -41,6 +41,8 @@
     workers: Vec<WorkerEntry>,
     /// Start of the latest worker life on each machine.
     lives: Arc<IndexMap<MachineId, LifeStart>>,
+    /// As of when the inputs of all shards are known.
+    inputs_read: IndexMap<ShardInput, Instant>,
     shards: IndexMap<ShardNumber, ShardController>,
     /// Highest epoch of a machine controller that has sent a survey.
     machine_epoch: OwnerEpoch,
@@ -79,13 +81,8 @@
         let ControlMessage::Shard(_, event) = message else {
             return;
         };
-        if let ShardEvent::Polled {
-            order,
-            result: Ok(_),
-        } = &**event
-        {
-            let waited = now.saturating_duration_since(order.sent_at);
-            let lag = waited.saturating_sub(order.wait);
+        if let ShardEvent::Polled { answered_at, .. } = &**event {
+            let lag = now.saturating_duration_since(*answered_at);
             metrics::histogram!("pw_poll_lag_seconds").record(lag);
             self.longest_lag = self.longest_lag.max(lag);
         }
@@ -105,6 +102,7 @@
         config: Arc::default(),
         workers: Vec::new(),
         lives: Arc::default(),
+        inputs_read: IndexMap::new(),
         shards: IndexMap::new(),
         machine_epoch: 0,
         reported_demands: IndexMap::new(),
@@ -204,6 +202,14 @@
                     self.update_workers(term).await;
                 }
             }
+            ControlMessage::InputRead(input, at) => {
+                self.inputs_read.insert(input, at);
+                let terms: Vec<ShardTerm> = self.terms().collect();
+                for term in terms {
+                    let event = ShardEvent::InputRead(input, at);
+                    self.dispatch_event(term, event).await;
+                }
+            }
             ControlMessage::Opened(term, image) => self.open_shard(term, *image).await,
             ControlMessage::Release(term, reply) => {
                 if self.owns(term)
@@ -287,6 +293,10 @@
         );
         self.shards.insert(shard, controller);
         self.update_workers(term).await;
+        for (input, at) in self.inputs_read.clone() {
+            let event = ShardEvent::InputRead(input, at);
+            self.dispatch_event(term, event).await;
+        }
     }
 
     /// Sends a shard the workers of its pools.
--- a/crates/node/src/feed_duty.rs
+++ b/crates/node/src/feed_duty.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Instant;
 
 use async_io::Timer;
 use futures_lite::future;
@@ -32,7 +33,7 @@
 ) {
     let feed: Rc<dyn FleetFeed> = Rc::from(feed);
     let config = follow_config(&*feed, &settings, &*clock, &links);
-    let workers = follow_workers(&*feed, &settings, &links);
+    let workers = follow_workers(&*feed, &settings, &*clock, &links);
     future::zip(config, workers).await;
 }
 
@@ -69,14 +70,25 @@
             Err(fault) => {
                 outage.record_fault(&fault);
                 Timer::after(settings.store_retry_delay).await;
+                continue;
             }
         }
         if unsent.offer(links).is_err() {
             return;
         }
+        if unsent.control.is_none() && !offer_read(links, ShardInput::Config, requested_at) {
+            return;
+        }
     }
 }
 
+/// Tells the control duty that it has all changes of an input up to `requested_at`; returns whether
+/// the duty still runs. A duty without room for the message lags, and gets the next one.
+fn offer_read(links: &FeedLinks, input: ShardInput, requested_at: Instant) -> bool {
+    let message = ControlMessage::InputRead(input, requested_at);
+    is_full(links.control.offer(message)).is_ok()
+}
+
 /// The latest configuration for the duties that have not received it.
 ///
 /// A duty that lags must not delay the reads: callers are refused once the last one is too old.
@@ -110,9 +122,15 @@
     }
 }
 
-async fn follow_workers(feed: &dyn FleetFeed, settings: &NodeSettings, links: &FeedLinks) {
+async fn follow_workers(
+    feed: &dyn FleetFeed,
+    settings: &NodeSettings,
+    clock: &dyn ClockSource,
+    links: &FeedLinks,
+) {
     let mut outage = OutageLog::new("workers");
     loop {
+        let requested_at = clock.now();
         match feed.workers(settings.follow_timeout).await {
             Ok(workers) => {
                 outage.set_reachable(true);
@@ -125,6 +143,9 @@
                 {
                     return;
                 }
+                if !offer_read(links, ShardInput::Workers, requested_at) {
+                    return;
+                }
                 Timer::after(settings.worker_interval).await;
             }
             Err(fault) => {
@@ -139,7 +160,7 @@
 #[derive(Debug)]
 pub struct OutageLog {
     what: &'static str,
-    failing_since: Option<std::time::Instant>,
+    failing_since: Option<Instant>,
 }
 
 impl OutageLog {
@@ -154,7 +175,7 @@
     /// Records a failed call.
     pub fn record_fault(&mut self, fault: &dyn std::fmt::Display) {
         if self.failing_since.is_none() {
-            self.failing_since = Some(std::time::Instant::now());
+            self.failing_since = Some(Instant::now());
             let event = EventCode::StoreReach.number();
             tracing::warn!(event, what = self.what, %fault, "store not reached");
         }
--- a/crates/node/src/journal_duty/owned_shard.rs
+++ b/crates/node/src/journal_duty/owned_shard.rs
@@ -41,6 +41,7 @@
             }
         };
         let job_states = self.load_states(term).await;
+        let requested_at = self.clock.now();
         let (submissions, end) = self.load_submissions(term).await;
         let image = ShardImage {
             leases: self.read_release(term).await,
@@ -48,7 +49,8 @@
             ..submissions
         };
         let opened = ControlMessage::Opened(term, Box::new(image));
-        if self.links.control.send(opened).await.is_err() {
+        let read = ShardEvent::InputRead(ShardInput::Submissions, requested_at);
+        if self.links.control.send(opened).await.is_err() || !self.send_event(term, read).await {
             return;
         }
         if shard == MACHINE_SHARD {
@@ -166,9 +168,10 @@
         let submissions = partition(StoreTopic::Submissions, term.shard);
         let mut outage = OutageLog::new("submissions");
         loop {
+            let requested_at = self.clock.now();
             let read = self
                 .store
-                .read(submissions, from, self.settings.follow_timeout)
+                .read(submissions, from, self.settings.submission_timeout)
                 .await;
             match read {
                 Ok(read) => {
@@ -196,8 +199,13 @@
                 Err(fault) => {
                     outage.record_fault(&fault);
                     Timer::after(self.settings.store_retry_delay).await;
+                    continue;
                 }
             }
+            let read = ShardEvent::InputRead(ShardInput::Submissions, requested_at);
+            if !self.send_event(term, read).await {
+                return;
+            }
         }
     }
 
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -27,6 +27,8 @@
     Config(Arc<FleetConfig>),
     /// The complete list of workers that the platform reports.
     Workers(Vec<WorkerEntry>),
+    /// All changes of an input that were in force at this time have been sent before.
+    InputRead(ShardInput, Instant),
     /// The node took over a shard.
     Opened(ShardTerm, Box<ShardImage>),
     /// Release a shard; the reply is the longest remaining time of each worker's lease.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -107,9 +107,9 @@
         })?;
 
         let order_control = control.clone();
-        let gateway = links.gateway;
+        let (gateway, own_clock) = (links.gateway, Arc::clone(&clock));
         DutyThread::spawn("orders", move |spawner| {
-            order_duty::run(gateway, order_messages, order_control, spawner)
+            order_duty::run(gateway, own_clock, order_messages, order_control, spawner)
         })?;
 
         let journal_links = JournalLinks {
--- a/crates/node/src/order_duty.rs
+++ b/crates/node/src/order_duty.rs
@@ -1,7 +1,9 @@
 //! The duty that sends orders to workers.
 
 use std::rc::Rc;
+use std::sync::Arc;
 
+use pw_base::prelude::*;
 use pw_control::prelude::*;
 use pw_ring::prelude::*;
 
@@ -11,6 +13,7 @@
 /// Sends orders concurrently until the control duty ends.
 pub async fn run(
     gateway: Box<dyn WorkerGateway>,
+    clock: Arc<dyn ClockSource>,
     orders: RingReceiver<OrderMessage>,
     control: RingSender<ControlMessage>,
     spawner: TaskSpawner,
@@ -19,8 +22,9 @@
     while let Some(order) = orders.recv().await {
         let gateway = Rc::clone(&gateway);
         let control = control.clone();
+        let clock = Arc::clone(&clock);
         spawner.spawn(async move {
-            let (term, event) = send_order(&*gateway, order).await;
+            let (term, event) = send_order(&*gateway, &*clock, order).await;
             // The control duty ends before this one only when the node stops.
             _ = control
                 .send(ControlMessage::Shard(term, Box::new(event)))
@@ -29,14 +33,27 @@
     }
 }
 
-async fn send_order(gateway: &dyn WorkerGateway, order: OrderMessage) -> (ShardTerm, ShardEvent) {
+async fn send_order(
+    gateway: &dyn WorkerGateway,
+    clock: &dyn ClockSource,
+    order: OrderMessage,
+) -> (ShardTerm, ShardEvent) {
     match order {
         OrderMessage::Poll(term, order) => {
             let result = gateway.poll(order.clone()).await;
-            (term, ShardEvent::Polled { order, result })
+            let event = ShardEvent::Polled {
+                order,
+                result,
+                answered_at: clock.now(),
+            };
+            (term, event)
         }
         OrderMessage::Start(term, order) => {
-            let outcome = gateway.start(order.clone()).await;
+            let outcome = if clock.now() < order.send_by {
+                gateway.start(order.clone()).await
+            } else {
+                StartOutcome::NotSent
+            };
             (term, ShardEvent::Started { order, outcome })
         }
         OrderMessage::Stop(term, order) => {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -43,8 +43,10 @@
     pub max_config_age: Duration,
     /// Shortest interval between reads of the worker list.
     pub worker_interval: Duration,
-    /// Long-poll timeout of reads of workers, submissions, claims and allocations.
+    /// Long-poll timeout of reads of workers, claims and allocations.
     pub follow_timeout: Duration,
+    /// Long-poll timeout of reads of submissions. Their age grows during a read.
+    pub submission_timeout: Duration,
     /// Delay after a failed call of the store.
     pub store_retry_delay: Duration,
     /// Shortest timeout of an append; the store usually answers within a few milliseconds.
@@ -83,6 +85,7 @@
             max_config_age: Duration::from_millis(4300),
             worker_interval: Duration::from_millis(250),
             follow_timeout: Duration::from_secs(2),
+            submission_timeout: Duration::from_secs(1),
             store_retry_delay: Duration::from_millis(200),
             append_timeout_min: Duration::from_millis(150),
             append_timeout_max: Duration::from_millis(1500),
