Raise the fence of a worker with each of its lives

Callers would see a task run again that was done: a poll that was meant for a worker's former life reached the next one late, acknowledged ends by the former numbering, and the new life forgot its own.

Cause: an order names its worker by id alone, and all orders of an owner carried the same fence, its epoch. A later life under the same id could not tell them apart. Change: the fence of an order is the owner's epoch and the number of lives of the worker that the owner has seen end. Once a life has seen the higher fence, it rejects what was sent to an earlier one. A rejection of such an order is no sign of a later owner.

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -55,6 +55,9 @@
 pub type ShardNumber = u32;
 /// Epoch of a shard's owner; a later owner has a higher epoch.
 pub type OwnerEpoch = u64;
+
+/// Number by which a worker orders the owners of its shard, and the lives that an owner knew of it.
+pub type OrderFence = u64;
 /// Number of a run of a task, starting at 1; each later run has a higher number.
 pub type RunNumber = u32;
 /// Number of an occurrence of a recurring job, starting at 0.
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -153,6 +153,8 @@
     pub life: Option<LifeStart>,
     /// Epoch of the owner.
     pub epoch: OwnerEpoch,
+    /// Fence of the order; the worker rejects orders with a lower one than it has seen.
+    pub fence: OrderFence,
     /// Run ends up to this number are stored, so the worker may discard them.
     pub acknowledged: EndNumber,
     /// End of the lease on the worker's clock; `None` does not renew it.
@@ -252,6 +254,8 @@
     pub lease_until: WorkerMillis,
     /// Epoch of the owner.
     pub epoch: OwnerEpoch,
+    /// Fence of the order; the worker rejects orders with a lower one than it has seen.
+    pub fence: OrderFence,
     /// Time after which the start must not be sent, because a cancellation, a drain or a change of
     /// owner may be in force that this owner has not seen.
     pub send_by: Instant,
@@ -300,6 +304,8 @@
     pub run: RunNumber,
     /// Epoch of the owner.
     pub epoch: OwnerEpoch,
+    /// Fence of the order; the worker rejects orders with a lower one than it has seen.
+    pub fence: OrderFence,
 }
 
 /// Sets how fast a run works.
@@ -319,6 +325,8 @@
     pub percent: u8,
     /// Epoch of the owner.
     pub epoch: OwnerEpoch,
+    /// Fence of the order; the worker rejects orders with a lower one than it has seen.
+    pub fence: OrderFence,
 }
 
 /// Why a call failed.
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -96,6 +96,7 @@
                 address: worker.entry.address,
                 life: worker.life,
                 epoch: self.epoch,
+                fence: worker.fence(self.epoch),
                 acknowledged: worker.stored_end,
                 lease_until,
                 wait: if waits { wait } else { Duration::ZERO },
@@ -118,6 +119,8 @@
         worker.poll_due = now + self.settings.poll_gap;
         match result {
             Ok(report) => self.apply_report(order, report, answered_at, now),
+            // The worker has seen a poll that was sent later.
+            Err(CallFault::Fenced) if order.fence < worker.fence(self.epoch) => {}
             Err(CallFault::Fenced) => self.check_ownership(now),
             Err(CallFault::OtherLife) => {
                 self.end_worker_life(&order.worker, LifeEnd::AddressReused, now);
@@ -361,7 +364,7 @@
         let Some(life) = worker.life else {
             return;
         };
-        let address = worker.entry.address;
+        let (address, fence) = (worker.entry.address, worker.fence(self.epoch));
         let best_effort_runs = worker.runs.iter_mut().filter(|(_, run)| {
             let settled = run.paced_at.is_none_or(|at| now >= at + settle);
             run.best_effort && run.phase == RunPhase::Running && settled
@@ -384,6 +387,7 @@
                 run: run.run,
                 percent: pace,
                 epoch: self.epoch,
+                fence,
             }));
         }
     }
--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -159,6 +159,7 @@
         };
         let life = worker.life.unwrap_or_default();
         worker.synced = false;
+        worker.ended_lives += 1;
         worker.life = None;
         worker.clock_reading = None;
         worker.lease_granted_until = 0;
--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -25,7 +25,7 @@
         let (Some(life), Some(lease_until)) = (worker.life, worker.renew(now, lease, drift)) else {
             return;
         };
-        let address = worker.entry.address;
+        let (address, fence) = (worker.entry.address, worker.fence(self.epoch));
         let Some(run) = worker.runs.get_mut(task) else {
             return;
         };
@@ -47,6 +47,7 @@
             ticket,
             lease_until,
             epoch: self.epoch,
+            fence,
             send_by,
         }));
     }
@@ -173,7 +174,7 @@
             let Some(life) = worker.life else {
                 continue;
             };
-            let address = worker.entry.address;
+            let (address, fence) = (worker.entry.address, worker.fence(self.epoch));
             let stopping = worker.runs.iter_mut().filter(|(_, run)| {
                 let due = run.stop_sent.is_none_or(|sent| now >= sent + retry);
                 run.phase == RunPhase::Stopping && run.stop_acknowledged.is_none() && due
@@ -187,6 +188,7 @@
                     task: task.clone(),
                     run: run.run,
                     epoch: self.epoch,
+                    fence,
                 }));
             }
         }
@@ -226,6 +228,7 @@
             Err(CallFault::OtherLife) => {
                 self.end_worker_life(&order.worker, LifeEnd::AddressReused, now)
             }
+            Err(CallFault::Fenced) if order.fence < worker.fence(self.epoch) => {}
             Err(CallFault::Fenced) => self.check_ownership(now),
             // `send_stops` retries.
             Err(_) => {}
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -73,6 +73,9 @@
     (workers, lives)
 }
 
+/// Bits of a fence that count the ended lives of a worker.
+const LIFE_BITS: u32 = 16;
+
 /// How the end of a worker's life became known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -225,6 +228,8 @@
     pub listed: bool,
     /// Life of the worker, once it has answered this owner.
     pub life: Option<LifeStart>,
+    /// Number of lives of the worker that this owner has seen end.
+    pub ended_lives: u64,
     pub clock_reading: Option<ClockReading>,
     /// Latest lease end that this owner has sent, on the worker's clock.
     pub lease_granted_until: WorkerMillis,
@@ -272,6 +277,7 @@
             entry,
             listed: true,
             life: None,
+            ended_lives: 0,
             clock_reading: None,
             lease_granted_until: 0,
             synced: false,
@@ -296,6 +302,14 @@
         }
     }
 
+    /// Returns the fence of an order to the worker.
+    ///
+    /// An order names its worker by id alone. Once a later life has seen a higher fence, it rejects
+    /// the orders that were meant for an earlier one.
+    pub fn fence(&self, epoch: OwnerEpoch) -> OrderFence {
+        (epoch << LIFE_BITS) + self.ended_lives
+    }
+
     /// Returns a lower bound of the worker's clock, which may be slower than the owner's by at most
     /// `drift`, if a reading is known.
     pub fn clock(&self, now: Instant, drift: f64) -> Option<WorkerMillis> {
--- a/crates/control/tests/support/answers.rs
+++ b/crates/control/tests/support/answers.rs
@@ -123,10 +123,10 @@
         if worker.address_reused {
             return Err(CallFault::OtherLife);
         }
-        if worker.fence > order.epoch {
+        if worker.fence > order.fence {
             return Err(CallFault::Fenced);
         }
-        worker.fence = order.epoch;
+        worker.fence = order.fence;
         if let Some(until) = order.lease_until {
             worker.extend_lease(until, now);
         }
@@ -164,10 +164,10 @@
         if worker.address_reused {
             return Err(CallFault::OtherLife);
         }
-        if worker.fence > order.epoch {
+        if worker.fence > order.fence {
             return Err(CallFault::Fenced);
         }
-        worker.fence = order.epoch;
+        worker.fence = order.fence;
         let rejected_runs = worker.rejected_runs.entry(order.task.clone()).or_default();
         *rejected_runs = (*rejected_runs).max(order.run);
         if worker
--- a/crates/control/tests/support/worker.rs
+++ b/crates/control/tests/support/worker.rs
@@ -26,7 +26,7 @@
     pub address_reused: bool,
     /// Runs end as failed instead of done.
     pub runs_fail: bool,
-    pub fence: OwnerEpoch,
+    pub fence: OrderFence,
     pub lease_until: u64,
     /// Longest lease that the worker grants.
     pub lease_limit: u64,
@@ -120,10 +120,10 @@
         if self.address_reused {
             return StartOutcome::OtherLife;
         }
-        if order.epoch < self.fence {
+        if order.fence < self.fence {
             return StartOutcome::Fenced;
         }
-        self.fence = order.epoch;
+        self.fence = order.fence;
         self.extend_lease(order.lease_until, now);
         if self
             .running
--- a/crates/control/tests/worker_lives.rs
+++ b/crates/control/tests/worker_lives.rs
@@ -174,6 +174,7 @@
         address: worker.entry.address,
         life: Some(report.life),
         epoch: 1,
+        fence: 1 << 16,
         acknowledged: 0,
         lease_until: None,
         wait: millis(0),
@@ -226,7 +227,7 @@
     cluster.submit("job", None, vec![long_running(20)]);
     assert!(cluster.run_until(seconds(2), |cluster| cluster.running("job.0.0.19") == 1));
     for worker in cluster.workers.values_mut() {
-        worker.fence = 9;
+        worker.fence = u64::MAX;
     }
     cluster.run(seconds(3));
     assert!(
--- a/crates/node/tests/orders.rs
+++ b/crates/node/tests/orders.rs
@@ -86,6 +86,7 @@
         ticket: None,
         lease_until: 6000,
         epoch: 1,
+        fence: 1 << 16,
         send_by,
     }
 }
