Report a job as unknown only by recently read submissions

Cause: an owner said that a job does not exist by the submissions that it had handled, however old they were. The former owner is asked when the present one is not reached.

--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -432,4 +432,6 @@
     Known(JobStatus),
     /// The job does not exist or is not visible to the caller.
     Unknown,
+    /// The job is not known, but may have been submitted or may belong to another owner by now.
+    Uncertain,
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -18,7 +18,8 @@
     pub max_config_age: Duration,
     /// The same for the list of workers: the limit until a drain is in force.
     pub max_worker_age: Duration,
-    /// The same for the submissions: the limit until a cancellation is in force.
+    /// The same for the submissions: the limit until a cancellation is in force. Nor is a job reported
+    /// as unknown beyond it.
     pub max_submission_age: Duration,
     /// Longest time that a worker holds a poll open until a run ends; the platform's limit.
     pub poll_wait: Duration,
--- a/crates/control/src/shard/queries.rs
+++ b/crates/control/src/shard/queries.rs
@@ -1,18 +1,27 @@
 //! Queries about the jobs of a shard.
 
+use std::time::Instant;
+
 use indexmap::IndexMap;
 use pw_base::prelude::*;
 use pw_job::prelude::*;
 
 use super::ShardController;
-use crate::message::{JobAnswer, QueryScope};
+use crate::message::{JobAnswer, QueryScope, ShardInput};
 use crate::quota::{AccountDemand, AllocationKey};
 
 impl ShardController {
     /// Returns the stored status of a job, if `scope` includes the job.
-    pub fn job_status(&self, job: &str, scope: QueryScope<'_>) -> JobAnswer {
+    ///
+    /// An owner that has not read the submissions recently does not say that a job does not exist.
+    pub fn job_status(&self, job: &str, scope: QueryScope<'_>, now: Instant) -> JobAnswer {
         let Some(record) = self.jobs.get(job) else {
-            return JobAnswer::Unknown;
+            let read = self.inputs_read.get(&ShardInput::Submissions);
+            let limit = self.settings.max_submission_age;
+            return match read {
+                Some(at) if now < *at + limit => JobAnswer::Unknown,
+                _ => JobAnswer::Uncertain,
+            };
         };
         let allowed = match scope {
             QueryScope::Public => record.submission.account.is_none(),
--- a/crates/control/tests/shard.rs
+++ b/crates/control/tests/shard.rs
@@ -334,3 +334,15 @@
     assert!(cluster.run_until(seconds(12), |cluster| cluster.status("job") == COMPLETED));
     assert!(cluster.advice_requests.len() >= 2);
 }
+
+/// A node that is cut off from the store goes on as the owner of its shard, while another node owns
+/// it and takes new jobs.
+#[test]
+fn an_owner_that_is_cut_off_does_not_report_a_job_as_unknown() {
+    let mut cluster = TestCluster::new(1);
+    cluster.run(seconds(1));
+    assert_eq!(cluster.status("job"), JobAnswer::Unknown);
+    cluster.known_inputs.clear();
+    cluster.run(cluster.settings.max_submission_age);
+    assert_eq!(cluster.status("job"), JobAnswer::Uncertain);
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -327,7 +327,7 @@
     }
 
     pub fn query(&self, job: &str, scope: QueryScope<'_>) -> JobAnswer {
-        self.controller().job_status(job, scope)
+        self.controller().job_status(job, scope, self.now)
     }
 
     /// Advances the virtual time.
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -362,9 +362,10 @@
                     Some(account) => QueryScope::Account(account),
                     None => QueryScope::Public,
                 };
-                match shard.job_status(&job, scope) {
+                match shard.job_status(&job, scope, self.clock.now()) {
                     JobAnswer::Known(status) => NodeResponse::Status(status),
                     JobAnswer::Unknown => NodeResponse::UnknownJob,
+                    JobAnswer::Uncertain => NodeResponse::NotOwner,
                 }
             }
             // The peer duty handles store requests.
