--- a/crates/control/tests/support/answers.rs
+++ b/crates/control/tests/support/answers.rs
@@ -95,6 +95,10 @@
                     self.images.insert(job, state);
                 }
                 StoreRecord::Remove(job) => {
+                    self.submissions.swap_remove(&job);
+                    if self.only_submissions_removed {
+                        continue;
+                    }
                     self.images.swap_remove(&job);
                 }
             }
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -75,6 +75,8 @@
     pub images: IndexMap<JobId, JobState>,
     /// Inputs of which the owner knows all changes.
     pub known_inputs: Vec<ShardInput>,
+    /// The owner is lost after it has deleted submissions and before it deletes the states.
+    pub only_submissions_removed: bool,
     /// The store is available.
     pub store_up: bool,
     pending_appends: Vec<PendingAppend>,
@@ -134,6 +136,7 @@
             cancelled: Vec::new(),
             images: IndexMap::new(),
             known_inputs: ShardInput::ALL.to_vec(),
+            only_submissions_removed: false,
             store_up: true,
             pending_appends: Vec::new(),
             append_time: Duration::ZERO,
--- /dev/null
+++ b/crates/node/tests/review_findings.rs
@@ -0,0 +1,230 @@
+//! Failing tests of the review of the incident with runs that repeat and owners that lag.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use futures_lite::future::{self, BoxedLocal, FutureExt};
+use indexmap::{IndexMap, IndexSet};
+use pw_base::prelude::*;
+use pw_control::prelude::*;
+use pw_node::feed_duty::{self, FeedLinks};
+use pw_node::message::{ControlMessage, QuotaMessage};
+use pw_node::prelude::*;
+use pw_node::quota_duty;
+use pw_node::request::decode_message;
+use pw_ring::prelude::*;
+use pw_worker::prelude::*;
+
+const ACCOUNT: &str = "ane";
+/// Time after which a test ends.
+const TEST_TIME: Duration = Duration::from_secs(3);
+
+/// A feed without changes.
+struct IdleFeed;
+
+impl FleetFeed for IdleFeed {
+    fn config(&self, _: Duration) -> BoxedLocal<Result<Option<Arc<FleetConfig>>, StoreFault>> {
+        async {
+            Timer::after(Duration::from_millis(20)).await;
+            Ok(None)
+        }
+        .boxed_local()
+    }
+
+    fn workers(&self, _: Duration) -> BoxedLocal<Result<Option<Vec<WorkerEntry>>, StoreFault>> {
+        async {
+            Timer::after(Duration::from_millis(20)).await;
+            Ok(None)
+        }
+        .boxed_local()
+    }
+}
+
+/// The control duty handles 500 messages a second, and 64 messages always wait for room.
+#[test]
+fn a_busy_control_duty_learns_how_recent_its_inputs_are() {
+    let (control, control_messages) = ring("control", 8);
+    let (callers, caller_messages) = ring("callers", 4096);
+    let (machines, _machine_messages) = ring("machines", 8);
+    let links = FeedLinks {
+        control: control.clone(),
+        callers,
+        machines,
+    };
+    let duty = DutyThread::spawn("feed", move |spawner| async move {
+        for _ in 0..64 {
+            let control = control.clone();
+            spawner.spawn(async move {
+                let message = || ControlMessage::Workers(Vec::new());
+                while control.send(message()).await.is_ok() {}
+            });
+        }
+        spawner.spawn(async move { while caller_messages.recv().await.is_some() {} });
+        let clock = Arc::new(SystemClock);
+        feed_duty::run(Box::new(IdleFeed), NodeSettings::default(), clock, links).await;
+    });
+    assert!(duty.is_ok(), "the thread was not started");
+    let mut reads = 0;
+    let mut last = Instant::now();
+    let mut longest = Duration::ZERO;
+    let handle = async {
+        loop {
+            let message = control_messages.recv().await;
+            if matches!(message, Some(ControlMessage::InputRead(..))) {
+                reads += 1;
+                longest = longest.max(last.elapsed());
+                last = Instant::now();
+            }
+            Timer::after(Duration::from_millis(2)).await;
+        }
+    };
+    let end = async {
+        Timer::after(TEST_TIME).await;
+    };
+    future::block_on(future::or(end, handle));
+    assert!(
+        longest.max(last.elapsed()) < Duration::from_millis(1700),
+        "{reads} of about 200 reads were reported, at most {longest:?} after each other"
+    );
+}
+
+/// A store that compares each smaller allocation with what the control duty may use at that time.
+struct CheckingStore {
+    /// Millicores that the control duty may use.
+    allowed: Arc<AtomicU32>,
+    /// Most millicores that the duty was allowed above the stored allocation.
+    excess: Arc<AtomicU32>,
+}
+
+fn now<T: 'static>(result: Result<T, StoreFault>) -> BoxedLocal<Result<T, StoreFault>> {
+    async move {
+        Timer::after(Duration::from_millis(5)).await;
+        result
+    }
+    .boxed_local()
+}
+
+impl JobStore for CheckingStore {
+    fn append(
+        &self,
+        _: StorePartition,
+        _: Vec<StoreEntry>,
+        _: Option<StoreWriter>,
+        _: Duration,
+    ) -> BoxedLocal<Result<LogOffset, StoreFault>> {
+        now(Err(StoreFault::Unanswered))
+    }
+
+    fn append_at(
+        &self,
+        _: StorePartition,
+        entries: Vec<StoreEntry>,
+        end: LogOffset,
+    ) -> BoxedLocal<Result<LogOffset, StoreFault>> {
+        for entry in &entries {
+            let stored: QuotaAllocation = decode_message(&entry.value).expect("an allocation");
+            let allowed = self.allowed.load(Ordering::SeqCst);
+            let excess = allowed.saturating_sub(stored.size.millicores);
+            self.excess.fetch_max(excess, Ordering::SeqCst);
+        }
+        now(Ok(end))
+    }
+
+    fn read(
+        &self,
+        _: StorePartition,
+        from: LogOffset,
+        _: Duration,
+    ) -> BoxedLocal<Result<StoreRead, StoreFault>> {
+        let entries = Vec::new();
+        let next = from;
+        now(Ok(StoreRead { entries, next }))
+    }
+
+    fn newest(
+        &self,
+        _: StorePartition,
+        _: Option<String>,
+    ) -> BoxedLocal<Result<StorePage, StoreFault>> {
+        now(Ok(StorePage::default()))
+    }
+
+    fn join(&self, _: GroupJoin) -> BoxedLocal<Result<u64, StoreFault>> {
+        now(Err(StoreFault::Unanswered))
+    }
+
+    fn leave(&self, _: NodeName) -> BoxedLocal<Result<(), StoreFault>> {
+        now(Err(StoreFault::Unanswered))
+    }
+
+    fn members(&self) -> BoxedLocal<Result<IndexSet<NodeName>, StoreFault>> {
+        now(Err(StoreFault::Unanswered))
+    }
+}
+
+fn cores(cores: u32) -> ResourceSize {
+    ResourceSize {
+        millicores: cores * 1000,
+        ..Default::default()
+    }
+}
+
+/// Another shard may use the difference as soon as the smaller allocation is stored.
+#[test]
+fn an_allocation_shrinks_in_the_store_after_the_control_duty_has_given_it_up() {
+    let allowed = Arc::new(AtomicU32::new(0));
+    let excess = Arc::new(AtomicU32::new(0));
+    let store = CheckingStore {
+        allowed: Arc::clone(&allowed),
+        excess: Arc::clone(&excess),
+    };
+    let (demands, messages) = ring("quota", 16);
+    let (control, allocations) = ring("control", 1024);
+    let duty = quota_duty::run(
+        Box::new(store),
+        NodeSettings::default(),
+        Arc::new(SystemClock),
+        messages,
+        control,
+    );
+    let rule = AccountRule {
+        weight: 1,
+        maximum: cores(100),
+    };
+    let config = FleetConfig {
+        version: 1,
+        accounts: IndexMap::from([(AccountId::from(ACCOUNT), rule)]),
+        ..Default::default()
+    };
+    let send = async {
+        _ = demands.send(QuotaMessage::Config(Arc::new(config))).await;
+        for number in 0..150_u32 {
+            let waiting = cores(if number < 50 { 60 } else { 5 });
+            let demand = AccountDemand {
+                waiting,
+                ..Default::default()
+            };
+            let demand = IndexMap::from([((AccountId::from(ACCOUNT), 0), demand)]);
+            let terms = IndexMap::from([(0, 1)]);
+            _ = demands.send(QuotaMessage::Demands(terms, demand)).await;
+            Timer::after(Duration::from_millis(20)).await;
+        }
+    };
+    let follow = async {
+        while let Some(message) = allocations.recv().await {
+            if let ControlMessage::Allocations(rows) = message {
+                for (_, _, size) in rows {
+                    allowed.store(size.millicores, Ordering::SeqCst);
+                }
+            }
+        }
+    };
+    let work = future::zip(duty, future::zip(follow, future::pending::<()>()));
+    future::block_on(future::or(send, async {
+        work.await;
+    }));
+    let excess = excess.load(Ordering::SeqCst);
+    assert_eq!(excess, 0, "{excess} millicores could be used twice");
+}
