Wait for the leases of earlier owners and of stray orders when a life ends

Callers would see a task run twice: a later life in the list shortened the wait for an earlier owner's leases from 12 s to 6 s, and a start that a later life executes gets the platform's longest lease, which may be longer than the one requested.

Cause: the end of a life set the end of the wait to now and one requested lease. Change: the wait never gets shorter, and it lasts the platform's longest lease.

--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -9,6 +9,9 @@
     /// owner: the wait of a poll, the time until a new owner is assigned and its first poll add up
     /// to 5.5 s. Longer leases delay the tasks of a worker that is cut off.
     pub lease: Duration,
+    /// Longest lease that the platform grants; an order that a later life of its worker executes may
+    /// get it, as the lease end that it asks for is one on the clock of the former life.
+    pub longest_lease: Duration,
     /// Fraction by which a worker's clock may run slower than the owner's; bounded by the platform.
     pub clock_drift: f64,
     /// How long after its last confirmation of ownership an owner continues to renew leases.
@@ -60,6 +63,7 @@
     fn default() -> Self {
         Self {
             lease: Duration::from_secs(6),
+            longest_lease: Duration::from_secs(10),
             clock_drift: 0.02,
             ownership_validity: Duration::from_secs(6),
             max_config_age: Duration::from_millis(4700),
--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -153,7 +153,8 @@
     /// Resets a worker whose life has ended and ends its runs as lost, except for those that may
     /// still start on a later life, which are stopped there first.
     pub(super) fn end_worker_life(&mut self, id: &WorkerId, cause: LifeEnd, now: Instant) {
-        let lease = self.settings.lease.div_f64(1.0 - self.settings.clock_drift);
+        let lease = self.settings.longest_lease;
+        let lease = lease.div_f64(1.0 - self.settings.clock_drift);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -166,7 +167,7 @@
         worker.applied_end = 0;
         worker.stored_end = 0;
         worker.acknowledged_end = 0;
-        worker.inherited_lease_end = now + lease;
+        worker.inherited_lease_end = worker.inherited_lease_end.max(now + lease);
         worker.silent_at = None;
         // The address is polled again later, in case it still belongs to this worker.
         worker.poll_due = match cause {
