Ignore late answers for a worker's former life or address

Callers would see a running task started again: the answer to a stop or a poll that found another worker at a former address ended the present life.

Cause: only answers to starts were compared with the life that they were sent to. Change: a stop or a poll that was sent to another address or life ends no life.

--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -122,6 +122,7 @@
             // The worker has seen a poll that was sent later.
             Err(CallFault::Fenced) if order.fence < worker.fence(self.epoch) => {}
             Err(CallFault::Fenced) => self.check_ownership(now),
+            Err(CallFault::OtherLife) if !worker.is_addressed(order.address, order.life) => {}
             Err(CallFault::OtherLife) => {
                 self.end_worker_life(&order.worker, LifeEnd::AddressReused, now);
             }
--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -225,7 +225,7 @@
                     run.stop_acknowledged = Some(now);
                 }
             }
-            Err(CallFault::OtherLife) => {
+            Err(CallFault::OtherLife) if worker.is_addressed(order.address, Some(order.life)) => {
                 self.end_worker_life(&order.worker, LifeEnd::AddressReused, now)
             }
             Err(CallFault::Fenced) if order.fence < worker.fence(self.epoch) => {}
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -395,6 +395,11 @@
         })
     }
 
+    /// Returns whether an order to this address and life was meant for the worker as it is known now.
+    pub fn is_addressed(&self, address: SocketAddr, life: Option<LifeStart>) -> bool {
+        self.entry.address == address && self.life == life
+    }
+
     /// Returns whether the worker's address is known; it is not while only a stored placement names
     /// the worker.
     pub fn has_address(&self) -> bool {
