Delete the submission of a job before its state

Callers would see a finished job run again after its retention, if its owner was lost in between.

Cause: the state was deleted first, and a submission without a state is a new job. A failed deletion of the submission was logged and not repeated. Change: submissions are deleted first, until that succeeds; a new owner deletes states without one. Evidence: a_completed_job_does_not_run_again_while_its_records_are_deleted failed before. The fixture deletes submissions too since, and the test loses the owner between the two deletions.

--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -363,6 +363,10 @@
         for job in image.cancelled {
             self.cancel(&job, now);
         }
+        // The previous owner has deleted the submissions, but not the states yet.
+        for (job, _) in states {
+            self.store_queue.remove(job);
+        }
         self.inherit_leases(image.leases.as_ref(), now);
     }
 
--- a/crates/node/src/journal_duty/owned_shard.rs
+++ b/crates/node/src/journal_duty/owned_shard.rs
@@ -217,6 +217,9 @@
         while let Some((number, records)) = requests.recv().await {
             let entries: Vec<StoreEntry> = records.into_iter().map(encode_entry).collect();
             let deletions = submission_deletions(&entries);
+            if !deletions.is_empty() {
+                self.delete_submissions(term, deletions).await;
+            }
             // An append without an answer may have been executed, so it is repeated unchanged.
             let mut in_doubt = false;
             loop {
@@ -255,18 +258,17 @@
             if !self.send_event(term, ShardEvent::Stored(number)).await {
                 return;
             }
-            if !deletions.is_empty() {
-                self.delete_submissions(term, deletions).await;
-            }
         }
     }
 
-    /// Deletes the submissions of jobs whose states are already deleted.
+    /// Deletes the submissions of removed jobs; their states are deleted afterwards, since a
+    /// submission without a state is a new job.
     async fn delete_submissions(&self, term: ShardTerm, entries: Vec<StoreEntry>) {
         let submissions = partition(StoreTopic::Submissions, term.shard);
-        if let Err(fault) = self.append(submissions, entries, None).await {
+        while let Err(fault) = self.append(submissions, entries.clone(), None).await {
             let event = EventCode::StoreReach.number();
             tracing::warn!(event, %fault, "failed to delete the submissions of removed jobs");
+            Timer::after(self.settings.store_retry_delay).await;
         }
     }
 
@@ -346,7 +348,7 @@
     }
 }
 
-/// Returns records that delete the submissions of the jobs whose states `entries` delete.
+/// Returns records that delete the submissions of the jobs whose states `entries` deletes.
 fn submission_deletions(entries: &[StoreEntry]) -> Vec<StoreEntry> {
     let deleted = entries.iter().filter(|entry| entry.value.is_empty());
     let keys =
