Answer for a shard's jobs and drained workers only as its owner

Callers would see too few pending jobs or 410, and long-running tasks would end by an order for their machine: an owner that has lost its shard without noticing answers for its successor.

Cause: reports of drained workers and counts of pending jobs did not depend on the ownership. Change: an owner without a confirmed ownership reports no worker as drained, and answers neither that a job is unknown nor how many are pending. Evidence: a_former_owner_reports_no_worker_as_drained failed before and passes.

--- a/crates/control/src/shard/queries.rs
+++ b/crates/control/src/shard/queries.rs
@@ -13,14 +13,14 @@
 impl ShardController {
     /// Returns the stored status of a job, if `scope` includes the job.
     ///
-    /// An owner that has not read the submissions recently does not say that a job does not exist.
+    /// An owner that does not know the submissions up to recently does not say that a job does not
+    /// exist.
     pub fn job_status(&self, job: &str, scope: QueryScope<'_>, now: Instant) -> JobAnswer {
         let Some(record) = self.jobs.get(job) else {
-            let read = self.inputs_read.get(&ShardInput::Submissions);
-            let limit = self.settings.max_submission_age;
-            return match read {
-                Some(at) if now < *at + limit => JobAnswer::Unknown,
-                _ => JobAnswer::Uncertain,
+            return if self.knows_submissions(now) {
+                JobAnswer::Unknown
+            } else {
+                JobAnswer::Uncertain
             };
         };
         let allowed = match scope {
@@ -34,6 +34,13 @@
         }
     }
 
+    /// Returns whether this owner knows the submissions up to recently and still owns the shard.
+    pub fn knows_submissions(&self, now: Instant) -> bool {
+        let read = self.inputs_read.get(&ShardInput::Submissions);
+        let limit = self.settings.max_submission_age;
+        read.is_some_and(|at| now < *at + limit) && self.is_confirmed(now)
+    }
+
     /// Returns the number of jobs that are not over or still have placed runs.
     pub fn active_job_count(&self) -> usize {
         self.backlog.jobs().count()
--- a/crates/control/src/shard/survey.rs
+++ b/crates/control/src/shard/survey.rs
@@ -43,7 +43,11 @@
     pub fn survey_report(&self, now: Instant) -> SurveyReport {
         SurveyReport {
             pools: self.pool_loads(now),
-            drained: self.drained_workers(now),
+            drained: if self.is_confirmed(now) {
+                self.drained_workers(now)
+            } else {
+                Vec::new()
+            },
             unreachable: self.unreachable_workers(),
         }
     }
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -387,6 +387,9 @@
                     None => NodeResponse::NotOwner,
                 }
             }
+            NodeRequest::Pending { .. } if !shard.knows_submissions(self.clock.now()) => {
+                NodeResponse::NotOwner
+            }
             NodeRequest::Pending { queue, .. } => {
                 NodeResponse::Pending(shard.pending(&queue) as u64)
             }
