Keep client accounts within a lowered maximum at once

Callers of other accounts would lose room: runs of an account went on to start up to its allocation.

Cause: a maximum lowered by the configuration took effect with the next allocation alone. Change: a run has to fit into the allocation and into the maximum. Evidence: a_lowered_maximum_holds_before_the_allocation_follows failed before (8 cores above 3).

--- a/crates/control/src/quota.rs
+++ b/crates/control/src/quota.rs
@@ -75,11 +75,12 @@
         self.used.get(account).copied().unwrap_or_default()
     }
 
-    /// Returns whether a run of `size` keeps the account within its allocation of `maximum`.
+    /// Returns whether a run of `size` keeps the account within its allocation of `maximum`, which
+    /// may have been lowered below the allocation.
     pub fn allows(&self, account: &str, size: &ResourceSize, maximum: &ResourceSize) -> bool {
         let allocation = self.allocations.get(account).copied().unwrap_or_default();
         let sum = self.used(account).plus(size);
-        fits_within(&sum, &allocation, maximum)
+        fits_within(&sum, &allocation, maximum) && fits_within(&sum, maximum, maximum)
     }
 
     /// Reserves the size of a run.
