Lower the weight for owners of shards step by step

Cause: one node of much more processor time than all others gave shards to the weakest nodes again. Evidence: an_outlier_does_not_give_shards_to_the_weakest_nodes failed before (8 of 24 shards). a_single_strong_node_does_not_own_all_shards still holds.

--- a/crates/control/src/assign.rs
+++ b/crates/control/src/assign.rs
@@ -26,9 +26,10 @@
     /// Shards that a node may own beyond an even share. With none, each membership change moves
     /// many.
     pub slack: usize,
-    /// Weight of a node, relative to the heaviest one, below which it owns no shards.
+    /// Weight of a node, relative to the heaviest one, below which it owns no shards. Lowered by the
+    /// same factor until the heavier nodes have enough weight.
     pub min_relative_weight: f64,
-    /// Fraction of all weight that the heavier nodes need to have to own all shards by themselves.
+    /// Fraction of all weight that the nodes that own shards have together.
     pub min_capacity_share: f64,
     /// How long members that disappear together with most of the others still count: after an
     /// outage the store may have lost the whole group, and its members rejoin one after the other.
@@ -147,18 +148,21 @@
     owners.collect()
 }
 
-/// Returns the members that own shards: the heavy ones, or all if the heavy ones have little of the
-/// total weight.
+/// Returns the members that own shards: the heavy ones, which have at least some fraction of the total
+/// weight together.
 fn capable_members<'a>(settings: &AssignSettings, members: &[&'a NodeName]) -> Vec<&'a NodeName> {
     let weights = members.iter().map(|name| f64::from(weight_of(name)));
-    let threshold = weights.clone().fold(0.0, f64::max) * settings.min_relative_weight;
-    let heavy: f64 = weights.clone().filter(|weight| *weight >= threshold).sum();
-    if heavy < settings.min_capacity_share * weights.sum::<f64>() {
-        return members.to_vec();
+    let required = settings.min_capacity_share * weights.clone().sum::<f64>();
+    let mut threshold = weights.clone().fold(0.0, f64::max);
+    loop {
+        threshold *= settings.min_relative_weight;
+        let heavy: f64 = weights.clone().filter(|weight| *weight >= threshold).sum();
+        if heavy >= required {
+            let capable = members.iter().copied();
+            let capable = capable.filter(|name| f64::from(weight_of(name)) >= threshold);
+            return capable.collect();
+        }
     }
-    let capable = members.iter().copied();
-    let capable = capable.filter(|name| f64::from(weight_of(name)) >= threshold);
-    capable.collect()
 }
 
 fn weight_of(name: &str) -> u32 {
