--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -391,7 +391,6 @@
         placement.worker.clone()
     }
 
-    /// Sends an event to the owner that has claimed the shard.
     /// Tells the owner that it knows its inputs.
     fn confirm_inputs(&mut self) {
         for input in self.known_inputs.clone() {
@@ -399,6 +398,7 @@
         }
     }
 
+    /// Sends an event to the owner that has claimed the shard.
     pub fn handle_event(&mut self, event: ShardEvent) {
         self.send_event(self.epoch, event);
     }
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -61,8 +61,7 @@
     since: Instant,
     messages: u32,
     ticks: u32,
-    /// Longest time from the sending of a poll to the handling of its answer, without the time for
-    /// which the worker held it open.
+    /// Longest time from the arrival of a worker's answer to its handling.
     longest_lag: Duration,
 }
 
