Measure the capacity of a shard with waiting jobs

Cause: the page showed the cost of an owner by its workers only, so that a cost which grew with the backlog did not show. The times also stopped including placements once the inputs that the bench never confirmed were too old.

Change: each shard is measured again with 1,000 waiting jobs of different sizes: an answer of a worker and a pass. Time passes together with confirmations of the inputs, which are not part of the times.

--- a/crates/capacity/src/jobs.rs
+++ b/crates/capacity/src/jobs.rs
@@ -18,6 +18,8 @@
 const SHARD_SIZES: [usize; 4] = [48, 200, 800, 2_000];
 /// Number of tasks on each worker.
 const RUNS: u32 = 4;
+/// Number of waiting jobs with which a shard is measured again.
+const WAITING_JOBS: usize = 1_000;
 /// Number of shards, equal to the current number of partitions of a topic in the users' store.
 const SHARD_COUNT: f64 = 24.0;
 /// Bytes of a poll request and its response with [`RUNS`] runs, as HTTP with JSON.
@@ -32,6 +34,10 @@
     pub poll_us: f64,
     /// Time to accept and place a job of four tasks, in microseconds.
     pub job_us: f64,
+    /// The same as `poll_us` with [`WAITING_JOBS`] jobs for which no worker has room.
+    pub backlog_poll_us: f64,
+    /// Time of a pass over these jobs, in microseconds.
+    pub backlog_pass_us: f64,
     /// Memory of the controller, in mebibytes.
     pub memory_mib: f64,
 }
@@ -57,19 +63,21 @@
     )?;
     writeln!(
         page,
-        "| Workers of the shard | Answer of a worker, us | Job of four tasks, us | Memory, MiB |"
+        "| Workers of the shard | Answer of a worker, us | Job of four tasks, us | Answer, {WAITING_JOBS} jobs waiting, us | Pass over these, us | Memory, MiB |"
     )?;
-    writeln!(page, "|---|---|---|---|")?;
+    writeln!(page, "|---|---|---|---|---|---|")?;
     for cost in costs {
         let ShardCost {
             workers,
             poll_us,
             job_us,
+            backlog_poll_us,
+            backlog_pass_us,
             memory_mib,
         } = cost;
         writeln!(
             page,
-            "| {workers} | {poll_us:.1} | {job_us:.1} | {memory_mib:.2} |"
+            "| {workers} | {poll_us:.1} | {job_us:.1} | {backlog_poll_us:.1} | {backlog_pass_us:.1} | {memory_mib:.2} |"
         )?;
     }
     let shard_workers = TARGET_WORKERS / SHARD_COUNT;
@@ -126,10 +134,14 @@
     let mut bench = ShardBench::new(workers);
     bench.settle();
     let memory_mib = probe.bytes_in_use().saturating_sub(before) as f64 / (1024.0 * 1024.0);
+    let (poll_us, job_us) = (bench.poll_us(), bench.job_us());
+    bench.add_backlog();
     ShardCost {
         workers,
-        poll_us: bench.poll_us(),
-        job_us: bench.job_us(),
+        poll_us,
+        job_us,
+        backlog_poll_us: bench.poll_us(),
+        backlog_pass_us: bench.pass_us(),
         memory_mib,
     }
 }
@@ -167,23 +179,16 @@
         bench.handle_event(ShardEvent::Workers { entries, lives });
         bench.handle_event(ShardEvent::Surveyed(SurveyOrder::default()));
         for number in 0..workers {
-            bench.submit(&format!("lasting-{number}"), true);
+            let step = StepSpec {
+                long_running: true,
+                ..step()
+            };
+            bench.submit(&format!("lasting-{number}"), step);
         }
         bench
     }
 
-    fn submit(&mut self, job: &str, long_running: bool) {
-        let step = StepSpec {
-            count: RUNS,
-            size: ResourceSize {
-                millicores: 2_000,
-                memory_mib: 4_096,
-                accelerators: 0,
-            },
-            estimate: Duration::from_secs(1),
-            long_running,
-            ..Default::default()
-        };
+    fn submit(&mut self, job: &str, step: StepSpec) {
         let record = SubmissionRecord {
             queue: "queue".into(),
             pool: "pool".into(),
@@ -207,17 +212,22 @@
     /// Runs enough rounds for all starts and polls to complete.
     fn settle(&mut self) {
         for _ in 0..20 {
-            self.now += Duration::from_millis(200);
-            self.handle_event(ShardEvent::OwnershipConfirmed(self.now));
-            for input in ShardInput::ALL {
-                self.handle_event(ShardEvent::InputRead(input, self.now));
-            }
+            self.advance(Duration::from_millis(200));
             for order in std::mem::take(&mut self.polls) {
                 self.answer_poll(order);
             }
         }
     }
 
+    /// Advances the time and confirms what the controller knows.
+    fn advance(&mut self, time: Duration) {
+        self.now += time;
+        self.handle_event(ShardEvent::OwnershipConfirmed(self.now));
+        for input in ShardInput::ALL {
+            self.handle_event(ShardEvent::InputRead(input, self.now));
+        }
+    }
+
     fn handle_event(&mut self, event: ShardEvent) {
         let mut events = vec![event];
         while let Some(event) = events.pop() {
@@ -263,7 +273,7 @@
 
     /// Returns the mean time to handle a poll response without changes, in microseconds.
     fn poll_us(&mut self) -> f64 {
-        self.now += Duration::from_secs(1);
+        self.advance(Duration::from_secs(1));
         self.handle_event(ShardEvent::Tick);
         let orders = std::mem::take(&mut self.polls);
         let count = orders.len().max(1);
@@ -277,12 +287,56 @@
     /// Returns the mean time to accept and place a job, in microseconds.
     fn job_us(&mut self) -> f64 {
         const JOBS: usize = 50;
-        let started = Instant::now();
+        let mut spent = Duration::ZERO;
         for number in 0..JOBS {
-            self.now += Duration::from_millis(50);
-            self.submit(&format!("job-{number}"), false);
+            self.advance(Duration::from_millis(50));
+            let started = Instant::now();
+            self.submit(&format!("job-{number}"), step());
+            spent += started.elapsed();
+        }
+        spent.as_secs_f64() * 1e6 / JOBS as f64
+    }
+
+    /// Submits jobs that need more than any worker has, each of another size.
+    fn add_backlog(&mut self) {
+        for number in 0..WAITING_JOBS {
+            let size = ResourceSize {
+                millicores: 40_000 + number as u32,
+                ..step().size
+            };
+            let step = StepSpec { size, ..step() };
+            self.submit(&format!("waiting-{number}"), step);
         }
-        started.elapsed().as_secs_f64() * 1e6 / JOBS as f64
+    }
+
+    /// Returns the mean time of a pass over the waiting jobs, in microseconds.
+    fn pass_us(&mut self) -> f64 {
+        const PASSES: u32 = 50;
+        let mut spent = Duration::ZERO;
+        for _ in 0..PASSES {
+            self.advance(Duration::from_millis(50));
+            // A change of an allocation requests a pass.
+            self.controller
+                .set_allocation("account".into(), ResourceSize::default());
+            let started = Instant::now();
+            self.handle_event(ShardEvent::Tick);
+            spent += started.elapsed();
+        }
+        spent.as_secs_f64() * 1e6 / f64::from(PASSES)
+    }
+}
+
+/// Returns a step with the tasks of one worker.
+fn step() -> StepSpec {
+    StepSpec {
+        count: RUNS,
+        size: ResourceSize {
+            millicores: 2_000,
+            memory_mib: 4_096,
+            accelerators: 0,
+        },
+        estimate: Duration::from_secs(1),
+        ..Default::default()
     }
 }
 
