--- a/crates/control/src/shard/queries.rs
+++ b/crates/control/src/shard/queries.rs
@@ -1,18 +1,27 @@
 //! Queries about the jobs of a shard.
 
+use std::time::Instant;
+
 use indexmap::IndexMap;
 use pw_base::prelude::*;
 use pw_job::prelude::*;
 
 use super::ShardController;
-use crate::message::{JobAnswer, QueryScope};
+use crate::message::{JobAnswer, QueryScope, ShardInput};
 use crate::quota::{AccountDemand, AllocationKey};
 
 impl ShardController {
     /// Returns the stored status of a job, if `scope` includes the job.
-    pub fn job_status(&self, job: &str, scope: QueryScope<'_>) -> JobAnswer {
+    ///
+    /// An owner that does not know the submissions up to recently does not say that a job does not
+    /// exist.
+    pub fn job_status(&self, job: &str, scope: QueryScope<'_>, now: Instant) -> JobAnswer {
         let Some(record) = self.jobs.get(job) else {
-            return JobAnswer::Unknown;
+            return if self.knows_submissions(now) {
+                JobAnswer::Unknown
+            } else {
+                JobAnswer::Uncertain
+            };
         };
         let allowed = match scope {
             QueryScope::Public => record.submission.account.is_none(),
@@ -25,6 +34,13 @@
         }
     }
 
+    /// Returns whether this owner knows the submissions up to recently and still owns the shard.
+    pub fn knows_submissions(&self, now: Instant) -> bool {
+        let read = self.inputs_read.get(&ShardInput::Submissions);
+        let limit = self.settings.max_submission_age;
+        read.is_some_and(|at| now < *at + limit) && self.is_confirmed(now)
+    }
+
     /// Returns the number of jobs that are not over or still have placed runs.
     pub fn active_job_count(&self) -> usize {
         self.backlog.jobs().count()
