Satisfy the linter and the documentation check

Cause: two statements without a semicolon, a link to a private item. Change: both; no behaviour. Measured: clippy and cargo doc pass with warnings denied.

--- a/crates/capacity/src/jobs.rs
+++ b/crates/capacity/src/jobs.rs
@@ -34,7 +34,7 @@
     pub poll_us: f64,
     /// Time to accept and place a job of four tasks, in microseconds.
     pub job_us: f64,
-    /// The same as `poll_us` with [`WAITING_JOBS`] jobs for which no worker has room.
+    /// The same as `poll_us` with 1,000 jobs for which no worker has room.
     pub backlog_poll_us: f64,
     /// Time of a pass over these jobs, in microseconds.
     pub backlog_pass_us: f64,
--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -102,7 +102,7 @@
                 worker.poll_due = worker.poll_due.min(now);
             }
             StartOutcome::OtherLife => {
-                self.end_worker_life(&order.worker, LifeEnd::AddressReused, now)
+                self.end_worker_life(&order.worker, LifeEnd::AddressReused, now);
             }
             StartOutcome::Malformed => {
                 self.end_run(
@@ -226,7 +226,7 @@
                 }
             }
             Err(CallFault::OtherLife) if worker.is_addressed(order.address, Some(order.life)) => {
-                self.end_worker_life(&order.worker, LifeEnd::AddressReused, now)
+                self.end_worker_life(&order.worker, LifeEnd::AddressReused, now);
             }
             Err(CallFault::Fenced) if order.fence < worker.fence(self.epoch) => {}
             Err(CallFault::Fenced) => self.check_ownership(now),
