Give the shards of pools to different nodes

Cause: owners are chosen by hash among all 24 shards, of which four or five have work. Change: the shards of pools, and that of the machine controller, choose their owners first, each a different one if there are enough nodes. All nodes take the pools from the configuration; a node claims nothing before it knows it.

--- a/crates/control/src/assign.rs
+++ b/crates/control/src/assign.rs
@@ -5,7 +5,7 @@
 //! nodes take only the membership from the group and compute the same owners from it independently:
 //! a node that joins or leaves moves little more than its own shards. The owner of a pool under peak
 //! load needs several times as much processor time as other nodes, so nodes with little of it own
-//! shards only where the others are too few.
+//! shards only where the others are too few, and busy shards have different owners if possible.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -49,6 +49,7 @@
 #[derive(Debug, Clone)]
 pub struct ShardTable {
     settings: AssignSettings,
+    busy: IndexSet<ShardNumber>,
     listed: IndexSet<NodeName>,
     /// Members that disappeared together with most of the others, and until when they count.
     held: IndexMap<NodeName, Instant>,
@@ -88,6 +89,7 @@
     pub fn new(settings: AssignSettings) -> Self {
         Self {
             settings,
+            busy: IndexSet::new(),
             listed: IndexSet::new(),
             held: IndexMap::new(),
             owners: Vec::new(),
@@ -106,9 +108,24 @@
         self.held
             .retain(|name, until| now < *until && !listed.contains(name));
         self.listed = listed;
+        self.assign();
+    }
+
+    /// Sets the shards with most of the work, whose owners are chosen first; returns whether they
+    /// changed.
+    pub fn set_busy(&mut self, busy: &IndexSet<ShardNumber>) -> bool {
+        if self.busy == *busy {
+            return false;
+        }
+        self.busy = busy.clone();
+        self.assign();
+        true
+    }
+
+    fn assign(&mut self) {
         let members = self.listed.iter().chain(self.held.keys());
         let members: Vec<&NodeName> = members.collect();
-        self.owners = assign_shards(&self.settings, &members);
+        self.owners = assign_shards(&self.settings, &self.busy, &members);
     }
 
     /// Returns whether members count that the group no longer lists.
@@ -128,24 +145,40 @@
     }
 }
 
-/// Assigns each shard to the capable member that ranks highest for it and is below the limit.
-fn assign_shards(settings: &AssignSettings, members: &[&NodeName]) -> Vec<NodeName> {
+/// Assigns each shard to the capable member that ranks highest for it and is below the limits, of all
+/// shards and of the busy ones.
+fn assign_shards(
+    settings: &AssignSettings,
+    busy: &IndexSet<ShardNumber>,
+    members: &[&NodeName],
+) -> Vec<NodeName> {
     let members = capable_members(settings, members);
     if members.is_empty() {
         return Vec::new();
     }
     let shards = settings.shards as usize;
     let limit = shards.div_ceil(members.len()) + settings.slack;
+    let busy_limit = busy.len().div_ceil(members.len());
     let mut loads: IndexMap<&NodeName, usize> = members.iter().map(|name| (*name, 0)).collect();
-    let owners = (0..settings.shards).filter_map(|shard| {
+    let mut owners: IndexMap<ShardNumber, NodeName> = IndexMap::new();
+    let others = (0..settings.shards).filter(|shard| !busy.contains(shard));
+    let shards = (0..settings.shards).filter(|shard| busy.contains(shard));
+    for shard in shards.chain(others) {
+        let limit = if busy.contains(&shard) {
+            busy_limit
+        } else {
+            limit
+        };
         let eligible = loads.iter_mut().filter(|(_, load)| **load < limit);
         let ranked = eligible.map(|(name, load)| (rendezvous_rank(name, shard), *name, load));
         let best = ranked.max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
-        let (_, name, load) = best?;
-        *load += 1;
-        Some(name.clone())
-    });
-    owners.collect()
+        if let Some((_, name, load)) = best {
+            *load += 1;
+            owners.insert(shard, name.clone());
+        }
+    }
+    owners.sort_unstable_keys();
+    owners.into_values().collect()
 }
 
 /// Returns the members that own shards: the heavy ones, which have at least some fraction of the total
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -103,6 +103,12 @@
         Some((queue, rule, &path[rule.path_prefix.len()..]))
     }
 
+    /// Returns the shards of the pools that run tasks, out of `shards` shards.
+    pub fn busy_shards(&self, shards: u32) -> IndexSet<ShardNumber> {
+        let pools = self.pools.iter().filter(|(_, rule)| !rule.spare);
+        pools.map(|(pool, _)| find_shard(pool, shards)).collect()
+    }
+
     /// Returns the client account that a key belongs to.
     pub fn account_of(&self, key: &str) -> Option<&AccountId> {
         self.keys.get(&digest_key(key))
--- a/crates/control/tests/assign.rs
+++ b/crates/control/tests/assign.rs
@@ -93,6 +93,25 @@
     assert_eq!(strong.count(), 24);
 }
 
+/// One node owned the shards of two pools and the machine controller, while others owned none that is
+/// busy.
+#[test]
+fn busy_shards_have_different_owners() {
+    let busy = IndexSet::from([0, 2, 3, 11, 17, 23]);
+    for first in 0..20 {
+        let mut table = table(names(first..first + 8), Instant::now());
+        assert!(table.set_busy(&busy));
+        let owners: IndexSet<NodeName> = table
+            .owners()
+            .filter(|(shard, _)| busy.contains(shard))
+            .map(|(_, owner)| owner.clone())
+            .collect();
+        assert_eq!(owners.len(), busy.len());
+        assert_eq!(table.owners().count(), 24);
+        assert!(!table.set_busy(&busy));
+    }
+}
+
 #[test]
 fn a_single_strong_node_does_not_own_all_shards() {
     let members = (0..40).map(|number| name(number, if number == 0 { 50 } else { 12 }));
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -186,6 +186,12 @@
                     .quota
                     .send(QuotaMessage::Config(Arc::clone(&config)))
                     .await;
+                let busy = config.busy_shards(self.settings.shards);
+                _ = self
+                    .links
+                    .journal
+                    .send(JournalMessage::BusyShards(busy))
+                    .await;
                 let terms: Vec<ShardTerm> = self.terms().collect();
                 for term in terms {
                     let event = ShardEvent::Config(Arc::clone(&config));
--- a/crates/node/src/journal_duty.rs
+++ b/crates/node/src/journal_duty.rs
@@ -9,7 +9,7 @@
 
 use async_io::Timer;
 use futures_lite::future;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use pw_base::prelude::*;
 use pw_control::prelude::*;
 use pw_ring::prelude::*;
@@ -64,6 +64,8 @@
     timeout: AppendTimeout,
     /// Shards that the node owns or claims.
     shards: RefCell<IndexMap<ShardNumber, OwnedShard>>,
+    /// Shards with most of the work; `None` until the first configuration.
+    busy: RefCell<Option<IndexSet<ShardNumber>>>,
     leaving: Cell<bool>,
 }
 
@@ -94,6 +96,7 @@
         links,
         spawner,
         shards: RefCell::default(),
+        busy: RefCell::default(),
         leaving: Cell::default(),
     });
     let membership = Rc::clone(&duty);
@@ -127,6 +130,10 @@
                     self.spawn_release(shard);
                 }
             }
+            JournalMessage::BusyShards(mut busy) => {
+                busy.insert(MACHINE_SHARD);
+                *self.busy.borrow_mut() = Some(busy);
+            }
             JournalMessage::Leave => self.leave().await,
         }
     }
@@ -169,8 +176,16 @@
                         reads_due = reads_due.saturating_sub(1);
                         members_read = self.read_members(&mut table).await.then_some(now);
                     }
-                    let assigned = table.shards_of(&self.name());
-                    self.apply_assignment(&assigned, &mut handovers).await;
+                    // All nodes have to compute the same owners, so none claims a shard before it
+                    // knows the busy ones.
+                    let busy = self.busy.borrow().clone();
+                    if let Some(busy) = busy {
+                        if table.set_busy(&busy) {
+                            self.send_owners(&table).await;
+                        }
+                        let assigned = table.shards_of(&self.name());
+                        self.apply_assignment(&assigned, &mut handovers).await;
+                    }
                 }
                 Err(StoreFault::NotMember) => generation = 0,
                 Err(fault) => {
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use pw_base::prelude::*;
 use pw_control::prelude::*;
 use pw_ring::prelude::*;
@@ -53,6 +53,8 @@
         /// Records to store.
         records: Vec<StoreRecord>,
     },
+    /// The shards with pools that run tasks.
+    BusyShards(IndexSet<ShardNumber>),
     /// Check the ownership, because a worker or the platform reported a later owner.
     CheckOwnership(ShardTerm),
     /// The node stops: leave the group and hand over all shards.
