Bound the starts under way in a shard, so that work waits in order of urgency

Cause: a pass placed every task with room, several hundred at once. Their starts stood in the owner's rings in the order of placement, so each step of each job took the whole queue's time, run ends were applied as late, and the room of waiting starts was taken meanwhile. A profile of one node under 120 jobs a second of 13 tasks against the stand-in platform, 0.2 ms of processor time a start, is flat: orders 35 %, control 26 %, callers 17 %, no spot above 4 %. Change: at most 128 starts of a shard are unanswered; a pass ends there, and the next answer has it continue. A start sent 250 ms ago waits for its worker and no longer counts, so a rack that goes dark does not hold up the others.

--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -34,6 +34,10 @@
     /// Shortest interval between placement passes over the waiting tasks. Changes within it share
     /// one pass: under load a pass costs as much as handling hundreds of workers' answers.
     pub placement_interval: Duration,
+    /// Maximum number of starts per shard that are not answered yet. An owner that lacks processor
+    /// time handles them in the order in which they were placed; the tasks beyond wait in the
+    /// order of their urgency and reserve no room. Usually a start takes 50 ms with its append.
+    pub max_unanswered_starts: usize,
     /// Time without starts on a worker that refused one for lack of capacity.
     pub capacity_backoff: Duration,
     /// Time without starts on a worker that reported itself unhealthy; doubled with each report.
@@ -70,6 +74,7 @@
             poll_retry_max: Duration::from_secs(1),
             store_interval: Duration::from_millis(35),
             placement_interval: Duration::from_millis(20),
+            max_unanswered_starts: 128,
             capacity_backoff: Duration::from_millis(200),
             unhealthy_backoff: Duration::from_millis(500),
             unhealthy_backoff_max: Duration::from_secs(4),
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -79,6 +79,8 @@
     unsurveyed_since: Option<Instant>,
     /// A change may allow a waiting task to start.
     placement_needed: bool,
+    /// The last pass ended because too many starts had no answer.
+    starts_exhausted: bool,
     /// Earliest time of the next pass over the waiting tasks.
     next_placement: Instant,
     /// End of the next pause, after which a waiting task may start without any other change.
@@ -176,6 +178,7 @@
             taken_over_at: now,
             unsurveyed_since: Some(now),
             placement_needed: true,
+            starts_exhausted: false,
             next_placement: now,
             recheck_at: None,
             next_idle_tick: now,
@@ -238,7 +241,10 @@
                 result,
                 answered_at,
             } => self.handle_poll(&order, result, answered_at, now),
-            ShardEvent::Started { order, outcome } => self.handle_start(&order, outcome, now),
+            ShardEvent::Started { order, outcome } => {
+                self.placement_needed |= self.starts_exhausted;
+                self.handle_start(&order, outcome, now);
+            }
             ShardEvent::Stopped { order, result } => self.handle_stop(&order, result, now),
             ShardEvent::Advised { order, result } => self.handle_advice(&order, result, now),
             ShardEvent::Surveyed(order) => self.apply_survey(&order, now),
--- a/crates/control/src/shard/scheduling.rs
+++ b/crates/control/src/shard/scheduling.rs
@@ -17,6 +17,10 @@
 /// Sizes that no worker of a pool could fit in this pass; tasks at least as large are skipped.
 type UnplaceableSizes = Vec<(PoolId, ResourceSize)>;
 
+/// Time after which a start without an answer waits for its worker and no longer for this owner.
+/// Otherwise a rack that is cut off would hold up the starts on all other workers.
+const OWNER_WAIT: Duration = Duration::from_millis(250);
+
 impl ShardController {
     /// Places as many waiting tasks as fit, the most urgent jobs first.
     pub(super) fn place_waiting(&mut self, now: Instant) {
@@ -29,21 +33,46 @@
             .map(|pool| (pool.clone(), self.pool_room(pool, now)));
         let mut rooms: PoolRooms = rooms.collect();
         let mut steps = backlog.ready_steps(now);
-        while let Some(next) = steps.next(&rooms) {
+        let mut budget = self.start_budget(now);
+        while budget > 0
+            && let Some(next) = steps.next(&rooms)
+        {
             let NextStep {
                 pool,
                 job,
                 occurrence,
                 step,
             } = next;
-            if self.place_step(job, occurrence, step, &mut unplaceable, now) {
+            let placed = self.place_step((job, occurrence, step), budget, &mut unplaceable, now);
+            if placed > 0 {
+                budget = budget.saturating_sub(placed);
                 rooms.insert(pool.clone(), self.pool_room(pool, now));
             }
         }
+        self.starts_exhausted = budget == 0;
+        if self.starts_exhausted {
+            let retry_at = now + OWNER_WAIT;
+            self.recheck_at = Some(self.recheck_at.map_or(retry_at, |at| at.min(retry_at)));
+        }
         self.visits.jobs += steps.visits;
         self.backlog = backlog;
     }
 
+    /// Returns the number of starts that may be added to those without an answer.
+    fn start_budget(&self, now: Instant) -> usize {
+        let runs = self
+            .workers
+            .values()
+            .flat_map(|worker| worker.runs.values());
+        let unanswered = runs.filter(|run| match run.phase {
+            RunPhase::Planned => true,
+            RunPhase::Sent => now < run.since + OWNER_WAIT,
+            _ => false,
+        });
+        let limit = self.settings.max_unanswered_starts;
+        limit.saturating_sub(unanswered.count())
+    }
+
     /// Returns the room on the workers of a pool that accept starts.
     fn pool_room(&self, pool: &PoolId, now: Instant) -> PoolRoom {
         let open = self.workers.values().filter(|worker| {
@@ -63,25 +92,28 @@
         })
     }
 
-    /// Places the tasks of a step; returns whether any was placed.
+    /// Places up to `limit` tasks of a step, or all tasks of a gang; returns how many were placed.
     fn place_step(
         &mut self,
-        job: &JobId,
-        occurrence: OccurrenceNumber,
-        step: u32,
+        (job, occurrence, step): (&JobId, OccurrenceNumber, u32),
+        limit: usize,
         unplaceable: &mut UnplaceableSizes,
         now: Instant,
-    ) -> bool {
+    ) -> usize {
         let Some(record) = self.jobs.get(job) else {
-            return false;
+            return 0;
         };
         let spec = record.submission.spec.steps[step as usize].clone();
         let count = spec.count;
         if spec.gang {
-            return self.place_gang(job, occurrence, step, &spec, now);
+            let placed = self.place_gang(job, occurrence, step, &spec, now);
+            return if placed { count as usize } else { 0 };
         }
-        let mut any_placed = false;
+        let mut placed = 0;
         for index in 0..count {
+            if placed == limit {
+                break;
+            }
             let position = (occurrence, step, index);
             if !self.is_startable(job, position, now) {
                 continue;
@@ -89,7 +121,7 @@
             match self.find_worker(job, position, &spec, unplaceable, now) {
                 Some(worker) => {
                     self.place_task(job, position, &worker, now);
-                    any_placed = true;
+                    placed += 1;
                 }
                 None => {
                     let queue = self.jobs.get(job).map(|job| job.submission.queue.clone());
@@ -101,7 +133,7 @@
                 }
             }
         }
-        any_placed
+        placed
     }
 
     /// Returns whether a run keeps the job's client account within this shard's allocation.
--- a/crates/control/tests/backlog.rs
+++ b/crates/control/tests/backlog.rs
@@ -4,6 +4,7 @@
 
 use pw_control::prelude::*;
 use pw_job::prelude::*;
+use support::network::OrderFate;
 use support::{TestCluster, millis, seconds, size, step};
 
 /// Creates a full pool with `jobs` waiting jobs, whose tasks differ in size.
@@ -87,3 +88,45 @@
     let order: Vec<&str> = starts.iter().map(|(task, _)| &*task.job).collect();
     assert_eq!(order[8..], ["first", "second", "third", "fourth", "late"]);
 }
+
+/// All tasks with room were placed at once. An owner without processor time had hundreds of starts
+/// in its rings, handled them in that order for a second, and no job met its objective.
+#[test]
+fn starts_beyond_the_limit_wait_in_the_backlog() {
+    let mut cluster = TestCluster::new(100);
+    cluster.append_answer_time = seconds(2);
+    let limit = cluster.settings.max_unanswered_starts;
+    cluster.run(millis(100));
+    cluster.submit("job", None, vec![step(400)]);
+    cluster.run(seconds(1));
+    let is_placed = |cluster: &TestCluster, index: u32| {
+        let state = cluster.images.get("job");
+        let task = state.and_then(|state| state.task(0, 0, index));
+        task.is_some_and(|task| task.placement().is_some())
+    };
+    let placed = (0..400).filter(|index| is_placed(&cluster, *index)).count();
+    assert!(placed > 0 && placed <= limit, "{placed} tasks are placed");
+    cluster.append_answer_time = millis(5);
+    cluster.run(seconds(20));
+    assert_eq!(cluster.done.len(), 400);
+}
+
+/// Starts on workers that have just been cut off are unanswered until their timeout.
+#[test]
+fn starts_on_unreachable_workers_do_not_hold_up_the_others() {
+    let mut cluster = TestCluster::new(40);
+    cluster.settings.max_unanswered_starts = 16;
+    cluster.take_over(None);
+    cluster.run(millis(100));
+    let is_dark = |id: &str| id[1..].parse::<usize>().is_ok_and(|number| number < 2);
+    cluster.order_fate = Box::new(move |command| match command {
+        ShardCommand::Start(order) if is_dark(&order.worker) => OrderFate::Lost,
+        _ => OrderFate::Delivered,
+    });
+    for number in 0..60 {
+        cluster.submit(&format!("job-{number}"), None, vec![step(4)]);
+    }
+    cluster.run(millis(450));
+    let started = cluster.starts.len();
+    assert!(started >= 16, "{started} tasks started");
+}
