--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -75,6 +75,8 @@
     pub images: IndexMap<JobId, JobState>,
     /// Inputs of which the owner knows all changes.
     pub known_inputs: Vec<ShardInput>,
+    /// The owner is lost after it has deleted submissions and before it deletes the states.
+    pub only_submissions_removed: bool,
     /// The store is available.
     pub store_up: bool,
     pending_appends: Vec<PendingAppend>,
@@ -134,6 +136,7 @@
             cancelled: Vec::new(),
             images: IndexMap::new(),
             known_inputs: ShardInput::ALL.to_vec(),
+            only_submissions_removed: false,
             store_up: true,
             pending_appends: Vec::new(),
             append_time: Duration::ZERO,
@@ -327,7 +330,7 @@
     }
 
     pub fn query(&self, job: &str, scope: QueryScope<'_>) -> JobAnswer {
-        self.controller().job_status(job, scope)
+        self.controller().job_status(job, scope, self.now)
     }
 
     /// Advances the virtual time.
@@ -388,7 +391,6 @@
         placement.worker.clone()
     }
 
-    /// Sends an event to the owner that has claimed the shard.
     /// Tells the owner that it knows its inputs.
     fn confirm_inputs(&mut self) {
         for input in self.known_inputs.clone() {
@@ -396,6 +398,7 @@
         }
     }
 
+    /// Sends an event to the owner that has claimed the shard.
     pub fn handle_event(&mut self, event: ShardEvent) {
         self.send_event(self.epoch, event);
     }
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -61,8 +61,7 @@
     since: Instant,
     messages: u32,
     ticks: u32,
-    /// Longest time from the sending of a poll to the handling of its answer, without the time for
-    /// which the worker held it open.
+    /// Longest time from the arrival of a worker's answer to its handling.
     longest_lag: Duration,
 }
 
@@ -362,9 +361,10 @@
                     Some(account) => QueryScope::Account(account),
                     None => QueryScope::Public,
                 };
-                match shard.job_status(&job, scope) {
+                match shard.job_status(&job, scope, self.clock.now()) {
                     JobAnswer::Known(status) => NodeResponse::Status(status),
                     JobAnswer::Unknown => NodeResponse::UnknownJob,
+                    JobAnswer::Uncertain => NodeResponse::NotOwner,
                 }
             }
             // The peer duty handles store requests.
@@ -386,6 +386,9 @@
                     None => NodeResponse::NotOwner,
                 }
             }
+            NodeRequest::Pending { .. } if !shard.knows_submissions(self.clock.now()) => {
+                NodeResponse::NotOwner
+            }
             NodeRequest::Pending { queue, .. } => {
                 NodeResponse::Pending(shard.pending(&queue) as u64)
             }
