Shrink an allocation in its shard before it shrinks in the store

Cause: the quota duty appended a smaller allocation first and told the control duty afterwards. From the append until the control duty handled the message, the shard still started runs within the former allocation while another shard could request the difference. A reduction was also computed from a demand report that later starts had outdated, and a growth in the same append counted on it.

Change: a reduction is planned, the control duty lowers the shard's allocation and replies with the size of the account's runs, and only then the allocation is appended, not below that size. A growth is appended before the shard learns of it, as before, and does not count on reductions that are not stored. One loop sends all allowances, so that an older one does not arrive after a reduction; replies are awaited by another loop, so growth of other accounts and the receipt of demands go on meanwhile.

Evidence: review_findings an_allocation_shrinks_in_the_store_after_the_control_duty_has_given_it_up failed before with 71500 of 100000 millicores that could be used twice, and passes with 0. The test now also answers the confirmation and requires that the smaller allocation is stored. an_allocation_does_not_grow_into_one_that_has_not_shrunk_yet failed without the change of QuotaTable::propose: 83000 and 88500 of 100000.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -35,7 +35,8 @@
     };
     pub use crate::placement::{Candidate, PackPlacement, PlacementPolicy, PlacementRequest};
     pub use crate::quota::{
-        AccountBudget, AccountDemand, AllocationKey, QuotaAllocation, QuotaTable,
+        AccountBudget, AccountDemand, AllocationKey, AllocationReductions, QuotaAllocation,
+        QuotaTable,
     };
     pub use crate::settings::ControlSettings;
     pub use crate::shard::{ShardController, VisitCount};
--- a/crates/control/src/quota.rs
+++ b/crates/control/src/quota.rs
@@ -4,6 +4,11 @@
 //! within it. Allocations are changed by conditional appends, which fail after a concurrent change,
 //! so their sum never exceeds the maximum. An allocation stays with its shard when the owner
 //! changes.
+//!
+//! An allocation shrinks in the shard first, see [`AllocationReductions`]: another shard may use the
+//! difference as soon as the smaller allocation is stored.
+
+mod reductions;
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -13,6 +18,7 @@
 use pw_worker::prelude::*;
 use serde::{Deserialize, Serialize};
 
+pub use self::reductions::AllocationReductions;
 use crate::config::AccountRule;
 
 /// Multiple of its demand that a shard requests, so that not every job needs a request.
@@ -134,7 +140,22 @@
         }
     }
 
+    /// Returns the size to which a shard's allocation shrinks before it may become `size`; `None` if
+    /// it only grows.
+    pub fn reduced(
+        &self,
+        key: &AllocationKey,
+        size: &ResourceSize,
+        maximum: &ResourceSize,
+    ) -> Option<ResourceSize> {
+        let allocation = self.allocation(key);
+        let shrinks = !fits_within(&allocation, size, maximum);
+        shrinks.then(|| component_min(&allocation, size))
+    }
+
     /// Returns the allocations of this node's shards that should change, with their new sizes.
+    ///
+    /// Together they stay within the maxima whether or not those that shrink are stored.
     pub fn propose(
         &mut self,
         accounts: &IndexMap<AccountId, AccountRule>,
@@ -160,7 +181,7 @@
             let wanted = demand.used.plus(&demand.waiting);
             let target = self.target(key, &wanted, demand, &maximum, &free, now);
             if target != allocation {
-                *total = others.plus(&target);
+                *total = others.plus(&component_max(&target, &allocation));
                 proposals.push((key.clone(), target));
             }
         }
--- a/crates/control/src/shard/queries.rs
+++ b/crates/control/src/shard/queries.rs
@@ -77,4 +77,9 @@
         self.budget.set_allocation(account, allocation);
         self.placement_needed = true;
     }
+
+    /// Returns the size reserved for a client account's runs in the shard.
+    pub fn account_used(&self, account: &str) -> pw_worker::prelude::ResourceSize {
+        self.budget.used(account)
+    }
 }
--- a/crates/control/tests/quota.rs
+++ b/crates/control/tests/quota.rs
@@ -150,3 +150,41 @@
     budget.release("ane", &large);
     assert!(budget.allows("ane", &large, &maximum));
 }
+
+/// Runs start within the former allocation after the demand was reported.
+#[test]
+fn an_allocation_does_not_shrink_below_the_runs_at_the_time_of_its_confirmation() {
+    let mut reductions = AllocationReductions::default();
+    let size = cores(5);
+    reductions.plan(key(0), QuotaAllocation { epoch: 1, size });
+    assert_eq!(reductions.limit(&key(0), cores(60)), cores(5));
+    assert_eq!(reductions.request().len(), 1);
+    assert_eq!(reductions.confirmed().count(), 0);
+    reductions.confirm(&key(0), 1, &cores(40), &cores(60));
+    let confirmed: Vec<u32> = reductions
+        .confirmed()
+        .map(|(_, allocation)| allocation.size.millicores / 1000)
+        .collect();
+    assert_eq!(confirmed, [40]);
+}
+
+/// One of a node's shards gives up a part that another one requests in the same update.
+#[test]
+fn an_allocation_does_not_grow_into_one_that_has_not_shrunk_yet() {
+    let mut shards = Shards::new(100);
+    shards.update(0, 0, 60);
+    let held = shards.table.allocation(&key(0)).millicores;
+    let demand = |waiting| AccountDemand {
+        waiting: cores(waiting),
+        ..Default::default()
+    };
+    let demands = IndexMap::from([(key(0), demand(5)), (key(1), demand(80))]);
+    let rules = shards.rules();
+    shards.table.propose(&rules, &demands, shards.now);
+    shards.now += Duration::from_secs(1);
+    let proposals = shards.table.propose(&rules, &demands, shards.now);
+    let grown = proposals.iter().find(|(name, _)| *name == key(1));
+    let grown = grown.map_or(0, |(_, size)| size.millicores);
+    assert!(proposals.iter().any(|(name, _)| *name == key(0)));
+    assert!(held + grown <= 100_000, "{held} and {grown} of 100000");
+}
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -233,6 +233,20 @@
                     self.dispatch_event(term, ShardEvent::Tick).await;
                 }
             }
+            ControlMessage::Reductions(allocations, reply) => {
+                let mut used = Vec::new();
+                for (term, account, allocation) in allocations {
+                    if self.owns(term)
+                        && let Some(shard) = self.shards.get_mut(&term.shard)
+                    {
+                        shard.set_allocation(account.clone(), allocation);
+                        let size = shard.account_used(&account);
+                        used.push((term, account, size));
+                    }
+                }
+                // The quota duty ends before this one only when the node stops.
+                _ = reply.offer(used);
+            }
             ControlMessage::Request(request, reply) => {
                 let response = self.respond(request).await;
                 // The requester may have stopped waiting for the response.
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -20,6 +20,9 @@
     pub epoch: OwnerEpoch,
 }
 
+/// A size for an account's runs in a shard.
+pub type AccountAllowance = (ShardTerm, AccountId, ResourceSize);
+
 /// Message to the control duty.
 #[derive(Debug)]
 pub enum ControlMessage {
@@ -36,7 +39,10 @@
     /// An event for the controller of a shard.
     Shard(ShardTerm, Box<ShardEvent>),
     /// Largest total size of each account's runs in a shard.
-    Allocations(Vec<(ShardTerm, AccountId, ResourceSize)>),
+    Allocations(Vec<AccountAllowance>),
+    /// Allocations that are about to shrink in the store; the reply is the size of the account's
+    /// runs in each shard that keeps to its smaller allocation.
+    Reductions(Vec<AccountAllowance>, RingSender<Vec<AccountAllowance>>),
     /// A request to a shard's owner; the response goes to the sender.
     Request(NodeRequest, RingSender<NodeResponse>),
 }
--- a/crates/node/src/quota_duty.rs
+++ b/crates/node/src/quota_duty.rs
@@ -12,7 +12,7 @@
 use pw_ring::prelude::*;
 
 use crate::links::{JobStore, StoreEntry, StoreFault, StorePartition, StoreTopic};
-use crate::message::{ControlMessage, QuotaMessage, ShardTerm};
+use crate::message::{AccountAllowance, ControlMessage, QuotaMessage, ShardTerm};
 use crate::request::{decode_message, encode_message};
 use crate::settings::NodeSettings;
 
@@ -21,6 +21,8 @@
 const QUOTA_SHARD: ShardNumber = 0;
 /// Shortest interval between updates, and between reads.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(80);
+/// Requests for reductions that may await their replies at the same time.
+const REDUCTION_REQUESTS: usize = 16;
 
 struct QuotaDuty {
     store: Box<dyn JobStore>,
@@ -28,11 +30,20 @@
     clock: Arc<dyn ClockSource>,
     control: RingSender<ControlMessage>,
     state: RefCell<QuotaState>,
+    /// Wakes the loop that sends the allowances; a full ring needs no further message.
+    wake_publish: RingSender<()>,
+}
+
+/// Reductions that await the control duty's reply.
+struct ReductionRequest {
+    keys: Vec<AllocationKey>,
+    reply: RingReceiver<Vec<AccountAllowance>>,
 }
 
 #[derive(Default)]
 struct QuotaState {
     table: QuotaTable,
+    reductions: AllocationReductions,
     /// Offset of the next record to read; `None` before the first read.
     next: Option<LogOffset>,
     config: Arc<FleetConfig>,
@@ -49,41 +60,49 @@
     messages: RingReceiver<QuotaMessage>,
     control: RingSender<ControlMessage>,
 ) {
+    // These rings only wake a loop, so a full one needs no further message.
+    let (wake_publish, publish_wakes) = ring("quota-publish", 1);
     let duty = QuotaDuty {
         store,
         settings,
         clock,
         control,
         state: RefCell::default(),
+        wake_publish,
     };
-    // These rings only wake a loop, so a full one needs no further message.
+    let (replies, reply_rings) = ring("quota-reductions", REDUCTION_REQUESTS);
     let (wake_follow, follow_wakes) = ring("quota-follow", 1);
     let (wake_update, update_wakes) = ring("quota-change", 1);
     let receive = async {
         while let Some(message) = messages.recv().await {
-            duty.handle_message(message).await;
+            duty.handle_message(message);
             _ = wake_follow.offer(());
             _ = wake_update.offer(());
         }
     };
-    let work = future::or(
+    let stored = future::or(
         duty.follow(follow_wakes, wake_update.clone()),
         duty.update(update_wakes),
     );
-    future::or(receive, work).await;
+    let sent = future::or(
+        duty.publish(publish_wakes, replies),
+        duty.confirm(reply_rings, wake_update.clone()),
+    );
+    future::or(receive, future::or(stored, sent)).await;
 }
 
 impl QuotaDuty {
-    async fn handle_message(&self, message: QuotaMessage) {
+    fn handle_message(&self, message: QuotaMessage) {
         match message {
             QuotaMessage::Config(config) => self.state.borrow_mut().config = config,
             QuotaMessage::Demands(terms, demands) => {
                 let mut state = self.state.borrow_mut();
+                state.reductions.retain_terms(&terms);
                 state.terms = terms;
                 state.demands = demands;
             }
         }
-        self.publish().await;
+        _ = self.wake_publish.offer(());
     }
 
     /// Follows the allocations while the node owns shards with demand.
@@ -136,7 +155,7 @@
         let changed = !entries.is_empty();
         self.apply(&entries, end);
         if changed {
-            self.publish().await;
+            _ = self.wake_publish.offer(());
         }
         Ok(())
     }
@@ -161,7 +180,10 @@
         state.next = Some(next);
         for entry in entries {
             match (parse_key(&entry.key), decode_message(&entry.value)) {
-                (Some(key), Some(allocation)) => state.table.apply(key, allocation),
+                (Some(key), Some(allocation)) => {
+                    state.reductions.complete(&key, &allocation);
+                    state.table.apply(key, allocation);
+                }
                 _ => {
                     let event = EventCode::RecordSkipped.number();
                     tracing::warn!(event, key = entry.key, "malformed allocation skipped");
@@ -171,30 +193,12 @@
     }
 
     /// Stores new allocations for the node's shards that need them, unless another node was faster.
+    /// Those that shrink are only planned; they are stored once their shards have confirmed them.
     async fn update_allocations(&self) {
-        let now = self.clock.now();
-        let (entries, end) = {
-            let mut state = self.state.borrow_mut();
-            let QuotaState {
-                table,
-                next,
-                config,
-                terms,
-                demands,
-            } = &mut *state;
-            let Some(end) = *next else {
-                return;
-            };
-            let proposals = table.propose(&config.accounts, demands, now);
-            let entries = proposals.into_iter().filter_map(|(key, size)| {
-                let epoch = *terms.get(&key.1)?;
-                Some(StoreEntry {
-                    key: format!("{}/{}", key.0, key.1),
-                    value: encode_message(&QuotaAllocation { epoch, size })?,
-                })
-            });
-            (entries.collect::<Vec<StoreEntry>>(), end)
+        let Some((entries, end)) = self.plan_update() else {
+            return;
         };
+        _ = self.wake_publish.offer(());
         if entries.is_empty() {
             return;
         }
@@ -206,7 +210,7 @@
         {
             Ok(_) => {
                 self.apply(&entries, end + count);
-                self.publish().await;
+                _ = self.wake_publish.offer(());
             }
             // Read the concurrent changes, or the append itself if its answer was lost.
             Err(_) => {
@@ -215,27 +219,118 @@
         }
     }
 
-    /// Sends the control duty the allowances of its shards.
-    async fn publish(&self) {
-        let allowances = {
-            let state = self.state.borrow();
-            let allowances = state.demands.keys().filter_map(|key| {
-                let rule = state.config.accounts.get(&key.0)?;
-                let epoch = *state.terms.get(&key.1)?;
-                let term = ShardTerm {
-                    shard: key.1,
-                    epoch,
-                };
-                let allowance = state.table.allowance(key, &rule.maximum);
-                Some((term, key.0.clone(), allowance))
-            });
-            allowances.collect()
-        };
-        // The control duty ends before this one only when the node stops.
-        _ = self
-            .control
-            .send(ControlMessage::Allocations(allowances))
-            .await;
+    /// Returns the allocations to store and the offset at which to store them; `None` when nothing
+    /// changes.
+    fn plan_update(&self) -> Option<(Vec<StoreEntry>, LogOffset)> {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let QuotaState {
+            table,
+            reductions,
+            next,
+            config,
+            terms,
+            demands,
+        } = &mut *state;
+        let end = (*next)?;
+        let proposals = table.propose(&config.accounts, demands, now);
+        let mut updates: Vec<(AllocationKey, QuotaAllocation)> = reductions
+            .confirmed()
+            .map(|(key, allocation)| (key.clone(), *allocation))
+            .collect();
+        let mut changed = !updates.is_empty();
+        for (key, size) in proposals {
+            let (Some(epoch), Some(rule)) = (terms.get(&key.1), config.accounts.get(&key.0)) else {
+                continue;
+            };
+            if reductions.contains(&key) {
+                continue;
+            }
+            changed = true;
+            let epoch = *epoch;
+            match table.reduced(&key, &size, &rule.maximum) {
+                Some(size) => reductions.plan(key, QuotaAllocation { epoch, size }),
+                None => updates.push((key, QuotaAllocation { epoch, size })),
+            }
+        }
+        let entries = updates.into_iter().filter_map(|(key, allocation)| {
+            Some(StoreEntry {
+                key: format!("{}/{}", key.0, key.1),
+                value: encode_message(&allocation)?,
+            })
+        });
+        changed.then(|| (entries.collect(), end))
+    }
+
+    /// Sends the control duty the allowances of its shards on each wake, and the reductions that it
+    /// has to confirm.
+    ///
+    /// Only this loop sends allowances: one computed before a reduction must not arrive after it.
+    async fn publish(&self, wakes: RingReceiver<()>, replies: RingSender<ReductionRequest>) {
+        while wakes.recv().await.is_some() {
+            let reductions = self.request_reductions();
+            if !reductions.is_empty() {
+                let keys = reductions.iter();
+                let keys = keys.map(|(term, account, _)| (account.clone(), term.shard));
+                let keys = keys.collect();
+                let (sender, reply) = ring("quota-used", 1);
+                let message = ControlMessage::Reductions(reductions, sender);
+                // The control duty ends before this one only when the node stops.
+                _ = self.control.send(message).await;
+                _ = replies.send(ReductionRequest { keys, reply }).await;
+            }
+            let message = ControlMessage::Allocations(self.allowances());
+            _ = self.control.send(message).await;
+        }
+    }
+
+    /// Takes the control duty's confirmations of reductions.
+    async fn confirm(&self, replies: RingReceiver<ReductionRequest>, wake_update: RingSender<()>) {
+        while let Some(ReductionRequest { keys, reply }) = replies.recv().await {
+            let used = reply.recv().await.unwrap_or_default();
+            let mut state = self.state.borrow_mut();
+            let QuotaState {
+                table, reductions, ..
+            } = &mut *state;
+            for (term, account, size) in used {
+                let key = (account, term.shard);
+                reductions.confirm(&key, term.epoch, &size, &table.allocation(&key));
+            }
+            for key in &keys {
+                reductions.cancel(key);
+            }
+            _ = wake_update.offer(());
+            _ = self.wake_publish.offer(());
+        }
+    }
+
+    fn request_reductions(&self) -> Vec<AccountAllowance> {
+        let requested = self.state.borrow_mut().reductions.request();
+        let allowances = requested.into_iter().map(|(key, allocation)| {
+            let term = ShardTerm {
+                shard: key.1,
+                epoch: allocation.epoch,
+            };
+            (term, key.0, allocation.size)
+        });
+        allowances.collect()
+    }
+
+    /// Returns the size that the runs of each account in the node's shards may reach.
+    fn allowances(&self) -> Vec<AccountAllowance> {
+        let state = self.state.borrow();
+        let allowances = state.demands.keys().filter_map(|key| {
+            let rule = state.config.accounts.get(&key.0)?;
+            let epoch = *state.terms.get(&key.1)?;
+            let term = ShardTerm {
+                shard: key.1,
+                epoch,
+            };
+            let allowance = state.table.allowance(key, &rule.maximum);
+            let allowance = state.reductions.limit(key, allowance);
+            Some((term, key.0.clone(), allowance))
+        });
+        allowances.collect()
     }
 }
 
--- a/crates/node/tests/quota_duty.rs
+++ b/crates/node/tests/quota_duty.rs
@@ -1,7 +1,7 @@
 //! Allocations of accounts' maxima while the store is slow and demand changes all the time.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use async_io::Timer;
@@ -22,6 +22,7 @@
 /// Number of demands after which the test fails.
 const MAX_DEMANDS: usize = 500;
 const ACCOUNT: &str = "ane";
+const OTHER_ACCOUNT: &str = "bel";
 
 /// A store that answers slowly and counts the allocation records.
 #[derive(Default)]
@@ -110,7 +111,9 @@
     };
     Arc::new(FleetConfig {
         version: 1,
-        accounts: IndexMap::from([(AccountId::from(ACCOUNT), rule)]),
+        accounts: [ACCOUNT, OTHER_ACCOUNT]
+            .map(|account| (AccountId::from(account), rule.clone()))
+            .into(),
         ..Default::default()
     })
 }
@@ -168,3 +171,62 @@
         wait_for_allocation(&allocations)
     )));
 }
+
+/// Demand of one account falls and the control duty never confirms the reduction. The allocation of
+/// another account still grows.
+#[test]
+fn an_unconfirmed_reduction_does_not_delay_another_growth() {
+    let (demands, messages) = ring("quota", 16);
+    let (control, allocations) = ring("control", 1024);
+    let clock: Arc<dyn ClockSource> = Arc::new(SystemClock);
+    let store = Box::new(SlowStore::default());
+    let duty = quota_duty::run(store, NodeSettings::default(), clock, messages, control);
+    let requested = AtomicBool::new(false);
+    let send = async {
+        _ = demands.send(QuotaMessage::Config(config())).await;
+        for number in 0..MAX_DEMANDS as u32 {
+            let other = if requested.load(Ordering::SeqCst) {
+                20
+            } else {
+                0
+            };
+            let waiting = [if number < 50 { 60 } else { 5 }, other];
+            let demand = |waiting| AccountDemand {
+                waiting: cores(waiting),
+                ..Default::default()
+            };
+            let rows = [ACCOUNT, OTHER_ACCOUNT].into_iter().zip(waiting);
+            let rows = rows.map(|(account, size)| ((account.into(), 0), demand(size)));
+            let terms = IndexMap::from([(0, 1)]);
+            let message = QuotaMessage::Demands(terms, rows.collect());
+            _ = demands.send(message).await;
+            Timer::after(DEMAND_INTERVAL).await;
+        }
+        false
+    };
+    let follow = async {
+        let mut unanswered = Vec::new();
+        while let Some(message) = allocations.recv().await {
+            match message {
+                ControlMessage::Reductions(_, reply) => {
+                    unanswered.push(reply);
+                    requested.store(true, Ordering::SeqCst);
+                }
+                ControlMessage::Allocations(rows) if !unanswered.is_empty() => {
+                    let mut other = rows.iter().filter(|(_, name, _)| &**name == OTHER_ACCOUNT);
+                    if other.any(|(.., size)| size.millicores >= 20_000) {
+                        return true;
+                    }
+                }
+                _ => {}
+            }
+        }
+        false
+    };
+    let served = async {
+        duty.await;
+        false
+    };
+    let work = future::or(served, send);
+    assert!(future::block_on(future::or(work, follow)));
+}
--- a/crates/node/tests/review_findings.rs
+++ b/crates/node/tests/review_findings.rs
@@ -96,6 +96,8 @@
     allowed: Arc<AtomicU32>,
     /// Most millicores that the duty was allowed above the stored allocation.
     excess: Arc<AtomicU32>,
+    /// Millicores of the latest stored allocation.
+    latest: Arc<AtomicU32>,
 }
 
 fn now<T: 'static>(result: Result<T, StoreFault>) -> BoxedLocal<Result<T, StoreFault>> {
@@ -128,6 +130,8 @@
             let allowed = self.allowed.load(Ordering::SeqCst);
             let excess = allowed.saturating_sub(stored.size.millicores);
             self.excess.fetch_max(excess, Ordering::SeqCst);
+            let size = stored.size.millicores;
+            self.latest.store(size, Ordering::SeqCst);
         }
         now(Ok(end))
     }
@@ -176,9 +180,11 @@
 fn an_allocation_shrinks_in_the_store_after_the_control_duty_has_given_it_up() {
     let allowed = Arc::new(AtomicU32::new(0));
     let excess = Arc::new(AtomicU32::new(0));
+    let latest = Arc::new(AtomicU32::new(0));
     let store = CheckingStore {
         allowed: Arc::clone(&allowed),
         excess: Arc::clone(&excess),
+        latest: Arc::clone(&latest),
     };
     let (demands, messages) = ring("quota", 16);
     let (control, allocations) = ring("control", 1024);
@@ -214,10 +220,20 @@
     };
     let follow = async {
         while let Some(message) = allocations.recv().await {
-            if let ControlMessage::Allocations(rows) = message {
-                for (_, _, size) in rows {
-                    allowed.store(size.millicores, Ordering::SeqCst);
+            match message {
+                ControlMessage::Allocations(rows) => {
+                    for (_, _, size) in rows {
+                        allowed.store(size.millicores, Ordering::SeqCst);
+                    }
                 }
+                ControlMessage::Reductions(mut rows, reply) => {
+                    for (_, _, size) in &mut rows {
+                        allowed.store(size.millicores, Ordering::SeqCst);
+                        *size = ResourceSize::default();
+                    }
+                    _ = reply.offer(rows);
+                }
+                _ => {}
             }
         }
     };
@@ -227,4 +243,9 @@
     }));
     let excess = excess.load(Ordering::SeqCst);
     assert_eq!(excess, 0, "{excess} millicores could be used twice");
+    let latest = latest.load(Ordering::SeqCst);
+    assert!(
+        latest < 20_000,
+        "{latest} millicores stay allocated for a demand of 5000"
+    );
 }
