Send orders for machines only while a recent report shows no runs there

Cause: the machine controller repeated a rejected or unanswered order without looking at the report that it rested on. A first order rested on a recent report when it was decided, but the task that sends it could wait for processor time without a bound, also past the confirmation of the role. A role that was acquired counted as confirmed when the duty handled the message.

Change: each machine task keeps the time as of which an order would have ended no run: that of the latest survey that reported its worker as drained, or of the latest list that shows the ordered machine as not up or without a worker. An order and its repetition need one within max_survey_age (0.5 s). With the call's timeout of 1 s that is within the 2 s that a drain lasts, and within STALE_ORDER_TIME. The order carries that time as send_by, which the machine duty checks, with the role and its confirmation, directly before it sends. An ordered machine that comes back with another worker is drained again. Outcomes of orders that arrive while the role is unconfirmed are kept, otherwise such a machine would never be ordered again. The role counts as confirmed as of its claim.

--- a/crates/control/src/machines.rs
+++ b/crates/control/src/machines.rs
@@ -37,8 +37,8 @@
     pub unreachable_list_interval: Duration,
     /// Interval between machine lists otherwise.
     pub idle_list_interval: Duration,
-    /// Age at which a survey report is too old to justify an order: workers leave the draining
-    /// state soon after the last survey that names them.
+    /// Age at which a survey report or a list of machines is too old to justify an order or its
+    /// repetition: workers leave the draining state soon after the last survey that names them.
     pub max_survey_age: Duration,
     /// Largest fraction of a pool in maintenance at the same time.
     pub max_pool_fraction: f64,
@@ -80,6 +80,8 @@
     /// Unreachable workers.
     lives: LifeTracker,
     list_due: Instant,
+    /// When the last list of machines was requested.
+    listed_at: Option<Instant>,
     commands: Vec<MachineCommand>,
 }
 
@@ -90,6 +92,10 @@
     /// Worker to drain; another one that appears on the machine meanwhile replaces it.
     worker: Option<WorkerId>,
     stage: TaskStage,
+    /// The machine is in the spare pool, where machines are off.
+    off: bool,
+    /// Latest time at which an order would have ended no run, by the owner's report or the list.
+    idle_at: Option<Instant>,
     /// Number of busy answers.
     busy_answers: u32,
 }
@@ -132,14 +138,50 @@
 }
 
 impl MachineTask {
-    /// Switches to the worker that is on the machine now: a worker that crashed comes back under
-    /// another name, and the previous one would never be reported as drained.
-    fn retarget(&mut self, view: &MachineView, spare: bool) {
+    /// Applies a list of machines that was requested at `requested_at`.
+    fn follow_machine(&mut self, view: &MachineView, spare: bool, requested_at: Instant) {
+        self.off = spare;
+        let up = view.state == MachineState::Up;
         let draining = matches!(self.stage, TaskStage::Draining { .. });
-        if draining && view.state == MachineState::Up && !spare && view.worker.is_some() {
-            self.worker.clone_from(&view.worker);
-            self.pool.clone_from(&view.pool);
+        if (!up || view.worker.is_none()) && (!draining || self.worker.is_none()) {
+            self.idle_at = self.idle_at.max(Some(requested_at));
         }
+        if !up || spare || view.worker.is_none() || view.worker == self.worker {
+            return;
+        }
+        match (self.stage, &self.action) {
+            // A worker that crashed comes back under another name, and the previous one would never
+            // be reported as drained.
+            (TaskStage::Draining { .. }, _) => self.retarget(view),
+            // The order was carried out although its answer was lost, or the machine has crashed.
+            (TaskStage::Ordered { retry_at: Some(at) }, MachineAction::Move(to)) => {
+                if view.pool == *to {
+                    self.stage = TaskStage::Settling { since: at };
+                } else {
+                    self.stage = TaskStage::Draining { not_before: at };
+                    self.retarget(view);
+                }
+            }
+            (TaskStage::Ordered { retry_at: Some(at) }, MachineAction::Upkeep(_)) => {
+                self.stage = TaskStage::Draining { not_before: at };
+                self.retarget(view);
+            }
+            _ => {}
+        }
+    }
+
+    /// Switches to the worker that is on the machine now.
+    fn retarget(&mut self, view: &MachineView) {
+        self.worker.clone_from(&view.worker);
+        self.pool.clone_from(&view.pool);
+        self.idle_at = None;
+    }
+
+    /// Returns until when the order may be sent; `None` while nothing recent shows that it would end
+    /// no run.
+    fn send_by(&self, max_age: Duration, now: Instant) -> Option<Instant> {
+        let idle_at = if self.off { now } else { self.idle_at? };
+        Some(idle_at + max_age).filter(|send_by| now < *send_by)
     }
 }
 
@@ -167,6 +209,7 @@
             last_surveys: IndexMap::new(),
             lives: LifeTracker::default(),
             list_due: now,
+            listed_at: None,
             commands: Vec::new(),
         }
     }
@@ -194,7 +237,7 @@
                 requested_at,
             } => {
                 if self.lives.accept_list(requested_at) {
-                    self.update_machines(machines, now);
+                    self.update_machines(machines, requested_at, now);
                 }
             }
             MachineEvent::Surveyed {
@@ -209,7 +252,7 @@
                     self.loads.insert(load.pool.clone(), load);
                 }
                 if now < requested_at + self.settings.max_survey_age {
-                    self.order_drained(&report.drained, now);
+                    self.order_drained(&report.drained, requested_at, now);
                 }
                 self.lives
                     .update_unreachable(shard, report.unreachable, now);
@@ -245,7 +288,8 @@
         }
     }
 
-    fn update_machines(&mut self, machines: Vec<MachineView>, now: Instant) {
+    fn update_machines(&mut self, machines: Vec<MachineView>, requested_at: Instant, now: Instant) {
+        self.listed_at = Some(requested_at);
         let by_id = machines
             .into_iter()
             .map(|view| (view.machine.clone(), view));
@@ -259,7 +303,7 @@
                 return false;
             };
             let TaskStage::Settling { since } = task.stage else {
-                task.retarget(view, spare(&view.pool));
+                task.follow_machine(view, spare(&view.pool), requested_at);
                 return true;
             };
             let back = view.state == MachineState::Up && view.worker != task.worker;
@@ -273,38 +317,51 @@
             return;
         };
         // The machines of the spare pool are off, so there is nothing to drain.
-        let worker = view.worker.clone().filter(|_| !self.is_spare(&view.pool));
+        let off = self.is_spare(&view.pool);
+        let worker = view.worker.clone().filter(|_| !off);
         let without_worker = worker.is_none();
         let task = MachineTask {
             action,
             pool: view.pool.clone(),
             worker,
             stage: TaskStage::Draining { not_before: now },
+            off,
+            idle_at: self.listed_at.filter(|_| without_worker),
             busy_answers: 0,
         };
+        let ready = task.send_by(self.settings.max_survey_age, now).is_some();
         self.tasks.insert(machine, task);
-        if without_worker {
-            self.order_drained(&[], now);
+        if ready {
+            self.order_drained(&[], now, now);
+        } else if without_worker {
+            self.list_due = self.list_due.min(now);
         }
     }
 
-    /// Sends the orders of the machines whose workers are drained.
-    fn order_drained(&mut self, drained: &[WorkerId], now: Instant) {
+    /// Sends the orders of the machines whose workers are drained, by a report that was requested at
+    /// `requested_at`.
+    fn order_drained(&mut self, drained: &[WorkerId], requested_at: Instant, now: Instant) {
+        let max_age = self.settings.max_survey_age;
         let epoch = self.epoch;
         for (machine, task) in &mut self.tasks {
-            let TaskStage::Draining { not_before } = task.stage else {
-                continue;
-            };
             let is_drained = task
                 .worker
                 .as_ref()
-                .is_none_or(|worker| drained.contains(worker));
-            if is_drained && now >= not_before {
+                .is_some_and(|worker| drained.contains(worker));
+            if is_drained {
+                task.idle_at = task.idle_at.max(Some(requested_at));
+            }
+            let TaskStage::Draining { not_before } = task.stage else {
+                continue;
+            };
+            let ready = (is_drained || task.worker.is_none()) && now >= not_before;
+            if let Some(send_by) = task.send_by(max_age, now).filter(|_| ready) {
                 task.stage = TaskStage::Ordered { retry_at: None };
                 self.commands.push(MachineCommand::Order(MachineOrder {
                     machine: machine.clone(),
                     action: task.action.clone(),
                     epoch,
+                    send_by,
                 }));
             }
         }
@@ -336,7 +393,7 @@
                     self.avoided.insert(order.machine.clone(), now + AVOID_TIME);
                 }
             }
-            MachineOutcome::Rejected | MachineOutcome::Unanswered => {
+            MachineOutcome::Rejected | MachineOutcome::NotSent | MachineOutcome::Unanswered => {
                 task.stage = TaskStage::Ordered {
                     retry_at: Some(retry),
                 };
@@ -348,7 +405,9 @@
         }
     }
 
+    /// Repeats the orders that were not carried out and would still end no run.
     fn retry_orders(&mut self, now: Instant) {
+        let max_age = self.settings.max_survey_age;
         let epoch = self.epoch;
         for (machine, task) in &mut self.tasks {
             let TaskStage::Ordered {
@@ -357,12 +416,14 @@
             else {
                 continue;
             };
-            if now >= retry_at {
+            let due = now >= retry_at;
+            if let Some(send_by) = task.send_by(max_age, now).filter(|_| due) {
                 task.stage = TaskStage::Ordered { retry_at: None };
                 self.commands.push(MachineCommand::Order(MachineOrder {
                     machine: machine.clone(),
                     action: task.action.clone(),
                     epoch,
+                    send_by,
                 }));
             }
         }
--- a/crates/control/src/machines/message.rs
+++ b/crates/control/src/machines/message.rs
@@ -58,6 +58,8 @@
     pub action: MachineAction,
     /// Ownership epoch of the controller that sent the order.
     pub epoch: OwnerEpoch,
+    /// Time after which the order must not be sent, because the machine may have runs again.
+    pub send_by: Instant,
 }
 
 /// Result of an order.
@@ -77,6 +79,8 @@
     /// Nothing was done because the platform is busy.
     #[strum(serialize = "turned-away")]
     Rejected,
+    /// It was too late to send the order.
+    NotSent,
     /// There was no answer: it may have been carried out, or may be later.
     Unanswered,
 }
--- a/crates/control/tests/machines/waves.rs
+++ b/crates/control/tests/machines/waves.rs
@@ -147,3 +147,47 @@
     assert_eq!(platform.orders.len(), 1);
     assert_eq!(platform.ownership_checks, 1);
 }
+
+/// The machine of a rejected order crashed and came back with a worker that has runs.
+#[test]
+fn an_order_is_not_repeated_before_the_new_worker_is_drained() {
+    let mut platform = Platform::new(8, wave(4, 1));
+    platform.outcome = MachineOutcome::Rejected;
+    platform.run(Duration::from_secs(1));
+    let machine = platform.orders[0].machine.clone();
+    platform.drained = false;
+    platform.views[&machine].worker = Some("other".into());
+    platform.run(Duration::from_millis(600));
+    let sent = platform.orders.len();
+    platform.run(Duration::from_secs(5));
+    assert_eq!(platform.orders.len(), sent);
+    platform.drained = true;
+    platform.outcome = MachineOutcome::Done;
+    platform.run(Duration::from_secs(20));
+    assert_eq!(platform.reports.last(), Some(&(1, true)));
+}
+
+/// No owner reports the worker of a machine that is in maintenance already.
+#[test]
+fn an_order_that_was_carried_out_without_an_answer_does_not_block_its_wave() {
+    let mut platform = Platform::new(8, wave(4, 1));
+    platform.outcome = MachineOutcome::Unanswered;
+    platform.run(Duration::from_millis(300));
+    let order = platform.orders[0].clone();
+    platform.carry_out(&order);
+    platform.outcome = MachineOutcome::Done;
+    platform.run(Duration::from_secs(20));
+    assert_eq!(platform.reports.last(), Some(&(1, true)));
+    assert_eq!(platform.most_down, 1);
+}
+
+/// The task that sends an order may wait for processor time until the drain has ended.
+#[test]
+fn an_order_may_be_sent_only_while_its_report_is_recent() {
+    let mut platform = Platform::new(8, wave(1, 1));
+    let max_age = MachineSettings::default().max_survey_age;
+    while platform.orders.is_empty() {
+        platform.run(Duration::from_millis(50));
+    }
+    assert!(platform.orders[0].send_by <= platform.now + max_age);
+}
--- a/crates/node/src/journal_duty/owned_shard.rs
+++ b/crates/node/src/journal_duty/owned_shard.rs
@@ -33,6 +33,7 @@
             member: self.settings.peers.to_string(),
             claimed_at: since_epoch.unwrap_or_default().as_nanos(),
         };
+        let claimed_at = self.clock.now();
         let term = match self.claim(shard, &claim).await {
             Some(term) => term,
             None => {
@@ -54,7 +55,7 @@
             return;
         }
         if shard == MACHINE_SHARD {
-            let acquired = MachineMessage::RoleAcquired(term.epoch);
+            let acquired = MachineMessage::RoleAcquired(term.epoch, claimed_at);
             _ = self.links.machines.send(acquired).await;
         }
         let follow = self.follow_submissions(term, end);
--- a/crates/node/src/machine_duty.rs
+++ b/crates/node/src/machine_duty.rs
@@ -1,5 +1,6 @@
 //! The duty that runs the machine controller while this node has the role.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Instant;
@@ -44,6 +45,16 @@
     journal: RingSender<JournalMessage>,
     events: RingSender<(OwnerEpoch, MachineEvent)>,
     spawner: TaskSpawner,
+    role: Rc<Cell<MachineRole>>,
+}
+
+/// The role of machine controller, as this node knows it.
+#[derive(Debug, Clone, Copy)]
+struct MachineRole {
+    /// Epoch of the role; `None` while another node has it.
+    epoch: Option<OwnerEpoch>,
+    /// As of when it was confirmed.
+    confirmed_at: Instant,
 }
 
 /// Input of the duty.
@@ -63,9 +74,14 @@
 ) {
     let (events, results) = ring("keeper-events", EVENT_CAPACITY);
     let client = H2Client::new(peer_bounds(), spawner.clone());
+    let role = MachineRole {
+        epoch: None,
+        confirmed_at: clock.now(),
+    };
     let duty = MachineDuty {
         settings,
         clock,
+        role: Rc::new(Cell::new(role)),
         machines: Rc::from(links.machines),
         store: Rc::from(links.store),
         owners: OwnerClient::new(links.control, client),
@@ -75,9 +91,8 @@
     };
     let mut config: Arc<FleetConfig> = Arc::default();
     let mut controller: Option<MachineController> = None;
-    let mut confirmed_at = duty.clock.now();
-    // A configuration arrived while the role was not confirmed.
-    let mut missed_config = false;
+    // Events that arrived while the role was not confirmed and that nothing repeats.
+    let mut missed = Vec::new();
     loop {
         let deadline = controller.as_ref().map(MachineController::next_deadline);
         let event = match duty.next_input(&messages, &results, deadline).await {
@@ -90,18 +105,33 @@
                 duty.owners.set_owners(&rows);
                 continue;
             }
-            MachineInput::Message(Some(MachineMessage::RoleAcquired(epoch))) => {
+            MachineInput::Message(Some(MachineMessage::RoleAcquired(epoch, claimed_at))) => {
                 let event = EventCode::KeeperRole.number();
                 tracing::info!(event, epoch, "became machine controller");
+                missed.clear();
                 controller = Some(duty.open_controller(epoch, &config).await);
-                confirmed_at = duty.clock.now();
+                duty.role.set(MachineRole {
+                    epoch: Some(epoch),
+                    confirmed_at: claimed_at,
+                });
                 MachineEvent::Tick
             }
             MachineInput::Message(Some(MachineMessage::RoleConfirmed(requested_at))) => {
-                confirmed_at = confirmed_at.max(requested_at);
+                let role = duty.role.get();
+                let confirmed_at = role.confirmed_at.max(requested_at);
+                duty.role.set(MachineRole {
+                    confirmed_at,
+                    ..role
+                });
                 continue;
             }
             MachineInput::Message(Some(MachineMessage::RoleLost)) => {
+                let role = duty.role.get();
+                duty.role.set(MachineRole {
+                    epoch: None,
+                    ..role
+                });
+                missed.clear();
                 if let Some(controller) = controller.take() {
                     let event = EventCode::KeeperRole.number();
                     let epoch = controller.epoch();
@@ -122,30 +152,47 @@
         };
         let now = duty.clock.now();
         // Another node may have the role by now; orders of this one would conflict with it.
-        let confirmed = now < confirmed_at + duty.settings.machine_role_timeout;
-        if !confirmed {
-            missed_config |= matches!(event, MachineEvent::Config(_));
+        if !duty.is_confirmed(now) {
+            keep_missed(&mut missed, event);
             Timer::after(duty.settings.store_retry_delay).await;
             continue;
         }
-        if let Some(controller) = controller
-            .as_mut()
-            .filter(|_| std::mem::take(&mut missed_config))
-        {
-            let event = MachineEvent::Config(Arc::clone(&config));
-            for command in controller.handle(now, event) {
-                duty.spawn_command(controller.epoch(), command);
-            }
-        }
+        missed.push(event);
         if let Some(controller) = &mut controller {
-            for command in controller.handle(now, event) {
-                duty.spawn_command(controller.epoch(), command);
+            for event in missed.drain(..) {
+                for command in controller.handle(now, event) {
+                    duty.spawn_command(controller.epoch(), command);
+                }
             }
         }
+        missed.clear();
+    }
+}
+
+/// Keeps the latest configuration and the outcomes of orders until the role is confirmed again.
+fn keep_missed(missed: &mut Vec<MachineEvent>, event: MachineEvent) {
+    match event {
+        MachineEvent::Config(_) => {
+            missed.retain(|event| !matches!(event, MachineEvent::Config(_)));
+            missed.push(event);
+        }
+        MachineEvent::Ordered { .. } => missed.push(event),
+        _ => {}
     }
 }
 
 impl MachineDuty {
+    fn is_confirmed(&self, now: Instant) -> bool {
+        now < self.role.get().confirmed_at + self.settings.machine_role_timeout
+    }
+
+    /// Returns whether an order may be sent that may have waited for processor time.
+    fn may_send(&self, order: &MachineOrder) -> bool {
+        let now = self.clock.now();
+        let has_role = self.role.get().epoch == Some(order.epoch);
+        now < order.send_by && has_role && self.is_confirmed(now)
+    }
+
     async fn next_input(
         &self,
         messages: &RingReceiver<MachineMessage>,
@@ -249,7 +296,11 @@
             }
             MachineCommand::Order(order) => {
                 let holder = self.settings.name.clone();
-                let outcome = self.machines.order(holder, order.clone()).await;
+                let outcome = if self.may_send(&order) {
+                    self.machines.order(holder, order.clone()).await
+                } else {
+                    MachineOutcome::NotSent
+                };
                 return Some(MachineEvent::Ordered { order, outcome });
             }
             MachineCommand::StoreProgress(wave, progress) => {
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -99,8 +99,9 @@
     Config(Arc<FleetConfig>),
     /// Assigned owner of each shard.
     Owners(Vec<(ShardNumber, NodeName)>),
-    /// The node became the machine controller, with this epoch.
-    RoleAcquired(OwnerEpoch),
+    /// The node became the machine controller, with this epoch; it claimed the role no earlier than
+    /// at this time.
+    RoleAcquired(OwnerEpoch, Instant),
     /// The role was confirmed as of this time.
     RoleConfirmed(Instant),
     /// The node is no longer the machine controller.
