Count the failure of a run that counted as lost

Callers would see more attempts of a task than its queue allows.

Cause: the end of a run that counted as lost was discarded unless it was done. Change: the owner remembers the runs that it took for lost, and counts a failure that is reported later once. A new owner does not know them. Evidence: a_failed_run_that_counted_as_lost_counts_as_an_attempt failed before and passes; attempts_are_counted_across_owners guards against counting twice.

--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -11,7 +11,7 @@
 mod start_stop;
 mod survey;
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::ops::Bound;
 use std::sync::Arc;
@@ -119,6 +119,8 @@
     accepted_at: Instant,
     /// Earliest time of the next run of tasks that failed.
     retry_after: HashMap<TaskPosition, Instant>,
+    /// Runs that counted as lost; their workers may still report how they ended.
+    lost_runs: HashSet<(TaskPosition, RunNumber)>,
     /// The job is over and has no placed runs.
     finished: bool,
 }
@@ -138,6 +140,7 @@
             state,
             accepted_at: now.checked_sub(age).unwrap_or(now),
             retry_after: HashMap::new(),
+            lost_runs: HashSet::new(),
             finished: false,
         }
     }
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -213,8 +213,15 @@
                 self.set_started(&end.task);
                 let checkpoint = end.checkpoint.clone();
                 self.end_run(id, &end.task, end.run, end.end, checkpoint, now);
-            } else if end.end != RunEnd::Done || !self.complete_lost(&end.task, end.run, now) {
-                log_discarded_end(id, end, (report.clock, acknowledged));
+            } else {
+                let applied = match end.end {
+                    RunEnd::Done => self.complete_lost(&end.task, end.run, now),
+                    RunEnd::Failed => self.fail_lost(&end.task, end.run, now),
+                    _ => false,
+                };
+                if !applied {
+                    log_discarded_end(id, end, (report.clock, acknowledged));
+                }
             }
             // The end is acknowledged to the worker only after a later append is stored.
             self.store_queue.mark_changed(&end.task.job);
--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -45,6 +45,9 @@
         if !job.state.end_run(spec, position, run, end, Some(attempts)) {
             return;
         }
+        if end == RunEnd::Lost {
+            job.lost_runs.insert((position, run));
+        }
         metrics::counter!("pw_run_ends_total", "end" => end.to_string()).increment(1);
         let event = EventCode::RunEnded.number();
         if end == RunEnd::Done {
@@ -101,6 +104,30 @@
         completed
     }
 
+    /// Counts a run that counted as lost as failed after all; returns whether it was such a run.
+    pub(super) fn fail_lost(&mut self, task: &TaskName, run: RunNumber, now: Instant) -> bool {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return false;
+        };
+        let position = (task.occurrence, task.step, task.index);
+        if !job.lost_runs.remove(&(position, run)) {
+            return false;
+        }
+        let rule = self.config.queues.get(&job.submission.queue);
+        let attempts = rule.map_or(job.submission.terms.attempts, |rule| rule.attempts);
+        let spec = &job.submission.spec;
+        if !job.state.fail_lost(spec, position, Some(attempts)) {
+            return false;
+        }
+        let failed = job.state.failed;
+        self.store_queue.mark_changed(&task.job);
+        self.changed_jobs.insert(task.job.clone());
+        if failed {
+            self.stop_job(&task.job, now);
+        }
+        true
+    }
+
     /// Stops the runs of a task that is done already, or of all members of its gang.
     fn stop_later_runs(&mut self, task: &TaskName, gang: bool, now: Instant) {
         let mut runs = self.runs_of_step(task);
--- a/crates/job/src/state.rs
+++ b/crates/job/src/state.rs
@@ -262,6 +262,30 @@
         completed
     }
 
+    /// Records that a run that counted as lost has failed after all.
+    ///
+    /// Returns `false` and changes nothing when the task is done or never fails its job.
+    pub fn fail_lost(
+        &mut self,
+        spec: &JobSpec,
+        (occurrence, step, index): (OccurrenceNumber, u32, u32),
+        attempts: Option<u32>,
+    ) -> bool {
+        let over = self.is_over(spec);
+        let step_spec = spec.steps.get(step as usize);
+        if step_spec.is_none_or(|step| step.long_running) {
+            return false;
+        }
+        let task = self.task_mut(occurrence, step, index);
+        let Some(task) = task.filter(|task| !task.is_done()) else {
+            return false;
+        };
+        task.failures += 1;
+        let exhausted = attempts.is_some_and(|attempts| task.failures >= attempts);
+        self.failed |= exhausted && !over;
+        true
+    }
+
     /// Records the end of a task's last run.
     ///
     /// Returns `false` and changes nothing when `run` is not the placed run. The job fails when a
