--- a/crates/control/tests/assign.rs
+++ b/crates/control/tests/assign.rs
@@ -159,3 +159,18 @@
     let lost = &names([0])[0];
     assert!(table.owners().all(|(_, name)| name != lost));
 }
+
+/// One node of a core, ten of a quarter and 29 of an eighth.
+#[test]
+fn an_outlier_does_not_give_shards_to_the_weakest_nodes() {
+    let weight = |number| match number {
+        0 => 100,
+        1..11 => 25,
+        _ => 12,
+    };
+    let members: IndexSet<NodeName> = (0..40).map(|number| name(number, weight(number))).collect();
+    let mut table = ShardTable::new(AssignSettings::default());
+    table.update(members, Instant::now());
+    let weakest = table.owners().filter(|(_, name)| name.ends_with("#12"));
+    assert_eq!(weakest.count(), 0);
+}
--- a/crates/control/tests/machines/main.rs
+++ b/crates/control/tests/machines/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the machine controller against a fake platform.
 
+mod orders;
 mod platform;
 mod waves;
 
--- a/crates/control/tests/shard.rs
+++ b/crates/control/tests/shard.rs
@@ -346,3 +346,22 @@
     cluster.run(cluster.settings.max_submission_age);
     assert_eq!(cluster.status("job"), JobAnswer::Uncertain);
 }
+
+/// The quota duty lags after the configuration lowered the maximum.
+#[test]
+fn a_lowered_maximum_holds_before_the_allocation_follows() {
+    let mut cluster = TestCluster::new(4);
+    cluster.run_time = seconds(10);
+    cluster.set_config(|config| config.accounts["ane"].maximum = size(9000, 0));
+    let shard = &mut cluster.owner_mut().controller;
+    shard.set_allocation("ane".into(), size(9000, 0));
+    cluster.run(seconds(1));
+    cluster.set_config(|config| config.accounts["ane"].maximum = size(3000, 0));
+    cluster.run(seconds(4));
+    cluster.submit("job", Some("ane"), vec![step(8)]);
+    cluster.run(seconds(2));
+    let running: usize = (0..8)
+        .map(|index| cluster.running(&format!("job.0.0.{index}")))
+        .sum();
+    assert!(running <= 3, "{running} cores run above a maximum of 3");
+}
--- a/crates/control/tests/starved_owner.rs
+++ b/crates/control/tests/starved_owner.rs
@@ -423,3 +423,112 @@
     cluster.run(seconds(5));
     assert_eq!(cluster.start_count(TASK), 0);
 }
+
+/// Leases that a poll renews while the owner may not know of a cancellation.
+#[test]
+fn a_cancelled_task_does_not_run_on_while_its_owner_lags() {
+    let mut cluster = long_running_cluster(1);
+    cluster.run(seconds(1));
+    cluster.owner_mut().event_lag = seconds(5);
+    cluster.cancel("job");
+    cluster.run(seconds(4));
+    assert_eq!(
+        cluster.running(TASK),
+        0,
+        "the task of a cancelled job runs 4 s after the cancellation"
+    );
+}
+
+/// An attempt fails on a worker whose answers get lost until its lease has expired.
+#[test]
+fn a_failed_run_that_counted_as_lost_counts_as_an_attempt() {
+    let mut cluster = TestCluster::new(2);
+    cluster.run_time = seconds(3);
+    cluster.set_config(|config| config.queues["queue"].attempts = 2);
+    for worker in cluster.workers.values_mut() {
+        worker.runs_fail = true;
+    }
+    cluster.submit("job", None, vec![step(1)]);
+    assert!(cluster.run_until(seconds(1), |cluster| cluster.running(TASK) == 1));
+    let holder = cluster.placed_on(TASK);
+    let lost = holder.clone();
+    cluster.order_fate = Box::new(move |command| match command {
+        ShardCommand::Poll(order) if order.worker == lost => OrderFate::Late(Duration::ZERO),
+        _ => OrderFate::Delivered,
+    });
+    cluster.run_time = seconds(4);
+    assert!(cluster.run_until(seconds(20), |cluster| cluster.start_count(TASK) == 2));
+    cluster.order_fate = Box::new(|_| OrderFate::Delivered);
+    cluster.run(seconds(20));
+    assert_eq!(
+        cluster.start_count(TASK),
+        2,
+        "a task started after its second and last attempt had failed"
+    );
+}
+
+/// A start reaches a later life of its worker. The next owner, which does not reach the worker,
+/// learns of that life from the list, while the earlier owner goes on renewing the lease.
+#[test]
+fn a_listed_life_does_not_shorten_the_wait_for_the_leases_of_the_earlier_owner() {
+    let mut cluster = TestCluster::new(2);
+    cluster.run_time = seconds(60);
+    cluster.run(seconds(1));
+    cluster.owner_mut().command_lag = millis(100);
+    cluster.submit("job", None, vec![step(1)]);
+    assert!(cluster.run_until(seconds(1), |cluster| !cluster.images.is_empty()));
+    let holder = cluster.placed_on(TASK);
+    cluster.restart_worker(&holder);
+    assert!(cluster.run_until(seconds(1), |cluster| cluster.running(TASK) == 1));
+    let former = cluster.owner_mut();
+    (former.command_lag, former.event_lag) = (Duration::ZERO, millis(2500));
+    cluster.order_fate = Box::new(|command| match command {
+        ShardCommand::Stop(_) => OrderFate::Lost,
+        _ => OrderFate::Delivered,
+    });
+    cluster.claim(None, [holder].into());
+    cluster.run(seconds(30));
+}
+
+/// A start that was meant for the former life names a lease end on that life's clock, which is far
+/// ahead of the clock of the later one. Only the worker's limit bounds such a lease.
+#[test]
+fn a_start_on_a_later_life_is_waited_for_as_long_as_its_worker_may_hold_it() {
+    let mut cluster = TestCluster::new(2);
+    cluster.run_time = seconds(60);
+    cluster.run(seconds(1));
+    cluster.owner_mut().command_lag = millis(100);
+    cluster.submit("job", None, vec![step(1)]);
+    assert!(cluster.run_until(seconds(1), |cluster| !cluster.images.is_empty()));
+    let holder = cluster.placed_on(TASK);
+    cluster.restart_worker(&holder);
+    cluster.workers[&holder].lease_limit = 10_000;
+    assert!(cluster.run_until(seconds(1), |cluster| cluster.running(TASK) == 1));
+    cluster.owner_mut().command_lag = Duration::ZERO;
+    cluster.workers[&holder].unreachable = true;
+    cluster.list_workers();
+    cluster.run(seconds(20));
+}
+
+/// The answer to a stop that was meant for a former life arrives after the later one has reported
+/// its runs.
+#[test]
+fn a_late_answer_for_a_former_life_does_not_end_the_later_one() {
+    let mut cluster = long_running_cluster(2);
+    let holder = cluster.placed_on(TASK);
+    cluster.run(seconds(1));
+    let entry = cluster.workers[&holder].entry.clone();
+    let order = StopOrder {
+        worker: holder,
+        address: entry.address,
+        life: entry.life - 1,
+        task: "other.0.0.0".parse().expect("a task"),
+        run: 1,
+        epoch: cluster.owner().epoch(),
+        fence: 0,
+    };
+    let result = Err(CallFault::OtherLife);
+    cluster.handle_event(ShardEvent::Stopped { order, result });
+    cluster.run(seconds(10));
+    assert_eq!(cluster.start_count(TASK), 1);
+}
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -69,3 +69,63 @@
     };
     future::block_on(future::or(receive, future::or(feed, blocked)));
 }
+
+/// A feed without changes.
+struct IdleFeed;
+
+impl FleetFeed for IdleFeed {
+    fn config(&self, _: Duration) -> BoxedLocal<Result<Option<Arc<FleetConfig>>, StoreFault>> {
+        unchanged()
+    }
+
+    fn workers(&self, _: Duration) -> BoxedLocal<Result<Option<Vec<WorkerEntry>>, StoreFault>> {
+        unchanged()
+    }
+}
+
+fn unchanged<T: 'static>() -> BoxedLocal<Result<Option<T>, StoreFault>> {
+    async {
+        Timer::after(READ_LATENCY).await;
+        Ok(None)
+    }
+    .boxed_local()
+}
+
+/// Many other messages wait for room in the ring of the control duty.
+#[test]
+fn a_busy_control_duty_learns_how_recent_its_inputs_are() {
+    let (control, control_messages) = ring("control", 8);
+    let (callers, caller_messages) = ring("callers", 8);
+    let (machines, _machine_messages) = ring("machines", 8);
+    let links = FeedLinks {
+        control: control.clone(),
+        callers,
+        machines,
+    };
+    let duty = DutyThread::spawn("feed", move |spawner| async move {
+        for _ in 0..64 {
+            let control = control.clone();
+            spawner.spawn(async move {
+                let message = || ControlMessage::Workers(Vec::new());
+                while control.send(message()).await.is_ok() {}
+            });
+        }
+        spawner.spawn(async move { while caller_messages.recv().await.is_some() {} });
+        let clock = Arc::new(SystemClock);
+        feed_duty::run(Box::new(IdleFeed), NodeSettings::default(), clock, links).await;
+    });
+    assert!(duty.is_ok(), "the thread was not started");
+    let receive = async {
+        let mut reads = 0;
+        while reads < READS {
+            let message = control_messages.recv().await;
+            reads += usize::from(matches!(message, Some(ControlMessage::InputRead(..))));
+            Timer::after(Duration::from_millis(1)).await;
+        }
+    };
+    let blocked = async {
+        Timer::after(Duration::from_secs(30)).await;
+        panic!("the control duty learns of no read");
+    };
+    future::block_on(future::or(receive, blocked));
+}
