--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -10,6 +10,7 @@
 mod scheduling;
 mod start_stop;
 mod survey;
+mod validity;
 
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -39,10 +40,6 @@
 /// Interval of ticks while no event arrives.
 const IDLE_TICK: Duration = Duration::from_millis(500);
 
-/// Minimum time between two checks of the ownership. All workers of a pool reject an earlier owner
-/// at about the same time, and each check is a request to the store.
-const OWNERSHIP_CHECK_GAP: Duration = Duration::from_secs(1);
-
 /// Position of a task in its job.
 type TaskPosition = (OccurrenceNumber, u32, u32);
 
@@ -269,51 +266,6 @@
         due.fold(self.next_idle_tick, Instant::min)
     }
 
-    /// Returns whether the ownership was confirmed recently enough to send orders that renew leases.
-    fn is_confirmed(&self, now: Instant) -> bool {
-        now < self.confirmed_at + self.settings.ownership_validity
-    }
-
-    /// Records that this owner owned the shard at `at`.
-    fn record_confirmation(&mut self, at: Instant, now: Instant) {
-        self.placement_needed |= now >= self.start_deadline();
-        self.confirmed_at = at.max(self.confirmed_at);
-    }
-
-    /// Records that the changes of an input up to `at` are known.
-    fn record_read(&mut self, input: ShardInput, at: Instant, now: Instant) {
-        self.placement_needed |= now >= self.start_deadline();
-        let read = self.inputs_read.entry(input).or_insert(at);
-        *read = at.max(*read);
-    }
-
-    /// Returns until when tasks may be started by what this owner knows.
-    fn start_deadline(&self) -> Instant {
-        let settings = &self.settings;
-        let limits = [
-            (ShardInput::Config, settings.max_config_age),
-            (ShardInput::Workers, settings.max_worker_age),
-            (ShardInput::Submissions, settings.max_submission_age),
-        ];
-        let deadlines = limits.map(|(input, limit)| {
-            let read = self.inputs_read.get(&input);
-            read.map_or(self.taken_over_at, |at| *at + limit)
-        });
-        let confirmed = self.confirmed_at + settings.ownership_validity;
-        deadlines.into_iter().fold(confirmed, Instant::min)
-    }
-
-    /// Requests a check of the ownership, because a worker reported a later owner.
-    fn check_ownership(&mut self, now: Instant) {
-        if self
-            .ownership_checked_at
-            .is_none_or(|at| now >= at + OWNERSHIP_CHECK_GAP)
-        {
-            self.ownership_checked_at = Some(now);
-            self.commands.push(ShardCommand::CheckOwnership);
-        }
-    }
-
     fn record_waves(&mut self, wall: SystemTime) {
         for wave in self.config.waves.keys() {
             self.waves_received.entry(*wave).or_insert(wall);
--- a/crates/control/src/shard/queries.rs
+++ b/crates/control/src/shard/queries.rs
@@ -7,7 +7,7 @@
 use pw_job::prelude::*;
 
 use super::ShardController;
-use crate::message::{JobAnswer, QueryScope, ShardInput};
+use crate::message::{JobAnswer, QueryScope};
 use crate::quota::{AccountDemand, AllocationKey};
 
 impl ShardController {
@@ -34,13 +34,6 @@
         }
     }
 
-    /// Returns whether this owner knows the submissions up to recently and still owns the shard.
-    pub fn knows_submissions(&self, now: Instant) -> bool {
-        let read = self.inputs_read.get(&ShardInput::Submissions);
-        let limit = self.settings.max_submission_age;
-        read.is_some_and(|at| now < *at + limit) && self.is_confirmed(now)
-    }
-
     /// Returns the number of jobs that are not over or still have placed runs.
     pub fn active_job_count(&self) -> usize {
         self.backlog.jobs().count()
