Read the configuration and the workers twice a second

Callers would get 503 for moments although nothing is wrong: a reading's age grows while the next one is held open, so it went up to 2 s, which is the platform's limit for a change on two sites.

Cause: reads were held open for 1 s (configuration) and 2 s (workers) when nothing changes. Change: both for half a second, so that their ages stay below about 1.2 s. With that, starts are bound by the limit for a change of the configuration too, since a maximum may be lowered.

--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -17,7 +17,7 @@
     /// How long after its last confirmation of ownership an owner continues to renew leases.
     pub ownership_validity: Duration,
     /// Age of the last read of the configuration above which no task is started: the platform's limit
-    /// until an evacuation is in force, minus the time of a start.
+    /// until a change of it or an evacuation is in force, minus the time of a start.
     pub max_config_age: Duration,
     /// The same for the list of workers: the limit until a drain is in force.
     pub max_worker_age: Duration,
@@ -70,7 +70,7 @@
             longest_lease: Duration::from_secs(10),
             clock_drift: 0.02,
             ownership_validity: Duration::from_secs(6),
-            max_config_age: Duration::from_millis(4700),
+            max_config_age: Duration::from_millis(1700),
             max_worker_age: Duration::from_millis(1700),
             max_submission_age: Duration::from_millis(2700),
             poll_wait: Duration::from_secs(2),
--- a/crates/node/src/feed_duty.rs
+++ b/crates/node/src/feed_duty.rs
@@ -131,7 +131,7 @@
     let mut outage = OutageLog::new("workers");
     loop {
         let requested_at = clock.now();
-        match feed.workers(settings.follow_timeout).await {
+        match feed.workers(settings.worker_timeout).await {
             Ok(workers) => {
                 outage.set_reachable(true);
                 if let Some(workers) = workers
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -43,7 +43,9 @@
     pub max_config_age: Duration,
     /// Shortest interval between reads of the worker list.
     pub worker_interval: Duration,
-    /// Long-poll timeout of reads of workers, claims and allocations.
+    /// Long-poll timeout of reads of the worker list. Its age grows during a read.
+    pub worker_timeout: Duration,
+    /// Long-poll timeout of reads of claims and allocations.
     pub follow_timeout: Duration,
     /// Long-poll timeout of reads of submissions. Their age grows during a read.
     pub submission_timeout: Duration,
@@ -81,9 +83,10 @@
             join_interval: Duration::from_millis(350),
             join_timeout: Duration::from_millis(700),
             member_ttl: Duration::from_millis(1500),
-            config_timeout: Duration::from_secs(1),
+            config_timeout: Duration::from_millis(500),
             max_config_age: Duration::from_millis(4300),
             worker_interval: Duration::from_millis(250),
+            worker_timeout: Duration::from_millis(500),
             follow_timeout: Duration::from_secs(2),
             submission_timeout: Duration::from_secs(1),
             store_retry_delay: Duration::from_millis(200),
