Keep the fence of a worker that is listed again

Callers would see a pool lose a worker until its shard changes its owner: the worker rejects all orders.

Cause: a record without runs is dropped while its worker is not listed, and with it the number of lives that had ended; the same life, listed again, had seen a higher fence. Change: an owner counts the ended lives of all workers in its shard, and a new record starts with that. Evidence: a_restarted_worker_that_is_listed_again_still_accepts_orders failed before and passes. Found by reading.

--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -68,6 +68,8 @@
     store_queue: StoreQueue,
     /// Latest time at which the ownership was confirmed.
     confirmed_at: Instant,
+    /// Number of worker lives that this owner has seen end.
+    ended_lives: u64,
     /// As of when each input is known.
     inputs_read: IndexMap<ShardInput, Instant>,
     /// When this owner took the shard over.
@@ -174,6 +176,7 @@
             budget: AccountBudget::default(),
             store_queue: StoreQueue::new(now),
             confirmed_at: now,
+            ended_lives: 0,
             inputs_read: IndexMap::new(),
             taken_over_at: now,
             unsurveyed_since: Some(now),
@@ -629,7 +632,7 @@
         life,
         machine: placement.machine.clone(),
     };
-    let mut record = WorkerRecord::new(entry, now);
+    let mut record = WorkerRecord::new(entry, 0, now);
     record.listed = false;
     record.life = Some(life);
     record
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -35,7 +35,8 @@
                 }
                 None => {
                     let id = entry.id.clone();
-                    let record = || WorkerRecord::new(entry, now);
+                    let ended_lives = self.ended_lives;
+                    let record = || WorkerRecord::new(entry, ended_lives, now);
                     self.workers.get_or_insert_with(&id, record);
                 }
             }
--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -97,8 +97,6 @@
             self.placement_needed = true;
             let event = EventCode::RunEnded.number();
             tracing::info!(event, %task, run, "a run that counted as lost is done");
-        }
-        if completed {
             self.stop_later_runs(task, gang, now);
         }
         completed
@@ -187,7 +185,8 @@
         };
         let life = worker.life.unwrap_or_default();
         worker.synced = false;
-        worker.ended_lives += 1;
+        self.ended_lives += 1;
+        worker.ended_lives = self.ended_lives;
         worker.life = None;
         worker.clock_reading = None;
         worker.lease_granted_until = 0;
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -73,7 +73,7 @@
     (workers, lives)
 }
 
-/// Bits of a fence that count the ended lives of a worker.
+/// Bits of a fence that count the ended lives of workers.
 const LIFE_BITS: u32 = 16;
 
 /// How the end of a worker's life became known.
@@ -228,7 +228,7 @@
     pub listed: bool,
     /// Life of the worker, once it has answered this owner.
     pub life: Option<LifeStart>,
-    /// Number of lives of the worker that this owner has seen end.
+    /// Number of worker lives in the shard that this owner had seen end when this one began.
     pub ended_lives: u64,
     pub clock_reading: Option<ClockReading>,
     /// Latest lease end that this owner has sent, on the worker's clock.
@@ -272,12 +272,12 @@
 }
 
 impl WorkerRecord {
-    pub fn new(entry: WorkerEntry, now: Instant) -> Self {
+    pub fn new(entry: WorkerEntry, ended_lives: u64, now: Instant) -> Self {
         Self {
             entry,
             listed: true,
             life: None,
-            ended_lives: 0,
+            ended_lives,
             clock_reading: None,
             lease_granted_until: 0,
             synced: false,
--- a/crates/control/tests/worker_lives.rs
+++ b/crates/control/tests/worker_lives.rs
@@ -250,3 +250,24 @@
     let shard = cluster.controller();
     assert!(shard.next_deadline() > cluster.now);
 }
+
+/// The list loses a worker without runs for a moment, as after an outage of the store.
+#[test]
+fn a_restarted_worker_that_is_listed_again_still_accepts_orders() {
+    let mut cluster = TestCluster::new(1);
+    cluster.run(seconds(1));
+    let worker = cluster.workers[0].entry.id.clone();
+    cluster.submit("first", None, vec![step(1)]);
+    assert!(cluster.run_until(seconds(1), |cluster| cluster.running("first.0.0.0") == 1));
+    cluster.restart_worker(&worker);
+    cluster.list_workers();
+    assert!(cluster.run_until(seconds(5), |cluster| cluster.status("first") == COMPLETED));
+    cluster.run(seconds(1));
+    cluster.workers[0].crashed = true;
+    cluster.list_workers();
+    cluster.run(millis(100));
+    cluster.workers[0].crashed = false;
+    cluster.list_workers();
+    cluster.submit("second", None, vec![step(1)]);
+    assert!(cluster.run_until(seconds(5), |cluster| cluster.status("second") == COMPLETED));
+}
