Stop no task to drain its worker while none may start

Cause: a node that the store turned away from 2.5 s on went on as the owner and stopped tasks for drains, while it could start none again, and from about 8 s on beside its successor. Change: an owner whose inputs or ownership are too old to start tasks stops none for a drain. Evidence: an_owner_that_is_cut_off_stops_no_task_to_drain_its_worker failed before and passes.

--- a/crates/control/src/shard/survey.rs
+++ b/crates/control/src/shard/survey.rs
@@ -111,9 +111,10 @@
     /// Stops the runs on draining workers that would not end soon, within the availability budgets.
     ///
     /// This waits after a takeover: a run that the previous owner has just stopped is reported as
-    /// ready until the stop completes.
+    /// ready until the stop completes. An owner that may not start tasks stops none either.
     pub(super) fn stop_runs_to_drain(&mut self, now: Instant) {
-        if now < self.taken_over_at + self.settings.stop_time + ORDER_DELIVERY_TIME {
+        let stops_completed = self.taken_over_at + self.settings.stop_time + ORDER_DELIVERY_TIME;
+        if now < stops_completed || now >= self.start_deadline() {
             return;
         }
         let draining = self
--- a/crates/control/tests/drain.rs
+++ b/crates/control/tests/drain.rs
@@ -104,3 +104,16 @@
         "a task did not move"
     );
 }
+
+/// An owner that is cut off from the store can't start the tasks again that it stops, and may have a
+/// successor that counts on them.
+#[test]
+fn an_owner_that_is_cut_off_stops_no_task_to_drain_its_worker() {
+    let (mut cluster, holders) = disruption_cluster(4, 2);
+    cluster.known_inputs.clear();
+    cluster.run(seconds(5));
+    cluster.drain(&holders[..1], &[]);
+    cluster.run(seconds(3));
+    assert!((0..2).all(|index| cluster.running(&format!("lasting.0.0.{index}")) == 1));
+    assert!(cluster.starts.values().all(|starts| starts.len() == 1));
+}
