Report why long-running tasks wait

No log line tells whether such a task waits for leases on an unreachable worker, granted by this owner or by an earlier one, or for a placement, and which filter then keeps it off the workers of its pool. Change: events 623 LeaseAwaited (the bound and the time left) and 618 TaskUnplaced (the workers of the pool counted by the reason for which they are not considered), one of each a second and shard at most; event 617 and the histogram pw_long_running_wait_seconds have the time since the last run ended. accepts_starts and the report share one function for the reasons.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -116,6 +116,9 @@
     /// A task whose earlier run did not end as done is placed again.
     #[strum(message = "A task whose earlier run did not end as done is placed again.")]
     RunRepeated = 617,
+    /// A long-running task has been waiting for a worker.
+    #[strum(message = "A long-running task has been waiting for a worker.")]
+    TaskUnplaced = 618,
     /// A worker's life ended; its runs are lost.
     #[strum(message = "A worker's life ended; its runs are lost.")]
     WorkerLifeEnded = 620,
@@ -125,6 +128,9 @@
     /// A worker did not answer a poll.
     #[strum(message = "A worker did not answer a poll.")]
     WorkerSilent = 622,
+    /// Runs wait until the leases on an unreachable worker have expired.
+    #[strum(message = "Runs wait until the leases on an unreachable worker have expired.")]
+    LeaseAwaited = 623,
     /// A node took over a shard.
     #[strum(message = "A node took over a shard.")]
     ShardTaken = 630,
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -11,6 +11,7 @@
 mod start_stop;
 mod survey;
 mod validity;
+mod waiting;
 
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -33,6 +34,7 @@
 use crate::shard::backlog::{BacklogEntry, BacklogIndex, ReadyStep};
 use crate::shard::persistence::StoreQueue;
 use crate::shard::survey::STALE_ORDER_TIME;
+use crate::shard::waiting::WaitReports;
 use crate::urgency::{latest_start, remaining_critical_path};
 use crate::worker::{RunPhase, RunRecord, WorkerEntry, WorkerPhase, WorkerRecord};
 use crate::worker_table::WorkerTable;
@@ -92,6 +94,7 @@
     advice: HashMap<StepKey, StepAdvice>,
     /// Number of steps per pool with tasks that wait although some worker has room.
     blocked: IndexMap<PoolId, u32>,
+    waits: WaitReports,
     commands: Vec<ShardCommand>,
     /// When the last check of the ownership was requested.
     ownership_checked_at: Option<Instant>,
@@ -188,6 +191,7 @@
             waves_received: IndexMap::new(),
             advice: HashMap::new(),
             blocked: IndexMap::new(),
+            waits: WaitReports::new(now),
             commands: Vec::new(),
             ownership_checked_at: None,
             visits: VisitCount::default(),
@@ -292,6 +296,7 @@
                 self.review_changed_jobs(now, wall);
             }
         }
+        self.report_waits(now);
         self.send_polls(now);
         self.send_stops(now);
         self.remove_expired_jobs(now);
--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -66,7 +66,11 @@
                 self.pause_ends.insert(pause_end);
             }
         }
-        let gang = spec.steps[task.step as usize].gang;
+        let step = &spec.steps[task.step as usize];
+        if step.long_running {
+            self.waits.record_end(task, now);
+        }
+        let gang = step.gang;
         let failed = job.state.failed;
         self.store_queue.mark_changed(&task.job);
         self.changed_jobs.insert(task.job.clone());
--- a/crates/control/src/shard/scheduling.rs
+++ b/crates/control/src/shard/scheduling.rs
@@ -137,7 +137,7 @@
     }
 
     /// Returns whether a run keeps the job's client account within this shard's allocation.
-    fn within_quota(&self, record: &SubmissionRecord, size: &ResourceSize) -> bool {
+    pub(super) fn within_quota(&self, record: &SubmissionRecord, size: &ResourceSize) -> bool {
         let Some(account) = &record.account else {
             return true;
         };
@@ -324,9 +324,16 @@
             self.budget.reserve(account, &run_record.size);
         }
         let task = task_name(job, position);
+        let waited = self.waits.record_placement(&task, now);
+        if let Some(waited) = waited {
+            metrics::histogram!("pw_long_running_wait_seconds").record(waited);
+        }
         if run > 1 {
             let event = EventCode::RunRepeated.number();
-            tracing::info!(event, %task, run, worker = &**id, life, "task is placed again");
+            let waited_ms = waited.map(|waited| waited.as_millis() as u64);
+            tracing::info!(
+                event, %task, run, worker = &**id, life, waited_ms, "task is placed again"
+            );
         }
         if let Some(worker) = self.workers.get_mut(id) {
             worker.add_run(task.clone(), run_record);
@@ -339,7 +346,7 @@
     }
 }
 
-fn task_name(job: &JobId, (occurrence, step, index): TaskPosition) -> TaskName {
+pub(super) fn task_name(job: &JobId, (occurrence, step, index): TaskPosition) -> TaskName {
     TaskName {
         job: job.clone(),
         occurrence,
@@ -349,7 +356,7 @@
 }
 
 /// Returns a worker as a candidate for a task; `None` if the step may not run there.
-fn candidate_for<'a>(
+pub(super) fn candidate_for<'a>(
     worker: &'a WorkerRecord,
     task: &TaskName,
     spec: &StepSpec,
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -213,6 +213,23 @@
     }
 }
 
+/// Why a worker gets no starts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) enum StartRefusal {
+    /// The platform does not list the worker.
+    Unlisted,
+    /// The worker has not answered this owner yet, or not its last poll.
+    Silent,
+    /// The platform lists the worker's machine as down.
+    MachineDown,
+    /// The worker will leave.
+    Leaving,
+    /// The worker refused a start a moment ago.
+    Paused,
+    /// The machine controller drains the worker.
+    DrainRequested,
+}
+
 /// A reading of a worker's clock.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ClockReading {
@@ -362,13 +379,26 @@
 
     /// Returns whether starts may be sent to the worker now.
     pub fn accepts_starts(&self, now: Instant) -> bool {
-        self.listed
-            && self.synced
-            && self.missed_polls == 0
-            && !self.machine_down
-            && self.entry.phase == WorkerPhase::Ready
-            && now >= self.paused_until
-            && !self.has_drain_request(now)
+        self.start_refusal(now).is_none()
+    }
+
+    /// Returns why no starts may be sent to the worker now.
+    pub fn start_refusal(&self, now: Instant) -> Option<StartRefusal> {
+        if !self.listed {
+            Some(StartRefusal::Unlisted)
+        } else if !self.synced || self.missed_polls > 0 {
+            Some(StartRefusal::Silent)
+        } else if self.machine_down {
+            Some(StartRefusal::MachineDown)
+        } else if self.entry.phase != WorkerPhase::Ready {
+            Some(StartRefusal::Leaving)
+        } else if now < self.paused_until {
+            Some(StartRefusal::Paused)
+        } else if self.has_drain_request(now) {
+            Some(StartRefusal::DrainRequested)
+        } else {
+            None
+        }
     }
 
     /// Returns whether the worker is unavailable to its pool. A single missed poll does not count,
