Show that each takeover restarts the wait for the leases on a lost worker

Callers saw: a long-running task that does not run for 20 s although other workers have room (LOST). Cause: an owner that takes a shard over without a release waits ownership_validity + lease, 12.24 s with the drift of clocks, before the runs on a worker that it does not reach count as lost, however long ago that worker was lost. Change: a test with a worker that is lost for good, whose end the list of machines does not show, and three owners that are lost one after the other.

--- a/crates/control/tests/worker_lives.rs
+++ b/crates/control/tests/worker_lives.rs
@@ -87,6 +87,23 @@
     );
 }
 
+/// The list of machines does not show that the worker is gone, and its owners are lost one after the
+/// other. The platform counts a task as lost 10 s after the last disturbance.
+#[test]
+fn a_task_on_a_lost_worker_restarts_in_time_although_its_owners_are_lost() {
+    let mut cluster = long_running_cluster(3);
+    let holder = cluster.starts[0][0].0.clone();
+    cluster.workers[&holder].crashed = true;
+    for _ in 0..3 {
+        cluster.run(seconds(6));
+        cluster.take_over(None);
+    }
+    assert!(
+        cluster.run_until(seconds(10), |cluster| cluster.running("job.0.0.0") == 1),
+        "the task waits although other workers have room"
+    );
+}
+
 /// Until its leases expire, a lost worker still counts towards the load of its pool.
 #[test]
 fn runs_on_a_lost_worker_count_towards_its_pool() {
