Grant no lease beyond a horizon after the confirmation of ownership

Callers saw: a long-running task that does not run for up to 20 s although other workers have room (LOST). Cause: an owner granted whole leases until its ownership expired, 6 s + 6 s after the last confirmation, so the next owner had to wait 12.24 s for a worker that it does not reach. The platform counts a task as lost 10 s after the last disturbance. Where the list of machines does not show the loss, every takeover broke that bound. Change: a lease ends within 8 s (lease_horizon) of the confirmation under which it was granted, and a new owner waits that long. Claims are read each second (confirm_timeout) instead of every 2 s, so that leases keep their 6 s in normal operation: a confirmation is up to twice the interval old. Result: a_task_on_a_lost_worker_restarts_in_time_although_its_owners_are_lost failed before and passes.

--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -14,8 +14,15 @@
     pub longest_lease: Duration,
     /// Fraction by which a worker's clock may run slower than the owner's; bounded by the platform.
     pub clock_drift: f64,
-    /// How long after its last confirmation of ownership an owner continues to renew leases.
+    /// How long after its last confirmation of ownership an owner continues to renew leases and to
+    /// start tasks.
     pub ownership_validity: Duration,
+    /// Longest time from a confirmation of ownership to the end of a lease that is granted under it.
+    /// The next owner waits this long for a worker that it does not reach: with the time to notice
+    /// that an owner is lost, a poll of the worker and a start, it has to stay below the 10 s after
+    /// which the platform counts a task that does not run as lost. It bounds how long an outage of
+    /// the store tasks survive, and has to exceed `lease` by the age of a confirmation, up to 2 s.
+    pub lease_horizon: Duration,
     /// Age of the last read of the configuration above which no task is started: the platform's limit
     /// until a change of it or an evacuation is in force, minus the time of a start.
     pub max_config_age: Duration,
@@ -70,6 +77,7 @@
             longest_lease: Duration::from_secs(10),
             clock_drift: 0.02,
             ownership_validity: Duration::from_secs(6),
+            lease_horizon: Duration::from_secs(8),
             max_config_age: Duration::from_millis(1700),
             max_worker_age: Duration::from_millis(1700),
             max_submission_age: Duration::from_millis(2700),
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -341,15 +341,16 @@
 
     /// Sets the time by which the leases of earlier owners have expired.
     ///
-    /// An owner that released the shard stored the remaining time of each lease. An owner that
-    /// failed may have renewed leases until its confirmation of ownership expired.
+    /// An owner that released the shard stored the remaining time of each lease. The leases of an
+    /// owner that failed end within the horizon of its last confirmation of ownership, which
+    /// preceded this takeover.
     fn inherit_leases(&mut self, released: Option<&IndexMap<WorkerId, Duration>>, now: Instant) {
         let settings = &self.settings;
         let corrected = |left: Duration| left.div_f64(1.0 - settings.clock_drift);
         for (id, worker) in self.workers.iter_mut() {
             let left = match released {
                 Some(leases) => leases.get(id).copied().unwrap_or(settings.lease),
-                None => settings.ownership_validity + settings.lease,
+                None => settings.lease_horizon,
             };
             worker.inherited_lease_end = now + corrected(left);
         }
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -64,6 +64,7 @@
     pub(super) fn send_polls(&mut self, now: Instant) {
         let settings = &self.settings;
         let confirmed = self.is_confirmed(now);
+        let lease = self.longest_grant(now);
         let moving = self.is_moving_long_running(now);
         let due = self.workers.iter().filter(|(_, worker)| {
             let due = worker.next_poll();
@@ -77,7 +78,7 @@
             // The lease of an unreachable worker is not renewed, so that it expires in time.
             let renewable = confirmed && worker.missed_polls == 0 && worker.synced;
             let lease_until = if renewable {
-                worker.renew(now, settings.lease, settings.clock_drift)
+                worker.renew(now, lease, settings.clock_drift)
             } else {
                 None
             };
--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -16,7 +16,7 @@
         if now >= send_by {
             return;
         }
-        let (lease, drift) = (self.settings.lease, self.settings.clock_drift);
+        let (lease, drift) = (self.longest_grant(now), self.settings.clock_drift);
         let step = (task.job.clone(), task.occurrence, task.step);
         let ticket = self.ticket(&step, id, now);
         let Some(worker) = self.workers.get_mut(id) else {
--- a/crates/control/src/shard/validity.rs
+++ b/crates/control/src/shard/validity.rs
@@ -17,6 +17,14 @@
         now < self.confirmed_at + self.settings.ownership_validity
     }
 
+    /// Returns the longest lease that may be granted now, so that the next owner knows when the last
+    /// lease of this one ends.
+    pub(super) fn longest_grant(&self, now: Instant) -> Duration {
+        let horizon = self.confirmed_at + self.settings.lease_horizon;
+        let left = horizon.saturating_duration_since(now);
+        left.min(self.settings.lease)
+    }
+
     /// Records that this owner owned the shard at `at`.
     pub(super) fn record_confirmation(&mut self, at: Instant, now: Instant) {
         self.placement_needed |= now >= self.start_deadline();
--- a/crates/node/src/journal_duty/owned_shard.rs
+++ b/crates/node/src/journal_duty/owned_shard.rs
@@ -281,7 +281,7 @@
             let requested_at = self.clock.now();
             let read = self
                 .store
-                .read(claims, from, self.settings.follow_timeout)
+                .read(claims, from, self.settings.confirm_timeout)
                 .await;
             match read {
                 // These are not later claims: an unanswered append of this claim may be executed
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -45,7 +45,10 @@
     pub worker_interval: Duration,
     /// Long-poll timeout of reads of the worker list. Its age grows during a read.
     pub worker_timeout: Duration,
-    /// Long-poll timeout of reads of claims and allocations.
+    /// Long-poll timeout of reads of claims, each of which confirms the ownership of a shard. A
+    /// confirmation is up to twice as old when the next one arrives, which shortens leases.
+    pub confirm_timeout: Duration,
+    /// Long-poll timeout of reads of allocations.
     pub follow_timeout: Duration,
     /// Long-poll timeout of reads of submissions. Their age grows during a read.
     pub submission_timeout: Duration,
@@ -87,6 +90,7 @@
             max_config_age: Duration::from_millis(4300),
             worker_interval: Duration::from_millis(250),
             worker_timeout: Duration::from_millis(500),
+            confirm_timeout: Duration::from_secs(1),
             follow_timeout: Duration::from_secs(2),
             submission_timeout: Duration::from_secs(1),
             store_retry_delay: Duration::from_millis(200),
