Keep the seeds of the random runs that break a check

Cause: seed 808 no longer shows the open fault that it was listed for, since leases end earlier; the fault itself is not fixed.

--- a/crates/control/tests/soak.rs
+++ b/crates/control/tests/soak.rs
@@ -102,9 +102,9 @@
     soak(900..940, rates);
 }
 
-#[test]
-fn tasks_run_once_under_all_disturbances() {
-    let rates = DisturbanceRates {
+/// Rates with all disturbances.
+fn all_rates() -> DisturbanceRates {
+    DisturbanceRates {
         lost_answers: 0.05,
         late_orders: 0.05,
         lags: 0.2,
@@ -116,6 +116,19 @@
         store_delays: 0.1,
         refusals: 0.1,
         failures: 0.05,
-    };
-    soak(800..840, rates);
+    }
+}
+
+#[test]
+fn tasks_run_once_under_all_disturbances() {
+    soak(800..840, all_rates());
+}
+
+/// Seeds that broke a check in longer runs.
+#[test]
+fn tasks_run_once_on_seeds_that_failed() {
+    let seeds = [
+        20_000, 20_023, 20_031, 20_046, 20_151, 20_155, 20_187, 20_206, 20_232, 20_310,
+    ];
+    soak(seeds, all_rates());
 }
--- a/crates/control/tests/support/soak.rs
+++ b/crates/control/tests/support/soak.rs
@@ -75,15 +75,15 @@
 }
 
 /// Runs all seeds and fails with the list of those that broke a check.
-pub fn soak(seeds: std::ops::Range<u64>, rates: DisturbanceRates) {
+pub fn soak(seeds: impl IntoIterator<Item = u64>, rates: DisturbanceRates) {
     let seeds = match std::env::var(SEED_VARIABLE) {
         Ok(seed) => {
-            let seed = seed.parse().expect("a seed");
-            seed..seed + 1
+            vec![seed.parse().expect("a seed")]
         }
-        Err(_) => seeds,
+        Err(_) => seeds.into_iter().collect(),
     };
     let broken: Vec<String> = seeds
+        .into_iter()
         .filter_map(|seed| {
             let run = AssertUnwindSafe(|| SoakRun::new(seed, rates).run());
             let fault = catch_unwind(run).err()?;
