End the lives on machines that are no longer listed

Callers saw: long-running tasks that wait for the leases on a worker whose machine is gone for good, and with a takeover in between longer than the platform allows (LOST). Cause: the list of machines ends a life when it shows the machine down or with another worker. A machine that is gone for good is not listed at all, which proved nothing, so its tasks waited for 6 s of leases, or for those of a lost owner as well. Change: three lists in a row, each requested after the owner's report, that lack the machine end the life. Why it works: a machine that is gone has no worker, and a live one is missing from three complete lists in a row only if the platform denies it each time. Result: an_unreachable_worker_has_ended_when_its_machine_is_no_longer_listed failed before (no life ended in 1.5 s) and passes.

--- a/crates/control/src/machines/lives.rs
+++ b/crates/control/src/machines/lives.rs
@@ -2,25 +2,69 @@
 //!
 //! A run on an unreachable worker is not replaced until the last lease that any owner may have
 //! granted to the worker has expired. When the machine is listed as down, or with another worker,
-//! no run that was placed there is left. A list counts only for lives that were reported before it
-//! was requested: the machine may have come back since with a new life, whose runs go on.
+//! no run that was placed there is left, nor when the machine is gone for good and no longer listed.
+//! A list counts only for lives that were reported before it was requested: the machine may have
+//! come back since with a new life, whose runs go on.
 
 use std::time::Instant;
 
 use indexmap::IndexMap;
 use pw_base::prelude::*;
 
-use super::message::{MachineState, MachineView};
+use super::message::MachineView;
 use crate::message::{UnreachableWorker, WorkerLife};
 
+/// Consecutive lists without a machine after which it counts as gone. A list arrives in pages that
+/// are no snapshot, so one that is read during a change may lack a machine that exists.
+const GONE_AFTER_LISTS: u32 = 3;
+
 /// Unreachable workers of all shards.
 #[derive(Debug, Default)]
 pub(super) struct LifeTracker {
-    unreachable: IndexMap<ShardNumber, Vec<(UnreachableWorker, Instant)>>,
+    unreachable: IndexMap<ShardNumber, Vec<ReportedLife>>,
     /// When the latest machine list was requested.
     listed: Option<Instant>,
 }
 
+/// Life of an unreachable worker, as its owner reported it.
+#[derive(Debug)]
+struct ReportedLife {
+    worker: UnreachableWorker,
+    /// When it was first reported.
+    since: Instant,
+    /// Number of consecutive lists since then that lack its machine.
+    missing: u32,
+}
+
+impl ReportedLife {
+    fn new(worker: UnreachableWorker, now: Instant) -> Self {
+        Self {
+            worker,
+            since: now,
+            missing: 0,
+        }
+    }
+
+    /// Counts a list that was requested at `requested_at`.
+    fn record_list(&mut self, machines: &[MachineView], requested_at: Instant) {
+        if requested_at < self.since {
+            return;
+        }
+        let listed = machines
+            .iter()
+            .any(|view| view.machine == self.worker.machine);
+        self.missing = if listed { 0 } else { self.missing + 1 };
+    }
+
+    /// Returns whether the machines, as last listed, show that the life has ended.
+    fn has_ended(&self, machines: &IndexMap<MachineId, MachineView>) -> bool {
+        match machines.get(&self.worker.machine) {
+            Some(view) => view.has_ended(&self.worker.life.worker),
+            None => self.missing >= GONE_AFTER_LISTS,
+        }
+    }
+}
+
 impl LifeTracker {
     /// Replaces the unreachable workers of a shard.
     pub fn update_unreachable(
@@ -29,29 +73,31 @@
         workers: Vec<UnreachableWorker>,
         now: Instant,
     ) {
-        let previous = self.unreachable.swap_remove(&shard).unwrap_or_default();
+        let mut previous = self.unreachable.swap_remove(&shard).unwrap_or_default();
         if workers.is_empty() {
             return;
         }
-        let since = |worker: &UnreachableWorker| {
-            let earlier = previous.iter().find(|(other, _)| other == worker);
-            earlier.map_or(now, |(_, since)| *since)
-        };
         let updated = workers.into_iter().map(|worker| {
-            let since = since(&worker);
-            (worker, since)
+            let known = previous.iter().position(|life| life.worker == worker);
+            match known {
+                Some(index) => previous.swap_remove(index),
+                None => ReportedLife::new(worker, now),
+            }
         });
         self.unreachable.insert(shard, updated.collect());
     }
 
     /// Records a machine list; returns `false` for a stale one, which arrives after a list that was
     /// requested later. It may show a machine as it was before a life was reported.
-    pub fn accept_list(&mut self, requested_at: Instant) -> bool {
-        let later = self.listed.is_none_or(|listed| requested_at >= listed);
-        if later {
-            self.listed = Some(requested_at);
+    pub fn accept_list(&mut self, machines: &[MachineView], requested_at: Instant) -> bool {
+        if self.listed.is_some_and(|listed| requested_at < listed) {
+            return false;
         }
-        later
+        self.listed = Some(requested_at);
+        for life in self.unreachable.values_mut().flatten() {
+            life.record_list(machines, requested_at);
+        }
+        true
     }
 
     /// Returns whether a worker that may have runs is unreachable.
@@ -61,8 +107,6 @@
 
     /// Returns the lives of a shard's unreachable workers that have ended according to the machine
     /// list.
-    ///
-    /// A machine missing from the list proves nothing, because lists arrive in pages.
     pub fn ended(
         &self,
         shard: ShardNumber,
@@ -70,12 +114,8 @@
     ) -> Vec<WorkerLife> {
         let unreachable = self.unreachable.get(&shard).into_iter().flatten();
         let reported_before =
-            unreachable.filter(|(_, since)| self.listed.is_some_and(|at| at >= *since));
-        let ended = reported_before.filter(|(worker, _)| {
-            machines.get(&worker.machine).is_some_and(|view| {
-                view.state != MachineState::Up || view.worker.as_ref() != Some(&worker.life.worker)
-            })
-        });
-        ended.map(|(worker, _)| worker.life.clone()).collect()
+            unreachable.filter(|life| self.listed.is_some_and(|at| at >= life.since));
+        let ended = reported_before.filter(|life| life.has_ended(machines));
+        ended.map(|life| life.worker.life.clone()).collect()
     }
 }
--- a/crates/control/src/machines/message.rs
+++ b/crates/control/src/machines/message.rs
@@ -23,6 +23,8 @@
     Upkeep,
     /// It is off or broken.
     Down,
+    /// The platform reports a state that this version does not know.
+    Unknown,
 }
 
 /// A machine as the platform lists it.
@@ -40,6 +42,25 @@
     pub worker: Option<WorkerId>,
 }
 
+impl MachineState {
+    /// Returns whether no operation is known to be in progress on the machine, so that it may get an
+    /// order.
+    pub fn is_settled(self) -> bool {
+        matches!(self, Self::Up | Self::Down)
+    }
+}
+
+impl MachineView {
+    /// Returns whether `worker` is no longer on the machine.
+    pub fn has_ended(&self, worker: &WorkerId) -> bool {
+        match self.state {
+            MachineState::Up => self.worker.as_ref() != Some(worker),
+            MachineState::Moving | MachineState::Upkeep | MachineState::Down => true,
+            MachineState::Unknown => false,
+        }
+    }
+}
+
 /// Action to carry out on a machine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum MachineAction {
--- a/crates/control/tests/machines/main.rs
+++ b/crates/control/tests/machines/main.rs
@@ -37,6 +37,47 @@
     assert_eq!(platform.ended, [platform.unreachable[0].life.clone()]);
 }
 
+/// A machine that is gone for good is no longer listed at all.
+#[test]
+fn an_unreachable_worker_has_ended_when_its_machine_is_no_longer_listed() {
+    let mut platform = Platform::new(4, WaveRule::default());
+    mark_first_unreachable(&mut platform);
+    platform.views.swap_remove("m0");
+    platform.run(Duration::from_millis(1500));
+    assert_eq!(platform.ended, [platform.unreachable[0].life.clone()]);
+}
+
+/// A list is read in pages while machines come and go.
+#[test]
+fn a_machine_that_is_missing_from_two_lists_is_not_gone() {
+    let mut platform = Platform::new(4, WaveRule::default());
+    mark_first_unreachable(&mut platform);
+    platform.run(Duration::from_secs(1));
+    for _ in 0..4 {
+        let mut machines: Vec<MachineView> = platform.views.values().cloned().collect();
+        let listed = machines.clone();
+        machines.remove(0);
+        for machines in [machines.clone(), machines, listed] {
+            platform.now += Duration::from_millis(10);
+            platform.handle(MachineEvent::Machines {
+                machines,
+                requested_at: platform.now,
+            });
+            platform.handle(MachineEvent::Tick);
+            assert!(platform.ended.is_empty(), "an incomplete list ended a life");
+        }
+    }
+}
+
+#[test]
+fn a_machine_in_an_unknown_state_ends_no_life() {
+    let mut platform = Platform::new(4, WaveRule::default());
+    mark_first_unreachable(&mut platform);
+    platform.views["m0"].state = MachineState::Unknown;
+    platform.run(Duration::from_secs(2));
+    assert!(platform.ended.is_empty());
+}
+
 /// The machine comes back after the list was read and before its owner reports it as unreachable.
 #[test]
 fn a_list_requested_before_the_report_of_a_life_ends_nothing() {
