Wait only for the lease of a late order when a machine is lost

Cause: a run whose start went unanswered may still start on a later life of its worker, so it was awaited for the platform's longest lease, 10.2 s, also after the list of machines had shown that the machine was down and no run was left. Change: where the machine was lost, the wait is one lease, 6 s: the order names the end of its own lease, after which its worker rejects it. Where a later life is known to exist, which may have executed the order already with a lease by its own clock, the longest lease is awaited as before. Result: an_unanswered_start_does_not_hold_up_its_task_when_the_machine_is_lost failed before (not started within 10 s of the loss) and passes; the tests of late orders in starved_owner.rs and soak.rs hold as before.

--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -182,7 +182,12 @@
     /// Resets a worker whose life has ended and ends its runs as lost, except for those that may
     /// still start on a later life, which are stopped there first.
     pub(super) fn end_worker_life(&mut self, id: &WorkerId, cause: LifeEnd, now: Instant) {
-        let lease = self.settings.longest_lease;
+        let lease = match cause {
+            // No run was left on the machine, and a late order is void once its own lease has ended.
+            LifeEnd::MachineEnded => self.settings.lease,
+            // A later life may have executed an order already, with a lease by its own clock.
+            _ => self.settings.longest_lease,
+        };
         let lease = lease.div_f64(1.0 - self.settings.clock_drift);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
--- a/crates/control/tests/worker_lives.rs
+++ b/crates/control/tests/worker_lives.rs
@@ -4,6 +4,7 @@
 
 use pw_control::prelude::*;
 use pw_job::prelude::*;
+use support::network::OrderFate;
 use support::{
     COMPLETED, TestCluster, long_running, long_running_cluster, millis, seconds, size, step,
 };
@@ -104,6 +105,30 @@
     );
 }
 
+/// The start of a long-running task goes unanswered as its worker is lost; the worker's machine does
+/// not come back.
+#[test]
+fn an_unanswered_start_does_not_hold_up_its_task_when_the_machine_is_lost() {
+    let mut cluster = TestCluster::new(2);
+    cluster.run(seconds(1));
+    cluster.order_fate = Box::new(|command| match command {
+        ShardCommand::Start(order) if order.run == 1 => OrderFate::Lost,
+        _ => OrderFate::Delivered,
+    });
+    cluster.submit("job", None, vec![long_running(1)]);
+    assert!(cluster.run_until(seconds(1), |cluster| !cluster.images.is_empty()));
+    let holder = cluster.placed_on("job.0.0.0");
+    cluster.workers[&holder].crashed = true;
+    let lost_at = cluster.now;
+    assert!(cluster.run_until(seconds(3), |cluster| !cluster.unreachable_lives().is_empty()));
+    cluster.ended = cluster.unreachable_lives();
+    assert!(cluster.run_until(seconds(10), |cluster| cluster.running("job.0.0.0") == 1));
+    assert!(
+        cluster.now <= lost_at + seconds(10),
+        "the task waits for a lease that no worker holds"
+    );
+}
+
 /// Until its leases expire, a lost worker still counts towards the load of its pool.
 #[test]
 fn runs_on_a_lost_worker_count_towards_its_pool() {
