Place long-running tasks before work that can still meet its objective

Callers saw: a long-running task that waits for up to 4.1 s after its run counted as lost while its owner starts hundreds of other tasks, up to 10 s in a burst; found while looking for the cause of LOST elsewhere. Cause: steps that can no longer meet their objective rank after those that can. A long-running task whose worker is lost is minutes past the objective of its job, so it ranked last, behind work that keeps arriving. Change: the ready steps of long-running tasks form groups of their own, which are not demoted; by their latest start they rank first within their priority. Why it works: such a task has no objective to miss, each moment counts; it needs a small part of the pool, so the work behind it hardly waits.

--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -616,6 +616,7 @@
                     step: step as u32,
                     size: reserved_size(&spec.steps[step]),
                     waiting,
+                    long_running: spec.steps[step].long_running,
                 });
             }
         }
--- a/crates/control/src/shard/backlog.rs
+++ b/crates/control/src/shard/backlog.rs
@@ -22,6 +22,8 @@
     pool: PoolId,
     /// Priority of the queue; 0 is the highest.
     priority: u32,
+    /// The tasks run until their job is cancelled.
+    long_running: bool,
     /// Magnitudes of the millicores and of the memory of a task.
     magnitudes: (u32, u32),
 }
@@ -54,6 +56,8 @@
     pub size: ResourceSize,
     /// Number of waiting tasks.
     pub waiting: u64,
+    /// The tasks run until their job is cancelled.
+    pub long_running: bool,
 }
 
 /// A step to place, as returned by [`StepCursor`].
@@ -107,7 +111,8 @@
 /// Iterates over the ready steps in scheduling order.
 ///
 /// Under overload, more work waits than the pool can run. In order of age alone, every job would
-/// miss its objective, so jobs that can no longer meet it rank after those that can.
+/// miss its objective, so jobs that can no longer meet it rank after those that can. Long-running
+/// tasks have no objective to miss: each moment of waiting counts, so they keep their rank.
 pub(super) struct StepCursor<'a> {
     now: Instant,
     /// The cursor has passed all steps that can still meet their objective.
@@ -210,10 +215,17 @@
 
     /// Returns a cursor before the most urgent step.
     pub fn ready_steps(&self, now: Instant) -> StepCursor<'_> {
-        let groups = self.groups.iter().map(|(key, group)| GroupCursor {
-            key,
-            group,
-            range: group.steps.range(StepRank::first_at(now)..).peekable(),
+        let groups = self.groups.iter().map(|(key, group)| {
+            let range = if key.long_running {
+                group.steps.range(..)
+            } else {
+                group.steps.range(StepRank::first_at(now)..)
+            };
+            GroupCursor {
+                key,
+                group,
+                range: range.peekable(),
+            }
         });
         StepCursor {
             now,
@@ -266,6 +278,7 @@
 
     fn start_late_steps(&mut self) {
         self.late = true;
+        self.groups.retain(|cursor| !cursor.key.long_running);
         for cursor in &mut self.groups {
             let late = cursor.group.steps.range(..StepRank::first_at(self.now));
             cursor.range = late.peekable();
@@ -314,6 +327,7 @@
         GroupKey {
             pool: self.pool.clone(),
             priority: self.priority,
+            long_running: step.long_running,
             magnitudes: (
                 magnitude(step.size.millicores),
                 magnitude(step.size.memory_mib),
--- a/crates/control/tests/backlog.rs
+++ b/crates/control/tests/backlog.rs
@@ -5,7 +5,7 @@
 use pw_control::prelude::*;
 use pw_job::prelude::*;
 use support::network::OrderFate;
-use support::{TestCluster, millis, seconds, size, step};
+use support::{TestCluster, long_running_cluster, millis, seconds, size, step};
 
 /// Creates a full pool with `jobs` waiting jobs, whose tasks differ in size.
 fn cluster_with_backlog(jobs: usize) -> TestCluster {
@@ -130,3 +130,28 @@
     let started = cluster.starts.len();
     assert!(started >= 16, "{started} tasks started");
 }
+
+/// A long-running task is lost while more work waits than the pool can run.
+#[test]
+fn a_long_running_task_does_not_wait_behind_a_backlog() {
+    let mut cluster = long_running_cluster(3);
+    let holder = cluster.starts[0][0].0.clone();
+    cluster.run(seconds(30));
+    let urgent = StepSpec {
+        estimate: seconds(60),
+        ..step(8)
+    };
+    for number in 0..100 {
+        cluster.submit(&format!("job-{number}"), None, vec![urgent.clone()]);
+    }
+    cluster.run(seconds(1));
+    cluster.workers[&holder].crashed = true;
+    assert!(cluster.run_until(seconds(3), |cluster| {
+        !cluster.unreachable_lives().is_empty()
+    }));
+    cluster.ended = cluster.unreachable_lives();
+    assert!(
+        cluster.run_until(seconds(2), |cluster| cluster.running("job.0.0.0") == 1),
+        "the task waits behind work that came later"
+    );
+}
--- a/crates/control/tests/worker_lives.rs
+++ b/crates/control/tests/worker_lives.rs
@@ -120,7 +120,9 @@
     let holder = cluster.placed_on("job.0.0.0");
     cluster.workers[&holder].crashed = true;
     let lost_at = cluster.now;
-    assert!(cluster.run_until(seconds(3), |cluster| !cluster.unreachable_lives().is_empty()));
+    assert!(cluster.run_until(seconds(3), |cluster| {
+        !cluster.unreachable_lives().is_empty()
+    }));
     cluster.ended = cluster.unreachable_lives();
     assert!(cluster.run_until(seconds(10), |cluster| cluster.running("job.0.0.0") == 1));
     assert!(
