Check starts against capacities that shrink in the test cluster

No fault: guards for workers whose capacity shrinks and grows while they run, and for workers that start whatever they are told to.

Cause: the test cluster's workers refused what does not fit, so no test could see a start that exceeds a capacity, and none had a capacity that changes during runs. Change: workers may leave their capacity unguarded, change it, and take time to stop a run. Each start is checked against the largest capacity within the platform's grace; workers that were never resized keep the check of each time step. The soak has resizes; with a rate of 0 its draws are as before.

--- /dev/null
+++ b/crates/control/tests/capacity.rs
@@ -0,0 +1,94 @@
+//! Tests of workers whose capacity shrinks and grows while they run, and of workers that start
+//! whatever they are told to.
+
+mod support;
+
+use pw_base::prelude::*;
+use pw_worker::prelude::*;
+use support::worker::SHRINK_GRACE;
+use support::{COMPLETED, TestCluster, millis, seconds, size, step};
+
+/// Creates a cluster with workers that don't guard their capacity of 8 cores and 16 GiB.
+fn unguarded_cluster(workers: usize) -> TestCluster {
+    let mut cluster = TestCluster::new(workers);
+    for worker in cluster.workers.values_mut() {
+        worker.guards_capacity = false;
+        worker.stop_time = millis(400);
+    }
+    cluster.run_time = seconds(60);
+    cluster.run(millis(100));
+    cluster
+}
+
+fn first_worker(cluster: &TestCluster) -> WorkerId {
+    cluster.workers[0].entry.id.clone()
+}
+
+/// Changes the capacity of a worker and tells the owner.
+fn resize(cluster: &mut TestCluster, worker: &WorkerId, capacity: ResourceSize) {
+    cluster.resize(worker, capacity);
+    cluster.list_workers();
+}
+
+#[test]
+fn a_worker_that_shrank_below_its_runs_gets_no_start_until_it_has_grown() {
+    let mut cluster = unguarded_cluster(1);
+    let worker = first_worker(&cluster);
+    cluster.submit("first", None, vec![step(4)]);
+    cluster.run(millis(200));
+    assert_eq!(cluster.runs_on(&worker), 4);
+    resize(&mut cluster, &worker, size(2000, 4096));
+    cluster.submit("second", None, vec![step(4)]);
+    cluster.run(SHRINK_GRACE + seconds(1));
+    assert_eq!(cluster.runs_on(&worker), 4);
+    resize(&mut cluster, &worker, size(6000, 8192));
+    cluster.run(millis(300));
+    assert_eq!(cluster.runs_on(&worker), 6);
+    resize(&mut cluster, &worker, size(8000, 16_384));
+    cluster.run(millis(300));
+    assert_eq!(cluster.runs_on(&worker), 8);
+}
+
+#[test]
+fn a_worker_without_capacity_gets_no_start_until_it_has_some() {
+    let mut cluster = unguarded_cluster(1);
+    let worker = first_worker(&cluster);
+    resize(&mut cluster, &worker, size(0, 0));
+    cluster.submit("job", None, vec![step(2)]);
+    cluster.run(SHRINK_GRACE + seconds(1));
+    assert_eq!(cluster.runs_on(&worker), 0);
+    cluster.run_time = millis(200);
+    resize(&mut cluster, &worker, size(1000, 1024));
+    assert!(cluster.run_until(seconds(2), |cluster| cluster.status("job") == COMPLETED));
+}
+
+#[test]
+fn runs_that_are_being_stopped_count_against_a_shrunken_capacity() {
+    let mut cluster = unguarded_cluster(1);
+    let worker = first_worker(&cluster);
+    cluster.submit("first", None, vec![step(4)]);
+    cluster.run(millis(200));
+    resize(&mut cluster, &worker, size(4000, 8192));
+    cluster.run(SHRINK_GRACE);
+    cluster.cancel("first");
+    cluster.submit("second", None, vec![step(4)]);
+    cluster.run(millis(300));
+    assert_eq!(cluster.start_count("second.0.0.0"), 0);
+    cluster.run(millis(500));
+    assert_eq!(cluster.runs_on(&worker), 4);
+    assert_eq!(cluster.start_count("second.0.0.3"), 1);
+}
+
+#[test]
+fn runs_of_a_former_owner_count_against_a_shrunken_capacity() {
+    let mut cluster = unguarded_cluster(1);
+    let worker = first_worker(&cluster);
+    cluster.submit("first", None, vec![step(4)]);
+    cluster.run(millis(200));
+    resize(&mut cluster, &worker, size(4000, 8192));
+    cluster.run(SHRINK_GRACE);
+    cluster.take_over(None);
+    cluster.submit("second", None, vec![step(2)]);
+    cluster.run(seconds(2));
+    assert_eq!(cluster.runs_on(&worker), 4);
+}
--- a/crates/control/tests/soak.rs
+++ b/crates/control/tests/soak.rs
@@ -116,6 +116,27 @@
         store_delays: 0.1,
         refusals: 0.1,
         failures: 0.05,
+        resizes: 0.0,
     };
     soak(800..840, rates);
 }
+
+#[test]
+fn no_start_exceeds_a_capacity_that_shrinks_and_grows() {
+    let rates = DisturbanceRates {
+        resizes: 1.0,
+        ..rates()
+    };
+    soak(1000..1040, rates);
+}
+
+#[test]
+fn no_start_exceeds_a_capacity_that_shrinks_while_owners_follow_each_other() {
+    let rates = DisturbanceRates {
+        claims: 0.07,
+        releases: 0.1,
+        resizes: 1.0,
+        ..rates()
+    };
+    soak(1200..1240, rates);
+}
--- a/crates/control/tests/support/answers.rs
+++ b/crates/control/tests/support/answers.rs
@@ -172,15 +172,7 @@
             return Err(CallFault::Fenced);
         }
         worker.fence = order.fence;
-        let rejected_runs = worker.rejected_runs.entry(order.task.clone()).or_default();
-        *rejected_runs = (*rejected_runs).max(order.run);
-        if worker
-            .running
-            .get(&order.task)
-            .is_some_and(|run| run.run == order.run)
-        {
-            worker.end(&order.task, RunEnd::Stopped, now);
-        }
+        worker.stop(&order.task, order.run, now);
         Ok(())
     }
 
--- a/crates/control/tests/support/checks.rs
+++ b/crates/control/tests/support/checks.rs
@@ -6,7 +6,6 @@
 use pw_base::prelude::*;
 use pw_control::prelude::*;
 use pw_job::prelude::*;
-use pw_worker::prelude::*;
 
 use super::{ATTEMPTS, TestCluster};
 
@@ -60,6 +59,12 @@
             "{task} started after it was done"
         );
         self.check_attempts(task);
+        let worker = &self.workers[&order.worker];
+        assert!(
+            worker.used().fits_into(&worker.binding_capacity(self.now)),
+            "the start of {task} exceeds the capacity of {}",
+            order.worker
+        );
     }
 
     /// Records a run end that counts, because it was acknowledged before the lease expired.
@@ -113,14 +118,13 @@
     pub(super) fn check_invariants(&self) {
         let mut active: HashSet<&TaskName> = HashSet::new();
         for worker in self.workers.values().filter(|worker| !worker.crashed) {
-            let mut used = ResourceSize::default();
-            for (name, run) in &worker.running {
+            for name in worker.running.keys() {
                 assert!(active.insert(name), "{name} runs twice at the same time");
                 assert!(!self.done.contains(name), "{name} runs after it was done");
-                used = used.plus(&run.size);
             }
+            // A capacity that shrinks ends no run; each start is checked against it.
             assert!(
-                used.fits_into(&worker.entry.capacity),
+                worker.was_resized() || worker.used().fits_into(&worker.entry.capacity),
                 "{} exceeds its capacity",
                 worker.entry.id
             );
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -2,7 +2,8 @@
 //! virtual time.
 //!
 //! Each time step checks that no task runs twice at the same time or after it is done, and that no
-//! worker exceeds its capacity. Each start of an owner without delay checks that the placement of
+//! worker exceeds its capacity. Each start checks that it brings no worker over its capacity, also
+//! one that has shrunk. Each start of an owner without delay checks that the placement of
 //! its run is stored. Each start and each acknowledged run end check that no task starts again after
 //! a successful end that counts, or after its last attempt.
 
@@ -199,6 +200,17 @@
         self.workers.insert(id.clone(), worker);
     }
 
+    /// Changes the capacity of a worker; the owner learns it with the next list of workers.
+    pub fn resize(&mut self, id: &WorkerId, capacity: ResourceSize) {
+        self.trace(|| format!("{id} has a capacity of {capacity:?}"));
+        self.workers[id].resize(capacity, self.now);
+    }
+
+    /// Returns the number of active runs on a worker.
+    pub fn runs_on(&self, id: &WorkerId) -> usize {
+        self.workers[id].running.len()
+    }
+
     /// Prints what happens, for the analysis of a failure.
     pub fn trace(&self, text: impl FnOnce() -> String) {
         if self.traced {
--- a/crates/control/tests/support/soak.rs
+++ b/crates/control/tests/support/soak.rs
@@ -52,6 +52,9 @@
     pub refusals: f64,
     /// A worker's runs begin or cease to fail.
     pub failures: f64,
+    /// The capacity of a worker shrinks or grows; with a rate above 0, no worker guards it, and
+    /// stops take time.
+    pub resizes: f64,
 }
 
 /// One random run.
@@ -111,6 +114,10 @@
         for worker in cluster.workers.values_mut() {
             worker.clock_rate = *[1.0, 0.98].choose(&mut rng).expect("a rate");
             worker.entry.capacity = size(4000, 8192);
+            if rates.resizes > 0.0 {
+                worker.guards_capacity = false;
+                worker.stop_time = millis(400);
+            }
         }
         cluster.list_workers();
         let calm = Rc::new(Cell::new(false));
@@ -155,6 +162,12 @@
         for worker in self.cluster.workers.values_mut() {
             (worker.runs_fail, worker.unhealthy) = (false, false);
         }
+        if self.rates.resizes > 0.0 {
+            let workers: Vec<WorkerId> = self.cluster.workers.keys().cloned().collect();
+            for worker in workers {
+                self.cluster.resize(&worker, size(4000, 8192));
+            }
+        }
         self.cluster.list_workers();
         let over_by = self.cluster.now + CALM_TIME;
         while self.cluster.now < over_by && self.open_job().is_some() {
@@ -212,6 +225,9 @@
 
     fn disturb(&mut self) {
         let rates = self.rates;
+        if rates.resizes > 0.0 {
+            self.resize();
+        }
         if self.occurs(rates.lags) {
             let event_lag = match self.rng.random_range(0..3) {
                 0 => Duration::ZERO,
@@ -269,6 +285,18 @@
         }
     }
 
+    /// Lets the capacity of a worker shrink or grow; its next heartbeat says so.
+    fn resize(&mut self) {
+        if !self.occurs(self.rates.resizes) {
+            return;
+        }
+        let worker = self.any_worker();
+        let cores = self.rng.random_range(0..5);
+        self.cluster.resize(&worker, size(cores * 1000, 8192));
+        let heartbeat = self.any_time(1500);
+        self.end_after(heartbeat, DisturbanceEnd::List);
+    }
+
     /// Lets a new owner claim the shard; some workers are reached by the old or the new one only.
     fn claim(&mut self) {
         let old = self.cluster.owner().epoch();
--- a/crates/control/tests/support/worker.rs
+++ b/crates/control/tests/support/worker.rs
@@ -11,9 +11,21 @@
 
 use super::checks::AcknowledgedEnd;
 
+/// How long a shrunken capacity may be unknown to owners: the platform's limit, which is the time
+/// until calm machines count as in touch, and one heartbeat.
+pub const SHRINK_GRACE: Duration = Duration::from_millis(3000 + 1500);
+
 /// A worker of the test cluster.
 pub struct FakeWorker {
     pub entry: WorkerEntry,
+    /// Earlier capacities, and when each was replaced.
+    former_capacities: Vec<(Instant, ResourceSize)>,
+    /// The worker refuses starts that exceed its capacity.
+    pub guards_capacity: bool,
+    /// Time that the worker takes to stop a run.
+    pub stop_time: Duration,
+    /// Number of starts that the worker refused for lack of room.
+    pub room_refusals: usize,
     /// The worker runs on, but is partitioned from the network.
     pub unreachable: bool,
     /// The worker has crashed.
@@ -56,6 +68,8 @@
     pub run: RunNumber,
     pub ends_at: Option<Instant>,
     pub started_at: Instant,
+    /// When the run ends because it is being stopped.
+    pub stops_at: Option<Instant>,
     pub size: ResourceSize,
     pub serving: bool,
     pub gang: bool,
@@ -72,6 +86,10 @@
     pub fn new(entry: WorkerEntry, clock_base: u64, now: Instant) -> Self {
         Self {
             entry,
+            former_capacities: Vec::new(),
+            guards_capacity: true,
+            stop_time: Duration::ZERO,
+            room_refusals: 0,
             unreachable: false,
             crashed: false,
             drops_start_answers: false,
@@ -96,6 +114,34 @@
         }
     }
 
+    /// Changes the capacity, which owners learn with the next list of workers.
+    pub fn resize(&mut self, capacity: ResourceSize, now: Instant) {
+        self.former_capacities.push((now, self.entry.capacity));
+        self.entry.capacity = capacity;
+    }
+
+    /// Returns whether the capacity has changed in this life of the worker.
+    pub fn was_resized(&self) -> bool {
+        !self.former_capacities.is_empty()
+    }
+
+    /// Returns the capacity that no start may exceed: the largest one within [`SHRINK_GRACE`].
+    pub fn binding_capacity(&self, now: Instant) -> ResourceSize {
+        let recent = self.former_capacities.iter();
+        let recent = recent.filter(|(until, _)| now < *until + SHRINK_GRACE);
+        recent.fold(self.entry.capacity, |largest, (_, former)| ResourceSize {
+            millicores: largest.millicores.max(former.millicores),
+            memory_mib: largest.memory_mib.max(former.memory_mib),
+            accelerators: largest.accelerators.max(former.accelerators),
+        })
+    }
+
+    /// Returns the resources of all runs, those that are being stopped included.
+    pub fn used(&self) -> ResourceSize {
+        let runs = self.running.values();
+        runs.fold(ResourceSize::default(), |sum, run| sum.plus(&run.size))
+    }
+
     pub fn clock(&self, now: Instant) -> u64 {
         let passed = (now - self.started).mul_f64(self.clock_rate);
         self.clock_base + passed.as_millis() as u64
@@ -151,11 +197,9 @@
             millicores,
             ..step.size
         };
-        let used = self
-            .running
-            .values()
-            .fold(size, |sum, run| sum.plus(&run.size));
-        if !used.fits_into(&self.entry.capacity) {
+        let fits = self.used().plus(&size).fits_into(&self.entry.capacity);
+        if self.guards_capacity && !fits {
+            self.room_refusals += 1;
             return StartOutcome::NoRoom;
         }
         let run = FakeRun {
@@ -163,6 +207,7 @@
             // A gang works once it is complete.
             ends_at: (!step.long_running && !step.gang).then(|| now + run_time),
             started_at: now,
+            stops_at: None,
             size,
             serving: step.target_latency.is_some(),
             gang: step.gang,
@@ -182,6 +227,12 @@
             }
             self.void_ends = self.next_end - 1;
         }
+        let stopped = self.running.iter();
+        let stopped = stopped.filter(|(_, run)| run.stops_at.is_some_and(|at| now >= at));
+        let stopped: Vec<_> = stopped.map(|(name, _)| name.clone()).collect();
+        for name in stopped {
+            self.end(&name, RunEnd::Stopped, now);
+        }
         let ended = self.running.iter();
         let ended = ended.filter(|(_, run)| run.is_due(now) && !run.gang);
         let ended: Vec<_> = ended.map(|(name, _)| name.clone()).collect();
@@ -215,6 +266,20 @@
             .collect()
     }
 
+    /// Stops a run, which ends after [`Self::stop_time`].
+    pub fn stop(&mut self, task: &TaskName, run: RunNumber, now: Instant) {
+        let rejected = self.rejected_runs.entry(task.clone()).or_default();
+        *rejected = (*rejected).max(run);
+        let active = self.running.get_mut(task);
+        let Some(active) = active.filter(|active| active.run == run) else {
+            return;
+        };
+        let stops_at = *active.stops_at.get_or_insert(now + self.stop_time);
+        if now >= stops_at {
+            self.end(task, RunEnd::Stopped, now);
+        }
+    }
+
     pub fn end(&mut self, task: &TaskName, end: RunEnd, now: Instant) {
         let Some(run) = self.running.swap_remove(task) else {
             return;
