Start nothing on a worker whose runs exceed its capacity

Callers' workers would get a start while they are over their capacity (LIMIT), and workers that guard it would refuse that start again and again.

Cause: the room of a worker that has shrunk below its runs was clamped to 0 in the exceeded resource, and a task that needs nothing of it fits into 0: a best-effort task, which reserves no CPU, or any task where only the accelerators are exceeded. Change: such a worker has no room at all, for placement and for requests to the advice service. Measured: a_best_effort_task_does_not_start_on_a_worker_that_exceeds_its_capacity failed before ("the start of second.0.0.0 exceeds the capacity of w0") and passes; the other four tests of the file pass as before.

--- a/crates/control/src/shard/advice.rs
+++ b/crates/control/src/shard/advice.rs
@@ -71,7 +71,7 @@
             let denied = known.is_some_and(|advice| advice.denied.contains(id));
             worker.entry.pool == pool
                 && worker.accepts_starts(now)
-                && size.fits_into(&worker.room())
+                && worker.has_room(&size)
                 && !denied
                 && self.ticket(key, id, now).is_none()
         });
--- a/crates/control/src/shard/scheduling.rs
+++ b/crates/control/src/shard/scheduling.rs
@@ -80,7 +80,7 @@
                 && worker.accepts_starts(now)
                 && !self.is_evacuated(&worker.entry.zone)
         });
-        PoolRoom::of(open.map(WorkerRecord::room))
+        PoolRoom::of(open.filter_map(WorkerRecord::room))
     }
 
     /// Returns the terms of a job by its queue's current rule, or those of its submission if this
@@ -272,7 +272,7 @@
             worker.entry.pool == record.pool
                 && worker.accepts_starts(now)
                 && !self.is_evacuated(&worker.entry.zone)
-                && size.fits_into(&worker.room())
+                && worker.has_room(&size)
                 && !(spec.long_running && self.may_have_machine_order(worker, now))
                 && (!needs_ticket || self.ticket(&step_key, &worker.entry.id, now).is_some())
         });
@@ -348,7 +348,8 @@
     }
 }
 
-/// Returns a worker as a candidate for a task; `None` if the step may not run there.
+/// Returns a worker as a candidate for a task; `None` if the step may not run there, or the worker's
+/// runs exceed its capacity.
 fn candidate_for<'a>(
     worker: &'a WorkerRecord,
     task: &TaskName,
@@ -380,7 +381,7 @@
     let best_effort = if is_serving { counts.best_effort } else { 0 };
     Some(Candidate {
         worker: &entry.id,
-        room: worker.room(),
+        room: worker.room()?,
         capacity: entry.capacity,
         on_preferred_rack: preferred.is_none_or(|rack| entry.rack.as_ref() == Some(rack)),
         siblings,
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -355,9 +355,16 @@
         Some(removed)
     }
 
-    /// Returns the unreserved resources.
-    pub fn room(&self) -> ResourceSize {
-        self.entry.capacity.minus(&self.used)
+    /// Returns the unreserved resources; `None` if the runs exceed the capacity, which may shrink.
+    pub fn room(&self) -> Option<ResourceSize> {
+        let capacity = &self.entry.capacity;
+        let fits = self.used.fits_into(capacity);
+        fits.then(|| capacity.minus(&self.used))
+    }
+
+    /// Returns whether a run of `size` fits beside the others.
+    pub fn has_room(&self, size: &ResourceSize) -> bool {
+        self.room().is_some_and(|room| size.fits_into(&room))
     }
 
     /// Returns whether starts may be sent to the worker now.
--- a/crates/control/tests/capacity.rs
+++ b/crates/control/tests/capacity.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use pw_base::prelude::*;
+use pw_job::prelude::*;
 use pw_worker::prelude::*;
 use support::worker::SHRINK_GRACE;
 use support::{COMPLETED, TestCluster, millis, seconds, size, step};
@@ -92,3 +93,24 @@
     cluster.run(seconds(2));
     assert_eq!(cluster.runs_on(&worker), 4);
 }
+
+/// A task that fills reserves no cores, so it fits into the remaining room of 0 cores.
+#[test]
+fn a_best_effort_task_does_not_start_on_a_worker_that_exceeds_its_capacity() {
+    let mut cluster = unguarded_cluster(1);
+    let worker = first_worker(&cluster);
+    cluster.submit("first", None, vec![step(4)]);
+    cluster.run(millis(200));
+    resize(&mut cluster, &worker, size(2000, 16_384));
+    cluster.run(SHRINK_GRACE);
+    let filler = StepSpec {
+        best_effort: true,
+        ..step(2)
+    };
+    cluster.submit("second", None, vec![filler]);
+    cluster.run(seconds(1));
+    assert_eq!(cluster.runs_on(&worker), 4);
+    resize(&mut cluster, &worker, size(4000, 16_384));
+    cluster.run(millis(300));
+    assert_eq!(cluster.runs_on(&worker), 6);
+}
