Send no stored start to a worker that has shrunk meanwhile

Callers' workers would be started over their capacity (LIMIT): a start goes out although the worker has said, while its placement was being stored, that it has no longer room for it.

Cause: the check before a stored start is sent asks whether the worker accepts starts, not whether the runs that are reserved on it still fit. Change: the check includes the worker's room; a placement that no longer fits is taken back, as that on a worker which became unavailable. Measured: a_placement_that_waits_for_the_store_does_not_start_on_a_worker_that_has_shrunk failed before (4 runs where 1 fits) and passes.

--- a/crates/control/src/shard/persistence.rs
+++ b/crates/control/src/shard/persistence.rs
@@ -8,7 +8,7 @@
 
 use super::ShardController;
 use crate::message::{ShardCommand, StoreRecord};
-use crate::worker::RunPhase;
+use crate::worker::{RunPhase, WorkerRecord};
 
 /// Queue of changes to store; at most one append is in flight.
 pub(super) struct StoreQueue {
@@ -167,13 +167,12 @@
         let planned = self.workers.get(&start.worker).and_then(|worker| {
             let run = worker.runs.get(&start.task)?;
             let planned = run.run == start.run && run.phase == RunPhase::Planned;
-            let zone = &worker.entry.zone;
-            planned.then(|| allowed && worker.accepts_starts(now) && !self.is_evacuated(zone))
+            planned.then(|| allowed && self.may_start(worker, now))
         });
         match planned {
             None => {}
             Some(true) => self.send_start(&start.worker, &start.task, now),
-            // The worker became unavailable while the placement was being stored.
+            // The worker became unavailable or has shrunk while the placement was being stored.
             Some(false) => {
                 self.end_run(
                     &start.worker,
@@ -187,6 +186,13 @@
         }
     }
 
+    /// Returns whether a run that is reserved on a worker may start there.
+    fn may_start(&self, worker: &WorkerRecord, now: Instant) -> bool {
+        worker.accepts_starts(now)
+            && !self.is_evacuated(&worker.entry.zone)
+            && worker.room().is_some()
+    }
+
     pub(super) fn is_evacuated(&self, zone: &str) -> bool {
         self.config.evacuated.contains(zone)
     }
--- a/crates/control/tests/capacity.rs
+++ b/crates/control/tests/capacity.rs
@@ -114,3 +114,15 @@
     cluster.run(millis(300));
     assert_eq!(cluster.runs_on(&worker), 6);
 }
+
+#[test]
+fn a_placement_that_waits_for_the_store_does_not_start_on_a_worker_that_has_shrunk() {
+    let mut cluster = unguarded_cluster(1);
+    let worker = first_worker(&cluster);
+    cluster.append_time = millis(500);
+    cluster.submit("job", None, vec![step(4)]);
+    cluster.run(millis(100));
+    resize(&mut cluster, &worker, size(1000, 1024));
+    cluster.run(seconds(2));
+    assert_eq!(cluster.runs_on(&worker), 1);
+}
