Repeat an unanswered start only where the run may still start

Callers' workers would get a start seconds after they said that they drain (DRAIN), that their capacity has shrunk (LIMIT), or after the operator evacuated their availability zone (EVAC).

Cause: a start that went unanswered is sent again when a later poll does not report its run. Nothing asked whether the worker may still start runs, as it is asked when the placement is stored. Change: the repetition passes the same check. Where it fails, the run is stopped, so that the worker also rejects the first request if it carries it out late, and the task starts elsewhere. Measured: an_unanswered_start_is_not_repeated_on_a_worker_that_has_shrunk, ..._that_drains and ..._in_an_evacuated_availability_zone failed before and pass.

--- a/crates/control/src/shard/persistence.rs
+++ b/crates/control/src/shard/persistence.rs
@@ -187,7 +187,7 @@
     }
 
     /// Returns whether a run that is reserved on a worker may start there.
-    fn may_start(&self, worker: &WorkerRecord, now: Instant) -> bool {
+    pub(super) fn may_start(&self, worker: &WorkerRecord, now: Instant) -> bool {
         worker.accepts_starts(now)
             && !self.is_evacuated(&worker.entry.zone)
             && worker.room().is_some()
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -274,7 +274,7 @@
             self.end_run(&order.worker, &task, run, end, None, now);
         }
         for task in retries {
-            self.send_start(&order.worker, &task, now);
+            self.repeat_start(&order.worker, &task, now);
         }
     }
 
--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -52,6 +52,22 @@
         }));
     }
 
+    /// Sends an unanswered start again, or stops the run if it may no longer start on the worker: the
+    /// first request may still be executed.
+    pub(super) fn repeat_start(&mut self, id: &WorkerId, task: &TaskName, now: Instant) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        if self.may_start(worker, now) {
+            self.send_start(id, task, now);
+            return;
+        }
+        let worker = self.workers.get_mut(id);
+        if let Some(run) = worker.and_then(|worker| worker.runs.get_mut(task)) {
+            run.phase = RunPhase::Stopping;
+        }
+    }
+
     pub(super) fn handle_start(&mut self, order: &StartOrder, outcome: StartOutcome, now: Instant) {
         let settings = self.settings.clone();
         let Some(worker) = self.workers.get_mut(&order.worker) else {
--- a/crates/control/tests/capacity.rs
+++ b/crates/control/tests/capacity.rs
@@ -4,8 +4,10 @@
 mod support;
 
 use pw_base::prelude::*;
+use pw_control::prelude::*;
 use pw_job::prelude::*;
 use pw_worker::prelude::*;
+use support::network::OrderFate;
 use support::worker::SHRINK_GRACE;
 use support::{COMPLETED, TestCluster, millis, seconds, size, step};
 
@@ -126,3 +128,53 @@
     cluster.run(seconds(2));
     assert_eq!(cluster.runs_on(&worker), 1);
 }
+
+/// Returns a cluster of two workers with a start that went unanswered and did not reach its worker,
+/// and that worker.
+fn lost_start_cluster() -> (TestCluster, WorkerId) {
+    let mut cluster = unguarded_cluster(2);
+    let mut lost = false;
+    cluster.order_fate = Box::new(move |command| match command {
+        ShardCommand::Start(_) if !lost => {
+            lost = true;
+            OrderFate::Lost
+        }
+        _ => OrderFate::Delivered,
+    });
+    cluster.submit("job", None, vec![step(1)]);
+    cluster.run(millis(200));
+    let worker = cluster.placed_on("job.0.0.0");
+    (cluster, worker)
+}
+
+fn assert_started_elsewhere(cluster: &mut TestCluster, worker: &WorkerId) {
+    cluster.run(SHRINK_GRACE + seconds(1));
+    assert_eq!(cluster.runs_on(worker), 0);
+    assert_eq!(cluster.running("job.0.0.0"), 1);
+}
+
+#[test]
+fn an_unanswered_start_is_not_repeated_on_a_worker_that_has_shrunk() {
+    let (mut cluster, worker) = lost_start_cluster();
+    resize(&mut cluster, &worker, size(0, 0));
+    assert_started_elsewhere(&mut cluster, &worker);
+}
+
+#[test]
+fn an_unanswered_start_is_not_repeated_on_a_worker_that_drains() {
+    let (mut cluster, worker) = lost_start_cluster();
+    cluster.workers[&worker].entry.phase = WorkerPhase::Draining;
+    cluster.list_workers();
+    assert_started_elsewhere(&mut cluster, &worker);
+}
+
+#[test]
+fn an_unanswered_start_is_not_repeated_in_an_evacuated_availability_zone() {
+    let (mut cluster, worker) = lost_start_cluster();
+    cluster.workers[&worker].entry.zone = "dark".into();
+    cluster.list_workers();
+    cluster.set_config(|config| {
+        config.evacuated.insert("dark".into());
+    });
+    assert_started_elsewhere(&mut cluster, &worker);
+}
--- a/crates/control/tests/soak.rs
+++ b/crates/control/tests/soak.rs
@@ -130,6 +130,18 @@
     soak(1000..1040, rates);
 }
 
+#[test]
+fn no_start_exceeds_a_capacity_that_shrinks_while_orders_are_late() {
+    let rates = DisturbanceRates {
+        lost_answers: 0.05,
+        late_orders: 0.1,
+        partitions: 0.1,
+        resizes: 1.0,
+        ..rates()
+    };
+    soak(1100..1140, rates);
+}
+
 #[test]
 fn no_start_exceeds_a_capacity_that_shrinks_while_owners_follow_each_other() {
     let rates = DisturbanceRates {
