Reserve the resources of runs that no placement matches

Callers' workers would be started over their capacity (LIMIT) beside a run that the owner did not place, while that run is being stopped.

Cause: such a run was recorded with a size of 0, so its room counted as free. Change: it is recorded with the size of its step or, when its job is unknown, with the whole capacity of the worker, until its end is listed. Measured: a_stray_run_counts_against_the_capacity and a_stray_run_of_an_unknown_job_may_take_the_whole_worker failed before ("the start of second.0.0.1 exceeds the capacity of w0") and pass.

--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -6,7 +6,7 @@
 use pw_base::prelude::*;
 use pw_job::prelude::*;
 
-use super::ShardController;
+use super::{ShardController, reserved_size};
 use crate::message::{CallFault, FinishedRun, PaceOrder, PollOrder, PollReport, ShardCommand};
 use crate::pace::next_pace;
 use crate::worker::{ClockReading, LifeEnd, RunPhase, WorkerEntry, WorkerRecord};
@@ -287,10 +287,8 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let job_over = self
-            .jobs
-            .get(&active.task.job)
-            .is_none_or(|job| job.is_over());
+        let job = self.jobs.get(&active.task.job);
+        let job_over = job.is_none_or(|job| job.is_over());
         match worker.runs.get_mut(&active.task) {
             Some(run) if run.run == active.run => {
                 run.reported = true;
@@ -319,7 +317,11 @@
             Some(_) => {}
             None => {
                 // No placement matches this run: it is tracked and stopped until it has ended.
-                let orphan = crate::worker::RunRecord::orphan(active.run, now);
+                let steps = job.map(|job| &job.submission.spec.steps);
+                let step = steps.and_then(|steps| steps.get(active.task.step as usize));
+                // A run of an unknown job may take all resources of the worker.
+                let size = step.map_or(worker.entry.capacity, reserved_size);
+                let orphan = crate::worker::RunRecord::orphan(active.run, size, now);
                 worker.add_run(active.task.clone(), orphan);
                 let event = EventCode::StrayRun.number();
                 let (task, run) = (&active.task, active.run);
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -166,11 +166,11 @@
         self.start_attempts > 0 || matches!(self.phase, RunPhase::Sent | RunPhase::Unanswered)
     }
 
-    /// Returns the record of a run that was not placed on the worker.
-    pub fn orphan(run: RunNumber, now: Instant) -> Self {
+    /// Returns the record of a run of `size` that was not placed on the worker.
+    pub fn orphan(run: RunNumber, size: ResourceSize, now: Instant) -> Self {
         Self {
             run,
-            size: ResourceSize::default(),
+            size,
             account: None,
             phase: RunPhase::Stopping,
             since: now,
--- a/crates/control/tests/capacity.rs
+++ b/crates/control/tests/capacity.rs
@@ -8,7 +8,7 @@
 use pw_job::prelude::*;
 use pw_worker::prelude::*;
 use support::network::OrderFate;
-use support::worker::SHRINK_GRACE;
+use support::worker::{FakeRun, SHRINK_GRACE};
 use support::{COMPLETED, TestCluster, millis, seconds, size, step};
 
 /// Creates a cluster with workers that don't guard their capacity of 8 cores and 16 GiB.
@@ -178,3 +178,52 @@
     });
     assert_started_elsewhere(&mut cluster, &worker);
 }
+
+/// Lets a run that no placement matches take most of a worker, and submits a job once the owner
+/// stops that run.
+fn start_beside_stray_run(is_known: bool) {
+    let mut cluster = unguarded_cluster(1);
+    let worker = first_worker(&cluster);
+    cluster.workers[0].stop_time = seconds(1);
+    cluster.submit("first", None, vec![step(1)]);
+    let wide = StepSpec {
+        size: size(6000, 1024),
+        ..step(1)
+    };
+    if is_known {
+        cluster.submit("stray", None, vec![wide]);
+        cluster.cancel("stray");
+    } else {
+        let mut record = (*cluster.submissions["first"]).clone();
+        record.spec.steps = vec![wide];
+        cluster.submissions.insert("stray".into(), record.into());
+    }
+    cluster.run(millis(200));
+    let stray: TaskName = "stray.0.0.0".parse().expect("a task");
+    let now = cluster.now;
+    let runs = &mut cluster.workers[0].running;
+    let run = FakeRun {
+        size: size(6000, 1024),
+        ..runs[0].clone()
+    };
+    runs.insert(stray.clone(), run);
+    assert!(cluster.run_until(seconds(3), |cluster| {
+        cluster.workers[0].running[&stray].stops_at.is_some()
+    }));
+    cluster.submit("second", None, vec![step(4)]);
+    assert!(cluster.run_until(seconds(3), |cluster| {
+        cluster.running("second.0.0.3") == 1
+    }));
+    assert!(cluster.now >= now + seconds(1));
+    assert_eq!(cluster.runs_on(&worker), 5);
+}
+
+#[test]
+fn a_stray_run_counts_against_the_capacity() {
+    start_beside_stray_run(true);
+}
+
+#[test]
+fn a_stray_run_of_an_unknown_job_may_take_the_whole_worker() {
+    start_beside_stray_run(false);
+}
