Do not repeat starts of a size that a worker refused for lack of room

Callers pay for each start that is refused for lack of room. A worker that guards its capacity and has shrunk refuses starts until its new entry is listed, one heartbeat later.

Cause: after a refusal the worker got no start for 200 ms, and then the same ones again. Change: a worker gets no start as large as the one that it refused for 1 s, unless one of its runs ends, its listed capacity changes or its life ends. Smaller tasks may start. Tests with a run that ends and with a smaller task pass before and after.

--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -44,6 +44,10 @@
     pub max_unanswered_starts: usize,
     /// Time without starts on a worker that refused one for lack of capacity.
     pub capacity_backoff: Duration,
+    /// How long a worker gets no start as large as one that it refused for lack of capacity, unless one
+    /// of its runs ends or its listed capacity changes: an unexplained refusal means that it has less
+    /// room than its entry says.
+    pub room_refusal_ttl: Duration,
     /// Time without starts on a worker that reported itself unhealthy; doubled with each report.
     pub unhealthy_backoff: Duration,
     /// Longest time without starts on an unhealthy worker.
@@ -81,6 +85,7 @@
             placement_interval: Duration::from_millis(20),
             max_unanswered_starts: 128,
             capacity_backoff: Duration::from_millis(200),
+            room_refusal_ttl: Duration::from_secs(1),
             unhealthy_backoff: Duration::from_millis(500),
             unhealthy_backoff_max: Duration::from_secs(4),
             max_start_attempts: 3,
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -303,10 +303,10 @@
         self.pause_ends = self.pause_ends.split_off(&now);
         let after = (Bound::Excluded(now), Bound::Unbounded);
         let tasks = self.pause_ends.range(after).take(1).copied();
-        let workers = self
-            .workers
-            .values()
-            .flat_map(|worker| [Some(worker.paused_until), worker.drain_until]);
+        let workers = self.workers.values().flat_map(|worker| {
+            let refusal_end = worker.room_refusal.map(|refusal| refusal.until);
+            [Some(worker.paused_until), worker.drain_until, refusal_end]
+        });
         let unsurveyed = self.unsurveyed_since.map(|since| since + STALE_ORDER_TIME);
         let ends = tasks
             .chain(workers.flatten())
--- a/crates/control/src/shard/advice.rs
+++ b/crates/control/src/shard/advice.rs
@@ -71,7 +71,7 @@
             let denied = known.is_some_and(|advice| advice.denied.contains(id));
             worker.entry.pool == pool
                 && worker.accepts_starts(now)
-                && worker.has_room(&size)
+                && worker.has_room(&size, now)
                 && !denied
                 && self.ticket(key, id, now).is_none()
         });
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -30,8 +30,7 @@
                     if worker.life.is_some_and(|life| entry.life > life) {
                         ended.push((entry.id.clone(), LifeEnd::Listed));
                     }
-                    worker.listed = true;
-                    worker.entry = entry;
+                    worker.update_entry(entry);
                 }
                 None => {
                     let id = entry.id.clone();
--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -195,6 +195,7 @@
         worker.acknowledged_end = 0;
         worker.inherited_lease_end = worker.inherited_lease_end.max(now + lease);
         worker.silent_at = None;
+        worker.room_refusal = None;
         // The address is polled again later, in case it still belongs to this worker.
         worker.poll_due = match cause {
             LifeEnd::Listed | LifeEnd::Reported => now,
--- a/crates/control/src/shard/scheduling.rs
+++ b/crates/control/src/shard/scheduling.rs
@@ -272,7 +272,7 @@
             worker.entry.pool == record.pool
                 && worker.accepts_starts(now)
                 && !self.is_evacuated(&worker.entry.zone)
-                && worker.has_room(&size)
+                && worker.has_room(&size, now)
                 && !(spec.long_running && self.may_have_machine_order(worker, now))
                 && (!needs_ticket || self.ticket(&step_key, &worker.entry.id, now).is_some())
         });
--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -131,6 +131,8 @@
                 );
             }
             StartOutcome::NoRoom => {
+                let size = run.size;
+                worker.record_room_refusal(size, settings.room_refusal_ttl, now);
                 worker.paused_until = now + settings.capacity_backoff;
                 worker.poll_due = worker.poll_due.min(now);
                 self.requeue_task(order, now);
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -166,6 +166,11 @@
         self.start_attempts > 0 || matches!(self.phase, RunPhase::Sent | RunPhase::Unanswered)
     }
 
+    /// Returns whether the run is, or may be, active on the worker.
+    fn has_started(&self) -> bool {
+        !matches!(self.phase, RunPhase::Planned | RunPhase::Sent)
+    }
+
     /// Returns the record of a run of `size` that was not placed on the worker.
     pub fn orphan(run: RunNumber, size: ResourceSize, now: Instant) -> Self {
         Self {
@@ -220,6 +225,14 @@
     pub at: Instant,
 }
 
+/// The size of a start that a worker refused for lack of room.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RoomRefusal {
+    pub size: ResourceSize,
+    /// When a start of that size may be sent again, if nothing else changes.
+    pub until: Instant,
+}
+
 /// An owner's record of one worker.
 #[derive(Debug)]
 pub(crate) struct WorkerRecord {
@@ -262,6 +275,8 @@
     pub paused_until: Instant,
     /// Number of consecutive starts that the worker refused as unhealthy.
     pub unhealthy_refusals: u32,
+    /// Last refusal for lack of room.
+    pub room_refusal: Option<RoomRefusal>,
     pub runs: IndexMap<TaskName, RunRecord>,
     /// Resources reserved for the runs.
     pub used: ResourceSize,
@@ -295,6 +310,7 @@
             silent_at: None,
             paused_until: now,
             unhealthy_refusals: 0,
+            room_refusal: None,
             runs: IndexMap::new(),
             used: ResourceSize::default(),
             counts: RunCounts::default(),
@@ -350,6 +366,9 @@
             return None;
         }
         let removed = self.runs.swap_remove(task)?;
+        if removed.has_started() {
+            self.room_refusal = None;
+        }
         self.used = self.used.minus(&removed.size);
         self.counts.subtract(&removed);
         Some(removed)
@@ -362,9 +381,34 @@
         fits.then(|| capacity.minus(&self.used))
     }
 
-    /// Returns whether a run of `size` fits beside the others.
-    pub fn has_room(&self, size: &ResourceSize) -> bool {
-        self.room().is_some_and(|room| size.fits_into(&room))
+    /// Returns whether a run of `size` fits beside the others, as far as the worker has not refused
+    /// such a run.
+    pub fn has_room(&self, size: &ResourceSize, now: Instant) -> bool {
+        let refused = self
+            .room_refusal
+            .is_some_and(|refusal| now < refusal.until && refusal.size.fits_into(size));
+        !refused && self.room().is_some_and(|room| size.fits_into(&room))
+    }
+
+    /// Records that the worker refused a start of `size` for lack of room; a smaller size that it
+    /// refused before covers this one.
+    pub fn record_room_refusal(&mut self, size: ResourceSize, ttl: Duration, now: Instant) {
+        let covered = self
+            .room_refusal
+            .is_some_and(|refusal| now < refusal.until && refusal.size.fits_into(&size));
+        if !covered {
+            let until = now + ttl;
+            self.room_refusal = Some(RoomRefusal { size, until });
+        }
+    }
+
+    /// Applies a new entry of the worker.
+    pub fn update_entry(&mut self, entry: WorkerEntry) {
+        if entry.capacity != self.entry.capacity {
+            self.room_refusal = None;
+        }
+        self.listed = true;
+        self.entry = entry;
     }
 
     /// Returns whether starts may be sent to the worker now.
--- a/crates/control/tests/capacity.rs
+++ b/crates/control/tests/capacity.rs
@@ -227,3 +227,69 @@
 fn a_stray_run_of_an_unknown_job_may_take_the_whole_worker() {
     start_beside_stray_run(false);
 }
+
+fn room_refusals(cluster: &TestCluster) -> usize {
+    let workers = cluster.workers.values();
+    workers.map(|worker| worker.room_refusals).sum()
+}
+
+/// Creates a cluster of two workers that guard their capacity and have lost it, which is not listed
+/// yet, and a job that needs all of it.
+fn refusing_cluster() -> TestCluster {
+    let mut cluster = TestCluster::new(2);
+    cluster.run_time = seconds(60);
+    cluster.run(millis(100));
+    let workers: Vec<WorkerId> = cluster.workers.keys().cloned().collect();
+    for worker in workers {
+        cluster.resize(&worker, size(2000, 2048));
+    }
+    cluster.submit("job", None, vec![step(16)]);
+    cluster
+}
+
+/// A worker that guards its capacity refuses starts until its owner knows that it has shrunk.
+#[test]
+fn starts_that_were_refused_for_lack_of_room_are_not_repeated_at_each_pass() {
+    let mut cluster = refusing_cluster();
+    let ttl = cluster.settings.room_refusal_ttl;
+    cluster.run(millis(100));
+    assert_eq!(room_refusals(&cluster), 12);
+    cluster.run(ttl - millis(150));
+    assert_eq!(room_refusals(&cluster), 12);
+    cluster.list_workers();
+    cluster.run(seconds(5));
+    assert_eq!(room_refusals(&cluster), 12);
+}
+
+#[test]
+fn a_refused_start_is_repeated_once_room_may_be_free() {
+    let mut cluster = refusing_cluster();
+    let worker = first_worker(&cluster);
+    cluster.run(millis(300));
+    let task = cluster.workers[0].running.keys().next().cloned();
+    let now = cluster.now;
+    cluster.workers[0].end(&task.expect("a run"), RunEnd::Done, now);
+    assert_eq!(cluster.runs_on(&worker), 1);
+    cluster.run(millis(300));
+    assert_eq!(cluster.runs_on(&worker), 2);
+}
+
+#[test]
+fn a_smaller_task_starts_on_a_worker_that_refused_a_larger_one() {
+    let mut cluster = TestCluster::new(1);
+    cluster.run(millis(100));
+    let worker = first_worker(&cluster);
+    cluster.resize(&worker, size(2000, 16_384));
+    let wide = StepSpec {
+        size: size(6000, 1024),
+        ..step(1)
+    };
+    cluster.submit("wide", None, vec![wide]);
+    cluster.run(millis(100));
+    assert_eq!(room_refusals(&cluster), 1);
+    cluster.submit("narrow", None, vec![step(1)]);
+    cluster.run(millis(300));
+    assert_eq!(cluster.start_count("narrow.0.0.0"), 1);
+    cluster.resize(&worker, size(8000, 16_384));
+    assert!(cluster.run_until(seconds(2), |cluster| cluster.start_count("wide.0.0.0") == 1));
+}
