Count lost capacity in the size of a pool

Callers' jobs would wait although the spare pool has machines: a pool whose workers have lost all their capacity asks for none and even gives its machines away, and one that has lost a part asks for as many machines as if new ones were as small.

Cause: a pool is sized in machines of the mean capacity that its workers have at the moment. With a mean of 0 the size of a machine counted as unknown, and the work as 0 machines. Change: an owner remembers the largest capacity of each worker's life, and reports what its workers had before they shrank. Work is counted in full machines. A pool that has too little left asks for the difference; one that has enough keeps the more machines the less they have left, and gives shrunken ones away first among those with as few runs. With unknown sizes, work that waits asks for one more machine. Without lost capacity the need is as before. The message between nodes has a new field.

--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -398,6 +398,8 @@
     pub workers: u32,
     /// Total capacity of these workers.
     pub capacity: ResourceSize,
+    /// The same without what they have lost since they started.
+    pub full_capacity: ResourceSize,
     /// Resources reserved for runs on all workers of the pool.
     pub used: ResourceSize,
     /// Resources that the waiting tasks need that are ready to start.
@@ -407,7 +409,8 @@
     pub blocked: u32,
     /// Number of workers with long-running tasks.
     pub long_running_workers: u32,
-    /// Workers that accept starts and have no long-running tasks, those with the fewest runs first.
+    /// Workers that accept starts and have no long-running tasks, those with the fewest runs first,
+    /// and among these the ones that have lost capacity.
     pub movable: Vec<WorkerId>,
     /// Workers that accept no starts for another reason than a drain request: they leave, are
     /// unreachable or down, or are in an evacuated availability zone.
@@ -416,6 +419,13 @@
     pub evacuated: Vec<WorkerId>,
 }
 
+impl PoolLoad {
+    /// Returns the total capacity without what the workers have lost since they started.
+    pub(crate) fn full(&self) -> ResourceSize {
+        self.full_capacity.max(&self.capacity)
+    }
+}
+
 /// Which jobs a caller may query.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QueryScope<'a> {
--- a/crates/control/src/shard/survey.rs
+++ b/crates/control/src/shard/survey.rs
@@ -216,8 +216,9 @@
                 if worker.accepts_starts(now) && !evacuated {
                     load.workers += 1;
                     load.capacity = load.capacity.plus(&worker.entry.capacity);
+                    load.full_capacity = load.full_capacity.plus(&worker.full_capacity);
                     if !has_long_running {
-                        movable.push((worker.runs.len(), id.clone()));
+                        movable.push((worker.runs.len(), !worker.has_shrunk(), id.clone()));
                     }
                 } else if worker.listed && (evacuated || worker.is_unavailable()) {
                     load.unavailable.push(id.clone());
@@ -227,7 +228,7 @@
                 }
             }
             movable.sort();
-            load.movable = movable.into_iter().map(|(_, id)| id).collect();
+            load.movable = movable.into_iter().map(|(_, _, id)| id).collect();
             load.waiting = self.backlog.waiting_size(pool);
             load.blocked = self.blocked.get(pool).copied().unwrap_or_default();
             load
--- a/crates/control/src/sizing.rs
+++ b/crates/control/src/sizing.rs
@@ -52,7 +52,7 @@
     needs: VecDeque<(Instant, usize)>,
     /// Running plus waiting work within the last [`GROWTH_WINDOW`], in millicores.
     work: VecDeque<(Instant, u32)>,
-    /// Mean size of a machine.
+    /// Mean size of a machine that has lost no capacity.
     machine: ResourceSize,
 }
 
@@ -111,8 +111,10 @@
     pub fn observe(&mut self, load: &PoolLoad, now: Instant) {
         let settings = self.settings;
         let history = self.pools.entry(load.pool.clone()).or_default();
-        if load.workers > 0 {
-            history.machine = mean_machine(&load.capacity, load.workers);
+        let full = load.full();
+        let machine = mean_machine(&full, load.workers);
+        if machine != ResourceSize::default() {
+            history.machine = machine;
         }
         let wanted = load
             .used
@@ -131,14 +133,16 @@
         } else {
             0.0
         };
-        let need = (work.ceil() as usize + settings.reserve)
+        let machines = (work.ceil() as usize + settings.reserve).max(settings.min_machines);
+        let lost = machines_for(&full.minus(&load.capacity), &history.machine);
+        let lacks_room = load.blocked > 0 || !known && wanted != ResourceSize::default();
+        let need = count_shrunken(machines, load.workers as usize, lost)
             .max(load.long_running_workers as usize)
-            .max(if load.blocked > 0 {
+            .max(if lacks_room {
                 load.workers as usize + 1
             } else {
                 0
-            })
-            .max(settings.min_machines);
+            });
         history.needs.push_back((now, need));
         while history
             .needs
@@ -183,7 +187,9 @@
     }
 }
 
+/// Returns the mean size of a machine; zero if there are none.
 fn mean_machine(capacity: &ResourceSize, workers: u32) -> ResourceSize {
+    let workers = workers.max(1);
     ResourceSize {
         millicores: capacity.millicores / workers,
         memory_mib: capacity.memory_mib / workers,
@@ -191,6 +197,19 @@
     }
 }
 
+/// Returns how many machines a pool needs that takes `needed` full ones, if its `workers` have lost
+/// the capacity of `lost` machines. Machines that are added are full.
+fn count_shrunken(needed: usize, workers: usize, lost: f64) -> usize {
+    let left = (workers as f64 - lost).max(0.0);
+    if lost <= 0.0 {
+        needed
+    } else if left >= needed as f64 {
+        (needed as f64 * workers as f64 / left).ceil() as usize
+    } else {
+        (workers as f64 + needed as f64 - left).ceil() as usize
+    }
+}
+
 /// Returns how many machines of the given size `wanted` takes.
 fn machines_for(wanted: &ResourceSize, machine: &ResourceSize) -> f64 {
     let ratio = |wanted: u32, each: u32| match (wanted, each) {
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -237,6 +237,8 @@
 #[derive(Debug)]
 pub(crate) struct WorkerRecord {
     pub entry: WorkerEntry,
+    /// Largest capacity that this life of the worker has had.
+    pub full_capacity: ResourceSize,
     /// The latest list of the platform contains the worker.
     pub listed: bool,
     /// Life of the worker, once it has answered this owner.
@@ -289,6 +291,7 @@
 impl WorkerRecord {
     pub fn new(entry: WorkerEntry, ended_lives: u64, now: Instant) -> Self {
         Self {
+            full_capacity: entry.capacity,
             entry,
             listed: true,
             life: None,
@@ -407,10 +410,20 @@
         if entry.capacity != self.entry.capacity {
             self.room_refusal = None;
         }
+        self.full_capacity = if entry.life == self.entry.life {
+            self.full_capacity.max(&entry.capacity)
+        } else {
+            entry.capacity
+        };
         self.listed = true;
         self.entry = entry;
     }
 
+    /// Returns whether the worker has less capacity than it had.
+    pub fn has_shrunk(&self) -> bool {
+        self.entry.capacity != self.full_capacity
+    }
+
     /// Returns whether starts may be sent to the worker now.
     pub fn accepts_starts(&self, now: Instant) -> bool {
         self.listed
--- a/crates/control/tests/capacity.rs
+++ b/crates/control/tests/capacity.rs
@@ -293,3 +293,40 @@
     cluster.resize(&worker, size(8000, 16_384));
     assert!(cluster.run_until(seconds(2), |cluster| cluster.start_count("wide.0.0.0") == 1));
 }
+
+fn pool_load(cluster: &TestCluster) -> PoolLoad {
+    let report = cluster.controller().survey_report(cluster.now);
+    report.pools.into_iter().next().expect("a pool")
+}
+
+#[test]
+fn a_survey_reports_the_capacity_that_workers_have_lost() {
+    let mut cluster = unguarded_cluster(2);
+    let worker = first_worker(&cluster);
+    resize(&mut cluster, &worker, size(2000, 4096));
+    let load = pool_load(&cluster);
+    assert_eq!(load.capacity, size(10_000, 20_480));
+    assert_eq!(load.full_capacity, size(16_000, 32_768));
+    resize(&mut cluster, &worker, size(4000, 4096));
+    assert_eq!(pool_load(&cluster).full_capacity, size(16_000, 32_768));
+}
+
+#[test]
+fn a_later_life_has_lost_no_capacity() {
+    let mut cluster = unguarded_cluster(1);
+    let worker = first_worker(&cluster);
+    cluster.workers[0].entry.capacity = size(2000, 4096);
+    cluster.restart_worker(&worker);
+    cluster.list_workers();
+    cluster.run(seconds(2));
+    assert_eq!(pool_load(&cluster).full_capacity, size(2000, 4096));
+}
+
+#[test]
+fn a_worker_that_has_lost_capacity_is_the_first_to_leave_its_pool() {
+    let mut cluster = unguarded_cluster(3);
+    let last = cluster.workers[2].entry.id.clone();
+    assert_ne!(pool_load(&cluster).movable[0], last);
+    resize(&mut cluster, &last, size(0, 0));
+    assert_eq!(pool_load(&cluster).movable[0], last);
+}
--- a/crates/control/tests/sizing.rs
+++ b/crates/control/tests/sizing.rs
@@ -29,6 +29,20 @@
     }
 }
 
+/// Returns the load of a pool of `workers` machines whose workers have `cores` left in all.
+fn shrunken_load(workers: u32, cores: u32, used_cores: u32, waiting_cores: u32) -> PoolLoad {
+    let full = load(workers, used_cores, waiting_cores);
+    PoolLoad {
+        full_capacity: full.capacity,
+        capacity: ResourceSize {
+            millicores: cores * 1000,
+            memory_mib: cores * 2048,
+            accelerators: 0,
+        },
+        ..full
+    }
+}
+
 /// Records the loads of a pool at intervals of [`INTERVAL`] and returns the need after each.
 fn needs(loads: &[PoolLoad]) -> Vec<usize> {
     let mut sizes = PoolSizes::new(SizingSettings::default());
@@ -77,6 +91,31 @@
     assert_eq!(needs(&[blocked]), [4]);
 }
 
+#[test]
+fn a_pool_whose_workers_lost_their_capacity_grows_by_full_machines() {
+    let lost_all = shrunken_load(8, 0, 0, 64);
+    // 60 % of 64 cores and a tenth more take 1.3 machines, with one in reserve, beside the 8.
+    assert_eq!(needs(&[lost_all]), [11]);
+    let lost_half = shrunken_load(8, 128, 128, 0);
+    assert_eq!(needs(&vec![lost_half; 10]).last(), Some(&10));
+}
+
+#[test]
+fn a_pool_keeps_more_machines_while_these_have_lost_capacity() {
+    let lost_half = shrunken_load(8, 128, 32, 0);
+    // The work takes two machines, with one in reserve; each has half of its capacity left.
+    assert_eq!(needs(&vec![lost_half; 10]).last(), Some(&6));
+}
+
+#[test]
+fn a_pool_grows_whose_full_machines_are_unknown() {
+    let unknown = PoolLoad {
+        full_capacity: ResourceSize::default(),
+        ..shrunken_load(3, 0, 0, 4)
+    };
+    assert_eq!(needs(&[unknown]), [4]);
+}
+
 #[test]
 fn a_pool_shrinks_only_after_the_shrink_delay() {
     let mut sizes = PoolSizes::new(SizingSettings::default());
--- a/crates/control/tests/support/worker.rs
+++ b/crates/control/tests/support/worker.rs
@@ -129,10 +129,8 @@
     pub fn binding_capacity(&self, now: Instant) -> ResourceSize {
         let recent = self.former_capacities.iter();
         let recent = recent.filter(|(until, _)| now < *until + SHRINK_GRACE);
-        recent.fold(self.entry.capacity, |largest, (_, former)| ResourceSize {
-            millicores: largest.millicores.max(former.millicores),
-            memory_mib: largest.memory_mib.max(former.memory_mib),
-            accelerators: largest.accelerators.max(former.accelerators),
+        recent.fold(self.entry.capacity, |largest, (_, former)| {
+            largest.max(former)
         })
     }
 
--- a/crates/worker/src/resource.rs
+++ b/crates/worker/src/resource.rs
@@ -35,6 +35,15 @@
         }
     }
 
+    /// Returns the larger amount of each resource.
+    pub fn max(&self, other: &Self) -> Self {
+        Self {
+            millicores: self.millicores.max(other.millicores),
+            memory_mib: self.memory_mib.max(other.memory_mib),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// Returns the difference of both amounts, saturating at zero.
     pub fn minus(&self, other: &Self) -> Self {
         Self {
