Ask for a machine when all workers have shrunk below a waiting task

Callers' jobs would wait although the spare pool has machines: a task that is too large for each worker of its pool since these have shrunk is never looked at, and its work alone makes the pool no larger.

Cause: a pass only visits steps that fit the room of some worker, and only a step that waits beside such room counted as blocked. Change: a step that fits the former capacity of an open worker and the present one of none counts as blocked too, so the pool asks for one more machine. A task that no worker ever had room for does not.

--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -405,7 +405,7 @@
     /// Resources that the waiting tasks need that are ready to start.
     pub waiting: ResourceSize,
     /// Number of steps with tasks that wait although some worker has room, because no such worker
-    /// is eligible.
+    /// is eligible, or that are too large for all workers since these have shrunk.
     pub blocked: u32,
     /// Number of workers with long-running tasks.
     pub long_running_workers: u32,
--- a/crates/control/src/shard/backlog.rs
+++ b/crates/control/src/shard/backlog.rs
@@ -197,6 +197,15 @@
             .unwrap_or_default()
     }
 
+    /// Returns the sizes of the waiting tasks of a pool, one for each step.
+    pub fn waiting_sizes<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = &'a ResourceSize> {
+        let groups = self
+            .groups
+            .iter()
+            .filter(move |(key, _)| *key.pool == *pool);
+        groups.flat_map(|(_, group)| group.steps.values().map(|(_, size)| size))
+    }
+
     /// Returns the accounts of the active jobs, with the resources that their waiting tasks need.
     pub fn account_waits(&self) -> impl Iterator<Item = (&AccountId, ResourceSize)> {
         let accounts = self.accounts.iter();
--- a/crates/control/src/shard/scheduling.rs
+++ b/crates/control/src/shard/scheduling.rs
@@ -75,12 +75,20 @@
 
     /// Returns the room on the workers of a pool that accept starts.
     fn pool_room(&self, pool: &PoolId, now: Instant) -> PoolRoom {
-        let open = self.workers.values().filter(|worker| {
+        PoolRoom::of(self.open_workers(pool, now).filter_map(WorkerRecord::room))
+    }
+
+    /// Returns the workers of a pool that accept starts.
+    pub(super) fn open_workers<'a>(
+        &'a self,
+        pool: &'a PoolId,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a WorkerRecord> {
+        self.workers.values().filter(move |worker| {
             worker.entry.pool == *pool
                 && worker.accepts_starts(now)
                 && !self.is_evacuated(&worker.entry.zone)
-        });
-        PoolRoom::of(open.filter_map(WorkerRecord::room))
+        })
     }
 
     /// Returns the terms of a job by its queue's current rule, or those of its submission if this
--- a/crates/control/src/shard/survey.rs
+++ b/crates/control/src/shard/survey.rs
@@ -8,6 +8,7 @@
 use pw_job::prelude::*;
 
 use super::ShardController;
+use super::room::PoolRoom;
 use crate::message::{PoolLoad, SurveyOrder, SurveyReport, UnreachableWorker, WorkerLife};
 use crate::worker::{LifeEnd, READY_PERCENT, RunPhase, WorkerRecord};
 
@@ -230,9 +231,24 @@
             movable.sort();
             load.movable = movable.into_iter().map(|(_, _, id)| id).collect();
             load.waiting = self.backlog.waiting_size(pool);
-            load.blocked = self.blocked.get(pool).copied().unwrap_or_default();
+            let blocked = self.blocked.get(pool).copied().unwrap_or_default();
+            load.blocked = blocked + self.count_outgrown(pool, now);
             load
         });
         loads.collect()
     }
+
+    /// Counts the steps with waiting tasks that are too large for each worker of a pool only because
+    /// the workers have shrunk.
+    fn count_outgrown(&self, pool: &PoolId, now: Instant) -> u32 {
+        let open: Vec<&WorkerRecord> = self.open_workers(pool, now).collect();
+        if !open.iter().any(|worker| worker.has_shrunk()) {
+            return 0;
+        }
+        let capacity = PoolRoom::of(open.iter().map(|worker| worker.entry.capacity));
+        let full = PoolRoom::of(open.iter().map(|worker| worker.full_capacity));
+        let sizes = self.backlog.waiting_sizes(pool);
+        let outgrown = sizes.filter(|size| !capacity.fits(size) && full.fits(size));
+        outgrown.count() as u32
+    }
 }
--- a/crates/control/tests/capacity.rs
+++ b/crates/control/tests/capacity.rs
@@ -330,3 +330,30 @@
     resize(&mut cluster, &last, size(0, 0));
     assert_eq!(pool_load(&cluster).movable[0], last);
 }
+
+#[test]
+fn a_pool_asks_for_a_machine_when_a_task_fits_only_the_former_capacity_of_its_workers() {
+    let mut cluster = unguarded_cluster(2);
+    let workers: Vec<WorkerId> = cluster.workers.keys().cloned().collect();
+    for worker in &workers {
+        resize(&mut cluster, worker, size(3000, 16_384));
+    }
+    let too_large = StepSpec {
+        size: size(9000, 1024),
+        ..step(1)
+    };
+    cluster.submit("never", None, vec![too_large]);
+    cluster.run(seconds(1));
+    assert_eq!(pool_load(&cluster).blocked, 0);
+    let wide = StepSpec {
+        size: size(4000, 1024),
+        ..step(1)
+    };
+    cluster.submit("wide", None, vec![wide]);
+    cluster.run(seconds(1));
+    assert_eq!(pool_load(&cluster).blocked, 1);
+    resize(&mut cluster, &workers[0], size(4000, 16_384));
+    cluster.run(millis(300));
+    assert_eq!(cluster.running("wide.0.0.0"), 1);
+    assert_eq!(pool_load(&cluster).blocked, 0);
+}
