Start nothing on a worker by the entry of its former life

Callers' workers would be started over their capacity (LIMIT) or without the label that a step requires (ROUTE): a worker may start again under its id as one of another kind, and answers polls before its new entry is listed.

Cause: once the later life had answered, starts were placed by the capacity and labels of the former one. Change: a worker whose entry is that of a former life gets no starts until its entry follows. An entry that names no life counts as current, as before. Measured: a_worker_gets_no_start_by_the_capacity_of_its_former_life ("the start of second.0.0.2 exceeds the capacity of w0") and a_worker_gets_no_start_by_the_labels_of_its_former_life failed before and pass.

--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -433,6 +433,14 @@
             && self.entry.phase == WorkerPhase::Ready
             && now >= self.paused_until
             && !self.has_drain_request(now)
+            && self.is_described()
+    }
+
+    /// Returns whether the entry describes the life that answers. A later life may differ in its
+    /// capacity and labels; its entry follows with its first heartbeat.
+    fn is_described(&self) -> bool {
+        let listed = self.entry.life;
+        listed == 0 || self.life.is_none_or(|life| life <= listed)
     }
 
     /// Returns whether the worker is unavailable to its pool. A single missed poll does not count,
--- a/crates/control/tests/capacity.rs
+++ b/crates/control/tests/capacity.rs
@@ -357,3 +357,40 @@
     assert_eq!(cluster.running("wide.0.0.0"), 1);
     assert_eq!(pool_load(&cluster).blocked, 0);
 }
+
+/// A later life of a worker answers before its entry is listed.
+#[test]
+fn a_worker_gets_no_start_by_the_capacity_of_its_former_life() {
+    let mut cluster = unguarded_cluster(1);
+    let worker = first_worker(&cluster);
+    cluster.submit("first", None, vec![step(1)]);
+    cluster.run(millis(200));
+    cluster.workers[0].entry.capacity = size(2000, 16_384);
+    cluster.restart_worker(&worker);
+    cluster.workers[0].guards_capacity = false;
+    cluster.submit("second", None, vec![step(4)]);
+    cluster.run(seconds(2));
+    cluster.list_workers();
+    cluster.run(seconds(1));
+    assert_eq!(cluster.runs_on(&worker), 2);
+}
+
+#[test]
+fn a_worker_gets_no_start_by_the_labels_of_its_former_life() {
+    let mut cluster = unguarded_cluster(1);
+    let worker = first_worker(&cluster);
+    let labelled = StepSpec {
+        required_label: Some("kind".into()),
+        ..step(1)
+    };
+    cluster.submit("first", None, vec![step(1)]);
+    cluster.run(millis(200));
+    cluster.workers[0].entry.labels = vec!["other".into(), "rack".into()];
+    cluster.restart_worker(&worker);
+    cluster.submit("second", None, vec![labelled]);
+    cluster.run(seconds(1));
+    cluster.list_workers();
+    cluster.run(seconds(1));
+    assert_eq!(cluster.start_count("second.0.0.0"), 0);
+    assert_eq!(cluster.running("first.0.0.0"), 1);
+}
