--- a/crates/control/src/shard/scheduling.rs
+++ b/crates/control/src/shard/scheduling.rs
@@ -75,12 +75,20 @@
 
     /// Returns the room on the workers of a pool that accept starts.
     fn pool_room(&self, pool: &PoolId, now: Instant) -> PoolRoom {
-        let open = self.workers.values().filter(|worker| {
+        PoolRoom::of(self.open_workers(pool, now).filter_map(WorkerRecord::room))
+    }
+
+    /// Returns the workers of a pool that accept starts.
+    pub(super) fn open_workers<'a>(
+        &'a self,
+        pool: &'a PoolId,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a WorkerRecord> {
+        self.workers.values().filter(move |worker| {
             worker.entry.pool == *pool
                 && worker.accepts_starts(now)
                 && !self.is_evacuated(&worker.entry.zone)
-        });
-        PoolRoom::of(open.map(WorkerRecord::room))
+        })
     }
 
     /// Returns the terms of a job by its queue's current rule, or those of its submission if this
@@ -272,7 +280,7 @@
             worker.entry.pool == record.pool
                 && worker.accepts_starts(now)
                 && !self.is_evacuated(&worker.entry.zone)
-                && size.fits_into(&worker.room())
+                && worker.has_room(&size, now)
                 && !(spec.long_running && self.may_have_machine_order(worker, now))
                 && (!needs_ticket || self.ticket(&step_key, &worker.entry.id, now).is_some())
         });
@@ -355,7 +363,8 @@
     }
 }
 
-/// Returns a worker as a candidate for a task; `None` if the step may not run there.
+/// Returns a worker as a candidate for a task; `None` if the step may not run there, or the worker's
+/// runs exceed its capacity.
 pub(super) fn candidate_for<'a>(
     worker: &'a WorkerRecord,
     task: &TaskName,
@@ -387,7 +396,7 @@
     let best_effort = if is_serving { counts.best_effort } else { 0 };
     Some(Candidate {
         worker: &entry.id,
-        room: worker.room(),
+        room: worker.room()?,
         capacity: entry.capacity,
         on_preferred_rack: preferred.is_none_or(|rack| entry.rack.as_ref() == Some(rack)),
         siblings,
--- a/crates/control/src/shard/waiting.rs
+++ b/crates/control/src/shard/waiting.rs
@@ -176,7 +176,7 @@
                 Some(PlacementRefusal::Closed(refusal))
             } else if self.is_evacuated(&worker.entry.zone) {
                 Some(PlacementRefusal::Evacuated)
-            } else if !size.fits_into(&worker.room()) {
+            } else if !worker.has_room(&size, now) {
                 Some(PlacementRefusal::NoRoom)
             } else if spec.long_running && self.may_have_machine_order(worker, now) {
                 Some(PlacementRefusal::MachineOrder)
--- a/crates/control/tests/soak.rs
+++ b/crates/control/tests/soak.rs
@@ -116,6 +116,7 @@
         store_delays: 0.1,
         refusals: 0.1,
         failures: 0.05,
+        resizes: 0.0,
     }
 }
 
@@ -132,3 +133,35 @@
     ];
     soak(seeds, all_rates());
 }
+
+#[test]
+fn no_start_exceeds_a_capacity_that_shrinks_and_grows() {
+    let rates = DisturbanceRates {
+        resizes: 1.0,
+        ..rates()
+    };
+    soak(1000..1040, rates);
+}
+
+#[test]
+fn no_start_exceeds_a_capacity_that_shrinks_while_orders_are_late() {
+    let rates = DisturbanceRates {
+        lost_answers: 0.05,
+        late_orders: 0.1,
+        partitions: 0.1,
+        resizes: 1.0,
+        ..rates()
+    };
+    soak(1100..1140, rates);
+}
+
+#[test]
+fn no_start_exceeds_a_capacity_that_shrinks_while_owners_follow_each_other() {
+    let rates = DisturbanceRates {
+        claims: 0.07,
+        releases: 0.1,
+        resizes: 1.0,
+        ..rates()
+    };
+    soak(1200..1240, rates);
+}
