Count only lists of machines that were requested one after the other

Cause: lists are requested every 250 ms while a worker is unreachable, answered or not, so three lists may be read at the same moment. A machine that goes away may shift the pages of all of them past the same live machine, which then counted as gone. Change: a list counts towards a missing machine only if it was requested after the last counted one had arrived. Result: lists_that_are_read_at_the_same_time_do_not_end_the_life_on_a_machine_that_they_lack failed before and passes.

--- a/crates/control/src/machines.rs
+++ b/crates/control/src/machines.rs
@@ -236,7 +236,7 @@
                 machines,
                 requested_at,
             } => {
-                if self.lives.accept_list(&machines, requested_at) {
+                if self.lives.accept_list(&machines, requested_at, now) {
                     self.update_machines(machines, requested_at, now);
                 }
             }
--- a/crates/control/src/machines/lives.rs
+++ b/crates/control/src/machines/lives.rs
@@ -34,6 +34,8 @@
     since: Instant,
     /// Number of consecutive lists since then that lack its machine.
     missing: u32,
+    /// When the last list arrived that was counted.
+    counted_at: Instant,
 }
 
 impl ReportedLife {
@@ -42,14 +44,17 @@
             worker,
             since: now,
             missing: 0,
+            counted_at: now,
         }
     }
 
-    /// Counts a list that was requested at `requested_at`.
-    fn record_list(&mut self, machines: &[MachineView], requested_at: Instant) {
-        if requested_at < self.since {
+    /// Counts a list that was requested after the last one had arrived: lists that are read at the
+    /// same time may lack a machine for the same reason.
+    fn record_list(&mut self, machines: &[MachineView], requested_at: Instant, now: Instant) {
+        if requested_at < self.counted_at {
             return;
         }
+        self.counted_at = now;
         let listed = machines
             .iter()
             .any(|view| view.machine == self.worker.machine);
@@ -89,13 +94,18 @@
 
     /// Records a machine list; returns `false` for a stale one, which arrives after a list that was
     /// requested later. It may show a machine as it was before a life was reported.
-    pub fn accept_list(&mut self, machines: &[MachineView], requested_at: Instant) -> bool {
+    pub fn accept_list(
+        &mut self,
+        machines: &[MachineView],
+        requested_at: Instant,
+        now: Instant,
+    ) -> bool {
         if self.listed.is_some_and(|listed| requested_at < listed) {
             return false;
         }
         self.listed = Some(requested_at);
         for life in self.unreachable.values_mut().flatten() {
-            life.record_list(machines, requested_at);
+            life.record_list(machines, requested_at, now);
         }
         true
     }
--- a/crates/control/tests/machines/main.rs
+++ b/crates/control/tests/machines/main.rs
@@ -69,6 +69,31 @@
     }
 }
 
+/// The platform answers slowly, so three lists are read at the same time, and one machine that goes
+/// away shifts the pages of all of them.
+#[test]
+fn lists_that_are_read_at_the_same_time_do_not_end_the_life_on_a_machine_that_they_lack() {
+    let mut platform = Platform::new(4, WaveRule::default());
+    mark_first_unreachable(&mut platform);
+    platform.run(Duration::from_millis(500));
+    let requested = (0..3).map(|list| platform.now + Duration::from_millis(250 * list));
+    let mut machines: Vec<MachineView> = platform.views.values().cloned().collect();
+    machines.remove(0);
+    let mut answered_at = platform.now + Duration::from_millis(900);
+    for requested_at in requested {
+        let list = MachineEvent::Machines {
+            machines: machines.clone(),
+            requested_at,
+        };
+        answered_at += Duration::from_millis(150);
+        let commands = platform.controller.handle(answered_at, list);
+        let ended = commands.iter().any(|command| {
+            matches!(command, MachineCommand::Survey(_, order) if !order.ended.is_empty())
+        });
+        assert!(!ended, "lists of one moment ended a life");
+    }
+}
+
 #[test]
 fn a_machine_in_an_unknown_state_ends_no_life() {
     let mut platform = Platform::new(4, WaveRule::default());
