Leave out workers whose pool the configuration doesn't name

An entry of another writer, complete but of a service that no configuration names, hid a sound worker: it named that worker's machine and a later start, and of two workers on a machine the later one counts. The sound worker got no more tasks, and its runs ended as lost ('Replaced').

Entries are now selected by the pools of the configuration before the lives on a machine are compared, again whenever the set of pools changes. Without a configuration all pools count, since a new owner polls the workers of its runs before it has read one.

The test failed before: of the sound and the odd worker, the odd one was listed.

--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{AsRefStr, Display, EnumString};
 
+use crate::config::PoolRule;
 use crate::pace::FULL_PACE;
 
 /// Whether a worker accepts new work.
@@ -50,27 +51,32 @@
     pub machine: Option<MachineId>,
 }
 
-/// Returns the workers without those whose machine has a later worker, and the start of the latest
-/// life on each machine.
+/// Returns the workers of `pools` without those whose machine has a later worker, and the start of
+/// the latest life on each machine. Without any pool, no configuration is known yet, and the workers
+/// of all pools count.
 ///
 /// The platform lists a lost worker until it has missed several heartbeats. Without this filter,
 /// tasks would be placed on it until then.
 pub fn current_workers(
-    mut workers: Vec<WorkerEntry>,
+    workers: &[WorkerEntry],
+    pools: &IndexMap<PoolId, PoolRule>,
 ) -> (Vec<WorkerEntry>, IndexMap<MachineId, LifeStart>) {
+    let known = workers
+        .iter()
+        .filter(|worker| pools.is_empty() || pools.contains_key(&worker.pool));
     let mut lives: IndexMap<MachineId, LifeStart> = IndexMap::new();
-    for worker in &workers {
+    for worker in known.clone() {
         if let Some(machine) = &worker.machine {
             let latest = lives.entry(machine.clone()).or_default();
             *latest = worker.life.max(*latest);
         }
     }
-    workers.retain(|worker| {
+    let current = known.filter(|worker| {
         let machine = worker.machine.as_ref();
         let latest = machine.and_then(|machine| lives.get(machine));
         latest.is_none_or(|life| worker.life >= *life)
     });
-    (workers, lives)
+    (current.cloned().collect(), lives)
 }
 
 /// Bits of a fence that count the ended lives of workers.
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -283,7 +283,7 @@
     pub fn list_workers(&mut self) {
         let listed = self.workers.values().filter(|worker| !worker.crashed);
         let entries: Vec<WorkerEntry> = listed.map(|worker| worker.entry.clone()).collect();
-        let (entries, lives) = current_workers(entries);
+        let (entries, lives) = current_workers(&entries, &self.config.pools);
         let lives = Arc::new(lives);
         self.broadcast(&ShardEvent::Workers { entries, lives });
     }
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -38,6 +38,9 @@
     clock: Arc<dyn ClockSource>,
     links: ControlLinks,
     config: Arc<FleetConfig>,
+    /// All workers that the platform lists.
+    listed_workers: Vec<WorkerEntry>,
+    /// The workers that count under the configuration.
     workers: Vec<WorkerEntry>,
     /// Start of the latest worker life on each machine.
     lives: Arc<IndexMap<MachineId, LifeStart>>,
@@ -99,6 +102,7 @@
         settings,
         links,
         config: Arc::default(),
+        listed_workers: Vec::new(),
         workers: Vec::new(),
         lives: Arc::default(),
         inputs_read: IndexMap::new(),
@@ -179,6 +183,7 @@
     async fn handle_message(&mut self, message: ControlMessage) {
         match message {
             ControlMessage::Config(config) => {
+                let pools_changed = !config.pools.keys().eq(self.config.pools.keys());
                 self.config = Arc::clone(&config);
                 // The ring closes only when the node stops.
                 _ = self
@@ -197,15 +202,13 @@
                     let event = ShardEvent::Config(Arc::clone(&config));
                     self.dispatch_event(term, event).await;
                 }
+                if pools_changed {
+                    self.select_workers().await;
+                }
             }
             ControlMessage::Workers(workers) => {
-                let (workers, lives) = current_workers(workers);
-                self.workers = workers;
-                self.lives = Arc::new(lives);
-                let terms: Vec<ShardTerm> = self.terms().collect();
-                for term in terms {
-                    self.update_workers(term).await;
-                }
+                self.listed_workers = workers;
+                self.select_workers().await;
             }
             ControlMessage::InputRead(input, at) => {
                 self.inputs_read.insert(input, at);
@@ -318,6 +321,17 @@
         }
     }
 
+    /// Selects the listed workers that count, and sends them to the shards.
+    async fn select_workers(&mut self) {
+        let (workers, lives) = current_workers(&self.listed_workers, &self.config.pools);
+        self.workers = workers;
+        self.lives = Arc::new(lives);
+        let terms: Vec<ShardTerm> = self.terms().collect();
+        for term in terms {
+            self.update_workers(term).await;
+        }
+    }
+
     /// Sends a shard the workers of its pools.
     async fn update_workers(&mut self, term: ShardTerm) {
         let shards = self.settings.shards;
