Saturate the critical path and the objective of a job

A caller could end a node: a job whose steps have estimateMs near 1.8e22 decodes, and the sum of two of them, or one multiplied with the stretch of its queue, is more than a Duration holds, which panics. A queue with a stretch of 1e308 or a latency target of that size did the same.

The sums saturate, and the deadline of a job is at most 100 years away, since an Instant overflows later.

The tests failed before: 'overflow when adding durations', 'cannot convert float seconds to Duration: value is either too big or NaN'. The test of workers with the largest capacity, with none, and with the latest life passed before: sums of sizes saturate.

--- a/crates/control/src/urgency.rs
+++ b/crates/control/src/urgency.rs
@@ -6,12 +6,17 @@
 
 use crate::config::QueueRule;
 
+/// Longest objective that is told apart from longer ones; a point in time can't be much later.
+const MAX_OBJECTIVE: Duration = Duration::from_secs(100 * 365 * 24 * 3600);
+
 /// Returns the terms of a job with `spec` under a queue's rule.
 pub fn terms_of(spec: &JobSpec, rule: &QueueRule) -> JobTerms {
+    let stretched = spec.critical_path().as_secs_f64() * rule.stretch.max(1.0);
+    let stretched = Duration::try_from_secs_f64(stretched).unwrap_or(Duration::MAX);
     JobTerms {
         attempts: rule.attempts,
         priority: rule.priority,
-        objective: spec.critical_path().mul_f64(rule.stretch.max(1.0)) + rule.target_latency,
+        objective: stretched.saturating_add(rule.target_latency),
     }
 }
 
@@ -25,7 +30,11 @@
         } else {
             step.estimate
         };
-        ends.push(dependencies_end.unwrap_or_default() + duration);
+        ends.push(
+            dependencies_end
+                .unwrap_or_default()
+                .saturating_add(duration),
+        );
     }
     ends.into_iter().max().unwrap_or_default()
 }
@@ -33,6 +42,6 @@
 /// Returns the latest time to start the remaining work of a job and still meet its objective, if it
 /// was accepted at `accepted_at` and its critical path has the estimated run time `remaining` left.
 pub fn latest_start(terms: &JobTerms, accepted_at: Instant, remaining: Duration) -> Instant {
-    let deadline = accepted_at + terms.objective;
+    let deadline = accepted_at + terms.objective.min(MAX_OBJECTIVE);
     deadline.checked_sub(remaining).unwrap_or(accepted_at)
 }
--- /dev/null
+++ b/crates/control/tests/extreme_values.rs
@@ -0,0 +1,76 @@
+//! Extreme values in what callers, operators and external services send: no arithmetic overflows.
+//!
+//! The decoders reject most of them; the controllers don't rely on that.
+
+mod support;
+
+use std::time::Duration;
+
+use pw_control::prelude::*;
+use pw_job::prelude::*;
+use pw_worker::prelude::*;
+use support::{TestCluster, millis, seconds, step};
+
+const COMPLETED: JobAnswer = JobAnswer::Known(JobStatus::Completed);
+const LARGEST: ResourceSize = ResourceSize {
+    millicores: u32::MAX,
+    memory_mib: u32::MAX,
+    accelerators: u32::MAX,
+};
+
+/// A caller chooses the estimates of its tasks.
+#[test]
+fn job_with_the_largest_estimates_completes() {
+    let mut cluster = TestCluster::new(1);
+    let longest = StepSpec {
+        estimate: Duration::MAX,
+        ..step(1)
+    };
+    let second = StepSpec {
+        depends_on: vec![0],
+        ..longest.clone()
+    };
+    cluster.submit("job", None, vec![longest, second]);
+    assert!(cluster.run_until(seconds(4), |cluster| cluster.status("job") == COMPLETED));
+}
+
+#[test]
+fn queue_with_the_largest_objective_serves_jobs() {
+    for stretch in [f64::MAX, -1.0, 2.0] {
+        let mut cluster = TestCluster::new(1);
+        cluster.set_config(|config| {
+            config.queues["queue"].stretch = stretch;
+            config.queues["queue"].target_latency = Duration::MAX;
+        });
+        cluster.submit("job", None, vec![step(1)]);
+        assert!(cluster.run_until(seconds(4), |cluster| cluster.status("job") == COMPLETED));
+    }
+}
+
+#[test]
+fn workers_with_the_largest_or_no_capacity_leave_the_pool_usable() {
+    for capacity in [LARGEST, ResourceSize::default()] {
+        let mut cluster = TestCluster::new(3);
+        for worker in ["w1", "w2"] {
+            cluster.workers[worker].entry.capacity = capacity;
+        }
+        cluster.workers["w2"].entry.life = u64::MAX;
+        cluster.set_config(|config| {
+            let wave = WaveRule {
+                machines: ["m0".into(), "m2".into()].into(),
+                duration: Duration::MAX,
+                max_down: usize::MAX,
+            };
+            config.waves.insert(u64::MAX, wave);
+        });
+        cluster.list_workers();
+        cluster.submit("job", Some("ane"), vec![step(30)]);
+        assert!(cluster.run_until(seconds(20), |cluster| cluster.status("job") == COMPLETED));
+        let report = cluster.controller().survey_report(cluster.now);
+        let mut sizes = PoolSizes::new(SizingSettings::default());
+        for load in &report.pools {
+            sizes.observe(load, cluster.now);
+            assert!(sizes.need(&load.pool) < 100);
+        }
+    }
+}
--- a/crates/job/src/spec.rs
+++ b/crates/job/src/spec.rs
@@ -140,12 +140,13 @@
         self.steps.iter().any(|step| step.long_running)
     }
 
-    /// Returns the declared run time of the longest chain of dependent steps.
+    /// Returns the declared run time of the longest chain of dependent steps, saturating at the
+    /// numeric bounds.
     pub fn critical_path(&self) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
             let before = step.depends_on.iter().map(|on| ends[*on as usize]).max();
-            ends.push(before.unwrap_or_default() + step.estimate);
+            ends.push(before.unwrap_or_default().saturating_add(step.estimate));
         }
         ends.into_iter().max().unwrap_or_default()
     }
