Limit the validity of a ticket

An advice service that answered with validMs of 1e18 ended the node: the validity is added to an Instant, which panics on overflow. A step of the queue was then requested again by the next owner.

A longer validity is cut to that, and the ticket is requested again afterwards.

The test failed before with 'overflow when adding duration to instant'.

--- a/crates/control/src/shard/advice.rs
+++ b/crates/control/src/shard/advice.rs
@@ -17,6 +17,8 @@
 /// Tickets are not used within this time before their expiry, because a start has to be stored and
 /// sent.
 const TICKET_MARGIN: Duration = Duration::from_millis(300);
+/// Longest time for which a ticket is kept; a longer validity is cut to it.
+const MAX_VALIDITY: Duration = Duration::from_secs(24 * 3600);
 /// Pause after a failed request.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -109,7 +111,7 @@
         match result {
             Ok(report) => {
                 // The validity starts no earlier than when the service issued the ticket.
-                let end = now + report.validity;
+                let end = now + report.validity.min(MAX_VALIDITY);
                 for worker in &order.workers {
                     let ticket = report.tickets.get(worker);
                     match (ticket, lives.get(worker)) {
--- a/crates/control/tests/extreme_values.rs
+++ b/crates/control/tests/extreme_values.rs
@@ -47,6 +47,22 @@
     }
 }
 
+#[test]
+fn ticket_with_the_longest_validity_is_used() {
+    let mut cluster = TestCluster::new(1);
+    cluster.eligible_workers = vec!["w0".into()];
+    cluster.ticket_validity = Duration::MAX;
+    cluster.set_config(|config| {
+        config.queues["queue"].advice = Some(AdviceRule {
+            base_time: Duration::MAX,
+            time_per_worker: Duration::MAX,
+            validity: Duration::MAX,
+        });
+    });
+    cluster.submit("job", None, vec![step(1)]);
+    assert!(cluster.run_until(seconds(4), |cluster| cluster.status("job") == COMPLETED));
+}
+
 #[test]
 fn workers_with_the_largest_or_no_capacity_leave_the_pool_usable() {
     for capacity in [LARGEST, ResourceSize::default()] {
--- a/crates/control/tests/support/answers.rs
+++ b/crates/control/tests/support/answers.rs
@@ -32,7 +32,7 @@
                     .filter(|id| self.eligible_workers.contains(*id));
                 let report = AdviceReport {
                     tickets: eligible.map(|id| (id.clone(), "ticket".into())).collect(),
-                    validity: Duration::from_secs(3),
+                    validity: self.ticket_validity,
                 };
                 let result = Ok(report);
                 let event = ShardEvent::Advised { order, result };
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -105,6 +105,8 @@
     surveyed_at: Instant,
     /// Workers for which the advice service issues tickets.
     pub eligible_workers: Vec<WorkerId>,
+    /// How long its tickets are valid.
+    pub ticket_validity: Duration,
     pub advice_requests: Vec<AdviceOrder>,
     /// Tickets of the starts that reached a worker.
     pub tickets: Vec<Option<Arc<str>>>,
@@ -154,6 +156,7 @@
             ended: Vec::new(),
             surveyed_at: now,
             eligible_workers: Vec::new(),
+            ticket_validity: Duration::from_secs(3),
             advice_requests: Vec::new(),
             tickets: Vec::new(),
             epoch: 0,
