--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -180,8 +180,8 @@
             worker.synced = true;
             worker.poll_due = now;
             // An earlier owner may have renewed the lease just before this answer.
-            worker.lease_granted_until =
-                report.clock + self.settings.lease.as_millis() as WorkerMillis;
+            let lease = self.settings.lease.as_millis() as WorkerMillis;
+            worker.lease_granted_until = report.clock.saturating_add(lease);
         }
         worker.clock_reading = Some(ClockReading {
             clock: report.clock,
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -322,12 +322,17 @@
         let reading = self.clock_reading?;
         let passed = now.saturating_duration_since(reading.at);
         let passed = passed.mul_f64(1.0 - drift);
-        Some(reading.clock + passed.as_millis() as WorkerMillis)
+        Some(
+            reading
+                .clock
+                .saturating_add(passed.as_millis() as WorkerMillis),
+        )
     }
 
     /// Returns and records the end of a lease that is requested now.
     pub fn renew(&mut self, now: Instant, lease: Duration, drift: f64) -> Option<WorkerMillis> {
-        let until = self.clock(now, drift)? + lease.as_millis() as WorkerMillis;
+        let clock = self.clock(now, drift)?;
+        let until = clock.saturating_add(lease.as_millis() as WorkerMillis);
         self.lease_granted_until = self.lease_granted_until.max(until);
         Some(until)
     }
--- a/crates/control/tests/extreme_values.rs
+++ b/crates/control/tests/extreme_values.rs
@@ -63,6 +63,57 @@
     assert!(cluster.run_until(seconds(4), |cluster| cluster.status("job") == COMPLETED));
 }
 
+/// The first answer of a worker to a new owner has the largest clock, life, load and run numbers.
+#[test]
+fn answer_with_the_largest_numbers_ends_no_other_workers_runs() {
+    let mut cluster = TestCluster::new(2);
+    cluster.submit("job", None, vec![step(8)]);
+    cluster.run(millis(200));
+    let task = TaskName {
+        job: "job".into(),
+        occurrence: 0,
+        step: u32::MAX,
+        index: u32::MAX,
+    };
+    let report = PollReport {
+        clock: u64::MAX,
+        life: u64::MAX,
+        running: vec![ActiveRun {
+            task: task.clone(),
+            run: u32::MAX,
+            checkpoint: None,
+            percent: 100,
+            load: Some(u64::MAX),
+        }],
+        finished: vec![FinishedRun {
+            number: u64::MAX,
+            task,
+            run: u32::MAX,
+            end: RunEnd::Done,
+            checkpoint: None,
+        }],
+    };
+    for life in [None, Some(u64::MAX)] {
+        cluster.handle_event(ShardEvent::Polled {
+            order: PollOrder {
+                worker: "w0".into(),
+                address: cluster.workers["w0"].entry.address,
+                life,
+                epoch: 1,
+                fence: 1 << 16,
+                acknowledged: 0,
+                lease_until: None,
+                wait: Duration::ZERO,
+                sent_at: cluster.now,
+            },
+            result: Ok(report.clone()),
+            answered_at: cluster.now,
+        });
+        cluster.run(millis(20));
+    }
+    assert!(cluster.run_until(seconds(20), |cluster| cluster.status("job") == COMPLETED));
+}
+
 #[test]
 fn workers_with_the_largest_or_no_capacity_leave_the_pool_usable() {
     for capacity in [LARGEST, ResourceSize::default()] {
