--- a/crates/capacity/src/jobs.rs
+++ b/crates/capacity/src/jobs.rs
@@ -260,7 +260,7 @@
             clock: 1_000,
             life: 1,
             running: self.runs.get(&order.worker).cloned().unwrap_or_default(),
-            finished: Vec::new(),
+            ..Default::default()
         };
         let result = Ok(report);
         let answered_at = self.now;
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -176,6 +176,10 @@
     pub running: Vec<ActiveRun>,
     /// Ended runs, in the order of their numbers.
     pub finished: Vec<FinishedRun>,
+    /// Why a run on the worker is missing from `running`, if its row could not be decoded.
+    pub malformed_run: Option<String>,
+    /// Why an ended run is missing from `finished`, if its row could not be decoded.
+    pub malformed_end: Option<String>,
 }
 
 /// A run that is active on a worker.
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -254,6 +254,8 @@
                 continue;
             }
             match run.phase {
+                // The run may be the one whose row could not be decoded.
+                _ if report.malformed_run.is_some() && run.phase != RunPhase::Unanswered => {}
                 RunPhase::Inherited => lost.push((task.clone(), run.run, RunEnd::Lost)),
                 RunPhase::Running if sent_after => {
                     lost.push((task.clone(), run.run, RunEnd::Lost));
--- a/crates/control/tests/extreme_values.rs
+++ b/crates/control/tests/extreme_values.rs
@@ -92,6 +92,7 @@
             end: RunEnd::Done,
             checkpoint: None,
         }],
+        ..Default::default()
     };
     for life in [None, Some(u64::MAX)] {
         cluster.handle_event(ShardEvent::Polled {
@@ -141,3 +142,21 @@
         }
     }
 }
+
+/// A run that is missing from a report may be the one whose row is malformed.
+#[test]
+fn run_whose_row_is_malformed_is_not_started_again() {
+    let mut cluster = TestCluster::new(2);
+    cluster.run_time = seconds(10);
+    cluster.submit("job", None, vec![step(4)]);
+    cluster.run(seconds(1));
+    for worker in cluster.workers.values_mut() {
+        worker.malformed_rows = true;
+    }
+    cluster.run(seconds(6));
+    for index in 0..4 {
+        assert_eq!(cluster.start_count(&format!("job.0.0.{index}")), 1);
+    }
+    // A run that has ended is reported as such.
+    assert!(cluster.run_until(seconds(6), |cluster| cluster.status("job") == COMPLETED));
+}
--- a/crates/control/tests/support/worker.rs
+++ b/crates/control/tests/support/worker.rs
@@ -20,6 +20,8 @@
     pub crashed: bool,
     /// The worker executes starts, but their answers get lost.
     pub drops_start_answers: bool,
+    /// The rows of its runs are malformed.
+    pub malformed_rows: bool,
     /// The worker refuses all starts as unhealthy.
     pub unhealthy: bool,
     /// The worker is gone, and another one has its address.
@@ -75,6 +77,7 @@
             unreachable: false,
             crashed: false,
             drops_start_answers: false,
+            malformed_rows: false,
             unhealthy: false,
             address_reused: false,
             runs_fail: false,
@@ -232,7 +235,8 @@
     }
 
     pub fn report(&self, now: Instant) -> PollReport {
-        let running = self.running.iter().map(|(task, run)| ActiveRun {
+        let readable = self.running.iter().filter(|_| !self.malformed_rows);
+        let running = readable.map(|(task, run)| ActiveRun {
             task: task.clone(),
             run: run.run,
             checkpoint: None,
@@ -248,6 +252,8 @@
             life: self.entry.life,
             running: running.collect(),
             finished: self.finished.clone(),
+            malformed_run: self.malformed_rows.then(|| "malformed".to_owned()),
+            malformed_end: None,
         }
     }
 }
