--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -233,6 +233,8 @@
     pub tickets: IndexMap<WorkerId, Arc<str>>,
     /// How long the tickets are valid.
     pub validity: Duration,
+    /// Why a ticket is missing, if its row could not be decoded.
+    pub malformed_ticket: Option<String>,
 }
 
 /// Starts a run.
--- a/crates/control/src/shard/advice.rs
+++ b/crates/control/src/shard/advice.rs
@@ -110,6 +110,9 @@
         advice.in_flight = false;
         match result {
             Ok(report) => {
+                // The missing ticket may be that of any worker.
+                let is_partial = report.malformed_ticket.is_some();
+                advice.retry_at = is_partial.then(|| now + RETRY_PAUSE);
                 // The validity starts no earlier than when the service issued the ticket.
                 let end = now + report.validity.min(MAX_VALIDITY);
                 for worker in &order.workers {
@@ -119,10 +122,10 @@
                             let ticket = (ticket.clone(), *life, end);
                             advice.tickets.insert(worker.clone(), ticket);
                         }
-                        (None, _) => {
+                        (None, _) if !is_partial => {
                             advice.denied.insert(worker.clone());
                         }
-                        (Some(_), None) => {}
+                        _ => {}
                     }
                 }
             }
--- a/crates/control/tests/extreme_values.rs
+++ b/crates/control/tests/extreme_values.rs
@@ -160,3 +160,24 @@
     // A run that has ended is reported as such.
     assert!(cluster.run_until(seconds(6), |cluster| cluster.status("job") == COMPLETED));
 }
+
+/// A denial is permanent, so a worker whose row may be malformed is not denied.
+#[test]
+fn worker_whose_ticket_is_malformed_is_asked_for_again() {
+    let mut cluster = TestCluster::new(1);
+    cluster.eligible_workers = vec!["w0".into()];
+    cluster.malformed_tickets = true;
+    cluster.set_config(|config| {
+        config.queues["queue"].advice = Some(AdviceRule {
+            base_time: millis(20),
+            time_per_worker: millis(1),
+            validity: seconds(3),
+        });
+    });
+    cluster.submit("job", None, vec![step(1)]);
+    cluster.run(seconds(3));
+    let requests = cluster.advice_requests.len();
+    assert!((2..=12).contains(&requests), "{requests} requests");
+    cluster.malformed_tickets = false;
+    assert!(cluster.run_until(seconds(3), |cluster| cluster.status("job") == COMPLETED));
+}
--- a/crates/control/tests/support/answers.rs
+++ b/crates/control/tests/support/answers.rs
@@ -26,13 +26,15 @@
             ShardCommand::CheckOwnership => self.ownership_checks += 1,
             ShardCommand::Advise(order) => {
                 self.advice_requests.push(order.clone());
+                let readable = !self.malformed_tickets;
                 let eligible = order
                     .workers
                     .iter()
-                    .filter(|id| self.eligible_workers.contains(*id));
+                    .filter(|id| readable && self.eligible_workers.contains(*id));
                 let report = AdviceReport {
                     tickets: eligible.map(|id| (id.clone(), "ticket".into())).collect(),
                     validity: self.ticket_validity,
+                    malformed_ticket: (!readable).then(|| "malformed".to_owned()),
                 };
                 let result = Ok(report);
                 let event = ShardEvent::Advised { order, result };
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -105,6 +105,8 @@
     surveyed_at: Instant,
     /// Workers for which the advice service issues tickets.
     pub eligible_workers: Vec<WorkerId>,
+    /// The rows of its tickets are malformed.
+    pub malformed_tickets: bool,
     /// How long its tickets are valid.
     pub ticket_validity: Duration,
     pub advice_requests: Vec<AdviceOrder>,
@@ -156,6 +158,7 @@
             ended: Vec::new(),
             surveyed_at: now,
             eligible_workers: Vec::new(),
+            malformed_tickets: false,
             ticket_validity: Duration::from_secs(3),
             advice_requests: Vec::new(),
             tickets: Vec::new(),
