End no life of a worker that never answered

An entry of another writer with the address of a sound worker got a poll each second, which that worker refuses as meant for another. Each refusal counted as the end of a life: with a warning, and one more in the lower 16 bits of the fences. A hundred such entries pass the range of these bits within eleven minutes; then the fences reach those of the next owner of the shard, whose orders the workers reject.

Without a known life or runs, the refusal is now a missed poll: polled with the same pause of at most a second, logged at powers of two.

The test failed before: 61 ended lives within a minute instead of 1.

--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -124,7 +124,8 @@
             Err(CallFault::Fenced) if order.fence < worker.fence(self.epoch) => {}
             Err(CallFault::Fenced) => self.check_ownership(now),
             Err(CallFault::OtherLife) if !worker.is_addressed(order.address, order.life) => {}
-            Err(CallFault::OtherLife) => {
+            // Without a known life or runs, there is no life to end.
+            Err(CallFault::OtherLife) if worker.life.is_some() || worker.has_runs() => {
                 self.end_worker_life(&order.worker, LifeEnd::AddressReused, now);
             }
             Err(fault) => {
--- a/crates/control/tests/worker_lives.rs
+++ b/crates/control/tests/worker_lives.rs
@@ -271,3 +271,25 @@
     cluster.submit("second", None, vec![step(1)]);
     assert!(cluster.run_until(seconds(5), |cluster| cluster.status("second") == COMPLETED));
 }
+
+/// An entry of another writer names a worker at the address of another one. The ended lives count
+/// in the lower bits of every fence.
+#[test]
+fn a_worker_that_never_answered_has_no_life_to_end() {
+    let mut cluster = TestCluster::new(1);
+    cluster.add_worker("odd", "m9");
+    cluster.workers[1].address_reused = true;
+    cluster.list_workers();
+    let before = cluster.poll_count;
+    cluster.run(seconds(60));
+    let polls = cluster.poll_count - before;
+    assert!((20..=70).contains(&polls), "{polls} polls in 60 s");
+    // The next worker whose life ends gets a fence with the number of lives that ended before.
+    cluster.submit("job", None, vec![step(1)]);
+    cluster.restart_worker(&"w0".into());
+    cluster.list_workers();
+    cluster.run(seconds(5));
+    let fence = cluster.workers[0].fence;
+    assert_eq!(fence & 0xffff, 1, "lives that ended");
+    assert_eq!(cluster.status("job"), COMPLETED);
+}
