Keep the fences of an owner below those of the next one

The lower 16 bits of a fence count the ended lives of workers, without a bound: after 65,536 of them the fences of an owner reached those of its successor. A worker that reports another life in each answer gets there within hours. Workers then accept the orders of both owners, and reject those of the successor until its own count has caught up.

The count in a fence stays at its largest value. Orders for the lives after that are told apart by the life that they name, as before the first fence.

The test failed before: after 70,000 lives, the owner of epoch 1 sent a fence of epoch 2.

--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -81,6 +81,8 @@
 
 /// Bits of a fence that count the ended lives of workers.
 const LIFE_BITS: u32 = 16;
+/// Largest number of ended lives in a fence; one more would be the fence of the next owner.
+const MAX_ENDED_LIVES: u64 = (1 << LIFE_BITS) - 1;
 
 /// How the end of a worker's life became known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -313,7 +315,7 @@
     /// An order names its worker by id alone. Once a later life has seen a higher fence, it rejects
     /// the orders that were meant for an earlier one.
     pub fn fence(&self, epoch: OwnerEpoch) -> OrderFence {
-        (epoch << LIFE_BITS) + self.ended_lives
+        (epoch << LIFE_BITS) + self.ended_lives.min(MAX_ENDED_LIVES)
     }
 
     /// Returns a lower bound of the worker's clock, which may be slower than the owner's by at most
--- a/crates/control/tests/worker_lives.rs
+++ b/crates/control/tests/worker_lives.rs
@@ -293,3 +293,37 @@
     assert_eq!(fence & 0xffff, 1, "lives that ended");
     assert_eq!(cluster.status("job"), COMPLETED);
 }
+
+/// A worker of another writer may report a new life in each answer.
+#[test]
+fn fences_of_an_owner_stay_below_those_of_the_next_one() {
+    let mut cluster = TestCluster::new(1);
+    cluster.run(millis(100));
+    let address = cluster.workers[0].entry.address;
+    for life in 0..70_000 {
+        cluster.handle_event(ShardEvent::Polled {
+            order: PollOrder {
+                worker: "w0".into(),
+                address,
+                life: None,
+                epoch: 1,
+                fence: 1 << 16,
+                acknowledged: 0,
+                lease_until: None,
+                wait: millis(0),
+                sent_at: cluster.now,
+            },
+            result: Ok(PollReport {
+                clock: 1,
+                life,
+                ..Default::default()
+            }),
+            answered_at: cluster.now,
+        });
+    }
+    cluster.restart_worker(&"w0".into());
+    cluster.submit("job", None, vec![step(1)]);
+    cluster.list_workers();
+    assert!(cluster.run_until(seconds(5), |cluster| cluster.status("job") == COMPLETED));
+    assert_eq!(cluster.workers[0].fence >> 16, 1);
+}
