End a life for a later one in the entry only if the worker is silent

A record of another writer under a worker's key, with a later start than the worker's, ended the life of that worker: its runs counted as lost and started again on other workers while they ran on.

The worker is now polled at once. Its answer tells its life; if a poll goes unanswered, or had before the entry came, the entry is believed as before. A worker that restarts under its id answers with its new life, or its connections break. Only if a connection neither breaks nor answers, the end is known later than before, by up to the wait of a long poll and its timeout (2.6 s); that case was not run.

The test failed before with 'job.0.0.0 runs twice at the same time'.

--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -26,12 +26,15 @@
         for entry in entries {
             match self.workers.get_mut(&entry.id) {
                 Some(worker) => {
-                    // A later life in the list means that the known one has ended.
-                    if worker.life.is_some_and(|life| entry.life > life) {
-                        ended.push((entry.id.clone(), LifeEnd::Listed));
-                    }
                     worker.listed = true;
                     worker.entry = entry;
+                    if worker.has_later_listed_life() {
+                        // The worker itself tells, unless it is silent.
+                        worker.poll_due = now;
+                        if worker.missed_polls > 0 {
+                            ended.push((worker.entry.id.clone(), LifeEnd::Listed));
+                        }
+                    }
                 }
                 None => {
                     let id = entry.id.clone();
@@ -139,6 +142,7 @@
                     worker.poll_due = worker.poll_due.min(lease_end.max(now));
                 }
                 let misses = worker.missed_polls;
+                let worker_restarted = worker.has_later_listed_life();
                 // A lost worker is polled for seconds; logging only at powers of two keeps the
                 // number of lines low.
                 if misses.is_power_of_two() {
@@ -146,6 +150,9 @@
                     let worker = &*order.worker;
                     tracing::warn!(event, worker, %fault, misses, "worker not heard");
                 }
+                if worker_restarted {
+                    self.end_worker_life(&order.worker, LifeEnd::Listed, now);
+                }
             }
         }
     }
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -90,7 +90,7 @@
 pub(crate) enum LifeEnd {
     /// A later life answered a poll.
     Reported,
-    /// The platform lists a later life.
+    /// The platform lists a later life, and the worker does not answer for its own.
     Listed,
     /// Another worker answers at the address.
     AddressReused,
@@ -431,6 +431,11 @@
         runs.any(|run| run.phase == RunPhase::Stopping && run.stop_acknowledged.is_none())
     }
 
+    /// Returns whether the platform lists a later life of the worker than the one that answered.
+    pub fn has_later_listed_life(&self) -> bool {
+        self.life.is_some_and(|life| self.entry.life > life)
+    }
+
     /// Returns whether the worker has runs.
     pub fn has_runs(&self) -> bool {
         !self.runs.is_empty()
--- a/crates/control/tests/worker_lives.rs
+++ b/crates/control/tests/worker_lives.rs
@@ -327,3 +327,25 @@
     assert!(cluster.run_until(seconds(5), |cluster| cluster.status("job") == COMPLETED));
     assert_eq!(cluster.workers[0].fence >> 16, 1);
 }
+
+/// A record of another writer under a worker's key names a later life than the worker has.
+#[test]
+fn a_listed_life_that_the_worker_does_not_confirm_ends_no_runs() {
+    let mut cluster = TestCluster::new(2);
+    cluster.run_time = seconds(8);
+    cluster.submit("job", None, vec![step(8)]);
+    cluster.run(seconds(3));
+    let life = cluster.workers[0].entry.life;
+    for worker in cluster.workers.values_mut() {
+        worker.entry.life += 1;
+    }
+    cluster.list_workers();
+    for worker in cluster.workers.values_mut() {
+        worker.entry.life = life;
+    }
+    cluster.run(millis(500));
+    cluster.list_workers();
+    assert!(cluster.run_until(seconds(12), |cluster| cluster.status("job") == COMPLETED));
+    let starts: Vec<usize> = cluster.starts.values().map(Vec::len).collect();
+    assert_eq!(starts, [1; 8]);
+}
