--- a/crates/control/tests/extreme_values.rs
+++ b/crates/control/tests/extreme_values.rs
@@ -181,3 +181,25 @@
     cluster.malformed_tickets = false;
     assert!(cluster.run_until(seconds(3), |cluster| cluster.status("job") == COMPLETED));
 }
+
+/// A malformed record under a worker's key takes it off the list until its next heartbeat.
+#[test]
+fn worker_off_the_list_keeps_its_runs_and_gets_no_others() {
+    let mut cluster = TestCluster::new(1);
+    cluster.run_time = seconds(20);
+    cluster.submit("job", None, vec![step(2)]);
+    cluster.run(seconds(1));
+    cluster.workers["w0"].entry.pool = "nowhere".into();
+    cluster.list_workers();
+    cluster.submit("later", None, vec![step(1)]);
+    cluster.run(seconds(15));
+    assert_eq!(cluster.start_count("later.0.0.0"), 0);
+    cluster.workers["w0"].entry.pool = "pool".into();
+    cluster.list_workers();
+    assert!(
+        cluster.run_until(seconds(30), |cluster| cluster.status("job") == COMPLETED
+            && cluster.status("later") == COMPLETED)
+    );
+    let starts: Vec<usize> = cluster.starts.values().map(Vec::len).collect();
+    assert_eq!(starts, [1; 3]);
+}
