--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -26,11 +26,14 @@
         for entry in entries {
             match self.workers.get_mut(&entry.id) {
                 Some(worker) => {
-                    // A later life in the list means that the known one has ended.
-                    if worker.life.is_some_and(|life| entry.life > life) {
-                        ended.push((entry.id.clone(), LifeEnd::Listed));
-                    }
                     worker.update_entry(entry);
+                    if worker.has_later_listed_life() {
+                        // The worker itself tells, unless it is silent.
+                        worker.poll_due = now;
+                        if worker.missed_polls > 0 {
+                            ended.push((worker.entry.id.clone(), LifeEnd::Listed));
+                        }
+                    }
                 }
                 None => {
                     let id = entry.id.clone();
@@ -124,7 +127,8 @@
             Err(CallFault::Fenced) if order.fence < worker.fence(self.epoch) => {}
             Err(CallFault::Fenced) => self.check_ownership(now),
             Err(CallFault::OtherLife) if !worker.is_addressed(order.address, order.life) => {}
-            Err(CallFault::OtherLife) => {
+            // Without a known life or runs, there is no life to end.
+            Err(CallFault::OtherLife) if worker.life.is_some() || worker.has_runs() => {
                 self.end_worker_life(&order.worker, LifeEnd::AddressReused, now);
             }
             Err(fault) => {
@@ -138,6 +142,7 @@
                     worker.poll_due = worker.poll_due.min(lease_end.max(now));
                 }
                 let misses = worker.missed_polls;
+                let worker_restarted = worker.has_later_listed_life();
                 // A lost worker is polled for seconds; logging only at powers of two keeps the
                 // number of lines low.
                 if misses.is_power_of_two() {
@@ -145,6 +150,9 @@
                     let worker = &*order.worker;
                     tracing::warn!(event, worker, %fault, misses, "worker not heard");
                 }
+                if worker_restarted {
+                    self.end_worker_life(&order.worker, LifeEnd::Listed, now);
+                }
             }
         }
     }
@@ -180,8 +188,8 @@
             worker.synced = true;
             worker.poll_due = now;
             // An earlier owner may have renewed the lease just before this answer.
-            worker.lease_granted_until =
-                report.clock + self.settings.lease.as_millis() as WorkerMillis;
+            let lease = self.settings.lease.as_millis() as WorkerMillis;
+            worker.lease_granted_until = report.clock.saturating_add(lease);
         }
         worker.clock_reading = Some(ClockReading {
             clock: report.clock,
@@ -254,6 +262,8 @@
                 continue;
             }
             match run.phase {
+                // The run may be the one whose row could not be decoded.
+                _ if report.malformed_run.is_some() && run.phase != RunPhase::Unanswered => {}
                 RunPhase::Inherited => lost.push((task.clone(), run.run, RunEnd::Lost)),
                 RunPhase::Running if sent_after => {
                     lost.push((task.clone(), run.run, RunEnd::Lost));
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -106,6 +106,10 @@
     surveyed_at: Instant,
     /// Workers for which the advice service issues tickets.
     pub eligible_workers: Vec<WorkerId>,
+    /// The rows of its tickets are malformed.
+    pub malformed_tickets: bool,
+    /// How long its tickets are valid.
+    pub ticket_validity: Duration,
     pub advice_requests: Vec<AdviceOrder>,
     /// Tickets of the starts that reached a worker.
     pub tickets: Vec<Option<Arc<str>>>,
@@ -155,6 +159,8 @@
             ended: Vec::new(),
             surveyed_at: now,
             eligible_workers: Vec::new(),
+            malformed_tickets: false,
+            ticket_validity: Duration::from_secs(3),
             advice_requests: Vec::new(),
             tickets: Vec::new(),
             epoch: 0,
@@ -295,7 +301,7 @@
     pub fn list_workers(&mut self) {
         let listed = self.workers.values().filter(|worker| !worker.crashed);
         let entries: Vec<WorkerEntry> = listed.map(|worker| worker.entry.clone()).collect();
-        let (entries, lives) = current_workers(entries);
+        let (entries, lives) = current_workers(&entries, &self.config.pools);
         let lives = Arc::new(lives);
         self.broadcast(&ShardEvent::Workers { entries, lives });
     }
