Let an incomplete list of machines end no life

Cause: a machine that is missing from three lists counts as gone, but since the list is decoded one machine at a time a malformed row is skipped, and may be that of any machine. Change: a list knows whether all its machines could be read; only a complete one counts as lacking a machine. That replaces the state Unknown, which kept a machine with an unknown state but no other malformed row.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -24,7 +24,7 @@
         AccountRule, AdviceRule, FleetConfig, PoolRule, QueueRule, WaveRule, find_shard,
     };
     pub use crate::machines::{
-        MachineAction, MachineCommand, MachineController, MachineEvent, MachineOrder,
+        MachineAction, MachineCommand, MachineController, MachineEvent, MachineList, MachineOrder,
         MachineOutcome, MachineSettings, MachineState, MachineView, WaveProgress,
     };
     pub use crate::message::{
--- a/crates/control/src/machines.rs
+++ b/crates/control/src/machines.rs
@@ -16,8 +16,8 @@
 use pw_base::prelude::*;
 
 pub use self::message::{
-    MachineAction, MachineCommand, MachineEvent, MachineOrder, MachineOutcome, MachineState,
-    MachineView, WaveProgress,
+    MachineAction, MachineCommand, MachineEvent, MachineList, MachineOrder, MachineOutcome,
+    MachineState, MachineView, WaveProgress,
 };
 use crate::config::{FleetConfig, find_shard};
 use crate::machines::lives::LifeTracker;
@@ -232,12 +232,9 @@
     pub fn handle(&mut self, now: Instant, event: MachineEvent) -> Vec<MachineCommand> {
         match event {
             MachineEvent::Config(config) => self.config = config,
-            MachineEvent::Machines {
-                machines,
-                requested_at,
-            } => {
-                if self.lives.accept_list(&machines, requested_at, now) {
-                    self.update_machines(machines, requested_at, now);
+            MachineEvent::Machines { list, requested_at } => {
+                if self.lives.accept_list(&list, requested_at, now) {
+                    self.update_machines(list.machines, requested_at, now);
                 }
             }
             MachineEvent::Surveyed {
--- a/crates/control/src/machines/lives.rs
+++ b/crates/control/src/machines/lives.rs
@@ -2,7 +2,8 @@
 //!
 //! A run on an unreachable worker is not replaced until the last lease that any owner may have
 //! granted to the worker has expired. When the machine is listed as down, or with another worker,
-//! no run that was placed there is left, nor when the machine is gone for good and no longer listed.
+//! no run that was placed there is left. Neither is one when the machine is gone for good, and no
+//! longer listed.
 //! A list counts only for lives that were reported before it was requested: the machine may have
 //! come back since with a new life, whose runs go on.
 
@@ -11,11 +12,11 @@
 use indexmap::IndexMap;
 use pw_base::prelude::*;
 
-use super::message::MachineView;
+use super::message::{MachineList, MachineView};
 use crate::message::{UnreachableWorker, WorkerLife};
 
-/// Consecutive lists without a machine after which it counts as gone. A list arrives in pages that
-/// are no snapshot, so one that is read during a change may lack a machine that exists.
+/// Consecutive complete lists without a machine after which it counts as gone. A list arrives in
+/// pages that are no snapshot, so one that is read during a change may lack a machine that exists.
 const GONE_AFTER_LISTS: u32 = 3;
 
 /// Unreachable workers of all shards.
@@ -34,7 +35,7 @@
     since: Instant,
     /// Number of consecutive lists since then that lack its machine.
     missing: u32,
-    /// When the last list arrived that was counted.
+    /// When the last list that counts as lacking the machine arrived.
     counted_at: Instant,
 }
 
@@ -50,15 +51,14 @@
 
     /// Counts a list that was requested after the last one had arrived: lists that are read at the
     /// same time may lack a machine for the same reason.
-    fn record_list(&mut self, machines: &[MachineView], requested_at: Instant, now: Instant) {
-        if requested_at < self.counted_at {
-            return;
+    fn record_list(&mut self, list: &MachineList, requested_at: Instant, now: Instant) {
+        let machine = &self.worker.machine;
+        if list.machines.iter().any(|view| view.machine == *machine) {
+            self.missing = 0;
+        } else if list.is_complete && requested_at >= self.counted_at {
+            self.missing += 1;
+            self.counted_at = now;
         }
-        self.counted_at = now;
-        let listed = machines
-            .iter()
-            .any(|view| view.machine == self.worker.machine);
-        self.missing = if listed { 0 } else { self.missing + 1 };
     }
 
     /// Returns whether the machines, as last listed, show that the life has ended.
@@ -94,18 +94,13 @@
 
     /// Records a machine list; returns `false` for a stale one, which arrives after a list that was
     /// requested later. It may show a machine as it was before a life was reported.
-    pub fn accept_list(
-        &mut self,
-        machines: &[MachineView],
-        requested_at: Instant,
-        now: Instant,
-    ) -> bool {
+    pub fn accept_list(&mut self, list: &MachineList, requested_at: Instant, now: Instant) -> bool {
         if self.listed.is_some_and(|listed| requested_at < listed) {
             return false;
         }
         self.listed = Some(requested_at);
         for life in self.unreachable.values_mut().flatten() {
-            life.record_list(machines, requested_at, now);
+            life.record_list(list, requested_at, now);
         }
         true
     }
--- a/crates/control/src/machines/message.rs
+++ b/crates/control/src/machines/message.rs
@@ -23,8 +23,6 @@
     Upkeep,
     /// It is off or broken.
     Down,
-    /// The platform reports a state that this version does not know.
-    Unknown,
 }
 
 /// A machine as the platform lists it.
@@ -42,25 +40,22 @@
     pub worker: Option<WorkerId>,
 }
 
-impl MachineState {
-    /// Returns whether no operation is known to be in progress on the machine, so that it may get an
-    /// order.
-    pub fn is_settled(self) -> bool {
-        matches!(self, Self::Up | Self::Down)
-    }
-}
-
 impl MachineView {
     /// Returns whether `worker` is no longer on the machine.
     pub fn has_ended(&self, worker: &WorkerId) -> bool {
-        match self.state {
-            MachineState::Up => self.worker.as_ref() != Some(worker),
-            MachineState::Moving | MachineState::Upkeep | MachineState::Down => true,
-            MachineState::Unknown => false,
-        }
+        self.state != MachineState::Up || self.worker.as_ref() != Some(worker)
     }
 }
 
+/// A list of the machines.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct MachineList {
+    /// The machines.
+    pub machines: Vec<MachineView>,
+    /// All machines that the platform listed could be read.
+    pub is_complete: bool,
+}
+
 /// Action to carry out on a machine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum MachineAction {
@@ -122,8 +117,8 @@
     Config(Arc<FleetConfig>),
     /// All machines, as the platform lists them.
     Machines {
-        /// The machines.
-        machines: Vec<MachineView>,
+        /// The list.
+        list: MachineList,
         /// When the list was requested.
         requested_at: Instant,
     },
--- a/crates/control/src/machines/moves.rs
+++ b/crates/control/src/machines/moves.rs
@@ -168,7 +168,7 @@
         let machines = self
             .machines
             .values()
-            .filter(|view| !matches!(view.state, MachineState::Down | MachineState::Unknown));
+            .filter(|view| view.state != MachineState::Down);
         let machines = machines.filter(|view| !in_upkeep(&view.machine) && self.is_usable(view));
         let members = machines.filter(|view| match moves_to(&view.machine) {
             Some(to) => to == pool,
@@ -180,9 +180,10 @@
     /// Returns a machine of the spare pool that is free to move.
     pub(super) fn find_idle_spare_machine(&self, spare: &PoolId) -> Option<MachineId> {
         let idle = self.machines.values().find(|view| {
+            let settled = !matches!(view.state, MachineState::Moving | MachineState::Upkeep);
             let free = !self.tasks.contains_key(&view.machine)
                 && !self.avoided.contains_key(&view.machine);
-            view.pool == *spare && view.state.is_settled() && free && self.is_usable(view)
+            view.pool == *spare && settled && free && self.is_usable(view)
         });
         idle.map(|view| view.machine.clone())
     }
--- a/crates/control/src/machines/waves.rs
+++ b/crates/control/src/machines/waves.rs
@@ -101,7 +101,7 @@
             };
             let free =
                 !self.tasks.contains_key(&machine) && self.pool_allows_maintenance(&view.pool);
-            if !free || !view.state.is_settled() {
+            if !free || matches!(view.state, MachineState::Moving | MachineState::Upkeep) {
                 continue;
             }
             self.start_task(machine, MachineAction::Upkeep(wave), now);
--- a/crates/control/tests/machines/main.rs
+++ b/crates/control/tests/machines/main.rs
@@ -54,13 +54,13 @@
     mark_first_unreachable(&mut platform);
     platform.run(Duration::from_secs(1));
     for _ in 0..4 {
-        let mut machines: Vec<MachineView> = platform.views.values().cloned().collect();
-        let listed = machines.clone();
-        machines.remove(0);
-        for machines in [machines.clone(), machines, listed] {
+        let listed = platform.list();
+        let mut partial = listed.clone();
+        partial.machines.remove(0);
+        for list in [partial.clone(), partial, listed] {
             platform.now += Duration::from_millis(10);
             platform.handle(MachineEvent::Machines {
-                machines,
+                list,
                 requested_at: platform.now,
             });
             platform.handle(MachineEvent::Tick);
@@ -77,12 +77,12 @@
     mark_first_unreachable(&mut platform);
     platform.run(Duration::from_millis(500));
     let requested = (0..3).map(|list| platform.now + Duration::from_millis(250 * list));
-    let mut machines: Vec<MachineView> = platform.views.values().cloned().collect();
-    machines.remove(0);
+    let mut partial = platform.list();
+    partial.machines.remove(0);
     let mut answered_at = platform.now + Duration::from_millis(900);
     for requested_at in requested {
         let list = MachineEvent::Machines {
-            machines: machines.clone(),
+            list: partial.clone(),
             requested_at,
         };
         answered_at += Duration::from_millis(150);
@@ -94,13 +94,15 @@
     }
 }
 
+/// A malformed row of a list may be that of any machine.
 #[test]
-fn a_machine_in_an_unknown_state_ends_no_life() {
+fn a_list_with_malformed_rows_does_not_end_the_life_on_a_machine_that_it_lacks() {
     let mut platform = Platform::new(4, WaveRule::default());
     mark_first_unreachable(&mut platform);
-    platform.views["m0"].state = MachineState::Unknown;
-    platform.run(Duration::from_secs(2));
-    assert!(platform.ended.is_empty());
+    platform.lists_are_complete = false;
+    platform.views.swap_remove("m0");
+    platform.run(Duration::from_secs(3));
+    assert!(platform.ended.is_empty(), "an incomplete list ended a life");
 }
 
 /// The machine comes back after the list was read and before its owner reports it as unreachable.
@@ -125,11 +127,11 @@
     let earlier = platform.now;
     mark_first_unreachable(&mut platform);
     platform.run(Duration::from_millis(500));
-    let mut machines: Vec<MachineView> = platform.views.values().cloned().collect();
-    machines[0].state = MachineState::Down;
-    machines[0].worker = None;
+    let mut list = platform.list();
+    list.machines[0].state = MachineState::Down;
+    list.machines[0].worker = None;
     platform.handle(MachineEvent::Machines {
-        machines,
+        list,
         requested_at: earlier,
     });
     for _ in 0..6 {
--- a/crates/control/tests/machines/orders.rs
+++ b/crates/control/tests/machines/orders.rs
@@ -45,10 +45,11 @@
     let mut now = Instant::now();
     let (mut controller, machines) = machine_controller(now, 1);
     let requested_at = now;
-    let listed = MachineEvent::Machines {
+    let list = MachineList {
         machines,
-        requested_at,
+        is_complete: true,
     };
+    let listed = MachineEvent::Machines { list, requested_at };
     let commands = controller.handle(now, listed);
     let surveys = commands.iter().find_map(|command| match command {
         MachineCommand::Survey(shard, order) if !order.drain.is_empty() => {
--- a/crates/control/tests/machines/platform.rs
+++ b/crates/control/tests/machines/platform.rs
@@ -34,6 +34,8 @@
     pub unavailable: Vec<WorkerId>,
     /// Workers that are unreachable for the shard owners.
     pub unreachable: Vec<UnreachableWorker>,
+    /// Whether all machines in the lists can be read.
+    pub lists_are_complete: bool,
     /// Ended lives that the last survey named.
     pub ended: Vec<WorkerLife>,
     /// Running and waiting work of each pool, in cores.
@@ -77,6 +79,7 @@
             long_running: Vec::new(),
             unavailable: Vec::new(),
             unreachable: Vec::new(),
+            lists_are_complete: true,
             ended: Vec::new(),
             work: IndexMap::new(),
         }
@@ -100,11 +103,19 @@
         }
     }
 
+    /// Returns the list of the machines.
+    pub fn list(&self) -> MachineList {
+        MachineList {
+            machines: self.views.values().cloned().collect(),
+            is_complete: self.lists_are_complete,
+        }
+    }
+
     pub fn perform(&mut self, command: MachineCommand) -> Option<MachineEvent> {
         match command {
             MachineCommand::ListMachines => {
                 return Some(MachineEvent::Machines {
-                    machines: self.views.values().cloned().collect(),
+                    list: self.list(),
                     requested_at: self.now,
                 });
             }
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -200,7 +200,7 @@
 /// Client of the platform's machine service.
 pub trait MachineGateway: Send {
     /// Lists all machines.
-    fn list(&self) -> BoxedLocal<Result<Vec<MachineView>, StoreFault>>;
+    fn list(&self) -> BoxedLocal<Result<MachineList, StoreFault>>;
     /// Sends an order on behalf of `holder`; orders are idempotent.
     fn order(&self, holder: String, order: MachineOrder) -> BoxedLocal<MachineOutcome>;
     /// Reports to operators whether a wave is completed.
--- a/crates/node/src/machine_duty.rs
+++ b/crates/node/src/machine_duty.rs
@@ -267,12 +267,7 @@
             MachineCommand::ListMachines => {
                 let requested_at = self.clock.now();
                 match self.machines.list().await {
-                    Ok(machines) => {
-                        return Some(MachineEvent::Machines {
-                            machines,
-                            requested_at,
-                        });
-                    }
+                    Ok(list) => return Some(MachineEvent::Machines { list, requested_at }),
                     Err(fault) => {
                         let event = EventCode::MachinesUnreachable.number();
                         tracing::warn!(event, %fault, "failed to list machines");
