Poll more often while the ownership is not confirmed

Callers would see: all long-running tasks of a pool that lapse in an outage of the store of 7 s. Found by the review of the horizon of leases. Cause: the last leases before the end of an outage end 8 s after the last confirmation, and polls are held open for 2 s, so the poll that could renew them may be sent too late. Change: while the longest lease that may be granted is below twice the wait of a poll, polls are held open for a quarter of that wait. Result: leases_do_not_lapse_in_an_outage_of_the_store_that_is_shorter_than_the_horizon failed before in 11 of 20 phases and passes.

--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -91,6 +91,10 @@
             let stopping = worker.is_stopping();
             let wait = if stopping || moving && worker.is_starting_long_running() {
                 settings.poll_gap
+            } else if lease < 2 * settings.poll_wait {
+                // The ownership has not been confirmed for seconds. Once it is, the next poll has
+                // to renew the lease in time.
+                settings.poll_wait / 4
             } else {
                 settings.poll_wait
             };
--- a/crates/control/tests/worker_lives.rs
+++ b/crates/control/tests/worker_lives.rs
@@ -397,3 +397,19 @@
     let starts: Vec<usize> = cluster.starts.values().map(Vec::len).collect();
     assert_eq!(starts, [1; 8]);
 }
+
+/// The store is down for less time than tasks survive.
+#[test]
+fn leases_do_not_lapse_in_an_outage_of_the_store_that_is_shorter_than_the_horizon() {
+    let lapsed = (0..20).filter(|phase| {
+        let mut cluster = long_running_cluster(1);
+        cluster.run(seconds(3) + millis(100 * phase));
+        cluster.store_up = false;
+        cluster.run(seconds(7));
+        cluster.store_up = true;
+        cluster.run(seconds(3));
+        cluster.start_count("job.0.0.0") > 1 || cluster.running("job.0.0.0") == 0
+    });
+    let lapsed: Vec<u64> = lapsed.map(|phase| 100 * phase).collect();
+    assert!(lapsed.is_empty(), "lapsed with the outage at {lapsed:?} ms");
+}
