End a listed life that was lost before it answered

Callers would see: a long-running task that does not run for over 10 s (LOST). Cause: once a life has ended, the next one is unknown until it answers a poll, and only known lives are reported to the machine controller. Change: the life that the list names counts as known after the end of an earlier one; the report, and the check of the answer, use it. Result: a_later_life_that_is_lost_before_it_answers_does_not_hold_up_its_tasks failed before and passes.

--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -192,7 +192,9 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let life = worker.life.unwrap_or_default();
+        let life = worker.known_life();
+        worker.ended_life = worker.ended_life.max(life);
+        let life = life.unwrap_or_default();
         worker.synced = false;
         self.ended_lives += 1;
         worker.ended_lives = self.ended_lives;
--- a/crates/control/src/shard/survey.rs
+++ b/crates/control/src/shard/survey.rs
@@ -33,7 +33,7 @@
             worker.machine_down = machine.is_some_and(|machine| order.down.contains(machine));
         }
         for WorkerLife { worker, life } in &order.ended {
-            let known = self.workers.get(worker).and_then(|worker| worker.life);
+            let known = self.workers.get(worker).and_then(WorkerRecord::known_life);
             if known == Some(*life) {
                 self.end_worker_life(worker, LifeEnd::MachineEnded, now);
             }
@@ -67,7 +67,7 @@
                 machine: worker.entry.machine.clone()?,
                 life: WorkerLife {
                     worker: id.clone(),
-                    life: worker.life?,
+                    life: worker.known_life()?,
                 },
             })
         });
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -270,6 +270,8 @@
     pub listed: bool,
     /// Life of the worker, once it has answered this owner.
     pub life: Option<LifeStart>,
+    /// Latest life that has ended.
+    pub ended_life: Option<LifeStart>,
     /// Number of worker lives in the shard that this owner had seen end when this one began.
     pub ended_lives: u64,
     pub clock_reading: Option<ClockReading>,
@@ -322,6 +324,7 @@
             entry,
             listed: true,
             life: None,
+            ended_life: None,
             ended_lives,
             clock_reading: None,
             lease_granted_until: 0,
@@ -541,6 +544,14 @@
         self.life.is_some_and(|life| self.entry.life > life)
     }
 
+    /// Returns the current life as far as it is known, from an answer or, after the end of an earlier
+    /// one, from the list.
+    pub fn known_life(&self) -> Option<LifeStart> {
+        let listed = self.ended_life.map(|ended| (self.entry.life, ended));
+        let listed = listed.filter(|(listed, ended)| listed > ended);
+        self.life.or(listed.map(|(life, _)| life))
+    }
+
     /// Returns whether the worker has runs.
     pub fn has_runs(&self) -> bool {
         !self.runs.is_empty()
--- /dev/null
+++ b/crates/control/tests/late_leases.rs
@@ -0,0 +1,61 @@
+//! Tests of leases that outlast the wait for them, or end before their owner may renew them.
+
+mod support;
+
+use std::cell::Cell;
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pw_base::prelude::*;
+use pw_control::prelude::*;
+use support::network::OrderFate;
+use support::owner::OwnerProcess;
+use support::{TestCluster, long_running, long_running_cluster, millis, seconds};
+
+const TASK: &str = "job.0.0.0";
+/// Longest lease that the platform grants, in milliseconds.
+const LONGEST_LEASE: u64 = 10_000;
+
+/// Submits a long-running task whose first start is executed after `delay`, and returns its worker.
+fn submit_with_late_start(delay: Duration) -> (TestCluster, WorkerId) {
+    let mut cluster = TestCluster::new(2);
+    cluster.run(seconds(1));
+    cluster.order_fate = Box::new(move |command| match command {
+        ShardCommand::Start(order) if order.run == 1 => OrderFate::Late(delay),
+        _ => OrderFate::Delivered,
+    });
+    cluster.submit("job", None, vec![long_running(1)]);
+    assert!(cluster.run_until(seconds(1), |cluster| !cluster.images.is_empty()));
+    cluster.run(millis(50));
+    let holder = cluster.placed_on(TASK);
+    (cluster, holder)
+}
+
+/// Loses all further orders to a worker.
+fn cut_off(cluster: &mut TestCluster, id: &WorkerId) {
+    let id = id.clone();
+    cluster.order_fate = Box::new(move |command| match command {
+        ShardCommand::Poll(order) if order.worker == id => OrderFate::Lost,
+        ShardCommand::Start(order) if order.worker == id => OrderFate::Lost,
+        ShardCommand::Stop(order) if order.worker == id => OrderFate::Lost,
+        _ => OrderFate::Delivered,
+    });
+}
+
+/// A worker restarts under its id and is lost for good before its next life answers the new owner.
+#[test]
+fn a_later_life_that_is_lost_before_it_answers_does_not_hold_up_its_tasks() {
+    let mut cluster = long_running_cluster(2);
+    let holder = cluster.starts[0][0].0.clone();
+    cluster.restart_worker(&holder);
+    cluster.take_over(None);
+    cluster.workers[&holder].crashed = true;
+    cluster.run(seconds(3));
+    cluster.ended = cluster.unreachable_lives();
+    assert!(
+        cluster.run_until(seconds(7), |cluster| cluster.running(TASK) == 1),
+        "the task waits although its worker's machine is known to be down"
+    );
+}
