Await the longest lease of a start on a later life

Callers would see: a task that runs twice at the same time (TWICE). Cause: the first answer of a later life set its lease to one by this owner, so the longest lease that a late order for an earlier life may have got there was not awaited when the worker fell silent again. Change: the first answer of a later life counts as a grant of the platform's longest lease. Result: the_lease_of_a_late_start_on_a_later_life_is_awaited failed before (run 2 started at 9.1 s beside a lease until 12.0 s) and passes.

--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -186,13 +186,20 @@
         }
         // A worker that becomes available may accept waiting tasks.
         self.placement_needed |= !worker.synced || worker.missed_polls > 0;
+        let is_later_life = worker.life.is_none() && worker.ended_life.is_some();
         worker.life = Some(report.life);
         worker.missed_polls = 0;
         if !worker.synced {
             worker.synced = true;
             worker.poll_due = now;
-            // An earlier owner may have renewed the lease just before this answer.
-            let lease = self.settings.lease.as_millis() as WorkerMillis;
+            let lease = if is_later_life {
+                // This life may have executed an order that was meant for an earlier one.
+                self.settings.longest_lease
+            } else {
+                // An earlier owner may have renewed the lease just before this answer.
+                self.settings.lease
+            };
+            let lease = lease.as_millis() as WorkerMillis;
             worker.lease_granted_until = report.clock.saturating_add(lease);
         }
         worker.clock_reading = Some(ClockReading {
--- a/crates/control/tests/late_leases.rs
+++ b/crates/control/tests/late_leases.rs
@@ -59,3 +59,29 @@
         "the task waits although its worker's machine is known to be down"
     );
 }
+
+/// A worker restarts, and its next life executes a late start with the longest lease. Its owner
+/// sees that in one poll and does not reach the worker afterwards.
+#[test]
+fn the_lease_of_a_late_start_on_a_later_life_is_awaited() {
+    let (mut cluster, holder) = submit_with_late_start(millis(1000));
+    let id = holder.clone();
+    let is_reported = Rc::new(Cell::new(false));
+    let seen = Rc::clone(&is_reported);
+    cluster.order_fate = Box::new(move |command| match command {
+        ShardCommand::Stop(order) if order.worker == id => {
+            seen.set(true);
+            OrderFate::Lost
+        }
+        ShardCommand::Start(order) if order.worker == id => OrderFate::Lost,
+        ShardCommand::Poll(order) if order.worker == id && seen.get() => OrderFate::Lost,
+        _ => OrderFate::Delivered,
+    });
+    cluster.workers[&holder].crashed = true;
+    cluster.run(millis(900));
+    cluster.restart_worker(&holder);
+    cluster.workers[&holder].lease_limit = LONGEST_LEASE;
+    cluster.run(seconds(2));
+    assert!(is_reported.get(), "no poll reported the run");
+    cluster.run(seconds(12));
+}
