Await the longest lease once a later life appears after the loss of a machine

Callers would see: a task that runs twice at the same time (TWICE). Change: a life that the list shows after the end of the known one extends the wait to the longest lease from then on. While none appears, the wait stays one lease, since no run was left on the machine.

--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -23,10 +23,18 @@
             worker.listed = false;
         }
         let mut ended = Vec::new();
+        let settings = &self.settings;
+        let longest_lease = settings.longest_lease.div_f64(1.0 - settings.clock_drift);
         for entry in entries {
             match self.workers.get_mut(&entry.id) {
                 Some(worker) => {
+                    let known_life = worker.known_life();
                     worker.update_entry(entry);
+                    if worker.life.is_none() && worker.known_life() > known_life {
+                        // The life that has just appeared may have executed a late order.
+                        let lease_end = now + longest_lease;
+                        worker.inherited_lease_end = worker.inherited_lease_end.max(lease_end);
+                    }
                     if worker.has_later_listed_life() {
                         // The worker itself tells, unless it is silent.
                         worker.poll_due = now;
--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -183,7 +183,7 @@
     /// still start on a later life, which are stopped there first.
     pub(super) fn end_worker_life(&mut self, id: &WorkerId, cause: LifeEnd, now: Instant) {
         let lease = match cause {
-            // No run was left on the machine, and a late order is void once its own lease has ended.
+            // No run was left on the machine. A life that appears later is awaited longer.
             LifeEnd::MachineEnded => self.settings.lease,
             // A later life may have executed an order already, with a lease by its own clock.
             _ => self.settings.longest_lease,
--- a/crates/control/tests/late_leases.rs
+++ b/crates/control/tests/late_leases.rs
@@ -85,3 +85,23 @@
     assert!(is_reported.get(), "no poll reported the run");
     cluster.run(seconds(12));
 }
+
+/// The machine restarts right after it was listed as down, and the worker's next life, whose clock
+/// starts anew, executes the late start with the longest lease.
+#[test]
+fn a_late_start_does_not_run_twice_after_its_machine_was_down_for_a_moment() {
+    let (mut cluster, holder) = submit_with_late_start(millis(3500));
+    cluster.workers[&holder].crashed = true;
+    cut_off(&mut cluster, &holder);
+    cluster.run(millis(3350));
+    let ended = cluster.unreachable_lives();
+    assert_eq!(ended.len(), 1);
+    cluster.restart_worker(&holder);
+    cluster.workers[&holder].lease_limit = LONGEST_LEASE;
+    cluster.run(millis(200));
+    assert_eq!(cluster.running(TASK), 1);
+    cluster.ended = ended;
+    cluster.run(millis(150));
+    cluster.list_workers();
+    cluster.run(seconds(12));
+}
