Date the first confirmation of an ownership by its claim

Callers would see: a task that runs twice at the same time (TWICE). Found by the review of the horizon of leases. Cause: a shard was confirmed as of its opening. A node that is suspended between its claim and the opening, or loads from a slow store, may open a shard after its successor, and granted leases up to 8 s after its own opening until it read the later claim. Change: the claim, dated by its request, is the first confirmation. Result: an_owner_that_opens_late_grants_no_lease_beyond_the_wait_of_its_successor failed before and passes.

--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -140,6 +140,9 @@
     pub states: Vec<(JobId, JobState)>,
     /// Longest remaining time of each worker's lease, if the previous owner released the shard.
     pub leases: Option<IndexMap<WorkerId, Duration>>,
+    /// When the claim was requested, which confirms the ownership; `None` if the claim is as recent
+    /// as the opening.
+    pub claimed_at: Option<Instant>,
 }
 
 /// Polls a worker for its runs and renews its lease.
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -162,6 +162,7 @@
         now: Instant,
         wall: SystemTime,
     ) -> Self {
+        let confirmed_at = image.claimed_at.unwrap_or(now);
         let mut controller = Self {
             shard,
             epoch,
@@ -178,7 +179,7 @@
             stopping_workers: IndexSet::new(),
             budget: AccountBudget::default(),
             store_queue: StoreQueue::new(now),
-            confirmed_at: now,
+            confirmed_at,
             ended_lives: 0,
             inputs_read: IndexMap::new(),
             taken_over_at: now,
--- a/crates/control/tests/late_leases.rs
+++ b/crates/control/tests/late_leases.rs
@@ -105,3 +105,37 @@
     cluster.list_workers();
     cluster.run(seconds(12));
 }
+
+/// A node claims a shard and is suspended before it opens the shard, while another node takes it
+/// over. The first node notices that half a second after it goes on, from a slow store.
+#[test]
+fn an_owner_that_opens_late_grants_no_lease_beyond_the_wait_of_its_successor() {
+    let mut cluster = long_running_cluster(2);
+    let holder = cluster.starts[0][0].0.clone();
+    cluster.take_over(None);
+    let claimed_at = cluster.now;
+    cluster.owners.clear();
+    cluster.claim(None, HashSet::from([holder]));
+    cluster.run(seconds(3));
+    let image = ShardImage {
+        submissions: cluster.submissions.clone().into_iter().collect(),
+        states: cluster.images.clone().into_iter().collect(),
+        claimed_at: Some(claimed_at),
+        ..Default::default()
+    };
+    let late = ShardController::open(
+        (0, 2),
+        image,
+        Arc::new(cluster.config.clone()),
+        cluster.settings.clone(),
+        cluster.now,
+        cluster.wall,
+    );
+    cluster
+        .owners
+        .insert(0, OwnerProcess::new(late, HashSet::new()));
+    cluster.list_workers();
+    cluster.run(millis(500));
+    cluster.owners.remove(0);
+    cluster.run(seconds(12));
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -248,6 +248,7 @@
             cancelled: self.cancelled.clone(),
             states: self.images.clone().into_iter().collect(),
             leases,
+            claimed_at: Some(self.now),
         };
         let controller = ShardController::open(
             (0, self.epoch),
--- a/crates/node/src/journal_duty/owned_shard.rs
+++ b/crates/node/src/journal_duty/owned_shard.rs
@@ -47,6 +47,7 @@
         let image = ShardImage {
             leases: self.read_release(term).await,
             states: job_states,
+            claimed_at: Some(claimed_at),
             ..submissions
         };
         let opened = ControlMessage::Opened(term, Box::new(image));
