Let the workers of the test cluster grant the platform's longest lease

Cause: fake workers granted 6 s at most, so no random run could show a lease that is longer than the one that its owner asks for. Change: they grant up to 10 s, the default of longest_lease.

--- a/crates/control/tests/support/worker.rs
+++ b/crates/control/tests/support/worker.rs
@@ -101,7 +101,7 @@
             runs_fail: false,
             fence: 0,
             lease_until: 0,
-            lease_limit: 6000,
+            lease_limit: 10_000,
             started: now,
             clock_base,
             clock_rate: 1.0,
