Log the runs that may have crashed their worker

What callers saw: one task was started up to 94 times in 45 s, each time on a fresh worker, and each worker was gone 10 ms later. The log showed the end of each life with the number of its runs (event 620) and the lost runs (611), but not which of them had only just been started.

Each run now knows whether its worker has survived its start: a poll that was sent 250 ms after the start or later reports it. The other runs are suspects when the worker's life ends. Event 618 names each suspect with the time since its start, what is known of the start, how the end became known and why no run is to be blamed: a drain, an order for the machine, an evacuation, or another worker without suspects that was lost at the same time. Nothing is decided by it yet.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -116,6 +116,9 @@
     /// A task whose earlier run did not end as done is placed again.
     #[strum(message = "A task whose earlier run did not end as done is placed again.")]
     RunRepeated = 617,
+    /// A worker crashed before it had confirmed a run, which may be the cause.
+    #[strum(message = "A worker crashed before it had confirmed a run, which may be the cause.")]
+    RunSuspected = 618,
     /// A worker's life ended; its runs are lost.
     #[strum(message = "A worker's life ended; its runs are lost.")]
     WorkerLifeEnded = 620,
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod backlog;
+mod crashes;
 mod persistence;
 mod polling;
 mod queries;
@@ -31,6 +32,7 @@
 use crate::settings::ControlSettings;
 use crate::shard::advice::{StepAdvice, StepKey};
 use crate::shard::backlog::{BacklogEntry, BacklogIndex, ReadyStep};
+use crate::shard::crashes::CrashHistory;
 use crate::shard::persistence::StoreQueue;
 use crate::shard::survey::STALE_ORDER_TIME;
 use crate::urgency::{latest_start, remaining_critical_path};
@@ -70,6 +72,7 @@
     confirmed_at: Instant,
     /// Number of worker lives that this owner has seen end.
     ended_lives: u64,
+    crashes: CrashHistory,
     /// As of when each input is known.
     inputs_read: IndexMap<ShardInput, Instant>,
     /// When this owner took the shard over.
@@ -177,6 +180,7 @@
             store_queue: StoreQueue::new(now),
             confirmed_at: now,
             ended_lives: 0,
+            crashes: CrashHistory::default(),
             inputs_read: IndexMap::new(),
             taken_over_at: now,
             unsurveyed_since: Some(now),
@@ -414,6 +418,7 @@
             phase,
             since: now,
             reported: false,
+            unconfirmed_since: (phase == RunPhase::Inherited).then_some(now),
             start_attempts: 0,
             stop_sent: None,
             stop_acknowledged: None,
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -9,7 +9,7 @@
 use super::ShardController;
 use crate::message::{CallFault, FinishedRun, PaceOrder, PollOrder, PollReport, ShardCommand};
 use crate::pace::next_pace;
-use crate::worker::{ClockReading, LifeEnd, RunPhase, WorkerEntry, WorkerRecord};
+use crate::worker::{ClockReading, LifeEnd, RunPhase, WorkerEntry, WorkerPhase, WorkerRecord};
 
 impl ShardController {
     /// Applies a new list of workers; a worker that is missing from it gets no more starts.
@@ -29,6 +29,8 @@
                     // A later life in the list means that the known one has ended.
                     if worker.life.is_some_and(|life| entry.life > life) {
                         ended.push((entry.id.clone(), LifeEnd::Listed));
+                    } else {
+                        worker.announced_drain |= entry.phase == WorkerPhase::Draining;
                     }
                     worker.listed = true;
                     worker.entry = entry;
@@ -129,6 +131,7 @@
             }
             Err(fault) => {
                 worker.missed_polls += 1;
+                worker.lost_since.get_or_insert(now);
                 worker.silent_at = Some(order.sent_at);
                 let doubled = self.settings.poll_retry * (1 << (worker.missed_polls - 1).min(4));
                 worker.poll_due = now + doubled.min(self.settings.poll_retry_max);
@@ -176,6 +179,7 @@
         self.placement_needed |= !worker.synced || worker.missed_polls > 0;
         worker.life = Some(report.life);
         worker.missed_polls = 0;
+        worker.lost_since = None;
         if !worker.synced {
             worker.synced = true;
             worker.poll_due = now;
@@ -240,7 +244,7 @@
         let max_attempts = self.settings.max_start_attempts;
         let mut reported = Vec::new();
         for active in &report.running {
-            self.reconcile_active_run(&order.worker, active, now);
+            self.reconcile_active_run(order, active, now);
             reported.push((&active.task, active.run));
         }
         let Some(worker) = self.workers.get_mut(&order.worker) else {
@@ -280,10 +284,12 @@
 
     fn reconcile_active_run(
         &mut self,
-        id: &WorkerId,
+        order: &PollOrder,
         active: &crate::message::ActiveRun,
         now: Instant,
     ) {
+        let id = &order.worker;
+        self.confirm_survival(order, active);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -180,6 +180,7 @@
     pub(super) fn end_worker_life(&mut self, id: &WorkerId, cause: LifeEnd, now: Instant) {
         let lease = self.settings.longest_lease;
         let lease = lease.div_f64(1.0 - self.settings.clock_drift);
+        let crash = self.assess_crash(id, cause, now);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -195,6 +196,8 @@
         worker.acknowledged_end = 0;
         worker.inherited_lease_end = worker.inherited_lease_end.max(now + lease);
         worker.silent_at = None;
+        worker.announced_drain = false;
+        worker.lost_since = None;
         // The address is polled again later, in case it still belongs to this worker.
         worker.poll_due = match cause {
             LifeEnd::Listed | LifeEnd::Reported => now,
@@ -202,6 +205,7 @@
         };
         let mut lost = Vec::new();
         for (name, run) in &mut worker.runs {
+            run.unconfirmed_since = None;
             if cause.may_survive(run) {
                 run.stop_sent = None;
                 run.stop_acknowledged = None;
@@ -218,6 +222,9 @@
         for (name, run) in lost {
             self.end_run(id, &name, run, RunEnd::Lost, None, now);
         }
+        if let Some(crash) = crash {
+            self.record_crash(crash);
+        }
     }
 
     /// Ends all runs on a worker as lost.
--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -31,6 +31,7 @@
         };
         run.phase = RunPhase::Sent;
         run.since = now;
+        run.unconfirmed_since = Some(now);
         let run_number = run.run;
         let Some(job) = self.jobs.get(&task.job) else {
             return;
@@ -102,6 +103,10 @@
                 worker.poll_due = worker.poll_due.min(now);
             }
             StartOutcome::OtherLife => {
+                // This start was refused.
+                if run.start_attempts == 0 {
+                    run.unconfirmed_since = None;
+                }
                 self.end_worker_life(&order.worker, LifeEnd::AddressReused, now);
             }
             StartOutcome::Malformed => {
--- a/crates/control/src/shard/survey.rs
+++ b/crates/control/src/shard/survey.rs
@@ -30,6 +30,11 @@
         for (_, worker) in self.workers.iter_mut() {
             let machine = worker.entry.machine.as_ref();
             worker.machine_down = machine.is_some_and(|machine| order.down.contains(machine));
+            if worker.machine_down {
+                worker.lost_since.get_or_insert(now);
+            } else if worker.missed_polls == 0 {
+                worker.lost_since = None;
+            }
         }
         for WorkerLife { worker, life } in &order.ended {
             let known = self.workers.get(worker).and_then(|worker| worker.life);
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -136,6 +136,9 @@
     pub since: Instant,
     /// The worker has reported the run as active to this owner.
     pub reported: bool,
+    /// When the last start was sent, or the run inherited, until the worker is known to have
+    /// survived the start.
+    pub unconfirmed_since: Option<Instant>,
     /// Number of starts that went unanswered.
     pub start_attempts: u32,
     /// When the last stop was sent.
@@ -175,6 +178,7 @@
             phase: RunPhase::Stopping,
             since: now,
             reported: true,
+            unconfirmed_since: None,
             start_attempts: 0,
             stop_sent: None,
             stop_acknowledged: None,
@@ -246,6 +250,10 @@
     pub machine_down: bool,
     /// When the current drain request began.
     pub drain_since: Option<Instant>,
+    /// The platform has listed the worker as draining in its current life.
+    pub announced_drain: bool,
+    /// First sign that the worker may be lost, while there is one.
+    pub lost_since: Option<Instant>,
     /// Last run end that was applied.
     pub applied_end: EndNumber,
     /// Last run end whose effect is stored.
@@ -286,6 +294,8 @@
             machine_ordered: false,
             machine_down: false,
             drain_since: None,
+            announced_drain: false,
+            lost_since: None,
             applied_end: 0,
             stored_end: 0,
             acknowledged_end: 0,
@@ -377,6 +387,12 @@
         self.machine_down || self.missed_polls > 1 || self.entry.phase == WorkerPhase::Draining
     }
 
+    /// Returns whether any run's start may still crash the worker.
+    pub fn has_suspects(&self) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|run| run.unconfirmed_since.is_some())
+    }
+
     /// Returns whether the machine controller has requested to drain the worker.
     pub fn has_drain_request(&self, now: Instant) -> bool {
         self.drain_until.is_some_and(|until| now < until)
