Store how many workers crashed when they started a task

What callers saw: a task that crashes its workers is started without end. The owner that sees a crash is often not the one that sends the next start, so the number of crashes has to outlast a change of owner.

The state of a job now holds the crashes in a row under each task that has any, and images of states have format version 2. Images of version 1 are read as before, those of submissions stay at version 1. The count is sparse: nothing is added to the image of a task that no worker crashed under, apart from one byte a job. Nothing counts yet.

--- a/crates/job/src/image.rs
+++ b/crates/job/src/image.rs
@@ -1,6 +1,7 @@
 //! Stored images of submissions and job states: a format version, the CRC-32 of the body, and the
 //! body in bincode.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, SystemTime};
 
 use bincode::config::{self, Configuration, Limit, LittleEndian};
@@ -10,10 +11,14 @@
 use thiserror::Error;
 
 use crate::spec::JobSpec;
-use crate::state::JobState;
+use crate::state::{JobState, OccurrenceState};
 
-/// Format version that this build writes.
-pub const IMAGE_VERSION: u8 = 1;
+/// Format version of submissions.
+const SUBMISSION_VERSION: u8 = 1;
+/// Format version of the states of jobs.
+const STATE_VERSION: u8 = 2;
+/// Format version of the states of jobs without the crashes of workers.
+const STATE_VERSION_WITHOUT_CRASHES: u8 = 1;
 /// Size of the checksum, which is little-endian.
 const CHECKSUM_BYTES: usize = 4;
 /// Maximum size of the body of an image.
@@ -47,6 +52,29 @@
     pub objective: Duration,
 }
 
+/// A [`JobState`] in [`STATE_VERSION_WITHOUT_CRASHES`].
+#[derive(Deserialize)]
+struct StateWithoutCrashes {
+    cancelled: bool,
+    failed: bool,
+    started: bool,
+    opened: OccurrenceNumber,
+    occurrences: Vec<OccurrenceState>,
+}
+
+impl From<StateWithoutCrashes> for JobState {
+    fn from(state: StateWithoutCrashes) -> Self {
+        Self {
+            cancelled: state.cancelled,
+            failed: state.failed,
+            started: state.started,
+            opened: state.opened,
+            occurrences: state.occurrences,
+            crashes: BTreeMap::new(),
+        }
+    }
+}
+
 /// Error of encoding or decoding an image.
 #[derive(Debug, Error)]
 pub enum ImageError {
@@ -67,7 +95,7 @@
 ///
 /// Fails when the body exceeds the maximum size.
 pub fn encode_submission(record: &SubmissionRecord) -> Result<Vec<u8>, ImageError> {
-    encode(record)
+    encode(SUBMISSION_VERSION, record)
 }
 
 /// Decodes a submission.
@@ -76,7 +104,10 @@
 ///
 /// Fails on an unknown version, a wrong checksum and malformed bytes.
 pub fn decode_submission(bytes: &[u8]) -> Result<SubmissionRecord, ImageError> {
-    decode(bytes)
+    match split_version(bytes)? {
+        (SUBMISSION_VERSION, rest) => decode(rest),
+        (version, _) => Err(ImageError::UnknownVersion(version)),
+    }
 }
 
 /// Encodes the state of a job.
@@ -85,7 +116,7 @@
 ///
 /// Fails when the body exceeds the maximum size.
 pub fn encode_state(state: &JobState) -> Result<Vec<u8>, ImageError> {
-    encode(state)
+    encode(STATE_VERSION, state)
 }
 
 /// Decodes the state of a job.
@@ -94,25 +125,33 @@
 ///
 /// Fails on an unknown version, a wrong checksum and malformed bytes.
 pub fn decode_state(bytes: &[u8]) -> Result<JobState, ImageError> {
-    decode(bytes)
+    match split_version(bytes)? {
+        (STATE_VERSION, rest) => decode(rest),
+        (STATE_VERSION_WITHOUT_CRASHES, rest) => {
+            decode::<StateWithoutCrashes>(rest).map(JobState::from)
+        }
+        (version, _) => Err(ImageError::UnknownVersion(version)),
+    }
 }
 
-fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, ImageError> {
+fn encode<T: Serialize>(version: u8, value: &T) -> Result<Vec<u8>, ImageError> {
     let body = bincode::serde::encode_to_vec(value, body_config())
         .map_err(|error| ImageError::Malformed(error.to_string()))?;
     if body.len() > MAX_IMAGE_BYTES {
         return Err(ImageError::Malformed(format!("{} bytes", body.len())));
     }
     let checksum = crc32fast::hash(&body).to_le_bytes();
-    Ok([&[IMAGE_VERSION], checksum.as_slice(), body.as_slice()].concat())
+    Ok([&[version], checksum.as_slice(), body.as_slice()].concat())
 }
 
-fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, ImageError> {
+fn split_version(bytes: &[u8]) -> Result<(u8, &[u8]), ImageError> {
     let (version, rest) = bytes.split_first().ok_or(ImageError::Damaged)?;
-    if *version != IMAGE_VERSION {
-        return Err(ImageError::UnknownVersion(*version));
-    }
-    let (checksum, body) = rest
+    Ok((*version, rest))
+}
+
+/// Decodes what follows the format version.
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, ImageError> {
+    let (checksum, body) = bytes
         .split_first_chunk::<CHECKSUM_BYTES>()
         .ok_or(ImageError::Damaged)?;
     if crc32fast::hash(body).to_le_bytes() != *checksum {
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -18,6 +18,7 @@
     pub use crate::name::TaskName;
     pub use crate::spec::{JobSpec, SpecError, StepSpec};
     pub use crate::state::{
-        JobState, JobStatus, OccurrenceState, RunEnd, TaskPhase, TaskPlacement, TaskState,
+        CrashTally, JobState, JobStatus, OccurrenceState, RunEnd, TaskPhase, TaskPlacement,
+        TaskState,
     };
 }
--- a/crates/job/src/state.rs
+++ b/crates/job/src/state.rs
@@ -1,5 +1,6 @@
 //! States of jobs and their tasks.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use pw_base::prelude::*;
@@ -20,7 +21,7 @@
     Running,
     /// All tasks are done.
     Completed,
-    /// A task reached its maximum number of failed runs.
+    /// A task reached its maximum number of failed runs, or crashes the workers that start it.
     Failed,
     /// The caller cancelled the job.
     Cancelled,
@@ -100,7 +101,8 @@
 pub struct JobState {
     /// Whether the caller cancelled the job.
     pub cancelled: bool,
-    /// Whether a task reached its maximum number of failed runs.
+    /// Whether a task reached its maximum number of failed runs, or was given up because it crashes
+    /// its workers.
     pub failed: bool,
     /// Whether a task has started.
     pub started: bool,
@@ -108,6 +110,17 @@
     pub opened: OccurrenceNumber,
     /// Opened occurrences with tasks that are not done.
     pub occurrences: Vec<OccurrenceState>,
+    /// Crashes of workers that started a task, for the tasks with any.
+    pub crashes: BTreeMap<(OccurrenceNumber, u32, u32), CrashTally>,
+}
+
+/// Crashes in a row of the workers that started a task.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashTally {
+    /// Number of crashes.
+    pub count: u32,
+    /// Last run that counted; the same crash may be seen by several owners.
+    pub last_run: RunNumber,
 }
 
 impl OccurrenceState {
@@ -286,6 +299,39 @@
         true
     }
 
+    /// Returns the number of workers that crashed in a row when they started a task.
+    pub fn crash_count(&self, task: (OccurrenceNumber, u32, u32)) -> u32 {
+        self.crashes.get(&task).map_or(0, |tally| tally.count)
+    }
+
+    /// Records that a worker crashed when it started a run; returns the number of crashes in a row,
+    /// or `None` if this one has counted before.
+    pub fn record_crash(
+        &mut self,
+        task: (OccurrenceNumber, u32, u32),
+        run: RunNumber,
+    ) -> Option<u32> {
+        let tally = self.crashes.entry(task).or_default();
+        if run <= tally.last_run {
+            return None;
+        }
+        tally.last_run = run;
+        tally.count += 1;
+        Some(tally.count)
+    }
+
+    /// Records that a worker survived the start of a task; returns whether it was under suspicion.
+    pub fn clear_crashes(&mut self, task: (OccurrenceNumber, u32, u32)) -> bool {
+        self.crashes.remove(&task).is_some()
+    }
+
+    /// Lets the job fail because of a task that crashes its workers; returns `false` if it is over.
+    pub fn give_up(&mut self, spec: &JobSpec) -> bool {
+        let open = !self.is_over(spec);
+        self.failed |= open;
+        open
+    }
+
     /// Records the end of a task's last run.
     ///
     /// Returns `false` and changes nothing when `run` is not the placed run. The job fails when a
@@ -321,6 +367,9 @@
         if exhausted && !over {
             self.failed = true;
         }
+        if end == RunEnd::Done {
+            self.crashes.remove(&name);
+        }
         self.occurrences.retain(|occurrence| !occurrence.all_done());
         true
     }
