Give up a task that crashes the workers that start it

Cause: the end of a run with its worker counted as nothing, and all that was on a worker was placed again together, within 20 ms and onto the same worker. So the task went on, and nothing told it from its neighbours.

A crash now counts against the runs whose start the worker had not survived yet. The count is stored with the job; each run counts once, whoever sees its crash. A suspected task starts alone, on the worker with the fewest runs, at most three of a pool at a time, and the worker is polled without a wait meanwhile. A second crash in a row fails the job, if the worker accepted the start, no run of another job was a suspect and no loss at the same moment may have had the same cause; a third one does in any case. Drains, orders, evacuations, lapsed leases and losses together with workers that no start can have crashed count against nothing. A report of the run 100 ms after its start clears its task: a task that lives long sees many workers crash. The survival is read off the worker's own clock, as the answer to a poll may have been held for 2 s.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -119,6 +119,9 @@
     /// A worker crashed before it had confirmed a run, which may be the cause.
     #[strum(message = "A worker crashed before it had confirmed a run, which may be the cause.")]
     RunSuspected = 618,
+    /// A job fails because the workers that started one of its tasks crashed.
+    #[strum(message = "A job fails because the workers that started one of its tasks crashed.")]
+    TaskCrashing = 619,
     /// A worker's life ended; its runs are lost.
     #[strum(message = "A worker's life ended; its runs are lost.")]
     WorkerLifeEnded = 620,
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -9,6 +9,7 @@
 mod room;
 mod run_ends;
 mod scheduling;
+mod solo_starts;
 mod start_stop;
 mod survey;
 mod validity;
@@ -83,6 +84,8 @@
     placement_needed: bool,
     /// The last pass ended because too many starts had no answer.
     starts_exhausted: bool,
+    /// The last pass found no worker for a task that has to start alone.
+    solo_waiting: bool,
     /// Earliest time of the next pass over the waiting tasks.
     next_placement: Instant,
     /// End of the next pause, after which a waiting task may start without any other change.
@@ -186,6 +189,7 @@
             unsurveyed_since: Some(now),
             placement_needed: true,
             starts_exhausted: false,
+            solo_waiting: false,
             next_placement: now,
             recheck_at: None,
             next_idle_tick: now,
@@ -388,8 +392,11 @@
                         step: step as u32,
                         index: index as u32,
                     };
-                    let run =
-                        self.run_record(record, step, task.last_run, RunPhase::Inherited, now);
+                    let position = (occurrence.number, name.step, name.index);
+                    let run = RunRecord {
+                        solo: state.crash_count(position) > 0,
+                        ..self.run_record(record, step, task.last_run, RunPhase::Inherited, now)
+                    };
                     if let Some(account) = &run.account {
                         self.budget.reserve(account, &run.size);
                     }
@@ -419,6 +426,7 @@
             since: now,
             reported: false,
             unconfirmed_since: (phase == RunPhase::Inherited).then_some(now),
+            solo: false,
             start_attempts: 0,
             stop_sent: None,
             stop_acknowledged: None,
--- a/crates/control/src/shard/crashes.rs
+++ b/crates/control/src/shard/crashes.rs
@@ -1,6 +1,8 @@
 //! Crashes of workers, and the runs that may have caused them.
 //!
-//! A run is a suspect until its worker answers a poll that was sent some time after the start.
+//! A run is a suspect until its worker reports it some time after the start. Each
+//! crash counts against its suspects; a task that was suspected before starts alone (see
+//! [`solo_starts`](super::solo_starts)), so that its next crash has no other suspect.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -9,16 +11,22 @@
 use pw_job::prelude::*;
 use strum::Display;
 
-use super::ShardController;
-use crate::message::{ActiveRun, PollOrder};
+use super::{ShardController, TaskPosition};
+use crate::message::ActiveRun;
 use crate::worker::{LifeEnd, RunPhase, RunRecord, WorkerRecord};
 
-/// Time after its start at which a run has not crashed its worker and no longer will.
-const SURVIVAL_TIME: Duration = Duration::from_millis(250);
+/// Time after its start at which a run has not crashed its worker and no longer will. Below
+/// `poll_gap`, so that the first poll after a solo start shows it.
+const SURVIVAL_TIME: Duration = Duration::from_millis(100);
 /// Workers that are lost within this time of each other may have a common cause, such as the power
 /// of their rack. Polls and lists of machines show the losses up to about a second apart.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_secs(1);
 
+/// Crashes in a row after which a task is given up if the last one was certainly its own.
+const PROVEN_CRASHES: u32 = 2;
+/// Crashes in a row after which a task is given up in any case.
+const MAX_CRASHES: u32 = 3;
+
 /// Lives that have ended without a plan within the last [`COMMON_CAUSE_WINDOW`].
 #[derive(Debug, Default)]
 pub(super) struct CrashHistory {
@@ -26,13 +34,14 @@
 }
 
 /// The end of a worker's life that was not planned.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct CrashRecord {
     worker: WorkerId,
     pool: PoolId,
     zone: ZoneId,
     lost_at: Instant,
     has_suspects: bool,
+    has_solo_start: bool,
 }
 
 /// Why no run is blamed for the end of a worker's life.
@@ -53,10 +62,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
 enum StartEvidence {
-    /// The worker accepted it.
+    /// The worker accepted it and answered nothing after that.
     Accepted,
-    /// The worker may have crashed before it.
-    Unanswered,
+    /// The worker reported the run before it crashed.
+    Reported,
+    /// The worker may have crashed before it, and a later life may have accepted it.
+    Uncertain,
     /// An earlier owner sent it at an unknown time.
     Inherited,
 }
@@ -77,14 +88,27 @@
     cause: LifeEnd,
     suspects: Vec<CrashSuspect>,
     excuse: Option<CrashExcuse>,
+    /// No loss at the same time may have had the same cause.
+    isolated: bool,
+}
+
+impl CrashReport {
+    /// Returns whether only one job can have caused the crash.
+    fn is_certain(&self, suspect: &CrashSuspect) -> bool {
+        let mut others = self.suspects.iter();
+        self.isolated
+            && suspect.evidence == StartEvidence::Accepted
+            && others.all(|other| other.task.job == suspect.task.job)
+    }
 }
 
 impl StartEvidence {
-    fn of(run: &RunRecord) -> Self {
+    fn of(run: &RunRecord, cause: LifeEnd) -> Self {
         match run.phase {
             RunPhase::Inherited => Self::Inherited,
-            RunPhase::Running => Self::Accepted,
-            _ => Self::Unanswered,
+            RunPhase::Running if run.reported => Self::Reported,
+            RunPhase::Running if !cause.may_survive(run) => Self::Accepted,
+            _ => Self::Uncertain,
         }
     }
 }
@@ -97,6 +121,7 @@
             zone: worker.entry.zone.clone(),
             lost_at,
             has_suspects: worker.has_suspects(),
+            has_solo_start: worker.counts.solo > 0,
         }
     }
 
@@ -107,6 +132,11 @@
             && apart <= COMMON_CAUSE_WINDOW
             && (self.pool == other.pool || self.zone == other.zone)
     }
+
+    /// Returns whether a related loss was not another solo start's, elsewhere.
+    fn may_share_cause(&self, other: &Self) -> bool {
+        self.zone == other.zone || !other.has_solo_start
+    }
 }
 
 impl CrashHistory {
@@ -118,17 +148,33 @@
 }
 
 impl ShardController {
-    /// Clears a run of suspicion if its worker has survived the start.
-    pub(super) fn confirm_survival(&mut self, order: &PollOrder, active: &ActiveRun) {
-        let worker = self.workers.get_mut(&order.worker);
-        let run = worker.and_then(|worker| worker.runs.get_mut(&active.task));
-        if let Some(run) = run
-            && run.run == active.run
-            && run
-                .unconfirmed_since
-                .is_some_and(|since| order.sent_at >= since + SURVIVAL_TIME)
-        {
-            run.unconfirmed_since = None;
+    /// Clears a run of suspicion if its worker has survived the start by `clock`, and its task too:
+    /// the workers that crashed under it before did so for another reason.
+    pub(super) fn confirm_survival(
+        &mut self,
+        worker: &WorkerId,
+        active: &ActiveRun,
+        clock: WorkerMillis,
+    ) {
+        let Some(worker) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let task = &active.task;
+        let run = worker.runs.get(task).filter(|run| run.run == active.run);
+        let survived = run.is_some_and(|run| {
+            run.unconfirmed_since.is_some_and(|since| {
+                let survived = worker.latest_clock(since + SURVIVAL_TIME);
+                run.phase == RunPhase::Inherited || survived.is_some_and(|latest| clock >= latest)
+            })
+        });
+        if !survived {
+            return;
+        }
+        worker.clear_suspicion(task);
+        self.placement_needed |= self.solo_waiting;
+        let job = self.jobs.get_mut(&task.job);
+        if job.is_some_and(|job| job.state.clear_crashes(position_of(task))) {
+            self.store_queue.mark_changed(&task.job);
         }
     }
 
@@ -152,11 +198,14 @@
             Some(CrashSuspect {
                 task: task.clone(),
                 run: run.run,
-                evidence: StartEvidence::of(run),
+                evidence: StartEvidence::of(run, cause),
                 unconfirmed: now.saturating_duration_since(run.unconfirmed_since?),
             })
         });
         let suspects: Vec<CrashSuspect> = unconfirmed.collect();
+        let isolated = !self
+            .losses_related_to(&crash)
+            .any(|other| crash.may_share_cause(&other));
         if matches!(excuse, None | Some(CrashExcuse::CommonCause)) {
             self.crashes.record(crash, now);
         }
@@ -165,6 +214,7 @@
             cause,
             suspects,
             excuse,
+            isolated,
         })
     }
 
@@ -183,32 +233,73 @@
 
     /// Returns whether a worker without suspects was lost at the same time as another one.
     fn has_common_cause(&self, crash: &CrashRecord) -> bool {
-        let mut ended = self.crashes.crashes.iter();
-        let mut lost = self.workers.values().filter(|worker| {
+        let mut others = self.losses_related_to(crash);
+        others.any(|other| !other.has_suspects)
+    }
+
+    /// Returns the losses at the same time as another one, of lives that have ended and of workers
+    /// that do not answer.
+    fn losses_related_to(&self, crash: &CrashRecord) -> impl Iterator<Item = CrashRecord> {
+        let silent = self.workers.values().filter(|worker| {
             let gone = worker.machine_down || worker.missed_polls > 1;
             gone && worker.life.is_some() && self.plan_of(worker).is_none()
         });
-        ended.any(|other| !other.has_suspects && crash.is_related(other))
-            || lost.any(|worker| {
-                let record = worker.lost_since.map(|at| CrashRecord::new(worker, at));
-                record.is_some_and(|other| !other.has_suspects && crash.is_related(&other))
-            })
+        let silent = silent.filter_map(|worker| Some(CrashRecord::new(worker, worker.lost_since?)));
+        let losses = self.crashes.crashes.iter().cloned().chain(silent);
+        losses.filter(|other| crash.is_related(other))
     }
 
-    /// Logs the suspects of a crash.
-    pub(super) fn record_crash(&mut self, crash: CrashReport) {
-        let excuse = crash.excuse.map(|excuse| excuse.to_string());
-        let excuse = excuse.as_deref().unwrap_or("none");
-        metrics::counter!("pw_worker_crashes_total", "excuse" => excuse.to_owned()).increment(1);
-        let (worker, cause, suspects) = (&*crash.worker, crash.cause, crash.suspects.len());
+    /// Counts a crash against its suspects, and gives up the tasks that have caused too many.
+    pub(super) fn record_crash(&mut self, crash: &CrashReport, now: Instant) {
+        log_crash(crash);
+        if crash.excuse.is_some() {
+            return;
+        }
         for suspect in &crash.suspects {
-            let event = EventCode::RunSuspected.number();
-            let (task, run, start) = (&suspect.task, suspect.run, suspect.evidence);
-            let unconfirmed_ms = suspect.unconfirmed.as_millis() as u64;
-            tracing::warn!(
-                event, %task, run, worker, %cause, %start, unconfirmed_ms, suspects, excuse,
-                "worker crashed before the run was confirmed"
-            );
+            let task = &suspect.task;
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            let crashes = job.state.record_crash(position_of(task), suspect.run);
+            let Some(crashes) = crashes else {
+                continue;
+            };
+            self.store_queue.mark_changed(&task.job);
+            let proven = crashes >= PROVEN_CRASHES && crash.is_certain(suspect);
+            if !proven && crashes < MAX_CRASHES {
+                continue;
+            }
+            if job.state.give_up(&job.submission.spec) {
+                metrics::counter!("pw_crashing_tasks_total").increment(1);
+                let event = EventCode::TaskCrashing.number();
+                let (run, worker) = (suspect.run, &*crash.worker);
+                tracing::error!(
+                    event, %task, run, worker, crashes, proven, "job fails as its task crashes workers"
+                );
+                self.changed_jobs.insert(task.job.clone());
+                self.stop_job(&task.job, now);
+            }
         }
     }
 }
+
+/// Logs the suspects of a crash.
+fn log_crash(crash: &CrashReport) {
+    let excuse = crash.excuse.map(|excuse| excuse.to_string());
+    let excuse = excuse.as_deref().unwrap_or("none");
+    metrics::counter!("pw_worker_crashes_total", "excuse" => excuse.to_owned()).increment(1);
+    let (worker, cause, suspects) = (&*crash.worker, crash.cause, crash.suspects.len());
+    for suspect in &crash.suspects {
+        let event = EventCode::RunSuspected.number();
+        let (task, run, start) = (&suspect.task, suspect.run, suspect.evidence);
+        let unconfirmed_ms = suspect.unconfirmed.as_millis() as u64;
+        tracing::warn!(
+            event, %task, run, worker, %cause, %start, unconfirmed_ms, suspects, excuse,
+            "worker crashed before the run was confirmed"
+        );
+    }
+}
+
+fn position_of(task: &TaskName) -> TaskPosition {
+    (task.occurrence, task.step, task.index)
+}
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -83,7 +83,11 @@
             } else {
                 None
             };
-            let waits = worker.synced && worker.missed_polls == 0 && worker.has_runs();
+            // A run under suspicion is to be confirmed soon.
+            let waits = worker.synced
+                && worker.missed_polls == 0
+                && worker.has_runs()
+                && worker.counts.solo == 0;
             // The next task moves once this one is ready. Readiness does not end a worker's wait,
             // so the wait is short.
             // Nothing ends a wait for a stopped run that never started.
@@ -191,6 +195,7 @@
             clock: report.clock,
             at: answered_at,
         });
+        worker.bound_clock(report.clock, order.sent_at);
         self.apply_run_ends(order, &report, now);
         self.reconcile_runs(order, &report, now);
         self.adjust_paces(&order.worker, now);
@@ -244,7 +249,8 @@
         let max_attempts = self.settings.max_start_attempts;
         let mut reported = Vec::new();
         for active in &report.running {
-            self.reconcile_active_run(order, active, now);
+            self.confirm_survival(&order.worker, active, report.clock);
+            self.reconcile_active_run(&order.worker, active, now);
             reported.push((&active.task, active.run));
         }
         let Some(worker) = self.workers.get_mut(&order.worker) else {
@@ -284,12 +290,10 @@
 
     fn reconcile_active_run(
         &mut self,
-        order: &PollOrder,
+        id: &WorkerId,
         active: &crate::message::ActiveRun,
         now: Instant,
     ) {
-        let id = &order.worker;
-        self.confirm_survival(order, active);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -190,6 +190,7 @@
         worker.ended_lives = self.ended_lives;
         worker.life = None;
         worker.clock_reading = None;
+        worker.clock_bound = None;
         worker.lease_granted_until = 0;
         worker.applied_end = 0;
         worker.stored_end = 0;
@@ -204,8 +205,8 @@
             _ => now + self.settings.poll_retry_max,
         };
         let mut lost = Vec::new();
+        worker.clear_suspicions();
         for (name, run) in &mut worker.runs {
-            run.unconfirmed_since = None;
             if cause.may_survive(run) {
                 run.stop_sent = None;
                 run.stop_acknowledged = None;
@@ -223,7 +224,7 @@
             self.end_run(id, &name, run, RunEnd::Lost, None, now);
         }
         if let Some(crash) = crash {
-            self.record_crash(crash);
+            self.record_crash(&crash, now);
         }
     }
 
--- a/crates/control/src/shard/scheduling.rs
+++ b/crates/control/src/shard/scheduling.rs
@@ -9,10 +9,11 @@
 use super::backlog::{NextStep, PoolRooms};
 use super::persistence::PlannedStart;
 use super::room::PoolRoom;
+use super::solo_starts::admits_start;
 use super::{JobRecord, ShardController, TaskPosition, reserved_size};
 use crate::placement::{Candidate, PlacementRequest};
 use crate::urgency::terms_of;
-use crate::worker::{RunPhase, WorkerRecord};
+use crate::worker::{RunPhase, RunRecord, WorkerRecord};
 
 /// Sizes that no worker of a pool could fit in this pass; tasks at least as large are skipped.
 type UnplaceableSizes = Vec<(PoolId, ResourceSize)>;
@@ -26,6 +27,7 @@
     pub(super) fn place_waiting(&mut self, now: Instant) {
         let mut unplaceable = UnplaceableSizes::new();
         self.blocked.clear();
+        self.solo_waiting = false;
         // Placing tasks marks their jobs as changed; they are indexed again after the pass.
         let backlog = std::mem::take(&mut self.backlog);
         let rooms = backlog
@@ -78,6 +80,7 @@
         let open = self.workers.values().filter(|worker| {
             worker.entry.pool == *pool
                 && worker.accepts_starts(now)
+                && worker.counts.solo == 0
                 && !self.is_evacuated(&worker.entry.zone)
         });
         PoolRoom::of(open.map(WorkerRecord::room))
@@ -128,6 +131,10 @@
                     if queue.is_some_and(|queue| self.advice_rule(&queue).is_some()) {
                         self.request_advice(&(job.clone(), occurrence, step), &spec, now);
                     }
+                    if self.is_suspected(job, position, &spec) {
+                        self.solo_waiting = true;
+                        continue;
+                    }
                     self.count_blocked(job, &spec, now);
                     break;
                 }
@@ -260,19 +267,24 @@
         }
         let needs_ticket = self.advice_rule(&record.queue).is_some();
         let step_key = (job.clone(), position.0, position.1);
+        let solo = self.is_suspected(job, position, spec);
         let is_constrained =
-            spec.required_label.is_some() || spec.max_per_worker > 0 || needs_ticket;
+            spec.required_label.is_some() || spec.max_per_worker > 0 || needs_ticket || solo;
         let is_unplaceable =
             |(pool, tried): &(PoolId, ResourceSize)| *pool == record.pool && tried.fits_into(&size);
         if unplaceable.iter().any(is_unplaceable) {
             return None;
         }
         let name = task_name(job, position);
+        if solo && !self.may_start_solo(&record.pool, &name, spec, now) {
+            return None;
+        }
         let open = self.workers.values().filter(|worker| {
             worker.entry.pool == record.pool
                 && worker.accepts_starts(now)
                 && !self.is_evacuated(&worker.entry.zone)
                 && size.fits_into(&worker.room())
+                && admits_start(worker, &name, spec, solo)
                 && !(spec.long_running && self.may_have_machine_order(worker, now))
                 && (!needs_ticket || self.ticket(&step_key, &worker.entry.id, now).is_some())
         });
@@ -284,7 +296,10 @@
                 ..candidate
             })
         });
-        let candidates: Vec<Candidate<'_>> = candidates.collect();
+        let mut candidates: Vec<Candidate<'_>> = candidates.collect();
+        if solo {
+            self.keep_emptiest(&mut candidates);
+        }
         let request = PlacementRequest {
             size,
             long_running: spec.long_running,
@@ -319,14 +334,18 @@
         self.changed_jobs.insert(job.clone());
         let submission = record.submission.clone();
         let step = position.1 as usize;
-        let run_record = self.run_record(&submission, step, run, RunPhase::Planned, now);
+        let solo = self.is_suspected(job, position, &submission.spec.steps[step]);
+        let run_record = RunRecord {
+            solo,
+            ..self.run_record(&submission, step, run, RunPhase::Planned, now)
+        };
         if let Some(account) = &run_record.account {
             self.budget.reserve(account, &run_record.size);
         }
         let task = task_name(job, position);
         if run > 1 {
             let event = EventCode::RunRepeated.number();
-            tracing::info!(event, %task, run, worker = &**id, life, "task is placed again");
+            tracing::info!(event, %task, run, worker = &**id, life, solo, "task is placed again");
         }
         if let Some(worker) = self.workers.get_mut(id) {
             worker.add_run(task.clone(), run_record);
--- /dev/null
+++ b/crates/control/src/shard/solo_starts.rs
@@ -0,0 +1,87 @@
+//! Solo starts: a task under which a worker has crashed starts on a worker that has survived all its
+//! other starts, and that gets no more of them until it has survived this one too.
+
+use std::time::{Duration, Instant};
+
+use pw_base::prelude::*;
+use pw_job::prelude::*;
+
+use super::{ShardController, TaskPosition};
+use crate::placement::Candidate;
+use crate::worker::{RunRecord, WorkerRecord};
+
+/// Maximum number of workers of a pool with a solo start. It bounds how fast a pool loses workers to
+/// tasks that crash them.
+const MAX_SOLO_STARTS: usize = 3;
+/// Time for which a lost worker counts towards this maximum.
+const LOST_SOLO_TIME: Duration = Duration::from_secs(1);
+
+impl ShardController {
+    /// Returns whether a worker crashed when it started the task, or a member of its gang.
+    pub(super) fn is_suspected(
+        &self,
+        job: &JobId,
+        position: TaskPosition,
+        spec: &StepSpec,
+    ) -> bool {
+        let Some(job) = self.jobs.get(job) else {
+            return false;
+        };
+        let (occurrence, step, _) = position;
+        let members = if spec.gang { spec.count } else { 0 };
+        job.state.crash_count(position) > 0
+            || (0..members).any(|index| job.state.crash_count((occurrence, step, index)) > 0)
+    }
+
+    /// Returns whether one more task may start alone in a pool, besides the other members of its
+    /// gang.
+    pub(super) fn may_start_solo(
+        &self,
+        pool: &PoolId,
+        task: &TaskName,
+        spec: &StepSpec,
+        now: Instant,
+    ) -> bool {
+        let busy = self.workers.values().filter(|worker| {
+            let lost = worker.lost_since;
+            let counts = lost.is_none_or(|since| now < since + LOST_SOLO_TIME);
+            let mut runs = worker.runs.iter();
+            worker.counts.solo > 0
+                && worker.entry.pool == *pool
+                && counts
+                && runs.any(|(name, run)| run.solo && !is_member(name, task, spec))
+        });
+        busy.count() < MAX_SOLO_STARTS
+    }
+
+    /// Keeps the candidates with the fewest runs, which a crash would end.
+    pub(super) fn keep_emptiest(&self, candidates: &mut Vec<Candidate<'_>>) {
+        let run_count = |candidate: &Candidate<'_>| {
+            let worker = self.workers.get(candidate.worker);
+            worker.map_or(0, |worker| worker.runs.len())
+        };
+        let fewest = candidates.iter().map(run_count).min();
+        candidates.retain(|candidate| Some(run_count(candidate)) == fewest);
+    }
+}
+
+/// Returns whether a worker may get a start beside those that it has not survived yet.
+pub(super) fn admits_start(
+    worker: &WorkerRecord,
+    task: &TaskName,
+    spec: &StepSpec,
+    solo: bool,
+) -> bool {
+    let mut runs = worker.runs.iter();
+    let blocks = |run: &RunRecord| run.solo || solo && run.is_unconfirmed();
+    worker.counts.solo == 0 && !solo
+        || runs.all(|(name, run)| !blocks(run) || is_member(name, task, spec))
+}
+
+/// Returns whether another run is one of the same gang.
+fn is_member(other: &TaskName, task: &TaskName, spec: &StepSpec) -> bool {
+    spec.gang
+        && other.step == task.step
+        && other.occurrence == task.occurrence
+        && other.job == task.job
+}
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -139,6 +139,8 @@
     /// When the last start was sent, or the run inherited, until the worker is known to have
     /// survived the start.
     pub unconfirmed_since: Option<Instant>,
+    /// The run is under suspicion: no other start is added to the worker until it has survived.
+    pub solo: bool,
     /// Number of starts that went unanswered.
     pub start_attempts: u32,
     /// When the last stop was sent.
@@ -169,6 +171,11 @@
         self.start_attempts > 0 || matches!(self.phase, RunPhase::Sent | RunPhase::Unanswered)
     }
 
+    /// Returns whether the worker may still crash because of the run's start.
+    pub fn is_unconfirmed(&self) -> bool {
+        self.phase == RunPhase::Planned || self.unconfirmed_since.is_some()
+    }
+
     /// Returns the record of a run that was not placed on the worker.
     pub fn orphan(run: RunNumber, now: Instant) -> Self {
         Self {
@@ -179,6 +186,7 @@
             since: now,
             reported: true,
             unconfirmed_since: None,
+            solo: false,
             start_attempts: 0,
             stop_sent: None,
             stop_acknowledged: None,
@@ -201,6 +209,8 @@
     pub best_effort: usize,
     /// Runs with an upper bound of their tail latency.
     pub serving: usize,
+    /// Runs under suspicion.
+    pub solo: usize,
 }
 
 impl RunCounts {
@@ -208,12 +218,14 @@
         self.long_running += usize::from(run.long_running);
         self.best_effort += usize::from(run.best_effort);
         self.serving += usize::from(run.target_latency.is_some());
+        self.solo += usize::from(run.solo);
     }
 
     fn subtract(&mut self, run: &RunRecord) {
         self.long_running -= usize::from(run.long_running);
         self.best_effort -= usize::from(run.best_effort);
         self.serving -= usize::from(run.target_latency.is_some());
+        self.solo -= usize::from(run.solo);
     }
 }
 
@@ -235,6 +247,8 @@
     /// Number of worker lives in the shard that this owner had seen end when this one began.
     pub ended_lives: u64,
     pub clock_reading: Option<ClockReading>,
+    /// Reading that gives the best upper bound of the worker's clock, dated by the request.
+    pub clock_bound: Option<ClockReading>,
     /// Latest lease end that this owner has sent, on the worker's clock.
     pub lease_granted_until: WorkerMillis,
     /// The worker has answered this owner, so it rejects earlier owners.
@@ -287,6 +301,7 @@
             life: None,
             ended_lives,
             clock_reading: None,
+            clock_bound: None,
             lease_granted_until: 0,
             synced: false,
             inherited_lease_end: now,
@@ -329,6 +344,25 @@
         Some(reading.clock + passed.as_millis() as WorkerMillis)
     }
 
+    /// Returns an upper bound of the worker's clock, which is never faster than the owner's, if a
+    /// reading is known.
+    pub fn latest_clock(&self, at: Instant) -> Option<WorkerMillis> {
+        let bound = self.clock_bound?;
+        let passed = at.saturating_duration_since(bound.at);
+        Some(bound.clock + passed.as_millis() as WorkerMillis)
+    }
+
+    /// Updates the upper bound with a clock reading that was requested at a time.
+    pub fn bound_clock(&mut self, clock: WorkerMillis, requested_at: Instant) {
+        if self
+            .latest_clock(requested_at)
+            .is_none_or(|latest| clock < latest)
+        {
+            let at = requested_at;
+            self.clock_bound = Some(ClockReading { clock, at });
+        }
+    }
+
     /// Returns and records the end of a lease that is requested now.
     pub fn renew(&mut self, now: Instant, lease: Duration, drift: f64) -> Option<WorkerMillis> {
         let until = self.clock(now, drift)? + lease.as_millis() as WorkerMillis;
@@ -365,6 +399,24 @@
         Some(removed)
     }
 
+    /// Records that a run's start no longer threatens the worker.
+    pub fn clear_suspicion(&mut self, task: &TaskName) {
+        if let Some(run) = self.runs.get_mut(task) {
+            run.unconfirmed_since = None;
+            self.counts.solo -= usize::from(run.solo);
+            run.solo = false;
+        }
+    }
+
+    /// Clears all runs of suspicion.
+    pub fn clear_suspicions(&mut self) {
+        for run in self.runs.values_mut() {
+            run.unconfirmed_since = None;
+            run.solo = false;
+        }
+        self.counts.solo = 0;
+    }
+
     /// Returns the unreserved resources.
     pub fn room(&self) -> ResourceSize {
         self.entry.capacity.minus(&self.used)
--- a/crates/control/tests/support/answers.rs
+++ b/crates/control/tests/support/answers.rs
@@ -158,6 +158,7 @@
         let worker = &self.workers[&order.worker];
         if worker.running.len() > active {
             self.record_start(order);
+            self.crash_under(order);
         }
         outcome
     }
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -10,6 +10,7 @@
 
 mod answers;
 mod checks;
+pub mod crashes;
 pub mod network;
 pub mod owner;
 pub mod soak;
@@ -27,6 +28,7 @@
 use pw_worker::prelude::*;
 
 use self::checks::AcknowledgedEnd;
+use self::crashes::CrashPlan;
 use self::network::{FatePolicy, LateOrder, OrderFate};
 use self::owner::OwnerProcess;
 use self::worker::FakeWorker;
@@ -102,6 +104,8 @@
     drain_requests: (Vec<WorkerId>, Vec<WorkerId>),
     /// Lives that the machine controller reports as ended.
     pub ended: Vec<WorkerLife>,
+    /// Crashes of workers, and what the platform shows of them.
+    pub crashes: CrashPlan,
     surveyed_at: Instant,
     /// Workers for which the advice service issues tickets.
     pub eligible_workers: Vec<WorkerId>,
@@ -152,6 +156,7 @@
             surveys_enabled: true,
             drain_requests: Default::default(),
             ended: Vec::new(),
+            crashes: CrashPlan::default(),
             surveyed_at: now,
             eligible_workers: Vec::new(),
             advice_requests: Vec::new(),
@@ -263,8 +268,8 @@
         self.handle_event(ShardEvent::Surveyed(SurveyOrder {
             drain,
             ordered,
+            down: self.down_machines(),
             ended: self.ended.clone(),
-            ..Default::default()
         }));
         self.surveyed_at = self.now;
     }
@@ -340,6 +345,7 @@
             self.now += self.time_step;
             self.wall += self.time_step;
             self.deliver_late_orders();
+            self.advance_crashes();
             self.advance_workers();
             self.deliver();
             if self.surveys_enabled && self.now >= self.surveyed_at + SURVEY_INTERVAL {
--- a/crates/control/tests/support/worker.rs
+++ b/crates/control/tests/support/worker.rs
@@ -18,6 +18,8 @@
     pub unreachable: bool,
     /// The worker has crashed.
     pub crashed: bool,
+    /// When the worker crashes.
+    pub crashes_at: Option<Instant>,
     /// The worker executes starts, but their answers get lost.
     pub drops_start_answers: bool,
     /// The worker refuses all starts as unhealthy.
@@ -74,6 +76,7 @@
             entry,
             unreachable: false,
             crashed: false,
+            crashes_at: None,
             drops_start_answers: false,
             unhealthy: false,
             address_reused: false,
