Size pools without the tasks that wait for a solo start

Cause: everything that was lost with a worker waits at once, so the pool asked for machines to run it all at once. Tasks under suspicion start one after the other, so most of that room would stand empty.

The waiting work of a pool now counts one of the suspected tasks of a step, and all members of a gang, which start together.

--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -35,6 +35,7 @@
 use crate::shard::backlog::{BacklogEntry, BacklogIndex, ReadyStep};
 use crate::shard::crashes::CrashHistory;
 use crate::shard::persistence::StoreQueue;
+use crate::shard::solo_starts::postponed_starts;
 use crate::shard::survey::STALE_ORDER_TIME;
 use crate::urgency::{latest_start, remaining_critical_path};
 use crate::worker::{RunPhase, RunRecord, WorkerEntry, WorkerPhase, WorkerRecord};
@@ -618,11 +619,12 @@
         for (step, tasks) in occurrence.steps.iter().enumerate() {
             let waiting = tasks.iter().filter(|task| task.is_waiting()).count() as u64;
             if waiting > 0 && occurrence.step_ready(spec, step) {
+                let postponed = postponed_starts(&job.state, occurrence, step, &spec.steps[step]);
                 ready.push(ReadyStep {
                     occurrence: occurrence.number,
                     step: step as u32,
                     size: reserved_size(&spec.steps[step]),
-                    waiting,
+                    waiting: waiting.saturating_sub(postponed),
                 });
             }
         }
--- a/crates/control/src/shard/backlog.rs
+++ b/crates/control/src/shard/backlog.rs
@@ -52,7 +52,7 @@
     pub step: u32,
     /// Resources to reserve for each task.
     pub size: ResourceSize,
-    /// Number of waiting tasks.
+    /// Number of waiting tasks that need room; those that start after others are left out.
     pub waiting: u64,
 }
 
--- a/crates/control/src/shard/crashes.rs
+++ b/crates/control/src/shard/crashes.rs
@@ -175,6 +175,7 @@
         let job = self.jobs.get_mut(&task.job);
         if job.is_some_and(|job| job.state.clear_crashes(position_of(task))) {
             self.store_queue.mark_changed(&task.job);
+            self.changed_jobs.insert(task.job.clone());
         }
     }
 
@@ -265,6 +266,7 @@
                 continue;
             };
             self.store_queue.mark_changed(&task.job);
+            self.changed_jobs.insert(task.job.clone());
             let proven = crashes >= PROVEN_CRASHES && crash.is_certain(suspect);
             if !proven && crashes < MAX_CRASHES {
                 continue;
@@ -276,7 +278,6 @@
                 tracing::error!(
                     event, %task, run, worker, crashes, proven, "job fails as its task crashes workers"
                 );
-                self.changed_jobs.insert(task.job.clone());
                 self.stop_job(&task.job, now);
             }
         }
--- a/crates/control/src/shard/solo_starts.rs
+++ b/crates/control/src/shard/solo_starts.rs
@@ -78,6 +78,26 @@
         || runs.all(|(name, run)| !blocks(run) || is_member(name, task, spec))
 }
 
+/// Returns the number of waiting tasks of a step that start only after others of it, as each of them
+/// starts alone. They need no room yet.
+pub(super) fn postponed_starts(
+    state: &JobState,
+    occurrence: &OccurrenceState,
+    step: usize,
+    spec: &StepSpec,
+) -> u64 {
+    if spec.gang || state.crashes.is_empty() {
+        return 0;
+    }
+    let waiting = occurrence.steps[step].iter().enumerate();
+    let waiting = waiting.filter(|(_, task)| task.is_waiting());
+    let alone = waiting.filter(|(index, _)| {
+        let position = (occurrence.number, step as u32, *index as u32);
+        state.crash_count(position) > 0
+    });
+    (alone.count() as u64).saturating_sub(1)
+}
+
 /// Returns whether another run is one of the same gang.
 fn is_member(other: &TaskName, task: &TaskName, spec: &StepSpec) -> bool {
     spec.gang
--- a/crates/control/tests/crashing_task.rs
+++ b/crates/control/tests/crashing_task.rs
@@ -390,6 +390,30 @@
     assert_eq!(cluster.status("job"), COMPLETED);
 }
 
+/// Tasks under suspicion waited for each other, and for as many machines as they need together.
+#[test]
+fn tasks_that_wait_for_a_solo_start_attract_no_machines() {
+    let mut cluster = cluster(4);
+    cluster.run_time = seconds(30);
+    cluster.submit_deadly("deadly", step(8), &[7]);
+    assert!(cluster.run_until(seconds(5), |cluster| !cluster.crashes.history.is_empty()));
+    assert!(
+        cluster.run_until(seconds(5), |cluster| cluster.start_count("deadly.0.0.0")
+            == 2)
+    );
+    while cluster.status("deadly") != FAILED {
+        cluster.run(millis(5));
+        let load = cluster.controller().survey_report(cluster.now);
+        let load = &load.pools[0];
+        assert!(
+            load.waiting.millicores <= 1000,
+            "{} millicores wait",
+            load.waiting.millicores
+        );
+        assert_eq!(load.blocked, 0);
+    }
+}
+
 /// Two jobs that need a whole worker each.
 #[test]
 fn a_crashing_task_leaves_the_rest_of_its_pool_alone() {
