Prove a crash by a start that outlived the loss before it

Cause: losses within a second of each other were taken for one event, in either order. But a worker that accepted a start which was sent after another loss had shown was alive after that loss.

Such a loss no longer counts, neither as an excuse nor as a doubt. The start is dated when it is sent, no longer when its answer is handled, which may be late.

The tests of a rack, a zone and several workers that are lost at the same moment pass as before.

--- a/crates/control/src/shard/crashes.rs
+++ b/crates/control/src/shard/crashes.rs
@@ -40,6 +40,8 @@
     pool: PoolId,
     zone: ZoneId,
     lost_at: Instant,
+    /// The worker has accepted a start that was sent then.
+    alive_at: Option<Instant>,
     has_suspects: bool,
     has_solo_start: bool,
 }
@@ -116,6 +118,7 @@
 impl CrashRecord {
     fn new(worker: &WorkerRecord, lost_at: Instant) -> Self {
         Self {
+            alive_at: None,
             worker: worker.entry.id.clone(),
             pool: worker.entry.pool.clone(),
             zone: worker.entry.zone.clone(),
@@ -128,8 +131,12 @@
     /// Returns whether both losses may have the same cause.
     fn is_related(&self, other: &Self) -> bool {
         let apart = self.lost_at.max(other.lost_at) - self.lost_at.min(other.lost_at);
+        let outlived = self
+            .alive_at
+            .is_some_and(|alive_at| alive_at > other.lost_at);
         self.worker != other.worker
             && apart <= COMMON_CAUSE_WINDOW
+            && !outlived
             && (self.pool == other.pool || self.zone == other.zone)
     }
 
@@ -189,7 +196,12 @@
     ) -> Option<CrashReport> {
         let worker = self.workers.get(id)?;
         worker.life?;
-        let crash = CrashRecord::new(worker, worker.lost_since.unwrap_or(now));
+        let runs = worker.runs.values();
+        let accepted = runs.filter(|run| StartEvidence::of(run, cause) == StartEvidence::Accepted);
+        let crash = CrashRecord {
+            alive_at: accepted.filter_map(|run| run.unconfirmed_since).max(),
+            ..CrashRecord::new(worker, worker.lost_since.unwrap_or(now))
+        };
         let excuse = self.plan_of(worker).or_else(|| {
             self.has_common_cause(&crash)
                 .then_some(CrashExcuse::CommonCause)
--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -75,7 +75,6 @@
                     run.phase = RunPhase::Running;
                     run.since = now;
                 }
-                run.unconfirmed_since = run.unconfirmed_since.and(Some(now));
                 worker.poll_due = worker.poll_due.min(now + settings.poll_gap);
                 self.record_accepted_start(&order.task);
             }
--- a/crates/control/tests/crashing_task.rs
+++ b/crates/control/tests/crashing_task.rs
@@ -414,6 +414,26 @@
     }
 }
 
+/// The first crash of a task is no sign that the second one had another cause.
+#[test]
+fn a_crashing_task_in_a_pool_under_load_is_given_up_at_its_second_crash() {
+    let mut cluster = cluster(4);
+    cluster.submit_deadly("deadly", step(1), &[0]);
+    cluster.submit("work", None, vec![step(3)]);
+    let mut submitted = 0;
+    let mut over = |cluster: &mut TestCluster| {
+        cluster.submit(&format!("load{submitted}"), None, vec![step(1)]);
+        submitted += 1;
+        cluster.run(millis(25));
+        cluster.status("deadly") == FAILED && cluster.status("work") == COMPLETED
+    };
+    let end = cluster.now + seconds(10);
+    while !over(&mut cluster) {
+        assert!(cluster.now < end, "the suspected tasks wait");
+    }
+    assert_eq!(cluster.start_count("deadly.0.0.0"), 2);
+}
+
 /// Two jobs that need a whole worker each.
 #[test]
 fn a_crashing_task_leaves_the_rest_of_its_pool_alone() {
