Take only losses of known time for a common cause

Solo starts look for empty workers and so find them often.

A missed poll now dates a loss only if the worker had been heard within a second before the poll was sent; a list of machines dates it as before. The end of a life is a sign of a common cause if the worker had reported runs, and so was polled. A worker with a solo start that misses four polls no longer counts among the three of its pool, in place of one that was lost a second ago.

--- a/crates/control/src/shard/crashes.rs
+++ b/crates/control/src/shard/crashes.rs
@@ -219,7 +219,11 @@
         let isolated = !self
             .losses_related_to(&crash)
             .any(|other| crash.may_share_cause(&other));
-        if matches!(excuse, None | Some(CrashExcuse::CommonCause)) {
+        let planned = !matches!(excuse, None | Some(CrashExcuse::CommonCause));
+        // An idle worker is not polled, so it may have been lost long before.
+        let polled = worker.runs.values().any(|run| run.reported);
+        let dated = polled || worker.lost_since.is_some() || crash.has_suspects;
+        if dated && !planned {
             self.crashes.record(crash, now);
         }
         (!suspects.is_empty()).then(|| CrashReport {
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -135,7 +135,9 @@
             }
             Err(fault) => {
                 worker.missed_polls += 1;
-                worker.lost_since.get_or_insert(now);
+                if worker.was_heard_until(order.sent_at) {
+                    worker.lost_since.get_or_insert(now);
+                }
                 worker.silent_at = Some(order.sent_at);
                 let doubled = self.settings.poll_retry * (1 << (worker.missed_polls - 1).min(4));
                 worker.poll_due = now + doubled.min(self.settings.poll_retry_max);
--- a/crates/control/src/shard/scheduling.rs
+++ b/crates/control/src/shard/scheduling.rs
@@ -276,7 +276,7 @@
             return None;
         }
         let name = task_name(job, position);
-        if solo && !self.may_start_solo(&record.pool, &name, spec, now) {
+        if solo && !self.may_start_solo(&record.pool, &name, spec) {
             return None;
         }
         let open = self.workers.values().filter(|worker| {
--- a/crates/control/src/shard/solo_starts.rs
+++ b/crates/control/src/shard/solo_starts.rs
@@ -1,8 +1,6 @@
 //! Solo starts: a task under which a worker has crashed starts on a worker that has survived all its
 //! other starts, and that gets no more of them until it has survived this one too.
 
-use std::time::{Duration, Instant};
-
 use pw_base::prelude::*;
 use pw_job::prelude::*;
 
@@ -13,8 +11,8 @@
 /// Maximum number of workers of a pool with a solo start. It bounds how fast a pool loses workers to
 /// tasks that crash them.
 const MAX_SOLO_STARTS: usize = 3;
-/// Time for which a lost worker counts towards this maximum.
-const LOST_SOLO_TIME: Duration = Duration::from_secs(1);
+/// Unanswered polls in a row, within about a second, up to which a worker counts towards this maximum.
+const MAX_SOLO_MISSES: u32 = 3;
 
 impl ShardController {
     /// Returns whether a worker crashed when it started the task, or a member of its gang.
@@ -35,20 +33,12 @@
 
     /// Returns whether one more task may start alone in a pool, besides the other members of its
     /// gang.
-    pub(super) fn may_start_solo(
-        &self,
-        pool: &PoolId,
-        task: &TaskName,
-        spec: &StepSpec,
-        now: Instant,
-    ) -> bool {
+    pub(super) fn may_start_solo(&self, pool: &PoolId, task: &TaskName, spec: &StepSpec) -> bool {
         let busy = self.workers.values().filter(|worker| {
-            let lost = worker.lost_since;
-            let counts = lost.is_none_or(|since| now < since + LOST_SOLO_TIME);
             let mut runs = worker.runs.iter();
             worker.counts.solo > 0
                 && worker.entry.pool == *pool
-                && counts
+                && worker.missed_polls <= MAX_SOLO_MISSES
                 && runs.any(|(name, run)| run.solo && !is_member(name, task, spec))
         });
         busy.count() < MAX_SOLO_STARTS
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -104,6 +104,9 @@
     }
 }
 
+/// Longest time between an answer and the next poll of a worker with runs, unless the owner is late.
+const POLL_PAUSE: Duration = Duration::from_secs(1);
+
 /// Progress in percent at which a long-running task is ready.
 pub(crate) const READY_PERCENT: u8 = 100;
 
@@ -266,7 +269,7 @@
     pub drain_since: Option<Instant>,
     /// The platform has listed the worker as draining in its current life.
     pub announced_drain: bool,
-    /// First sign that the worker may be lost, while there is one.
+    /// First sign that the worker may be lost, while there is one that came soon after the loss.
     pub lost_since: Option<Instant>,
     /// Last run end that was applied.
     pub applied_end: EndNumber,
@@ -439,6 +442,13 @@
         self.machine_down || self.missed_polls > 1 || self.entry.phase == WorkerPhase::Draining
     }
 
+    /// Returns whether the worker had just been heard when a poll was sent. An idle worker is not
+    /// polled, so it may have been lost at any time before.
+    pub fn was_heard_until(&self, sent_at: Instant) -> bool {
+        let heard = self.clock_reading;
+        heard.is_some_and(|reading| sent_at <= reading.at + POLL_PAUSE)
+    }
+
     /// Returns whether any run's start may still crash the worker.
     pub fn has_suspects(&self) -> bool {
         let mut runs = self.runs.values();
--- a/crates/control/tests/crashing_task.rs
+++ b/crates/control/tests/crashing_task.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use indexmap::IndexSet;
 use pw_base::prelude::*;
 use pw_control::prelude::*;
@@ -301,6 +303,38 @@
     assert_eq!(cluster.status("job"), COMPLETED);
 }
 
+/// Idle workers that are gone are found out by the next start on them, at any time.
+#[test]
+fn a_worker_that_was_gone_before_the_crash_is_no_sign_of_a_common_cause() {
+    let mut cluster = cluster(24);
+    let gone = |id: &WorkerId| id[1..].parse::<usize>().expect("a number") >= 12;
+    for (id, worker) in cluster.workers.iter_mut().filter(|(id, _)| gone(id)) {
+        worker.entry.labels = vec![Arc::clone(id)];
+    }
+    cluster.list_workers();
+    cluster.run(seconds(1));
+    for (_, worker) in cluster.workers.iter_mut().filter(|(id, _)| gone(id)) {
+        worker.address_reused = true;
+    }
+    cluster.run(seconds(5));
+    let label = |spec: StepSpec, label: &str| StepSpec {
+        required_label: Some(label.into()),
+        ..spec
+    };
+    cluster.submit_deadly("deadly", label(step(1), "kind"), &[0]);
+    let mut crashes = 0;
+    let end = cluster.now + seconds(40);
+    while cluster.now < end {
+        cluster.run(millis(5));
+        if cluster.crashes.history.len() > crashes {
+            let gone = format!("w{}", 12 + crashes);
+            cluster.submit(&format!("job{crashes}"), None, vec![label(step(1), &gone)]);
+            crashes += 1;
+        }
+    }
+    assert_given_up(&cluster, "deadly", "deadly.0.0.0");
+}
+
 /// The machine controller ends a life by plan, so nothing on the worker is to blame.
 #[test]
 fn the_end_of_a_worker_whose_machine_is_ordered_blames_no_task() {
