Bound the losses of workers that a task's excuses may hide

Excused losses are counted and stored beside the others now. The fifth loss in a row under starts of the same task fails its job, whatever the excuses: that is as many starts as the platform allows after three crashes. The count falls to zero as soon as a worker survives a start of the task, so this takes five coincidences in a row for a sound task.

--- a/crates/control/src/shard/crashes.rs
+++ b/crates/control/src/shard/crashes.rs
@@ -1,8 +1,8 @@
 //! Crashes of workers, and the runs that may have caused them.
 //!
-//! A run is a suspect until its worker reports it some time after the start. Each
-//! crash counts against its suspects; a task that was suspected before starts alone (see
-//! [`solo_starts`](super::solo_starts)), so that its next crash has no other suspect.
+//! A run is a suspect until its worker reports it some time after the start. Each crash counts against
+//! its suspects. A task that was suspected before starts alone (see [`solo_starts`](super::solo_starts)),
+//! so that its next crash has no other suspect.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -24,8 +24,10 @@
 
 /// Crashes in a row after which a task is given up if the last one was certainly its own.
 const PROVEN_CRASHES: u32 = 2;
-/// Crashes in a row after which a task is given up in any case.
+/// Crashes in a row after which a task is given up although something else may have caused the last.
 const MAX_CRASHES: u32 = 3;
+/// Losses of workers in a row, with those that count against no task, after which one is given up.
+const MAX_LOSSES: u32 = 5;
 
 /// Lives that have ended without a plan within the last [`COMMON_CAUSE_WINDOW`].
 #[derive(Debug, Default)]
@@ -271,22 +273,22 @@
     /// Counts a crash against its suspects, and gives up the tasks that have caused too many.
     pub(super) fn record_crash(&mut self, crash: &CrashReport, now: Instant) {
         log_crash(crash);
-        if crash.excuse.is_some() {
-            return;
-        }
+        let excused = crash.excuse.is_some();
         for suspect in &crash.suspects {
             let task = &suspect.task;
             let Some(job) = self.jobs.get_mut(&task.job) else {
                 continue;
             };
-            let crashes = job.state.record_crash(position_of(task), suspect.run);
-            let Some(crashes) = crashes else {
+            let position = position_of(task);
+            let Some(tally) = job.state.record_crash(position, suspect.run, excused) else {
                 continue;
             };
             self.store_queue.mark_changed(&task.job);
             self.changed_jobs.insert(task.job.clone());
-            let proven = crashes >= PROVEN_CRASHES && crash.is_certain(suspect);
-            if !proven && crashes < MAX_CRASHES {
+            let crashes = tally.count;
+            let proven = !excused && crashes >= PROVEN_CRASHES && crash.is_certain(suspect);
+            let losses = crashes + tally.excused;
+            if !proven && crashes < MAX_CRASHES && losses < MAX_LOSSES {
                 continue;
             }
             if job.state.give_up(&job.submission.spec) {
@@ -294,7 +296,8 @@
                 let event = EventCode::TaskCrashing.number();
                 let (run, worker) = (suspect.run, &*crash.worker);
                 tracing::error!(
-                    event, %task, run, worker, crashes, proven, "job fails as its task crashes workers"
+                    event, %task, run, worker, crashes, losses, proven,
+                    "job fails as its task crashes workers"
                 );
                 self.stop_job(&task.job, now);
             }
--- a/crates/control/tests/crashing_task.rs
+++ b/crates/control/tests/crashing_task.rs
@@ -303,6 +303,26 @@
     assert_eq!(cluster.status("job"), COMPLETED);
 }
 
+/// Each crash has an excuse, as an idle worker of the pool is lost at the same moment.
+#[test]
+fn a_task_whose_crashes_are_all_excused_is_given_up_in_the_end() {
+    let mut cluster = cluster(24);
+    cluster.submit_deadly("deadly", step(1), &[0]);
+    let mut crashes = 0;
+    let end = cluster.now + seconds(30);
+    while cluster.now < end {
+        cluster.run(millis(5));
+        if cluster.crashes.history.len() > crashes {
+            let mut idle = cluster.workers.values().rev();
+            let idle = idle.find(|worker| !worker.crashed && worker.running.is_empty());
+            let idle = idle.expect("an idle worker").entry.id.clone();
+            cluster.crash_workers(&[idle]);
+            crashes = cluster.crashes.history.len();
+        }
+    }
+    assert_given_up(&cluster, "deadly", "deadly.0.0.0");
+}
+
 /// Idle workers that are gone are found out by the next start on them, at any time.
 #[test]
 fn a_worker_that_was_gone_before_the_crash_is_no_sign_of_a_common_cause() {
--- a/crates/job/src/state.rs
+++ b/crates/job/src/state.rs
@@ -117,8 +117,10 @@
 /// Crashes in a row of the workers that started a task.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashTally {
-    /// Number of crashes.
+    /// Number of crashes that count against the task.
     pub count: u32,
+    /// Number of the others, which something else may have caused.
+    pub excused: u32,
     /// Last run that counted; the same crash may be seen by several owners.
     pub last_run: RunNumber,
 }
@@ -304,20 +306,22 @@
         self.crashes.get(&task).map_or(0, |tally| tally.count)
     }
 
-    /// Records that a worker crashed when it started a run; returns the number of crashes in a row,
-    /// or `None` if this one has counted before.
+    /// Records that a worker crashed when it started a run, or was lost with it for another reason;
+    /// returns the crashes in a row, or `None` if this one has counted before.
     pub fn record_crash(
         &mut self,
         task: (OccurrenceNumber, u32, u32),
         run: RunNumber,
-    ) -> Option<u32> {
+        excused: bool,
+    ) -> Option<CrashTally> {
         let tally = self.crashes.entry(task).or_default();
         if run <= tally.last_run {
             return None;
         }
         tally.last_run = run;
-        tally.count += 1;
-        Some(tally.count)
+        tally.count += u32::from(!excused);
+        tally.excused += u32::from(excused);
+        Some(*tally)
     }
 
     /// Records that a worker survived the start of a task; returns whether it was under suspicion.
--- a/crates/job/tests/image.rs
+++ b/crates/job/tests/image.rs
@@ -45,12 +45,18 @@
 #[test]
 fn the_crashes_under_a_task_are_stored() {
     let mut state = state();
-    assert_eq!(state.record_crash((0, 0, 0), 1), Some(1));
-    assert_eq!(state.record_crash((0, 0, 0), 1), None);
-    assert_eq!(state.record_crash((0, 0, 0), 2), Some(2));
+    assert!(state.record_crash((0, 0, 0), 1, false).is_some());
+    assert!(state.record_crash((0, 0, 0), 1, false).is_none());
+    assert!(state.record_crash((0, 0, 0), 2, true).is_some());
+    assert!(state.record_crash((0, 0, 0), 3, false).is_some());
     let bytes = encode_state(&state).expect("encodable");
     let decoded = decode_state(&bytes).expect("decodable");
-    assert_eq!(decoded.crash_count((0, 0, 0)), 2);
+    let tally = CrashTally {
+        count: 2,
+        excused: 1,
+        last_run: 3,
+    };
+    assert_eq!(decoded.crashes[&(0, 0, 0)], tally);
     assert_eq!(decoded, state);
 }
 
