--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -13,6 +13,7 @@
 mod start_stop;
 mod survey;
 mod validity;
+mod waiting;
 
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -37,6 +38,7 @@
 use crate::shard::persistence::StoreQueue;
 use crate::shard::solo_starts::postponed_starts;
 use crate::shard::survey::STALE_ORDER_TIME;
+use crate::shard::waiting::WaitReports;
 use crate::urgency::{latest_start, remaining_critical_path};
 use crate::worker::{RunPhase, RunRecord, WorkerEntry, WorkerPhase, WorkerRecord};
 use crate::worker_table::WorkerTable;
@@ -99,6 +101,7 @@
     advice: HashMap<StepKey, StepAdvice>,
     /// Number of steps per pool with tasks that wait although some worker has room.
     blocked: IndexMap<PoolId, u32>,
+    waits: WaitReports,
     commands: Vec<ShardCommand>,
     /// When the last check of the ownership was requested.
     ownership_checked_at: Option<Instant>,
@@ -197,6 +200,7 @@
             waves_received: IndexMap::new(),
             advice: HashMap::new(),
             blocked: IndexMap::new(),
+            waits: WaitReports::new(now),
             commands: Vec::new(),
             ownership_checked_at: None,
             visits: VisitCount::default(),
@@ -301,6 +305,7 @@
                 self.review_changed_jobs(now, wall);
             }
         }
+        self.report_waits(now);
         self.send_polls(now);
         self.send_stops(now);
         self.remove_expired_jobs(now);
@@ -312,10 +317,10 @@
         self.pause_ends = self.pause_ends.split_off(&now);
         let after = (Bound::Excluded(now), Bound::Unbounded);
         let tasks = self.pause_ends.range(after).take(1).copied();
-        let workers = self
-            .workers
-            .values()
-            .flat_map(|worker| [Some(worker.paused_until), worker.drain_until]);
+        let workers = self.workers.values().flat_map(|worker| {
+            let refusal_end = worker.room_refusal.map(|refusal| refusal.until);
+            [Some(worker.paused_until), worker.drain_until, refusal_end]
+        });
         let unsurveyed = self.unsurveyed_since.map(|since| since + STALE_ORDER_TIME);
         let ends = tasks
             .chain(workers.flatten())
@@ -345,15 +350,16 @@
 
     /// Sets the time by which the leases of earlier owners have expired.
     ///
-    /// An owner that released the shard stored the remaining time of each lease. An owner that
-    /// failed may have renewed leases until its confirmation of ownership expired.
+    /// An owner that released the shard stored the remaining time of each lease. The leases of an
+    /// owner that failed end within the horizon of its last confirmation of ownership, which
+    /// preceded this takeover.
     fn inherit_leases(&mut self, released: Option<&IndexMap<WorkerId, Duration>>, now: Instant) {
         let settings = &self.settings;
         let corrected = |left: Duration| left.div_f64(1.0 - settings.clock_drift);
         for (id, worker) in self.workers.iter_mut() {
             let left = match released {
                 Some(leases) => leases.get(id).copied().unwrap_or(settings.lease),
-                None => settings.ownership_validity + settings.lease,
+                None => settings.lease_horizon,
             };
             worker.inherited_lease_end = now + corrected(left);
         }
@@ -625,6 +631,7 @@
                     step: step as u32,
                     size: reserved_size(&spec.steps[step]),
                     waiting: waiting.saturating_sub(postponed),
+                    long_running: spec.steps[step].long_running,
                 });
             }
         }
