Place waiting tasks once a solo start is survived

Cause: a worker with a solo start gets no others until it has survived it, but only tasks that waited for a solo start themselves were looked for then.

The survival of a solo start now starts a placement pass.

--- a/crates/control/src/shard/crashes.rs
+++ b/crates/control/src/shard/crashes.rs
@@ -168,18 +168,19 @@
         }
         for ActiveRun { task, run, .. } in &report.running {
             let record = worker.runs.get(task).filter(|record| record.run == *run);
-            let survived = record.is_some_and(|record| {
-                record.unconfirmed_since.is_some_and(|since| {
-                    let latest = worker.latest_clock(since + SURVIVAL_TIME);
-                    let outlasted = latest.is_some_and(|latest| report.clock >= latest);
-                    outlasted || record.phase == RunPhase::Inherited
-                })
+            let Some(record) = record else {
+                continue;
+            };
+            let survived = record.unconfirmed_since.is_some_and(|since| {
+                let latest = worker.latest_clock(since + SURVIVAL_TIME);
+                let outlasted = latest.is_some_and(|latest| report.clock >= latest);
+                outlasted || record.phase == RunPhase::Inherited
             });
             if !survived {
                 continue;
             }
+            self.placement_needed |= self.solo_waiting || record.solo;
             worker.clear_suspicion(task);
-            self.placement_needed |= self.solo_waiting;
             let job = self.jobs.get_mut(&task.job);
             if job.is_some_and(|job| job.state.clear_crashes(position_of(task))) {
                 self.store_queue.mark_changed(&task.job);
