Confirm a solo start although its worker holds a poll

Cause: a worker holds a poll for up to 2 s. A solo start on a worker with such a poll in flight was confirmed only by its answer, and a restart 1.4 s after the start counted as the third crash in a row.

The poll in flight is no longer waited for once a worker has accepted a solo start: the next one, which isn't held, follows after the usual gap. Both answers are applied as they come.

--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -91,6 +91,10 @@
                     run.phase = RunPhase::Running;
                     run.since = now;
                 }
+                if run.solo {
+                    // The worker may hold the poll in flight for longer than the suspicion may last.
+                    worker.poll_in_flight = false;
+                }
                 worker.poll_due = worker.poll_due.min(now + settings.poll_gap);
                 self.record_accepted_start(&order.task);
             }
--- a/crates/control/tests/crashing_task.rs
+++ b/crates/control/tests/crashing_task.rs
@@ -432,6 +432,26 @@
     assert!(cluster.run_until(seconds(10), |cluster| cluster.running("lasting.0.0.0") == 1));
 }
 
+/// The workers hold the polls of their long-running tasks for seconds.
+#[test]
+fn a_suspected_task_is_confirmed_although_its_worker_holds_a_poll() {
+    let mut cluster = cluster(6);
+    cluster.run_time = seconds(2);
+    cluster.submit("lasting", None, vec![long_running(6)]);
+    cluster.run(seconds(3));
+    cluster.submit("job", None, vec![step(1)]);
+    for round in 1..6 {
+        assert!(cluster.run_until(seconds(10), |cluster| {
+            cluster.start_count("job.0.0.0") == round && cluster.running("job.0.0.0") == 1
+        }));
+        cluster.run(millis(250));
+        let holder = cluster.placed_on("job.0.0.0");
+        cluster.crash_workers(&[holder]);
+    }
+    cluster.run(seconds(10));
+    assert_eq!(cluster.status("job"), COMPLETED);
+}
+
 /// An unreachable worker may run on, so the lapse of its lease is no crash.
 #[test]
 fn a_lapsed_lease_blames_no_task() {
