--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -9,7 +9,7 @@
 use super::{ShardController, reserved_size};
 use crate::message::{CallFault, FinishedRun, PaceOrder, PollOrder, PollReport, ShardCommand};
 use crate::pace::next_pace;
-use crate::worker::{ClockReading, LifeEnd, RunPhase, WorkerEntry, WorkerRecord};
+use crate::worker::{ClockReading, LifeEnd, RunPhase, WorkerEntry, WorkerPhase, WorkerRecord};
 
 impl ShardController {
     /// Applies a new list of workers; a worker that is missing from it gets no more starts.
@@ -41,6 +41,8 @@
                         if worker.missed_polls > 0 {
                             ended.push((worker.entry.id.clone(), LifeEnd::Listed));
                         }
+                    } else {
+                        worker.announced_drain |= worker.entry.phase == WorkerPhase::Draining;
                     }
                 }
                 None => {
@@ -92,7 +94,11 @@
             } else {
                 None
             };
-            let waits = worker.synced && worker.missed_polls == 0 && worker.has_runs();
+            // A run under suspicion is to be confirmed soon.
+            let waits = worker.synced
+                && worker.missed_polls == 0
+                && worker.has_runs()
+                && worker.counts.solo == 0;
             // The next task moves once this one is ready. Readiness does not end a worker's wait,
             // so the wait is short.
             // Nothing ends a wait for a stopped run that never started.
@@ -145,6 +151,9 @@
             }
             Err(fault) => {
                 worker.missed_polls += 1;
+                if worker.was_heard_until(order.sent_at) {
+                    worker.lost_since.get_or_insert(now);
+                }
                 worker.silent_at = Some(order.sent_at);
                 let doubled = self.settings.poll_retry * (1 << (worker.missed_polls - 1).min(4));
                 worker.poll_due = now + doubled.min(self.settings.poll_retry_max);
@@ -197,6 +206,7 @@
         let is_later_life = worker.life.is_none() && worker.ended_life.is_some();
         worker.life = Some(report.life);
         worker.missed_polls = 0;
+        worker.lost_since = None;
         if !worker.synced {
             worker.synced = true;
             worker.poll_due = now;
@@ -214,6 +224,7 @@
             clock: report.clock,
             at: answered_at,
         });
+        worker.bound_clock(report.clock, order.sent_at);
         self.apply_run_ends(order, &report, now);
         self.reconcile_runs(order, &report, now);
         self.adjust_paces(&order.worker, now);
@@ -266,6 +277,7 @@
     fn reconcile_runs(&mut self, order: &PollOrder, report: &PollReport, now: Instant) {
         let max_attempts = self.settings.max_start_attempts;
         let mut reported = Vec::new();
+        self.confirm_survivals(&order.worker, report);
         for active in &report.running {
             self.reconcile_active_run(&order.worker, active, now);
             reported.push((&active.task, active.run));
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -112,6 +112,9 @@
     }
 }
 
+/// Longest time between an answer and the next poll of a worker with runs, unless the owner is late.
+const POLL_PAUSE: Duration = Duration::from_secs(1);
+
 /// Progress in percent at which a long-running task is ready.
 pub(crate) const READY_PERCENT: u8 = 100;
 
@@ -144,6 +147,11 @@
     pub since: Instant,
     /// The worker has reported the run as active to this owner.
     pub reported: bool,
+    /// When the last start was sent, or the run inherited, until the worker is known to have
+    /// survived the start.
+    pub unconfirmed_since: Option<Instant>,
+    /// The run is under suspicion: no other start is added to the worker until it has survived.
+    pub solo: bool,
     /// Number of starts that went unanswered.
     pub start_attempts: u32,
     /// When the last stop was sent.
@@ -174,6 +182,11 @@
         self.start_attempts > 0 || matches!(self.phase, RunPhase::Sent | RunPhase::Unanswered)
     }
 
+    /// Returns whether the worker may still crash because of the run's start.
+    pub fn is_unconfirmed(&self) -> bool {
+        self.phase == RunPhase::Planned || self.unconfirmed_since.is_some()
+    }
+
     /// Returns whether the run is, or may be, active on the worker.
     fn has_started(&self) -> bool {
         !matches!(self.phase, RunPhase::Planned | RunPhase::Sent)
@@ -188,6 +201,8 @@
             phase: RunPhase::Stopping,
             since: now,
             reported: true,
+            unconfirmed_since: None,
+            solo: false,
             start_attempts: 0,
             stop_sent: None,
             stop_acknowledged: None,
@@ -210,6 +225,8 @@
     pub best_effort: usize,
     /// Runs with an upper bound of their tail latency.
     pub serving: usize,
+    /// Runs under suspicion.
+    pub solo: usize,
 }
 
 impl RunCounts {
@@ -217,12 +234,14 @@
         self.long_running += usize::from(run.long_running);
         self.best_effort += usize::from(run.best_effort);
         self.serving += usize::from(run.target_latency.is_some());
+        self.solo += usize::from(run.solo);
     }
 
     fn subtract(&mut self, run: &RunRecord) {
         self.long_running -= usize::from(run.long_running);
         self.best_effort -= usize::from(run.best_effort);
         self.serving -= usize::from(run.target_latency.is_some());
+        self.solo -= usize::from(run.solo);
     }
 }
 
@@ -275,6 +294,8 @@
     /// Number of worker lives in the shard that this owner had seen end when this one began.
     pub ended_lives: u64,
     pub clock_reading: Option<ClockReading>,
+    /// Reading that gives the best upper bound of the worker's clock, dated by the request.
+    pub clock_bound: Option<ClockReading>,
     /// Latest lease end that this owner has sent, on the worker's clock.
     pub lease_granted_until: WorkerMillis,
     /// The worker has answered this owner, so it rejects earlier owners.
@@ -290,6 +311,10 @@
     pub machine_down: bool,
     /// When the current drain request began.
     pub drain_since: Option<Instant>,
+    /// The platform has listed the worker as draining in its current life.
+    pub announced_drain: bool,
+    /// First sign that the worker may be lost, while there is one that came soon after the loss.
+    pub lost_since: Option<Instant>,
     /// Last run end that was applied.
     pub applied_end: EndNumber,
     /// Last run end whose effect is stored.
@@ -327,6 +352,7 @@
             ended_life: None,
             ended_lives,
             clock_reading: None,
+            clock_bound: None,
             lease_granted_until: 0,
             synced: false,
             inherited_lease_end: now,
@@ -334,6 +360,8 @@
             machine_ordered: false,
             machine_down: false,
             drain_since: None,
+            announced_drain: false,
+            lost_since: None,
             applied_end: 0,
             stored_end: 0,
             acknowledged_end: 0,
@@ -372,6 +400,25 @@
         )
     }
 
+    /// Returns an upper bound of the worker's clock, which is never faster than the owner's, if a
+    /// reading is known.
+    pub fn latest_clock(&self, at: Instant) -> Option<WorkerMillis> {
+        let bound = self.clock_bound?;
+        let passed = at.saturating_duration_since(bound.at);
+        Some(bound.clock + passed.as_millis() as WorkerMillis)
+    }
+
+    /// Updates the upper bound with a clock reading that was requested at a time.
+    pub fn bound_clock(&mut self, clock: WorkerMillis, requested_at: Instant) {
+        if self
+            .latest_clock(requested_at)
+            .is_none_or(|latest| clock < latest)
+        {
+            let at = requested_at;
+            self.clock_bound = Some(ClockReading { clock, at });
+        }
+    }
+
     /// Returns and records the end of a lease that is requested now.
     pub fn renew(&mut self, now: Instant, lease: Duration, drift: f64) -> Option<WorkerMillis> {
         let clock = self.clock(now, drift)?;
@@ -412,6 +459,24 @@
         Some(removed)
     }
 
+    /// Records that a run's start no longer threatens the worker.
+    pub fn clear_suspicion(&mut self, task: &TaskName) {
+        if let Some(run) = self.runs.get_mut(task) {
+            run.unconfirmed_since = None;
+            self.counts.solo -= usize::from(run.solo);
+            run.solo = false;
+        }
+    }
+
+    /// Clears all runs of suspicion.
+    pub fn clear_suspicions(&mut self) {
+        for run in self.runs.values_mut() {
+            run.unconfirmed_since = None;
+            run.solo = false;
+        }
+        self.counts.solo = 0;
+    }
+
     /// Returns the unreserved resources; `None` if the runs exceed the capacity, which may shrink.
     pub fn room(&self) -> Option<ResourceSize> {
         let capacity = &self.entry.capacity;
@@ -498,6 +563,19 @@
         self.machine_down || self.missed_polls > 1 || self.entry.phase == WorkerPhase::Draining
     }
 
+    /// Returns whether the worker had just been heard when a poll was sent. An idle worker is not
+    /// polled, so it may have been lost at any time before.
+    pub fn was_heard_until(&self, sent_at: Instant) -> bool {
+        let heard = self.clock_reading;
+        heard.is_some_and(|reading| sent_at <= reading.at + POLL_PAUSE)
+    }
+
+    /// Returns whether any run's start may still crash the worker.
+    pub fn has_suspects(&self) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|run| run.unconfirmed_since.is_some())
+    }
+
     /// Returns whether the machine controller has requested to drain the worker.
     pub fn has_drain_request(&self, now: Instant) -> bool {
         self.drain_until.is_some_and(|until| now < until)
--- a/crates/control/tests/support/answers.rs
+++ b/crates/control/tests/support/answers.rs
@@ -160,6 +160,7 @@
         let worker = &self.workers[&order.worker];
         if worker.running.len() > active {
             self.record_start(order, sent_at);
+            self.crash_under(order);
         }
         outcome
     }
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -11,6 +11,7 @@
 
 mod answers;
 mod checks;
+pub mod crashes;
 pub mod network;
 pub mod owner;
 pub mod soak;
@@ -28,6 +29,7 @@
 use pw_worker::prelude::*;
 
 use self::checks::AcknowledgedEnd;
+use self::crashes::CrashPlan;
 use self::network::{FatePolicy, LateOrder, OrderFate};
 use self::owner::OwnerProcess;
 use self::worker::FakeWorker;
@@ -103,6 +105,8 @@
     drain_requests: (Vec<WorkerId>, Vec<WorkerId>),
     /// Lives that the machine controller reports as ended.
     pub ended: Vec<WorkerLife>,
+    /// Crashes of workers, and what the platform shows of them.
+    pub crashes: CrashPlan,
     surveyed_at: Instant,
     /// Workers for which the advice service issues tickets.
     pub eligible_workers: Vec<WorkerId>,
@@ -157,6 +161,7 @@
             surveys_enabled: true,
             drain_requests: Default::default(),
             ended: Vec::new(),
+            crashes: CrashPlan::default(),
             surveyed_at: now,
             eligible_workers: Vec::new(),
             malformed_tickets: false,
@@ -282,8 +287,8 @@
         self.handle_event(ShardEvent::Surveyed(SurveyOrder {
             drain,
             ordered,
+            down: self.down_machines(),
             ended: self.ended.clone(),
-            ..Default::default()
         }));
         self.surveyed_at = self.now;
     }
@@ -359,6 +364,7 @@
             self.now += self.time_step;
             self.wall += self.time_step;
             self.deliver_late_orders();
+            self.advance_crashes();
             self.advance_workers();
             self.deliver();
             if self.surveys_enabled && self.now >= self.surveyed_at + SURVEY_INTERVAL {
--- a/crates/control/tests/support/worker.rs
+++ b/crates/control/tests/support/worker.rs
@@ -30,6 +30,8 @@
     pub unreachable: bool,
     /// The worker has crashed.
     pub crashed: bool,
+    /// When the worker crashes.
+    pub crashes_at: Option<Instant>,
     /// The worker executes starts, but their answers get lost.
     pub drops_start_answers: bool,
     /// The rows of its runs are malformed.
@@ -94,6 +96,7 @@
             room_refusals: 0,
             unreachable: false,
             crashed: false,
+            crashes_at: None,
             drops_start_answers: false,
             malformed_rows: false,
             unhealthy: false,
