--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -405,7 +405,11 @@
     pub fn latest_clock(&self, at: Instant) -> Option<WorkerMillis> {
         let bound = self.clock_bound?;
         let passed = at.saturating_duration_since(bound.at);
-        Some(bound.clock + passed.as_millis() as WorkerMillis)
+        Some(
+            bound
+                .clock
+                .saturating_add(passed.as_millis() as WorkerMillis),
+        )
     }
 
     /// Updates the upper bound with a clock reading that was requested at a time.
