--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -116,6 +116,12 @@
     /// A task whose earlier run did not end as done is placed again.
     #[strum(message = "A task whose earlier run did not end as done is placed again.")]
     RunRepeated = 617,
+    /// A worker crashed before it had confirmed a run, which may be the cause.
+    #[strum(message = "A worker crashed before it had confirmed a run, which may be the cause.")]
+    RunSuspected = 618,
+    /// A job fails because the workers that started one of its tasks crashed.
+    #[strum(message = "A job fails because the workers that started one of its tasks crashed.")]
+    TaskCrashing = 619,
     /// A worker's life ended; its runs are lost.
     #[strum(message = "A worker's life ended; its runs are lost.")]
     WorkerLifeEnded = 620,
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -2,12 +2,14 @@
 
 mod advice;
 mod backlog;
+mod crashes;
 mod persistence;
 mod polling;
 mod queries;
 mod room;
 mod run_ends;
 mod scheduling;
+mod solo_starts;
 mod start_stop;
 mod survey;
 mod validity;
@@ -31,6 +33,7 @@
 use crate::settings::ControlSettings;
 use crate::shard::advice::{StepAdvice, StepKey};
 use crate::shard::backlog::{BacklogEntry, BacklogIndex, ReadyStep};
+use crate::shard::crashes::CrashHistory;
 use crate::shard::persistence::StoreQueue;
 use crate::shard::survey::STALE_ORDER_TIME;
 use crate::urgency::{latest_start, remaining_critical_path};
@@ -70,6 +73,7 @@
     confirmed_at: Instant,
     /// Number of worker lives that this owner has seen end.
     ended_lives: u64,
+    crashes: CrashHistory,
     /// As of when each input is known.
     inputs_read: IndexMap<ShardInput, Instant>,
     /// When this owner took the shard over.
@@ -80,6 +84,8 @@
     placement_needed: bool,
     /// The last pass ended because too many starts had no answer.
     starts_exhausted: bool,
+    /// The last pass found no worker for a task that has to start alone.
+    solo_waiting: bool,
     /// Earliest time of the next pass over the waiting tasks.
     next_placement: Instant,
     /// End of the next pause, after which a waiting task may start without any other change.
@@ -177,11 +183,13 @@
             store_queue: StoreQueue::new(now),
             confirmed_at: now,
             ended_lives: 0,
+            crashes: CrashHistory::default(),
             inputs_read: IndexMap::new(),
             taken_over_at: now,
             unsurveyed_since: Some(now),
             placement_needed: true,
             starts_exhausted: false,
+            solo_waiting: false,
             next_placement: now,
             recheck_at: None,
             next_idle_tick: now,
@@ -384,8 +392,11 @@
                         step: step as u32,
                         index: index as u32,
                     };
-                    let run =
-                        self.run_record(record, step, task.last_run, RunPhase::Inherited, now);
+                    let position = (occurrence.number, name.step, name.index);
+                    let run = RunRecord {
+                        solo: state.crash_count(position) > 0,
+                        ..self.run_record(record, step, task.last_run, RunPhase::Inherited, now)
+                    };
                     if let Some(account) = &run.account {
                         self.budget.reserve(account, &run.size);
                     }
@@ -414,6 +425,8 @@
             phase,
             since: now,
             reported: false,
+            unconfirmed_since: (phase == RunPhase::Inherited).then_some(now),
+            solo: false,
             start_attempts: 0,
             stop_sent: None,
             stop_acknowledged: None,
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -9,7 +9,7 @@
 use super::ShardController;
 use crate::message::{CallFault, FinishedRun, PaceOrder, PollOrder, PollReport, ShardCommand};
 use crate::pace::next_pace;
-use crate::worker::{ClockReading, LifeEnd, RunPhase, WorkerEntry, WorkerRecord};
+use crate::worker::{ClockReading, LifeEnd, RunPhase, WorkerEntry, WorkerPhase, WorkerRecord};
 
 impl ShardController {
     /// Applies a new list of workers; a worker that is missing from it gets no more starts.
@@ -29,6 +29,8 @@
                     // A later life in the list means that the known one has ended.
                     if worker.life.is_some_and(|life| entry.life > life) {
                         ended.push((entry.id.clone(), LifeEnd::Listed));
+                    } else {
+                        worker.announced_drain |= entry.phase == WorkerPhase::Draining;
                     }
                     worker.listed = true;
                     worker.entry = entry;
@@ -81,7 +83,11 @@
             } else {
                 None
             };
-            let waits = worker.synced && worker.missed_polls == 0 && worker.has_runs();
+            // A run under suspicion is to be confirmed soon.
+            let waits = worker.synced
+                && worker.missed_polls == 0
+                && worker.has_runs()
+                && worker.counts.solo == 0;
             // The next task moves once this one is ready. Readiness does not end a worker's wait,
             // so the wait is short.
             // Nothing ends a wait for a stopped run that never started.
@@ -129,6 +135,7 @@
             }
             Err(fault) => {
                 worker.missed_polls += 1;
+                worker.lost_since.get_or_insert(now);
                 worker.silent_at = Some(order.sent_at);
                 let doubled = self.settings.poll_retry * (1 << (worker.missed_polls - 1).min(4));
                 worker.poll_due = now + doubled.min(self.settings.poll_retry_max);
@@ -176,6 +183,7 @@
         self.placement_needed |= !worker.synced || worker.missed_polls > 0;
         worker.life = Some(report.life);
         worker.missed_polls = 0;
+        worker.lost_since = None;
         if !worker.synced {
             worker.synced = true;
             worker.poll_due = now;
@@ -187,6 +195,7 @@
             clock: report.clock,
             at: answered_at,
         });
+        worker.bound_clock(report.clock, order.sent_at);
         self.apply_run_ends(order, &report, now);
         self.reconcile_runs(order, &report, now);
         self.adjust_paces(&order.worker, now);
@@ -240,6 +249,7 @@
         let max_attempts = self.settings.max_start_attempts;
         let mut reported = Vec::new();
         for active in &report.running {
+            self.confirm_survival(&order.worker, active, report.clock);
             self.reconcile_active_run(&order.worker, active, now);
             reported.push((&active.task, active.run));
         }
--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -180,6 +180,7 @@
     pub(super) fn end_worker_life(&mut self, id: &WorkerId, cause: LifeEnd, now: Instant) {
         let lease = self.settings.longest_lease;
         let lease = lease.div_f64(1.0 - self.settings.clock_drift);
+        let crash = self.assess_crash(id, cause, now);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -189,18 +190,22 @@
         worker.ended_lives = self.ended_lives;
         worker.life = None;
         worker.clock_reading = None;
+        worker.clock_bound = None;
         worker.lease_granted_until = 0;
         worker.applied_end = 0;
         worker.stored_end = 0;
         worker.acknowledged_end = 0;
         worker.inherited_lease_end = worker.inherited_lease_end.max(now + lease);
         worker.silent_at = None;
+        worker.announced_drain = false;
+        worker.lost_since = None;
         // The address is polled again later, in case it still belongs to this worker.
         worker.poll_due = match cause {
             LifeEnd::Listed | LifeEnd::Reported => now,
             _ => now + self.settings.poll_retry_max,
         };
         let mut lost = Vec::new();
+        worker.clear_suspicions();
         for (name, run) in &mut worker.runs {
             if cause.may_survive(run) {
                 run.stop_sent = None;
@@ -218,6 +223,9 @@
         for (name, run) in lost {
             self.end_run(id, &name, run, RunEnd::Lost, None, now);
         }
+        if let Some(crash) = crash {
+            self.record_crash(&crash, now);
+        }
     }
 
     /// Ends all runs on a worker as lost.
--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -31,6 +31,7 @@
         };
         run.phase = RunPhase::Sent;
         run.since = now;
+        run.unconfirmed_since = Some(now);
         let run_number = run.run;
         let Some(job) = self.jobs.get(&task.job) else {
             return;
@@ -74,6 +75,7 @@
                     run.phase = RunPhase::Running;
                     run.since = now;
                 }
+                run.unconfirmed_since = run.unconfirmed_since.and(Some(now));
                 worker.poll_due = worker.poll_due.min(now + settings.poll_gap);
                 self.record_accepted_start(&order.task);
             }
@@ -102,6 +104,10 @@
                 worker.poll_due = worker.poll_due.min(now);
             }
             StartOutcome::OtherLife => {
+                // This start was refused.
+                if run.start_attempts == 0 {
+                    run.unconfirmed_since = None;
+                }
                 self.end_worker_life(&order.worker, LifeEnd::AddressReused, now);
             }
             StartOutcome::Malformed => {
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -136,6 +136,11 @@
     pub since: Instant,
     /// The worker has reported the run as active to this owner.
     pub reported: bool,
+    /// When the last start was sent, or the run inherited, until the worker is known to have
+    /// survived the start.
+    pub unconfirmed_since: Option<Instant>,
+    /// The run is under suspicion: no other start is added to the worker until it has survived.
+    pub solo: bool,
     /// Number of starts that went unanswered.
     pub start_attempts: u32,
     /// When the last stop was sent.
@@ -166,6 +171,11 @@
         self.start_attempts > 0 || matches!(self.phase, RunPhase::Sent | RunPhase::Unanswered)
     }
 
+    /// Returns whether the worker may still crash because of the run's start.
+    pub fn is_unconfirmed(&self) -> bool {
+        self.phase == RunPhase::Planned || self.unconfirmed_since.is_some()
+    }
+
     /// Returns the record of a run that was not placed on the worker.
     pub fn orphan(run: RunNumber, now: Instant) -> Self {
         Self {
@@ -175,6 +185,8 @@
             phase: RunPhase::Stopping,
             since: now,
             reported: true,
+            unconfirmed_since: None,
+            solo: false,
             start_attempts: 0,
             stop_sent: None,
             stop_acknowledged: None,
@@ -197,6 +209,8 @@
     pub best_effort: usize,
     /// Runs with an upper bound of their tail latency.
     pub serving: usize,
+    /// Runs under suspicion.
+    pub solo: usize,
 }
 
 impl RunCounts {
@@ -204,12 +218,14 @@
         self.long_running += usize::from(run.long_running);
         self.best_effort += usize::from(run.best_effort);
         self.serving += usize::from(run.target_latency.is_some());
+        self.solo += usize::from(run.solo);
     }
 
     fn subtract(&mut self, run: &RunRecord) {
         self.long_running -= usize::from(run.long_running);
         self.best_effort -= usize::from(run.best_effort);
         self.serving -= usize::from(run.target_latency.is_some());
+        self.solo -= usize::from(run.solo);
     }
 }
 
@@ -231,6 +247,8 @@
     /// Number of worker lives in the shard that this owner had seen end when this one began.
     pub ended_lives: u64,
     pub clock_reading: Option<ClockReading>,
+    /// Reading that gives the best upper bound of the worker's clock, dated by the request.
+    pub clock_bound: Option<ClockReading>,
     /// Latest lease end that this owner has sent, on the worker's clock.
     pub lease_granted_until: WorkerMillis,
     /// The worker has answered this owner, so it rejects earlier owners.
@@ -246,6 +264,10 @@
     pub machine_down: bool,
     /// When the current drain request began.
     pub drain_since: Option<Instant>,
+    /// The platform has listed the worker as draining in its current life.
+    pub announced_drain: bool,
+    /// First sign that the worker may be lost, while there is one.
+    pub lost_since: Option<Instant>,
     /// Last run end that was applied.
     pub applied_end: EndNumber,
     /// Last run end whose effect is stored.
@@ -279,6 +301,7 @@
             life: None,
             ended_lives,
             clock_reading: None,
+            clock_bound: None,
             lease_granted_until: 0,
             synced: false,
             inherited_lease_end: now,
@@ -286,6 +309,8 @@
             machine_ordered: false,
             machine_down: false,
             drain_since: None,
+            announced_drain: false,
+            lost_since: None,
             applied_end: 0,
             stored_end: 0,
             acknowledged_end: 0,
@@ -319,6 +344,25 @@
         Some(reading.clock + passed.as_millis() as WorkerMillis)
     }
 
+    /// Returns an upper bound of the worker's clock, which is never faster than the owner's, if a
+    /// reading is known.
+    pub fn latest_clock(&self, at: Instant) -> Option<WorkerMillis> {
+        let bound = self.clock_bound?;
+        let passed = at.saturating_duration_since(bound.at);
+        Some(bound.clock + passed.as_millis() as WorkerMillis)
+    }
+
+    /// Updates the upper bound with a clock reading that was requested at a time.
+    pub fn bound_clock(&mut self, clock: WorkerMillis, requested_at: Instant) {
+        if self
+            .latest_clock(requested_at)
+            .is_none_or(|latest| clock < latest)
+        {
+            let at = requested_at;
+            self.clock_bound = Some(ClockReading { clock, at });
+        }
+    }
+
     /// Returns and records the end of a lease that is requested now.
     pub fn renew(&mut self, now: Instant, lease: Duration, drift: f64) -> Option<WorkerMillis> {
         let until = self.clock(now, drift)? + lease.as_millis() as WorkerMillis;
@@ -355,6 +399,24 @@
         Some(removed)
     }
 
+    /// Records that a run's start no longer threatens the worker.
+    pub fn clear_suspicion(&mut self, task: &TaskName) {
+        if let Some(run) = self.runs.get_mut(task) {
+            run.unconfirmed_since = None;
+            self.counts.solo -= usize::from(run.solo);
+            run.solo = false;
+        }
+    }
+
+    /// Clears all runs of suspicion.
+    pub fn clear_suspicions(&mut self) {
+        for run in self.runs.values_mut() {
+            run.unconfirmed_since = None;
+            run.solo = false;
+        }
+        self.counts.solo = 0;
+    }
+
     /// Returns the unreserved resources.
     pub fn room(&self) -> ResourceSize {
         self.entry.capacity.minus(&self.used)
@@ -377,6 +439,12 @@
         self.machine_down || self.missed_polls > 1 || self.entry.phase == WorkerPhase::Draining
     }
 
+    /// Returns whether any run's start may still crash the worker.
+    pub fn has_suspects(&self) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|run| run.unconfirmed_since.is_some())
+    }
+
     /// Returns whether the machine controller has requested to drain the worker.
     pub fn has_drain_request(&self, now: Instant) -> bool {
         self.drain_until.is_some_and(|until| now < until)
