--- a/crates/control/src/shard/crashes.rs
+++ b/crates/control/src/shard/crashes.rs
@@ -40,6 +40,8 @@
     pool: PoolId,
     zone: ZoneId,
     lost_at: Instant,
+    /// The worker has accepted a start that was sent then.
+    alive_at: Option<Instant>,
     has_suspects: bool,
     has_solo_start: bool,
 }
@@ -48,7 +50,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
 enum CrashExcuse {
-    /// The worker was draining.
+    /// The worker had announced that it would end.
     Drain,
     /// The machine controller had ordered its machine.
     MachineOrder,
@@ -116,6 +118,7 @@
 impl CrashRecord {
     fn new(worker: &WorkerRecord, lost_at: Instant) -> Self {
         Self {
+            alive_at: None,
             worker: worker.entry.id.clone(),
             pool: worker.entry.pool.clone(),
             zone: worker.entry.zone.clone(),
@@ -128,8 +131,12 @@
     /// Returns whether both losses may have the same cause.
     fn is_related(&self, other: &Self) -> bool {
         let apart = self.lost_at.max(other.lost_at) - self.lost_at.min(other.lost_at);
+        let outlived = self
+            .alive_at
+            .is_some_and(|alive_at| alive_at > other.lost_at);
         self.worker != other.worker
             && apart <= COMMON_CAUSE_WINDOW
+            && !outlived
             && (self.pool == other.pool || self.zone == other.zone)
     }
 
@@ -189,7 +196,12 @@
     ) -> Option<CrashReport> {
         let worker = self.workers.get(id)?;
         worker.life?;
-        let crash = CrashRecord::new(worker, worker.lost_since.unwrap_or(now));
+        let runs = worker.runs.values();
+        let accepted = runs.filter(|run| StartEvidence::of(run, cause) == StartEvidence::Accepted);
+        let crash = CrashRecord {
+            alive_at: accepted.filter_map(|run| run.unconfirmed_since).max(),
+            ..CrashRecord::new(worker, worker.lost_since.unwrap_or(now))
+        };
         let excuse = self.plan_of(worker).or_else(|| {
             self.has_common_cause(&crash)
                 .then_some(CrashExcuse::CommonCause)
@@ -221,7 +233,9 @@
 
     /// Returns why the end of a worker's life was to be expected.
     fn plan_of(&self, worker: &WorkerRecord) -> Option<CrashExcuse> {
-        if worker.announced_drain || worker.drain_since.is_some() {
+        // A request to drain ends no life, and the machine controller chooses idle workers for it, such
+        // as one that was lost a moment ago.
+        if worker.announced_drain {
             Some(CrashExcuse::Drain)
         } else if worker.machine_ordered {
             Some(CrashExcuse::MachineOrder)
