--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -135,7 +135,9 @@
             }
             Err(fault) => {
                 worker.missed_polls += 1;
-                worker.lost_since.get_or_insert(now);
+                if worker.was_heard_until(order.sent_at) {
+                    worker.lost_since.get_or_insert(now);
+                }
                 worker.silent_at = Some(order.sent_at);
                 let doubled = self.settings.poll_retry * (1 << (worker.missed_polls - 1).min(4));
                 worker.poll_due = now + doubled.min(self.settings.poll_retry_max);
@@ -248,8 +250,8 @@
     fn reconcile_runs(&mut self, order: &PollOrder, report: &PollReport, now: Instant) {
         let max_attempts = self.settings.max_start_attempts;
         let mut reported = Vec::new();
+        self.confirm_survivals(&order.worker, report);
         for active in &report.running {
-            self.confirm_survival(&order.worker, active, report.clock);
             self.reconcile_active_run(&order.worker, active, now);
             reported.push((&active.task, active.run));
         }
