--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -116,9 +116,9 @@
     /// A task whose earlier run did not end as done is placed again.
     #[strum(message = "A task whose earlier run did not end as done is placed again.")]
     RunRepeated = 617,
-    /// A worker crashed before it had confirmed a run, which may be the cause.
-    #[strum(message = "A worker crashed before it had confirmed a run, which may be the cause.")]
-    RunSuspected = 618,
+    /// A long-running task has been waiting for a worker.
+    #[strum(message = "A long-running task has been waiting for a worker.")]
+    TaskUnplaced = 618,
     /// A job fails because the workers that started one of its tasks crashed.
     #[strum(message = "A job fails because the workers that started one of its tasks crashed.")]
     TaskCrashing = 619,
@@ -131,6 +131,12 @@
     /// A worker did not answer a poll.
     #[strum(message = "A worker did not answer a poll.")]
     WorkerSilent = 622,
+    /// Runs wait until the leases on an unreachable worker have expired.
+    #[strum(message = "Runs wait until the leases on an unreachable worker have expired.")]
+    LeaseAwaited = 623,
+    /// A worker crashed before it had confirmed a run, which may be the cause.
+    #[strum(message = "A worker crashed before it had confirmed a run, which may be the cause.")]
+    RunSuspected = 624,
     /// A node took over a shard.
     #[strum(message = "A node took over a shard.")]
     ShardTaken = 630,
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -6,7 +6,7 @@
 use pw_base::prelude::*;
 use pw_job::prelude::*;
 
-use super::ShardController;
+use super::{ShardController, reserved_size};
 use crate::message::{CallFault, FinishedRun, PaceOrder, PollOrder, PollReport, ShardCommand};
 use crate::pace::next_pace;
 use crate::worker::{ClockReading, LifeEnd, RunPhase, WorkerEntry, WorkerPhase, WorkerRecord};
@@ -32,8 +32,7 @@
                     } else {
                         worker.announced_drain |= entry.phase == WorkerPhase::Draining;
                     }
-                    worker.listed = true;
-                    worker.entry = entry;
+                    worker.update_entry(entry);
                 }
                 None => {
                     let id = entry.id.clone();
@@ -66,6 +65,7 @@
     pub(super) fn send_polls(&mut self, now: Instant) {
         let settings = &self.settings;
         let confirmed = self.is_confirmed(now);
+        let lease = self.longest_grant(now);
         let moving = self.is_moving_long_running(now);
         let due = self.workers.iter().filter(|(_, worker)| {
             let due = worker.next_poll();
@@ -79,7 +79,7 @@
             // The lease of an unreachable worker is not renewed, so that it expires in time.
             let renewable = confirmed && worker.missed_polls == 0 && worker.synced;
             let lease_until = if renewable {
-                worker.renew(now, settings.lease, settings.clock_drift)
+                worker.renew(now, lease, settings.clock_drift)
             } else {
                 None
             };
@@ -286,7 +286,7 @@
             self.end_run(&order.worker, &task, run, end, None, now);
         }
         for task in retries {
-            self.send_start(&order.worker, &task, now);
+            self.repeat_start(&order.worker, &task, now);
         }
     }
 
@@ -299,10 +299,8 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let job_over = self
-            .jobs
-            .get(&active.task.job)
-            .is_none_or(|job| job.is_over());
+        let job = self.jobs.get(&active.task.job);
+        let job_over = job.is_none_or(|job| job.is_over());
         match worker.runs.get_mut(&active.task) {
             Some(run) if run.run == active.run => {
                 run.reported = true;
@@ -331,7 +329,11 @@
             Some(_) => {}
             None => {
                 // No placement matches this run: it is tracked and stopped until it has ended.
-                let orphan = crate::worker::RunRecord::orphan(active.run, now);
+                let steps = job.map(|job| &job.submission.spec.steps);
+                let step = steps.and_then(|steps| steps.get(active.task.step as usize));
+                // A run of an unknown job may take all resources of the worker.
+                let size = step.map_or(worker.entry.capacity, reserved_size);
+                let orphan = crate::worker::RunRecord::orphan(active.run, size, now);
                 worker.add_run(active.task.clone(), orphan);
                 let event = EventCode::StrayRun.number();
                 let (task, run) = (&active.task, active.run);
--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -66,7 +66,11 @@
                 self.pause_ends.insert(pause_end);
             }
         }
-        let gang = spec.steps[task.step as usize].gang;
+        let step = &spec.steps[task.step as usize];
+        if step.long_running {
+            self.waits.record_end(task, now);
+        }
+        let gang = step.gang;
         let failed = job.state.failed;
         self.store_queue.mark_changed(&task.job);
         self.changed_jobs.insert(task.job.clone());
@@ -178,7 +182,12 @@
     /// Resets a worker whose life has ended and ends its runs as lost, except for those that may
     /// still start on a later life, which are stopped there first.
     pub(super) fn end_worker_life(&mut self, id: &WorkerId, cause: LifeEnd, now: Instant) {
-        let lease = self.settings.longest_lease;
+        let lease = match cause {
+            // No run was left on the machine, and a late order is void once its own lease has ended.
+            LifeEnd::MachineEnded => self.settings.lease,
+            // A later life may have executed an order already, with a lease by its own clock.
+            _ => self.settings.longest_lease,
+        };
         let lease = lease.div_f64(1.0 - self.settings.clock_drift);
         let crash = self.assess_crash(id, cause, now);
         let Some(worker) = self.workers.get_mut(id) else {
@@ -199,6 +208,7 @@
         worker.silent_at = None;
         worker.announced_drain = false;
         worker.lost_since = None;
+        worker.room_refusal = None;
         // The address is polled again later, in case it still belongs to this worker.
         worker.poll_due = match cause {
             LifeEnd::Listed | LifeEnd::Reported => now,
--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -16,7 +16,7 @@
         if now >= send_by {
             return;
         }
-        let (lease, drift) = (self.settings.lease, self.settings.clock_drift);
+        let (lease, drift) = (self.longest_grant(now), self.settings.clock_drift);
         let step = (task.job.clone(), task.occurrence, task.step);
         let ticket = self.ticket(&step, id, now);
         let Some(worker) = self.workers.get_mut(id) else {
@@ -53,6 +53,22 @@
         }));
     }
 
+    /// Sends an unanswered start again, or stops the run if it may no longer start on the worker: the
+    /// first request may still be executed.
+    pub(super) fn repeat_start(&mut self, id: &WorkerId, task: &TaskName, now: Instant) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        if self.may_start(worker, now) {
+            self.send_start(id, task, now);
+            return;
+        }
+        let worker = self.workers.get_mut(id);
+        if let Some(run) = worker.and_then(|worker| worker.runs.get_mut(task)) {
+            run.phase = RunPhase::Stopping;
+        }
+    }
+
     pub(super) fn handle_start(&mut self, order: &StartOrder, outcome: StartOutcome, now: Instant) {
         let settings = self.settings.clone();
         let Some(worker) = self.workers.get_mut(&order.worker) else {
@@ -75,6 +91,10 @@
                     run.phase = RunPhase::Running;
                     run.since = now;
                 }
+                if run.solo {
+                    // The worker may hold the poll in flight for longer than the suspicion may last.
+                    worker.poll_in_flight = false;
+                }
                 worker.poll_due = worker.poll_due.min(now + settings.poll_gap);
                 self.record_accepted_start(&order.task);
             }
@@ -120,6 +140,8 @@
                 );
             }
             StartOutcome::NoRoom => {
+                let size = run.size;
+                worker.record_room_refusal(size, settings.room_refusal_ttl, now);
                 worker.paused_until = now + settings.capacity_backoff;
                 worker.poll_due = worker.poll_due.min(now);
                 self.requeue_task(order, now);
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -179,11 +179,16 @@
         self.phase == RunPhase::Planned || self.unconfirmed_since.is_some()
     }
 
-    /// Returns the record of a run that was not placed on the worker.
-    pub fn orphan(run: RunNumber, now: Instant) -> Self {
+    /// Returns whether the run is, or may be, active on the worker.
+    fn has_started(&self) -> bool {
+        !matches!(self.phase, RunPhase::Planned | RunPhase::Sent)
+    }
+
+    /// Returns the record of a run of `size` that was not placed on the worker.
+    pub fn orphan(run: RunNumber, size: ResourceSize, now: Instant) -> Self {
         Self {
             run,
-            size: ResourceSize::default(),
+            size,
             account: None,
             phase: RunPhase::Stopping,
             since: now,
@@ -232,6 +237,25 @@
     }
 }
 
+/// Why a worker gets no starts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) enum StartRefusal {
+    /// The platform does not list the worker.
+    Unlisted,
+    /// The worker has not answered this owner yet, or not its last poll.
+    Silent,
+    /// The platform lists the worker's machine as down.
+    MachineDown,
+    /// The worker will leave.
+    Leaving,
+    /// The worker refused a start a moment ago.
+    Paused,
+    /// The machine controller drains the worker.
+    DrainRequested,
+    /// The entry describes a former life of the worker.
+    NotDescribed,
+}
+
 /// A reading of a worker's clock.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ClockReading {
@@ -239,10 +263,20 @@
     pub at: Instant,
 }
 
+/// The size of a start that a worker refused for lack of room.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RoomRefusal {
+    pub size: ResourceSize,
+    /// When a start of that size may be sent again, if nothing else changes.
+    pub until: Instant,
+}
+
 /// An owner's record of one worker.
 #[derive(Debug)]
 pub(crate) struct WorkerRecord {
     pub entry: WorkerEntry,
+    /// Largest capacity that this life of the worker has had.
+    pub full_capacity: ResourceSize,
     /// The latest list of the platform contains the worker.
     pub listed: bool,
     /// Life of the worker, once it has answered this owner.
@@ -287,6 +321,8 @@
     pub paused_until: Instant,
     /// Number of consecutive starts that the worker refused as unhealthy.
     pub unhealthy_refusals: u32,
+    /// Last refusal for lack of room.
+    pub room_refusal: Option<RoomRefusal>,
     pub runs: IndexMap<TaskName, RunRecord>,
     /// Resources reserved for the runs.
     pub used: ResourceSize,
@@ -299,6 +335,7 @@
 impl WorkerRecord {
     pub fn new(entry: WorkerEntry, ended_lives: u64, now: Instant) -> Self {
         Self {
+            full_capacity: entry.capacity,
             entry,
             listed: true,
             life: None,
@@ -323,6 +360,7 @@
             silent_at: None,
             paused_until: now,
             unhealthy_refusals: 0,
+            room_refusal: None,
             runs: IndexMap::new(),
             used: ResourceSize::default(),
             counts: RunCounts::default(),
@@ -397,6 +435,9 @@
             return None;
         }
         let removed = self.runs.swap_remove(task)?;
+        if removed.has_started() {
+            self.room_refusal = None;
+        }
         self.used = self.used.minus(&removed.size);
         self.counts.subtract(&removed);
         Some(removed)
@@ -420,20 +461,84 @@
         self.counts.solo = 0;
     }
 
-    /// Returns the unreserved resources.
-    pub fn room(&self) -> ResourceSize {
-        self.entry.capacity.minus(&self.used)
+    /// Returns the unreserved resources; `None` if the runs exceed the capacity, which may shrink.
+    pub fn room(&self) -> Option<ResourceSize> {
+        let capacity = &self.entry.capacity;
+        let fits = self.used.fits_into(capacity);
+        fits.then(|| capacity.minus(&self.used))
+    }
+
+    /// Returns whether a run of `size` fits beside the others, as far as the worker has not refused
+    /// such a run.
+    pub fn has_room(&self, size: &ResourceSize, now: Instant) -> bool {
+        let refused = self
+            .room_refusal
+            .is_some_and(|refusal| now < refusal.until && refusal.size.fits_into(size));
+        !refused && self.room().is_some_and(|room| size.fits_into(&room))
+    }
+
+    /// Records that the worker refused a start of `size` for lack of room; a smaller size that it
+    /// refused before covers this one.
+    pub fn record_room_refusal(&mut self, size: ResourceSize, ttl: Duration, now: Instant) {
+        let covered = self
+            .room_refusal
+            .is_some_and(|refusal| now < refusal.until && refusal.size.fits_into(&size));
+        if !covered {
+            let until = now + ttl;
+            self.room_refusal = Some(RoomRefusal { size, until });
+        }
+    }
+
+    /// Applies a new entry of the worker.
+    pub fn update_entry(&mut self, entry: WorkerEntry) {
+        if entry.capacity != self.entry.capacity {
+            self.room_refusal = None;
+        }
+        self.full_capacity = if entry.life == self.entry.life {
+            self.full_capacity.max(&entry.capacity)
+        } else {
+            entry.capacity
+        };
+        self.listed = true;
+        self.entry = entry;
+    }
+
+    /// Returns whether the worker has less capacity than it had.
+    pub fn has_shrunk(&self) -> bool {
+        self.entry.capacity != self.full_capacity
     }
 
     /// Returns whether starts may be sent to the worker now.
     pub fn accepts_starts(&self, now: Instant) -> bool {
-        self.listed
-            && self.synced
-            && self.missed_polls == 0
-            && !self.machine_down
-            && self.entry.phase == WorkerPhase::Ready
-            && now >= self.paused_until
-            && !self.has_drain_request(now)
+        self.start_refusal(now).is_none()
+    }
+
+    /// Returns why no starts may be sent to the worker now.
+    pub fn start_refusal(&self, now: Instant) -> Option<StartRefusal> {
+        if !self.listed {
+            Some(StartRefusal::Unlisted)
+        } else if !self.synced || self.missed_polls > 0 {
+            Some(StartRefusal::Silent)
+        } else if self.machine_down {
+            Some(StartRefusal::MachineDown)
+        } else if self.entry.phase != WorkerPhase::Ready {
+            Some(StartRefusal::Leaving)
+        } else if now < self.paused_until {
+            Some(StartRefusal::Paused)
+        } else if self.has_drain_request(now) {
+            Some(StartRefusal::DrainRequested)
+        } else if !self.is_described() {
+            Some(StartRefusal::NotDescribed)
+        } else {
+            None
+        }
+    }
+
+    /// Returns whether the entry describes the life that answers. A later life may differ in its
+    /// capacity and labels; its entry follows with its first heartbeat.
+    fn is_described(&self) -> bool {
+        let listed = self.entry.life;
+        listed == 0 || self.life.is_none_or(|life| life <= listed)
     }
 
     /// Returns whether the worker is unavailable to its pool. A single missed poll does not count,
--- a/crates/control/tests/machines/main.rs
+++ b/crates/control/tests/machines/main.rs
@@ -37,6 +37,72 @@
     assert_eq!(platform.ended, [platform.unreachable[0].life.clone()]);
 }
 
+/// A machine that is gone for good is no longer listed at all.
+#[test]
+fn an_unreachable_worker_has_ended_when_its_machine_is_no_longer_listed() {
+    let mut platform = Platform::new(4, WaveRule::default());
+    mark_first_unreachable(&mut platform);
+    platform.views.swap_remove("m0");
+    platform.run(Duration::from_millis(1500));
+    assert_eq!(platform.ended, [platform.unreachable[0].life.clone()]);
+}
+
+/// A list is read in pages while machines come and go.
+#[test]
+fn a_machine_that_is_missing_from_two_lists_is_not_gone() {
+    let mut platform = Platform::new(4, WaveRule::default());
+    mark_first_unreachable(&mut platform);
+    platform.run(Duration::from_secs(1));
+    for _ in 0..4 {
+        let mut machines: Vec<MachineView> = platform.views.values().cloned().collect();
+        let listed = machines.clone();
+        machines.remove(0);
+        for machines in [machines.clone(), machines, listed] {
+            platform.now += Duration::from_millis(10);
+            platform.handle(MachineEvent::Machines {
+                machines,
+                requested_at: platform.now,
+            });
+            platform.handle(MachineEvent::Tick);
+            assert!(platform.ended.is_empty(), "an incomplete list ended a life");
+        }
+    }
+}
+
+/// The platform answers slowly, so three lists are read at the same time, and one machine that goes
+/// away shifts the pages of all of them.
+#[test]
+fn lists_that_are_read_at_the_same_time_do_not_end_the_life_on_a_machine_that_they_lack() {
+    let mut platform = Platform::new(4, WaveRule::default());
+    mark_first_unreachable(&mut platform);
+    platform.run(Duration::from_millis(500));
+    let requested = (0..3).map(|list| platform.now + Duration::from_millis(250 * list));
+    let mut machines: Vec<MachineView> = platform.views.values().cloned().collect();
+    machines.remove(0);
+    let mut answered_at = platform.now + Duration::from_millis(900);
+    for requested_at in requested {
+        let list = MachineEvent::Machines {
+            machines: machines.clone(),
+            requested_at,
+        };
+        answered_at += Duration::from_millis(150);
+        let commands = platform.controller.handle(answered_at, list);
+        let ended = commands.iter().any(|command| {
+            matches!(command, MachineCommand::Survey(_, order) if !order.ended.is_empty())
+        });
+        assert!(!ended, "lists of one moment ended a life");
+    }
+}
+
+#[test]
+fn a_machine_in_an_unknown_state_ends_no_life() {
+    let mut platform = Platform::new(4, WaveRule::default());
+    mark_first_unreachable(&mut platform);
+    platform.views["m0"].state = MachineState::Unknown;
+    platform.run(Duration::from_secs(2));
+    assert!(platform.ended.is_empty());
+}
+
 /// The machine comes back after the list was read and before its owner reports it as unreachable.
 #[test]
 fn a_list_requested_before_the_report_of_a_life_ends_nothing() {
