--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -140,6 +140,9 @@
     pub states: Vec<(JobId, JobState)>,
     /// Longest remaining time of each worker's lease, if the previous owner released the shard.
     pub leases: Option<IndexMap<WorkerId, Duration>>,
+    /// When the claim was requested, which confirms the ownership; `None` if the claim is as recent
+    /// as the opening.
+    pub claimed_at: Option<Instant>,
 }
 
 /// Polls a worker for its runs and renews its lease.
@@ -176,6 +179,10 @@
     pub running: Vec<ActiveRun>,
     /// Ended runs, in the order of their numbers.
     pub finished: Vec<FinishedRun>,
+    /// Why a run on the worker is missing from `running`, if its row could not be decoded.
+    pub malformed_run: Option<String>,
+    /// Why an ended run is missing from `finished`, if its row could not be decoded.
+    pub malformed_end: Option<String>,
 }
 
 /// A run that is active on a worker.
@@ -229,6 +236,8 @@
     pub tickets: IndexMap<WorkerId, Arc<str>>,
     /// How long the tickets are valid.
     pub validity: Duration,
+    /// Why a ticket is missing, if its row could not be decoded.
+    pub malformed_ticket: Option<String>,
 }
 
 /// Starts a run.
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -169,6 +169,7 @@
         now: Instant,
         wall: SystemTime,
     ) -> Self {
+        let confirmed_at = image.claimed_at.unwrap_or(now);
         let mut controller = Self {
             shard,
             epoch,
@@ -185,7 +186,7 @@
             stopping_workers: IndexSet::new(),
             budget: AccountBudget::default(),
             store_queue: StoreQueue::new(now),
-            confirmed_at: now,
+            confirmed_at,
             ended_lives: 0,
             crashes: CrashHistory::default(),
             inputs_read: IndexMap::new(),
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -23,16 +23,27 @@
             worker.listed = false;
         }
         let mut ended = Vec::new();
+        let settings = &self.settings;
+        let longest_lease = settings.longest_lease.div_f64(1.0 - settings.clock_drift);
         for entry in entries {
             match self.workers.get_mut(&entry.id) {
                 Some(worker) => {
-                    // A later life in the list means that the known one has ended.
-                    if worker.life.is_some_and(|life| entry.life > life) {
-                        ended.push((entry.id.clone(), LifeEnd::Listed));
+                    let known_life = worker.known_life();
+                    worker.update_entry(entry);
+                    if worker.life.is_none() && worker.known_life() > known_life {
+                        // The life that has just appeared may have executed a late order.
+                        let lease_end = now + longest_lease;
+                        worker.inherited_lease_end = worker.inherited_lease_end.max(lease_end);
+                    }
+                    if worker.has_later_listed_life() {
+                        // The worker itself tells, unless it is silent.
+                        worker.poll_due = now;
+                        if worker.missed_polls > 0 {
+                            ended.push((worker.entry.id.clone(), LifeEnd::Listed));
+                        }
                     } else {
-                        worker.announced_drain |= entry.phase == WorkerPhase::Draining;
+                        worker.announced_drain |= worker.entry.phase == WorkerPhase::Draining;
                     }
-                    worker.update_entry(entry);
                 }
                 None => {
                     let id = entry.id.clone();
@@ -94,6 +105,10 @@
             let stopping = worker.is_stopping();
             let wait = if stopping || moving && worker.is_starting_long_running() {
                 settings.poll_gap
+            } else if lease < 2 * settings.poll_wait {
+                // The ownership has not been confirmed for seconds. Once it is, the next poll has
+                // to renew the lease in time.
+                settings.poll_wait / 4
             } else {
                 settings.poll_wait
             };
@@ -130,7 +145,8 @@
             Err(CallFault::Fenced) if order.fence < worker.fence(self.epoch) => {}
             Err(CallFault::Fenced) => self.check_ownership(now),
             Err(CallFault::OtherLife) if !worker.is_addressed(order.address, order.life) => {}
-            Err(CallFault::OtherLife) => {
+            // Without a known life or runs, there is no life to end.
+            Err(CallFault::OtherLife) if worker.life.is_some() || worker.has_runs() => {
                 self.end_worker_life(&order.worker, LifeEnd::AddressReused, now);
             }
             Err(fault) => {
@@ -147,6 +163,7 @@
                     worker.poll_due = worker.poll_due.min(lease_end.max(now));
                 }
                 let misses = worker.missed_polls;
+                let worker_restarted = worker.has_later_listed_life();
                 // A lost worker is polled for seconds; logging only at powers of two keeps the
                 // number of lines low.
                 if misses.is_power_of_two() {
@@ -154,6 +171,9 @@
                     let worker = &*order.worker;
                     tracing::warn!(event, worker, %fault, misses, "worker not heard");
                 }
+                if worker_restarted {
+                    self.end_worker_life(&order.worker, LifeEnd::Listed, now);
+                }
             }
         }
     }
@@ -183,15 +203,22 @@
         }
         // A worker that becomes available may accept waiting tasks.
         self.placement_needed |= !worker.synced || worker.missed_polls > 0;
+        let is_later_life = worker.life.is_none() && worker.ended_life.is_some();
         worker.life = Some(report.life);
         worker.missed_polls = 0;
         worker.lost_since = None;
         if !worker.synced {
             worker.synced = true;
             worker.poll_due = now;
-            // An earlier owner may have renewed the lease just before this answer.
-            worker.lease_granted_until =
-                report.clock + self.settings.lease.as_millis() as WorkerMillis;
+            let lease = if is_later_life {
+                // This life may have executed an order that was meant for an earlier one.
+                self.settings.longest_lease
+            } else {
+                // An earlier owner may have renewed the lease just before this answer.
+                self.settings.lease
+            };
+            let lease = lease.as_millis() as WorkerMillis;
+            worker.lease_granted_until = report.clock.saturating_add(lease);
         }
         worker.clock_reading = Some(ClockReading {
             clock: report.clock,
@@ -266,6 +293,8 @@
                 continue;
             }
             match run.phase {
+                // The run may be the one whose row could not be decoded.
+                _ if report.malformed_run.is_some() && run.phase != RunPhase::Unanswered => {}
                 RunPhase::Inherited => lost.push((task.clone(), run.run, RunEnd::Lost)),
                 RunPhase::Running if sent_after => {
                     lost.push((task.clone(), run.run, RunEnd::Lost));
--- a/crates/control/src/shard/survey.rs
+++ b/crates/control/src/shard/survey.rs
@@ -38,7 +38,7 @@
             }
         }
         for WorkerLife { worker, life } in &order.ended {
-            let known = self.workers.get(worker).and_then(|worker| worker.life);
+            let known = self.workers.get(worker).and_then(WorkerRecord::known_life);
             if known == Some(*life) {
                 self.end_worker_life(worker, LifeEnd::MachineEnded, now);
             }
@@ -72,7 +72,7 @@
                 machine: worker.entry.machine.clone()?,
                 life: WorkerLife {
                     worker: id.clone(),
-                    life: worker.life?,
+                    life: worker.known_life()?,
                 },
             })
         });
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{AsRefStr, Display, EnumString};
 
+use crate::config::PoolRule;
 use crate::pace::FULL_PACE;
 
 /// Whether a worker accepts new work.
@@ -50,31 +51,38 @@
     pub machine: Option<MachineId>,
 }
 
-/// Returns the workers without those whose machine has a later worker, and the start of the latest
-/// life on each machine.
+/// Returns the workers of `pools` without those whose machine has a later worker, and the start of
+/// the latest life on each machine. Without any pool, no configuration is known yet, and the workers
+/// of all pools count.
 ///
 /// The platform lists a lost worker until it has missed several heartbeats. Without this filter,
 /// tasks would be placed on it until then.
 pub fn current_workers(
-    mut workers: Vec<WorkerEntry>,
+    workers: &[WorkerEntry],
+    pools: &IndexMap<PoolId, PoolRule>,
 ) -> (Vec<WorkerEntry>, IndexMap<MachineId, LifeStart>) {
+    let known = workers
+        .iter()
+        .filter(|worker| pools.is_empty() || pools.contains_key(&worker.pool));
     let mut lives: IndexMap<MachineId, LifeStart> = IndexMap::new();
-    for worker in &workers {
+    for worker in known.clone() {
         if let Some(machine) = &worker.machine {
             let latest = lives.entry(machine.clone()).or_default();
             *latest = worker.life.max(*latest);
         }
     }
-    workers.retain(|worker| {
+    let current = known.filter(|worker| {
         let machine = worker.machine.as_ref();
         let latest = machine.and_then(|machine| lives.get(machine));
         latest.is_none_or(|life| worker.life >= *life)
     });
-    (workers, lives)
+    (current.cloned().collect(), lives)
 }
 
 /// Bits of a fence that count the ended lives of workers.
 const LIFE_BITS: u32 = 16;
+/// Largest number of ended lives in a fence; one more would be the fence of the next owner.
+const MAX_ENDED_LIVES: u64 = (1 << LIFE_BITS) - 1;
 
 /// How the end of a worker's life became known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -82,7 +90,7 @@
 pub(crate) enum LifeEnd {
     /// A later life answered a poll.
     Reported,
-    /// The platform lists a later life.
+    /// The platform lists a later life, and the worker does not answer for its own.
     Listed,
     /// Another worker answers at the address.
     AddressReused,
@@ -281,6 +289,8 @@
     pub listed: bool,
     /// Life of the worker, once it has answered this owner.
     pub life: Option<LifeStart>,
+    /// Latest life that has ended.
+    pub ended_life: Option<LifeStart>,
     /// Number of worker lives in the shard that this owner had seen end when this one began.
     pub ended_lives: u64,
     pub clock_reading: Option<ClockReading>,
@@ -339,6 +349,7 @@
             entry,
             listed: true,
             life: None,
+            ended_life: None,
             ended_lives,
             clock_reading: None,
             clock_bound: None,
@@ -373,7 +384,7 @@
     /// An order names its worker by id alone. Once a later life has seen a higher fence, it rejects
     /// the orders that were meant for an earlier one.
     pub fn fence(&self, epoch: OwnerEpoch) -> OrderFence {
-        (epoch << LIFE_BITS) + self.ended_lives
+        (epoch << LIFE_BITS) + self.ended_lives.min(MAX_ENDED_LIVES)
     }
 
     /// Returns a lower bound of the worker's clock, which may be slower than the owner's by at most
@@ -382,7 +393,11 @@
         let reading = self.clock_reading?;
         let passed = now.saturating_duration_since(reading.at);
         let passed = passed.mul_f64(1.0 - drift);
-        Some(reading.clock + passed.as_millis() as WorkerMillis)
+        Some(
+            reading
+                .clock
+                .saturating_add(passed.as_millis() as WorkerMillis),
+        )
     }
 
     /// Returns an upper bound of the worker's clock, which is never faster than the owner's, if a
@@ -390,7 +405,11 @@
     pub fn latest_clock(&self, at: Instant) -> Option<WorkerMillis> {
         let bound = self.clock_bound?;
         let passed = at.saturating_duration_since(bound.at);
-        Some(bound.clock + passed.as_millis() as WorkerMillis)
+        Some(
+            bound
+                .clock
+                .saturating_add(passed.as_millis() as WorkerMillis),
+        )
     }
 
     /// Updates the upper bound with a clock reading that was requested at a time.
@@ -406,7 +425,8 @@
 
     /// Returns and records the end of a lease that is requested now.
     pub fn renew(&mut self, now: Instant, lease: Duration, drift: f64) -> Option<WorkerMillis> {
-        let until = self.clock(now, drift)? + lease.as_millis() as WorkerMillis;
+        let clock = self.clock(now, drift)?;
+        let until = clock.saturating_add(lease.as_millis() as WorkerMillis);
         self.lease_granted_until = self.lease_granted_until.max(until);
         Some(until)
     }
@@ -601,6 +621,19 @@
         runs.any(|run| run.phase == RunPhase::Stopping && run.stop_acknowledged.is_none())
     }
 
+    /// Returns whether the platform lists a later life of the worker than the one that answered.
+    pub fn has_later_listed_life(&self) -> bool {
+        self.life.is_some_and(|life| self.entry.life > life)
+    }
+
+    /// Returns the current life as far as it is known, from an answer or, after the end of an earlier
+    /// one, from the list.
+    pub fn known_life(&self) -> Option<LifeStart> {
+        let listed = self.ended_life.map(|ended| (self.entry.life, ended));
+        let listed = listed.filter(|(listed, ended)| listed > ended);
+        self.life.or(listed.map(|(life, _)| life))
+    }
+
     /// Returns whether the worker has runs.
     pub fn has_runs(&self) -> bool {
         !self.runs.is_empty()
@@ -608,10 +641,8 @@
 
     /// Returns whether the worker has to be polled.
     fn needs_poll(&self) -> bool {
-        let unreachable = !self.synced || self.missed_polls > 0;
-        !self.runs.is_empty()
-            || self.acknowledged_end < self.stored_end
-            || unreachable && self.listed
+        let uncertain = !self.synced || self.missed_polls > 0 || !self.is_described();
+        !self.runs.is_empty() || self.acknowledged_end < self.stored_end || uncertain && self.listed
     }
 
     /// Returns when the next poll is due; `None` while none can be sent or is needed. The address
--- a/crates/control/tests/worker_lives.rs
+++ b/crates/control/tests/worker_lives.rs
@@ -319,3 +319,97 @@
     cluster.submit("second", None, vec![step(1)]);
     assert!(cluster.run_until(seconds(5), |cluster| cluster.status("second") == COMPLETED));
 }
+
+/// An entry of another writer names a worker at the address of another one. The ended lives count
+/// in the lower bits of every fence.
+#[test]
+fn a_worker_that_never_answered_has_no_life_to_end() {
+    let mut cluster = TestCluster::new(1);
+    cluster.add_worker("odd", "m9");
+    cluster.workers[1].address_reused = true;
+    cluster.list_workers();
+    let before = cluster.poll_count;
+    cluster.run(seconds(60));
+    let polls = cluster.poll_count - before;
+    assert!((20..=70).contains(&polls), "{polls} polls in 60 s");
+    // The next worker whose life ends gets a fence with the number of lives that ended before.
+    cluster.submit("job", None, vec![step(1)]);
+    cluster.restart_worker(&"w0".into());
+    cluster.list_workers();
+    cluster.run(seconds(5));
+    let fence = cluster.workers[0].fence;
+    assert_eq!(fence & 0xffff, 1, "lives that ended");
+    assert_eq!(cluster.status("job"), COMPLETED);
+}
+
+/// A worker of another writer may report a new life in each answer.
+#[test]
+fn fences_of_an_owner_stay_below_those_of_the_next_one() {
+    let mut cluster = TestCluster::new(1);
+    cluster.run(millis(100));
+    let address = cluster.workers[0].entry.address;
+    for life in 0..70_000 {
+        cluster.handle_event(ShardEvent::Polled {
+            order: PollOrder {
+                worker: "w0".into(),
+                address,
+                life: None,
+                epoch: 1,
+                fence: 1 << 16,
+                acknowledged: 0,
+                lease_until: None,
+                wait: millis(0),
+                sent_at: cluster.now,
+            },
+            result: Ok(PollReport {
+                clock: 1,
+                life,
+                ..Default::default()
+            }),
+            answered_at: cluster.now,
+        });
+    }
+    cluster.restart_worker(&"w0".into());
+    cluster.submit("job", None, vec![step(1)]);
+    cluster.list_workers();
+    assert!(cluster.run_until(seconds(5), |cluster| cluster.status("job") == COMPLETED));
+    assert_eq!(cluster.workers[0].fence >> 16, 1);
+}
+
+/// A record of another writer under a worker's key names a later life than the worker has.
+#[test]
+fn a_listed_life_that_the_worker_does_not_confirm_ends_no_runs() {
+    let mut cluster = TestCluster::new(2);
+    cluster.run_time = seconds(8);
+    cluster.submit("job", None, vec![step(8)]);
+    cluster.run(seconds(3));
+    let life = cluster.workers[0].entry.life;
+    for worker in cluster.workers.values_mut() {
+        worker.entry.life += 1;
+    }
+    cluster.list_workers();
+    for worker in cluster.workers.values_mut() {
+        worker.entry.life = life;
+    }
+    cluster.run(millis(500));
+    cluster.list_workers();
+    assert!(cluster.run_until(seconds(12), |cluster| cluster.status("job") == COMPLETED));
+    let starts: Vec<usize> = cluster.starts.values().map(Vec::len).collect();
+    assert_eq!(starts, [1; 8]);
+}
+
+/// The store is down for less time than tasks survive.
+#[test]
+fn leases_do_not_lapse_in_an_outage_of_the_store_that_is_shorter_than_the_horizon() {
+    let lapsed = (0..20).filter(|phase| {
+        let mut cluster = long_running_cluster(1);
+        cluster.run(seconds(3) + millis(100 * phase));
+        cluster.store_up = false;
+        cluster.run(seconds(7));
+        cluster.store_up = true;
+        cluster.run(seconds(3));
+        cluster.start_count("job.0.0.0") > 1 || cluster.running("job.0.0.0") == 0
+    });
+    let lapsed: Vec<u64> = lapsed.map(|phase| 100 * phase).collect();
+    assert!(lapsed.is_empty(), "lapsed with the outage at {lapsed:?} ms");
+}
