--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -6,7 +6,7 @@
 use pw_base::prelude::*;
 use pw_job::prelude::*;
 
-use super::ShardController;
+use super::{ShardController, reserved_size};
 use crate::message::{CallFault, FinishedRun, PaceOrder, PollOrder, PollReport, ShardCommand};
 use crate::pace::next_pace;
 use crate::worker::{ClockReading, LifeEnd, RunPhase, WorkerEntry, WorkerRecord};
@@ -26,8 +26,7 @@
         for entry in entries {
             match self.workers.get_mut(&entry.id) {
                 Some(worker) => {
-                    worker.listed = true;
-                    worker.entry = entry;
+                    worker.update_entry(entry);
                     if worker.has_later_listed_life() {
                         // The worker itself tells, unless it is silent.
                         worker.poll_due = now;
@@ -67,6 +66,7 @@
     pub(super) fn send_polls(&mut self, now: Instant) {
         let settings = &self.settings;
         let confirmed = self.is_confirmed(now);
+        let lease = self.longest_grant(now);
         let moving = self.is_moving_long_running(now);
         let due = self.workers.iter().filter(|(_, worker)| {
             let due = worker.next_poll();
@@ -80,7 +80,7 @@
             // The lease of an unreachable worker is not renewed, so that it expires in time.
             let renewable = confirmed && worker.missed_polls == 0 && worker.synced;
             let lease_until = if renewable {
-                worker.renew(now, settings.lease, settings.clock_drift)
+                worker.renew(now, lease, settings.clock_drift)
             } else {
                 None
             };
@@ -284,7 +284,7 @@
             self.end_run(&order.worker, &task, run, end, None, now);
         }
         for task in retries {
-            self.send_start(&order.worker, &task, now);
+            self.repeat_start(&order.worker, &task, now);
         }
     }
 
@@ -297,10 +297,8 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let job_over = self
-            .jobs
-            .get(&active.task.job)
-            .is_none_or(|job| job.is_over());
+        let job = self.jobs.get(&active.task.job);
+        let job_over = job.is_none_or(|job| job.is_over());
         match worker.runs.get_mut(&active.task) {
             Some(run) if run.run == active.run => {
                 run.reported = true;
@@ -329,7 +327,11 @@
             Some(_) => {}
             None => {
                 // No placement matches this run: it is tracked and stopped until it has ended.
-                let orphan = crate::worker::RunRecord::orphan(active.run, now);
+                let steps = job.map(|job| &job.submission.spec.steps);
+                let step = steps.and_then(|steps| steps.get(active.task.step as usize));
+                // A run of an unknown job may take all resources of the worker.
+                let size = step.map_or(worker.entry.capacity, reserved_size);
+                let orphan = crate::worker::RunRecord::orphan(active.run, size, now);
                 worker.add_run(active.task.clone(), orphan);
                 let event = EventCode::StrayRun.number();
                 let (task, run) = (&active.task, active.run);
--- a/crates/control/src/shard/scheduling.rs
+++ b/crates/control/src/shard/scheduling.rs
@@ -75,12 +75,20 @@
 
     /// Returns the room on the workers of a pool that accept starts.
     fn pool_room(&self, pool: &PoolId, now: Instant) -> PoolRoom {
-        let open = self.workers.values().filter(|worker| {
+        PoolRoom::of(self.open_workers(pool, now).filter_map(WorkerRecord::room))
+    }
+
+    /// Returns the workers of a pool that accept starts.
+    pub(super) fn open_workers<'a>(
+        &'a self,
+        pool: &'a PoolId,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a WorkerRecord> {
+        self.workers.values().filter(move |worker| {
             worker.entry.pool == *pool
                 && worker.accepts_starts(now)
                 && !self.is_evacuated(&worker.entry.zone)
-        });
-        PoolRoom::of(open.map(WorkerRecord::room))
+        })
     }
 
     /// Returns the terms of a job by its queue's current rule, or those of its submission if this
@@ -137,7 +145,7 @@
     }
 
     /// Returns whether a run keeps the job's client account within this shard's allocation.
-    fn within_quota(&self, record: &SubmissionRecord, size: &ResourceSize) -> bool {
+    pub(super) fn within_quota(&self, record: &SubmissionRecord, size: &ResourceSize) -> bool {
         let Some(account) = &record.account else {
             return true;
         };
@@ -272,7 +280,7 @@
             worker.entry.pool == record.pool
                 && worker.accepts_starts(now)
                 && !self.is_evacuated(&worker.entry.zone)
-                && size.fits_into(&worker.room())
+                && worker.has_room(&size, now)
                 && !(spec.long_running && self.may_have_machine_order(worker, now))
                 && (!needs_ticket || self.ticket(&step_key, &worker.entry.id, now).is_some())
         });
@@ -324,9 +332,16 @@
             self.budget.reserve(account, &run_record.size);
         }
         let task = task_name(job, position);
+        let waited = self.waits.record_placement(&task, now);
+        if let Some(waited) = waited {
+            metrics::histogram!("pw_long_running_wait_seconds").record(waited);
+        }
         if run > 1 {
             let event = EventCode::RunRepeated.number();
-            tracing::info!(event, %task, run, worker = &**id, life, "task is placed again");
+            let waited_ms = waited.map(|waited| waited.as_millis() as u64);
+            tracing::info!(
+                event, %task, run, worker = &**id, life, waited_ms, "task is placed again"
+            );
         }
         if let Some(worker) = self.workers.get_mut(id) {
             worker.add_run(task.clone(), run_record);
@@ -339,7 +354,7 @@
     }
 }
 
-fn task_name(job: &JobId, (occurrence, step, index): TaskPosition) -> TaskName {
+pub(super) fn task_name(job: &JobId, (occurrence, step, index): TaskPosition) -> TaskName {
     TaskName {
         job: job.clone(),
         occurrence,
@@ -348,8 +363,9 @@
     }
 }
 
-/// Returns a worker as a candidate for a task; `None` if the step may not run there.
-fn candidate_for<'a>(
+/// Returns a worker as a candidate for a task; `None` if the step may not run there, or the worker's
+/// runs exceed its capacity.
+pub(super) fn candidate_for<'a>(
     worker: &'a WorkerRecord,
     task: &TaskName,
     spec: &StepSpec,
@@ -380,7 +396,7 @@
     let best_effort = if is_serving { counts.best_effort } else { 0 };
     Some(Candidate {
         worker: &entry.id,
-        room: worker.room(),
+        room: worker.room()?,
         capacity: entry.capacity,
         on_preferred_rack: preferred.is_none_or(|rack| entry.rack.as_ref() == Some(rack)),
         siblings,
--- a/crates/control/tests/worker_lives.rs
+++ b/crates/control/tests/worker_lives.rs
@@ -4,6 +4,7 @@
 
 use pw_control::prelude::*;
 use pw_job::prelude::*;
+use support::network::OrderFate;
 use support::{
     COMPLETED, TestCluster, long_running, long_running_cluster, millis, seconds, size, step,
 };
@@ -47,7 +48,9 @@
     let ended = cluster.unreachable_lives();
     cluster.workers.clear();
     cluster.add_worker("w0", "m0");
-    assert!(cluster.run_until(seconds(3), |cluster| cluster.running("job.0.0.0") == 1));
+    cluster.run(seconds(1));
+    cluster.list_workers();
+    assert!(cluster.run_until(seconds(2), |cluster| cluster.running("job.0.0.0") == 1));
     cluster.ended = ended;
     cluster.run(seconds(2));
     assert_eq!(cluster.running("job.0.0.0"), 1);
@@ -63,7 +66,7 @@
     cluster.take_over(None);
     assert!(cluster.run_until(seconds(20), |cluster| cluster.start_count("job.0.0.0") == 2));
     assert!(
-        cluster.now >= taken_over_at + seconds(12),
+        cluster.now >= taken_over_at + cluster.settings.lease_horizon,
         "restarted while a renewal by the previous owner may still be valid"
     );
 }
@@ -87,6 +90,49 @@
     );
 }
 
+/// The list of machines does not show that the worker is gone, and its owners are lost one after the
+/// other. The platform counts a task as lost 10 s after the last disturbance.
+#[test]
+fn a_task_on_a_lost_worker_restarts_in_time_although_its_owners_are_lost() {
+    let mut cluster = long_running_cluster(3);
+    let holder = cluster.starts[0][0].0.clone();
+    cluster.workers[&holder].crashed = true;
+    for _ in 0..3 {
+        cluster.run(seconds(6));
+        cluster.take_over(None);
+    }
+    assert!(
+        cluster.run_until(seconds(10), |cluster| cluster.running("job.0.0.0") == 1),
+        "the task waits although other workers have room"
+    );
+}
+
+/// The start of a long-running task goes unanswered as its worker is lost; the worker's machine does
+/// not come back.
+#[test]
+fn an_unanswered_start_does_not_hold_up_its_task_when_the_machine_is_lost() {
+    let mut cluster = TestCluster::new(2);
+    cluster.run(seconds(1));
+    cluster.order_fate = Box::new(|command| match command {
+        ShardCommand::Start(order) if order.run == 1 => OrderFate::Lost,
+        _ => OrderFate::Delivered,
+    });
+    cluster.submit("job", None, vec![long_running(1)]);
+    assert!(cluster.run_until(seconds(1), |cluster| !cluster.images.is_empty()));
+    let holder = cluster.placed_on("job.0.0.0");
+    cluster.workers[&holder].crashed = true;
+    let lost_at = cluster.now;
+    assert!(cluster.run_until(seconds(3), |cluster| {
+        !cluster.unreachable_lives().is_empty()
+    }));
+    cluster.ended = cluster.unreachable_lives();
+    assert!(cluster.run_until(seconds(10), |cluster| cluster.running("job.0.0.0") == 1));
+    assert!(
+        cluster.now <= lost_at + seconds(10),
+        "the task waits for a lease that no worker holds"
+    );
+}
+
 /// Until its leases expire, a lost worker still counts towards the load of its pool.
 #[test]
 fn runs_on_a_lost_worker_count_towards_its_pool() {
@@ -199,7 +245,9 @@
     cluster.workers.clear();
     cluster.run(millis(100));
     cluster.add_worker("w0", "m0");
-    assert!(cluster.run_until(seconds(2), |cluster| cluster.running("job.0.0.0") == 1));
+    cluster.run(seconds(1));
+    cluster.list_workers();
+    assert!(cluster.run_until(seconds(1), |cluster| cluster.running("job.0.0.0") == 1));
     assert_eq!(cluster.start_count("job.0.0.0"), 2);
 }
 
@@ -300,7 +348,7 @@
     let mut cluster = TestCluster::new(1);
     cluster.run(millis(100));
     let address = cluster.workers[0].entry.address;
-    for life in 0..70_000 {
+    for life in 2_000..72_000 {
         cluster.handle_event(ShardEvent::Polled {
             order: PollOrder {
                 worker: "w0".into(),
@@ -321,6 +369,7 @@
             answered_at: cluster.now,
         });
     }
+    cluster.workers[0].entry.life = 100_000;
     cluster.restart_worker(&"w0".into());
     cluster.submit("job", None, vec![step(1)]);
     cluster.list_workers();
