--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -23,10 +23,18 @@
             worker.listed = false;
         }
         let mut ended = Vec::new();
+        let settings = &self.settings;
+        let longest_lease = settings.longest_lease.div_f64(1.0 - settings.clock_drift);
         for entry in entries {
             match self.workers.get_mut(&entry.id) {
                 Some(worker) => {
+                    let known_life = worker.known_life();
                     worker.update_entry(entry);
+                    if worker.life.is_none() && worker.known_life() > known_life {
+                        // The life that has just appeared may have executed a late order.
+                        let lease_end = now + longest_lease;
+                        worker.inherited_lease_end = worker.inherited_lease_end.max(lease_end);
+                    }
                     if worker.has_later_listed_life() {
                         // The worker itself tells, unless it is silent.
                         worker.poll_due = now;
@@ -91,6 +99,10 @@
             let stopping = worker.is_stopping();
             let wait = if stopping || moving && worker.is_starting_long_running() {
                 settings.poll_gap
+            } else if lease < 2 * settings.poll_wait {
+                // The ownership has not been confirmed for seconds. Once it is, the next poll has
+                // to renew the lease in time.
+                settings.poll_wait / 4
             } else {
                 settings.poll_wait
             };
@@ -182,13 +194,20 @@
         }
         // A worker that becomes available may accept waiting tasks.
         self.placement_needed |= !worker.synced || worker.missed_polls > 0;
+        let is_later_life = worker.life.is_none() && worker.ended_life.is_some();
         worker.life = Some(report.life);
         worker.missed_polls = 0;
         if !worker.synced {
             worker.synced = true;
             worker.poll_due = now;
-            // An earlier owner may have renewed the lease just before this answer.
-            let lease = self.settings.lease.as_millis() as WorkerMillis;
+            let lease = if is_later_life {
+                // This life may have executed an order that was meant for an earlier one.
+                self.settings.longest_lease
+            } else {
+                // An earlier owner may have renewed the lease just before this answer.
+                self.settings.lease
+            };
+            let lease = lease.as_millis() as WorkerMillis;
             worker.lease_granted_until = report.clock.saturating_add(lease);
         }
         worker.clock_reading = Some(ClockReading {
