--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -119,6 +119,9 @@
     /// A long-running task has been waiting for a worker.
     #[strum(message = "A long-running task has been waiting for a worker.")]
     TaskUnplaced = 618,
+    /// A job fails because the workers that started one of its tasks crashed.
+    #[strum(message = "A job fails because the workers that started one of its tasks crashed.")]
+    TaskCrashing = 619,
     /// A worker's life ended; its runs are lost.
     #[strum(message = "A worker's life ended; its runs are lost.")]
     WorkerLifeEnded = 620,
@@ -131,6 +134,9 @@
     /// Runs wait until the leases on an unreachable worker have expired.
     #[strum(message = "Runs wait until the leases on an unreachable worker have expired.")]
     LeaseAwaited = 623,
+    /// A worker crashed before it had confirmed a run, which may be the cause.
+    #[strum(message = "A worker crashed before it had confirmed a run, which may be the cause.")]
+    RunSuspected = 624,
     /// A node took over a shard.
     #[strum(message = "A node took over a shard.")]
     ShardTaken = 630,
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -2,12 +2,14 @@
 
 mod advice;
 mod backlog;
+mod crashes;
 mod persistence;
 mod polling;
 mod queries;
 mod room;
 mod run_ends;
 mod scheduling;
+mod solo_starts;
 mod start_stop;
 mod survey;
 mod validity;
@@ -32,7 +34,9 @@
 use crate::settings::ControlSettings;
 use crate::shard::advice::{StepAdvice, StepKey};
 use crate::shard::backlog::{BacklogEntry, BacklogIndex, ReadyStep};
+use crate::shard::crashes::CrashHistory;
 use crate::shard::persistence::StoreQueue;
+use crate::shard::solo_starts::postponed_starts;
 use crate::shard::survey::STALE_ORDER_TIME;
 use crate::shard::waiting::WaitReports;
 use crate::urgency::{latest_start, remaining_critical_path};
@@ -72,6 +76,7 @@
     confirmed_at: Instant,
     /// Number of worker lives that this owner has seen end.
     ended_lives: u64,
+    crashes: CrashHistory,
     /// As of when each input is known.
     inputs_read: IndexMap<ShardInput, Instant>,
     /// When this owner took the shard over.
@@ -82,6 +87,8 @@
     placement_needed: bool,
     /// The last pass ended because too many starts had no answer.
     starts_exhausted: bool,
+    /// The last pass found no worker for a task that has to start alone.
+    solo_waiting: bool,
     /// Earliest time of the next pass over the waiting tasks.
     next_placement: Instant,
     /// End of the next pause, after which a waiting task may start without any other change.
@@ -162,6 +169,7 @@
         now: Instant,
         wall: SystemTime,
     ) -> Self {
+        let confirmed_at = image.claimed_at.unwrap_or(now);
         let mut controller = Self {
             shard,
             epoch,
@@ -178,13 +186,15 @@
             stopping_workers: IndexSet::new(),
             budget: AccountBudget::default(),
             store_queue: StoreQueue::new(now),
-            confirmed_at: now,
+            confirmed_at,
             ended_lives: 0,
+            crashes: CrashHistory::default(),
             inputs_read: IndexMap::new(),
             taken_over_at: now,
             unsurveyed_since: Some(now),
             placement_needed: true,
             starts_exhausted: false,
+            solo_waiting: false,
             next_placement: now,
             recheck_at: None,
             next_idle_tick: now,
@@ -308,10 +318,10 @@
         self.pause_ends = self.pause_ends.split_off(&now);
         let after = (Bound::Excluded(now), Bound::Unbounded);
         let tasks = self.pause_ends.range(after).take(1).copied();
-        let workers = self
-            .workers
-            .values()
-            .flat_map(|worker| [Some(worker.paused_until), worker.drain_until]);
+        let workers = self.workers.values().flat_map(|worker| {
+            let refusal_end = worker.room_refusal.map(|refusal| refusal.until);
+            [Some(worker.paused_until), worker.drain_until, refusal_end]
+        });
         let unsurveyed = self.unsurveyed_since.map(|since| since + STALE_ORDER_TIME);
         let ends = tasks
             .chain(workers.flatten())
@@ -390,8 +400,11 @@
                         step: step as u32,
                         index: index as u32,
                     };
-                    let run =
-                        self.run_record(record, step, task.last_run, RunPhase::Inherited, now);
+                    let position = (occurrence.number, name.step, name.index);
+                    let run = RunRecord {
+                        solo: state.crash_count(position) > 0,
+                        ..self.run_record(record, step, task.last_run, RunPhase::Inherited, now)
+                    };
                     if let Some(account) = &run.account {
                         self.budget.reserve(account, &run.size);
                     }
@@ -420,6 +433,8 @@
             phase,
             since: now,
             reported: false,
+            unconfirmed_since: (phase == RunPhase::Inherited).then_some(now),
+            solo: false,
             start_attempts: 0,
             stop_sent: None,
             stop_acknowledged: None,
@@ -611,11 +626,13 @@
         for (step, tasks) in occurrence.steps.iter().enumerate() {
             let waiting = tasks.iter().filter(|task| task.is_waiting()).count() as u64;
             if waiting > 0 && occurrence.step_ready(spec, step) {
+                let postponed = postponed_starts(&job.state, occurrence, step, &spec.steps[step]);
                 ready.push(ReadyStep {
                     occurrence: occurrence.number,
                     step: step as u32,
                     size: reserved_size(&spec.steps[step]),
-                    waiting,
+                    waiting: waiting.saturating_sub(postponed),
+                    long_running: spec.steps[step].long_running,
                 });
             }
         }
--- a/crates/control/src/shard/advice.rs
+++ b/crates/control/src/shard/advice.rs
@@ -17,6 +17,8 @@
 /// Tickets are not used within this time before their expiry, because a start has to be stored and
 /// sent.
 const TICKET_MARGIN: Duration = Duration::from_millis(300);
+/// Longest time for which a ticket is kept; a longer validity is cut to it.
+const MAX_VALIDITY: Duration = Duration::from_secs(24 * 3600);
 /// Pause after a failed request.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -71,7 +73,7 @@
             let denied = known.is_some_and(|advice| advice.denied.contains(id));
             worker.entry.pool == pool
                 && worker.accepts_starts(now)
-                && size.fits_into(&worker.room())
+                && worker.has_room(&size, now)
                 && !denied
                 && self.ticket(key, id, now).is_none()
         });
@@ -108,8 +110,11 @@
         advice.in_flight = false;
         match result {
             Ok(report) => {
+                // The missing ticket may be that of any worker.
+                let is_partial = report.malformed_ticket.is_some();
+                advice.retry_at = is_partial.then(|| now + RETRY_PAUSE);
                 // The validity starts no earlier than when the service issued the ticket.
-                let end = now + report.validity;
+                let end = now + report.validity.min(MAX_VALIDITY);
                 for worker in &order.workers {
                     let ticket = report.tickets.get(worker);
                     match (ticket, lives.get(worker)) {
@@ -117,10 +122,10 @@
                             let ticket = (ticket.clone(), *life, end);
                             advice.tickets.insert(worker.clone(), ticket);
                         }
-                        (None, _) => {
+                        (None, _) if !is_partial => {
                             advice.denied.insert(worker.clone());
                         }
-                        (Some(_), None) => {}
+                        _ => {}
                     }
                 }
             }
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -6,10 +6,10 @@
 use pw_base::prelude::*;
 use pw_job::prelude::*;
 
-use super::ShardController;
+use super::{ShardController, reserved_size};
 use crate::message::{CallFault, FinishedRun, PaceOrder, PollOrder, PollReport, ShardCommand};
 use crate::pace::next_pace;
-use crate::worker::{ClockReading, LifeEnd, RunPhase, WorkerEntry, WorkerRecord};
+use crate::worker::{ClockReading, LifeEnd, RunPhase, WorkerEntry, WorkerPhase, WorkerRecord};
 
 impl ShardController {
     /// Applies a new list of workers; a worker that is missing from it gets no more starts.
@@ -23,15 +23,27 @@
             worker.listed = false;
         }
         let mut ended = Vec::new();
+        let settings = &self.settings;
+        let longest_lease = settings.longest_lease.div_f64(1.0 - settings.clock_drift);
         for entry in entries {
             match self.workers.get_mut(&entry.id) {
                 Some(worker) => {
-                    // A later life in the list means that the known one has ended.
-                    if worker.life.is_some_and(|life| entry.life > life) {
-                        ended.push((entry.id.clone(), LifeEnd::Listed));
+                    let known_life = worker.known_life();
+                    worker.update_entry(entry);
+                    if worker.life.is_none() && worker.known_life() > known_life {
+                        // The life that has just appeared may have executed a late order.
+                        let lease_end = now + longest_lease;
+                        worker.inherited_lease_end = worker.inherited_lease_end.max(lease_end);
+                    }
+                    if worker.has_later_listed_life() {
+                        // The worker itself tells, unless it is silent.
+                        worker.poll_due = now;
+                        if worker.missed_polls > 0 {
+                            ended.push((worker.entry.id.clone(), LifeEnd::Listed));
+                        }
+                    } else {
+                        worker.announced_drain |= worker.entry.phase == WorkerPhase::Draining;
                     }
-                    worker.listed = true;
-                    worker.entry = entry;
                 }
                 None => {
                     let id = entry.id.clone();
@@ -82,13 +94,21 @@
             } else {
                 None
             };
-            let waits = worker.synced && worker.missed_polls == 0 && worker.has_runs();
+            // A run under suspicion is to be confirmed soon.
+            let waits = worker.synced
+                && worker.missed_polls == 0
+                && worker.has_runs()
+                && worker.counts.solo == 0;
             // The next task moves once this one is ready. Readiness does not end a worker's wait,
             // so the wait is short.
             // Nothing ends a wait for a stopped run that never started.
             let stopping = worker.is_stopping();
             let wait = if stopping || moving && worker.is_starting_long_running() {
                 settings.poll_gap
+            } else if lease < 2 * settings.poll_wait {
+                // The ownership has not been confirmed for seconds. Once it is, the next poll has
+                // to renew the lease in time.
+                settings.poll_wait / 4
             } else {
                 settings.poll_wait
             };
@@ -125,11 +145,15 @@
             Err(CallFault::Fenced) if order.fence < worker.fence(self.epoch) => {}
             Err(CallFault::Fenced) => self.check_ownership(now),
             Err(CallFault::OtherLife) if !worker.is_addressed(order.address, order.life) => {}
-            Err(CallFault::OtherLife) => {
+            // Without a known life or runs, there is no life to end.
+            Err(CallFault::OtherLife) if worker.life.is_some() || worker.has_runs() => {
                 self.end_worker_life(&order.worker, LifeEnd::AddressReused, now);
             }
             Err(fault) => {
                 worker.missed_polls += 1;
+                if worker.was_heard_until(order.sent_at) {
+                    worker.lost_since.get_or_insert(now);
+                }
                 worker.silent_at = Some(order.sent_at);
                 let doubled = self.settings.poll_retry * (1 << (worker.missed_polls - 1).min(4));
                 worker.poll_due = now + doubled.min(self.settings.poll_retry_max);
@@ -139,6 +163,7 @@
                     worker.poll_due = worker.poll_due.min(lease_end.max(now));
                 }
                 let misses = worker.missed_polls;
+                let worker_restarted = worker.has_later_listed_life();
                 // A lost worker is polled for seconds; logging only at powers of two keeps the
                 // number of lines low.
                 if misses.is_power_of_two() {
@@ -146,6 +171,9 @@
                     let worker = &*order.worker;
                     tracing::warn!(event, worker, %fault, misses, "worker not heard");
                 }
+                if worker_restarted {
+                    self.end_worker_life(&order.worker, LifeEnd::Listed, now);
+                }
             }
         }
     }
@@ -175,19 +203,28 @@
         }
         // A worker that becomes available may accept waiting tasks.
         self.placement_needed |= !worker.synced || worker.missed_polls > 0;
+        let is_later_life = worker.life.is_none() && worker.ended_life.is_some();
         worker.life = Some(report.life);
         worker.missed_polls = 0;
+        worker.lost_since = None;
         if !worker.synced {
             worker.synced = true;
             worker.poll_due = now;
-            // An earlier owner may have renewed the lease just before this answer.
-            worker.lease_granted_until =
-                report.clock + self.settings.lease.as_millis() as WorkerMillis;
+            let lease = if is_later_life {
+                // This life may have executed an order that was meant for an earlier one.
+                self.settings.longest_lease
+            } else {
+                // An earlier owner may have renewed the lease just before this answer.
+                self.settings.lease
+            };
+            let lease = lease.as_millis() as WorkerMillis;
+            worker.lease_granted_until = report.clock.saturating_add(lease);
         }
         worker.clock_reading = Some(ClockReading {
             clock: report.clock,
             at: answered_at,
         });
+        worker.bound_clock(report.clock, order.sent_at);
         self.apply_run_ends(order, &report, now);
         self.reconcile_runs(order, &report, now);
         self.adjust_paces(&order.worker, now);
@@ -240,6 +277,7 @@
     fn reconcile_runs(&mut self, order: &PollOrder, report: &PollReport, now: Instant) {
         let max_attempts = self.settings.max_start_attempts;
         let mut reported = Vec::new();
+        self.confirm_survivals(&order.worker, report);
         for active in &report.running {
             self.reconcile_active_run(&order.worker, active, now);
             reported.push((&active.task, active.run));
@@ -255,6 +293,8 @@
                 continue;
             }
             match run.phase {
+                // The run may be the one whose row could not be decoded.
+                _ if report.malformed_run.is_some() && run.phase != RunPhase::Unanswered => {}
                 RunPhase::Inherited => lost.push((task.clone(), run.run, RunEnd::Lost)),
                 RunPhase::Running if sent_after => {
                     lost.push((task.clone(), run.run, RunEnd::Lost));
@@ -275,7 +315,7 @@
             self.end_run(&order.worker, &task, run, end, None, now);
         }
         for task in retries {
-            self.send_start(&order.worker, &task, now);
+            self.repeat_start(&order.worker, &task, now);
         }
     }
 
@@ -288,10 +328,8 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let job_over = self
-            .jobs
-            .get(&active.task.job)
-            .is_none_or(|job| job.is_over());
+        let job = self.jobs.get(&active.task.job);
+        let job_over = job.is_none_or(|job| job.is_over());
         match worker.runs.get_mut(&active.task) {
             Some(run) if run.run == active.run => {
                 run.reported = true;
@@ -320,7 +358,11 @@
             Some(_) => {}
             None => {
                 // No placement matches this run: it is tracked and stopped until it has ended.
-                let orphan = crate::worker::RunRecord::orphan(active.run, now);
+                let steps = job.map(|job| &job.submission.spec.steps);
+                let step = steps.and_then(|steps| steps.get(active.task.step as usize));
+                // A run of an unknown job may take all resources of the worker.
+                let size = step.map_or(worker.entry.capacity, reserved_size);
+                let orphan = crate::worker::RunRecord::orphan(active.run, size, now);
                 worker.add_run(active.task.clone(), orphan);
                 let event = EventCode::StrayRun.number();
                 let (task, run) = (&active.task, active.run);
--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -183,33 +183,41 @@
     /// still start on a later life, which are stopped there first.
     pub(super) fn end_worker_life(&mut self, id: &WorkerId, cause: LifeEnd, now: Instant) {
         let lease = match cause {
-            // No run was left on the machine, and a late order is void once its own lease has ended.
+            // No run was left on the machine. A life that appears later is awaited longer.
             LifeEnd::MachineEnded => self.settings.lease,
             // A later life may have executed an order already, with a lease by its own clock.
             _ => self.settings.longest_lease,
         };
         let lease = lease.div_f64(1.0 - self.settings.clock_drift);
+        let crash = self.assess_crash(id, cause, now);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let life = worker.life.unwrap_or_default();
+        let life = worker.known_life();
+        worker.ended_life = worker.ended_life.max(life);
+        let life = life.unwrap_or_default();
         worker.synced = false;
         self.ended_lives += 1;
         worker.ended_lives = self.ended_lives;
         worker.life = None;
         worker.clock_reading = None;
+        worker.clock_bound = None;
         worker.lease_granted_until = 0;
         worker.applied_end = 0;
         worker.stored_end = 0;
         worker.acknowledged_end = 0;
         worker.inherited_lease_end = worker.inherited_lease_end.max(now + lease);
         worker.silent_at = None;
+        worker.announced_drain = false;
+        worker.lost_since = None;
+        worker.room_refusal = None;
         // The address is polled again later, in case it still belongs to this worker.
         worker.poll_due = match cause {
             LifeEnd::Listed | LifeEnd::Reported => now,
             _ => now + self.settings.poll_retry_max,
         };
         let mut lost = Vec::new();
+        worker.clear_suspicions();
         for (name, run) in &mut worker.runs {
             if cause.may_survive(run) {
                 run.stop_sent = None;
@@ -227,6 +235,9 @@
         for (name, run) in lost {
             self.end_run(id, &name, run, RunEnd::Lost, None, now);
         }
+        if let Some(crash) = crash {
+            self.record_crash(&crash, now);
+        }
     }
 
     /// Ends all runs on a worker as lost.
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{AsRefStr, Display, EnumString};
 
+use crate::config::PoolRule;
 use crate::pace::FULL_PACE;
 
 /// Whether a worker accepts new work.
@@ -50,31 +51,38 @@
     pub machine: Option<MachineId>,
 }
 
-/// Returns the workers without those whose machine has a later worker, and the start of the latest
-/// life on each machine.
+/// Returns the workers of `pools` without those whose machine has a later worker, and the start of
+/// the latest life on each machine. Without any pool, no configuration is known yet, and the workers
+/// of all pools count.
 ///
 /// The platform lists a lost worker until it has missed several heartbeats. Without this filter,
 /// tasks would be placed on it until then.
 pub fn current_workers(
-    mut workers: Vec<WorkerEntry>,
+    workers: &[WorkerEntry],
+    pools: &IndexMap<PoolId, PoolRule>,
 ) -> (Vec<WorkerEntry>, IndexMap<MachineId, LifeStart>) {
+    let known = workers
+        .iter()
+        .filter(|worker| pools.is_empty() || pools.contains_key(&worker.pool));
     let mut lives: IndexMap<MachineId, LifeStart> = IndexMap::new();
-    for worker in &workers {
+    for worker in known.clone() {
         if let Some(machine) = &worker.machine {
             let latest = lives.entry(machine.clone()).or_default();
             *latest = worker.life.max(*latest);
         }
     }
-    workers.retain(|worker| {
+    let current = known.filter(|worker| {
         let machine = worker.machine.as_ref();
         let latest = machine.and_then(|machine| lives.get(machine));
         latest.is_none_or(|life| worker.life >= *life)
     });
-    (workers, lives)
+    (current.cloned().collect(), lives)
 }
 
 /// Bits of a fence that count the ended lives of workers.
 const LIFE_BITS: u32 = 16;
+/// Largest number of ended lives in a fence; one more would be the fence of the next owner.
+const MAX_ENDED_LIVES: u64 = (1 << LIFE_BITS) - 1;
 
 /// How the end of a worker's life became known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -82,7 +90,7 @@
 pub(crate) enum LifeEnd {
     /// A later life answered a poll.
     Reported,
-    /// The platform lists a later life.
+    /// The platform lists a later life, and the worker does not answer for its own.
     Listed,
     /// Another worker answers at the address.
     AddressReused,
@@ -104,6 +112,9 @@
     }
 }
 
+/// Longest time between an answer and the next poll of a worker with runs, unless the owner is late.
+const POLL_PAUSE: Duration = Duration::from_secs(1);
+
 /// Progress in percent at which a long-running task is ready.
 pub(crate) const READY_PERCENT: u8 = 100;
 
@@ -136,6 +147,11 @@
     pub since: Instant,
     /// The worker has reported the run as active to this owner.
     pub reported: bool,
+    /// When the last start was sent, or the run inherited, until the worker is known to have
+    /// survived the start.
+    pub unconfirmed_since: Option<Instant>,
+    /// The run is under suspicion: no other start is added to the worker until it has survived.
+    pub solo: bool,
     /// Number of starts that went unanswered.
     pub start_attempts: u32,
     /// When the last stop was sent.
@@ -166,15 +182,27 @@
         self.start_attempts > 0 || matches!(self.phase, RunPhase::Sent | RunPhase::Unanswered)
     }
 
-    /// Returns the record of a run that was not placed on the worker.
-    pub fn orphan(run: RunNumber, now: Instant) -> Self {
+    /// Returns whether the worker may still crash because of the run's start.
+    pub fn is_unconfirmed(&self) -> bool {
+        self.phase == RunPhase::Planned || self.unconfirmed_since.is_some()
+    }
+
+    /// Returns whether the run is, or may be, active on the worker.
+    fn has_started(&self) -> bool {
+        !matches!(self.phase, RunPhase::Planned | RunPhase::Sent)
+    }
+
+    /// Returns the record of a run of `size` that was not placed on the worker.
+    pub fn orphan(run: RunNumber, size: ResourceSize, now: Instant) -> Self {
         Self {
             run,
-            size: ResourceSize::default(),
+            size,
             account: None,
             phase: RunPhase::Stopping,
             since: now,
             reported: true,
+            unconfirmed_since: None,
+            solo: false,
             start_attempts: 0,
             stop_sent: None,
             stop_acknowledged: None,
@@ -197,6 +225,8 @@
     pub best_effort: usize,
     /// Runs with an upper bound of their tail latency.
     pub serving: usize,
+    /// Runs under suspicion.
+    pub solo: usize,
 }
 
 impl RunCounts {
@@ -204,12 +234,14 @@
         self.long_running += usize::from(run.long_running);
         self.best_effort += usize::from(run.best_effort);
         self.serving += usize::from(run.target_latency.is_some());
+        self.solo += usize::from(run.solo);
     }
 
     fn subtract(&mut self, run: &RunRecord) {
         self.long_running -= usize::from(run.long_running);
         self.best_effort -= usize::from(run.best_effort);
         self.serving -= usize::from(run.target_latency.is_some());
+        self.solo -= usize::from(run.solo);
     }
 }
 
@@ -228,6 +260,8 @@
     Paused,
     /// The machine controller drains the worker.
     DrainRequested,
+    /// The entry describes a former life of the worker.
+    NotDescribed,
 }
 
 /// A reading of a worker's clock.
@@ -237,17 +271,31 @@
     pub at: Instant,
 }
 
+/// The size of a start that a worker refused for lack of room.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RoomRefusal {
+    pub size: ResourceSize,
+    /// When a start of that size may be sent again, if nothing else changes.
+    pub until: Instant,
+}
+
 /// An owner's record of one worker.
 #[derive(Debug)]
 pub(crate) struct WorkerRecord {
     pub entry: WorkerEntry,
+    /// Largest capacity that this life of the worker has had.
+    pub full_capacity: ResourceSize,
     /// The latest list of the platform contains the worker.
     pub listed: bool,
     /// Life of the worker, once it has answered this owner.
     pub life: Option<LifeStart>,
+    /// Latest life that has ended.
+    pub ended_life: Option<LifeStart>,
     /// Number of worker lives in the shard that this owner had seen end when this one began.
     pub ended_lives: u64,
     pub clock_reading: Option<ClockReading>,
+    /// Reading that gives the best upper bound of the worker's clock, dated by the request.
+    pub clock_bound: Option<ClockReading>,
     /// Latest lease end that this owner has sent, on the worker's clock.
     pub lease_granted_until: WorkerMillis,
     /// The worker has answered this owner, so it rejects earlier owners.
@@ -263,6 +311,10 @@
     pub machine_down: bool,
     /// When the current drain request began.
     pub drain_since: Option<Instant>,
+    /// The platform has listed the worker as draining in its current life.
+    pub announced_drain: bool,
+    /// First sign that the worker may be lost, while there is one that came soon after the loss.
+    pub lost_since: Option<Instant>,
     /// Last run end that was applied.
     pub applied_end: EndNumber,
     /// Last run end whose effect is stored.
@@ -279,6 +331,8 @@
     pub paused_until: Instant,
     /// Number of consecutive starts that the worker refused as unhealthy.
     pub unhealthy_refusals: u32,
+    /// Last refusal for lack of room.
+    pub room_refusal: Option<RoomRefusal>,
     pub runs: IndexMap<TaskName, RunRecord>,
     /// Resources reserved for the runs.
     pub used: ResourceSize,
@@ -291,11 +345,14 @@
 impl WorkerRecord {
     pub fn new(entry: WorkerEntry, ended_lives: u64, now: Instant) -> Self {
         Self {
+            full_capacity: entry.capacity,
             entry,
             listed: true,
             life: None,
+            ended_life: None,
             ended_lives,
             clock_reading: None,
+            clock_bound: None,
             lease_granted_until: 0,
             synced: false,
             inherited_lease_end: now,
@@ -303,6 +360,8 @@
             machine_ordered: false,
             machine_down: false,
             drain_since: None,
+            announced_drain: false,
+            lost_since: None,
             applied_end: 0,
             stored_end: 0,
             acknowledged_end: 0,
@@ -312,6 +371,7 @@
             silent_at: None,
             paused_until: now,
             unhealthy_refusals: 0,
+            room_refusal: None,
             runs: IndexMap::new(),
             used: ResourceSize::default(),
             counts: RunCounts::default(),
@@ -324,7 +384,7 @@
     /// An order names its worker by id alone. Once a later life has seen a higher fence, it rejects
     /// the orders that were meant for an earlier one.
     pub fn fence(&self, epoch: OwnerEpoch) -> OrderFence {
-        (epoch << LIFE_BITS) + self.ended_lives
+        (epoch << LIFE_BITS) + self.ended_lives.min(MAX_ENDED_LIVES)
     }
 
     /// Returns a lower bound of the worker's clock, which may be slower than the owner's by at most
@@ -333,12 +393,36 @@
         let reading = self.clock_reading?;
         let passed = now.saturating_duration_since(reading.at);
         let passed = passed.mul_f64(1.0 - drift);
-        Some(reading.clock + passed.as_millis() as WorkerMillis)
+        Some(
+            reading
+                .clock
+                .saturating_add(passed.as_millis() as WorkerMillis),
+        )
+    }
+
+    /// Returns an upper bound of the worker's clock, which is never faster than the owner's, if a
+    /// reading is known.
+    pub fn latest_clock(&self, at: Instant) -> Option<WorkerMillis> {
+        let bound = self.clock_bound?;
+        let passed = at.saturating_duration_since(bound.at);
+        Some(bound.clock + passed.as_millis() as WorkerMillis)
+    }
+
+    /// Updates the upper bound with a clock reading that was requested at a time.
+    pub fn bound_clock(&mut self, clock: WorkerMillis, requested_at: Instant) {
+        if self
+            .latest_clock(requested_at)
+            .is_none_or(|latest| clock < latest)
+        {
+            let at = requested_at;
+            self.clock_bound = Some(ClockReading { clock, at });
+        }
     }
 
     /// Returns and records the end of a lease that is requested now.
     pub fn renew(&mut self, now: Instant, lease: Duration, drift: f64) -> Option<WorkerMillis> {
-        let until = self.clock(now, drift)? + lease.as_millis() as WorkerMillis;
+        let clock = self.clock(now, drift)?;
+        let until = clock.saturating_add(lease.as_millis() as WorkerMillis);
         self.lease_granted_until = self.lease_granted_until.max(until);
         Some(until)
     }
@@ -367,14 +451,77 @@
             return None;
         }
         let removed = self.runs.swap_remove(task)?;
+        if removed.has_started() {
+            self.room_refusal = None;
+        }
         self.used = self.used.minus(&removed.size);
         self.counts.subtract(&removed);
         Some(removed)
     }
 
-    /// Returns the unreserved resources.
-    pub fn room(&self) -> ResourceSize {
-        self.entry.capacity.minus(&self.used)
+    /// Records that a run's start no longer threatens the worker.
+    pub fn clear_suspicion(&mut self, task: &TaskName) {
+        if let Some(run) = self.runs.get_mut(task) {
+            run.unconfirmed_since = None;
+            self.counts.solo -= usize::from(run.solo);
+            run.solo = false;
+        }
+    }
+
+    /// Clears all runs of suspicion.
+    pub fn clear_suspicions(&mut self) {
+        for run in self.runs.values_mut() {
+            run.unconfirmed_since = None;
+            run.solo = false;
+        }
+        self.counts.solo = 0;
+    }
+
+    /// Returns the unreserved resources; `None` if the runs exceed the capacity, which may shrink.
+    pub fn room(&self) -> Option<ResourceSize> {
+        let capacity = &self.entry.capacity;
+        let fits = self.used.fits_into(capacity);
+        fits.then(|| capacity.minus(&self.used))
+    }
+
+    /// Returns whether a run of `size` fits beside the others, as far as the worker has not refused
+    /// such a run.
+    pub fn has_room(&self, size: &ResourceSize, now: Instant) -> bool {
+        let refused = self
+            .room_refusal
+            .is_some_and(|refusal| now < refusal.until && refusal.size.fits_into(size));
+        !refused && self.room().is_some_and(|room| size.fits_into(&room))
+    }
+
+    /// Records that the worker refused a start of `size` for lack of room; a smaller size that it
+    /// refused before covers this one.
+    pub fn record_room_refusal(&mut self, size: ResourceSize, ttl: Duration, now: Instant) {
+        let covered = self
+            .room_refusal
+            .is_some_and(|refusal| now < refusal.until && refusal.size.fits_into(&size));
+        if !covered {
+            let until = now + ttl;
+            self.room_refusal = Some(RoomRefusal { size, until });
+        }
+    }
+
+    /// Applies a new entry of the worker.
+    pub fn update_entry(&mut self, entry: WorkerEntry) {
+        if entry.capacity != self.entry.capacity {
+            self.room_refusal = None;
+        }
+        self.full_capacity = if entry.life == self.entry.life {
+            self.full_capacity.max(&entry.capacity)
+        } else {
+            entry.capacity
+        };
+        self.listed = true;
+        self.entry = entry;
+    }
+
+    /// Returns whether the worker has less capacity than it had.
+    pub fn has_shrunk(&self) -> bool {
+        self.entry.capacity != self.full_capacity
     }
 
     /// Returns whether starts may be sent to the worker now.
@@ -396,17 +543,39 @@
             Some(StartRefusal::Paused)
         } else if self.has_drain_request(now) {
             Some(StartRefusal::DrainRequested)
+        } else if !self.is_described() {
+            Some(StartRefusal::NotDescribed)
         } else {
             None
         }
     }
 
+    /// Returns whether the entry describes the life that answers. A later life may differ in its
+    /// capacity and labels; its entry follows with its first heartbeat.
+    fn is_described(&self) -> bool {
+        let listed = self.entry.life;
+        listed == 0 || self.life.is_none_or(|life| life <= listed)
+    }
+
     /// Returns whether the worker is unavailable to its pool. A single missed poll does not count,
     /// because an answer may get lost.
     pub fn is_unavailable(&self) -> bool {
         self.machine_down || self.missed_polls > 1 || self.entry.phase == WorkerPhase::Draining
     }
 
+    /// Returns whether the worker had just been heard when a poll was sent. An idle worker is not
+    /// polled, so it may have been lost at any time before.
+    pub fn was_heard_until(&self, sent_at: Instant) -> bool {
+        let heard = self.clock_reading;
+        heard.is_some_and(|reading| sent_at <= reading.at + POLL_PAUSE)
+    }
+
+    /// Returns whether any run's start may still crash the worker.
+    pub fn has_suspects(&self) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|run| run.unconfirmed_since.is_some())
+    }
+
     /// Returns whether the machine controller has requested to drain the worker.
     pub fn has_drain_request(&self, now: Instant) -> bool {
         self.drain_until.is_some_and(|until| now < until)
@@ -448,6 +617,19 @@
         runs.any(|run| run.phase == RunPhase::Stopping && run.stop_acknowledged.is_none())
     }
 
+    /// Returns whether the platform lists a later life of the worker than the one that answered.
+    pub fn has_later_listed_life(&self) -> bool {
+        self.life.is_some_and(|life| self.entry.life > life)
+    }
+
+    /// Returns the current life as far as it is known, from an answer or, after the end of an earlier
+    /// one, from the list.
+    pub fn known_life(&self) -> Option<LifeStart> {
+        let listed = self.ended_life.map(|ended| (self.entry.life, ended));
+        let listed = listed.filter(|(listed, ended)| listed > ended);
+        self.life.or(listed.map(|(life, _)| life))
+    }
+
     /// Returns whether the worker has runs.
     pub fn has_runs(&self) -> bool {
         !self.runs.is_empty()
@@ -455,10 +637,8 @@
 
     /// Returns whether the worker has to be polled.
     fn needs_poll(&self) -> bool {
-        let unreachable = !self.synced || self.missed_polls > 0;
-        !self.runs.is_empty()
-            || self.acknowledged_end < self.stored_end
-            || unreachable && self.listed
+        let uncertain = !self.synced || self.missed_polls > 0 || !self.is_described();
+        !self.runs.is_empty() || self.acknowledged_end < self.stored_end || uncertain && self.listed
     }
 
     /// Returns when the next poll is due; `None` while none can be sent or is needed. The address
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -2,7 +2,8 @@
 //! virtual time.
 //!
 //! Each time step checks that no task runs twice at the same time or after it is done, and that no
-//! worker exceeds its capacity. Each start of an owner without delay checks that the placement of
+//! worker exceeds its capacity. Each start checks that it brings no worker over its capacity, also
+//! one that has shrunk. Each start of an owner without delay checks that the placement of
 //! its run is stored. Each start and each acknowledged run end check that no task starts again after
 //! a successful end that counts, or after its last attempt.
 
@@ -10,6 +11,7 @@
 
 mod answers;
 mod checks;
+pub mod crashes;
 pub mod network;
 pub mod owner;
 pub mod soak;
@@ -27,6 +29,7 @@
 use pw_worker::prelude::*;
 
 use self::checks::AcknowledgedEnd;
+use self::crashes::CrashPlan;
 use self::network::{FatePolicy, LateOrder, OrderFate};
 use self::owner::OwnerProcess;
 use self::worker::FakeWorker;
@@ -102,9 +105,15 @@
     drain_requests: (Vec<WorkerId>, Vec<WorkerId>),
     /// Lives that the machine controller reports as ended.
     pub ended: Vec<WorkerLife>,
+    /// Crashes of workers, and what the platform shows of them.
+    pub crashes: CrashPlan,
     surveyed_at: Instant,
     /// Workers for which the advice service issues tickets.
     pub eligible_workers: Vec<WorkerId>,
+    /// The rows of its tickets are malformed.
+    pub malformed_tickets: bool,
+    /// How long its tickets are valid.
+    pub ticket_validity: Duration,
     pub advice_requests: Vec<AdviceOrder>,
     /// Tickets of the starts that reached a worker.
     pub tickets: Vec<Option<Arc<str>>>,
@@ -152,8 +161,11 @@
             surveys_enabled: true,
             drain_requests: Default::default(),
             ended: Vec::new(),
+            crashes: CrashPlan::default(),
             surveyed_at: now,
             eligible_workers: Vec::new(),
+            malformed_tickets: false,
+            ticket_validity: Duration::from_secs(3),
             advice_requests: Vec::new(),
             tickets: Vec::new(),
             epoch: 0,
@@ -199,6 +211,17 @@
         self.workers.insert(id.clone(), worker);
     }
 
+    /// Changes the capacity of a worker; the owner learns it with the next list of workers.
+    pub fn resize(&mut self, id: &WorkerId, capacity: ResourceSize) {
+        self.trace(|| format!("{id} has a capacity of {capacity:?}"));
+        self.workers[id].resize(capacity, self.now);
+    }
+
+    /// Returns the number of active runs on a worker.
+    pub fn runs_on(&self, id: &WorkerId) -> usize {
+        self.workers[id].running.len()
+    }
+
     /// Prints what happens, for the analysis of a failure.
     pub fn trace(&self, text: impl FnOnce() -> String) {
         if self.traced {
@@ -230,6 +253,7 @@
             cancelled: self.cancelled.clone(),
             states: self.images.clone().into_iter().collect(),
             leases,
+            claimed_at: Some(self.now),
         };
         let controller = ShardController::open(
             (0, self.epoch),
@@ -263,8 +287,8 @@
         self.handle_event(ShardEvent::Surveyed(SurveyOrder {
             drain,
             ordered,
+            down: self.down_machines(),
             ended: self.ended.clone(),
-            ..Default::default()
         }));
         self.surveyed_at = self.now;
     }
@@ -283,7 +307,7 @@
     pub fn list_workers(&mut self) {
         let listed = self.workers.values().filter(|worker| !worker.crashed);
         let entries: Vec<WorkerEntry> = listed.map(|worker| worker.entry.clone()).collect();
-        let (entries, lives) = current_workers(entries);
+        let (entries, lives) = current_workers(&entries, &self.config.pools);
         let lives = Arc::new(lives);
         self.broadcast(&ShardEvent::Workers { entries, lives });
     }
@@ -340,6 +364,7 @@
             self.now += self.time_step;
             self.wall += self.time_step;
             self.deliver_late_orders();
+            self.advance_crashes();
             self.advance_workers();
             self.deliver();
             if self.surveys_enabled && self.now >= self.surveyed_at + SURVEY_INTERVAL {
