Give up a task of uncertain guilt at its fourth crash

Cause: three crashes in a row failed the job whatever else may have caused the last one. Change: four do; the platform allows two starts after the third crash. A crash that is certainly the task's own still counts as proof at the second.

--- a/crates/control/src/shard/crashes.rs
+++ b/crates/control/src/shard/crashes.rs
@@ -25,7 +25,8 @@
 /// Crashes in a row after which a task is given up if the last one was certainly its own.
 const PROVEN_CRASHES: u32 = 2;
 /// Crashes in a row after which a task is given up although something else may have caused the last.
-const MAX_CRASHES: u32 = 3;
+/// The platform allows two starts after the third crash.
+const MAX_CRASHES: u32 = 4;
 /// Losses of workers in a row, with those that count against no task, after which one is given up.
 const MAX_LOSSES: u32 = 5;
 
--- a/crates/control/tests/soak.rs
+++ b/crates/control/tests/soak.rs
@@ -64,7 +64,8 @@
         restarts: 0.3,
         ..rates()
     };
-    soak(500..540, rates);
+    // Seed 7227 restarts the workers of a long-running task three times in a row.
+    soak((500..540).chain([7227]), rates);
 }
 
 #[test]
