Count only certain starts towards the crashes of a task

Cause: a run whose start went unanswered, or that an earlier owner placed, counted as a suspect with full weight, though its worker may have crashed before the start. Result: a_start_that_may_not_have_been_executed_does_not_prove_a_crash failed before and passes; the other tests of crashing_task.rs hold.

--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -402,7 +402,7 @@
                     };
                     let position = (occurrence.number, name.step, name.index);
                     let run = RunRecord {
-                        solo: state.crash_count(position) > 0,
+                        solo: state.is_suspected(position),
                         ..self.run_record(record, step, task.last_run, RunPhase::Inherited, now)
                     };
                     if let Some(account) = &run.account {
--- a/crates/control/src/shard/crashes.rs
+++ b/crates/control/src/shard/crashes.rs
@@ -108,6 +108,11 @@
 }
 
 impl StartEvidence {
+    /// Returns whether the worker has certainly started the run.
+    fn is_certain(self) -> bool {
+        matches!(self, Self::Accepted | Self::Reported)
+    }
+
     fn of(run: &RunRecord, cause: LifeEnd) -> Self {
         match run.phase {
             RunPhase::Inherited => Self::Inherited,
@@ -275,9 +280,9 @@
     /// Counts a crash against its suspects, and gives up the tasks that have caused too many.
     pub(super) fn record_crash(&mut self, crash: &CrashReport, now: Instant) {
         log_crash(crash);
-        let excused = crash.excuse.is_some();
         for suspect in &crash.suspects {
             let task = &suspect.task;
+            let excused = crash.excuse.is_some() || !suspect.evidence.is_certain();
             let Some(job) = self.jobs.get_mut(&task.job) else {
                 continue;
             };
--- a/crates/control/src/shard/solo_starts.rs
+++ b/crates/control/src/shard/solo_starts.rs
@@ -27,8 +27,8 @@
         };
         let (occurrence, step, _) = position;
         let members = if spec.gang { spec.count } else { 0 };
-        job.state.crash_count(position) > 0
-            || (0..members).any(|index| job.state.crash_count((occurrence, step, index)) > 0)
+        job.state.is_suspected(position)
+            || (0..members).any(|index| job.state.is_suspected((occurrence, step, index)))
     }
 
     /// Returns whether one more task may start alone in a pool, besides the other members of its
@@ -83,7 +83,7 @@
     let waiting = waiting.filter(|(_, task)| task.is_waiting());
     let alone = waiting.filter(|(index, _)| {
         let position = (occurrence.number, step as u32, *index as u32);
-        state.crash_count(position) > 0
+        state.is_suspected(position)
     });
     (alone.count() as u64).saturating_sub(1)
 }
--- a/crates/control/tests/crashing_task.rs
+++ b/crates/control/tests/crashing_task.rs
@@ -8,6 +8,7 @@
 use pw_base::prelude::*;
 use pw_control::prelude::*;
 use pw_job::prelude::*;
+use support::network::OrderFate;
 use support::{COMPLETED, TestCluster, long_running, millis, seconds, size, step};
 
 const FAILED: JobAnswer = JobAnswer::Known(JobStatus::Failed);
@@ -71,6 +72,28 @@
     }
 }
 
+/// The first start gets lost, as its worker crashes for another reason.
+#[test]
+fn a_start_that_may_not_have_been_executed_does_not_prove_a_crash() {
+    let mut cluster = cluster(6);
+    cluster.order_fate = Box::new(|command| match command {
+        ShardCommand::Start(order) if order.run == 1 => OrderFate::Lost,
+        _ => OrderFate::Delivered,
+    });
+    cluster.submit_deadly("deadly", step(1), &[0]);
+    assert!(cluster.run_until(seconds(1), |cluster| !cluster.images.is_empty()));
+    cluster.run(millis(50));
+    let holder = cluster.placed_on("deadly.0.0.0");
+    cluster.crash_workers(&[holder]);
+    cluster.run(seconds(30));
+    assert_given_up(&cluster, "deadly", "deadly.0.0.0");
+    let starts = cluster.start_count("deadly.0.0.0");
+    assert!(
+        starts >= 2,
+        "the job failed after {starts} crash of its own"
+    );
+}
+
 #[test]
 fn a_task_that_crashes_workers_for_good_is_given_up() {
     let mut cluster = cluster(8);
--- a/crates/job/src/state.rs
+++ b/crates/job/src/state.rs
@@ -114,12 +114,17 @@
     pub crashes: BTreeMap<(OccurrenceNumber, u32, u32), CrashTally>,
 }
 
+/// Losses of workers in a row, each with another explanation, after which a task is suspected of
+/// them all the same.
+const SUSPICIOUS_LOSSES: u32 = 2;
+
 /// Crashes in a row of the workers that started a task.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashTally {
     /// Number of crashes that count against the task.
     pub count: u32,
-    /// Number of the others, which something else may have caused.
+    /// Number of the others, which something else may have caused, or which the run may not have
+    /// been started before.
     pub excused: u32,
     /// Last run that counted; the same crash may be seen by several owners.
     pub last_run: RunNumber,
@@ -301,9 +306,10 @@
         true
     }
 
-    /// Returns the number of workers that crashed in a row when they started a task.
-    pub fn crash_count(&self, task: (OccurrenceNumber, u32, u32)) -> u32 {
-        self.crashes.get(&task).map_or(0, |tally| tally.count)
+    /// Returns whether a task is suspected of crashing the workers that start it.
+    pub fn is_suspected(&self, task: (OccurrenceNumber, u32, u32)) -> bool {
+        let tally = self.crashes.get(&task);
+        tally.is_some_and(|tally| tally.count > 0 || tally.excused >= SUSPICIOUS_LOSSES)
     }
 
     /// Records that a worker crashed when it started a run, or was lost with it for another reason;
