Ignore the result of a poll that a later one has overtaken

Cause: a solo start polls its worker at once while an earlier poll is held there. When that one failed later, it counted as a missed poll after a newer answer: the worker closed to starts and its loss was dated wrongly. Change: a result whose poll was sent before the latest one with a result is ignored. Result: the_failure_of_an_earlier_poll_does_not_close_a_worker failed before and passes.

--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -137,6 +137,11 @@
         let Some(worker) = self.workers.get_mut(&order.worker) else {
             return;
         };
+        // A solo start sends a poll while an earlier one is held, whose result may come later.
+        if worker.answered_poll.is_some_and(|at| order.sent_at < at) {
+            return;
+        }
+        worker.answered_poll = Some(order.sent_at);
         worker.poll_in_flight = false;
         worker.poll_due = now + self.settings.poll_gap;
         match result {
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -322,6 +322,8 @@
     /// Last run end that was acknowledged to the worker.
     pub acknowledged_end: EndNumber,
     pub poll_in_flight: bool,
+    /// When the latest poll with a result was sent.
+    pub answered_poll: Option<Instant>,
     pub poll_due: Instant,
     /// Number of consecutive polls without an answer.
     pub missed_polls: u32,
@@ -366,6 +368,7 @@
             stored_end: 0,
             acknowledged_end: 0,
             poll_in_flight: false,
+            answered_poll: None,
             poll_due: now,
             missed_polls: 0,
             silent_at: None,
--- a/crates/control/tests/worker_lives.rs
+++ b/crates/control/tests/worker_lives.rs
@@ -413,3 +413,30 @@
     let lapsed: Vec<u64> = lapsed.map(|phase| 100 * phase).collect();
     assert!(lapsed.is_empty(), "lapsed with the outage at {lapsed:?} ms");
 }
+
+/// A poll that a worker held for long fails after a later one was answered.
+#[test]
+fn the_failure_of_an_earlier_poll_does_not_close_a_worker() {
+    let mut cluster = long_running_cluster(1);
+    cluster.run(seconds(5));
+    let entry = cluster.workers[0].entry.clone();
+    let order = PollOrder {
+        worker: entry.id,
+        address: entry.address,
+        life: Some(entry.life),
+        epoch: cluster.owner().epoch(),
+        fence: cluster.workers[0].fence,
+        acknowledged: 0,
+        lease_until: None,
+        wait: seconds(2),
+        sent_at: cluster.now - seconds(4),
+    };
+    let result = Err(CallFault::Unanswered);
+    let answered_at = cluster.now;
+    cluster.handle_event(ShardEvent::Polled {
+        order,
+        result,
+        answered_at,
+    });
+    assert!(cluster.unreachable_lives().is_empty());
+}
