--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod pace;
 pub mod placement;
 pub mod quota;
+mod run;
 pub mod settings;
 pub mod shard;
 pub mod sizing;
--- a/crates/control/src/shard/crashes.rs
+++ b/crates/control/src/shard/crashes.rs
@@ -13,7 +13,8 @@
 
 use super::{ShardController, TaskPosition};
 use crate::message::{ActiveRun, PollReport};
-use crate::worker::{LifeEnd, RunPhase, RunRecord, WorkerRecord};
+use crate::run::{RunPhase, RunRecord};
+use crate::worker::{LifeEnd, WorkerRecord};
 
 /// Time after its start at which a run has not crashed its worker and no longer will. Below
 /// `poll_gap`, so that the first poll after a solo start shows it.
--- a/crates/control/src/shard/persistence.rs
+++ b/crates/control/src/shard/persistence.rs
@@ -8,7 +8,8 @@
 
 use super::ShardController;
 use crate::message::{ShardCommand, StoreRecord};
-use crate::worker::{RunPhase, WorkerRecord};
+use crate::run::RunPhase;
+use crate::worker::WorkerRecord;
 
 /// Queue of changes to store; at most one append is in flight.
 pub(super) struct StoreQueue {
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -9,7 +9,8 @@
 use super::{ShardController, reserved_size};
 use crate::message::{CallFault, FinishedRun, PaceOrder, PollOrder, PollReport, ShardCommand};
 use crate::pace::next_pace;
-use crate::worker::{ClockReading, LifeEnd, RunPhase, WorkerEntry, WorkerPhase, WorkerRecord};
+use crate::run::{RunPhase, RunRecord};
+use crate::worker::{ClockReading, LifeEnd, WorkerEntry, WorkerPhase, WorkerRecord};
 
 impl ShardController {
     /// Applies a new list of workers; a worker that is missing from it gets no more starts.
@@ -367,7 +368,7 @@
                 let step = steps.and_then(|steps| steps.get(active.task.step as usize));
                 // A run of an unknown job may take all resources of the worker.
                 let size = step.map_or(worker.entry.capacity, reserved_size);
-                let orphan = crate::worker::RunRecord::orphan(active.run, size, now);
+                let orphan = RunRecord::orphan(active.run, size, now);
                 worker.add_run(active.task.clone(), orphan);
                 let event = EventCode::StrayRun.number();
                 let (task, run) = (&active.task, active.run);
@@ -405,7 +406,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let latency_ratio = |run: &crate::worker::RunRecord| {
+        let latency_ratio = |run: &RunRecord| {
             let tail = Duration::from_millis(run.load?);
             let target = run.target_latency?;
             Some((
--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -7,7 +7,8 @@
 use pw_job::prelude::*;
 
 use super::ShardController;
-use crate::worker::{LifeEnd, RunPhase};
+use crate::run::RunPhase;
+use crate::worker::{LifeEnd, WorkerRecord};
 
 /// Pause of a task after a failed run, doubled for each run of it that has failed so far.
 const FAILURE_PAUSE: Duration = Duration::from_millis(50);
@@ -286,7 +287,7 @@
             self.end_runs_as_lost(&id, now);
         }
         // An unlisted worker without runs needs no further tracking.
-        let gone = |worker: &crate::worker::WorkerRecord| !worker.listed && worker.runs.is_empty();
+        let gone = |worker: &WorkerRecord| !worker.listed && worker.runs.is_empty();
         self.workers.retain(|worker| !gone(worker));
     }
 }
--- a/crates/control/src/shard/scheduling.rs
+++ b/crates/control/src/shard/scheduling.rs
@@ -12,8 +12,9 @@
 use super::solo_starts::admits_start;
 use super::{JobRecord, ShardController, TaskPosition, reserved_size};
 use crate::placement::{Candidate, PlacementRequest};
+use crate::run::{RunPhase, RunRecord};
 use crate::urgency::terms_of;
-use crate::worker::{RunPhase, RunRecord, WorkerRecord};
+use crate::worker::WorkerRecord;
 
 /// Sizes that no worker of a pool could fit in this pass; tasks at least as large are skipped.
 type UnplaceableSizes = Vec<(PoolId, ResourceSize)>;
--- a/crates/control/src/shard/solo_starts.rs
+++ b/crates/control/src/shard/solo_starts.rs
@@ -6,7 +6,8 @@
 
 use super::{ShardController, TaskPosition};
 use crate::placement::Candidate;
-use crate::worker::{RunRecord, WorkerRecord};
+use crate::run::RunRecord;
+use crate::worker::WorkerRecord;
 
 /// Maximum number of workers of a pool with a solo start. It bounds how fast a pool loses workers to
 /// tasks that crash them.
--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -7,7 +7,8 @@
 
 use super::{ShardController, StartOrder, StopOrder};
 use crate::message::{CallFault, ShardCommand, StartOutcome};
-use crate::worker::{LifeEnd, RunPhase, WorkerRecord};
+use crate::run::RunPhase;
+use crate::worker::{LifeEnd, WorkerRecord};
 
 impl ShardController {
     /// Sends the start of a run whose placement is stored.
--- a/crates/control/src/shard/survey.rs
+++ b/crates/control/src/shard/survey.rs
@@ -10,7 +10,8 @@
 use super::ShardController;
 use super::room::PoolRoom;
 use crate::message::{PoolLoad, SurveyOrder, SurveyReport, UnreachableWorker, WorkerLife};
-use crate::worker::{LifeEnd, READY_PERCENT, RunPhase, WorkerRecord};
+use crate::run::{READY_PERCENT, RunPhase};
+use crate::worker::{LifeEnd, WorkerRecord};
 
 /// How long a worker continues to drain after the last survey that requested it.
 const DRAIN_REQUEST_TTL: Duration = Duration::from_secs(2);
