--- a/crates/control/src/shard/scheduling.rs
+++ b/crates/control/src/shard/scheduling.rs
@@ -374,7 +374,7 @@
     }
 }
 
-pub(super) fn task_name(job: &JobId, (occurrence, step, index): TaskPosition) -> TaskName {
+fn task_name(job: &JobId, (occurrence, step, index): TaskPosition) -> TaskName {
     TaskName {
         job: job.clone(),
         occurrence,
--- a/crates/control/src/shard/waiting.rs
+++ b/crates/control/src/shard/waiting.rs
@@ -7,7 +7,8 @@
 use pw_job::prelude::*;
 use strum::Display;
 
-use super::scheduling::{candidate_for, task_name};
+use super::scheduling::candidate_for;
+use super::solo_starts::admits_start;
 use super::{ShardController, TaskPosition, reserved_size};
 use crate::worker::{StartRefusal, WorkerRecord};
 
@@ -44,6 +45,8 @@
     /// An order for the worker's machine may be in flight.
     MachineOrder,
     NoTicket,
+    /// The task has to start alone and the worker has unconfirmed starts, or the reverse.
+    SoloStart,
     /// The worker lacks the required label or has too many tasks of the step.
     NotEligible,
 }
@@ -165,10 +168,10 @@
         now: Instant,
     ) -> IndexMap<Option<PlacementRefusal>, usize> {
         let position: TaskPosition = (task.occurrence, task.step, task.index);
-        let name = task_name(&task.job, position);
         let step_key = (task.job.clone(), task.occurrence, task.step);
         let needs_ticket = self.advice_rule(&record.queue).is_some();
         let size = reserved_size(spec);
+        let solo = self.is_suspected(&task.job, position, spec);
         let mut refusals = IndexMap::new();
         let members = self.workers.values();
         for worker in members.filter(|worker| worker.entry.pool == record.pool) {
@@ -182,7 +185,9 @@
                 Some(PlacementRefusal::MachineOrder)
             } else if needs_ticket && self.ticket(&step_key, &worker.entry.id, now).is_none() {
                 Some(PlacementRefusal::NoTicket)
-            } else if candidate_for(worker, &name, spec).is_none() {
+            } else if !admits_start(worker, task, spec, solo) {
+                Some(PlacementRefusal::SoloStart)
+            } else if candidate_for(worker, task, spec).is_none() {
                 Some(PlacementRefusal::NotEligible)
             } else {
                 None
