Write states without crashes in the former version

Callers would see: a job that starts anew, done tasks included, when a node of the build before takes its shard over during a rolling update. Cause: all states were written in version 2, which that build skips as unknown. Change: a state without any crash is written in version 1, which all builds read. Result: a_state_without_crashes_is_written_in_the_former_version fails with the version of before and passes.

--- a/crates/job/src/image.rs
+++ b/crates/job/src/image.rs
@@ -1,6 +1,7 @@
 //! Stored images of submissions and job states: a format version, the CRC-32 of the body, and the
 //! body in bincode.
 
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::time::{Duration, SystemTime};
 
@@ -53,23 +54,35 @@
 }
 
 /// A [`JobState`] in [`STATE_VERSION_WITHOUT_CRASHES`].
-#[derive(Deserialize)]
-struct StateWithoutCrashes {
+#[derive(Serialize, Deserialize)]
+struct StateWithoutCrashes<'a> {
     cancelled: bool,
     failed: bool,
     started: bool,
     opened: OccurrenceNumber,
-    occurrences: Vec<OccurrenceState>,
+    occurrences: Cow<'a, [OccurrenceState]>,
 }
 
-impl From<StateWithoutCrashes> for JobState {
-    fn from(state: StateWithoutCrashes) -> Self {
+impl<'a> From<&'a JobState> for StateWithoutCrashes<'a> {
+    fn from(state: &'a JobState) -> Self {
         Self {
             cancelled: state.cancelled,
             failed: state.failed,
             started: state.started,
             opened: state.opened,
-            occurrences: state.occurrences,
+            occurrences: Cow::Borrowed(&state.occurrences),
+        }
+    }
+}
+
+impl From<StateWithoutCrashes<'_>> for JobState {
+    fn from(state: StateWithoutCrashes<'_>) -> Self {
+        Self {
+            cancelled: state.cancelled,
+            failed: state.failed,
+            started: state.started,
+            opened: state.opened,
+            occurrences: state.occurrences.into_owned(),
             crashes: BTreeMap::new(),
         }
     }
@@ -110,12 +123,17 @@
     }
 }
 
-/// Encodes the state of a job.
+/// Encodes the state of a job. Builds that do not know crashes can read it unless it has any: a job
+/// whose state can't be read would start anew.
 ///
 /// # Errors
 ///
 /// Fails when the body exceeds the maximum size.
 pub fn encode_state(state: &JobState) -> Result<Vec<u8>, ImageError> {
+    if state.crashes.is_empty() {
+        let state = StateWithoutCrashes::from(state);
+        return encode(STATE_VERSION_WITHOUT_CRASHES, &state);
+    }
     encode(STATE_VERSION, state)
 }
 
@@ -128,7 +146,7 @@
     match split_version(bytes)? {
         (STATE_VERSION, rest) => decode(rest),
         (STATE_VERSION_WITHOUT_CRASHES, rest) => {
-            decode::<StateWithoutCrashes>(rest).map(JobState::from)
+            decode::<StateWithoutCrashes<'_>>(rest).map(JobState::from)
         }
         (version, _) => Err(ImageError::UnknownVersion(version)),
     }
--- a/crates/job/tests/image.rs
+++ b/crates/job/tests/image.rs
@@ -42,6 +42,12 @@
     assert_eq!(decode_state(&VERSION_1).expect("decodable"), state());
 }
 
+/// Nodes of the build before may take the shard over during a rolling update.
+#[test]
+fn a_state_without_crashes_is_written_in_the_former_version() {
+    assert_eq!(encode_state(&state()).expect("encodable"), VERSION_1);
+}
+
 #[test]
 fn the_crashes_under_a_task_are_stored() {
     let mut state = state();
