Share the opening of the tests of crashing tasks

Cause: four tests submit the same task, wait and check that it is given up. Change: one function does so; each test keeps its time.

--- a/crates/control/tests/crashing_task.rs
+++ b/crates/control/tests/crashing_task.rs
@@ -42,21 +42,24 @@
     assert_eq!(cluster.status(job), FAILED, "{job}");
 }
 
+/// Submits a task that crashes each worker, and checks that it is given up within `time`.
+fn assert_deadly_given_up(cluster: &mut TestCluster, time: std::time::Duration) {
+    cluster.submit_deadly("deadly", step(1), &[0]);
+    cluster.run(time);
+    assert_given_up(cluster, "deadly", "deadly.0.0.0");
+}
+
 #[test]
 fn a_task_that_crashes_its_workers_is_given_up() {
     let mut cluster = cluster(12);
-    cluster.submit_deadly("deadly", step(1), &[0]);
-    cluster.run(seconds(20));
-    assert_given_up(&cluster, "deadly", "deadly.0.0.0");
+    assert_deadly_given_up(&mut cluster, seconds(20));
 }
 
 #[test]
 fn a_task_that_crashes_its_workers_before_they_answer_is_given_up() {
     let mut cluster = cluster(12);
     cluster.crashes.unanswered = true;
-    cluster.submit_deadly("deadly", step(1), &[0]);
-    cluster.run(seconds(40));
-    assert_given_up(&cluster, "deadly", "deadly.0.0.0");
+    assert_deadly_given_up(&mut cluster, seconds(40));
 }
 
 /// Without the list of machines, a crash shows only once the worker is back.
@@ -66,9 +69,7 @@
         let mut cluster = cluster(2);
         cluster.crashes.unlisted = true;
         cluster.crashes.unanswered = unanswered;
-        cluster.submit_deadly("deadly", step(1), &[0]);
-        cluster.run(seconds(60));
-        assert_given_up(&cluster, "deadly", "deadly.0.0.0");
+        assert_deadly_given_up(&mut cluster, seconds(60));
     }
 }
 
@@ -98,9 +99,7 @@
 fn a_task_that_crashes_workers_for_good_is_given_up() {
     let mut cluster = cluster(8);
     cluster.crashes.return_time = None;
-    cluster.submit_deadly("deadly", step(1), &[0]);
-    cluster.run(seconds(30));
-    assert_given_up(&cluster, "deadly", "deadly.0.0.0");
+    assert_deadly_given_up(&mut cluster, seconds(30));
 }
 
 #[test]
