Let the suspects of a crash start again by job, and keep them few

Cause: a worker holds a poll for up to 2 s, so that each crash had 15 to 21 suspects, as packing puts all fresh starts on one worker; each of them then started alone, three workers of a pool at a time. Suspected tasks of one job start together: a job fails as a whole, so a crash still has one culprit.

--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -23,6 +23,9 @@
     pub has_long_running: bool,
     /// The worker's machine is due for maintenance.
     pub maintenance_due: bool,
+    /// Number of other jobs whose starts the worker has not survived yet, while workers of the pool
+    /// crash; otherwise 0.
+    pub suspect_jobs: usize,
 }
 
 /// Requirements of a run to place.
@@ -47,7 +50,8 @@
 /// Workers on the preferred rack rank first, then those with the fewest latency conflicts.
 /// Long-running tasks prefer workers whose machines are not due for maintenance, then workers that
 /// already have long-running tasks, and among these the ones with the fewest tasks of the same
-/// step.
+/// step. While workers of the pool crash, jobs start on workers of their own if they can, so that each
+/// crash has few suspects.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct PackPlacement;
 
@@ -65,6 +69,7 @@
                 request.long_running && candidate.maintenance_due,
                 request.long_running && !candidate.has_long_running,
                 siblings,
+                candidate.suspect_jobs,
                 (free_fraction(candidate) * FRACTION_STEPS) as u64,
             )
         };
--- a/crates/control/src/shard/crashes.rs
+++ b/crates/control/src/shard/crashes.rs
@@ -7,6 +7,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use indexmap::IndexMap;
 use pw_base::prelude::*;
 use pw_job::prelude::*;
 use strum::Display;
@@ -23,6 +24,11 @@
 /// of their rack. Polls and lists of machines show the losses up to about a second apart.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_secs(1);
 
+/// How long the workers of a pool are asked about their starts at once after a crash in it. Held polls
+/// confirm a start up to `poll_wait` late, and each run that is not confirmed is a suspect of the next
+/// crash.
+const WATCH_TIME: Duration = Duration::from_secs(5);
+
 /// Crashes in a row after which a task is given up if the last one was certainly its own.
 const PROVEN_CRASHES: u32 = 2;
 /// Crashes in a row after which a task is given up although something else may have caused the last.
@@ -35,6 +41,8 @@
 #[derive(Debug, Default)]
 pub(super) struct CrashHistory {
     crashes: VecDeque<CrashRecord>,
+    /// Until when the starts of a pool are confirmed without delay.
+    watches: IndexMap<PoolId, Instant>,
 }
 
 /// The end of a worker's life that was not planned.
@@ -161,6 +169,17 @@
             .retain(|crash| now < crash.lost_at + 2 * COMMON_CAUSE_WINDOW);
         self.crashes.push_back(crash);
     }
+
+    /// Has the starts of a pool confirmed without delay for some time.
+    fn watch(&mut self, pool: &PoolId, now: Instant) {
+        self.watches.retain(|_, until| now < *until);
+        self.watches.insert(pool.clone(), now + WATCH_TIME);
+    }
+
+    /// Returns whether the starts of a pool are to be confirmed without delay.
+    pub(super) fn is_watched(&self, pool: &PoolId, now: Instant) -> bool {
+        self.watches.get(pool).is_some_and(|until| now < *until)
+    }
 }
 
 impl ShardController {
@@ -206,6 +225,7 @@
     ) -> Option<CrashReport> {
         let worker = self.workers.get(id)?;
         worker.life?;
+        let pool = worker.entry.pool.clone();
         let runs = worker.runs.values();
         let accepted = runs.filter(|run| StartEvidence::of(run, cause) == StartEvidence::Accepted);
         let crash = CrashRecord {
@@ -236,6 +256,9 @@
         if dated && !planned {
             self.crashes.record(crash, now);
         }
+        if !suspects.is_empty() && excuse.is_none() {
+            self.crashes.watch(&pool, now);
+        }
         (!suspects.is_empty()).then(|| CrashReport {
             worker: id.clone(),
             cause,
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -95,11 +95,11 @@
             } else {
                 None
             };
-            // A run under suspicion is to be confirmed soon.
-            let waits = worker.synced
-                && worker.missed_polls == 0
-                && worker.has_runs()
-                && worker.counts.solo == 0;
+            // A run under suspicion is to be confirmed soon, and so is each start in a pool where
+            // workers crash.
+            let urgent = worker.counts.solo > 0
+                || self.crashes.is_watched(&worker.entry.pool, now) && worker.has_suspects();
+            let waits = worker.synced && worker.missed_polls == 0 && worker.has_runs() && !urgent;
             // The next task moves once this one is ready. Readiness does not end a worker's wait,
             // so the wait is short.
             // Nothing ends a wait for a stopped run that never started.
--- a/crates/control/src/shard/scheduling.rs
+++ b/crates/control/src/shard/scheduling.rs
@@ -9,7 +9,7 @@
 use super::backlog::{NextStep, PoolRooms};
 use super::persistence::PlannedStart;
 use super::room::PoolRoom;
-use super::solo_starts::admits_start;
+use super::solo_starts::{MAX_SUSPECT_JOBS, admits_start, count_suspect_jobs, has_solo_run};
 use super::{JobRecord, ShardController, TaskPosition, reserved_size};
 use crate::placement::{Candidate, PlacementRequest};
 use crate::run::{RunPhase, RunRecord};
@@ -277,37 +277,46 @@
         let needs_ticket = self.advice_rule(&record.queue).is_some();
         let step_key = (job.clone(), position.0, position.1);
         let solo = self.is_suspected(job, position, spec);
-        let is_constrained =
-            spec.required_label.is_some() || spec.max_per_worker > 0 || needs_ticket || solo;
+        let watched = self.crashes.is_watched(&record.pool, now);
+        let is_constrained = spec.required_label.is_some()
+            || spec.max_per_worker > 0
+            || needs_ticket
+            || solo
+            || watched;
         let is_unplaceable =
             |(pool, tried): &(PoolId, ResourceSize)| *pool == record.pool && tried.fits_into(&size);
         if unplaceable.iter().any(is_unplaceable) {
             return None;
         }
         let name = task_name(job, position);
-        if solo && !self.may_start_solo(&record.pool, &name, spec) {
-            return None;
-        }
+        let adds_solo_worker = solo && self.may_add_solo_worker(&record.pool, &name, spec);
         let open = self.workers.values().filter(|worker| {
             worker.entry.pool == record.pool
                 && worker.accepts_starts(now)
                 && !self.is_evacuated(&worker.entry.zone)
                 && worker.has_room(&size, now)
-                && admits_start(worker, &name, spec, solo)
+                && admits_start(worker, &name, solo)
+                && (!solo || adds_solo_worker || has_solo_run(worker, job))
                 && !(spec.long_running && self.may_have_machine_order(worker, now))
                 && (!needs_ticket || self.ticket(&step_key, &worker.entry.id, now).is_some())
         });
         let candidates = open.filter_map(|worker| {
             let candidate = candidate_for(worker, &name, spec)?;
             let maintenance_due = self.is_maintenance_due(worker);
-            Some(Candidate {
+            let suspect_jobs = if watched {
+                count_suspect_jobs(worker, job)
+            } else {
+                0
+            };
+            (suspect_jobs < MAX_SUSPECT_JOBS).then_some(Candidate {
                 maintenance_due,
+                suspect_jobs,
                 ..candidate
             })
         });
         let mut candidates: Vec<Candidate<'_>> = candidates.collect();
         if solo {
-            self.keep_emptiest(&mut candidates);
+            self.keep_solo_candidates(&mut candidates, job);
         }
         let request = PlacementRequest {
             size,
@@ -423,6 +432,7 @@
         conflicts: serving + best_effort,
         has_long_running: counts.long_running > 0,
         maintenance_due: false,
+        suspect_jobs: 0,
     })
 }
 
--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -93,11 +93,14 @@
                     run.phase = RunPhase::Running;
                     run.since = now;
                 }
-                if run.solo {
+                let urgent = run.solo || self.crashes.is_watched(&worker.entry.pool, now);
+                let due = now + settings.poll_gap;
+                if urgent && worker.poll_in_flight {
                     // The worker may hold the poll in flight for longer than the suspicion may last.
                     worker.poll_in_flight = false;
+                    worker.poll_due = due;
                 }
-                worker.poll_due = worker.poll_due.min(now + settings.poll_gap);
+                worker.poll_due = worker.poll_due.min(due);
                 self.record_accepted_start(&order.task);
             }
             StartOutcome::Unanswered => {
--- a/crates/control/src/shard/waiting.rs
+++ b/crates/control/src/shard/waiting.rs
@@ -185,7 +185,7 @@
                 Some(PlacementRefusal::MachineOrder)
             } else if needs_ticket && self.ticket(&step_key, &worker.entry.id, now).is_none() {
                 Some(PlacementRefusal::NoTicket)
-            } else if !admits_start(worker, task, spec, solo) {
+            } else if !admits_start(worker, task, solo) {
                 Some(PlacementRefusal::SoloStart)
             } else if candidate_for(worker, task, spec).is_none() {
                 Some(PlacementRefusal::NotEligible)
--- a/crates/control/tests/crashing_task.rs
+++ b/crates/control/tests/crashing_task.rs
@@ -558,3 +558,34 @@
         cluster.crashes.history.len()
     );
 }
+
+/// Every seventh job of a pool under load holds a task that crashes each worker. What ran beside them
+/// waited for 15 s after the last of them had come, as all suspects of each crash started one by one.
+#[test]
+fn suspects_of_many_crashes_are_soon_back() {
+    let mut cluster = cluster(8);
+    for worker in cluster.workers.values_mut() {
+        worker.entry.capacity = size(32_000, 65_536);
+    }
+    cluster.list_workers();
+    cluster.run_time = millis(800);
+    let mut jobs = Vec::new();
+    for number in 0..120 {
+        let job = format!("job{number}");
+        let spec = StepSpec {
+            size: size(1600, 1024),
+            ..step(6)
+        };
+        if number % 7 == 2 {
+            cluster.submit_deadly(&job, spec, &[3]);
+        } else {
+            cluster.submit(&job, None, vec![spec]);
+            jobs.push(job);
+        }
+        cluster.run(millis(100));
+    }
+    cluster.run(seconds(9));
+    let open = jobs.iter().filter(|job| cluster.status(job) != COMPLETED);
+    let open: Vec<&String> = open.collect();
+    assert!(open.is_empty(), "{open:?} are not done");
+}
--- a/crates/control/tests/placement.rs
+++ b/crates/control/tests/placement.rs
@@ -23,6 +23,7 @@
         conflicts: 0,
         has_long_running: false,
         maintenance_due: false,
+        suspect_jobs: 0,
     }
 }
 
@@ -106,3 +107,15 @@
         Some(0)
     );
 }
+
+/// Each crash of a worker has few suspects then.
+#[test]
+fn jobs_start_apart_while_workers_of_the_pool_crash() {
+    let workers: Vec<WorkerId> = vec!["a".into(), "b".into()];
+    let suspected = Candidate {
+        suspect_jobs: 1,
+        ..candidate(&workers[0], 4)
+    };
+    let candidates = [suspected, candidate(&workers[1], 20)];
+    assert_eq!(choose(PlacementRequest::default(), &candidates), Some(1));
+}
