Ask a worker that is back at once, and place work once its machine is up

Callers saw tasks wait although a worker was free. Cause: a worker that came back after a crash was asked when its former life was due to be asked, up to 1 s later, or once a poll of that life had timed out. A survey that showed a machine as up again led to no placement, so that a waiting task was placed only after some other event. Change: a life that appears in the list is polled at once; the end of a machine's outage allows placements.

--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -35,6 +35,9 @@
                         // The life that has just appeared may have executed a late order.
                         let lease_end = now + longest_lease;
                         worker.inherited_lease_end = worker.inherited_lease_end.max(lease_end);
+                        // Unlike the former life, which may have left a poll in flight, it answers.
+                        worker.poll_in_flight = false;
+                        worker.poll_due = now;
                     }
                     if worker.has_later_listed_life() {
                         // The worker itself tells, unless it is silent.
--- a/crates/control/src/shard/survey.rs
+++ b/crates/control/src/shard/survey.rs
@@ -31,7 +31,9 @@
         self.drain(&order.drain, &order.ordered, now);
         for (_, worker) in self.workers.iter_mut() {
             let machine = worker.entry.machine.as_ref();
-            worker.machine_down = machine.is_some_and(|machine| order.down.contains(machine));
+            let down = machine.is_some_and(|machine| order.down.contains(machine));
+            self.placement_needed |= worker.machine_down && !down;
+            worker.machine_down = down;
             if worker.machine_down {
                 worker.lost_since.get_or_insert(now);
             } else if worker.missed_polls == 0 {
--- a/crates/control/tests/crashing_task.rs
+++ b/crates/control/tests/crashing_task.rs
@@ -589,3 +589,23 @@
     let open: Vec<&String> = open.collect();
     assert!(open.is_empty(), "{open:?} are not done");
 }
+
+/// The former life was asked ever more rarely, and a survey that showed the machine as up again led to
+/// no placement.
+#[test]
+fn a_worker_that_is_back_after_a_crash_gets_work_at_once() {
+    let mut cluster = cluster(1);
+    cluster.crashes.return_time = Some(millis(4300));
+    cluster.run_time = seconds(30);
+    cluster.submit("job", None, vec![step(1)]);
+    assert!(cluster.run_until(seconds(1), |cluster| cluster.running("job.0.0.0") == 1));
+    cluster.run(millis(500));
+    let ids = ids(&cluster, |_| true);
+    cluster.crash_workers(&ids);
+    assert!(cluster.run_until(seconds(6), |cluster| !cluster.workers[0].crashed));
+    let back = |cluster: &TestCluster| cluster.running("job.0.0.0") == 1;
+    assert!(
+        cluster.run_until(millis(300), back),
+        "the worker is back and gets nothing to do"
+    );
+}
