Count a crash as certain beside losses that have suspects of their own

Callers saw jobs of crashing tasks crash workers three and four times where two prove them. Cause: a solo start counted as proof only if no other worker of its pool or zone was lost within a second, which several deadly jobs at a time never allow. Change: a loss with suspects of its own, in another rack, is no sign of a common cause. A rack or a zone without power shows workers without suspects too, which excuses the crash as before.

--- a/crates/control/src/shard/crashes.rs
+++ b/crates/control/src/shard/crashes.rs
@@ -51,11 +51,11 @@
     worker: WorkerId,
     pool: PoolId,
     zone: ZoneId,
+    rack: Option<RackId>,
     lost_at: Instant,
     /// The worker has accepted a start that was sent then.
     alive_at: Option<Instant>,
     has_suspects: bool,
-    has_solo_start: bool,
 }
 
 /// Why no run is blamed for the end of a worker's life.
@@ -139,9 +139,9 @@
             worker: worker.entry.id.clone(),
             pool: worker.entry.pool.clone(),
             zone: worker.entry.zone.clone(),
+            rack: worker.entry.rack.clone(),
             lost_at,
             has_suspects: worker.has_suspects(),
-            has_solo_start: worker.counts.solo > 0,
         }
     }
 
@@ -157,9 +157,11 @@
             && (self.pool == other.pool || self.zone == other.zone)
     }
 
-    /// Returns whether a related loss was not another solo start's, elsewhere.
+    /// Returns whether a related loss may have the cause of this one, and not suspects of its own in
+    /// another rack.
     fn may_share_cause(&self, other: &Self) -> bool {
-        self.zone == other.zone || !other.has_solo_start
+        let same_rack = self.rack.is_some() && self.rack == other.rack;
+        same_rack && self.zone == other.zone || !other.has_suspects
     }
 }
 
