Give no pool more than an even share of what smaller needs leave

Cause: with too few machines each pool got a share in proportion to its need, so a queue of several times the fleet left the others next to none. Change: share_machines, a max-min fair division that keeps the machines with long-running tasks.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -43,7 +43,7 @@
     };
     pub use crate::settings::ControlSettings;
     pub use crate::shard::{ShardController, VisitCount};
-    pub use crate::sizing::{PoolSizes, SizingSettings};
+    pub use crate::sizing::{PoolClaim, PoolSizes, SizingSettings, share_machines};
     pub use crate::urgency::terms_of;
     pub use crate::worker::{WorkerEntry, WorkerPhase, current_workers};
 }
--- a/crates/control/src/machines/moves.rs
+++ b/crates/control/src/machines/moves.rs
@@ -7,6 +7,7 @@
 
 use super::message::{MachineAction, MachineState, MachineView};
 use super::{MachineController, MachineTask};
+use crate::sizing::{PoolClaim, share_machines};
 
 /// Shortest interval between log lines about the size of a pool.
 const SIZE_LOG_INTERVAL: Duration = Duration::from_millis(900);
@@ -84,30 +85,22 @@
     }
 
     /// Returns the target size of each pool: its need or, when the machines are too few for all
-    /// needs, a share in proportion to its need.
+    /// needs, its share.
     pub(super) fn targets(&self, pools: &[PoolId], spare: &PoolId) -> IndexMap<PoolId, usize> {
-        let needs: usize = pools.iter().map(|pool| self.sizes.need(pool)).sum();
+        let claims = pools.iter().map(|pool| PoolClaim {
+            need: self.sizes.need(pool),
+            anchors: self
+                .loads
+                .get(pool)
+                .map_or(0, |load| load.long_running_workers as usize),
+        });
+        let claims: Vec<PoolClaim> = claims.collect();
         let counts = pools
             .iter()
             .chain([spare])
             .map(|pool| self.member_count(pool));
-        let machines: usize = counts.sum();
-        let target = |pool: &PoolId| {
-            let need = self.sizes.need(pool);
-            if needs <= machines {
-                need
-            } else {
-                let floor = self
-                    .loads
-                    .get(pool)
-                    .map_or(0, |load| load.long_running_workers as usize);
-                (need * machines / needs).max(floor)
-            }
-        };
-        pools
-            .iter()
-            .map(|pool| (pool.clone(), target(pool)))
-            .collect()
+        let shares = share_machines(&claims, counts.sum());
+        pools.iter().cloned().zip(shares).collect()
     }
 
     /// Logs the pools whose need has changed, each at most once per [`SIZE_LOG_INTERVAL`].
--- a/crates/control/src/sizing.rs
+++ b/crates/control/src/sizing.rs
@@ -178,6 +178,35 @@
     }
 }
 
+/// What a pool asks for when there are too few machines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PoolClaim {
+    /// Machines that it needs.
+    pub need: usize,
+    /// Machines with long-running tasks, which it keeps.
+    pub anchors: usize,
+}
+
+/// Divides machines among pools, one share for each claim; all needs are met if there are enough.
+///
+/// Load pattern: one pool's queue asks for several times all machines while the others need a few
+/// each. Shares are max-min fair: no pool gets more than an even share of what is left after all
+/// smaller needs are met, so a backlog costs no other pool the machines that its own work takes. It
+/// gives up the throughput of the larger backlog.
+pub fn share_machines(claims: &[PoolClaim], machines: usize) -> Vec<usize> {
+    let mut shares = vec![0; claims.len()];
+    let mut order: Vec<usize> = (0..claims.len()).collect();
+    order.sort_by_key(|index| claims[*index].need);
+    let mut left = machines;
+    for (passed, index) in order.into_iter().enumerate() {
+        let PoolClaim { need, anchors } = claims[index];
+        let even = left / (claims.len() - passed);
+        shares[index] = need.min(even).max(anchors);
+        left = left.saturating_sub(shares[index]);
+    }
+    shares
+}
+
 fn scaled(size: &ResourceSize, factor: f64) -> ResourceSize {
     let scale = |amount: u32| (f64::from(amount) * factor) as u32;
     ResourceSize {
--- a/crates/control/tests/sizing.rs
+++ b/crates/control/tests/sizing.rs
@@ -141,3 +141,33 @@
     }
     assert_eq!(sizes.sustained_need(&pool), 2);
 }
+
+/// Returns the shares of pools with these needs, none of which has long-running tasks.
+fn shares(needs: &[usize], machines: usize) -> Vec<usize> {
+    let claim = |need: &usize| PoolClaim {
+        need: *need,
+        anchors: 0,
+    };
+    let claims: Vec<PoolClaim> = needs.iter().map(claim).collect();
+    share_machines(&claims, machines)
+}
+
+/// The needs of the small twin of a calm day: with shares in proportion, the other pools had one machine
+/// each.
+#[test]
+fn a_queue_that_needs_more_than_all_machines_takes_none_from_smaller_needs() {
+    assert_eq!(shares(&[360, 6, 5, 7], 102), [84, 6, 5, 7]);
+    assert_eq!(shares(&[360, 200, 5, 7], 102), [45, 45, 5, 7]);
+    assert_eq!(shares(&[20, 6, 5, 7], 102), [20, 6, 5, 7]);
+    for overload in [2, 5, 10] {
+        assert_eq!(shares(&[25 * overload; 4], 100), [25; 4]);
+        assert_eq!(shares(&[70 * overload, 10, 10, 10], 100), [70, 10, 10, 10]);
+    }
+}
+
+#[test]
+fn a_pool_keeps_the_machines_with_long_running_tasks() {
+    let claims = [(50, 0), (20, 15), (50, 0)];
+    let claims = claims.map(|(need, anchors)| PoolClaim { need, anchors });
+    assert_eq!(share_machines(&claims, 30), [7, 15, 8]);
+}
