Keep one assignment of shards in the store and owners that are still members

Cause: each node computed all owners from its own reading of the members. Change: the assignment is a record of the store that any node may replace under a condition. A node reads the assignment once more before it claims. Events 634 and 635.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -149,6 +149,12 @@
     /// The platform's store became unreachable or reachable again.
     #[strum(message = "The platform's store became unreachable or reachable again.")]
     StoreReach = 633,
+    /// A node read other members of the group than before.
+    #[strum(message = "A node read other members of the group than before.")]
+    GroupRead = 634,
+    /// A node replaced the assignment of shards to nodes, or failed to.
+    #[strum(message = "A node replaced the assignment of shards to nodes, or failed to.")]
+    ShardsAssigned = 635,
     /// A caller's request was answered.
     #[strum(message = "A caller's request was answered.")]
     RequestAnswered = 640,
--- a/crates/node/src/journal_duty.rs
+++ b/crates/node/src/journal_duty.rs
@@ -1,5 +1,6 @@
 //! The duty that claims shards, follows their submissions and stores their images.
 
+mod assignment;
 mod owned_shard;
 
 use std::cell::{Cell, RefCell};
@@ -66,6 +67,10 @@
     shards: RefCell<IndexMap<ShardNumber, OwnedShard>>,
     /// Shards with most of the work; `None` until the first configuration.
     busy: RefCell<Option<IndexSet<ShardNumber>>>,
+    /// Members of the group and the assignment in force.
+    table: RefCell<ShardTable>,
+    /// End of the log of assignments as far as it is read; `None` until the first read.
+    assignment_end: Cell<Option<LogOffset>>,
     leaving: Cell<bool>,
 }
 
@@ -88,8 +93,14 @@
     spawner: TaskSpawner,
 ) {
     let timeout = settings.append_timeout();
+    let table = ShardTable::new(AssignSettings {
+        shards: settings.shards,
+        ..Default::default()
+    });
     let duty = Rc::new(JournalDuty {
         timeout,
+        table: RefCell::new(table),
+        assignment_end: Cell::default(),
         store,
         settings,
         clock,
@@ -102,6 +113,9 @@
     let membership = Rc::clone(&duty);
     duty.spawner
         .spawn(async move { membership.maintain_membership().await });
+    let assignment = Rc::clone(&duty);
+    duty.spawner
+        .spawn(async move { assignment.follow_assignment().await });
     while let Some(message) = messages.recv().await {
         duty.handle_message(message).await;
     }
@@ -142,10 +156,6 @@
     async fn maintain_membership(self: Rc<Self>) {
         let mut outage = OutageLog::new("group");
         let mut generation = 0;
-        let mut table = ShardTable::new(AssignSettings {
-            shards: self.settings.shards,
-            ..Default::default()
-        });
         let mut handovers = IndexMap::new();
         let mut members_read = None;
         let mut reads_due = 0;
@@ -172,20 +182,15 @@
                     }
                     let now = self.clock.now();
                     let stale = members_read.is_none_or(|at| now > at + MEMBERS_READ_INTERVAL);
-                    if reads_due > 0 || stale || table.has_held_members() {
+                    if reads_due > 0 || stale || self.table.borrow().has_held_members() {
                         reads_due = reads_due.saturating_sub(1);
-                        members_read = self.read_members(&mut table).await.then_some(now);
-                    }
-                    // All nodes have to compute the same owners, so none claims a shard before it
-                    // knows the busy ones.
-                    let busy = self.busy.borrow().clone();
-                    if let Some(busy) = busy {
-                        if table.set_busy(&busy) {
-                            self.send_owners(&table).await;
+                        let read = self.read_members(generation).await;
+                        members_read = read.then_some(now);
+                        if read {
+                            self.propose_assignment(generation).await;
                         }
-                        let assigned = table.shards_of(&self.name());
-                        self.apply_assignment(&assigned, &mut handovers).await;
                     }
+                    self.apply_assignment(&mut handovers).await;
                 }
                 Err(StoreFault::NotMember) => generation = 0,
                 Err(fault) => {
@@ -208,13 +213,17 @@
         identity.name()
     }
 
-    /// Reads the members of the group and sends the assigned owners to other duties; returns
-    /// whether that succeeded.
-    async fn read_members(&self, table: &mut ShardTable) -> bool {
+    /// Reads the members of the group; returns whether that succeeded.
+    async fn read_members(&self, generation: u64) -> bool {
         match self.store.members().await {
             Ok(members) => {
-                table.update(members, self.clock.now());
-                self.send_owners(table).await
+                let mut table = self.table.borrow_mut();
+                if table.update(members, self.clock.now()) {
+                    let event = EventCode::GroupRead.number();
+                    let members = table.member_count();
+                    tracing::info!(event, generation, members, "members of the group changed");
+                }
+                true
             }
             Err(fault) => {
                 let event = EventCode::StoreReach.number();
@@ -224,26 +233,13 @@
         }
     }
 
-    /// Sends the assigned owners to the duties that send requests; returns whether both still run.
-    async fn send_owners(&self, table: &ShardTable) -> bool {
-        let rows = table.owners().map(|(shard, name)| (shard, name.clone()));
-        let rows: Vec<(ShardNumber, NodeName)> = rows.collect();
-        let message = MachineMessage::Owners(rows.clone());
-        let machines_sent = self.links.machines.send(message).await;
-        let callers_sent = self.links.callers.send(CallerMessage::Owners(rows)).await;
-        machines_sent.is_ok() && callers_sent.is_ok()
-    }
-
     /// Claims assigned shards that the node does not own, and hands over owned shards that are no
     /// longer assigned.
     ///
     /// A shard that is handed over is served until its next owner has claimed it, so that it always
     /// has an owner. `handovers` holds the start times of these handovers.
-    async fn apply_assignment(
-        self: &Rc<Self>,
-        assigned: &[ShardNumber],
-        handovers: &mut IndexMap<ShardNumber, Instant>,
-    ) {
+    async fn apply_assignment(self: &Rc<Self>, handovers: &mut IndexMap<ShardNumber, Instant>) {
+        let mut assigned = self.table.borrow().shards_of(&self.name());
         let owned: Vec<ShardNumber> = self.shards.borrow().keys().copied().collect();
         let now = self.clock.now();
         handovers.retain(|shard, _| owned.contains(shard) && !assigned.contains(shard));
@@ -253,6 +249,15 @@
                 self.release(*shard).await;
             }
         }
+        let may_claim = assigned.iter().any(|shard| !owned.contains(shard));
+        if !may_claim || self.busy.borrow().is_none() {
+            return;
+        }
+        // The node may have been cut off, and others may own these shards by now.
+        if self.read_assignment(Duration::ZERO).await.is_err() {
+            return;
+        }
+        assigned = self.table.borrow().shards_of(&self.name());
         for shard in assigned.iter().filter(|shard| !owned.contains(shard)) {
             let (appends, requests) = ring("shard-appends", APPEND_CAPACITY);
             let (alive, ended) = ring("shard-alive", 1);
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -26,6 +26,8 @@
     Claims,
     /// Allocations of accounts' maxima by account and shard; the latest record of each key is kept.
     Quota,
+    /// The assignment of shards to nodes; the latest record is kept.
+    Assignment,
     /// Progress of maintenance waves by number; the latest record of each key is kept.
     Waves,
 }
