Wait for a response of the store as long as it goes on arriving

Cause: a new owner reads the shard's records in pages of up to a megabyte, and gave each page up after 1.5 s. What was ruled out: ownership that does not settle, whose mending left LOST as it was. A shard whose records can't be read is logged as an outage of the store.

--- a/crates/link/src/http_connection.rs
+++ b/crates/link/src/http_connection.rs
@@ -2,6 +2,10 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpStream};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll, ready};
 
 use async_io::Async;
 use futures_lite::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
@@ -49,6 +53,36 @@
 pub struct HttpConnection {
     address: SocketAddr,
     stream: async_dup::Arc<Async<TcpStream>>,
+    received: ReceivedBytes,
+}
+
+/// Number of bytes that a connection has received; clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct ReceivedBytes(Arc<AtomicU64>);
+
+impl ReceivedBytes {
+    /// Returns the number of bytes so far.
+    pub fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Reader that counts what it reads.
+struct CountingReader<R> {
+    inner: R,
+    received: ReceivedBytes,
+}
+
+impl<R: AsyncRead + Unpin> AsyncRead for CountingReader<R> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let read = ready!(Pin::new(&mut self.inner).poll_read(context, buffer))?;
+        self.received.0.fetch_add(read as u64, Ordering::Relaxed);
+        Poll::Ready(Ok(read))
+    }
 }
 
 /// Complete response, with the connection if it can be reused.
@@ -91,9 +125,15 @@
         Ok(Self {
             address,
             stream: async_dup::Arc::new(stream),
+            received: ReceivedBytes::default(),
         })
     }
 
+    /// Returns the number of bytes received, which grows during an exchange.
+    pub fn received(&self) -> ReceivedBytes {
+        self.received.clone()
+    }
+
     /// Returns whether the connection is still open and has no unexpected data to read.
     pub fn is_reusable(&self) -> bool {
         let mut byte = [0];
@@ -126,9 +166,11 @@
             .write_all(&bytes[written..])
             .await
             .map_err(|error| broken(error.to_string()))?;
-        let response = read_response(self.stream.clone(), max_body)
-            .await
-            .map_err(broken)?;
+        let reader = CountingReader {
+            inner: self.stream.clone(),
+            received: self.received.clone(),
+        };
+        let response = read_response(reader, max_body).await.map_err(broken)?;
         let close = response
             .header("Connection")
             .is_some_and(|value| value.eq_ignore_ascii_case("close"));
--- a/crates/link/src/http_pool.rs
+++ b/crates/link/src/http_pool.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use pw_base::prelude::*;
 
-use crate::http_call::{open_with_timeout, with_timeout};
+use crate::http_call::{open_with_timeout, while_received};
 use crate::http_connection::{BufferedResponse, CallError, HttpConnection};
 
 /// Limits of an [`HttpPool`].
@@ -24,6 +24,8 @@
     pub connect_timeout: Duration,
     /// Largest response body in bytes.
     pub max_body: usize,
+    /// Longest time for a response that goes on arriving; no longer than its timeout if that is more.
+    pub max_exchange: Duration,
 }
 
 /// Number of open connections to one server.
@@ -74,6 +76,7 @@
             idle_timeout: Duration::from_secs(15),
             connect_timeout: Duration::from_secs(1),
             max_body: 16 * 1024 * 1024,
+            max_exchange: Duration::ZERO,
         }
     }
 }
@@ -92,7 +95,8 @@
         }
     }
 
-    /// Sends `request` and waits up to `timeout` for the complete response.
+    /// Sends `request` and waits up to `timeout` for the complete response, or for up to
+    /// [`PoolBounds::max_exchange`] as long as some of it arrives within each `timeout`.
     ///
     /// # Errors
     ///
@@ -110,9 +114,11 @@
             Some(connection) => connection,
             None => open_with_timeout(address, self.bounds.connect_timeout.min(timeout)).await?,
         };
+        let received = connection.received();
         let exchange = connection.exchange(request, self.bounds.max_body);
         let timeout_error = |error| CallError::Broken { address, error };
-        let exchange = with_timeout(timeout, exchange, timeout_error).await?;
+        let limits = (timeout, self.bounds.max_exchange);
+        let exchange = while_received(limits, received, exchange, timeout_error).await?;
         if let Some(connection) = exchange.connection {
             self.put_idle(address, connection);
         }
--- a/crates/node/src/journal_duty/owned_shard.rs
+++ b/crates/node/src/journal_duty/owned_shard.rs
@@ -147,10 +147,12 @@
     async fn load_newest(&self, partition: StorePartition) -> (Vec<StoreEntry>, LogOffset) {
         let mut entries: Vec<StoreEntry> = Vec::new();
         let mut first_end = None;
+        let mut outage = OutageLog::new("records of a shard");
         loop {
             let after = entries.last().map(|entry| entry.key.clone());
             match self.store.newest(partition, after).await {
                 Ok(page) => {
+                    outage.set_reachable(true);
                     let end = *first_end.get_or_insert(page.end);
                     let more = page.more && !page.entries.is_empty();
                     entries.extend(page.entries);
@@ -158,7 +160,8 @@
                         return (entries, end);
                     }
                 }
-                Err(_) => {
+                Err(fault) => {
+                    outage.record_fault(&fault);
                     Timer::after(self.settings.store_retry_delay).await;
                 }
             }
