--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -270,6 +270,8 @@
     pub epoch: OwnerEpoch,
     /// Fence of the order; the worker rejects orders with a lower one than it has seen.
     pub fence: OrderFence,
+    /// Time up to which the owner had handled the answers of workers.
+    pub decided_as_of: Instant,
     /// Time after which the start must not be sent, because a cancellation, a drain or a change of
     /// owner may be in force that this owner has not seen.
     pub send_by: Instant,
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -77,6 +77,8 @@
     crashes: CrashHistory,
     /// As of when each input is known.
     inputs_read: IndexMap<ShardInput, Instant>,
+    /// When the latest answer of a worker that is handled arrived.
+    answers_known_at: Instant,
     /// When this owner took the shard over.
     taken_over_at: Instant,
     /// The same, until the first survey of the machine controller.
@@ -187,6 +189,7 @@
             ended_lives: 0,
             crashes: CrashHistory::default(),
             inputs_read: IndexMap::new(),
+            answers_known_at: now,
             taken_over_at: now,
             unsurveyed_since: Some(now),
             placement_needed: true,
@@ -254,7 +257,10 @@
                 order,
                 result,
                 answered_at,
-            } => self.handle_poll(&order, result, answered_at, now),
+            } => {
+                self.answers_known_at = self.answers_known_at.max(answered_at);
+                self.handle_poll(&order, result, answered_at, now);
+            }
             ShardEvent::Started { order, outcome } => {
                 self.placement_needed |= self.starts_exhausted;
                 self.handle_start(&order, outcome, now);
--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -51,6 +51,7 @@
             lease_until,
             epoch: self.epoch,
             fence,
+            decided_as_of: self.answers_known_at,
             send_by,
         }));
     }
--- a/crates/control/tests/support/owner.rs
+++ b/crates/control/tests/support/owner.rs
@@ -58,7 +58,7 @@
         {
             let done = report.finished.iter().filter(|end| end.end == RunEnd::Done);
             self.told_done.extend(done.map(|end| end.task.clone()));
-            self.gate.record(report);
+            self.gate.record(report, now);
         }
         self.inbox.push_back((now, event));
     }
--- a/crates/node/src/order_duty.rs
+++ b/crates/node/src/order_duty.rs
@@ -46,13 +46,14 @@
         OrderMessage::Poll(term, order) => {
             let order = gate.borrow().current_poll(order, clock.now());
             let result = gateway.poll(order.clone()).await;
+            let answered_at = clock.now();
             if let Ok(report) = &result {
-                gate.borrow_mut().record(report);
+                gate.borrow_mut().record(report, answered_at);
             }
             let event = ShardEvent::Polled {
                 order,
                 result,
-                answered_at: clock.now(),
+                answered_at,
             };
             (term, event)
         }
--- a/crates/node/tests/orders.rs
+++ b/crates/node/tests/orders.rs
@@ -125,8 +125,15 @@
     let clock = ManualClock::default();
     let send_by = clock.now() + Duration::from_secs(1);
     let fixture = OrdersFixture::new(CountingGateway::default(), &clock);
+    clock.advance(Duration::from_millis(10));
     fixture.answer(OrderMessage::Poll(TERM, poll_order(clock.now())));
     assert_eq!(fixture.start(start_order(send_by)), StartOutcome::NotSent);
+    // An owner that has handled the answer may have a reason to start the task again.
+    let decided = StartOrder {
+        decided_as_of: clock.now(),
+        ..start_order(send_by)
+    };
+    assert_eq!(fixture.start(decided), StartOutcome::Accepted);
     let repeated = StartOrder {
         long_running: true,
         ..start_order(send_by)
@@ -180,6 +187,7 @@
         lease_until: 6000,
         epoch: 1,
         fence: 1 << 16,
+        decided_as_of: send_by - Duration::from_secs(1),
         send_by,
     }
 }
