Show the owners of shards over time from logs

Cause: that the busiest shard of a small twin was claimed seven times and never opened could be seen only with a script over all logs. Change: primrosewheel owners lists, for each shard and epoch, the node, the takeover, the release, and claims that no takeover followed. trace and owners read log files by one function. Measured: a test with the lines of that case.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -11,9 +11,10 @@
 use crate::diff::DiffArgs;
 use crate::digest::DigestArgs;
 use crate::explain::ExplainArgs;
+use crate::owners::OwnersArgs;
 use crate::status::StatusArgs;
 use crate::trace::TraceArgs;
-use crate::{apply, audit, check, demo, diff, digest, explain, status, trace};
+use crate::{apply, audit, check, demo, diff, digest, explain, owners, status, trace};
 
 /// Checks and applies fleet files, and shows the state of the fleet.
 #[derive(Debug, FromArgs)]
@@ -34,6 +35,7 @@
     Explain(ExplainArgs),
     Demo(DemoArgs),
     Trace(TraceArgs),
+    Owners(OwnersArgs),
 }
 
 /// Exit code of the command.
@@ -87,5 +89,6 @@
         ActionChoice::Explain(args) => async_io::block_on(explain::run(args)),
         ActionChoice::Demo(args) => async_io::block_on(demo::run(args)),
         ActionChoice::Trace(args) => trace::run(&args),
+        ActionChoice::Owners(args) => owners::run(&args),
     }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -11,8 +11,10 @@
 pub mod diff;
 pub mod digest;
 pub mod explain;
+pub mod log_files;
 pub mod log_follower;
 pub mod output;
+pub mod owners;
 pub mod status;
 pub mod trace;
 
--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -1,14 +1,13 @@
 //! `trace`: merges the log lines of several processes for one job, task or request.
 
 use std::collections::BTreeSet;
-use std::fs;
 
-use anyhow::Context;
 use argh::FromArgs;
 use serde::Serialize;
 use serde_json::{Map, Value};
 
 use crate::command::ExitStatus;
+use crate::log_files::read_log_files;
 use crate::output::{print_json, print_table};
 
 /// Fields left out of the `fields` column: each has its own column or does not describe the event.
@@ -57,12 +56,7 @@
 ///
 /// Fails if a log file can't be read.
 pub fn run(args: &TraceArgs) -> anyhow::Result<ExitStatus> {
-    let mut logs = Vec::new();
-    for file in &args.logs {
-        let text = fs::read_to_string(file).with_context(|| format!("can't read {file}"))?;
-        let process = file.rsplit('/').next().unwrap_or(file);
-        logs.push((process.trim_end_matches(".log").to_owned(), text));
-    }
+    let logs = read_log_files(&args.logs)?;
     let lines = trace(&args.id, &logs, args.context);
     if args.json {
         print_json(&lines)?;
