Count no start as blocked while workers of its pool crash

Cause: a start that waits until a worker has survived others counted as blocked, and a pool with blocked steps needs one machine more at each survey. Change: no step counts as blocked while its pool is watched.

--- a/crates/control/src/shard/scheduling.rs
+++ b/crates/control/src/shard/scheduling.rs
@@ -178,11 +178,15 @@
         })
     }
 
-    /// Counts a step as blocked if it waits although some worker of its pool has room for a task.
+    /// Counts a step as blocked if it waits although some worker of its pool has room for a task. While
+    /// workers of the pool crash, it may wait only until that worker has survived other starts.
     fn count_blocked(&mut self, job: &JobId, spec: &StepSpec, now: Instant) {
         let Some(record) = self.jobs.get(job).map(|job| &job.submission) else {
             return;
         };
+        if self.crashes.is_watched(&record.pool, now) {
+            return;
+        }
         let size = reserved_size(spec);
         if !self.within_quota(record, &size) {
             return;
--- a/crates/control/src/shard/solo_starts.rs
+++ b/crates/control/src/shard/solo_starts.rs
@@ -11,10 +11,10 @@
 use crate::run::RunRecord;
 use crate::worker::WorkerRecord;
 
-/// Maximum number of workers of a pool with a solo start, if this is more than
-/// [`SOLO_SHARE`] of its workers. It bounds how fast a pool loses workers to tasks that crash them.
+/// Number of workers of a pool that may have solo starts at the same time, at least. The bound limits how
+/// fast a pool loses workers to tasks that crash them.
 const MIN_SOLO_WORKERS: usize = 3;
-/// The same as one part in this many of the pool's workers that answer.
+/// In a large pool, one worker in this many may have solo starts.
 const SOLO_SHARE: usize = 4;
 /// Jobs whose starts a worker may have to survive at the same time while workers of its pool crash: the
 /// suspects of one more crash.
--- a/crates/control/tests/crashing_task.rs
+++ b/crates/control/tests/crashing_task.rs
@@ -519,6 +519,24 @@
     }
 }
 
+/// Starts that waited until a worker had survived others counted as blocked, and pulled machines.
+#[test]
+fn a_pool_whose_workers_crash_attracts_no_machines_that_it_has_no_work_for() {
+    let mut cluster = cluster(3);
+    cluster.run_time = seconds(30);
+    cluster.submit_deadly("deadly", step(1), &[0]);
+    assert!(cluster.run_until(seconds(5), |cluster| !cluster.crashes.history.is_empty()));
+    cluster.run(millis(500));
+    for number in 0..12 {
+        cluster.submit(&format!("work{number}"), None, vec![step(1)]);
+    }
+    for _ in 0..100 {
+        cluster.run(millis(5));
+        let load = cluster.controller().survey_report(cluster.now);
+        assert_eq!(load.pools[0].blocked, 0);
+    }
+}
+
 /// The first crash of a task is no sign that the second one had another cause.
 #[test]
 fn a_crashing_task_in_a_pool_under_load_is_given_up_at_its_second_crash() {
