--- a/crates/control/tests/support/crashes.rs
+++ b/crates/control/tests/support/crashes.rs
@@ -7,10 +7,12 @@
 use pw_control::prelude::*;
 use pw_job::prelude::*;
 
-use super::{ROUND_TRIP, TestCluster};
+use super::{ROUND_TRIP, TestCluster, millis};
 
 /// Time from the start of a deadly task until its worker has crashed.
 const CRASH_TIME: Duration = Duration::from_millis(10);
+/// Time until a crashed worker of [`cluster`] is back.
+const RETURN_TIME: Duration = Duration::from_secs(3);
 /// Time until the list of machines shows a crash.
 const LIST_TIME: Duration = Duration::from_millis(300);
 
@@ -128,3 +130,23 @@
         }
     }
 }
+
+/// Creates a cluster of four racks in two zones, whose workers come back after a crash.
+pub fn cluster(workers: usize) -> TestCluster {
+    let mut cluster = TestCluster::new(workers);
+    for (number, worker) in cluster.workers.values_mut().enumerate() {
+        worker.entry.rack = Some(format!("rack{}", number % 4).as_str().into());
+        worker.entry.zone = format!("zone{}", number % 2).as_str().into();
+    }
+    cluster.crashes.return_time = Some(RETURN_TIME);
+    cluster.list_workers();
+    cluster.run(millis(500));
+    cluster
+}
+
+/// Returns the ids of the workers whose entries are chosen.
+pub fn ids(cluster: &TestCluster, chosen: impl Fn(&WorkerEntry) -> bool) -> Vec<WorkerId> {
+    let workers = cluster.workers.values().map(|worker| &worker.entry);
+    let chosen = workers.filter(|entry| chosen(entry));
+    chosen.map(|entry| entry.id.clone()).collect()
+}
