--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -324,6 +324,7 @@
         self.capacity = {"cpu": cpu, "memMb": mem, "gpu": 0}
         self.guards = guards
         self.server = None
+        self.refusals = {}
         self.begin_life()
 
     def begin_life(self):
@@ -366,9 +367,16 @@
     def crash(self):
         """The worker is down: it runs nothing and answers nothing."""
         self.up = False
-        for task, run in list(self.running.items()):
+        lost, self.running = self.running, {}
+        for task, run in lost.items():
             self.fleet.note("lost", self, task, run)
-        self.running = {}
+            if run["gang"]:
+                self.fleet.halt_gang(task, run)
+
+    def restart(self):
+        """The worker is up again, under its id, and registers itself."""
+        self.begin_life()
+        self.fleet.store.put("keyed.servers", self.id, self.entry())
 
     def work_ms(self, task, spec):
         index = int(task.rsplit(".", 1)[1])
@@ -395,6 +403,8 @@
         return f"{done:08x}{run['job'][8:]}"
 
     def worked(self, run):
+        if "halted" in run:
+            return run["halted"]
         if run["since"] is None:
             return run["from"]
         return run["from"] + int((time.monotonic() - run["since"]) * 1000)
@@ -429,6 +439,7 @@
         return sum(run["size"].get(name, 0) for run in self.running.values())
 
     def refuse(self, reason):
+        self.refusals[reason] = self.refusals.get(reason, 0) + 1
         return 409, JSON, {"clockMs": self.clock(), "reason": reason}
 
     def accept(self):
@@ -465,6 +476,8 @@
         if call["deadlineMs"] <= self.clock():
             return self.refuse("late")
         spec = json.loads(call["spec"])
+        if spec.get("advised") and not self.fleet.is_ticket(call.get("ticket"), task, self):
+            return self.refuse("ticket")
         size = self.fleet.size_of(task)
         over = any(self.used(n) + size.get(n, 0) > self.capacity[n] for n in ("cpu", "memMb"))
         if over and self.guards:
@@ -542,6 +555,7 @@
         self.nodes = {}
         self.jobs = {}
         self.events = []
+        self.tickets = {}
         self.folder = tempfile.TemporaryDirectory(prefix="primrosewheel-review-")
         self.tasks = []
 
@@ -576,6 +590,11 @@
             for _, _, other in members:
                 other["since"] = time.monotonic()
 
+    def halt_gang(self, task, run):
+        """The members that are left do not work on, as they work only together."""
+        for worker, _, other in self.members(task, run):
+            other.setdefault("halted", worker.worked(other))
+
     def break_gang(self, task, run):
         if run["gang"]:
             for worker, name, _ in list(self.members(task, run)):
@@ -586,6 +605,7 @@
         for worker in workers:
             await worker.open()
         _, self.machines_port = await serve(self.handle_machines)
+        _, self.advice_port = await serve(self.handle_advice)
         self.tasks.append(asyncio.ensure_future(self.beat()))
         self.tasks.append(asyncio.ensure_future(self.run_workers()))
 
@@ -620,6 +640,24 @@
         self.record(f"machines: {path} {body.decode()} refused as busy")
         return 409, JSON, {"reason": "busy"}
 
+    async def handle_advice(self, method, path, query, headers, body):
+        """All workers may run the step; a ticket is good for one life of its worker, for 3 s."""
+        call = json.loads(body)
+        await asyncio.sleep(0.02 + 0.002 * len(call["workers"]))
+        good = []
+        for worker in self.workers:
+            if worker.id in call["workers"]:
+                ticket = f"c{len(self.tickets):04x}"
+                until = time.monotonic() + 3
+                self.tickets[ticket] = (call["step"], worker.id, worker.born, until)
+                good.append([worker.id, ticket])
+        return 200, JSON, {"good": good, "validMs": 3000}
+
+    def is_ticket(self, ticket, task, worker):
+        step, name, born, until = self.tickets.get(ticket, ("", "", 0, 0))
+        fits = step == task.rsplit(".", 1)[0] and (name, born) == (worker.id, worker.born)
+        return fits and time.monotonic() <= until
+
     async def start_node(self, name):
         async def handle(*call):
             return await self.store.handle(name, *call)
@@ -638,6 +676,7 @@
 discovery = "platform"
 heartbeatMs = 1500
 orders = "call"
+advice = "{HOST}:{self.advice_port}"
 [listen]
 front = "{HOST}:{ports[2]}"
 ready = "{HOST}:{ports[3]}"
