--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A client cancels a job at once while the store turns the owner of the job's shard away."""
+"""A route is given to another service while a job that came over it runs, and the job arrives again."""
 
 import asyncio
 import pathlib
@@ -6,53 +6,39 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
-from standin import Fleet, Worker, config, run_case
+from standin import KEY, Fleet, Worker, config, overlaps, run_case
 
-POOL = "tienda"
-JOB = "c7376fa257b4e878"
-# A job as stock-sync of the site: tasks that last, on a public queue.
-PHASES = [{"count": 3, "cpu": 2600, "memMb": 8100, "estimateMs": 90000, "longRunning": True}]
-SPEC = {"lasts": True}
-TURNED_AWAY_S = 4.5
-CANCEL_S, STOP_S, STABLE_S = 3.0, 0.4, 3.0
+OLD, NEW = "tienda", "corte"
+JOB = "27eb4763679d608a"
+PHASES = [{"count": 4, "cpu": 1600, "memMb": 2300, "estimateMs": 25000}]
+SPEC = {"workMs": 25000}
+CONFIG_S = 2.0
 
 
 async def play(fleet: Fleet, record, trouble):
-    await fleet.open([Worker(fleet, n, POOL, cpu=32000, mem=65536) for n in range(2)])
-    routes = [("r-1", "/sync/", POOL, {"public": True})]
-    fleet.store.put("keyed.op", "config", config(1, routes, [(POOL, True)]))
-    for name in ("frontend-1", "frontend-2", "frontend-3"):
+    await fleet.open([Worker(fleet, n, OLD if n < 2 else NEW, cpu=32000, mem=65536) for n in range(4)])
+    pools = [(OLD, True), (NEW, True)]
+    fleet.store.put("keyed.op", "config", config(1, [("r-1", "/q/", OLD, {})], pools))
+    for name in ("frontend-1", "frontend-2"):
         await fleet.start_node(name)
     await fleet.wait_ready()
-    owner = fleet.owner_of(POOL)
-    other = next(name for name in fleet.nodes if name != owner)
-    if trouble:
-        fleet.store.turn_away(owner, True)
-        record(f"store: turns {owner} away (503) for {TURNED_AWAY_S} s and serves the others")
-    began = time.monotonic()
-    await asyncio.sleep(0.3)
-    if await fleet.submit(other, "/sync/", JOB, SPEC, PHASES) != 200:
+    if await fleet.submit("frontend-1", "/q/", JOB, SPEC, PHASES, KEY) != 200:
         raise RuntimeError("the job was not accepted")
-    await asyncio.sleep(0.5)
-    status = None
-    while status not in (200, 410):
-        status, _ = await fleet.client(other, "DELETE", "/sync/" + JOB)
-        acknowledged = time.monotonic()
-        await asyncio.sleep(0.3)
-    await asyncio.sleep(max(0, began + TURNED_AWAY_S - time.monotonic()))
+    accepted = time.monotonic()
+    await asyncio.sleep(1)
     if trouble:
-        fleet.store.turn_away(owner, False)
-        record(f"store: serves {owner} again")
-    calm = time.monotonic()
-    await asyncio.sleep(STABLE_S + CANCEL_S + STOP_S + 5)
-    await fleet.client(other, "GET", "/sync/" + JOB)
-    left = [
-        f"UNASKED: {task} runs on {worker.id}, {time.monotonic() - acknowledged:.1f} s after its"
-        f" job's DELETE was answered {status}, {time.monotonic() - calm:.1f} s after all trouble"
-        for worker in fleet.workers
-        for task in worker.running
+        fleet.store.put("keyed.op", "config", config(4, [("r-2", "/q/", NEW, {})], pools))
+        record(f"operator: configuration 4: /q/ belongs to {NEW}, no longer to {OLD}")
+    await asyncio.sleep(CONFIG_S + 0.5)
+    for node in fleet.nodes:
+        await fleet.client(node, "GET", "/q/" + JOB, key=KEY)
+    record(f"the client sends the job again, {time.monotonic() - accepted:.1f} s after its 2xx")
+    await fleet.submit("frontend-2", "/q/", JOB, SPEC, PHASES, KEY)
+    await asyncio.sleep(5)
+    return [
+        f"TWICE: {task} runs on {other} (run {run_there}) and on {here} (run {run_here}) at once"
+        for _, task, other, run_there, here, run_here in overlaps(fleet.events)
     ]
-    return left
 
 
 run_case(play)
