Log which shards hold the maximum that an account's tasks wait for

Change: event 625 after 1 s of shortage, then each 5 s, with the shard's need and allowance, the account's maximum and all holders. Result: the new test of the report passes.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -137,6 +137,9 @@
     /// A worker crashed before it had confirmed a run, which may be the cause.
     #[strum(message = "A worker crashed before it had confirmed a run, which may be the cause.")]
     RunSuspected = 624,
+    /// Tasks wait because other shards hold the maximum of their client account.
+    #[strum(message = "Tasks wait because other shards hold the maximum of their client account.")]
+    QuotaAwaited = 625,
     /// A node took over a shard.
     #[strum(message = "A node took over a shard.")]
     ShardTaken = 630,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -39,7 +39,7 @@
     pub use crate::placement::{Candidate, PackPlacement, PlacementPolicy, PlacementRequest};
     pub use crate::quota::{
         AccountBudget, AccountDemand, AllocationKey, AllocationReductions, QuotaAllocation,
-        QuotaTable,
+        QuotaShortages, QuotaTable, ShortageReport,
     };
     pub use crate::settings::ControlSettings;
     pub use crate::shard::{ShardController, VisitCount};
--- a/crates/control/src/quota.rs
+++ b/crates/control/src/quota.rs
@@ -9,6 +9,7 @@
 //! difference as soon as the smaller allocation is stored.
 
 mod reductions;
+mod shortages;
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -19,6 +20,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::reductions::AllocationReductions;
+pub use self::shortages::{QuotaShortages, ShortageReport};
 use crate::config::AccountRule;
 
 /// Multiple of its demand that a shard requests, so that not every job needs a request.
@@ -123,6 +125,15 @@
         })
     }
 
+    /// Returns the shards that hold a part of an account's maximum.
+    pub fn holders(&self, account: &str) -> impl Iterator<Item = (ShardNumber, ResourceSize)> {
+        let allocations = self.allocations.iter();
+        let held = allocations.filter(move |((name, _), allocation)| {
+            &**name == account && allocation.size != ResourceSize::default()
+        });
+        held.map(|((_, shard), allocation)| (*shard, allocation.size))
+    }
+
     /// Returns the allocation of a shard.
     pub fn allocation(&self, key: &AllocationKey) -> ResourceSize {
         self.allocations
--- a/crates/control/tests/quota.rs
+++ b/crates/control/tests/quota.rs
@@ -188,3 +188,27 @@
     assert!(proposals.iter().any(|(name, _)| *name == key(0)));
     assert!(held + grown <= 100_000, "{held} and {grown} of 100000");
 }
+
+/// An account whose tasks wait while another shard holds its maximum was not visible in the logs.
+#[test]
+fn a_shortage_is_reported_with_the_shards_that_hold_the_maximum() {
+    let mut shards = Shards::new(100);
+    shards.update(0, 0, 90);
+    let demand = AccountDemand {
+        waiting: cores(80),
+        ..Default::default()
+    };
+    let demands = IndexMap::from([(key(1), demand)]);
+    let rules = shards.rules();
+    let mut shortages = QuotaShortages::default();
+    let start = shards.now;
+    let mut review = |ms| {
+        let now = start + Duration::from_millis(ms);
+        shortages.review(&shards.table, &rules, &demands, now)
+    };
+    assert!(review(0).is_empty() && review(900).is_empty());
+    let reports = review(1000);
+    assert_eq!((&reports[0].key, reports[0].wanted), (&key(1), cores(80)));
+    assert!(reports[0].holders.iter().any(|(shard, _)| *shard == 0));
+    assert!(review(5900).is_empty() && !review(6000).is_empty());
+}
--- a/crates/node/src/quota_duty.rs
+++ b/crates/node/src/quota_duty.rs
@@ -44,6 +44,7 @@
 struct QuotaState {
     table: QuotaTable,
     reductions: AllocationReductions,
+    shortages: QuotaShortages,
     /// Offset of the next record to read; `None` before the first read.
     next: Option<LogOffset>,
     config: Arc<FleetConfig>,
@@ -133,6 +134,7 @@
     async fn update(&self, wakes: RingReceiver<()>) {
         while wakes.recv().await.is_some() {
             self.update_allocations().await;
+            self.report_shortages();
             Timer::after(UPDATE_INTERVAL).await;
         }
     }
@@ -231,6 +233,7 @@
             config,
             terms,
             demands,
+            ..
         } = &mut *state;
         let end = (*next)?;
         let proposals = table.propose(&config.accounts, demands, now);
@@ -262,6 +265,38 @@
         changed.then(|| (entries.collect(), end))
     }
 
+    /// Logs which shards hold the maximum of an account whose tasks have been waiting for it.
+    fn report_shortages(&self) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let QuotaState {
+            table,
+            shortages,
+            config,
+            demands,
+            ..
+        } = &mut *state;
+        for report in shortages.review(table, &config.accounts, demands, now) {
+            let event = EventCode::QuotaAwaited.number();
+            let (account, shard) = &report.key;
+            let waited_ms = now.saturating_duration_since(report.since).as_millis() as u64;
+            let (wanted, allowance) = (report.wanted, report.allowance);
+            let (maximum, holders) = (report.maximum, report.holders);
+            tracing::warn!(
+                event,
+                account = &**account,
+                shard,
+                waited_ms,
+                ?wanted,
+                ?allowance,
+                ?maximum,
+                ?holders,
+                version = config.version,
+                "tasks wait for the maximum of their account"
+            );
+        }
+    }
+
     /// Sends the control duty the allowances of its shards on each wake, and the reductions that it
     /// has to confirm.
     ///
