Release the maximum that an account holds in a shard without its jobs

Cause: the allocations of an account's maximum were reviewed only for shards where the account has jobs. The last job's end took the row away before the delay of a reduction had passed, so the allocation stayed. Nobody visited it again: not the owner, whose duty read no allocations without demand; not a later owner, which never had the row. Where a maximum was lowered below the sum, all shards of the account stopped. Change: the owner of a shard reviews all allocations that the shard holds, with no demand as the default. It follows the allocations while its shards need or hold any, and reads them each 2 s otherwise, since an append of an earlier owner may be executed late. A change of the owned shards is reported like one of the demand. A reduction that is due has a timer instead of the next message. Runs that outlast their job count as demand.

--- a/crates/control/src/quota.rs
+++ b/crates/control/src/quota.rs
@@ -14,7 +14,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use pw_base::prelude::*;
 use pw_worker::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -97,6 +97,12 @@
         *used = used.plus(size);
     }
 
+    /// Returns the accounts with runs in the shard, with the size reserved for them.
+    pub fn users(&self) -> impl Iterator<Item = (&AccountId, ResourceSize)> {
+        let used = self.used.iter().map(|(account, size)| (account, *size));
+        used.filter(|(_, size)| *size != ResourceSize::default())
+    }
+
     /// Releases the size of a run that ended.
     pub fn release(&mut self, account: &str, size: &ResourceSize) {
         if let Some(used) = self.used.get_mut(account) {
@@ -164,18 +170,40 @@
         shrinks.then(|| component_min(&allocation, size))
     }
 
+    /// Returns whether any of these shards holds a part of an account's maximum.
+    pub fn is_held_by(&self, shards: &IndexMap<ShardNumber, OwnerEpoch>) -> bool {
+        let mut held = self.allocations.iter();
+        held.any(|((_, shard), allocation)| {
+            shards.contains_key(shard) && allocation.size != ResourceSize::default()
+        })
+    }
+
+    /// Returns when the next allocation has exceeded its need for long enough to shrink.
+    pub fn next_shrink(&self) -> Option<Instant> {
+        let since = self.excess_since.values().min()?;
+        Some(*since + SHRINK_DELAY)
+    }
+
     /// Returns the allocations of this node's shards that should change, with their new sizes.
     ///
-    /// Together they stay within the maxima whether or not those that shrink are stored.
+    /// Together they stay within the maxima whether or not those that shrink are stored. An
+    /// allocation of a shard without demand is reviewed too: it may be left from jobs that have
+    /// ended, also under an earlier owner.
     pub fn propose(
         &mut self,
         accounts: &IndexMap<AccountId, AccountRule>,
+        shards: &IndexMap<ShardNumber, OwnerEpoch>,
         demands: &IndexMap<AllocationKey, AccountDemand>,
         now: Instant,
     ) -> Vec<(AllocationKey, ResourceSize)> {
+        let idle = self.idle_allocations(shards, demands);
+        self.excess_since
+            .retain(|key, _| demands.contains_key(key) || idle.contains(key));
+        let idle = idle.iter().map(|key| (key, AccountDemand::default()));
+        let demands = demands.iter().map(|(key, demand)| (key, *demand));
         let mut totals: HashMap<AccountId, ResourceSize> = HashMap::new();
         let mut proposals = Vec::new();
-        for (key, demand) in demands {
+        for (key, demand) in demands.chain(idle) {
             let Some(rule) = accounts.get(&key.0) else {
                 continue;
             };
@@ -190,7 +218,7 @@
             let others = total.minus(&allocation);
             let free = maximum.minus(&others);
             let wanted = demand.used.plus(&demand.waiting);
-            let target = self.target(key, &wanted, demand, &maximum, &free, now);
+            let target = self.target(key, &wanted, &demand, &maximum, &free, now);
             if target != allocation {
                 *total = others.plus(&component_max(&target, &allocation));
                 proposals.push((key.clone(), target));
@@ -199,6 +227,19 @@
         proposals
     }
 
+    /// Returns the allocations of these shards for whose accounts they have no demand.
+    fn idle_allocations(
+        &self,
+        shards: &IndexMap<ShardNumber, OwnerEpoch>,
+        demands: &IndexMap<AllocationKey, AccountDemand>,
+    ) -> IndexSet<AllocationKey> {
+        let held = self.allocations.iter().filter(|(key, allocation)| {
+            shards.contains_key(&key.1) && allocation.size != ResourceSize::default()
+        });
+        let idle = held.filter(|(key, _)| !demands.contains_key(*key));
+        idle.map(|(key, _)| key.clone()).collect()
+    }
+
     fn target(
         &mut self,
         key: &AllocationKey,
--- a/crates/control/src/shard/queries.rs
+++ b/crates/control/src/shard/queries.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use pw_base::prelude::*;
 use pw_job::prelude::*;
+use pw_worker::prelude::*;
 
 use super::ShardController;
 use crate::message::{JobAnswer, QueryScope};
@@ -49,30 +50,32 @@
     }
 
     /// Returns the resources that each client account uses and waits for in the shard.
+    ///
+    /// A run may outlast its job: one of a task that is done already is stopped, and counts until
+    /// then.
     pub fn account_demands(&self) -> IndexMap<AllocationKey, AccountDemand> {
         let waits = self.backlog.account_waits();
-        let demands = waits.map(|(account, waiting)| {
+        let users = self.budget.users();
+        let users = users.map(|(account, _)| (account, ResourceSize::default()));
+        let mut demands: IndexMap<AllocationKey, AccountDemand> = IndexMap::new();
+        for (account, waiting) in waits.chain(users) {
             let used = self.budget.used(account);
-            (
-                (account.clone(), self.shard),
-                AccountDemand { used, waiting },
-            )
-        });
-        demands.collect()
+            let demand = AccountDemand { used, waiting };
+            demands
+                .entry((account.clone(), self.shard))
+                .or_insert(demand);
+        }
+        demands
     }
 
     /// Sets this shard's allocation of a client account's maximum.
-    pub fn set_allocation(
-        &mut self,
-        account: AccountId,
-        allocation: pw_worker::prelude::ResourceSize,
-    ) {
+    pub fn set_allocation(&mut self, account: AccountId, allocation: ResourceSize) {
         self.budget.set_allocation(account, allocation);
         self.placement_needed = true;
     }
 
     /// Returns the size reserved for a client account's runs in the shard.
-    pub fn account_used(&self, account: &str) -> pw_worker::prelude::ResourceSize {
+    pub fn account_used(&self, account: &str) -> ResourceSize {
         self.budget.used(account)
     }
 }
--- a/crates/control/tests/quota.rs
+++ b/crates/control/tests/quota.rs
@@ -50,7 +50,9 @@
         };
         let demands = IndexMap::from([(key(shard), demand)]);
         let rules = self.rules();
-        for (key, size) in self.table.propose(&rules, &demands, self.now) {
+        let shards = IndexMap::from([(shard, 1)]);
+        let proposals = self.table.propose(&rules, &shards, &demands, self.now);
+        for (key, size) in proposals {
             self.table.apply(key, QuotaAllocation { epoch: 1, size });
         }
         self.table.allocation(&key(shard)).millicores / 1000
@@ -180,9 +182,10 @@
     };
     let demands = IndexMap::from([(key(0), demand(5)), (key(1), demand(80))]);
     let rules = shards.rules();
-    shards.table.propose(&rules, &demands, shards.now);
+    let owned = IndexMap::from([(0, 1), (1, 1)]);
+    shards.table.propose(&rules, &owned, &demands, shards.now);
     shards.now += Duration::from_secs(1);
-    let proposals = shards.table.propose(&rules, &demands, shards.now);
+    let proposals = shards.table.propose(&rules, &owned, &demands, shards.now);
     let grown = proposals.iter().find(|(name, _)| *name == key(1));
     let grown = grown.map_or(0, |(_, size)| size.millicores);
     assert!(proposals.iter().any(|(name, _)| *name == key(0)));
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -49,8 +49,11 @@
     shards: IndexMap<ShardNumber, ShardController>,
     /// Highest epoch of a machine controller that has sent a survey.
     machine_epoch: OwnerEpoch,
-    /// Account demand as last reported to the quota duty.
-    reported_demands: IndexMap<AllocationKey, AccountDemand>,
+    /// Epochs of the shards and account demand in them, as last reported to the quota duty.
+    reported_demands: (
+        IndexMap<ShardNumber, OwnerEpoch>,
+        IndexMap<AllocationKey, AccountDemand>,
+    ),
     /// Earliest time of the next report of account demand.
     demands_due: Instant,
     /// Whether the demand may have changed since the last check.
@@ -108,7 +111,7 @@
         inputs_read: IndexMap::new(),
         shards: IndexMap::new(),
         machine_epoch: 0,
-        reported_demands: IndexMap::new(),
+        reported_demands: Default::default(),
         demands_due: Instant::now(),
         demands_stale: false,
         load: DutyLoad::new(clock.now()),
@@ -263,7 +266,8 @@
         }
     }
 
-    /// Reports account demand to the quota duty when it has changed and a report is due.
+    /// Reports account demand to the quota duty when it or the owned shards have changed and a report
+    /// is due. A shard without demand may hold an allocation of its earlier owner.
     async fn report_demands(&mut self) {
         let now = Instant::now();
         if !self.demands_stale || now < self.demands_due {
@@ -276,11 +280,12 @@
             .flat_map(ShardController::account_demands);
         let demands: IndexMap<AllocationKey, AccountDemand> = demands.collect();
         self.demands_due = now + DEMAND_REPORT_INTERVAL;
-        if demands == self.reported_demands {
+        let terms = self.terms().map(|term| (term.shard, term.epoch));
+        let terms: IndexMap<ShardNumber, OwnerEpoch> = terms.collect();
+        if (&terms, &demands) == (&self.reported_demands.0, &self.reported_demands.1) {
             return;
         }
-        self.reported_demands = demands.clone();
-        let terms = self.terms().map(|term| (term.shard, term.epoch)).collect();
+        self.reported_demands = (terms.clone(), demands.clone());
         // The ring closes only when the node stops.
         _ = self
             .links
--- a/crates/node/src/quota_duty.rs
+++ b/crates/node/src/quota_duty.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use futures_lite::future;
@@ -21,6 +21,9 @@
 const QUOTA_SHARD: ShardNumber = 0;
 /// Shortest interval between updates, and between reads.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(80);
+/// Interval between reads while the node's shards neither need nor hold anything. An append of an
+/// earlier owner may be executed seconds late, so even then a shard may come to hold a maximum.
+const IDLE_READ_INTERVAL: Duration = Duration::from_secs(2);
 /// Requests for reductions that may await their replies at the same time.
 const REDUCTION_REQUESTS: usize = 16;
 
@@ -53,6 +56,13 @@
     demands: IndexMap<AllocationKey, AccountDemand>,
 }
 
+impl QuotaState {
+    /// Returns whether the node's shards neither need nor hold a part of any maximum.
+    fn is_idle(&self) -> bool {
+        self.demands.is_empty() && !self.table.is_held_by(&self.terms)
+    }
+}
+
 /// Runs until all senders of `messages` are gone.
 pub async fn run(
     store: Box<dyn JobStore>,
@@ -106,39 +116,57 @@
         _ = self.wake_publish.offer(());
     }
 
-    /// Follows the allocations while the node owns shards with demand.
+    /// Follows the allocations while the node owns shards, and all the time while they have demand or
+    /// hold an allocation.
     ///
     /// New demand does not interrupt a read: under load, demand arrives all the time, and a node
     /// can update nothing before its first read completes.
     async fn follow(&self, wakes: RingReceiver<()>, wake_update: RingSender<()>) {
         loop {
-            if self.state.borrow().demands.is_empty() {
+            if self.state.borrow().terms.is_empty() {
                 if wakes.recv().await.is_none() {
                     return;
                 }
                 continue;
             }
-            match self.catch_up(self.settings.follow_timeout).await {
-                Ok(()) => {
-                    _ = wake_update.offer(());
-                    Timer::after(UPDATE_INTERVAL).await;
-                }
-                Err(_) => {
-                    Timer::after(self.settings.store_retry_delay).await;
+            let idle = self.state.borrow().is_idle();
+            let wait = if idle {
+                Duration::ZERO
+            } else {
+                self.settings.follow_timeout
+            };
+            if self.catch_up(wait).await.is_err() {
+                Timer::after(self.settings.store_retry_delay).await;
+                continue;
+            }
+            _ = wake_update.offer(());
+            if self.state.borrow().is_idle() {
+                let next_read = Instant::now() + IDLE_READ_INTERVAL;
+                if wakes.recv_until(Some(next_read)).await.is_err() {
+                    return;
                 }
+            } else {
+                Timer::after(UPDATE_INTERVAL).await;
             }
         }
     }
 
-    /// Updates the allocations of the node's shards on each wake.
+    /// Updates the allocations of the node's shards on each wake, and when one is due to shrink.
     async fn update(&self, wakes: RingReceiver<()>) {
-        while wakes.recv().await.is_some() {
+        while wakes.recv_until(self.shrink_time()).await.is_ok() {
             self.update_allocations().await;
             self.report_shortages();
             Timer::after(UPDATE_INTERVAL).await;
         }
     }
 
+    /// Returns when the next allocation is due to shrink, as a time of the timers' clock.
+    fn shrink_time(&self) -> Option<Instant> {
+        let due = self.state.borrow().table.next_shrink()?;
+        let left = due.saturating_duration_since(self.clock.now());
+        Some(Instant::now() + left)
+    }
+
     async fn catch_up(&self, wait: Duration) -> Result<(), StoreFault> {
         let next = self.state.borrow().next;
         let read = match next {
@@ -236,7 +264,7 @@
             ..
         } = &mut *state;
         let end = (*next)?;
-        let proposals = table.propose(&config.accounts, demands, now);
+        let proposals = table.propose(&config.accounts, terms, demands, now);
         let mut updates: Vec<(AllocationKey, QuotaAllocation)> = reductions
             .confirmed()
             .map(|(key, allocation)| (key.clone(), *allocation))
