Know a queue by its host and prefix, and take a refusal for a missing ticket at its word

Cause: the adapter keyed queues by the names of routes, and a job looks its rules up by that key in the newest configuration. A version with another name in place of the old one took the advice away from accepted jobs, and with it their priority, attempts and objective of today; a name given to another queue would have given them that queue's. A queue that is removed has no rules at all, and nothing but them told that a start needs a ticket. Change: the id of a queue is its host and path prefix, which callers address and which no version changes. Where the queue is gone, the first refusal for lack of a ticket makes the job ask for advice; a failed request for advice takes that back, so that a worker that demands tickets without a reason stops nobody. The stored format is unchanged.

--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -13,7 +13,7 @@
 pub struct FleetConfig {
     /// Version; a higher one replaces a lower one.
     pub version: u64,
-    /// Queues by name.
+    /// Queues by their ids, see [`queue_id`].
     pub queues: IndexMap<QueueId, QueueRule>,
     /// Pools by name.
     pub pools: IndexMap<PoolId, PoolRule>,
@@ -115,6 +115,14 @@
     }
 }
 
+/// Returns the id of the queue that callers address by `host` and `path_prefix`.
+///
+/// It stays the same over all versions of the configuration: an operator may give the queue another
+/// name, or its name to another queue.
+pub fn queue_id(host: &str, path_prefix: &str) -> QueueId {
+    format!("{host}{path_prefix}").into()
+}
+
 /// Returns the shard of a pool, out of `shards` shards.
 ///
 /// The result depends on the name alone (FNV-1a), so all builds agree.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -23,7 +23,7 @@
 pub mod prelude {
     pub use crate::assign::{AssignSettings, MemberIdentity, ShardTable};
     pub use crate::config::{
-        AccountRule, AdviceRule, FleetConfig, PoolRule, QueueRule, WaveRule, find_shard,
+        AccountRule, AdviceRule, FleetConfig, PoolRule, QueueRule, WaveRule, find_shard, queue_id,
     };
     pub use crate::machines::{
         MachineAction, MachineCommand, MachineController, MachineEvent, MachineList, MachineOrder,
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -130,6 +130,8 @@
     retry_after: HashMap<TaskPosition, Instant>,
     /// Runs that counted as lost; their workers may still report how they ended.
     lost_runs: HashSet<(TaskPosition, RunNumber)>,
+    /// A worker has refused a start for lack of a ticket.
+    ticket_refused: bool,
     /// The job is over and has no placed runs.
     finished: bool,
 }
@@ -150,6 +152,7 @@
             accepted_at: now.checked_sub(age).unwrap_or(now),
             retry_after: HashMap::new(),
             lost_runs: HashSet::new(),
+            ticket_refused: false,
             finished: false,
         }
     }
--- a/crates/control/src/shard/advice.rs
+++ b/crates/control/src/shard/advice.rs
@@ -8,8 +8,7 @@
 use pw_job::prelude::*;
 
 use super::{ShardController, reserved_size};
-use crate::config::AdviceRule;
-use crate::message::{AdviceOrder, AdviceReport, CallFault, ShardCommand};
+use crate::message::{AdviceOrder, AdviceReport, CallFault, ShardCommand, StartOrder};
 
 /// Maximum number of workers in one request. The answer takes longer with each worker, and the
 /// objective of a step allows for one request of about this size.
@@ -38,9 +37,23 @@
 }
 
 impl ShardController {
-    /// Returns the rule of a queue whose steps need tickets.
-    pub(super) fn advice_rule(&self, queue: &str) -> Option<AdviceRule> {
-        self.config.queues.get(queue).and_then(|rule| rule.advice)
+    /// Returns whether the steps of a job need tickets: its queue says so, or a worker that refused a
+    /// start. The configuration may no longer have the queue.
+    pub(super) fn needs_ticket(&self, job: &JobId) -> bool {
+        self.jobs.get(job).is_some_and(|job| {
+            let rule = self.config.queues.get(&job.submission.queue);
+            job.ticket_refused || rule.is_some_and(|rule| rule.advice.is_some())
+        })
+    }
+
+    /// Handles the refusal of a start whose ticket is missing or no longer valid.
+    pub(super) fn handle_ticket_refusal(&mut self, order: &StartOrder) {
+        self.drop_ticket(&order.task, &order.worker);
+        if order.ticket.is_none()
+            && let Some(job) = self.jobs.get_mut(&order.task.job)
+        {
+            job.ticket_refused = true;
+        }
     }
 
     /// Returns a valid ticket for a step on a worker.
@@ -131,6 +144,10 @@
             }
             Err(fault) => {
                 advice.retry_at = Some(now + RETRY_PAUSE);
+                // Another worker may start the task without a ticket.
+                if let Some(job) = self.jobs.get_mut(&order.job) {
+                    job.ticket_refused = false;
+                }
                 let event = EventCode::AdviceMissing.number();
                 tracing::warn!(
                     event,
@@ -144,8 +161,7 @@
         self.placement_needed = true;
     }
 
-    /// Removes a ticket that a worker rejected.
-    pub(super) fn drop_ticket(&mut self, task: &TaskName, worker: &WorkerId) {
+    fn drop_ticket(&mut self, task: &TaskName, worker: &WorkerId) {
         let key = (task.job.clone(), task.occurrence, task.step);
         if let Some(advice) = self.advice.get_mut(&key) {
             advice.tickets.swap_remove(worker);
--- a/crates/control/src/shard/scheduling.rs
+++ b/crates/control/src/shard/scheduling.rs
@@ -136,8 +136,7 @@
                     placed += 1;
                 }
                 None => {
-                    let queue = self.jobs.get(job).map(|job| job.submission.queue.clone());
-                    if queue.is_some_and(|queue| self.advice_rule(&queue).is_some()) {
+                    if self.needs_ticket(job) {
                         self.request_advice(&(job.clone(), occurrence, step), &spec, now);
                     }
                     if self.is_suspected(job, position, &spec) {
@@ -278,7 +277,7 @@
         if !self.within_quota(record, &size) {
             return None;
         }
-        let needs_ticket = self.advice_rule(&record.queue).is_some();
+        let needs_ticket = self.needs_ticket(job);
         let step_key = (job.clone(), position.0, position.1);
         let solo = self.is_suspected(job, position, spec);
         let watched = self.crashes.is_watched(&record.pool, now);
--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -153,7 +153,7 @@
                 self.requeue_task(order, now);
             }
             StartOutcome::NotAllowed => {
-                self.drop_ticket(&order.task, &order.worker);
+                self.handle_ticket_refusal(order);
                 self.requeue_task(order, now);
             }
             StartOutcome::Unhealthy => {
--- a/crates/control/src/shard/waiting.rs
+++ b/crates/control/src/shard/waiting.rs
@@ -169,7 +169,7 @@
     ) -> IndexMap<Option<PlacementRefusal>, usize> {
         let position: TaskPosition = (task.occurrence, task.step, task.index);
         let step_key = (task.job.clone(), task.occurrence, task.step);
-        let needs_ticket = self.advice_rule(&record.queue).is_some();
+        let needs_ticket = self.needs_ticket(&task.job);
         let size = reserved_size(spec);
         let solo = self.is_suspected(&task.job, position, spec);
         let mut refusals = IndexMap::new();
--- a/crates/control/tests/support/answers.rs
+++ b/crates/control/tests/support/answers.rs
@@ -36,7 +36,11 @@
                     validity: self.ticket_validity,
                     malformed_ticket: (!readable).then(|| "malformed".to_owned()),
                 };
-                let result = Ok(report);
+                let result = if self.advice_fails {
+                    Err(CallFault::Refused)
+                } else {
+                    Ok(report)
+                };
                 let event = ShardEvent::Advised { order, result };
                 self.reply(epoch, ROUND_TRIP, None, event);
             }
@@ -148,6 +152,9 @@
         let step = self.step_of(&order.task);
         let worker = &mut self.workers[&order.worker];
         self.tickets.push(order.ticket.clone());
+        if self.tickets_required && order.ticket.is_none() {
+            return StartOutcome::NotAllowed;
+        }
         let active = worker.running.len();
         let outcome = worker.handle_start(order, &step, run_time, now);
         self.trace(|| {
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -115,6 +115,10 @@
     /// How long its tickets are valid.
     pub ticket_validity: Duration,
     pub advice_requests: Vec<AdviceOrder>,
+    /// The advice service refuses all requests.
+    pub advice_fails: bool,
+    /// Workers refuse starts without a ticket.
+    pub tickets_required: bool,
     /// Tickets of the starts that reached a worker.
     pub tickets: Vec<Option<Arc<str>>>,
     epoch: OwnerEpoch,
@@ -167,6 +171,8 @@
             malformed_tickets: false,
             ticket_validity: Duration::from_secs(3),
             advice_requests: Vec::new(),
+            advice_fails: false,
+            tickets_required: false,
             tickets: Vec::new(),
             epoch: 0,
             run_time: Duration::from_millis(500),
