Take a run as gone only if the worker listed all runs and all ends

Cause: a run that an answer of its worker did not list counted as lost, or as stopped after a stop. A worker lists 500 ends at a time, so an answer with as many says nothing of the others; nor does one with an end that can't be decoded. Only a malformed row of an active run was respected. Not only a new owner meets such answers: one that was paused while the tasks ended repeated them too. Change: an answer says whether there may be more ends, which the adapter knows, and PollReport::listed_runs is the only way to ask whether a run is gone; it never is by an incomplete answer. The next polls acknowledge the ends that are stored and bring the others. Starts are still repeated without that proof: a worker rejects one of a run that has ended.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -30,10 +30,10 @@
         MachineOutcome, MachineSettings, MachineState, MachineView, WaveProgress,
     };
     pub use crate::message::{
-        ActiveRun, AdviceOrder, AdviceReport, CallFault, FinishedRun, JobAnswer, PaceOrder,
-        PollOrder, PollReport, PoolLoad, QueryScope, ShardCommand, ShardEvent, ShardImage,
-        ShardInput, StartOrder, StartOutcome, StopOrder, StoreRecord, SurveyOrder, SurveyReport,
-        UnreachableWorker, WorkerLife,
+        ActiveRun, AdviceOrder, AdviceReport, CallFault, FinishedRun, JobAnswer, ListedRuns,
+        PaceOrder, PollOrder, PollReport, PoolLoad, QueryScope, ShardCommand, ShardEvent,
+        ShardImage, ShardInput, StartOrder, StartOutcome, StopOrder, StoreRecord, SurveyOrder,
+        SurveyReport, UnreachableWorker, WorkerLife,
     };
     pub use crate::order_gate::OrderGate;
     pub use crate::placement::{Candidate, PackPlacement, PlacementPolicy, PlacementRequest};
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -1,5 +1,6 @@
 //! Events, commands and reports of a shard's controller.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -186,6 +187,44 @@
     pub malformed_run: Option<String>,
     /// Why an ended run is missing from `finished`, if its row could not be decoded.
     pub malformed_end: Option<String>,
+    /// Further ended runs may be missing from `finished`: a worker lists a limited number at a time,
+    /// the next ones once these are acknowledged.
+    pub more_ends: bool,
+}
+
+/// The runs that an answer of a worker lists.
+///
+/// A run that is missing is gone only if the answer lists all runs and all ends: otherwise it may be
+/// active, or it may have ended in any way.
+#[derive(Debug, Clone)]
+pub struct ListedRuns<'a> {
+    active: HashSet<(&'a TaskName, RunNumber)>,
+    is_complete: bool,
+}
+
+impl PollReport {
+    /// Returns the runs that the answer lists.
+    pub fn listed_runs(&self) -> ListedRuns<'_> {
+        let active = self.running.iter().map(|run| (&run.task, run.run));
+        let has_malformed = self.malformed_run.is_some() || self.malformed_end.is_some();
+        ListedRuns {
+            active: active.collect(),
+            is_complete: !has_malformed && !self.more_ends,
+        }
+    }
+}
+
+impl ListedRuns<'_> {
+    /// Returns whether a run is active on the worker.
+    pub fn is_active(&self, task: &TaskName, run: RunNumber) -> bool {
+        self.active.contains(&(task, run))
+    }
+
+    /// Returns whether a run, whose end is not among those applied, is certainly no longer on the
+    /// worker, nor its end left to be listed.
+    pub fn is_gone(&self, task: &TaskName, run: RunNumber) -> bool {
+        self.is_complete && !self.is_active(task, run)
+    }
 }
 
 /// A run that is active on a worker.
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -283,12 +283,11 @@
     /// Reconciles the runs that the worker reports with those that were placed there.
     fn reconcile_runs(&mut self, order: &PollOrder, report: &PollReport, now: Instant) {
         let max_attempts = self.settings.max_start_attempts;
-        let mut reported = Vec::new();
         self.confirm_survivals(&order.worker, report);
         for active in &report.running {
             self.reconcile_active_run(&order.worker, active, now);
-            reported.push((&active.task, active.run));
         }
+        let listed = report.listed_runs();
         let Some(worker) = self.workers.get_mut(&order.worker) else {
             return;
         };
@@ -296,12 +295,12 @@
         let mut retries = Vec::new();
         for (task, run) in &mut worker.runs {
             let sent_after = order.sent_at >= run.since;
-            if reported.contains(&(task, run.run)) {
+            if listed.is_active(task, run.run) {
                 continue;
             }
             match run.phase {
-                // The run may be the one whose row could not be decoded.
-                _ if report.malformed_run.is_some() && run.phase != RunPhase::Unanswered => {}
+                // A start may be repeated in any case: a worker rejects that of a run that has ended.
+                _ if !listed.is_gone(task, run.run) && run.phase != RunPhase::Unanswered => {}
                 RunPhase::Inherited => lost.push((task.clone(), run.run, RunEnd::Lost)),
                 RunPhase::Running if sent_after => {
                     lost.push((task.clone(), run.run, RunEnd::Lost));
--- a/crates/control/tests/support/worker.rs
+++ b/crates/control/tests/support/worker.rs
@@ -36,6 +36,10 @@
     pub drops_start_answers: bool,
     /// The rows of its runs are malformed.
     pub malformed_rows: bool,
+    /// The rows of its run ends are malformed.
+    pub malformed_ends: bool,
+    /// Number of run ends that the worker lists in one answer.
+    pub listed_ends: usize,
     /// The worker refuses all starts as unhealthy.
     pub unhealthy: bool,
     /// The worker is gone, and another one has its address.
@@ -99,6 +103,8 @@
             crashes_at: None,
             drops_start_answers: false,
             malformed_rows: false,
+            malformed_ends: false,
+            listed_ends: 500,
             unhealthy: false,
             address_reused: false,
             runs_fail: false,
@@ -313,13 +319,17 @@
             },
             load: Some(if run.serving { self.tail_ms } else { 0 }),
         });
+        let hides_ends = self.malformed_ends && !self.finished.is_empty();
+        let listed = self.finished.iter().filter(|_| !hides_ends);
+        let listed = listed.take(self.listed_ends);
         PollReport {
             clock: self.clock(now),
             life: self.entry.life,
             running: running.collect(),
-            finished: self.finished.clone(),
+            finished: listed.cloned().collect(),
             malformed_run: self.malformed_rows.then(|| "malformed".to_owned()),
-            malformed_end: None,
+            malformed_end: hides_ends.then(|| "malformed".to_owned()),
+            more_ends: self.finished.len() >= self.listed_ends,
         }
     }
 }
