Leave a job alone if one of its records can't be read

Callers would see: an accepted job that is gone, or that starts anew, after a takeover by an owner that can't read its submission or its state, such as one of an earlier build in a rolling update. Cause: a state without a submission was taken for the rest of a removed job and deleted with all its records; a submission without a state for a new job. Change: the loader names the jobs with a record that it can't read. They are neither run nor deleted, and are reported as uncertain, not as unknown.

--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use pw_base::prelude::*;
 use pw_job::prelude::*;
 use pw_worker::prelude::*;
@@ -29,6 +29,8 @@
     },
     /// A submission was stored.
     Submitted(JobId, Arc<SubmissionRecord>),
+    /// A submission was stored that this build can't read.
+    Unreadable(JobId),
     /// A cancellation was stored.
     Cancelled(JobId),
     /// The records of the [`ShardCommand::Store`] with this sequence number are stored.
@@ -139,6 +141,8 @@
     pub cancelled: Vec<JobId>,
     /// States of jobs.
     pub states: Vec<(JobId, JobState)>,
+    /// Jobs whose submission or state is stored, but can't be read.
+    pub unreadable: IndexSet<JobId>,
     /// Longest remaining time of each worker's lease, if the previous owner released the shard.
     pub leases: Option<IndexMap<WorkerId, Duration>>,
     /// When the claim was requested, which confirms the ownership; `None` if the claim is as recent
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -67,6 +67,8 @@
     pause_ends: BTreeSet<Instant>,
     /// The remaining jobs with the time at which they left `backlog`, kept for status queries.
     finished_jobs: VecDeque<(Instant, JobId)>,
+    /// Jobs of which a record is stored that can't be read; they are left to a build that can.
+    unreadable: IndexSet<JobId>,
     workers: WorkerTable,
     budget: AccountBudget,
     store_queue: StoreQueue,
@@ -185,6 +187,7 @@
             due_occurrences: BTreeSet::new(),
             pause_ends: BTreeSet::new(),
             finished_jobs: VecDeque::new(),
+            unreadable: IndexSet::new(),
             workers: WorkerTable::default(),
             budget: AccountBudget::default(),
             store_queue: StoreQueue::new(now),
@@ -252,6 +255,11 @@
             }
             ShardEvent::Workers { entries, lives } => self.update_workers(entries, &lives, now),
             ShardEvent::Submitted(job, record) => self.submit(job, record, now, wall),
+            ShardEvent::Unreadable(job) => {
+                if !self.jobs.contains_key(&job) {
+                    self.unreadable.insert(job);
+                }
+            }
             ShardEvent::Cancelled(job) => self.cancel(&job, now),
             ShardEvent::Stored(sequence) => self.handle_stored(sequence, now),
             ShardEvent::OwnershipConfirmed(at) => self.record_confirmation(at, now),
@@ -381,7 +389,7 @@
         now: Instant,
         wall: SystemTime,
     ) {
-        if self.jobs.contains_key(&job) {
+        if self.jobs.contains_key(&job) || self.unreadable.contains(&job) {
             return;
         }
         tracing::info!(
--- a/crates/control/src/shard/queries.rs
+++ b/crates/control/src/shard/queries.rs
@@ -18,7 +18,7 @@
     /// exist.
     pub fn job_status(&self, job: &str, scope: QueryScope<'_>, now: Instant) -> JobAnswer {
         let Some(record) = self.jobs.get(job) else {
-            return if self.knows_submissions(now) {
+            return if !self.unreadable.contains(job) && self.knows_submissions(now) {
                 JobAnswer::Unknown
             } else {
                 JobAnswer::Uncertain
--- a/crates/control/src/shard/takeover.rs
+++ b/crates/control/src/shard/takeover.rs
@@ -16,7 +16,12 @@
 impl ShardController {
     pub(super) fn load(&mut self, image: ShardImage, now: Instant, wall: SystemTime) {
         let mut states: IndexMap<JobId, JobState> = image.states.into_iter().collect();
+        states.retain(|job, _| !image.unreadable.contains(job));
+        self.unreadable = image.unreadable;
         for (job, record) in image.submissions {
+            if self.unreadable.contains(&job) {
+                continue;
+            }
             let state = states.swap_remove(&job).unwrap_or_default();
             self.inherit_runs(&job, &record, &state, now);
             let record = JobRecord::new(record, state, now, wall);
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -260,6 +260,7 @@
             states: self.images.clone().into_iter().collect(),
             leases,
             claimed_at: Some(self.now),
+            ..Default::default()
         };
         let controller = ShardController::open(
             (0, self.epoch),
--- a/crates/node/src/journal_duty/owned_shard.rs
+++ b/crates/node/src/journal_duty/owned_shard.rs
@@ -41,15 +41,13 @@
                 return;
             }
         };
-        let job_states = self.load_states(term).await;
+        let (states, unreadable) = self.load_states(term).await;
         let requested_at = self.clock.now();
-        let (submissions, end) = self.load_submissions(term).await;
-        let image = ShardImage {
-            leases: self.read_release(term).await,
-            states: job_states,
-            claimed_at: Some(claimed_at),
-            ..submissions
-        };
+        let (mut image, end) = self.load_submissions(term).await;
+        image.states = states;
+        image.unreadable.extend(unreadable);
+        image.leases = self.read_release(term).await;
+        image.claimed_at = Some(claimed_at);
         let opened = ControlMessage::Opened(term, Box::new(image));
         let read = ShardEvent::InputRead(ShardInput::Submissions, requested_at);
         if self.links.control.send(opened).await.is_err() || !self.send_event(term, read).await {
@@ -113,20 +111,21 @@
         ClaimRecord::released_leases(records, claim)
     }
 
-    async fn load_states(&self, term: ShardTerm) -> Vec<(JobId, JobState)> {
-        let (entries, _) = self
-            .load_newest(partition(StoreTopic::Images, term.shard))
-            .await;
-        let states = entries
-            .into_iter()
-            .filter_map(|entry| match decode_state(&entry.value) {
-                Ok(state) => Some((JobId::from(entry.key), state)),
+    /// Loads the states of all jobs, and the jobs whose states can't be read.
+    async fn load_states(&self, term: ShardTerm) -> (Vec<(JobId, JobState)>, Vec<JobId>) {
+        let images = partition(StoreTopic::Images, term.shard);
+        let (entries, _) = self.load_newest(images).await;
+        let (mut states, mut unreadable) = (Vec::new(), Vec::new());
+        for StoreEntry { key, value } in entries {
+            match decode_state(&value) {
+                Ok(state) => states.push((key.into(), state)),
                 Err(error) => {
-                    log_skipped_record(&entry.key, &error);
-                    None
+                    log_skipped_record(&key, &error);
+                    unreadable.push(key.into());
                 }
-            });
-        states.collect()
+            }
+        }
+        (states, unreadable)
     }
 
     /// Loads all submissions and cancellations, and the offset from which to follow them.
@@ -138,6 +137,9 @@
             match decode_entry(entry) {
                 Some(ShardEvent::Submitted(job, record)) => image.submissions.push((job, record)),
                 Some(ShardEvent::Cancelled(job)) => image.cancelled.push(job),
+                Some(ShardEvent::Unreadable(job)) => {
+                    image.unreadable.insert(job);
+                }
                 _ => {}
             }
         }
@@ -195,7 +197,8 @@
                     let submitted =
                         submitted.map(|(job, record)| ShardEvent::Submitted(job, record));
                     let cancelled = image.cancelled.into_iter().map(ShardEvent::Cancelled);
-                    for event in submitted.chain(cancelled) {
+                    let unreadable = image.unreadable.into_iter().map(ShardEvent::Unreadable);
+                    for event in submitted.chain(cancelled).chain(unreadable) {
                         if !self.send_event(term, event).await {
                             return;
                         }
@@ -332,7 +335,7 @@
         Ok(record) => Some(ShardEvent::Submitted(entry.key.into(), Arc::new(record))),
         Err(error) => {
             log_skipped_record(&entry.key, &error);
-            None
+            Some(ShardEvent::Unreadable(entry.key.into()))
         }
     }
 }
