Store the jobs of a queue in one shard for good, which forwards those of other pools

Cause: a job was stored, looked up and cancelled in the shard of the pool to which its queue leads by the node's own configuration. No shard knows another's jobs, so a move hid them all, and a repetition was a new job, at nodes with the new version as at those with the former one. Change: a queue has an intake shard, that of the first pool which it led to. A new duty registers the pools of queues in the store by a conditional append before jobs are accepted for them, and reads them with each new configuration. All submissions go to the intake shard, so the first in its log counts, whichever version the accepting node had. Its owner appends those that run in a pool of another shard to that shard, where a repetition is none, and points questions there. A new owner forwards a job again unless it has a state, which is stored before any task starts. Later all registered shards are asked, also before a submission to a queue that has moved is stored. What can't be decided yet is a 503. Stored records keep their format.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -92,6 +92,11 @@
     /// The state of a job can't be encoded.
     #[strum(message = "The state of a job can't be encoded.")]
     JobImageRefused = 603,
+    /// A job was forwarded to the shard of its pool, since its queue leads there now.
+    #[strum(
+        message = "A job was forwarded to the shard of its pool, since its queue leads there now."
+    )]
+    JobForwarded = 604,
     /// A request to start a run was answered or failed.
     #[strum(message = "A request to start a run was answered or failed.")]
     RunStart = 610,
@@ -158,6 +163,9 @@
     /// A node replaced the assignment of shards to nodes, or failed to.
     #[strum(message = "A node replaced the assignment of shards to nodes, or failed to.")]
     ShardsAssigned = 635,
+    /// The pools of a queue were registered in the store.
+    #[strum(message = "The pools of a queue were registered in the store.")]
+    QueueRegistered = 636,
     /// A caller's request was answered.
     #[strum(message = "A caller's request was answered.")]
     RequestAnswered = 640,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod assign;
 pub mod config;
+pub mod intake;
 pub mod machines;
 pub mod message;
 pub mod order_gate;
@@ -25,6 +26,7 @@
     pub use crate::config::{
         AccountRule, AdviceRule, FleetConfig, PoolRule, QueueRule, WaveRule, find_shard, queue_id,
     };
+    pub use crate::intake::{IntakeRecord, IntakeTable, QueueShards};
     pub use crate::machines::{
         MachineAction, MachineCommand, MachineController, MachineEvent, MachineList, MachineOrder,
         MachineOutcome, MachineSettings, MachineState, MachineView, WaveProgress,
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -31,6 +31,8 @@
     Submitted(JobId, Arc<SubmissionRecord>),
     /// A submission was stored that this build can't read.
     Unreadable(JobId),
+    /// A submission was stored whose job runs in a pool of another shard.
+    Rerouted(JobId, Arc<SubmissionRecord>),
     /// A cancellation was stored.
     Cancelled(JobId),
     /// The records of the [`ShardCommand::Store`] with this sequence number are stored.
@@ -130,6 +132,15 @@
     State(JobId, Vec<u8>),
     /// Delete all records of the job.
     Remove(JobId),
+    /// Store the job's submission in the shard of its pool, before the other records.
+    Forward {
+        /// The job.
+        job: JobId,
+        /// Its submission.
+        record: Arc<SubmissionRecord>,
+        /// Store its cancellation as well.
+        cancelled: bool,
+    },
 }
 
 /// The stored state of a shard.
@@ -137,6 +148,8 @@
 pub struct ShardImage {
     /// Submissions in the order of the store.
     pub submissions: Vec<(JobId, Arc<SubmissionRecord>)>,
+    /// Submissions of jobs that run in pools of other shards.
+    pub rerouted: Vec<(JobId, Arc<SubmissionRecord>)>,
     /// Jobs that their callers cancelled.
     pub cancelled: Vec<JobId>,
     /// States of jobs.
@@ -496,13 +509,25 @@
     Public,
 }
 
+impl QueryScope<'_> {
+    /// Returns whether the caller may query a job.
+    pub(crate) fn includes(self, record: &SubmissionRecord) -> bool {
+        match self {
+            Self::Public => record.account.is_none(),
+            Self::Account(account) => record.account.as_deref() == Some(account),
+        }
+    }
+}
+
 /// Result of a query for a job's status.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum JobAnswer {
     /// Status of the job.
     Known(JobStatus),
     /// The job does not exist or is not visible to the caller.
     Unknown,
+    /// The job was forwarded to the shard of this pool.
+    Moved(PoolId),
     /// The job is not known, but may have been submitted or may belong to another owner by now.
     Uncertain,
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -70,6 +70,9 @@
     pub stop_retry: Duration,
     /// How long the state of a job stays readable after its end.
     pub retention: Duration,
+    /// How long a shard remembers a job that it has forwarded to another one. A repetition within this
+    /// time is recognized without a question to that shard; it has to be shorter than `retention`.
+    pub forward_retention: Duration,
     /// How long before its due time by this node's wall clock an occurrence starts; negative clock
     /// errors of other nodes are within the platform's limit.
     pub due_margin: Duration,
@@ -104,6 +107,7 @@
             stop_time: Duration::from_secs(1),
             stop_retry: Duration::from_millis(250),
             retention: Duration::from_secs(150),
+            forward_retention: Duration::from_secs(75),
             due_margin: Duration::from_millis(50),
             pace_settle: Duration::from_millis(1000),
         }
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod backlog;
 mod crashes;
+mod forwards;
 mod persistence;
 mod polling;
 mod queries;
@@ -36,6 +37,7 @@
 use crate::shard::advice::{StepAdvice, StepKey};
 use crate::shard::backlog::{BacklogEntry, BacklogIndex, ReadyStep};
 use crate::shard::crashes::CrashHistory;
+use crate::shard::forwards::ForwardTable;
 use crate::shard::persistence::StoreQueue;
 use crate::shard::solo_starts::postponed_starts;
 use crate::shard::survey::STALE_ORDER_TIME;
@@ -69,6 +71,7 @@
     finished_jobs: VecDeque<(Instant, JobId)>,
     /// Jobs of which a record is stored that can't be read; they are left to a build that can.
     unreadable: IndexSet<JobId>,
+    forwards: ForwardTable,
     workers: WorkerTable,
     budget: AccountBudget,
     store_queue: StoreQueue,
@@ -188,6 +191,7 @@
             pause_ends: BTreeSet::new(),
             finished_jobs: VecDeque::new(),
             unreadable: IndexSet::new(),
+            forwards: ForwardTable::default(),
             workers: WorkerTable::default(),
             budget: AccountBudget::default(),
             store_queue: StoreQueue::new(now),
@@ -260,6 +264,7 @@
                     self.unreadable.insert(job);
                 }
             }
+            ShardEvent::Rerouted(job, record) => self.forward(job, record, now),
             ShardEvent::Cancelled(job) => self.cancel(&job, now),
             ShardEvent::Stored(sequence) => self.handle_stored(sequence, now),
             ShardEvent::OwnershipConfirmed(at) => self.record_confirmation(at, now),
@@ -322,6 +327,7 @@
         self.send_polls(now);
         self.send_stops(now);
         self.remove_expired_jobs(now);
+        self.remove_expired_forwards(now);
         self.flush(now);
         self.refresh_workers();
     }
@@ -382,6 +388,11 @@
         }
     }
 
+    /// Returns whether an earlier submission of a job counts, or one that can't be read may.
+    fn is_decided(&self, job: &str) -> bool {
+        self.jobs.contains_key(job) || self.forwards.contains(job) || self.unreadable.contains(job)
+    }
+
     fn submit(
         &mut self,
         job: JobId,
@@ -389,7 +400,7 @@
         now: Instant,
         wall: SystemTime,
     ) {
-        if self.jobs.contains_key(&job) || self.unreadable.contains(&job) {
+        if self.is_decided(&job) {
             return;
         }
         tracing::info!(
@@ -407,6 +418,7 @@
 
     fn cancel(&mut self, job: &JobId, now: Instant) {
         let Some(record) = self.jobs.get_mut(job) else {
+            self.cancel_forwarded(job);
             return;
         };
         if record.is_over() {
--- a/crates/control/src/shard/persistence.rs
+++ b/crates/control/src/shard/persistence.rs
@@ -16,6 +16,8 @@
     sequence: u64,
     changed_jobs: IndexSet<JobId>,
     removed_jobs: Vec<JobId>,
+    /// Jobs to store in the shards of their pools.
+    forwards: IndexSet<JobId>,
     /// Starts to send once their placement is stored.
     starts: Vec<PlannedStart>,
     in_flight: Option<StoreBatch>,
@@ -36,6 +38,8 @@
     starts: Vec<PlannedStart>,
     /// Status of each job in the batch.
     statuses: Vec<(JobId, JobStatus)>,
+    /// Jobs that it forwards, and whether their cancellations are forwarded too.
+    forwards: Vec<(JobId, bool)>,
     /// Last applied run end of each worker's life that the batch makes durable.
     applied_ends: IndexMap<(WorkerId, LifeStart), EndNumber>,
     sent_at: Instant,
@@ -47,6 +51,7 @@
             sequence: 0,
             changed_jobs: IndexSet::new(),
             removed_jobs: Vec::new(),
+            forwards: IndexSet::new(),
             starts: Vec::new(),
             in_flight: None,
             next_append: now,
@@ -66,6 +71,11 @@
         self.removed_jobs.push(job);
     }
 
+    /// Queues a job to be stored in the shard of its pool.
+    pub fn add_forward(&mut self, job: JobId) {
+        self.forwards.insert(job);
+    }
+
     /// Queues a start together with the state of its job.
     pub fn add_start(&mut self, start: PlannedStart) {
         self.mark_changed(&start.task.job);
@@ -75,7 +85,9 @@
     /// Returns when the next append is due; `None` if there is nothing to store or an append is in
     /// flight.
     pub fn due(&self) -> Option<Instant> {
-        let idle = self.changed_jobs.is_empty() && self.removed_jobs.is_empty();
+        let idle = self.changed_jobs.is_empty()
+            && self.removed_jobs.is_empty()
+            && self.forwards.is_empty();
         (self.in_flight.is_none() && !idle).then_some(self.next_append)
     }
 }
@@ -102,6 +114,16 @@
             }
             statuses.push((job, record.state.status(&record.submission.spec)));
         }
+        let mut forwards = Vec::new();
+        for job in std::mem::take(&mut self.store_queue.forwards) {
+            let Some(request) = self.forwards.request(&job) else {
+                continue;
+            };
+            if let StoreRecord::Forward { cancelled, .. } = request {
+                forwards.push((job, cancelled));
+            }
+            records.push(request);
+        }
         let removed_jobs = std::mem::take(&mut self.store_queue.removed_jobs);
         records.extend(removed_jobs.into_iter().map(StoreRecord::Remove));
         let applied_ends = self
@@ -118,6 +140,7 @@
             sequence,
             starts: std::mem::take(&mut self.store_queue.starts),
             statuses,
+            forwards,
             applied_ends: applied_ends.collect(),
             sent_at: now,
         });
@@ -150,6 +173,9 @@
                 record.stored_status = status;
             }
         }
+        for (job, cancelled) in batch.forwards {
+            self.forwards.mark_stored(&job, cancelled);
+        }
         for ((id, life), applied) in batch.applied_ends {
             // Each life numbers its run ends from the start.
             if let Some(worker) = self.workers.get_mut(&id)
--- a/crates/control/src/shard/queries.rs
+++ b/crates/control/src/shard/queries.rs
@@ -18,17 +18,20 @@
     /// exist.
     pub fn job_status(&self, job: &str, scope: QueryScope<'_>, now: Instant) -> JobAnswer {
         let Some(record) = self.jobs.get(job) else {
-            return if !self.unreadable.contains(job) && self.knows_submissions(now) {
+            if let Some(record) = self.forwards.stored(job) {
+                return if scope.includes(record) {
+                    JobAnswer::Moved(record.pool.clone())
+                } else {
+                    JobAnswer::Unknown
+                };
+            }
+            return if !self.is_decided(job) && self.knows_submissions(now) {
                 JobAnswer::Unknown
             } else {
                 JobAnswer::Uncertain
             };
         };
-        let allowed = match scope {
-            QueryScope::Public => record.submission.account.is_none(),
-            QueryScope::Account(account) => record.submission.account.as_deref() == Some(account),
-        };
-        if allowed {
+        if scope.includes(&record.submission) {
             JobAnswer::Known(record.stored_status)
         } else {
             JobAnswer::Unknown
@@ -46,7 +49,7 @@
         let jobs = jobs.filter(|job| &*job.submission.queue == queue);
         let waiting =
             jobs.filter(|job| job.state.status(&job.submission.spec) == JobStatus::Queued);
-        waiting.count()
+        waiting.count() + self.forwards.unstored_count(queue)
     }
 
     /// Returns the resources that each client account uses and waits for in the shard.
--- a/crates/control/src/shard/takeover.rs
+++ b/crates/control/src/shard/takeover.rs
@@ -18,8 +18,10 @@
         let mut states: IndexMap<JobId, JobState> = image.states.into_iter().collect();
         states.retain(|job, _| !image.unreadable.contains(job));
         self.unreadable = image.unreadable;
+        let mut rerouted: IndexMap<JobId, _> = image.rerouted.into_iter().collect();
+        rerouted.retain(|job, _| !states.contains_key(job));
         for (job, record) in image.submissions {
-            if self.unreadable.contains(&job) {
+            if self.unreadable.contains(&job) || rerouted.contains_key(&job) {
                 continue;
             }
             let state = states.swap_remove(&job).unwrap_or_default();
@@ -28,6 +30,9 @@
             self.changed_jobs.insert(job.clone());
             self.jobs.insert(job, record);
         }
+        for (job, record) in rerouted {
+            self.forward(job, record, now);
+        }
         for job in image.cancelled {
             self.cancel(&job, now);
         }
--- a/crates/control/tests/support/answers.rs
+++ b/crates/control/tests/support/answers.rs
@@ -107,6 +107,8 @@
                     }
                     self.images.swap_remove(&job);
                 }
+                // The cluster has one shard.
+                StoreRecord::Forward { job, .. } => panic!("{job} is forwarded"),
             }
         }
         let event = ShardEvent::Stored(append.sequence);
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -403,6 +403,9 @@
                 match shard.job_status(&job, scope, self.clock.now()) {
                     JobAnswer::Known(status) => NodeResponse::Status(status),
                     JobAnswer::Unknown => NodeResponse::UnknownJob,
+                    JobAnswer::Moved(pool) => {
+                        NodeResponse::Moved(find_shard(&pool, self.settings.shards))
+                    }
                     JobAnswer::Uncertain => NodeResponse::NotOwner,
                 }
             }
--- a/crates/node/src/feed_duty.rs
+++ b/crates/node/src/feed_duty.rs
@@ -22,6 +22,8 @@
     pub callers: RingSender<CallerMessage>,
     /// The machine duty.
     pub machines: RingSender<MachineMessage>,
+    /// The intake duty.
+    pub intakes: RingSender<Arc<FleetConfig>>,
 }
 
 /// Reads until the receiving duties have ended.
@@ -57,6 +59,7 @@
                     unsent = UnsentConfig {
                         control: Some(Arc::clone(config)),
                         machines: Some(Arc::clone(config)),
+                        intakes: Some(Arc::clone(config)),
                     };
                 }
                 let read = CallerMessage::ConfigRead {
@@ -96,6 +99,7 @@
 struct UnsentConfig {
     control: Option<Arc<FleetConfig>>,
     machines: Option<Arc<FleetConfig>>,
+    intakes: Option<Arc<FleetConfig>>,
 }
 
 impl UnsentConfig {
@@ -109,6 +113,10 @@
             let message = MachineMessage::Config(Arc::clone(&config));
             self.machines = is_full(links.machines.offer(message))?.then_some(config);
         }
+        if let Some(config) = self.intakes.take() {
+            let offered = links.intakes.offer(Arc::clone(&config));
+            self.intakes = is_full(offered)?.then_some(config);
+        }
         Ok(())
     }
 }
--- a/crates/node/src/journal_duty/owned_shard.rs
+++ b/crates/node/src/journal_duty/owned_shard.rs
@@ -19,7 +19,7 @@
 use crate::hedge::append_hedged;
 use crate::links::{StoreEntry, StoreFault, StorePartition, StoreTopic, StoreWriter};
 use crate::message::{ControlMessage, MachineMessage, ShardTerm};
-use crate::service::CANCEL_SUFFIX;
+use crate::service::{CANCEL_SUFFIX, REROUTE_SUFFIX, cancellation};
 
 impl JournalDuty {
     /// Claims and loads a shard, then serves it until the ownership is lost.
@@ -136,6 +136,7 @@
         for entry in entries {
             match decode_entry(entry) {
                 Some(ShardEvent::Submitted(job, record)) => image.submissions.push((job, record)),
+                Some(ShardEvent::Rerouted(job, record)) => image.rerouted.push((job, record)),
                 Some(ShardEvent::Cancelled(job)) => image.cancelled.push(job),
                 Some(ShardEvent::Unreadable(job)) => {
                     image.unreadable.insert(job);
@@ -196,9 +197,11 @@
                     let submitted = image.submissions.into_iter();
                     let submitted =
                         submitted.map(|(job, record)| ShardEvent::Submitted(job, record));
+                    let rerouted = image.rerouted.into_iter();
+                    let rerouted = rerouted.map(|(job, record)| ShardEvent::Rerouted(job, record));
                     let cancelled = image.cancelled.into_iter().map(ShardEvent::Cancelled);
                     let unreadable = image.unreadable.into_iter().map(ShardEvent::Unreadable);
-                    for event in submitted.chain(cancelled).chain(unreadable) {
+                    for event in submitted.chain(rerouted).chain(cancelled).chain(unreadable) {
                         if !self.send_event(term, event).await {
                             return;
                         }
@@ -223,10 +226,13 @@
         let mut next_sequence = 1;
         let mut outage = OutageLog::new("images");
         while let Some((number, records)) = requests.recv().await {
-            let entries: Vec<StoreEntry> = records.into_iter().map(encode_entry).collect();
+            for (shard, entries) in forwarded_entries(&records, self.settings.shards) {
+                self.store_submissions(shard, entries).await;
+            }
+            let entries: Vec<StoreEntry> = records.into_iter().filter_map(encode_entry).collect();
             let deletions = submission_deletions(&entries);
             if !deletions.is_empty() {
-                self.delete_submissions(term, deletions).await;
+                self.store_submissions(term.shard, deletions).await;
             }
             // An append without an answer may have been executed, so it is repeated unchanged.
             let mut in_doubt = false;
@@ -269,13 +275,13 @@
         }
     }
 
-    /// Deletes the submissions of removed jobs; their states are deleted afterwards, since a
-    /// submission without a state is a new job.
-    async fn delete_submissions(&self, term: ShardTerm, entries: Vec<StoreEntry>) {
-        let submissions = partition(StoreTopic::Submissions, term.shard);
+    /// Appends to the submissions of a shard: forwarded jobs, or the deletion of removed ones. The
+    /// states of the latter are deleted afterwards, since a submission without a state is a new job.
+    async fn store_submissions(&self, shard: ShardNumber, entries: Vec<StoreEntry>) {
+        let submissions = partition(StoreTopic::Submissions, shard);
         while let Err(fault) = self.append(submissions, entries.clone(), None).await {
             let event = EventCode::StoreReach.number();
-            tracing::warn!(event, %fault, "failed to delete the submissions of removed jobs");
+            tracing::warn!(event, shard, %fault, "failed to append to the submissions of a shard");
             Timer::after(self.settings.store_retry_delay).await;
         }
     }
@@ -331,11 +337,17 @@
     if let Some(job) = entry.key.strip_suffix(CANCEL_SUFFIX) {
         return Some(ShardEvent::Cancelled(job.into()));
     }
+    let rerouted = entry.key.strip_suffix(REROUTE_SUFFIX);
     match decode_submission(&entry.value) {
-        Ok(record) => Some(ShardEvent::Submitted(entry.key.into(), Arc::new(record))),
+        Ok(record) => Some(match rerouted {
+            Some(job) => ShardEvent::Rerouted(job.into(), Arc::new(record)),
+            None => ShardEvent::Submitted(entry.key.into(), Arc::new(record)),
+        }),
         Err(error) => {
             log_skipped_record(&entry.key, &error);
-            Some(ShardEvent::Unreadable(entry.key.into()))
+            Some(ShardEvent::Unreadable(
+                rerouted.unwrap_or(&entry.key).into(),
+            ))
         }
     }
 }
@@ -345,22 +357,59 @@
     tracing::error!(event, key, %error, "malformed record skipped");
 }
 
-fn encode_entry(record: StoreRecord) -> StoreEntry {
+/// Encodes a record of the images; `None` for one that is stored elsewhere.
+fn encode_entry(record: StoreRecord) -> Option<StoreEntry> {
     let (job, value) = match record {
         StoreRecord::State(job, value) => (job, value),
         StoreRecord::Remove(job) => (job, Vec::new()),
+        StoreRecord::Forward { .. } => return None,
     };
-    StoreEntry {
-        key: job.to_string(),
-        value,
+    let key = job.to_string();
+    Some(StoreEntry { key, value })
+}
+
+/// Returns the submissions to forward, and their cancellations, by the shards of their pools.
+fn forwarded_entries(
+    records: &[StoreRecord],
+    shards: u32,
+) -> IndexMap<ShardNumber, Vec<StoreEntry>> {
+    let mut forwarded: IndexMap<ShardNumber, Vec<StoreEntry>> = IndexMap::new();
+    for record in records {
+        let StoreRecord::Forward {
+            job,
+            record,
+            cancelled,
+        } = record
+        else {
+            continue;
+        };
+        let value = match encode_submission(record) {
+            Ok(value) => value,
+            Err(error) => {
+                let event = EventCode::JobImageRefused.number();
+                tracing::error!(event, job = &**job, %error, "submission can't be encoded");
+                continue;
+            }
+        };
+        let entries = forwarded
+            .entry(find_shard(&record.pool, shards))
+            .or_default();
+        entries.push(StoreEntry {
+            key: job.to_string(),
+            value,
+        });
+        if *cancelled {
+            entries.push(cancellation(job));
+        }
     }
+    forwarded
 }
 
 /// Returns records that delete the submissions of the jobs whose states `entries` deletes.
 fn submission_deletions(entries: &[StoreEntry]) -> Vec<StoreEntry> {
     let deleted = entries.iter().filter(|entry| entry.value.is_empty());
-    let keys =
-        deleted.flat_map(|entry| [entry.key.clone(), format!("{}{CANCEL_SUFFIX}", entry.key)]);
+    let suffixes = ["", CANCEL_SUFFIX, REROUTE_SUFFIX];
+    let keys = deleted.flat_map(|entry| suffixes.map(|suffix| format!("{}{suffix}", entry.key)));
     keys.map(|key| StoreEntry {
         key,
         value: Vec::new(),
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -28,6 +28,8 @@
     Quota,
     /// The assignment of shards to nodes; the latest record is kept.
     Assignment,
+    /// Pools of queues by queue; the latest record of each key is kept.
+    Intakes,
     /// Progress of maintenance waves by number; the latest record of each key is kept.
     Waves,
 }
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -120,6 +120,8 @@
         /// The configuration, if it has changed.
         config: Option<Arc<FleetConfig>>,
     },
+    /// The pools of all queues, as stored.
+    Intakes(Arc<IntakeTable>),
     /// Assigned owner of each shard.
     Owners(Vec<(ShardNumber, NodeName)>),
     /// The node is stopping.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,6 +14,7 @@
 use crate::admin_duty;
 use crate::control_duty::{self, ControlLinks};
 use crate::feed_duty::{self, FeedLinks};
+use crate::intake_duty;
 use crate::journal_duty::{self, JournalLinks};
 use crate::links::{FleetFeed, FrontEnd, JobStore, MachineGateway, WorkerGateway};
 use crate::log_budget::LogBudget;
@@ -29,6 +30,8 @@
 
 /// Messages that may be queued for a duty.
 const RING_CAPACITY: usize = 4096;
+/// Configurations that may be queued for the intake duty; it needs the latest one.
+const INTAKE_CAPACITY: usize = 2;
 /// Changes of the serving phase that may be queued.
 const PHASE_CAPACITY: usize = 4;
 
@@ -48,6 +51,8 @@
     pub machine_store: Box<dyn JobStore>,
     /// Store client for store requests of other nodes.
     pub peer_store: Box<dyn JobStore>,
+    /// Store client of the intake duty.
+    pub intake_store: Box<dyn JobStore>,
     /// Store client of the quota duty.
     pub quota_store: Box<dyn JobStore>,
     /// Rate limit of the log, whose suppressed lines are reported.
@@ -92,6 +97,7 @@
         let (orders, order_messages) = ring("orders", RING_CAPACITY);
         let (callers, caller_messages) = ring("callers", RING_CAPACITY);
         let (machines, machine_messages) = ring("keeper", RING_CAPACITY);
+        let (intakes, intake_configs) = ring("intake", INTAKE_CAPACITY);
         let (phases, phase_messages) = ring("phases", PHASE_CAPACITY);
         let (served_sender, served) = ring("served", 1);
 
@@ -134,6 +140,7 @@
             control: control.clone(),
             callers: callers.clone(),
             machines,
+            intakes,
         };
         let (own, own_clock) = (settings.clone(), Arc::clone(&clock));
         let feed = links.feed;
@@ -141,6 +148,12 @@
             feed_duty::run(feed, own, own_clock, feed_links)
         })?;
 
+        let (own, intake_callers) = (settings.clone(), callers.clone());
+        let store = links.intake_store;
+        DutyThread::spawn("intake", move |_| {
+            intake_duty::run(store, own, intake_configs, intake_callers)
+        })?;
+
         let quota_control = control.clone();
         let (own, own_clock) = (settings.clone(), Arc::clone(&clock));
         let store = links.quota_store;
--- a/crates/node/src/quota_duty.rs
+++ b/crates/node/src/quota_duty.rs
@@ -13,6 +13,7 @@
 
 use crate::links::{JobStore, StoreEntry, StoreFault, StorePartition, StoreTopic};
 use crate::message::{AccountAllowance, ControlMessage, QuotaMessage, ShardTerm};
+use crate::newest::read_newest;
 use crate::request::{decode_message, encode_message};
 use crate::settings::NodeSettings;
 
@@ -175,7 +176,7 @@
         };
         let (entries, end) = match read {
             Ok(read) => (read.entries, read.next),
-            Err(StoreFault::Expired { .. }) => self.read_all().await?,
+            Err(StoreFault::Expired { .. }) => read_newest(&*self.store, quota_partition()).await?,
             Err(fault) => return Err(fault),
         };
         if self.state.borrow().next != next {
@@ -190,21 +191,6 @@
         Ok(())
     }
 
-    async fn read_all(&self) -> Result<(Vec<StoreEntry>, LogOffset), StoreFault> {
-        let mut entries: Vec<StoreEntry> = Vec::new();
-        let mut first_end = None;
-        loop {
-            let after = entries.last().map(|entry| entry.key.clone());
-            let page = self.store.newest(quota_partition(), after).await?;
-            let end = *first_end.get_or_insert(page.end);
-            let more = page.more && !page.entries.is_empty();
-            entries.extend(page.entries);
-            if !more {
-                return Ok((entries, end));
-            }
-        }
-    }
-
     fn apply(&self, entries: &[StoreEntry], next: LogOffset) {
         let mut state = self.state.borrow_mut();
         state.next = Some(next);
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -68,6 +68,8 @@
     Survey(SurveyReport),
     /// The node does not own the shard.
     NotOwner,
+    /// The job was forwarded to this shard.
+    Moved(ShardNumber),
 }
 
 impl NodeRequest {
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -10,6 +10,7 @@
 use pw_job::prelude::*;
 use strum::{AsRefStr, Display};
 
+use crate::links::StoreEntry;
 use crate::message::CallerMessage;
 use crate::owners::{OwnerClient, OwnerFault};
 use crate::request::{NodeRequest, NodeResponse};
@@ -18,6 +19,9 @@
 
 /// Suffix of the key under which a job's cancellation is stored.
 pub const CANCEL_SUFFIX: &str = "/cancel";
+/// Suffix of the key under which a submission is stored that its intake shard forwards to another one.
+/// It takes the place of none that stays in the shard.
+pub const REROUTE_SUFFIX: &str = "/reroute";
 
 /// Service for caller requests; clones share their state.
 #[derive(Clone)]
@@ -34,6 +38,8 @@
     config: RefCell<Option<Arc<FleetConfig>>>,
     /// When the last successful read of the configuration was sent.
     config_read_at: Cell<Option<Instant>>,
+    /// Pools of the queues; `None` until the first read.
+    intakes: RefCell<Option<Arc<IntakeTable>>>,
     stopping: Cell<bool>,
 }
 
@@ -44,6 +50,8 @@
     pub queue: QueueId,
     /// Pool that serves it.
     pub pool: PoolId,
+    /// Shards that may have its jobs.
+    pub shards: QueueShards,
     /// Client account of the caller; `None` on a public queue.
     pub account: Option<AccountId>,
     /// Path after the queue's prefix.
@@ -62,6 +70,8 @@
     NoConfig,
     /// No queue matches the host and path.
     NoQueue,
+    /// The pool of the queue is not registered in the store yet.
+    NoIntake,
     /// The queue requires a key, and the request has no valid one.
     NoKey,
     /// The configuration is too old to admit or refuse a request by it.
@@ -88,6 +98,7 @@
                 owners,
                 config: RefCell::default(),
                 config_read_at: Cell::default(),
+                intakes: RefCell::default(),
                 stopping: Cell::default(),
             }),
         }
@@ -108,6 +119,7 @@
                     state.config_read_at.set(Some(requested_at));
                 }
             }
+            CallerMessage::Intakes(table) => *state.intakes.borrow_mut() = Some(table),
             CallerMessage::Owners(rows) => state.owners.set_owners(&rows),
             CallerMessage::Stopping => state.stopping.set(true),
         }
@@ -115,7 +127,9 @@
 
     /// Returns whether the node is ready for new callers.
     pub fn is_ready(&self) -> bool {
-        self.shared.config_read_at.get().is_some() && !self.shared.stopping.get()
+        let state = &self.shared;
+        let is_informed = state.config_read_at.get().is_some() && state.intakes.borrow().is_some();
+        is_informed && !state.stopping.get()
     }
 
     /// Returns the age of the configuration; `None` before the first read.
@@ -161,7 +175,12 @@
             let account = key.and_then(|key| config.account_of(key));
             Some(account.ok_or(ServiceRefusal::NoKey)?.clone())
         };
+        let intakes = state.intakes.borrow();
+        let shards = intakes
+            .as_ref()
+            .and_then(|table| table.shards_of(queue, &rule.pool, state.settings.shards));
         Ok(Admission {
+            shards: shards.ok_or(ServiceRefusal::NoIntake)?,
             queue: queue.clone(),
             pool: rule.pool.clone(),
             account,
@@ -171,8 +190,18 @@
         })
     }
 
-    /// Stores a submission.
+    /// Stores a submission in the intake shard of its queue.
+    ///
+    /// Once the queue has led to pools of several shards, they are asked first: the job may have been
+    /// submitted before, and only they know of one that was forwarded long ago.
     pub async fn submit(&self, admission: &Admission, job: &JobId, spec: JobSpec) -> SubmitOutcome {
+        if !admission.shards.others.is_empty() {
+            match self.locate(admission, job).await {
+                Ok(_) => return SubmitOutcome::Stored,
+                Err(ServiceRefusal::UnknownJob) => {}
+                Err(_) => return SubmitOutcome::NotStored,
+            }
+        }
         let record = SubmissionRecord {
             queue: admission.queue.clone(),
             pool: admission.pool.clone(),
@@ -181,8 +210,12 @@
             terms: terms_of(&spec, &admission.rule),
             spec,
         };
+        let intake = admission.shards.intake;
+        let stays = find_shard(&admission.pool, self.shared.settings.shards) == intake;
+        let suffix = if stays { "" } else { REROUTE_SUFFIX };
+        let key = format!("{job}{suffix}");
         match encode_submission(&record) {
-            Ok(value) => self.store(admission, job.to_string(), value).await,
+            Ok(value) => self.store(intake, StoreEntry { key, value }).await,
             Err(error) => {
                 let event = EventCode::JobImageRefused.number();
                 tracing::error!(event, job = &**job, %error, "submission can't be encoded");
@@ -196,21 +229,24 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`ServiceRefusal::UnknownJob`] if the job does not exist.
+    /// Fails if the job does not exist, or if it is not known which shard has it.
     pub async fn cancel(
         &self,
         admission: &Admission,
         job: &JobId,
     ) -> Result<SubmitOutcome, ServiceRefusal> {
-        match self.status(admission, job).await {
-            Err(ServiceRefusal::UnknownJob) => return Err(ServiceRefusal::UnknownJob),
-            Ok(JobStatus::Cancelled | JobStatus::Completed | JobStatus::Failed) => {
+        let shard = match self.locate(admission, job).await {
+            Ok((_, Some(JobStatus::Cancelled | JobStatus::Completed | JobStatus::Failed))) => {
                 return Ok(SubmitOutcome::Stored);
             }
-            Ok(_) | Err(_) => {}
-        }
-        let key = format!("{job}{CANCEL_SUFFIX}");
-        Ok(self.store(admission, key, vec![1]).await)
+            Ok((shard, _)) => shard,
+            // The owner may be lost, and the next one reads the cancellation.
+            Err(ServiceRefusal::NoOwner) if admission.shards.others.is_empty() => {
+                admission.shards.intake
+            }
+            Err(refusal) => return Err(refusal),
+        };
+        Ok(self.store(shard, cancellation(job)).await)
     }
 
     /// Returns the status of a job.
@@ -223,41 +259,73 @@
         admission: &Admission,
         job: &JobId,
     ) -> Result<JobStatus, ServiceRefusal> {
+        let (_, status) = self.locate(admission, job).await?;
+        status.ok_or(ServiceRefusal::NoOwner)
+    }
+
+    /// Finds the shard that has a job; returns it with the job's status, if its owner reports it.
+    async fn locate(
+        &self,
+        admission: &Admission,
+        job: &JobId,
+    ) -> Result<(ShardNumber, Option<JobStatus>), ServiceRefusal> {
+        let mut refusal = ServiceRefusal::UnknownJob;
+        for shard in admission.shards.all() {
+            match self.request_status(shard, admission, job).await {
+                Some(NodeResponse::Status(status)) => return Ok((shard, Some(status))),
+                Some(NodeResponse::Moved(shard)) => {
+                    let response = self.request_status(shard, admission, job).await;
+                    let status = match response {
+                        Some(NodeResponse::Status(status)) => Some(status),
+                        // The submission may not have been read there yet.
+                        _ => None,
+                    };
+                    return Ok((shard, status));
+                }
+                Some(NodeResponse::UnknownJob) => {}
+                _ => refusal = ServiceRefusal::NoOwner,
+            }
+        }
+        Err(refusal)
+    }
+
+    async fn request_status(
+        &self,
+        shard: ShardNumber,
+        admission: &Admission,
+        job: &JobId,
+    ) -> Option<NodeResponse> {
         let request = NodeRequest::Status {
-            shard: self.shard(admission),
+            shard,
             job: job.clone(),
             account: admission.account.clone(),
         };
-        match self.shared.owners.request(request).await {
-            Some(NodeResponse::Status(status)) => Ok(status),
-            Some(NodeResponse::UnknownJob) => Err(ServiceRefusal::UnknownJob),
-            _ => Err(ServiceRefusal::NoOwner),
-        }
+        self.shared.owners.request(request).await
     }
 
     /// Returns the number of pending jobs of the queue.
     ///
     /// # Errors
     ///
-    /// Fails if the owner can't be reached.
+    /// Fails if an owner can't be reached.
     pub async fn pending(&self, admission: &Admission) -> Result<u64, ServiceRefusal> {
-        let request = NodeRequest::Pending {
-            shard: self.shard(admission),
-            queue: admission.queue.clone(),
-        };
-        match self.shared.owners.request(request).await {
-            Some(NodeResponse::Pending(pending)) => Ok(pending),
-            _ => Err(ServiceRefusal::NoOwner),
+        let mut sum = 0;
+        for shard in admission.shards.all() {
+            let request = NodeRequest::Pending {
+                shard,
+                queue: admission.queue.clone(),
+            };
+            match self.shared.owners.request(request).await {
+                Some(NodeResponse::Pending(pending)) => sum += pending,
+                _ => return Err(ServiceRefusal::NoOwner),
+            }
         }
-    }
-
-    fn shard(&self, admission: &Admission) -> ShardNumber {
-        find_shard(&admission.pool, self.shared.settings.shards)
+        Ok(sum)
     }
 
     /// Stores a record, through the shard's owner if the store rejects calls of this node.
-    async fn store(&self, admission: &Admission, key: String, value: Vec<u8>) -> SubmitOutcome {
-        let shard = self.shard(admission);
+    async fn store(&self, shard: ShardNumber, entry: StoreEntry) -> SubmitOutcome {
+        let StoreEntry { key, value } = entry;
         let writer = &self.shared.writer;
         let outcome = writer.write(shard, key.clone(), value.clone()).await;
         if outcome != SubmitOutcome::NotStored {
@@ -273,3 +341,11 @@
         }
     }
 }
+
+/// Returns the record of a job's cancellation.
+pub(crate) fn cancellation(job: &JobId) -> StoreEntry {
+    StoreEntry {
+        key: format!("{job}{CANCEL_SUFFIX}"),
+        value: vec![1],
+    }
+}
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -40,12 +40,14 @@
     let (control, control_messages) = ring("control", 1);
     let (callers, caller_messages) = ring("callers", READS);
     let (machines, _machine_messages) = ring("machines", 1);
+    let (intakes, _intake_configs) = ring("intake", 1);
     let full = control.offer(ControlMessage::Workers(Vec::new()));
     assert!(full.is_ok(), "the ring has no room for a first message");
     let links = FeedLinks {
         control,
         callers,
         machines,
+        intakes,
     };
     let feed = feed_duty::run(
         Box::new(ChangingFeed),
@@ -97,10 +99,12 @@
     let (control, control_messages) = ring("control", 8);
     let (callers, caller_messages) = ring("callers", 8);
     let (machines, _machine_messages) = ring("machines", 8);
+    let (intakes, _intake_configs) = ring("intake", 1);
     let links = FeedLinks {
         control: control.clone(),
         callers,
         machines,
+        intakes,
     };
     let duty = DutyThread::spawn("feed", move |spawner| async move {
         for _ in 0..64 {
--- a/crates/node/tests/service.rs
+++ b/crates/node/tests/service.rs
@@ -104,6 +104,15 @@
     })
 }
 
+/// Returns a table with the pools of all queues of a configuration.
+fn registered(config: &FleetConfig) -> Arc<IntakeTable> {
+    let mut table = IntakeTable::default();
+    for (queue, record) in table.missing(config) {
+        table.apply(queue, Some(record));
+    }
+    Arc::new(table)
+}
+
 /// Runs `check` with a service that has just read its configuration.
 fn with_service(check: impl FnOnce(&JobService, &ManualClock, &NodeSettings) + Send + 'static) {
     let duty = DutyThread::spawn("callers", move |spawner| async move {
@@ -119,6 +128,7 @@
             requested_at: clock.now(),
             config: Some(config()),
         });
+        service.handle(CallerMessage::Intakes(registered(&config())));
         check(&service, &clock, &settings);
     });
     assert!(duty.expect("a thread").join(), "a check failed");
