Count no tasks as need of a maximum that wait for something else for 2 s

Callers would see: a job that never starts since a shard holds its account's maximum for tasks that can't use it: tasks without an eligible worker, in a full pool, or in a pool that left the configuration. Cause: all ready tasks of an account counted as its need, so that the shard kept the allocation for them. Change: tasks count while tasks of the account start or are refused for lack of allocation by a worker that could start them, and 2 s longer, and after a pass that did not come to all tasks.

--- a/crates/control/src/quota.rs
+++ b/crates/control/src/quota.rs
@@ -48,7 +48,7 @@
 pub struct AccountDemand {
     /// Size reserved for its runs.
     pub used: ResourceSize,
-    /// Size of its tasks that are ready to start.
+    /// Size of its tasks that are ready to start, and may within a larger allocation.
     pub waiting: ResourceSize,
 }
 
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -92,6 +92,10 @@
     placement_needed: bool,
     /// The last pass ended because too many starts had no answer.
     starts_exhausted: bool,
+    /// When an account's last job arrived or task was placed.
+    allocation_uses: HashMap<AccountId, Instant>,
+    /// Accounts of which the last pass refused a task that a worker could start.
+    quota_refused: HashSet<AccountId>,
     /// The last pass found no worker for a task that has to start alone.
     solo_waiting: bool,
     /// Earliest time of the next pass over the waiting tasks.
@@ -204,6 +208,8 @@
             unsurveyed_since: Some(now),
             placement_needed: true,
             starts_exhausted: false,
+            allocation_uses: HashMap::new(),
+            quota_refused: HashSet::new(),
             solo_waiting: false,
             next_placement: now,
             recheck_at: None,
@@ -410,6 +416,9 @@
             queue = &*record.queue,
             "job taken in"
         );
+        if let Some(account) = &record.account {
+            self.allocation_uses.insert(account.clone(), now);
+        }
         let record = JobRecord::new(record, JobState::default(), now, wall);
         self.changed_jobs.insert(job.clone());
         self.jobs.insert(job, record);
--- a/crates/control/src/shard/queries.rs
+++ b/crates/control/src/shard/queries.rs
@@ -1,6 +1,6 @@
 //! Queries about the jobs of a shard.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use pw_base::prelude::*;
@@ -11,6 +11,10 @@
 use crate::message::{JobAnswer, QueryScope};
 use crate::quota::{AccountDemand, AllocationKey};
 
+/// How long tasks may wait without a start and without need of a larger allocation before they no
+/// longer count as need of one. In a full pool, an account's starts are closer to each other.
+const UNUSED_TIME: Duration = Duration::from_secs(2);
+
 impl ShardController {
     /// Returns the stored status of a job, if `scope` includes the job.
     ///
@@ -54,14 +58,26 @@
 
     /// Returns the resources that each client account uses and waits for in the shard.
     ///
+    /// Tasks do not count once they have waited for something else than a larger allocation for some
+    /// time, such as room or a worker with their label: they would hold a maximum that they can't
+    /// use. They do after a pass that did not come to all tasks.
+    ///
     /// A run may outlast its job: one of a task that is done already is stopped, and counts until
     /// then.
-    pub fn account_demands(&self) -> IndexMap<AllocationKey, AccountDemand> {
+    pub fn account_demands(&self, now: Instant) -> IndexMap<AllocationKey, AccountDemand> {
         let waits = self.backlog.account_waits();
         let users = self.budget.users();
         let users = users.map(|(account, _)| (account, ResourceSize::default()));
         let mut demands: IndexMap<AllocationKey, AccountDemand> = IndexMap::new();
         for (account, waiting) in waits.chain(users) {
+            let used_at = self.allocation_uses.get(account);
+            let is_used = used_at.is_some_and(|at| now < *at + UNUSED_TIME);
+            let is_short = self.quota_refused.contains(account) || self.starts_exhausted;
+            let waiting = if is_used || is_short {
+                waiting
+            } else {
+                ResourceSize::default()
+            };
             let used = self.budget.used(account);
             let demand = AccountDemand { used, waiting };
             demands
--- a/crates/control/src/shard/scheduling.rs
+++ b/crates/control/src/shard/scheduling.rs
@@ -29,6 +29,7 @@
         let mut unplaceable = UnplaceableSizes::new();
         self.blocked.clear();
         self.solo_waiting = false;
+        self.quota_refused.clear();
         // Placing tasks marks their jobs as changed; they are indexed again after the pass.
         let backlog = std::mem::take(&mut self.backlog);
         let rooms = backlog
@@ -136,6 +137,7 @@
                     placed += 1;
                 }
                 None => {
+                    self.record_quota_refusal(job, position, &spec, now);
                     if self.needs_ticket(job) {
                         self.request_advice(&(job.clone(), occurrence, step), &spec, now);
                     }
@@ -160,6 +162,34 @@
         rule.is_none_or(|rule| self.budget.allows(account, size, &rule.maximum))
     }
 
+    /// Records that a task finds no worker, if one could start it within a larger allocation.
+    fn record_quota_refusal(
+        &mut self,
+        job: &JobId,
+        position: TaskPosition,
+        spec: &StepSpec,
+        now: Instant,
+    ) {
+        let Some(record) = self.jobs.get(job).map(|job| &job.submission) else {
+            return;
+        };
+        let size = reserved_size(spec);
+        let Some(account) = record.account.as_ref() else {
+            return;
+        };
+        if self.quota_refused.contains(account) || self.within_quota(record, &size) {
+            return;
+        }
+        let name = task_name(job, position);
+        let is_startable = self.open_workers(&record.pool, now).any(|worker| {
+            worker.has_room(&size, now) && candidate_for(worker, &name, spec).is_some()
+        });
+        if is_startable {
+            let account = account.clone();
+            self.quota_refused.insert(account);
+        }
+    }
+
     /// Returns whether a worker's machine may still be due for maintenance in a wave. A worker that
     /// started after this owner received the wave counts as maintained.
     fn is_maintenance_due(&self, worker: &WorkerRecord) -> bool {
@@ -230,6 +260,7 @@
         for position in &positions {
             let worker = self.find_worker(job, *position, spec, &mut UnplaceableSizes::new(), now);
             let Some(worker) = worker else {
+                self.record_quota_refusal(job, *position, spec, now);
                 break;
             };
             self.place_task(job, *position, &worker, now);
@@ -362,6 +393,7 @@
         };
         if let Some(account) = &run_record.account {
             self.budget.reserve(account, &run_record.size);
+            self.allocation_uses.insert(account.clone(), now);
         }
         let task = task_name(job, position);
         let waited = self.waits.record_placement(&task, now);
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -129,6 +129,8 @@
             }
             None => {
                 duty.load.ticks += 1;
+                // A pass over the waiting tasks may have run.
+                duty.demands_stale = true;
                 duty.tick().await;
             }
         }
@@ -274,10 +276,9 @@
             return;
         }
         self.demands_stale = false;
-        let demands = self
-            .shards
-            .values()
-            .flat_map(ShardController::account_demands);
+        let known_at = self.clock.now();
+        let demands = self.shards.values();
+        let demands = demands.flat_map(|shard| shard.account_demands(known_at));
         let demands: IndexMap<AllocationKey, AccountDemand> = demands.collect();
         self.demands_due = now + DEMAND_REPORT_INTERVAL;
         let terms = self.terms().map(|term| (term.shard, term.epoch));
