Share a store and a submission between the tests

Cause: the tests of the service had a store of their own that never answers and is never asked, and two new test files built the same submission. Change: the store in memory, and a fixture.

--- a/crates/control/tests/forwarded_jobs.rs
+++ b/crates/control/tests/forwarded_jobs.rs
@@ -19,22 +19,6 @@
     stored: Vec<StoreRecord>,
 }
 
-fn submission(pool: &str) -> Arc<SubmissionRecord> {
-    let spec = JobSpec {
-        steps: vec![step(1)],
-        occurrences: 1,
-        ..Default::default()
-    };
-    Arc::new(SubmissionRecord {
-        queue: "queue".into(),
-        pool: pool.into(),
-        account: None,
-        accepted: SystemTime::UNIX_EPOCH,
-        terms: JobTerms::default(),
-        spec,
-    })
-}
-
 fn submitted() -> ShardEvent {
     ShardEvent::Submitted("job".into(), submission("pool"))
 }
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -526,6 +526,23 @@
     (cluster, holders)
 }
 
+/// Creates a submission of one task for a pool, without an account.
+pub fn submission(pool: &str) -> Arc<SubmissionRecord> {
+    let spec = JobSpec {
+        steps: vec![step(1)],
+        occurrences: 1,
+        ..Default::default()
+    };
+    Arc::new(SubmissionRecord {
+        queue: "queue".into(),
+        pool: pool.into(),
+        account: None,
+        accepted: SystemTime::UNIX_EPOCH,
+        terms: JobTerms::default(),
+        spec,
+    })
+}
+
 /// Creates a step of `count` tasks that take a core and a GiB each.
 pub fn step(count: u32) -> StepSpec {
     StepSpec {
--- a/crates/control/tests/unreadable_records.rs
+++ b/crates/control/tests/unreadable_records.rs
@@ -33,22 +33,6 @@
     (controller, stored)
 }
 
-fn submission() -> Arc<SubmissionRecord> {
-    let spec = JobSpec {
-        steps: vec![step(1)],
-        occurrences: 1,
-        ..Default::default()
-    };
-    Arc::new(SubmissionRecord {
-        queue: "queue".into(),
-        pool: "pool".into(),
-        account: None,
-        accepted: SystemTime::now(),
-        terms: JobTerms::default(),
-        spec,
-    })
-}
-
 fn assert_left_alone(image: ShardImage) {
     let (controller, stored) = open_shard(image);
     assert_eq!(stored, []);
@@ -71,7 +55,7 @@
 #[test]
 fn a_job_with_an_unreadable_state_does_not_start_anew() {
     assert_left_alone(ShardImage {
-        submissions: vec![("job".into(), submission())],
+        submissions: vec![("job".into(), submission("pool"))],
         unreadable: ["job".into()].into(),
         ..Default::default()
     });
--- a/crates/node/tests/service.rs
+++ b/crates/node/tests/service.rs
@@ -1,10 +1,11 @@
 //! Admission of callers by a configuration of some age.
 
+mod support;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_lite::future::{self, BoxedLocal, FutureExt};
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use pw_account::prelude::*;
 use pw_base::prelude::*;
 use pw_control::prelude::*;
@@ -16,62 +17,7 @@
 use pw_ring::prelude::*;
 use pw_worker::prelude::*;
 
-/// A store that never answers.
-struct SilentStore;
-
-fn silence<T: 'static>() -> BoxedLocal<Result<T, StoreFault>> {
-    future::pending().boxed_local()
-}
-
-impl JobStore for SilentStore {
-    fn append(
-        &self,
-        _: StorePartition,
-        _: Vec<StoreEntry>,
-        _: Option<StoreWriter>,
-        _: Duration,
-    ) -> BoxedLocal<Result<LogOffset, StoreFault>> {
-        silence()
-    }
-
-    fn append_at(
-        &self,
-        _: StorePartition,
-        _: Vec<StoreEntry>,
-        _: LogOffset,
-    ) -> BoxedLocal<Result<LogOffset, StoreFault>> {
-        silence()
-    }
-
-    fn read(
-        &self,
-        _: StorePartition,
-        _: LogOffset,
-        _: Duration,
-    ) -> BoxedLocal<Result<StoreRead, StoreFault>> {
-        silence()
-    }
-
-    fn newest(
-        &self,
-        _: StorePartition,
-        _: Option<String>,
-    ) -> BoxedLocal<Result<StorePage, StoreFault>> {
-        silence()
-    }
-
-    fn join(&self, _: GroupJoin) -> BoxedLocal<Result<u64, StoreFault>> {
-        silence()
-    }
-
-    fn leave(&self, _: NodeName) -> BoxedLocal<Result<(), StoreFault>> {
-        silence()
-    }
-
-    fn members(&self) -> BoxedLocal<Result<IndexSet<NodeName>, StoreFault>> {
-        silence()
-    }
-}
+use self::support::MemoryStore;
 
 fn rule(host: &str, public: bool) -> QueueRule {
     QueueRule {
@@ -121,8 +67,11 @@
         let settings = NodeSettings::default();
         let (control, _messages) = ring("control", 1);
         let owners = OwnerClient::new(control, H2Client::new(peer_bounds(), spawner));
-        let writer =
-            SubmissionWriter::new(settings.clone(), Arc::clone(&source), Box::new(SilentStore));
+        let writer = SubmissionWriter::new(
+            settings.clone(),
+            Arc::clone(&source),
+            Box::new(MemoryStore::default()),
+        );
         let service = JobService::new(settings.clone(), source, writer, owners);
         service.handle(CallerMessage::ConfigRead {
             requested_at: clock.now(),
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! A store in memory with the log semantics that the duties rely on.
 
+#![allow(dead_code)]
+
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
