Review case: a gang never starts on a queue with advice

Cause: place_step returns for a gang before its call of request_advice, and place_gang never asks for tickets.

--- a/review/lib-2/platform2.py
+++ b/review/lib-2/platform2.py
@@ -29,7 +29,7 @@
     "fencing": True, "leaseMs": 3000, "thawMs": 300, "paceMs": 100, "harmMs": 4000,
 }
 RECORD_BYTES, CALL_BYTES, PARTS = 262144, 2097152, 24
-STORE_MS, APPEND_MS, BEAT_S, SAVE_S, HOLD_MAX_MS = 4.0, 1.0, 1.5, 0.5, 6000
+STORE_MS, APPEND_MS, BEAT_S, SAVE_S, GANG_S, HOLD_MAX_MS = 4.0, 1.0, 1.5, 0.5, 3.0, 6000
 
 
 class Record:
@@ -330,9 +330,13 @@
 
     def crash(self):
         """The machine crashes: all runs are gone, nothing answers."""
+        self.up = False
         for task, run in list(self.runs.items()):
             self.fleet.ended(self, task, run["run"], "lost with its worker")
-        self.up = False
+            if run["gang"]:
+                for other, name, one in self.fleet.members(run["gang"], run["run"]):
+                    one["over"] = True
+                    other.end(name, "broken")
         self.loop.cancel()
         self.beat.cancel()
         self.close()
@@ -340,6 +344,12 @@
 
     def end(self, task, how):
         run = self.runs.pop(task)
+        if run["gang"] and not run["over"]:
+            others = self.fleet.members(run["gang"], run["run"])
+            for _, _, one in others:
+                one["over"] = True
+            for other, name, _ in others:
+                other.end(name, "done" if how == "done" else "broken")
         self.ends += 1
         self.ended.append([self.ends, task, run["run"], how, self.saved(run)])
         self.barred[task] = max(self.barred.get(task, 0), run["run"])
@@ -348,9 +358,10 @@
         event.set()
 
     def saved(self, run):
-        if not run["saves"]:
+        since = run["together"] if run["gang"] else run["at"]
+        if not run["saves"] or since is None:
             return ""
-        steps = int((time.monotonic() - run["at"]) / SAVE_S)
+        steps = int((time.monotonic() - since) / SAVE_S)
         return "%08x%08x" % (int(run["base"] + steps * SAVE_S * 1000), run["tag"])
 
     async def live(self):
@@ -358,10 +369,14 @@
             await asyncio.sleep(0.02)
             now, clock = time.monotonic(), self.clock()
             for task, run in list(self.runs.items()):
+                if task not in self.runs:
+                    continue
                 if run["stop"] and now >= run["stop"]:
                     self.end(task, "stopped")
                 elif clock > self.lease:
                     self.end(task, "lapsed")
+                elif run["gang"] and not run["together"] and now >= run["at"] + GANG_S:
+                    self.end(task, "alone")
                 elif run["until"] and now >= run["until"]:
                     self.end(task, "done")
 
@@ -406,6 +421,8 @@
         if number <= self.barred.get(task, 0) or here:
             return 409, {**answer, "reason": "old"}
         job = self.fleet.jobs.get(task.split(".")[0])
+        if job and job.get("advised") and not self.fleet.advice.allows(self, task, data.get("ticket", "")):
+            return 409, {**answer, "reason": "ticket"}
         step = job["phases"][int(task.split(".")[2])] if job else {}
         cpu = sum(run["cpu"] for run in self.runs.values()) + step.get("cpu", 0)
         mem = sum(run["mem"] for run in self.runs.values()) + step.get("memMb", 0)
@@ -413,14 +430,18 @@
             return 409, {**answer, "reason": "room"}
         checkpoint = data.get("checkpoint", "")
         base = int(checkpoint[:8], 16) if checkpoint else 0
-        lasts = step.get("longRunning", False)
+        lasts, gang = step.get("longRunning", False), step.get("gang", False)
         texts = dict(word.split("=") for word in data["spec"].split() if "=" in word)
         left = max(0, int(texts.get("ms", 500)) - base) / 1000
         self.runs[task] = {
             "run": number, "at": time.monotonic(), "base": base, "tag": hash(task.split(".")[0]) & 0xffffffff,
             "saves": step.get("savesProgress", False), "cpu": step.get("cpu", 0), "mem": step.get("memMb", 0),
-            "until": None if lasts else time.monotonic() + left, "stop": None, "lasts": lasts,
+            "until": None if lasts or gang else time.monotonic() + left, "stop": None, "lasts": lasts,
+            "gang": task.rsplit(".", 1)[0] if gang else None, "left": left, "together": None,
+            "over": False,
         }
+        if gang:
+            self.fleet.join_gang(self, task, self.runs[task], step["count"])
         self.fleet.started(self, task, number, checkpoint)
         return 200, answer
 
@@ -462,11 +483,41 @@
         return 409, {"reason": "busy"}
 
 
+class Advice(Server):
+    """The advice service: half of the workers may run a step, and each ticket is for one step and worker."""
+
+    def __init__(self, fleet, decide_ms=20, each_ms=1, valid_ms=3000):
+        super().__init__()
+        self.fleet, self.figures = fleet, {"decideMs": decide_ms, "eachMs": each_ms, "validMs": valid_ms}
+        self.calls, self.lock, self.issued = 0, asyncio.Lock(), {}
+
+    async def answer(self, method, target, headers, body):
+        data = json.loads(body)
+        self.calls += 1
+        async with self.lock:
+            await asyncio.sleep((self.figures["decideMs"] + self.figures["eachMs"] * len(data["workers"])) / 1000)
+        good = []
+        for worker in self.fleet.workers:
+            if worker.id in data["workers"] and worker.number % 2 == 0:
+                ticket = f"{len(self.issued):04x}-{worker.number:04x}"
+                until = time.monotonic() + self.figures["validMs"] / 1000
+                self.issued[ticket] = (data["step"], worker.id, worker.born, until)
+                good.append([worker.id, ticket])
+        if not self.fleet.quiet:
+            self.fleet.record.say(f"advice: {len(good)} of {len(data['workers'])} workers may run {data['step']}")
+        return 200, {"good": good, "validMs": self.figures["validMs"]}
+
+    def allows(self, worker, task, ticket):
+        step, own, born, until = self.issued.get(ticket, ("", "", 0, 0))
+        return (task.startswith(step + ".") and own == worker.id and born == worker.born
+                and time.monotonic() < until)
+
+
 class Fleet:
     def __init__(self, record):
         self.record, self.store, self.workers, self.jobs = record, Store(record), [], {}
         self.nodes, self.starts, self.ends, self.notes = [], [], [], []
-        self.on_start, self.quiet = None, False
+        self.on_start, self.quiet, self.advice = None, False, None
 
     def started(self, worker, task, run, checkpoint):
         self.starts.append((self.record.now(), task, run, worker, checkpoint))
@@ -476,6 +527,19 @@
         if self.on_start:
             self.on_start(worker, task, run)
 
+    def members(self, name, run):
+        """The members of one run of a gang that are present."""
+        return [(worker, task, one) for worker in self.workers if worker.up
+                for task, one in worker.runs.items() if one["gang"] == name and one["run"] == run]
+
+    def join_gang(self, worker, task, run, count):
+        """A gang works from the moment when all tasks of one run are present."""
+        present = self.members(run["gang"], run["run"])
+        if len(present) == count:
+            now = time.monotonic()
+            for _, _, one in present:
+                one["together"], one["until"] = now, now + one["left"]
+
     def ended(self, worker, task, run, how):
         self.ends.append((self.record.now(), task, run, worker, how))
         if not self.quiet:
@@ -607,6 +671,7 @@
         self.store = await self.fleet.store.port_for(self.name)
         self.front, self.ready, self.control, self.peers = free_port(), free_port(), free_port(), free_port(4)
         bounds = "\n".join(f"{name} = {json.dumps(value)}" for name, value in BOUNDS.items())
+        advice = f'advice = "{self.fleet.advice.address()}"' if self.fleet.advice else ""
         text = f'''node = "{self.name}"
 role = "node"
 machineClass = "frontend"
@@ -622,6 +687,7 @@
 entry = "vip"
 heartbeatMs = 1500
 orders = "call"
+{advice}
 [listen]
 front = "{HOST}:{self.front}"
 ready = "{HOST}:{self.ready}"
