--- a/review/lib-2/platform2.py
+++ b/review/lib-2/platform2.py
@@ -29,7 +29,7 @@
     "fencing": True, "leaseMs": 3000, "thawMs": 300, "paceMs": 100, "harmMs": 4000,
 }
 RECORD_BYTES, CALL_BYTES, PARTS = 262144, 2097152, 24
-STORE_MS, APPEND_MS, BEAT_S, SAVE_S, GANG_S, HOLD_MAX_MS = 4.0, 1.0, 1.5, 0.5, 3.0, 6000
+STORE_MS, APPEND_MS, BEAT_S, SAVE_S, GANG_S, MOVE_S, HOLD_MAX_MS = 4.0, 1.0, 1.5, 0.5, 3.0, 1.5, 6000
 
 
 class Record:
@@ -305,7 +305,7 @@
         self.fleet, self.number, self.pool, self.zone, self.rack = fleet, number, pool, zone, rack
         self.capacity = {"cpu": cpu, "memMb": mem, "gpu": 0}
         self.id, self.machine = f"i-{0x3cee7a0000 + number * 7919:010x}", f"m-{0x0a3f1 + number * 131:05x}"
-        self.up = False
+        self.up = self.moving = False
 
     async def start(self):
         self.born, self.booted = int(time.time() * 1000), time.monotonic()
@@ -328,11 +328,27 @@
             self.fleet.store.put("keyed.servers", self.id, json.dumps(entry).encode())
             await asyncio.sleep(BEAT_S)
 
+    async def move(self, pool):
+        """The machine goes to another pool: what runs ends, and a new worker joins after moveS."""
+        self.go("ended by a move")
+        self.moving = True
+        self.fleet.store.put("keyed.servers", self.id, b"")
+        if not self.fleet.quiet:
+            self.fleet.record.say(f"worker {self.id}: its machine moves from {self.pool} to {pool}")
+        await asyncio.sleep(MOVE_S)
+        self.pool, self.moving = pool, False
+        self.id = f"i-{int(self.id[2:], 16) + 1:010x}"
+        await self.start()
+
     def crash(self):
         """The machine crashes: all runs are gone, nothing answers."""
+        self.go("lost with its worker")
+        self.fleet.record.say(f"worker {self.id}: crashes")
+
+    def go(self, how):
         self.up = False
         for task, run in list(self.runs.items()):
-            self.fleet.ended(self, task, run["run"], "lost with its worker")
+            self.fleet.ended(self, task, run["run"], how)
             if run["gang"]:
                 for other, name, one in self.fleet.members(run["gang"], run["run"]):
                     one["over"] = True
@@ -340,7 +356,6 @@
         self.loop.cancel()
         self.beat.cancel()
         self.close()
-        self.fleet.record.say(f"worker {self.id}: crashes")
 
     def end(self, task, how):
         run = self.runs.pop(task)
@@ -468,19 +483,33 @@
 
 
 class Cloud(Server):
-    """The machine service. Moves are refused as busy: the scripts keep each machine in its pool."""
+    """The machine service; no wave is ever asked for, so nothing is due for upkeep."""
 
     def __init__(self, fleet):
         super().__init__()
-        self.fleet = fleet
+        self.fleet, self.fences = fleet, {}
 
     async def answer(self, method, target, headers, body):
         if method == "GET":
-            rows = [{"machine": w.machine, "pool": w.pool, "state": "up" if w.up else "down", "zone": w.zone,
-                     "labels": ["a", w.rack], "capacity": w.capacity, **({"id": w.id} if w.up else {})}
-                    for w in self.fleet.workers]
+            rows = [{"machine": w.machine, "pool": w.pool, "zone": w.zone, "labels": ["a", w.rack],
+                     "state": "up" if w.up else "moving" if w.moving else "down", "capacity": w.capacity,
+                     **({"id": w.id} if w.up else {})} for w in self.fleet.workers]
             return 200, {"machines": rows, "nextToken": None}
-        return 409, {"reason": "busy"}
+        data = json.loads(body)
+        worker = next((w for w in self.fleet.workers if w.machine == data["machine"]), None)
+        if worker is None:
+            return 400, {}
+        fence = int(headers.get("primrosewheel-fencing-token", 0))
+        if fence < self.fences.get(worker.machine, 0):
+            return 409, {"reason": "fence"}
+        self.fences[worker.machine] = fence
+        if target != "/machine-move":
+            return 409, {"reason": "wave"}
+        if not worker.up:
+            return 409, {"reason": "busy"}
+        if worker.pool != data["pool"]:
+            asyncio.ensure_future(worker.move(data["pool"]))
+        return 200, {}
 
 
 class Advice(Server):
