Open the due occurrences of a job as its tasks start

Cause: review_job opened all due occurrences at once, each with the state of its tasks, so the owner exceeded its memory and was killed, and so was each owner after it. A submission is checked for the tasks of one occurrence only.

Change: an occurrence opens when it is due and the job has fewer than 256 ready steps that wait and at most 10,000 open tasks. The job is reviewed at each start and end of a task, so the next ones open as these go on. All occurrences of a long-running job have to be open, so one with more tasks than that is refused with 400.

Why it works: what an owner holds for a job no longer depends on how many occurrences are due, and a new owner opens the rest from the stored number of opened ones. Both limits are above what a pass can start at once.

--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -48,6 +48,10 @@
 /// Interval of ticks while no event arrives.
 const IDLE_TICK: Duration = Duration::from_millis(500);
 
+/// Number of ready steps of a job above which no further occurrence of it opens. A pass starts fewer
+/// tasks than that, and each ready step adds to the time to index the job.
+const MAX_READY_STEPS: usize = 256;
+
 /// Position of a task in its job.
 type TaskPosition = (OccurrenceNumber, u32, u32);
 
@@ -476,7 +480,7 @@
         }
     }
 
-    /// Opens the due occurrences of the changed jobs and indexes these jobs again.
+    /// Opens due occurrences of the changed jobs, within limits, and indexes these jobs again.
     fn review_changed_jobs(&mut self, now: Instant, wall: SystemTime) {
         for job in std::mem::take(&mut self.changed_jobs) {
             self.visits.jobs += 1;
@@ -498,11 +502,20 @@
             return;
         }
         let spec = &record.submission.spec;
+        let first_steps = spec.steps.iter().filter(|s| s.depends_on.is_empty());
+        let first_steps = first_steps.count();
+        let mut ready = None;
         while !record.is_over() && record.state.opened < spec.occurrences {
             if let Some(due) = spec.due(record.state.opened).filter(|due| *due > due_wall) {
                 self.due_occurrences.insert((due, job.clone()));
                 break;
             }
+            // The job is reviewed again when a task of it starts or ends.
+            let ready_count = ready.unwrap_or_else(|| ready_steps(record).len());
+            if ready_count >= MAX_READY_STEPS || !record.state.may_open_next(spec) {
+                break;
+            }
+            ready = Some(ready_count + first_steps);
             record.state.open_next(spec);
             self.placement_needed = true;
             tracing::debug!(
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -16,7 +16,7 @@
         encode_submission,
     };
     pub use crate::name::TaskName;
-    pub use crate::spec::{JobSpec, SpecError, StepSpec};
+    pub use crate::spec::{JobSpec, MAX_OPEN_TASKS, SpecError, StepSpec};
     pub use crate::state::{
         CrashTally, JobState, JobStatus, OccurrenceState, RunEnd, TaskPhase, TaskPlacement,
         TaskState,
--- a/crates/job/src/spec.rs
+++ b/crates/job/src/spec.rs
@@ -12,6 +12,9 @@
 pub const MAX_STEPS: usize = 256;
 /// Maximum number of tasks of one occurrence, over all steps.
 pub const MAX_TASKS: usize = 5_000;
+/// Maximum number of tasks in the open occurrences of a job; the state of a job with more could outgrow
+/// the memory of its owner. A single occurrence always opens.
+pub const MAX_OPEN_TASKS: usize = 2 * MAX_TASKS;
 /// Maximum size of the payload.
 pub const MAX_PAYLOAD_BYTES: usize = 4_000;
 
@@ -80,6 +83,9 @@
     /// The job has too many tasks.
     #[error("a job has at most {MAX_TASKS} tasks")]
     TooManyTasks,
+    /// The job has too many long-running tasks, which have to be open all at the same time.
+    #[error("all occurrences of a long-running job have at most {MAX_OPEN_TASKS} tasks")]
+    TooManyLongRunningTasks,
     /// A step has no tasks.
     #[error("step {0} has no task")]
     NoTask(usize),
@@ -112,10 +118,14 @@
         if self.steps.len() > MAX_STEPS {
             return Err(SpecError::TooManySteps);
         }
-        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        let tasks = self.task_count();
         if tasks > MAX_TASKS as u64 {
             return Err(SpecError::TooManyTasks);
         }
+        let all_tasks = tasks * u64::from(self.occurrences);
+        if self.is_long_running() && all_tasks > MAX_OPEN_TASKS as u64 {
+            return Err(SpecError::TooManyLongRunningTasks);
+        }
         for (number, step) in self.steps.iter().enumerate() {
             if step.count == 0 {
                 return Err(SpecError::NoTask(number));
@@ -129,6 +139,11 @@
         Ok(())
     }
 
+    /// Returns the number of tasks of one occurrence.
+    pub fn task_count(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
+    }
+
     /// Returns when an occurrence is due; `None` for immediately.
     pub fn due(&self, occurrence: OccurrenceNumber) -> Option<SystemTime> {
         let first = self.first_due?;
--- a/crates/job/src/state.rs
+++ b/crates/job/src/state.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{AsRefStr, Display, EnumString};
 
-use crate::spec::{JobSpec, StepSpec};
+use crate::spec::{JobSpec, MAX_OPEN_TASKS, StepSpec};
 
 /// Status of a job as reported to callers.
 #[derive(
@@ -217,6 +217,13 @@
         tasks.any(|task| task.placement().is_some())
     }
 
+    /// Returns whether the open occurrences and the next one have at most [`MAX_OPEN_TASKS`] tasks, or
+    /// none is open.
+    pub fn may_open_next(&self, spec: &JobSpec) -> bool {
+        let open = self.occurrences.len() as u64;
+        open == 0 || (open + 1) * spec.task_count() <= MAX_OPEN_TASKS as u64
+    }
+
     /// Opens the next occurrence.
     pub fn open_next(&mut self, spec: &JobSpec) {
         self.occurrences
