Saturate the due times of occurrences

Front ends refuse no period, but a later due time than the range needs a second period of at least 500 of the longest ones, and the one before it never opens: no caller can reach it today. Change: the delay is capped at 100 years, like objectives. Result: occurrences_with_the_largest_periods_leave_the_owner_running panicked before ("overflow when adding duration to instant") and passes now.

--- a/crates/control/tests/extreme_values.rs
+++ b/crates/control/tests/extreme_values.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use pw_control::prelude::*;
 use pw_job::prelude::*;
@@ -34,6 +34,30 @@
     assert!(cluster.run_until(seconds(4), |cluster| cluster.status("job") == COMPLETED));
 }
 
+/// A caller chooses the first due time and the period of its job.
+#[test]
+fn occurrences_with_the_largest_periods_leave_the_owner_running() {
+    let mut cluster = TestCluster::new(1);
+    let spec = JobSpec {
+        payload: "work".into(),
+        steps: vec![step(1)],
+        occurrences: u32::MAX,
+        first_due: Some(SystemTime::UNIX_EPOCH),
+        period: Duration::MAX,
+    };
+    let never = JobSpec {
+        first_due: Some(SystemTime::UNIX_EPOCH + Duration::from_millis(u64::MAX)),
+        ..spec.clone()
+    };
+    cluster.submit_spec("never", None, never);
+    cluster.submit_spec("once", None, spec);
+    cluster.submit("job", None, vec![step(1)]);
+    assert!(cluster.run_until(seconds(4), |cluster| cluster.status("job") == COMPLETED));
+    assert_eq!(cluster.start_count("never.0.0.0"), 0);
+    assert_eq!(cluster.start_count("once.0.0.0"), 1);
+    assert_eq!(cluster.start_count("once.1.0.0"), 0);
+}
+
 #[test]
 fn queue_with_the_largest_objective_serves_jobs() {
     for stretch in [f64::MAX, -1.0, 2.0] {
--- a/crates/job/src/spec.rs
+++ b/crates/job/src/spec.rs
@@ -15,6 +15,9 @@
 /// Maximum number of tasks in the open occurrences of a job; the state of a job with more could outgrow
 /// the memory of its owner. A single occurrence always opens.
 pub const MAX_OPEN_TASKS: usize = 2 * MAX_TASKS;
+/// Longest time after the first occurrence that is told apart from longer ones; a point in time can't be
+/// much later.
+const MAX_DUE_DELAY: Duration = Duration::from_secs(100 * 365 * 24 * 3600);
 /// Maximum size of the payload.
 pub const MAX_PAYLOAD_BYTES: usize = 4_000;
 
@@ -147,7 +150,9 @@
     /// Returns when an occurrence is due; `None` for immediately.
     pub fn due(&self, occurrence: OccurrenceNumber) -> Option<SystemTime> {
         let first = self.first_due?;
-        Some(first + self.period.saturating_mul(occurrence))
+        let delay = self.period.saturating_mul(occurrence).min(MAX_DUE_DELAY);
+        // A first occurrence that late is never due, nor is a later one.
+        Some(first.checked_add(delay).unwrap_or(first))
     }
 
     /// Returns whether any step runs until the job is cancelled.
