Keep the stored state of a job within a record of the store

Cause: the state of a job is one record, of 35 to 50 bytes for each placed task. Nothing compared it with the largest record of the store (recordBytes). The store refused the append, and the owner repeated it without end, with all that waits behind it.

The fake store of pw_control now refuses such records too; jobs_beside_one_with_thousands_of_runs_complete fails with that on the code before and passes now.

Change: a state that would not fit is encoded with a table of its placements, which tasks refer to; if it still does not fit, without checkpoints. If even that is too large, half of the placements that wait for it are withdrawn until it fits. A state that could not be encoded was left out of the append, but its starts were sent and its ends acknowledged: a_job_runs_as_many_tasks_as_its_state_has_room_for fails with "started before its placement was stored" if nothing is withdrawn. The limit comes from the settings of the platform.

Why it works: open tasks are bounded since, and 10,000 of them on 500 workers fit with checkpoints of 16 bytes (a_state_of_all_open_tasks_fits_into_a_record). What does not fit is no longer placed, so the store is never asked to take it.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -97,6 +97,11 @@
         message = "A job was forwarded to the shard of its pool, since its queue leads there now."
     )]
     JobForwarded = 604,
+    /// Starts were withdrawn, since the state of their job would be too large to be stored.
+    #[strum(
+        message = "Starts were withdrawn, since the state of their job would be too large to be stored."
+    )]
+    StartsWithdrawn = 605,
     /// A request to start a run was answered or failed.
     #[strum(message = "A request to start a run was answered or failed.")]
     RunStart = 610,
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -45,6 +45,8 @@
     pub poll_retry_max: Duration,
     /// Shortest interval between appends of images. Changes within it share one append.
     pub store_interval: Duration,
+    /// Maximum size of the stored state of a job: the largest record of the store, without its key.
+    pub max_image_bytes: usize,
     /// Shortest interval between placement passes over the waiting tasks. Changes within it share
     /// one pass: under load a pass costs as much as handling hundreds of workers' answers.
     pub placement_interval: Duration,
@@ -97,6 +99,7 @@
             poll_retry: Duration::from_millis(150),
             poll_retry_max: Duration::from_secs(1),
             store_interval: Duration::from_millis(35),
+            max_image_bytes: 255 * 1024,
             placement_interval: Duration::from_millis(20),
             max_unanswered_starts: 128,
             capacity_backoff: Duration::from_millis(200),
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -52,9 +52,6 @@
 /// tasks than that, and each ready step adds to the time to index the job.
 const MAX_READY_STEPS: usize = 256;
 
-/// Position of a task in its job.
-type TaskPosition = (OccurrenceNumber, u32, u32);
-
 /// Schedules the tasks of one shard's pools and tracks their workers.
 pub struct ShardController {
     shard: ShardNumber,
--- a/crates/control/src/shard/persistence.rs
+++ b/crates/control/src/shard/persistence.rs
@@ -11,6 +11,9 @@
 use crate::run::RunPhase;
 use crate::worker::WorkerRecord;
 
+/// Pause of tasks whose placement did not fit into the state of their job. Other tasks have to end first.
+const WITHDRAWN_START_PAUSE: Duration = Duration::from_millis(500);
+
 /// Queue of changes to store; at most one append is in flight.
 pub(super) struct StoreQueue {
     sequence: u64,
@@ -100,19 +103,23 @@
         }
         let mut records = Vec::new();
         let mut statuses = Vec::new();
+        let mut complete = true;
         for job in std::mem::take(&mut self.store_queue.changed_jobs) {
-            let Some(record) = self.jobs.get(&job) else {
+            let Some(image) = self.encode_image(&job, now) else {
                 continue;
             };
-            match encode_state(&record.state) {
-                Ok(bytes) => records.push(StoreRecord::State(job.clone(), bytes)),
+            match image {
+                Ok((bytes, status)) => {
+                    records.push(StoreRecord::State(job.clone(), bytes));
+                    statuses.push((job, status));
+                }
                 Err(error) => {
                     let event = EventCode::JobImageRefused.number();
                     tracing::error!(event, job = &*job, %error, "state of a job can't be encoded");
-                    continue;
+                    self.store_queue.mark_changed(&job);
+                    complete = false;
                 }
             }
-            statuses.push((job, record.state.status(&record.submission.spec)));
         }
         let mut forwards = Vec::new();
         for job in std::mem::take(&mut self.store_queue.forwards) {
@@ -126,10 +133,11 @@
         }
         let removed_jobs = std::mem::take(&mut self.store_queue.removed_jobs);
         records.extend(removed_jobs.into_iter().map(StoreRecord::Remove));
+        // Ends in a state that is left out are not durable.
         let applied_ends = self
             .workers
             .iter()
-            .filter(|(_, w)| w.applied_end > w.stored_end);
+            .filter(|(_, w)| complete && w.applied_end > w.stored_end);
         let applied_ends = applied_ends.filter_map(|(id, worker)| {
             let life = worker.life?;
             Some(((id.clone(), life), worker.applied_end))
@@ -149,6 +157,61 @@
             .push(ShardCommand::Store { sequence, records });
     }
 
+    /// Encodes the state of a job and returns it with the status in it; `None` if the job is gone.
+    ///
+    /// While the state is too large to be stored, placements that wait for it are withdrawn.
+    fn encode_image(
+        &mut self,
+        job: &JobId,
+        now: Instant,
+    ) -> Option<Result<(Vec<u8>, JobStatus), ImageError>> {
+        loop {
+            let record = self.jobs.get(job)?;
+            let status = record.state.status(&record.submission.spec);
+            let image = encode_state(&record.state, self.settings.max_image_bytes);
+            let is_too_large = matches!(image, Err(ImageError::TooLarge(_)));
+            if !is_too_large || !self.withdraw_starts(job, now) {
+                return Some(image.map(|bytes| (bytes, status)));
+            }
+        }
+    }
+
+    /// Withdraws half of the starts of a job that wait for its state to be stored, and pauses their
+    /// tasks; returns whether there are any.
+    fn withdraw_starts(&mut self, job: &JobId, now: Instant) -> bool {
+        let starts = &mut self.store_queue.starts;
+        let of_job = |start: &PlannedStart| start.task.job == *job;
+        let kept = starts.iter().filter(|start| of_job(start)).count() / 2;
+        let mut seen = 0;
+        let withdrawn: Vec<PlannedStart> = starts
+            .extract_if(.., |start| {
+                seen += usize::from(of_job(start));
+                of_job(start) && seen > kept
+            })
+            .collect();
+        if withdrawn.is_empty() {
+            return false;
+        }
+        let pause_end = now + WITHDRAWN_START_PAUSE;
+        self.pause_ends.insert(pause_end);
+        for PlannedStart { worker, task, run } in &withdrawn {
+            self.end_run(worker, task, *run, RunEnd::Stopped, None, now);
+            if let Some(record) = self.jobs.get_mut(job) {
+                let position = (task.occurrence, task.step, task.index);
+                record.retry_after.insert(position, pause_end);
+            }
+        }
+        let event = EventCode::StartsWithdrawn.number();
+        let starts = withdrawn.len();
+        tracing::warn!(
+            event,
+            job = &**job,
+            starts,
+            "state of a job leaves no room for starts"
+        );
+        true
+    }
+
     /// Handles a completed append: publishes the stored statuses and sends the starts in it.
     pub(super) fn handle_stored(&mut self, sequence: u64, now: Instant) {
         if self
--- a/crates/control/tests/support/answers.rs
+++ b/crates/control/tests/support/answers.rs
@@ -94,6 +94,16 @@
         if append.epoch != self.epoch {
             return;
         }
+        // The store refuses the append each time, and its owner repeats it without end.
+        let max_bytes = self.max_record_bytes;
+        let is_too_large = |record: &StoreRecord| match record {
+            StoreRecord::State(job, bytes) => 1 + job.len() + bytes.len() > max_bytes,
+            StoreRecord::Remove(_) | StoreRecord::Forward { .. } => false,
+        };
+        if append.records.iter().any(is_too_large) {
+            self.trace(|| "the store refuses an append".to_owned());
+            return;
+        }
         for record in append.records {
             match record {
                 StoreRecord::State(job, bytes) => {
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -82,6 +82,8 @@
     pub only_submissions_removed: bool,
     /// The store is available.
     pub store_up: bool,
+    /// Largest record that the store takes.
+    pub max_record_bytes: usize,
     pending_appends: Vec<PendingAppend>,
     /// Time until the store executes an append.
     pub append_time: Duration,
@@ -151,6 +153,7 @@
             known_inputs: ShardInput::ALL.to_vec(),
             only_submissions_removed: false,
             store_up: true,
+            max_record_bytes: 262_144,
             pending_appends: Vec::new(),
             append_time: Duration::ZERO,
             append_answer_time: ROUND_TRIP,
--- a/crates/job/src/image.rs
+++ b/crates/job/src/image.rs
@@ -3,19 +3,25 @@
 
 use std::borrow::Cow;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
 use bincode::config::{self, Configuration, Limit, LittleEndian};
+use indexmap::IndexSet;
 use pw_base::prelude::*;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::spec::JobSpec;
-use crate::state::{JobState, OccurrenceState};
+use crate::state::{
+    CrashTally, JobState, OccurrenceState, TaskPhase, TaskPlacement, TaskPosition, TaskState,
+};
 
 /// Format version of submissions.
 const SUBMISSION_VERSION: u8 = 1;
+/// Format version of the states of jobs whose tasks refer to shared placements.
+const COMPACT_STATE_VERSION: u8 = 3;
 /// Format version of the states of jobs.
 const STATE_VERSION: u8 = 2;
 /// Format version of the states of jobs without the crashes of workers.
@@ -88,6 +94,127 @@
     }
 }
 
+/// A [`JobState`] in [`COMPACT_STATE_VERSION`].
+#[derive(Serialize, Deserialize)]
+struct CompactState<'a> {
+    cancelled: bool,
+    failed: bool,
+    started: bool,
+    opened: OccurrenceNumber,
+    /// Placements that tasks refer to by their index.
+    placements: IndexSet<Cow<'a, TaskPlacement>>,
+    occurrences: Vec<CompactOccurrence>,
+    crashes: Cow<'a, BTreeMap<TaskPosition, CrashTally>>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct CompactOccurrence {
+    number: OccurrenceNumber,
+    steps: Vec<Vec<CompactTask>>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct CompactTask {
+    phase: CompactPhase,
+    last_run: RunNumber,
+    failures: u32,
+    checkpoint: Option<Arc<str>>,
+}
+
+#[derive(Serialize, Deserialize)]
+enum CompactPhase {
+    Waiting,
+    Placed(usize),
+    Done,
+}
+
+impl<'a> CompactState<'a> {
+    fn new(state: &'a JobState, checkpoints: Checkpoints) -> Self {
+        let mut placements = IndexSet::new();
+        let mut compact = |task: &'a TaskState| CompactTask {
+            phase: match &task.phase {
+                TaskPhase::Waiting => CompactPhase::Waiting,
+                TaskPhase::Placed(placement) => {
+                    let (index, _) = placements.insert_full(Cow::Borrowed(placement));
+                    CompactPhase::Placed(index)
+                }
+                TaskPhase::Done => CompactPhase::Done,
+            },
+            last_run: task.last_run,
+            failures: task.failures,
+            checkpoint: match checkpoints {
+                Checkpoints::Kept => task.checkpoint.clone(),
+                Checkpoints::Dropped => None,
+            },
+        };
+        let mut compact_step = |tasks: &'a Vec<TaskState>| tasks.iter().map(&mut compact).collect();
+        let occurrences = state
+            .occurrences
+            .iter()
+            .map(|occurrence| CompactOccurrence {
+                number: occurrence.number,
+                steps: occurrence.steps.iter().map(&mut compact_step).collect(),
+            });
+        let occurrences = occurrences.collect();
+        Self {
+            cancelled: state.cancelled,
+            failed: state.failed,
+            started: state.started,
+            opened: state.opened,
+            placements,
+            occurrences,
+            crashes: Cow::Borrowed(&state.crashes),
+        }
+    }
+
+    /// Returns the state; fails if a task refers to a placement that does not exist.
+    fn into_state(self) -> Result<JobState, ImageError> {
+        let placements = self.placements;
+        let task_from = |task: CompactTask| {
+            let phase = match task.phase {
+                CompactPhase::Waiting => TaskPhase::Waiting,
+                CompactPhase::Placed(index) => {
+                    let placement = placements.get_index(index);
+                    let placement = placement.ok_or_else(|| {
+                        ImageError::Malformed(format!("no placement has the index {index}"))
+                    })?;
+                    TaskPhase::Placed(placement.clone().into_owned())
+                }
+                CompactPhase::Done => TaskPhase::Done,
+            };
+            Ok(TaskState {
+                phase,
+                last_run: task.last_run,
+                failures: task.failures,
+                checkpoint: task.checkpoint,
+            })
+        };
+        let step_from = |tasks: Vec<CompactTask>| tasks.into_iter().map(task_from).collect();
+        let occurrences = self.occurrences.into_iter().map(|occurrence| {
+            let steps = occurrence.steps.into_iter().map(step_from);
+            Ok(OccurrenceState {
+                number: occurrence.number,
+                steps: steps.collect::<Result<_, ImageError>>()?,
+            })
+        });
+        Ok(JobState {
+            cancelled: self.cancelled,
+            failed: self.failed,
+            started: self.started,
+            opened: self.opened,
+            occurrences: occurrences.collect::<Result<_, ImageError>>()?,
+            crashes: self.crashes.into_owned(),
+        })
+    }
+}
+
+/// Whether an image holds the checkpoints of the tasks.
+#[derive(Clone, Copy)]
+enum Checkpoints {
+    Kept,
+    Dropped,
+}
+
 /// Error of encoding or decoding an image.
 #[derive(Debug, Error)]
 pub enum ImageError {
@@ -100,6 +227,9 @@
     /// The body is malformed.
     #[error("malformed body: {0}")]
     Malformed(String),
+    /// The image exceeds the maximum size.
+    #[error("{0} bytes are too many")]
+    TooLarge(usize),
 }
 
 /// Encodes a submission.
@@ -108,7 +238,7 @@
 ///
 /// Fails when the body exceeds the maximum size.
 pub fn encode_submission(record: &SubmissionRecord) -> Result<Vec<u8>, ImageError> {
-    encode(SUBMISSION_VERSION, record)
+    encode(SUBMISSION_VERSION, record, MAX_IMAGE_BYTES)
 }
 
 /// Decodes a submission.
@@ -123,18 +253,35 @@
     }
 }
 
-/// Encodes the state of a job. Builds that do not know crashes can read it unless it has any: a job
-/// whose state can't be read would start anew.
+/// Encodes the state of a job in at most `max_bytes`.
+///
+/// Builds that do not know crashes can read it unless it has any, and builds that do not know compact
+/// states can unless it is too large for them to store: a job whose state can't be read would start
+/// anew. A compact state that is still too large is encoded without checkpoints: if the job's owner is
+/// lost, tasks whose runs are lost too resume from their start.
 ///
 /// # Errors
 ///
-/// Fails when the body exceeds the maximum size.
-pub fn encode_state(state: &JobState) -> Result<Vec<u8>, ImageError> {
-    if state.crashes.is_empty() {
+/// Fails when no encoding has at most `max_bytes`.
+pub fn encode_state(state: &JobState, max_bytes: usize) -> Result<Vec<u8>, ImageError> {
+    let plain = if state.crashes.is_empty() {
         let state = StateWithoutCrashes::from(state);
-        return encode(STATE_VERSION_WITHOUT_CRASHES, &state);
+        encode(STATE_VERSION_WITHOUT_CRASHES, &state, max_bytes)
+    } else {
+        encode(STATE_VERSION, state, max_bytes)
+    };
+    let compact = |checkpoints| {
+        let state = CompactState::new(state, checkpoints);
+        encode(COMPACT_STATE_VERSION, &state, max_bytes)
+    };
+    match plain {
+        Err(ImageError::TooLarge(_)) => {}
+        other => return other,
+    }
+    match compact(Checkpoints::Kept) {
+        Err(ImageError::TooLarge(_)) => compact(Checkpoints::Dropped),
+        other => other,
     }
-    encode(STATE_VERSION, state)
 }
 
 /// Decodes the state of a job.
@@ -144,6 +291,7 @@
 /// Fails on an unknown version, a wrong checksum and malformed bytes.
 pub fn decode_state(bytes: &[u8]) -> Result<JobState, ImageError> {
     match split_version(bytes)? {
+        (COMPACT_STATE_VERSION, rest) => decode::<CompactState<'_>>(rest)?.into_state(),
         (STATE_VERSION, rest) => decode(rest),
         (STATE_VERSION_WITHOUT_CRASHES, rest) => {
             decode::<StateWithoutCrashes<'_>>(rest).map(JobState::from)
@@ -152,14 +300,16 @@
     }
 }
 
-fn encode<T: Serialize>(version: u8, value: &T) -> Result<Vec<u8>, ImageError> {
+/// Encodes an image of at most `max_bytes` with its version and checksum.
+fn encode<T: Serialize>(version: u8, value: &T, max_bytes: usize) -> Result<Vec<u8>, ImageError> {
     let body = bincode::serde::encode_to_vec(value, body_config())
         .map_err(|error| ImageError::Malformed(error.to_string()))?;
-    if body.len() > MAX_IMAGE_BYTES {
-        return Err(ImageError::Malformed(format!("{} bytes", body.len())));
-    }
     let checksum = crc32fast::hash(&body).to_le_bytes();
-    Ok([&[version], checksum.as_slice(), body.as_slice()].concat())
+    let image = [&[version], checksum.as_slice(), body.as_slice()].concat();
+    if body.len() > MAX_IMAGE_BYTES || image.len() > max_bytes {
+        return Err(ImageError::TooLarge(image.len()));
+    }
+    Ok(image)
 }
 
 fn split_version(bytes: &[u8]) -> Result<(u8, &[u8]), ImageError> {
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -19,6 +19,6 @@
     pub use crate::spec::{JobSpec, MAX_OPEN_TASKS, SpecError, StepSpec};
     pub use crate::state::{
         CrashTally, JobState, JobStatus, OccurrenceState, RunEnd, TaskPhase, TaskPlacement,
-        TaskState,
+        TaskPosition, TaskState,
     };
 }
--- a/crates/job/src/state.rs
+++ b/crates/job/src/state.rs
@@ -9,6 +9,9 @@
 
 use crate::spec::{JobSpec, MAX_OPEN_TASKS, StepSpec};
 
+/// Position of a task in its job: its occurrence, its step and its index.
+pub type TaskPosition = (OccurrenceNumber, u32, u32);
+
 /// Status of a job as reported to callers.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, Hash, AsRefStr, Display, EnumString, Serialize, Deserialize,
@@ -111,7 +114,7 @@
     /// Opened occurrences with tasks that are not done.
     pub occurrences: Vec<OccurrenceState>,
     /// Crashes of workers that started a task, for the tasks with any.
-    pub crashes: BTreeMap<(OccurrenceNumber, u32, u32), CrashTally>,
+    pub crashes: BTreeMap<TaskPosition, CrashTally>,
 }
 
 /// Losses of workers in a row, each with another explanation, after which a task is suspected of
@@ -251,11 +254,7 @@
 
     /// Places the next run of a waiting task and returns its number; `None` if the task isn't
     /// waiting.
-    pub fn place(
-        &mut self,
-        name: (OccurrenceNumber, u32, u32),
-        to: TaskPlacement,
-    ) -> Option<RunNumber> {
+    pub fn place(&mut self, name: TaskPosition, to: TaskPlacement) -> Option<RunNumber> {
         let task = self.task_mut(name.0, name.1, name.2)?;
         if !task.is_waiting() {
             return None;
@@ -272,7 +271,7 @@
     pub fn complete_lost(
         &mut self,
         spec: &JobSpec,
-        (occurrence, step, index): (OccurrenceNumber, u32, u32),
+        (occurrence, step, index): TaskPosition,
         run: RunNumber,
     ) -> bool {
         let step_spec = spec.steps.get(step as usize);
@@ -301,7 +300,7 @@
     pub fn fail_lost(
         &mut self,
         spec: &JobSpec,
-        (occurrence, step, index): (OccurrenceNumber, u32, u32),
+        (occurrence, step, index): TaskPosition,
         attempts: Option<u32>,
     ) -> bool {
         let over = self.is_over(spec);
@@ -320,7 +319,7 @@
     }
 
     /// Returns whether a task is suspected of crashing the workers that start it.
-    pub fn is_suspected(&self, task: (OccurrenceNumber, u32, u32)) -> bool {
+    pub fn is_suspected(&self, task: TaskPosition) -> bool {
         let tally = self.crashes.get(&task);
         tally.is_some_and(|tally| tally.count > 0 || tally.excused >= SUSPICIOUS_LOSSES)
     }
@@ -329,7 +328,7 @@
     /// returns the crashes in a row, or `None` if this one has counted before.
     pub fn record_crash(
         &mut self,
-        task: (OccurrenceNumber, u32, u32),
+        task: TaskPosition,
         run: RunNumber,
         excused: bool,
     ) -> Option<CrashTally> {
@@ -344,7 +343,7 @@
     }
 
     /// Records that a worker survived the start of a task; returns whether it was under suspicion.
-    pub fn clear_crashes(&mut self, task: (OccurrenceNumber, u32, u32)) -> bool {
+    pub fn clear_crashes(&mut self, task: TaskPosition) -> bool {
         self.crashes.remove(&task).is_some()
     }
 
@@ -362,7 +361,7 @@
     pub fn end_run(
         &mut self,
         spec: &JobSpec,
-        name: (OccurrenceNumber, u32, u32),
+        name: TaskPosition,
         run: RunNumber,
         end: RunEnd,
         attempts: Option<u32>,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -52,6 +52,10 @@
     pub follow_timeout: Duration,
     /// Long-poll timeout of reads of submissions. Their age grows during a read.
     pub submission_timeout: Duration,
+    /// Maximum size of a record of the store, with its key.
+    pub max_record_bytes: usize,
+    /// Maximum size of the records of one append.
+    pub max_append_bytes: usize,
     /// Delay after a failed call of the store.
     pub store_retry_delay: Duration,
     /// Shortest timeout of an append; the store usually answers within a few milliseconds.
@@ -93,6 +97,8 @@
             confirm_timeout: Duration::from_secs(1),
             follow_timeout: Duration::from_secs(2),
             submission_timeout: Duration::from_secs(1),
+            max_record_bytes: 256 * 1024,
+            max_append_bytes: 2 * 1024 * 1024,
             store_retry_delay: Duration::from_millis(200),
             append_timeout_min: Duration::from_millis(150),
             append_timeout_max: Duration::from_millis(1500),
