Split the records of a batch into appends that the store takes

Cause: all images of a batch, all submissions forwarded to a shard and all deletions were appended in one call of any size. Eight states of 256 KiB that change together are enough. Found by reading. Change: split_appends divides the records, in order, at the limit from the settings of the platform. The controller still gets one Stored once all of them are, and records of different jobs don't depend on each other.

--- a/crates/node/src/journal_duty/owned_shard.rs
+++ b/crates/node/src/journal_duty/owned_shard.rs
@@ -17,7 +17,9 @@
 use crate::claim::ClaimRecord;
 use crate::feed_duty::OutageLog;
 use crate::hedge::append_hedged;
-use crate::links::{StoreEntry, StoreFault, StorePartition, StoreTopic, StoreWriter};
+use crate::links::{
+    StoreEntry, StoreFault, StorePartition, StoreTopic, StoreWriter, split_appends,
+};
 use crate::message::{ControlMessage, MachineMessage, ShardTerm};
 use crate::service::{CANCEL_SUFFIX, REROUTE_SUFFIX, cancellation};
 
@@ -224,7 +226,6 @@
     async fn append_images(&self, term: ShardTerm, requests: RingReceiver<AppendRequest>) {
         let images = partition(StoreTopic::Images, term.shard);
         let mut next_sequence = 1;
-        let mut outage = OutageLog::new("images");
         while let Some((number, records)) = requests.recv().await {
             for (shard, entries) in forwarded_entries(&records, self.settings.shards) {
                 self.store_submissions(shard, entries).await;
@@ -234,40 +235,21 @@
             if !deletions.is_empty() {
                 self.store_submissions(term.shard, deletions).await;
             }
-            // An append without an answer may have been executed, so it is repeated unchanged.
-            let mut in_doubt = false;
-            loop {
+            // The first one is sent even without records, as its answer confirms the ownership.
+            let mut appends = split_appends(entries, self.settings.max_append_bytes);
+            if appends.is_empty() {
+                appends.push(Vec::new());
+            }
+            for entries in appends {
+                let is_empty = entries.is_empty();
                 let writer = StoreWriter {
                     epoch: term.epoch,
                     sequence: next_sequence,
                 };
-                let attempt = || {
-                    let wait = self.settings.append_timeout_max;
-                    self.store
-                        .append(images, entries.clone(), Some(writer), wait)
+                let Some(sequence) = self.append_fenced(images, entries, writer).await else {
+                    return;
                 };
-                let outcome = append_hedged(attempt, &self.timeout, &self.clock).await;
-                in_doubt |= outcome.in_doubt;
-                match outcome.result {
-                    Ok(_) => break,
-                    Err(StoreFault::WrongSequence { expected }) => {
-                        let stored = in_doubt && expected == next_sequence + 1;
-                        if stored {
-                            break;
-                        }
-                        next_sequence = expected;
-                        in_doubt = false;
-                    }
-                    Err(StoreFault::Fenced) => return,
-                    Err(fault) => {
-                        outage.record_fault(&fault);
-                        Timer::after(self.settings.store_retry_delay).await;
-                    }
-                }
-            }
-            outage.set_reachable(true);
-            if !entries.is_empty() {
-                next_sequence += 1;
+                next_sequence = sequence + u64::from(!is_empty);
             }
             if !self.send_event(term, ShardEvent::Stored(number)).await {
                 return;
@@ -275,14 +257,56 @@
         }
     }
 
+    /// Appends to the images of a shard until the append is stored; returns the sequence number under
+    /// which it is, or `None` if a later owner fences the partition.
+    async fn append_fenced(
+        &self,
+        images: StorePartition,
+        entries: Vec<StoreEntry>,
+        mut writer: StoreWriter,
+    ) -> Option<u64> {
+        let mut outage = OutageLog::new("images");
+        // An append without an answer may have been executed, so it is repeated unchanged.
+        let mut in_doubt = false;
+        loop {
+            let attempt = || {
+                let wait = self.settings.append_timeout_max;
+                self.store
+                    .append(images, entries.clone(), Some(writer), wait)
+            };
+            let outcome = append_hedged(attempt, &self.timeout, &self.clock).await;
+            in_doubt |= outcome.in_doubt;
+            match outcome.result {
+                Ok(_) => break,
+                Err(StoreFault::WrongSequence { expected }) => {
+                    let stored = in_doubt && expected == writer.sequence + 1;
+                    if stored {
+                        break;
+                    }
+                    writer.sequence = expected;
+                    in_doubt = false;
+                }
+                Err(StoreFault::Fenced) => return None,
+                Err(fault) => {
+                    outage.record_fault(&fault);
+                    Timer::after(self.settings.store_retry_delay).await;
+                }
+            }
+        }
+        outage.set_reachable(true);
+        Some(writer.sequence)
+    }
+
     /// Appends to the submissions of a shard: forwarded jobs, or the deletion of removed ones. The
     /// states of the latter are deleted afterwards, since a submission without a state is a new job.
     async fn store_submissions(&self, shard: ShardNumber, entries: Vec<StoreEntry>) {
         let submissions = partition(StoreTopic::Submissions, shard);
-        while let Err(fault) = self.append(submissions, entries.clone(), None).await {
-            let event = EventCode::StoreReach.number();
-            tracing::warn!(event, shard, %fault, "failed to append to the submissions of a shard");
-            Timer::after(self.settings.store_retry_delay).await;
+        for entries in split_appends(entries, self.settings.max_append_bytes) {
+            while let Err(fault) = self.append(submissions, entries.clone(), None).await {
+                let event = EventCode::StoreReach.number();
+                tracing::warn!(event, shard, %fault, "failed to append to the submissions of a shard");
+                Timer::after(self.settings.store_retry_delay).await;
+            }
         }
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,6 +32,7 @@
     pub use crate::links::{
         FleetFeed, FrontEnd, GroupJoin, JobStore, MachineGateway, StoreEntry, StoreFault,
         StorePage, StorePartition, StoreRead, StoreTopic, StoreWriter, WorkerGateway,
+        split_appends,
     };
     pub use crate::log_budget::LogBudget;
     pub use crate::node::{JobNode, NodeLinks};
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -52,6 +52,35 @@
     pub value: Vec<u8>,
 }
 
+impl StoreEntry {
+    /// Size of the lengths of a record and of its key.
+    const LENGTH_BYTES: usize = 5;
+
+    /// Returns the size of the record in an append.
+    pub fn size(&self) -> usize {
+        Self::LENGTH_BYTES + self.key.len() + self.value.len()
+    }
+}
+
+/// Splits records into appends of at most `max_bytes`, in the same order. A larger record gets an append
+/// of its own.
+pub fn split_appends(entries: Vec<StoreEntry>, max_bytes: usize) -> Vec<Vec<StoreEntry>> {
+    let mut appends: Vec<Vec<StoreEntry>> = Vec::new();
+    let mut room = 0;
+    for entry in entries {
+        let size = entry.size();
+        match appends.last_mut().filter(|_| size <= room) {
+            Some(append) => append.push(entry),
+            None => {
+                room = max_bytes.max(size);
+                appends.push(vec![entry]);
+            }
+        }
+        room -= size;
+    }
+    appends
+}
+
 /// Fenced writer of a partition.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StoreWriter {
