Refuse a submission that the store never takes with 400

Cause: the store's refusal counted as one for the moment. Change: the writer compares the record with the limit from the settings before it is sent. Result: a_submission_beyond_the_largest_record_is_answered_400 got 503 before (with the fake store that refuses large records) and passes now, as does a_submission_beyond_the_largest_record_is_refused_for_good.

--- a/crates/node/src/peer_duty.rs
+++ b/crates/node/src/peer_duty.rs
@@ -93,7 +93,7 @@
 fn store_response(outcome: SubmitOutcome) -> NodeResponse {
     match outcome {
         SubmitOutcome::Stored => NodeResponse::Stored,
-        SubmitOutcome::NotStored => NodeResponse::NotStored,
+        SubmitOutcome::NotStored | SubmitOutcome::TooLarge => NodeResponse::NotStored,
         SubmitOutcome::Unknown => NodeResponse::MaybeStored,
     }
 }
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -219,7 +219,7 @@
             Err(error) => {
                 let event = EventCode::JobImageRefused.number();
                 tracing::error!(event, job = &**job, %error, "submission can't be encoded");
-                SubmitOutcome::NotStored
+                SubmitOutcome::TooLarge
             }
         }
     }
--- a/crates/node/src/writer.rs
+++ b/crates/node/src/writer.rs
@@ -21,6 +21,8 @@
     Stored,
     /// It is not stored, so the request takes no effect.
     NotStored,
+    /// It is not stored, as it exceeds the largest record of the store.
+    TooLarge,
     /// It may be stored.
     Unknown,
 }
@@ -57,6 +59,9 @@
             shard,
         };
         let entry = StoreEntry { key, value };
+        if entry.size() > self.settings.max_record_bytes {
+            return SubmitOutcome::TooLarge;
+        }
         // Each attempt appends the same record, so repeats are harmless.
         let wait = self.settings.append_timeout_max;
         let attempt = || {
