--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -501,18 +501,18 @@
         let spec = &record.submission.spec;
         let first_steps = spec.steps.iter().filter(|s| s.depends_on.is_empty());
         let first_steps = first_steps.count();
-        let mut ready = None;
+        let mut ready_count = None;
         while !record.is_over() && record.state.opened < spec.occurrences {
             if let Some(due) = spec.due(record.state.opened).filter(|due| *due > due_wall) {
                 self.due_occurrences.insert((due, job.clone()));
                 break;
             }
             // The job is reviewed again when a task of it starts or ends.
-            let ready_count = ready.unwrap_or_else(|| ready_steps(record).len());
-            if ready_count >= MAX_READY_STEPS || !record.state.may_open_next(spec) {
+            let ready = *ready_count.get_or_insert_with(|| ready_steps(record).len());
+            if ready >= MAX_READY_STEPS || !record.state.may_open_next(spec) {
                 break;
             }
-            ready = Some(ready_count + first_steps);
+            ready_count = Some(ready + first_steps);
             record.state.open_next(spec);
             self.placement_needed = true;
             tracing::debug!(
--- a/crates/control/src/shard/persistence.rs
+++ b/crates/control/src/shard/persistence.rs
@@ -103,7 +103,7 @@
         }
         let mut records = Vec::new();
         let mut statuses = Vec::new();
-        let mut complete = true;
+        let mut all_encoded = true;
         for job in std::mem::take(&mut self.store_queue.changed_jobs) {
             let Some(image) = self.encode_image(&job, now) else {
                 continue;
@@ -117,7 +117,7 @@
                     let event = EventCode::JobImageRefused.number();
                     tracing::error!(event, job = &*job, %error, "state of a job can't be encoded");
                     self.store_queue.mark_changed(&job);
-                    complete = false;
+                    all_encoded = false;
                 }
             }
         }
@@ -137,7 +137,7 @@
         let applied_ends = self
             .workers
             .iter()
-            .filter(|(_, w)| complete && w.applied_end > w.stored_end);
+            .filter(|(_, w)| all_encoded && w.applied_end > w.stored_end);
         let applied_ends = applied_ends.filter_map(|(id, worker)| {
             let life = worker.life?;
             Some(((id.clone(), life), worker.applied_end))
--- a/crates/job/src/image.rs
+++ b/crates/job/src/image.rs
@@ -264,24 +264,20 @@
 ///
 /// Fails when no encoding has at most `max_bytes`.
 pub fn encode_state(state: &JobState, max_bytes: usize) -> Result<Vec<u8>, ImageError> {
-    let plain = if state.crashes.is_empty() {
+    let mut image = if state.crashes.is_empty() {
         let state = StateWithoutCrashes::from(state);
         encode(STATE_VERSION_WITHOUT_CRASHES, &state, max_bytes)
     } else {
         encode(STATE_VERSION, state, max_bytes)
     };
-    let compact = |checkpoints| {
+    for checkpoints in [Checkpoints::Kept, Checkpoints::Dropped] {
+        if !matches!(image, Err(ImageError::TooLarge(_))) {
+            break;
+        }
         let state = CompactState::new(state, checkpoints);
-        encode(COMPACT_STATE_VERSION, &state, max_bytes)
-    };
-    match plain {
-        Err(ImageError::TooLarge(_)) => {}
-        other => return other,
-    }
-    match compact(Checkpoints::Kept) {
-        Err(ImageError::TooLarge(_)) => compact(Checkpoints::Dropped),
-        other => other,
+        image = encode(COMPACT_STATE_VERSION, &state, max_bytes);
     }
+    image
 }
 
 /// Decodes the state of a job.
--- a/crates/node/src/journal_duty/owned_shard.rs
+++ b/crates/node/src/journal_duty/owned_shard.rs
@@ -235,7 +235,7 @@
             if !deletions.is_empty() {
                 self.store_submissions(term.shard, deletions).await;
             }
-            // The first one is sent even without records, as its answer confirms the ownership.
+            // An append without records confirms the ownership all the same.
             let mut appends = split_appends(entries, self.settings.max_append_bytes);
             if appends.is_empty() {
                 appends.push(Vec::new());
