--- a/crates/node/tests/writer.rs
+++ b/crates/node/tests/writer.rs
@@ -10,7 +10,7 @@
 
 use self::support::MemoryStore;
 
-/// Guards against a caller that repeats a submission for ever, as its record exceeds the limit.
+/// Guards against a caller that keeps repeating a submission whose record the store never takes.
 #[test]
 fn a_submission_beyond_the_largest_record_is_refused_for_good() {
     let store = MemoryStore::default();
