--- a/review/lib-3/cases.rs
+++ b/review/lib-3/cases.rs
@@ -75,6 +75,7 @@
         "13" => crashed_workers(&system, trouble),
         "14" => early_cancel(&system, trouble),
         "15" => gang_checkpoints(&system, trouble),
+        "17" => late_start(&system, trouble),
         "16" => extended_wave(&system, trouble),
         _ => Err("no such case".to_owned()),
     };
@@ -277,6 +278,7 @@
 /// The worker of one member of a gang crashes; the gang starts again from its checkpoint.
 fn gang_checkpoints(system: &System, trouble: bool) -> Result<Option<String>, String> {
     let job = "1500000000000001";
+    system.world.lock().strict_gangs = std::env::var("STRICT").is_ok_and(|value| value == "1");
     let gang = Step { count: 2, cpu: 20_000, gang: true, saves: true, work_ms: 9000, ..Default::default() };
     accepted(system.submit(0, "/cut/", job, &[gang]))?;
     if !system.wait(5.0, |system| starts_of(system, job).len() == 2) {
@@ -291,6 +293,13 @@
             thread::sleep(Duration::from_millis(4500));
             world.begin_life(index);
         });
+        // Not part of the case: what follows if the workers insist on one checkpoint.
+        if std::env::var("STRICT").is_ok_and(|value| value == "1") {
+            thread::sleep(Duration::from_secs(25));
+            let failed = events_of(system, job).iter().filter(|event| event.what == "failed").count();
+            let state = system.state("/cut/", job);
+            return Ok((state != "completed").then(|| format!("the gang is {state} after {failed} ends `failed`")));
+        }
         if !system.wait(20.0, |system| starts_of(system, job).len() >= 4) {
             return Err("the gang does not start again".to_owned());
         }
@@ -346,3 +355,34 @@
     }
     Ok(None)
 }
+
+/// A start gets no answer and is carried out 11 s later; meanwhile its task is done and its worker has
+/// crashed and started again under its id.
+fn late_start(system: &System, trouble: bool) -> Result<Option<String>, String> {
+    let job = "1700000000000001";
+    let task = format!("{job}.0.0.0");
+    if trouble {
+        system.world.lock().delay_start = Some(Duration::from_secs(11));
+    }
+    accepted(system.submit(0, "/cut/", job, &[Step { work_ms: 800, ..Default::default() }]))?;
+    if !system.wait(6.0, |system| system.state("/cut/", job) == "completed") {
+        return Err("the job does not end".to_owned());
+    }
+    thread::sleep(Duration::from_secs(1));
+    if trouble {
+        let name = starts_of(system, job).pop().ok_or("no start")?.worker;
+        let found = system.world.lock().workers.iter().position(|worker| worker.id == name);
+        let index = found.ok_or("no worker")?;
+        system.world.crash(index);
+        thread::sleep(Duration::from_millis(1500));
+        system.world.restart(index);
+    }
+    thread::sleep(Duration::from_secs(12));
+    let events = events_of(system, job);
+    let done = events.iter().position(|event| event.what == "done").ok_or("no run is done")?;
+    let again = events[done..].iter().find(|event| event.what == "start");
+    Ok(again.map(|again| {
+        let after = (again.at - events[done].at).as_millis();
+        format!("TWICE: {task} starts as run {} on {} {after} ms after it has ended done", again.run, again.worker)
+    }))
+}
--- a/review/lib-3/http.rs
+++ b/review/lib-3/http.rs
@@ -1,5 +1,6 @@
 //! A small HTTP/1.1 server (one thread a connection) and client.
 
+use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -7,6 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
+#[derive(Clone)]
 pub struct Request {
     pub path: String,
     pub query: Vec<(String, String)>,
@@ -56,7 +58,7 @@
 pub struct Server {
     pub address: SocketAddr,
     on: Arc<AtomicBool>,
-    open: Arc<Mutex<Vec<TcpStream>>>,
+    open: Arc<Mutex<HashMap<u64, TcpStream>>>,
 }
 
 impl Server {
@@ -64,7 +66,7 @@
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
         let on = Arc::new(AtomicBool::new(true));
-        let open = Arc::new(Mutex::new(Vec::new()));
+        let open = Arc::new(Mutex::new(HashMap::new()));
         let server = Server { address, on: Arc::clone(&on), open: Arc::clone(&open) };
         thread::spawn(move || accept(listener, address, &on, &open, &handler));
         Ok(server)
@@ -73,7 +75,7 @@
     /// Closes the port and all connections, as when the process is killed.
     pub fn off(&self) {
         self.on.store(false, Ordering::SeqCst);
-        for stream in self.open.lock().unwrap().drain(..) {
+        for (_, stream) in self.open.lock().unwrap().drain() {
             _ = stream.shutdown(Shutdown::Both);
         }
     }
@@ -84,10 +86,11 @@
     listener: TcpListener,
     address: SocketAddr,
     on: &Arc<AtomicBool>,
-    open: &Arc<Mutex<Vec<TcpStream>>>,
+    open: &Arc<Mutex<HashMap<u64, TcpStream>>>,
     handler: &Handler,
 ) {
     let mut listener = Some(listener);
+    let mut number = 0;
     loop {
         if !on.load(Ordering::SeqCst) {
             listener = None;
@@ -104,12 +107,15 @@
             Ok((stream, _)) => {
                 _ = stream.set_nonblocking(false);
                 _ = stream.set_nodelay(true);
+                number += 1;
                 if let Ok(copy) = stream.try_clone() {
-                    let mut open = open.lock().unwrap();
-                    open.push(copy);
+                    open.lock().unwrap().insert(number, copy);
                 }
-                let handler = Arc::clone(handler);
-                thread::spawn(move || serve(stream, &handler));
+                let (open, handler) = (Arc::clone(open), Arc::clone(handler));
+                thread::spawn(move || {
+                    serve(stream, &handler);
+                    open.lock().unwrap().remove(&number);
+                });
             }
             Err(_) => thread::sleep(Duration::from_millis(1)),
         }
@@ -138,8 +144,6 @@
             }
         }
     }
-    // Copies of the stream are kept for `off`, so it has to be closed here.
-    _ = writer.shutdown(Shutdown::Both);
 }
 
 fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
--- a/review/lib-3/world.rs
+++ b/review/lib-3/world.rs
@@ -60,6 +60,8 @@
     before_ms: u64,
     /// When the work began; `None` while a gang waits for its members.
     working: Option<Instant>,
+    /// Checkpoint that its start carried.
+    from: String,
     saved: String,
     saved_count: u64,
     stopping: Option<Instant>,
@@ -108,6 +110,10 @@
     pub events: Vec<Event>,
     /// Jobs whose starts need a ticket.
     pub ticketed: Vec<String>,
+    /// A start that carries another checkpoint than a member of its gang that is there is refused.
+    pub strict_gangs: bool,
+    /// The next start gets no answer and is carried out after this time.
+    pub delay_start: Option<Duration>,
     next_id: u64,
 }
 
@@ -131,6 +137,21 @@
 }
 
 impl Worker {
+    /// Forgets everything, as a new life does, and returns its first entry.
+    fn begin(&mut self, pool: &str) -> String {
+        self.born = unix_ms();
+        self.since = Instant::now();
+        (self.fence, self.lease_until, self.ends, self.seq) = (0, 0, 0, 0);
+        self.running.clear();
+        self.finished.clear();
+        self.superseded.clear();
+        self.up = true;
+        self.state = "up";
+        self.lives += 1;
+        self.silent_since = None;
+        self.entry(pool).to_string()
+    }
+
     /// Returns the number of lives that the machine has had.
     pub fn lives(&self) -> u64 {
         self.lives
@@ -355,18 +376,27 @@
         worker.id = id;
         worker.address = server.address;
         worker.server = Some(server);
-        worker.born = unix_ms();
-        worker.since = Instant::now();
-        (worker.fence, worker.lease_until, worker.ends, worker.seq) = (0, 0, 0, 0);
-        worker.running.clear();
-        worker.finished.clear();
-        worker.superseded.clear();
-        worker.up = true;
-        worker.state = "up";
-        worker.lives += 1;
-        worker.silent_since = None;
         self.record.line(&format!("{} starts on {}", worker.id, worker.machine));
-        let entry = worker.entry(&self.pool).to_string();
+        let entry = worker.begin(&self.pool);
+        self.store.put("keyed.servers", &worker.id, &entry);
+    }
+
+    /// Starts the worker on a machine again under the id and at the address that it had.
+    pub fn restart(self: &Arc<Self>, index: usize) {
+        let world = Arc::clone(self);
+        let handler: Handler = Arc::new(move |request| world.handle(index, request));
+        let address = self.lock().workers[index].address;
+        let server = loop {
+            match Server::start(address, Arc::clone(&handler)) {
+                Ok(server) => break server,
+                Err(_) => thread::sleep(Duration::from_millis(5)),
+            }
+        };
+        let mut state = self.lock();
+        let worker = &mut state.workers[index];
+        worker.server = Some(server);
+        self.record.line(&format!("{} starts again under its id", worker.id));
+        let entry = worker.begin(&self.pool);
         self.store.put("keyed.servers", &worker.id, &entry);
     }
 
@@ -433,7 +463,21 @@
         if request.path == "/health" {
             return Reply::status(200);
         }
-        let id = worker.id.clone();
+        if request.path == "/run-start"
+            && let Some(delay) = state.delay_start.take()
+        {
+            self.record.line(&format!("{} gets no answer for {} ms: {}", request.path, delay.as_millis(), request.text()));
+            let (world, late) = (Arc::clone(self), request.clone());
+            thread::spawn(move || {
+                thread::sleep(delay);
+                world.record.line("that start is carried out now");
+                world.handle(index, &late);
+            });
+            drop(state);
+            thread::sleep(Duration::from_secs(2));
+            return Reply::Drop;
+        }
+        let id = state.workers[index].id.clone();
         if request.header("Primrosewheel-Expect-Instance").is_some_and(|wanted| wanted != id) {
             self.record.line(&format!("{id}: {} for another instance -> 421", request.path));
             return Reply::status(421);
@@ -490,6 +534,16 @@
             }
         }
         let step = state.step(&task);
+        if state.strict_gangs && step.gang {
+            let others = state.members(&task, run);
+            let mut others = others.iter().flat_map(|(other, name)| {
+                state.workers[*other].running.iter().filter(move |member| member.task == *name)
+            });
+            if others.any(|member| member.from != checkpoint) {
+                self.record.line(&format!("{task} run {run} carries another checkpoint than its gang -> 400"));
+                return Reply::json(400, &obj([("clockMs", state.workers[index].clock().into())]));
+            }
+        }
         let (cpu, memory) = state.used(index);
         if cpu + step.cpu > CORES || memory + step.memory > MEMORY {
             state.workers[index].extend(deadline);
@@ -503,6 +557,7 @@
             started: now,
             before_ms,
             working: (!step.gang).then_some(now),
+            from: checkpoint.clone(),
             saved: checkpoint.clone(),
             saved_count: before_ms / SAVE_MS,
             stopping: None,
