--- a/review/lib-3/cases.rs
+++ b/review/lib-3/cases.rs
@@ -63,12 +63,12 @@
 /// Runs a case; returns how the rule was broken, `None` if it held.
 pub fn run(case: &str, record: Record, trouble: bool) -> Result<Option<String>, String> {
     let (nodes, workers) = match case {
-        "13" => (3, 16),
+        "13" | "17" => (3, 16),
         "14" => (4, 4),
         _ => (3, 4),
     };
     record.line(&format!("case {case}, trouble {trouble}"));
-    let system = System::start(record, nodes, workers)?;
+    let mut system = System::start(record, nodes, workers)?;
     let outcome = match case {
         "11" => foreign_entry(&system, trouble),
         "12" => gang_with_advice(&system, trouble),
@@ -76,6 +76,7 @@
         "14" => early_cancel(&system, trouble),
         "15" => gang_checkpoints(&system, trouble),
         "17" => late_start(&system, trouble),
+        "18" => late_upkeep(&mut system, trouble),
         "16" => extended_wave(&system, trouble),
         _ => Err("no such case".to_owned()),
     };
@@ -321,17 +322,7 @@
 
 /// The operator extends a wave that is completed.
 fn extended_wave(system: &System, trouble: bool) -> Result<Option<String>, String> {
-    let put = |machines: &[&str]| {
-        let names = machines.iter().map(|machine| (*machine).into()).collect();
-        let wave = obj([
-            ("wave", 1.into()),
-            ("machines", crate::json::Json::Arr(names)),
-            ("durationS", 20.into()),
-            ("maximum", 1.into()),
-        ]);
-        system.record.line(&format!("operator: op/wave/1 {wave}"));
-        system.store.put("keyed.op", "wave/1", &wave.to_string());
-    };
+    let put = |machines: &[&str]| put_wave(system, machines);
     let completed = |system: &System| {
         let status = system.store.newest("keyed.status", "wave/1").unwrap_or_default();
         status.contains("completed")
@@ -386,3 +377,40 @@
         format!("TWICE: {task} starts as run {} on {} {after} ms after it has ended done", again.run, again.worker)
     }))
 }
+
+/// Asks for the upkeep of machines, one at a time.
+fn put_wave(system: &System, machines: &[&str]) {
+    let names = machines.iter().map(|machine| (*machine).into()).collect();
+    let wave = obj([
+        ("wave", 1.into()),
+        ("machines", crate::json::Json::Arr(names)),
+        ("durationS", 40.into()),
+        ("maximum", 1.into()),
+    ]);
+    system.record.line(&format!("operator: op/wave/1 {wave}"));
+    system.store.put("keyed.op", "wave/1", &wave.to_string());
+}
+
+/// An upkeep order gets no answer, its sender is killed, and the order is carried out late.
+fn late_upkeep(system: &mut System, trouble: bool) -> Result<Option<String>, String> {
+    let job = "1800000000000001";
+    system.world.lock().delay_upkeep = trouble;
+    put_wave(system, &["m-0", "m-1", "m-2", "m-3"]);
+    if trouble && !system.wait(8.0, |system| !system.world.lock().delay_upkeep) {
+        return Err("no upkeep was ordered".to_owned());
+    }
+    accepted(system.submit(0, "/cut/", job, &[Step { lasts: true, work_ms: 700, ..Default::default() }]))?;
+    if trouble {
+        thread::sleep(Duration::from_millis(250));
+        let holder = system.world.lock().holder.clone();
+        let number = system.nodes.iter().position(|node| node.name == holder).ok_or("no holder")?;
+        system.kill_node(number, Duration::from_millis(1500))?;
+    }
+    let done = |system: &System| {
+        let status = system.store.newest("keyed.status", "wave/1").unwrap_or_default();
+        status.contains("completed")
+    };
+    system.wait(60.0, done);
+    let most = system.world.lock().most_down;
+    Ok((most >= 1).then(|| format!("LIMIT: an upkeep begins while {most} machine of its wave is down, and `maximum` is 1")))
+}
--- a/review/lib-3/system.rs
+++ b/review/lib-3/system.rs
@@ -1,8 +1,8 @@
 //! The whole: the platform's stand-ins, the nodes as processes, and a client.
 
-use std::fs::{self, File};
+use std::fs::{self, OpenOptions};
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -27,6 +27,8 @@
     ready: SocketAddr,
     /// While true, the store gives this node no answer and carries out none of its calls.
     silent: Arc<AtomicBool>,
+    settings: PathBuf,
+    log: PathBuf,
     child: Child,
 }
 
@@ -122,20 +124,11 @@
         let settings = settings(&name, first, front, ready, server.address, cloud, advice);
         let path = self.folder.join(format!("{name}.toml"));
         fs::write(&path, settings).map_err(|error| error.to_string())?;
-        let log = File::create(self.folder.join(format!("{name}.log"))).map_err(|error| error.to_string())?;
-        let mut command = Command::new(PROGRAM);
-        command.env_clear().env("PRIMROSEWHEEL_BOOT", &path).stdin(Stdio::null());
-        for variable in ["PATH", "HOME", "LANG"] {
-            if let Ok(value) = std::env::var(variable) {
-                command.env(variable, value);
-            }
-        }
-        let errors = log.try_clone().map_err(|error| error.to_string())?;
-        let child = command.stdout(log).stderr(errors).spawn().map_err(|error| error.to_string())?;
-        crate::cases::add_node(child.id());
+        let log = self.folder.join(format!("{name}.log"));
+        let child = start_program(&path, &log)?;
         let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
         self.record.line(&format!("{name} starts"));
-        self.nodes.push(Node { name, front: at(front), ready: at(ready), silent, child });
+        self.nodes.push(Node { name, front: at(front), ready: at(ready), silent, settings: path, log, child });
         self._servers.push(server);
         Ok(())
     }
@@ -235,6 +228,19 @@
         String::new()
     }
 
+    /// Kills a node and starts it again.
+    pub fn kill_node(&mut self, number: usize, down: Duration) -> Result<(), String> {
+        let node = &mut self.nodes[number];
+        self.record.line(&format!("{} is killed", node.name));
+        _ = node.child.kill();
+        _ = node.child.wait();
+        thread::sleep(down);
+        let node = &mut self.nodes[number];
+        self.record.line(&format!("{} starts again", node.name));
+        node.child = start_program(&node.settings, &node.log)?;
+        Ok(())
+    }
+
     /// Returns the node that last wrote to the store under an epoch.
     pub fn last_writer(&self) -> usize {
         self.writer.load(Ordering::SeqCst)
@@ -282,6 +288,22 @@
     }
 }
 
+/// Starts the program of the deploy file as its platform does.
+fn start_program(settings: &Path, log: &Path) -> Result<Child, String> {
+    let log = OpenOptions::new().create(true).append(true).open(log).map_err(|error| error.to_string())?;
+    let errors = log.try_clone().map_err(|error| error.to_string())?;
+    let mut command = Command::new(PROGRAM);
+    command.env_clear().env("PRIMROSEWHEEL_BOOT", settings).stdin(Stdio::null());
+    for variable in ["PATH", "HOME", "LANG"] {
+        if let Ok(value) = std::env::var(variable) {
+            command.env(variable, value);
+        }
+    }
+    let child = command.stdout(log).stderr(errors).spawn().map_err(|error| error.to_string())?;
+    crate::cases::add_node(child.id());
+    Ok(child)
+}
+
 /// Returns the first of `count` free ports in a row that follow `after`, below those that the system
 /// gives out itself.
 fn free_ports(count: u16, after: u16) -> Option<u16> {
--- a/review/lib-3/world.rs
+++ b/review/lib-3/world.rs
@@ -1,6 +1,6 @@
 //! Workers, their machines and the advice service, as PROTOCOL.md describes them.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
@@ -112,6 +112,15 @@
     pub ticketed: Vec<String>,
     /// A start that carries another checkpoint than a member of its gang that is there is refused.
     pub strict_gangs: bool,
+    /// The next upkeep gets no answer and is carried out while another machine is down for its own, 2 to
+    /// 12 s later.
+    pub delay_upkeep: bool,
+    /// Machines that have had the upkeep of the wave.
+    kept: HashSet<String>,
+    /// Sender of the latest order for a machine.
+    pub holder: String,
+    /// Machines that were down for upkeep when another upkeep began.
+    pub most_down: usize,
     /// The next start gets no answer and is carried out after this time.
     pub delay_start: Option<Duration>,
     next_id: u64,
@@ -648,21 +657,38 @@
             .header("Primrosewheel-Fencing-Token")
             .and_then(|fence| fence.parse().ok())
             .unwrap_or(0);
+        state.holder = request.header("Primrosewheel-Duty-Holder").unwrap_or_default().to_owned();
         let Some(index) = state.workers.iter().position(|worker| worker.machine == name) else {
             return Reply::status(400);
         };
+        if std::mem::take(&mut state.delay_upkeep) {
+            self.record.line(&format!("platform: {} {body} token {fence} gets no answer", request.path));
+            let (world, late) = (Arc::clone(self), request.clone());
+            thread::spawn(move || world.upkeep_late(&late));
+            drop(state);
+            thread::sleep(Duration::from_secs(2));
+            return Reply::Drop;
+        }
+        let kept = state.kept.contains(&name);
         let worker = &mut state.workers[index];
         self.record.line(&format!("platform: {} {body} token {fence}", request.path));
         if fence < worker.upkeep_fence {
             return Reply::json(409, &obj([("reason", "fence".into())]));
         }
         worker.upkeep_fence = fence;
-        if worker.state != "up" {
+        if worker.state != "up" && !kept {
             return Reply::json(409, &obj([("reason", "busy".into())]));
         }
         if request.path != "/machine-upkeep" {
             return Reply::status(400);
         }
+        if !state.kept.insert(name.clone()) {
+            self.record.line(&format!("platform: {name} has had its upkeep"));
+            return Reply::status(200);
+        }
+        let down = state.workers.iter().filter(|worker| worker.state == "upkeep").count();
+        state.most_down = state.most_down.max(down);
+        self.record.line(&format!("platform: the upkeep of {name} begins; {down} others are down"));
         drop(state);
         self.crash(index);
         self.lock().workers[index].state = "upkeep";
@@ -674,6 +700,21 @@
         Reply::status(200)
     }
 
+    /// Carries an upkeep out late, while another machine is down.
+    fn upkeep_late(self: &Arc<Self>, request: &Request) {
+        let since = Instant::now();
+        loop {
+            thread::sleep(Duration::from_millis(20));
+            let passed = since.elapsed().as_secs_f64();
+            let down = self.lock().workers.iter().any(|worker| worker.state == "upkeep");
+            if passed >= 2.0 && down || passed >= 11.5 {
+                self.record.line(&format!("platform: carries it out {passed:.1} s late"));
+                self.cloud(request);
+                return;
+            }
+        }
+    }
+
     /// The advice service: all workers may run all steps.
     pub fn advise(&self, request: &Request) -> Reply {
         let body = Json::parse(&request.text()).unwrap_or(Json::Null);
