Show that a job is given up though no worker has begun it

Cause: `record_crash` gives a job up after five losses of a worker in a row, also of those that may never have executed its start; case 13 had the two crashes in a row only.

Changed: case 13 has a second job, which five workers in a row leave unanswered before they crash.

--- a/review/lib-3/cases.rs
+++ b/review/lib-3/cases.rs
@@ -180,9 +180,34 @@
     Ok(Some(format!("LOST: nothing of {job} has started in 20 s on idle workers; it is shown as {state}")))
 }
 
-/// Two workers crash in a row, each shortly after it has begun the job's task.
+/// Workers crash: five in a row that have left the start of a task unanswered, and two in a row shortly
+/// after they have begun a task that lasts.
 fn crashed_workers(system: &System, trouble: bool) -> Result<Option<String>, String> {
+    let first = hanging_workers(system, trouble)?;
+    thread::sleep(Duration::from_secs(5));
+    let second = lasting_task(system, trouble)?;
+    let broken: Vec<String> = first.into_iter().chain(second).collect();
+    Ok((!broken.is_empty()).then(|| broken.join("; ")))
+}
+
+/// Five workers in a row leave the start of a job's task unanswered and crash; none begins it.
+fn hanging_workers(system: &System, trouble: bool) -> Result<Option<String>, String> {
     let job = "1300000000000001";
+    if trouble {
+        system.world.lock().hanging = Some((job.to_owned(), 5));
+    }
+    accepted(system.submit(0, "/cut/", job, &[Step { work_ms: 1500, ..Default::default() }]))?;
+    let ended = |system: &System| matches!(&system.state("/cut/", job)[..], "failed" | "completed");
+    if !system.wait(60.0, ended) {
+        return Err("the first job does not end".to_owned());
+    }
+    let (state, starts) = (system.state("/cut/", job), starts_of(system, job).len());
+    Ok((state == "failed").then(|| format!("LOST: {job} is shown as failed, and {starts} workers have begun its task")))
+}
+
+/// Two workers crash in a row, each shortly after it has begun a task that lasts.
+fn lasting_task(system: &System, trouble: bool) -> Result<Option<String>, String> {
+    let job = "1300000000000002";
     let task = format!("{job}.0.0.0");
     let lasting = Step { lasts: true, work_ms: 700, ..Default::default() };
     accepted(system.submit(0, "/cut/", job, &[lasting]))?;
@@ -203,7 +228,7 @@
         }
     }
     // A task that lasts has to run again within 6 s after its last run; 3 s more count as lost.
-    thread::sleep(Duration::from_secs(15));
+    thread::sleep(Duration::from_secs(12));
     let state = system.state("/cut/", job);
     let runs = running_count(system, &task);
     let failed = events_of(system, job).iter().filter(|event| event.what == "failed").count();
--- a/review/lib-3/world.rs
+++ b/review/lib-3/world.rs
@@ -112,6 +112,10 @@
     pub ticketed: Vec<String>,
     /// A start that carries another checkpoint than a member of its gang that is there is refused.
     pub strict_gangs: bool,
+    hung: Vec<usize>,
+    /// Workers that get a start of this job leave it unanswered, and crash 0.8 s later for 1.5 s; at most
+    /// this often.
+    pub hanging: Option<(String, usize)>,
     /// The next upkeep gets no answer and is carried out while another machine is down for its own, 2 to
     /// 12 s later.
     pub delay_upkeep: bool,
@@ -472,6 +476,11 @@
         if request.path == "/health" {
             return Reply::status(200);
         }
+        if request.path == "/run-start" && self.hangs(&mut state, index, request) {
+            drop(state);
+            thread::sleep(Duration::from_secs(3));
+            return Reply::Drop;
+        }
         if request.path == "/run-start"
             && let Some(delay) = state.delay_start.take()
         {
@@ -509,6 +518,33 @@
         }
     }
 
+    /// Returns whether a worker leaves a start unanswered, see [`State::hanging`].
+    fn hangs(self: &Arc<Self>, state: &mut State, index: usize, request: &Request) -> bool {
+        let Some((job, left)) = state.hanging.as_mut() else { return false };
+        if !request.text().contains(job.as_str()) {
+            return false;
+        }
+        if state.hung.contains(&index) {
+            return true;
+        }
+        if *left == 0 {
+            return false;
+        }
+        *left -= 1;
+        state.hung.push(index);
+        let id = state.workers[index].id.clone();
+        self.record.line(&format!("{id}: leaves {} unanswered: {}", request.path, request.text()));
+        let world = Arc::clone(self);
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(800));
+            world.crash(index);
+            world.lock().hung.retain(|other| *other != index);
+            thread::sleep(Duration::from_millis(1500));
+            world.begin_life(index);
+        });
+        true
+    }
+
     fn accept(&self, state: &State, index: usize) -> Reply {
         Reply::json(200, &obj([("clockMs", state.workers[index].clock().into())]))
     }
