--- a/review/lib-3/system.rs
+++ b/review/lib-3/system.rs
@@ -25,8 +25,8 @@
     pub name: String,
     front: SocketAddr,
     ready: SocketAddr,
-    /// While true, the store gives this node no answer and carries out none of its calls.
-    silent: Arc<AtomicBool>,
+    /// While true, the store gives this node no answer to a submission and takes it in 6 s later.
+    late: Arc<AtomicBool>,
     settings: PathBuf,
     log: PathBuf,
     child: Child,
@@ -96,24 +96,26 @@
     }
 
     fn start_node(&mut self, number: usize, cloud: SocketAddr, advice: SocketAddr) -> Result<(), String> {
-        let silent = Arc::new(AtomicBool::new(false));
-        let (gate, store, writer) = (Arc::clone(&silent), Arc::clone(&self.store), Arc::clone(&self.writer));
+        let late = Arc::new(AtomicBool::new(false));
+        let (held_up, record) = (Arc::clone(&late), Arc::clone(&self.record));
+        let (store, writer) = (Arc::clone(&self.store), Arc::clone(&self.writer));
         let handler: Handler = Arc::new(move |request| {
-            let wait = || {
-                let was_silent = gate.load(Ordering::SeqCst);
-                while gate.load(Ordering::SeqCst) {
-                    thread::sleep(Duration::from_millis(5));
-                }
-                was_silent
-            };
-            if wait() {
-                return Reply::Drop;
-            }
             if request.path == "/log-append" && request.query("epoch").is_some() {
                 writer.store(number, Ordering::SeqCst);
             }
-            let reply = store.handle(request);
-            if wait() { Reply::Drop } else { reply }
+            let is_submission = request.path == "/log-append" && request.query("topic") == Some("keyed.submissions");
+            if is_submission && held_up.load(Ordering::SeqCst) {
+                record.line(&format!("store: {} of a submission gets no answer", request.path));
+                let (store, record, request) = (Arc::clone(&store), Arc::clone(&record), request.clone());
+                thread::spawn(move || {
+                    thread::sleep(Duration::from_secs(6));
+                    record.line("store: a submission is taken in 6 s late");
+                    store.handle(&request);
+                });
+                thread::sleep(Duration::from_millis(2500));
+                return Reply::Drop;
+            }
+            store.handle(request)
         });
         let server = Server::start(SocketAddr::from(([127, 0, 0, 1], 0)), handler);
         let server = server.map_err(|error| error.to_string())?;
@@ -128,7 +130,7 @@
         let child = start_program(&path, &log)?;
         let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
         self.record.line(&format!("{name} starts"));
-        self.nodes.push(Node { name, front: at(front), ready: at(ready), silent, settings: path, log, child });
+        self.nodes.push(Node { name, front: at(front), ready: at(ready), late, settings: path, log, child });
         self._servers.push(server);
         Ok(())
     }
@@ -228,13 +230,34 @@
         String::new()
     }
 
-    /// Kills a node and starts it again.
-    pub fn kill_node(&mut self, number: usize, down: Duration) -> Result<(), String> {
+    /// The store holds up the submissions of a node, or takes them in at once again.
+    pub fn set_late(&self, node: usize, late: bool) {
+        let node = &self.nodes[node];
+        let what = if late { "holds up" } else { "takes in at once" };
+        self.record.line(&format!("store {what} the submissions of {}", node.name));
+        node.late.store(late, Ordering::SeqCst);
+    }
+
+    /// Stops a node with SIGTERM and starts it again once it has ended.
+    pub fn roll_node(&mut self, number: usize) -> Result<(), String> {
+        let node = &mut self.nodes[number];
+        self.record.line(&format!("{} gets SIGTERM", node.name));
+        crate::cases::terminate(node.child.id());
+        _ = node.child.wait();
+        self.record.line(&format!("{} has ended", node.name));
+        self.restart_node(number)
+    }
+
+    /// Kills a node.
+    pub fn stop_node(&mut self, number: usize) {
         let node = &mut self.nodes[number];
         self.record.line(&format!("{} is killed", node.name));
         _ = node.child.kill();
         _ = node.child.wait();
-        thread::sleep(down);
+    }
+
+    /// Starts a node again.
+    pub fn restart_node(&mut self, number: usize) -> Result<(), String> {
         let node = &mut self.nodes[number];
         self.record.line(&format!("{} starts again", node.name));
         node.child = start_program(&node.settings, &node.log)?;
@@ -246,14 +269,6 @@
         self.writer.load(Ordering::SeqCst)
     }
 
-    /// The store gives a node no answer, or serves it again.
-    pub fn set_silent(&self, node: usize, silent: bool) {
-        let node = &self.nodes[node];
-        let what = if silent { "gives no answer to" } else { "serves again" };
-        self.record.line(&format!("store {what} {}", node.name));
-        node.silent.store(silent, Ordering::SeqCst);
-    }
-
     /// Waits until a condition holds; returns whether it did in time.
     pub fn wait(&self, seconds: f64, mut holds: impl FnMut(&System) -> bool) -> bool {
         let until = Instant::now() + Duration::from_secs_f64(seconds);
