Case 12: have the client wait before it cancels

Cause: with TROUBLE=0 one of some ten runs ended with 2: the cancel, sent right after the answer, was answered 410, as the owner had not read the job yet.

Changed: the client waits 200 ms before the cancel, with and without the trouble.

--- a/review/lib-3/cases.rs
+++ b/review/lib-3/cases.rs
@@ -283,6 +283,8 @@
         }
         system.stop_node(owner);
     }
+    // Right after the answer, the owner may not have read an accepted job yet.
+    thread::sleep(Duration::from_millis(200));
     let (status, _) = system.call(client, "DELETE", "/cut/", job, "");
     if status != 200 {
         return Err(format!("the cancel was answered {status}"));
