Log a cancellation of a job that the shard does not know

The logs could not tell whether its owner had read the cancellation before the submission, after it, or not at all.

Changed: the new event 606 says so, with the shard and the epoch of the owner.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -102,6 +102,9 @@
         message = "Starts were withdrawn, since the state of their job would be too large to be stored."
     )]
     StartsWithdrawn = 605,
+    /// A cancellation was stored of a job that the shard does not know.
+    #[strum(message = "A cancellation was stored of a job that the shard does not know.")]
+    CancellationEarly = 606,
     /// A request to start a run was answered or failed.
     #[strum(message = "A request to start a run was answered or failed.")]
     RunStart = 610,
--- a/crates/control/src/shard/forwards.rs
+++ b/crates/control/src/shard/forwards.rs
@@ -95,6 +95,13 @@
     /// Forwards the cancellation of a job that was forwarded.
     pub(super) fn cancel_forwarded(&mut self, job: &JobId) {
         let Some(forwarded) = self.forwards.jobs.get_mut(job) else {
+            tracing::info!(
+                event = EventCode::CancellationEarly.number(),
+                job = &**job,
+                shard = self.shard,
+                epoch = self.epoch,
+                "cancellation of an unknown job"
+            );
             return;
         };
         if !forwarded.cancelled {
