Remember a cancellation that is stored before its submission

The submission had got no answer and was executed by the store 6 s late.

Cause: ShardController::cancel dropped the cancellation of a job that was neither known nor forwarded, whether it was followed in the log or loaded at a takeover. Only an owner that took over after both records were stored cancelled the job.

Then it deletes the record of the cancellation alone, which stayed in the store for good before, and forgets it once that is stored. So an owner knows what the log holds, in whatever order.

--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -132,6 +132,8 @@
     State(JobId, Vec<u8>),
     /// Delete all records of the job.
     Remove(JobId),
+    /// Delete the cancellation of a job that was not submitted, and no other record of the job.
+    RemoveCancellation(JobId),
     /// Store the job's submission in the shard of its pool, before the other records.
     Forward {
         /// The job.
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -70,7 +70,8 @@
     pub stop_time: Duration,
     /// Delay between attempts to stop a run.
     pub stop_retry: Duration,
-    /// How long the state of a job stays readable after its end.
+    /// How long the state of a job stays readable after its end, and how long a cancellation counts
+    /// whose submission is not stored yet.
     pub retention: Duration,
     /// How long a shard remembers a job that it has forwarded to another one. A repetition within this
     /// time is recognized without a question to that shard; it has to be shorter than `retention`.
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod backlog;
+mod cancellations;
 mod crashes;
 mod forwards;
 mod persistence;
@@ -36,6 +37,7 @@
 use crate::settings::ControlSettings;
 use crate::shard::advice::{StepAdvice, StepKey};
 use crate::shard::backlog::{BacklogEntry, BacklogIndex, ReadyStep};
+use crate::shard::cancellations::EarlyCancellations;
 use crate::shard::crashes::CrashHistory;
 use crate::shard::forwards::ForwardTable;
 use crate::shard::persistence::StoreQueue;
@@ -73,6 +75,7 @@
     /// Jobs of which a record is stored that can't be read; they are left to a build that can.
     unreadable: IndexSet<JobId>,
     forwards: ForwardTable,
+    early_cancellations: EarlyCancellations,
     workers: WorkerTable,
     budget: AccountBudget,
     store_queue: StoreQueue,
@@ -197,6 +200,7 @@
             finished_jobs: VecDeque::new(),
             unreadable: IndexSet::new(),
             forwards: ForwardTable::default(),
+            early_cancellations: EarlyCancellations::default(),
             workers: WorkerTable::default(),
             budget: AccountBudget::default(),
             store_queue: StoreQueue::new(now),
@@ -268,6 +272,7 @@
             ShardEvent::Submitted(job, record) => self.submit(job, record, now, wall),
             ShardEvent::Unreadable(job) => {
                 if !self.jobs.contains_key(&job) {
+                    self.early_cancellations.remove(&job);
                     self.unreadable.insert(job);
                 }
             }
@@ -335,6 +340,7 @@
         self.send_stops(now);
         self.remove_expired_jobs(now);
         self.remove_expired_forwards(now);
+        self.remove_expired_cancellations(now);
         self.flush(now);
         self.refresh_workers();
     }
@@ -417,18 +423,22 @@
             queue = &*record.queue,
             "job taken in"
         );
-        if let Some(account) = &record.account {
-            self.allocation_uses.insert(account.clone(), now);
-        }
+        let account = record.account.clone();
         let record = JobRecord::new(record, JobState::default(), now, wall);
         self.changed_jobs.insert(job.clone());
-        self.jobs.insert(job, record);
+        self.jobs.insert(job.clone(), record);
+        if self.early_cancellations.remove(&job) {
+            self.cancel(&job, now);
+            return;
+        }
+        self.allocation_uses
+            .extend(account.map(|account| (account, now)));
         self.placement_needed = true;
     }
 
     fn cancel(&mut self, job: &JobId, now: Instant) {
         let Some(record) = self.jobs.get_mut(job) else {
-            self.cancel_forwarded(job);
+            self.cancel_forwarded(job, now);
             return;
         };
         if record.is_over() {
--- a/crates/control/src/shard/forwards.rs
+++ b/crates/control/src/shard/forwards.rs
@@ -86,22 +86,16 @@
         self.store_queue.add_forward(job.clone());
         let forwarded = ForwardedJob {
             record,
-            cancelled: false,
+            cancelled: self.early_cancellations.remove(&job),
             stored: false,
         };
         self.forwards.jobs.insert(job, forwarded);
     }
 
-    /// Forwards the cancellation of a job that was forwarded.
-    pub(super) fn cancel_forwarded(&mut self, job: &JobId) {
+    /// Forwards the cancellation of a job that was forwarded, or remembers that of an unknown job.
+    pub(super) fn cancel_forwarded(&mut self, job: &JobId, now: Instant) {
         let Some(forwarded) = self.forwards.jobs.get_mut(job) else {
-            tracing::info!(
-                event = EventCode::CancellationEarly.number(),
-                job = &**job,
-                shard = self.shard,
-                epoch = self.epoch,
-                "cancellation of an unknown job"
-            );
+            self.remember_cancellation(job, now);
             return;
         };
         if !forwarded.cancelled {
--- a/crates/control/src/shard/persistence.rs
+++ b/crates/control/src/shard/persistence.rs
@@ -19,6 +19,8 @@
     sequence: u64,
     changed_jobs: IndexSet<JobId>,
     removed_jobs: Vec<JobId>,
+    /// Jobs that were cancelled, but not submitted.
+    removed_cancellations: Vec<JobId>,
     /// Jobs to store in the shards of their pools.
     forwards: IndexSet<JobId>,
     /// Starts to send once their placement is stored.
@@ -43,6 +45,8 @@
     statuses: Vec<(JobId, JobStatus)>,
     /// Jobs that it forwards, and whether their cancellations are forwarded too.
     forwards: Vec<(JobId, bool)>,
+    /// Jobs whose cancellations it removes.
+    removed_cancellations: Vec<JobId>,
     /// Last applied run end of each worker's life that the batch makes durable.
     applied_ends: IndexMap<(WorkerId, LifeStart), EndNumber>,
     sent_at: Instant,
@@ -54,6 +58,7 @@
             sequence: 0,
             changed_jobs: IndexSet::new(),
             removed_jobs: Vec::new(),
+            removed_cancellations: Vec::new(),
             forwards: IndexSet::new(),
             starts: Vec::new(),
             in_flight: None,
@@ -74,6 +79,11 @@
         self.removed_jobs.push(job);
     }
 
+    /// Queues the removal of the cancellation of a job that was not submitted.
+    pub fn remove_cancellation(&mut self, job: JobId) {
+        self.removed_cancellations.push(job);
+    }
+
     /// Queues a job to be stored in the shard of its pool.
     pub fn add_forward(&mut self, job: JobId) {
         self.forwards.insert(job);
@@ -90,6 +100,7 @@
     pub fn due(&self) -> Option<Instant> {
         let idle = self.changed_jobs.is_empty()
             && self.removed_jobs.is_empty()
+            && self.removed_cancellations.is_empty()
             && self.forwards.is_empty();
         (self.in_flight.is_none() && !idle).then_some(self.next_append)
     }
@@ -133,6 +144,9 @@
         }
         let removed_jobs = std::mem::take(&mut self.store_queue.removed_jobs);
         records.extend(removed_jobs.into_iter().map(StoreRecord::Remove));
+        let removed_cancellations = std::mem::take(&mut self.store_queue.removed_cancellations);
+        let removed = removed_cancellations.iter().cloned();
+        records.extend(removed.map(StoreRecord::RemoveCancellation));
         // Ends in a state that is left out are not durable.
         let applied_ends = self
             .workers
@@ -149,6 +163,7 @@
             starts: std::mem::take(&mut self.store_queue.starts),
             statuses,
             forwards,
+            removed_cancellations,
             applied_ends: applied_ends.collect(),
             sent_at: now,
         });
@@ -239,6 +254,9 @@
         for (job, cancelled) in batch.forwards {
             self.forwards.mark_stored(&job, cancelled);
         }
+        for job in &batch.removed_cancellations {
+            self.early_cancellations.forget_deleted(job);
+        }
         for ((id, life), applied) in batch.applied_ends {
             // Each life numbers its run ends from the start.
             if let Some(worker) = self.workers.get_mut(&id)
--- a/crates/control/tests/forwarded_jobs.rs
+++ b/crates/control/tests/forwarded_jobs.rs
@@ -142,6 +142,22 @@
     assert_eq!(taken_over.forwards(), [true]);
 }
 
+/// Guards against a cancellation that is forgotten since its job is forwarded after it.
+#[test]
+fn a_job_that_was_cancelled_before_its_submission_is_forwarded_as_cancelled() {
+    let cancelled = ShardImage {
+        cancelled: vec!["job".into()],
+        ..Default::default()
+    };
+    for image in [ShardImage::default(), cancelled] {
+        let mut shard = IntakeShard::open(image);
+        shard.handle(ShardEvent::Cancelled("job".into()));
+        shard.handle(rerouted());
+        shard.run(millis(100));
+        assert_eq!(shard.forwards(), [true]);
+    }
+}
+
 /// Guards against a job that is reported as unknown before the other shard has its submission.
 #[test]
 fn a_job_counts_as_moved_once_its_submission_is_stored() {
--- a/crates/control/tests/support/answers.rs
+++ b/crates/control/tests/support/answers.rs
@@ -98,7 +98,9 @@
         let max_bytes = self.max_record_bytes;
         let is_too_large = |record: &StoreRecord| match record {
             StoreRecord::State(job, bytes) => 1 + job.len() + bytes.len() > max_bytes,
-            StoreRecord::Remove(_) | StoreRecord::Forward { .. } => false,
+            StoreRecord::Remove(_)
+            | StoreRecord::RemoveCancellation(_)
+            | StoreRecord::Forward { .. } => false,
         };
         if append.records.iter().any(is_too_large) {
             self.trace(|| "the store refuses an append".to_owned());
@@ -110,8 +112,12 @@
                     let state = decode_state(&bytes).expect("decodable job state");
                     self.images.insert(job, state);
                 }
+                StoreRecord::RemoveCancellation(job) => {
+                    self.cancelled.retain(|cancelled| *cancelled != job);
+                }
                 StoreRecord::Remove(job) => {
                     self.submissions.swap_remove(&job);
+                    self.cancelled.retain(|cancelled| *cancelled != job);
                     if self.only_submissions_removed {
                         continue;
                     }
--- a/crates/control/tests/unreadable_records.rs
+++ b/crates/control/tests/unreadable_records.rs
@@ -71,3 +71,22 @@
     let status = controller.job_status("job", QueryScope::Public, now);
     assert_eq!(status, JobAnswer::Uncertain);
 }
+
+/// Guards against a build that can read a job again and runs it, though its caller has cancelled it.
+#[test]
+fn the_cancellation_of_an_unreadable_job_is_not_deleted() {
+    for known_at_open in [true, false] {
+        let unreadable = known_at_open.then(|| "job".into()).into_iter();
+        let (mut controller, _) = open_shard(ShardImage {
+            cancelled: vec!["job".into()],
+            unreadable: unreadable.collect(),
+            ..Default::default()
+        });
+        let (now, wall) = (Instant::now(), SystemTime::now());
+        if !known_at_open {
+            controller.handle(now, wall, ShardEvent::Unreadable("job".into()));
+        }
+        let expired = now + ControlSettings::default().retention + seconds(2);
+        assert_eq!(controller.handle(expired, wall, ShardEvent::Tick), []);
+    }
+}
--- a/crates/node/src/journal_duty/owned_shard.rs
+++ b/crates/node/src/journal_duty/owned_shard.rs
@@ -230,8 +230,8 @@
             for (shard, entries) in forwarded_entries(&records, self.settings.shards) {
                 self.store_submissions(shard, entries).await;
             }
+            let deletions = submission_deletions(&records);
             let entries: Vec<StoreEntry> = records.into_iter().filter_map(encode_entry).collect();
-            let deletions = submission_deletions(&entries);
             if !deletions.is_empty() {
                 self.store_submissions(term.shard, deletions).await;
             }
@@ -386,7 +386,7 @@
     let (job, value) = match record {
         StoreRecord::State(job, value) => (job, value),
         StoreRecord::Remove(job) => (job, Vec::new()),
-        StoreRecord::Forward { .. } => return None,
+        StoreRecord::RemoveCancellation(_) | StoreRecord::Forward { .. } => return None,
     };
     let key = job.to_string();
     Some(StoreEntry { key, value })
@@ -429,11 +429,15 @@
     forwarded
 }
 
-/// Returns records that delete the submissions of the jobs whose states `entries` deletes.
-fn submission_deletions(entries: &[StoreEntry]) -> Vec<StoreEntry> {
-    let deleted = entries.iter().filter(|entry| entry.value.is_empty());
-    let suffixes = ["", CANCEL_SUFFIX, REROUTE_SUFFIX];
-    let keys = deleted.flat_map(|entry| suffixes.map(|suffix| format!("{}{suffix}", entry.key)));
+/// Returns records that delete the submissions and cancellations that `records` remove.
+fn submission_deletions(records: &[StoreRecord]) -> Vec<StoreEntry> {
+    let removed = records.iter().filter_map(|record| match record {
+        StoreRecord::Remove(job) => Some((job, &["", CANCEL_SUFFIX, REROUTE_SUFFIX][..])),
+        StoreRecord::RemoveCancellation(job) => Some((job, &[CANCEL_SUFFIX][..])),
+        StoreRecord::State(..) | StoreRecord::Forward { .. } => None,
+    });
+    let keys =
+        removed.flat_map(|(job, suffixes)| suffixes.iter().map(move |s| format!("{job}{s}")));
     keys.map(|key| StoreEntry {
         key,
         value: Vec::new(),
