Answer a cancel with 410 only for a job that is absent

Cause: JobService::cancel took the answer of an owner that had not read the submission for a proof that the job does not exist, and stored nothing. The same answer covered jobs of other accounts.

Change: the cancellation of a job that the owner does not know is stored. It is answered 410 only by AbsentJob, which an owner says once it has read up to the offset of the cancellation, and with 200 otherwise. Before a 410 it is replaced by a cancellation of the submissions accepted so far, so that one under way does not run and one that follows does. It goes to all shards of a moved queue if one of them can't be asked, where the answer was 503 before. A job of another account is reported as HiddenJob, and nothing is stored.

--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use indexmap::{IndexMap, IndexSet};
 use pw_base::prelude::*;
@@ -35,12 +35,18 @@
     Rerouted(JobId, Arc<SubmissionRecord>),
     /// A cancellation was stored.
     Cancelled(JobId),
+    /// The cancellation of a job was stored whose caller was told that it did not exist. Submissions that
+    /// were accepted up to this time are cancelled.
+    CancelledBefore(JobId, SystemTime),
     /// The records of the [`ShardCommand::Store`] with this sequence number are stored.
     Stored(u64),
     /// The ownership of the shard was confirmed as of this time.
     OwnershipConfirmed(Instant),
     /// All changes of an input that were in force at this time have been handed over.
     InputRead(ShardInput, Instant),
+    /// All submissions and cancellations before an offset have been handed over, and all that were
+    /// stored at this time.
+    SubmissionsRead(LogOffset, Instant),
     /// A poll of a worker completed or failed.
     Polled {
         /// The request.
@@ -154,6 +160,8 @@
     pub rerouted: Vec<(JobId, Arc<SubmissionRecord>)>,
     /// Jobs that their callers cancelled.
     pub cancelled: Vec<JobId>,
+    /// Jobs of which the submissions accepted up to a time are cancelled.
+    pub cancelled_before: Vec<(JobId, SystemTime)>,
     /// States of jobs.
     pub states: Vec<(JobId, JobState)>,
     /// Jobs whose submission or state is stored, but can't be read.
@@ -511,6 +519,12 @@
     Public,
 }
 
+impl<'a> From<Option<&'a AccountId>> for QueryScope<'a> {
+    fn from(account: Option<&'a AccountId>) -> Self {
+        account.map_or(Self::Public, |account| Self::Account(account))
+    }
+}
+
 impl QueryScope<'_> {
     /// Returns whether the caller may query a job.
     pub(crate) fn includes(self, record: &SubmissionRecord) -> bool {
@@ -526,8 +540,12 @@
 pub enum JobAnswer {
     /// Status of the job.
     Known(JobStatus),
-    /// The job does not exist or is not visible to the caller.
+    /// The owner has read no submission of the job. One that was accepted recently may exist.
     Unknown,
+    /// No submission of the job precedes the offset of the query.
+    Absent,
+    /// The job belongs to another client account.
+    Hidden,
     /// The job was forwarded to the shard of this pool.
     Moved(PoolId),
     /// The job is not known, but may have been submitted or may belong to another owner by now.
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -86,6 +86,8 @@
     crashes: CrashHistory,
     /// As of when each input is known.
     inputs_read: IndexMap<ShardInput, Instant>,
+    /// Offset before which all submissions are known.
+    submissions_end: LogOffset,
     /// When the latest answer of a worker that is handled arrived.
     answers_known_at: Instant,
     /// When this owner took the shard over.
@@ -208,6 +210,7 @@
             ended_lives: 0,
             crashes: CrashHistory::default(),
             inputs_read: IndexMap::new(),
+            submissions_end: 0,
             answers_known_at: now,
             taken_over_at: now,
             unsurveyed_since: Some(now),
@@ -278,9 +281,14 @@
             }
             ShardEvent::Rerouted(job, record) => self.forward(job, record, now),
             ShardEvent::Cancelled(job) => self.cancel(&job, now),
+            ShardEvent::CancelledBefore(job, time) => self.cancel_before(&job, time, now),
             ShardEvent::Stored(sequence) => self.handle_stored(sequence, now),
             ShardEvent::OwnershipConfirmed(at) => self.record_confirmation(at, now),
             ShardEvent::InputRead(input, at) => self.record_read(input, at, now),
+            ShardEvent::SubmissionsRead(end, at) => {
+                self.submissions_end = end;
+                self.record_read(ShardInput::Submissions, at, now);
+            }
             ShardEvent::Polled {
                 order,
                 result,
@@ -423,13 +431,15 @@
             queue = &*record.queue,
             "job taken in"
         );
-        let account = record.account.clone();
+        let (account, accepted) = (record.account.clone(), record.accepted);
         let record = JobRecord::new(record, JobState::default(), now, wall);
         self.changed_jobs.insert(job.clone());
         self.jobs.insert(job.clone(), record);
-        if self.early_cancellations.remove(&job) {
-            self.cancel(&job, now);
-            return;
+        match self.early_cancellations.take(&job, accepted) {
+            Some(true) => return self.cancel(&job, now),
+            // The next owner may find a repetition in its place that was accepted before.
+            Some(false) => self.store_queue.mark_changed(&job),
+            None => {}
         }
         self.allocation_uses
             .extend(account.map(|account| (account, now)));
@@ -438,7 +448,7 @@
 
     fn cancel(&mut self, job: &JobId, now: Instant) {
         let Some(record) = self.jobs.get_mut(job) else {
-            self.cancel_forwarded(job, now);
+            self.cancel_forwarded(job, None, now);
             return;
         };
         if record.is_over() {
--- a/crates/control/src/shard/forwards.rs
+++ b/crates/control/src/shard/forwards.rs
@@ -6,7 +6,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Instant, SystemTime};
 
 use indexmap::IndexMap;
 use pw_base::prelude::*;
@@ -84,20 +84,31 @@
         let expiry = now + self.settings.forward_retention;
         self.forwards.expiries.push_back((expiry, job.clone()));
         self.store_queue.add_forward(job.clone());
+        let cancelled = self.early_cancellations.take(&job, record.accepted);
+        let cancelled = cancelled.unwrap_or_default();
         let forwarded = ForwardedJob {
             record,
-            cancelled: self.early_cancellations.remove(&job),
+            cancelled,
             stored: false,
         };
         self.forwards.jobs.insert(job, forwarded);
     }
 
-    /// Forwards the cancellation of a job that was forwarded, or remembers that of an unknown job.
-    pub(super) fn cancel_forwarded(&mut self, job: &JobId, now: Instant) {
+    /// Forwards the cancellation of a job that was forwarded, or remembers that of an unknown job. It
+    /// applies to submissions that were accepted up to `limit`.
+    pub(super) fn cancel_forwarded(
+        &mut self,
+        job: &JobId,
+        limit: Option<SystemTime>,
+        now: Instant,
+    ) {
         let Some(forwarded) = self.forwards.jobs.get_mut(job) else {
-            self.remember_cancellation(job, now);
+            self.remember_cancellation(job, limit, now);
             return;
         };
+        if limit.is_some_and(|limit| forwarded.record.accepted > limit) {
+            return;
+        }
         if !forwarded.cancelled {
             forwarded.cancelled = true;
             forwarded.stored = false;
--- a/crates/control/src/shard/queries.rs
+++ b/crates/control/src/shard/queries.rs
@@ -18,15 +18,14 @@
 impl ShardController {
     /// Returns the stored status of a job, if `scope` includes the job.
     ///
-    /// An owner that does not know the submissions up to recently does not say that a job does not
-    /// exist.
+    /// An owner that does not know the submissions up to recently does not say that a job is unknown.
     pub fn job_status(&self, job: &str, scope: QueryScope<'_>, now: Instant) -> JobAnswer {
         let Some(record) = self.jobs.get(job) else {
             if let Some(record) = self.forwards.stored(job) {
                 return if scope.includes(record) {
                     JobAnswer::Moved(record.pool.clone())
                 } else {
-                    JobAnswer::Unknown
+                    JobAnswer::Hidden
                 };
             }
             return if !self.is_decided(job) && self.knows_submissions(now) {
@@ -38,7 +37,22 @@
         if scope.includes(&record.submission) {
             JobAnswer::Known(record.stored_status)
         } else {
-            JobAnswer::Unknown
+            JobAnswer::Hidden
+        }
+    }
+
+    /// Returns the same of a query that asks for all submissions before `offset`: a job is unknown only
+    /// to an owner that has not read up to there, and otherwise absent.
+    pub fn job_status_before(
+        &self,
+        job: &str,
+        scope: QueryScope<'_>,
+        offset: LogOffset,
+        now: Instant,
+    ) -> JobAnswer {
+        match self.job_status(job, scope, now) {
+            JobAnswer::Unknown if self.submissions_end >= offset => JobAnswer::Absent,
+            answer => answer,
         }
     }
 
--- a/crates/control/src/shard/takeover.rs
+++ b/crates/control/src/shard/takeover.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant, SystemTime};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use pw_base::prelude::*;
 use pw_job::prelude::*;
 use pw_worker::prelude::*;
@@ -18,6 +18,7 @@
         let mut states: IndexMap<JobId, JobState> = image.states.into_iter().collect();
         states.retain(|job, _| !image.unreadable.contains(job));
         self.unreadable = image.unreadable;
+        let decided: IndexSet<JobId> = states.keys().cloned().collect();
         let mut rerouted: IndexMap<JobId, _> = image.rerouted.into_iter().collect();
         rerouted.retain(|job, _| !states.contains_key(job));
         for (job, record) in image.submissions {
@@ -36,6 +37,12 @@
         for job in image.cancelled {
             self.cancel(&job, now);
         }
+        for (job, limit) in image.cancelled_before {
+            // The previous owner applied it, or found the submission to be later.
+            if !decided.contains(&job) {
+                self.cancel_before(&job, limit, now);
+            }
+        }
         // The previous owner has deleted the submissions, but not the states yet.
         for (job, _) in states {
             self.store_queue.remove(job);
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -75,6 +75,8 @@
     /// Stored submissions.
     pub submissions: IndexMap<JobId, Arc<SubmissionRecord>>,
     pub cancelled: Vec<JobId>,
+    /// Jobs of which the submissions accepted up to a time are cancelled.
+    pub cancelled_before: IndexMap<JobId, SystemTime>,
     pub images: IndexMap<JobId, JobState>,
     /// Inputs of which the owner knows all changes.
     pub known_inputs: Vec<ShardInput>,
@@ -149,6 +151,7 @@
             workers: IndexMap::new(),
             submissions: IndexMap::new(),
             cancelled: Vec::new(),
+            cancelled_before: IndexMap::new(),
             images: IndexMap::new(),
             known_inputs: ShardInput::ALL.to_vec(),
             only_submissions_removed: false,
@@ -260,6 +263,7 @@
         let image = ShardImage {
             submissions: self.submissions.clone().into_iter().collect(),
             cancelled: self.cancelled.clone(),
+            cancelled_before: self.cancelled_before.clone().into_iter().collect(),
             states: self.images.clone().into_iter().collect(),
             leases,
             claimed_at: Some(self.now),
@@ -351,10 +355,23 @@
     }
 
     pub fn cancel(&mut self, job: &str) {
+        self.remove_cancellation(job);
         self.cancelled.push(job.into());
         self.broadcast(&ShardEvent::Cancelled(job.into()));
     }
 
+    /// Cancels a job after its caller was told that it does not exist.
+    pub fn cancel_before(&mut self, job: &str, limit: SystemTime) {
+        self.remove_cancellation(job);
+        self.cancelled_before.insert(job.into(), limit);
+        self.broadcast(&ShardEvent::CancelledBefore(job.into(), limit));
+    }
+
+    fn remove_cancellation(&mut self, job: &str) {
+        self.cancelled.retain(|cancelled| **cancelled != *job);
+        self.cancelled_before.swap_remove(job);
+    }
+
     pub fn status(&self, job: &str) -> JobAnswer {
         let scope = match self.submissions.get(job).and_then(|r| r.account.clone()) {
             Some(account) => return self.query(job, QueryScope::Account(&account)),
--- a/crates/node/src/control_duty.rs
+++ b/crates/node/src/control_duty.rs
@@ -397,18 +397,19 @@
         };
         match request {
             NodeRequest::Status { job, account, .. } => {
-                let scope = match &account {
-                    Some(account) => QueryScope::Account(account),
-                    None => QueryScope::Public,
-                };
-                match shard.job_status(&job, scope, self.clock.now()) {
-                    JobAnswer::Known(status) => NodeResponse::Status(status),
-                    JobAnswer::Unknown => NodeResponse::UnknownJob,
-                    JobAnswer::Moved(pool) => {
-                        NodeResponse::Moved(find_shard(&pool, self.settings.shards))
-                    }
-                    JobAnswer::Uncertain => NodeResponse::NotOwner,
-                }
+                let scope = QueryScope::from(account.as_ref());
+                let answer = shard.job_status(&job, scope, self.clock.now());
+                self.status_response(answer)
+            }
+            NodeRequest::StatusBefore {
+                job,
+                account,
+                offset,
+                ..
+            } => {
+                let scope = QueryScope::from(account.as_ref());
+                let answer = shard.job_status_before(&job, scope, offset, self.clock.now());
+                self.status_response(answer)
             }
             // The peer duty handles store requests.
             NodeRequest::Store { .. } => NodeResponse::NotStored,
@@ -438,6 +439,17 @@
         }
     }
 
+    fn status_response(&self, answer: JobAnswer) -> NodeResponse {
+        match answer {
+            JobAnswer::Known(status) => NodeResponse::Status(status),
+            JobAnswer::Unknown => NodeResponse::UnknownJob,
+            JobAnswer::Hidden => NodeResponse::HiddenJob,
+            JobAnswer::Absent => NodeResponse::AbsentJob,
+            JobAnswer::Moved(pool) => NodeResponse::Moved(find_shard(&pool, self.settings.shards)),
+            JobAnswer::Uncertain => NodeResponse::NotOwner,
+        }
+    }
+
     fn terms(&self) -> impl Iterator<Item = ShardTerm> {
         self.shards.values().map(term_of)
     }
--- a/crates/node/src/journal_duty/owned_shard.rs
+++ b/crates/node/src/journal_duty/owned_shard.rs
@@ -14,6 +14,7 @@
 use pw_ring::prelude::*;
 
 use super::{AppendRequest, JournalDuty, MACHINE_SHARD, partition};
+use crate::cancellation::{CANCEL_SUFFIX, CancellationRecord};
 use crate::claim::ClaimRecord;
 use crate::feed_duty::OutageLog;
 use crate::hedge::append_hedged;
@@ -21,7 +22,7 @@
     StoreEntry, StoreFault, StorePartition, StoreTopic, StoreWriter, split_appends,
 };
 use crate::message::{ControlMessage, MachineMessage, ShardTerm};
-use crate::service::{CANCEL_SUFFIX, REROUTE_SUFFIX, cancellation};
+use crate::service::REROUTE_SUFFIX;
 
 impl JournalDuty {
     /// Claims and loads a shard, then serves it until the ownership is lost.
@@ -51,7 +52,7 @@
         image.leases = self.read_release(term).await;
         image.claimed_at = Some(claimed_at);
         let opened = ControlMessage::Opened(term, Box::new(image));
-        let read = ShardEvent::InputRead(ShardInput::Submissions, requested_at);
+        let read = ShardEvent::SubmissionsRead(end, requested_at);
         if self.links.control.send(opened).await.is_err() || !self.send_event(term, read).await {
             return;
         }
@@ -140,6 +141,9 @@
                 Some(ShardEvent::Submitted(job, record)) => image.submissions.push((job, record)),
                 Some(ShardEvent::Rerouted(job, record)) => image.rerouted.push((job, record)),
                 Some(ShardEvent::Cancelled(job)) => image.cancelled.push(job),
+                Some(ShardEvent::CancelledBefore(job, time)) => {
+                    image.cancelled_before.push((job, time));
+                }
                 Some(ShardEvent::Unreadable(job)) => {
                     image.unreadable.insert(job);
                 }
@@ -202,6 +206,9 @@
                     let rerouted = image.rerouted.into_iter();
                     let rerouted = rerouted.map(|(job, record)| ShardEvent::Rerouted(job, record));
                     let cancelled = image.cancelled.into_iter().map(ShardEvent::Cancelled);
+                    let before = image.cancelled_before.into_iter();
+                    let before = before.map(|(job, time)| ShardEvent::CancelledBefore(job, time));
+                    let cancelled = cancelled.chain(before);
                     let unreadable = image.unreadable.into_iter().map(ShardEvent::Unreadable);
                     for event in submitted.chain(rerouted).chain(cancelled).chain(unreadable) {
                         if !self.send_event(term, event).await {
@@ -215,7 +222,7 @@
                     continue;
                 }
             }
-            let read = ShardEvent::InputRead(ShardInput::Submissions, requested_at);
+            let read = ShardEvent::SubmissionsRead(from, requested_at);
             if !self.send_event(term, read).await {
                 return;
             }
@@ -359,7 +366,10 @@
         return None;
     }
     if let Some(job) = entry.key.strip_suffix(CANCEL_SUFFIX) {
-        return Some(ShardEvent::Cancelled(job.into()));
+        return Some(match CancellationRecord::decode(&entry.value) {
+            CancellationRecord::All => ShardEvent::Cancelled(job.into()),
+            CancellationRecord::Earlier(time) => ShardEvent::CancelledBefore(job.into(), time),
+        });
     }
     let rerouted = entry.key.strip_suffix(REROUTE_SUFFIX);
     match decode_submission(&entry.value) {
@@ -423,7 +433,7 @@
             value,
         });
         if *cancelled {
-            entries.push(cancellation(job));
+            entries.push(CancellationRecord::All.entry(job));
         }
     }
     forwarded
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! their commands through the traits in [`links`] and return the results as events.
 
 pub mod admin_duty;
+pub mod cancellation;
 pub mod claim;
 pub mod control_duty;
 pub mod feed_duty;
@@ -38,5 +39,5 @@
     pub use crate::node::{JobNode, NodeLinks};
     pub use crate::service::{Admission, JobService, ServiceRefusal};
     pub use crate::settings::NodeSettings;
-    pub use crate::writer::{SubmissionWriter, SubmitOutcome};
+    pub use crate::writer::{SubmissionWriter, SubmitOutcome, WriteFault};
 }
--- a/crates/node/src/peer_duty.rs
+++ b/crates/node/src/peer_duty.rs
@@ -15,7 +15,7 @@
 use crate::request::{
     MAX_REQUEST_BYTES, NodeRequest, NodeResponse, decode_message, encode_message,
 };
-use crate::writer::{SubmissionWriter, SubmitOutcome};
+use crate::writer::{SubmissionWriter, WriteFault};
 
 /// Concurrent streams of one node on a connection to another.
 const MAX_STREAMS: u32 = 64;
@@ -65,8 +65,8 @@
             };
             let response = match request {
                 NodeRequest::Store { shard, key, value } => {
-                    let outcome = writer.write(shard, key, value).await;
-                    Some(store_response(outcome))
+                    let result = writer.write(shard, key, value).await;
+                    Some(store_response(result))
                 }
                 request => request_control(&control, request).await,
             };
@@ -90,10 +90,10 @@
     replies.recv().await
 }
 
-fn store_response(outcome: SubmitOutcome) -> NodeResponse {
-    match outcome {
-        SubmitOutcome::Stored => NodeResponse::Stored,
-        SubmitOutcome::NotStored | SubmitOutcome::TooLarge => NodeResponse::NotStored,
-        SubmitOutcome::Unknown => NodeResponse::MaybeStored,
+fn store_response(result: Result<LogOffset, WriteFault>) -> NodeResponse {
+    match result {
+        Ok(_) => NodeResponse::Stored,
+        Err(WriteFault::NotStored | WriteFault::TooLarge) => NodeResponse::NotStored,
+        Err(WriteFault::Unknown) => NodeResponse::MaybeStored,
     }
 }
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -47,6 +47,17 @@
         /// Request of the machine controller.
         order: SurveyOrder,
     },
+    /// Return the status of a job, or that no submission of it precedes an offset.
+    StatusBefore {
+        /// Shard of the job's pool.
+        shard: ShardNumber,
+        /// The job.
+        job: JobId,
+        /// Client account of the caller; `None` on a public queue.
+        account: Option<AccountId>,
+        /// Offset in the submissions of the shard.
+        offset: LogOffset,
+    },
 }
 
 /// Response of a node to a [`NodeRequest`].
@@ -54,7 +65,7 @@
 pub enum NodeResponse {
     /// Status of the job.
     Status(JobStatus),
-    /// The job does not exist or is not visible to the caller.
+    /// The owner has read no submission of the job. One that was accepted recently may exist.
     UnknownJob,
     /// Number of pending jobs.
     Pending(u64),
@@ -70,6 +81,10 @@
     NotOwner,
     /// The job was forwarded to this shard.
     Moved(ShardNumber),
+    /// The job belongs to another client account.
+    HiddenJob,
+    /// No submission of the job precedes the offset of the request.
+    AbsentJob,
 }
 
 impl NodeRequest {
@@ -77,6 +92,7 @@
     pub fn shard(&self) -> ShardNumber {
         match self {
             Self::Status { shard, .. }
+            | Self::StatusBefore { shard, .. }
             | Self::Pending { shard, .. }
             | Self::Store { shard, .. }
             | Self::Survey { shard, .. } => *shard,
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -5,24 +5,31 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use async_io::Timer;
+use indexmap::{IndexMap, IndexSet};
 use pw_base::prelude::*;
 use pw_control::prelude::*;
 use pw_job::prelude::*;
 use strum::{AsRefStr, Display};
 
+use crate::cancellation::CancellationRecord;
 use crate::links::StoreEntry;
 use crate::message::CallerMessage;
 use crate::owners::{OwnerClient, OwnerFault};
 use crate::request::{NodeRequest, NodeResponse};
 use crate::settings::NodeSettings;
-use crate::writer::{SubmissionWriter, SubmitOutcome};
+use crate::writer::{SubmissionWriter, SubmitOutcome, WriteFault};
 
-/// Suffix of the key under which a job's cancellation is stored.
-pub const CANCEL_SUFFIX: &str = "/cancel";
 /// Suffix of the key under which a submission is stored that its intake shard forwards to another one.
 /// It takes the place of none that stays in the shard.
 pub const REROUTE_SUFFIX: &str = "/reroute";
 
+/// First delay before an owner is asked again whether a job is absent; doubled up to the longest one. An
+/// owner reads a stored cancellation within milliseconds.
+const ABSENCE_RETRY: Duration = Duration::from_millis(5);
+/// Longest delay before an owner is asked again whether a job is absent.
+const ABSENCE_RETRY_MAX: Duration = Duration::from_millis(160);
+
 /// Service for caller requests; clones share their state.
 #[derive(Clone)]
 pub struct JobService {
@@ -82,6 +89,27 @@
     UnknownJob,
 }
 
+/// What the owners of a queue's shards know of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum JobLocation {
+    /// This shard has the job; its owner may not report the status.
+    Shard(ShardNumber, Option<JobStatus>),
+    /// The job belongs to another client account.
+    Hidden,
+    /// No owner has read a submission of the job. One that was accepted recently may exist.
+    Unread,
+    /// The owner of a shard that may have the job can't be asked.
+    Unreachable,
+}
+
+/// A cancellation that is stored in all shards that may have its job.
+struct StoredCancellation<'a> {
+    admission: &'a Admission,
+    job: &'a JobId,
+    /// Where it is stored in each shard; `None` if another node stored it.
+    offsets: IndexMap<ShardNumber, Option<LogOffset>>,
+}
+
 impl JobService {
     /// Creates the service of a node.
     pub fn new(
@@ -197,9 +225,9 @@
     pub async fn submit(&self, admission: &Admission, job: &JobId, spec: JobSpec) -> SubmitOutcome {
         if !admission.shards.others.is_empty() {
             match self.locate(admission, job).await {
-                Ok(_) => return SubmitOutcome::Stored,
-                Err(ServiceRefusal::UnknownJob) => {}
-                Err(_) => return SubmitOutcome::NotStored,
+                JobLocation::Shard(..) => return SubmitOutcome::Stored,
+                JobLocation::Hidden | JobLocation::Unread => {}
+                JobLocation::Unreachable => return SubmitOutcome::NotStored,
             }
         }
         let record = SubmissionRecord {
@@ -215,7 +243,10 @@
         let suffix = if stays { "" } else { REROUTE_SUFFIX };
         let key = format!("{job}{suffix}");
         match encode_submission(&record) {
-            Ok(value) => self.store(intake, StoreEntry { key, value }).await,
+            Ok(value) => match self.store(intake, StoreEntry { key, value }).await {
+                Ok(_) => SubmitOutcome::Stored,
+                Err(fault) => fault.into(),
+            },
             Err(error) => {
                 let event = EventCode::JobImageRefused.number();
                 tracing::error!(event, job = &**job, %error, "submission can't be encoded");
@@ -224,29 +255,51 @@
         }
     }
 
-    /// Stores the cancellation of a job, unless its owner reports that the job has ended or does
-    /// not exist.
+    /// Stores the cancellation of a job, unless its owner reports that the job has ended or belongs to
+    /// another account.
+    ///
+    /// An owner that does not know the job may not have read its submission, or the store may execute it
+    /// seconds later. The job counts as unknown once its cancellation is stored and the owners have read
+    /// up to there; a submission that is accepted after that is a new job.
     ///
     /// # Errors
     ///
-    /// Fails if the job does not exist, or if it is not known which shard has it.
+    /// Fails if the job does not exist.
     pub async fn cancel(
         &self,
         admission: &Admission,
         job: &JobId,
     ) -> Result<SubmitOutcome, ServiceRefusal> {
-        let shard = match self.locate(admission, job).await {
-            Ok((_, Some(JobStatus::Cancelled | JobStatus::Completed | JobStatus::Failed))) => {
-                return Ok(SubmitOutcome::Stored);
-            }
-            Ok((shard, _)) => shard,
-            // The owner may be lost, and the next one reads the cancellation.
-            Err(ServiceRefusal::NoOwner) if admission.shards.others.is_empty() => {
-                admission.shards.intake
-            }
-            Err(refusal) => return Err(refusal),
+        let location = self.locate(admission, job).await;
+        let shards: IndexSet<ShardNumber> = match location {
+            JobLocation::Shard(
+                _,
+                Some(JobStatus::Cancelled | JobStatus::Completed | JobStatus::Failed),
+            ) => return Ok(SubmitOutcome::Stored),
+            JobLocation::Shard(shard, _) => IndexSet::from([shard]),
+            JobLocation::Hidden => return Err(ServiceRefusal::UnknownJob),
+            JobLocation::Unread | JobLocation::Unreachable => admission.shards.all().collect(),
+        };
+        let offsets = match self
+            .store_cancellation(&shards, job, CancellationRecord::All)
+            .await
+        {
+            Ok(offsets) => offsets,
+            Err(fault) => return Ok(fault.into()),
         };
-        Ok(self.store(shard, cancellation(job)).await)
+        let cancellation = StoredCancellation {
+            admission,
+            job,
+            offsets,
+        };
+        if location == JobLocation::Unread && self.is_absent(&cancellation).await {
+            let earlier = CancellationRecord::Earlier(self.shared.clock.wall());
+            let stored = self.store_cancellation(&shards, job, earlier).await;
+            if stored.is_ok() {
+                return Err(ServiceRefusal::UnknownJob);
+            }
+        }
+        Ok(SubmitOutcome::Stored)
     }
 
     /// Returns the status of a job.
@@ -259,20 +312,22 @@
         admission: &Admission,
         job: &JobId,
     ) -> Result<JobStatus, ServiceRefusal> {
-        let (_, status) = self.locate(admission, job).await?;
-        status.ok_or(ServiceRefusal::NoOwner)
+        match self.locate(admission, job).await {
+            JobLocation::Shard(_, Some(status)) => Ok(status),
+            // The platform allows some seconds until an accepted job is visible.
+            JobLocation::Hidden | JobLocation::Unread => Err(ServiceRefusal::UnknownJob),
+            JobLocation::Shard(_, None) | JobLocation::Unreachable => Err(ServiceRefusal::NoOwner),
+        }
     }
 
-    /// Finds the shard that has a job; returns it with the job's status, if its owner reports it.
-    async fn locate(
-        &self,
-        admission: &Admission,
-        job: &JobId,
-    ) -> Result<(ShardNumber, Option<JobStatus>), ServiceRefusal> {
-        let mut refusal = ServiceRefusal::UnknownJob;
+    /// Finds the shard that has a job.
+    async fn locate(&self, admission: &Admission, job: &JobId) -> JobLocation {
+        let mut location = JobLocation::Unread;
         for shard in admission.shards.all() {
             match self.request_status(shard, admission, job).await {
-                Some(NodeResponse::Status(status)) => return Ok((shard, Some(status))),
+                Some(NodeResponse::Status(status)) => {
+                    return JobLocation::Shard(shard, Some(status));
+                }
                 Some(NodeResponse::Moved(shard)) => {
                     let response = self.request_status(shard, admission, job).await;
                     let status = match response {
@@ -280,13 +335,53 @@
                         // The submission may not have been read there yet.
                         _ => None,
                     };
-                    return Ok((shard, status));
+                    return JobLocation::Shard(shard, status);
                 }
                 Some(NodeResponse::UnknownJob) => {}
-                _ => refusal = ServiceRefusal::NoOwner,
+                Some(NodeResponse::HiddenJob) => location = JobLocation::Hidden,
+                _ if location == JobLocation::Hidden => {}
+                _ => location = JobLocation::Unreachable,
             }
         }
-        Err(refusal)
+        location
+    }
+
+    /// Returns whether the owners report that no submission of the job precedes its cancellation.
+    async fn is_absent(&self, cancellation: &StoredCancellation<'_>) -> bool {
+        for (shard, offset) in &cancellation.offsets {
+            let Some(offset) = offset else {
+                return false;
+            };
+            if !self.is_absent_before(*shard, *offset, cancellation).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Asks the owner of a shard, until it has read the submissions up to `offset`.
+    async fn is_absent_before(
+        &self,
+        shard: ShardNumber,
+        offset: LogOffset,
+        cancellation: &StoredCancellation<'_>,
+    ) -> bool {
+        let request = NodeRequest::StatusBefore {
+            shard,
+            job: cancellation.job.clone(),
+            account: cancellation.admission.account.clone(),
+            offset,
+        };
+        let mut delay = ABSENCE_RETRY;
+        loop {
+            match self.shared.owners.request(request.clone()).await {
+                Some(NodeResponse::AbsentJob) => return true,
+                Some(NodeResponse::UnknownJob) if delay <= ABSENCE_RETRY_MAX => {}
+                _ => return false,
+            }
+            Timer::after(delay).await;
+            delay *= 2;
+        }
     }
 
     async fn request_status(
@@ -323,29 +418,45 @@
         Ok(sum)
     }
 
-    /// Stores a record, through the shard's owner if the store rejects calls of this node.
-    async fn store(&self, shard: ShardNumber, entry: StoreEntry) -> SubmitOutcome {
+    /// Stores the cancellation of a job in several shards and returns where.
+    async fn store_cancellation(
+        &self,
+        shards: &IndexSet<ShardNumber>,
+        job: &JobId,
+        record: CancellationRecord,
+    ) -> Result<IndexMap<ShardNumber, Option<LogOffset>>, WriteFault> {
+        let mut offsets = IndexMap::new();
+        for shard in shards {
+            match self.store(*shard, record.entry(job)).await {
+                Ok(offset) => offsets.insert(*shard, offset),
+                Err(fault) if offsets.is_empty() => return Err(fault),
+                // It is stored in one of the shards.
+                Err(_) => return Err(WriteFault::Unknown),
+            };
+        }
+        Ok(offsets)
+    }
+
+    /// Stores a record, through the shard's owner if the store rejects calls of this node. Returns where,
+    /// unless the owner stored it.
+    async fn store(
+        &self,
+        shard: ShardNumber,
+        entry: StoreEntry,
+    ) -> Result<Option<LogOffset>, WriteFault> {
         let StoreEntry { key, value } = entry;
         let writer = &self.shared.writer;
-        let outcome = writer.write(shard, key.clone(), value.clone()).await;
-        if outcome != SubmitOutcome::NotStored {
-            return outcome;
+        match writer.write(shard, key.clone(), value.clone()).await {
+            Err(WriteFault::NotStored) => {}
+            result => return result.map(Some),
         }
         let request = NodeRequest::Store { shard, key, value };
         match self.shared.owners.request_peer(request).await {
-            Ok(NodeResponse::Stored) => SubmitOutcome::Stored,
+            Ok(NodeResponse::Stored) => Ok(None),
             Ok(NodeResponse::NotStored | NodeResponse::NotOwner) | Err(OwnerFault::NotSent) => {
-                SubmitOutcome::NotStored
+                Err(WriteFault::NotStored)
             }
-            Ok(_) | Err(OwnerFault::Unanswered) => SubmitOutcome::Unknown,
+            Ok(_) | Err(OwnerFault::Unanswered) => Err(WriteFault::Unknown),
         }
     }
 }
-
-/// Returns the record of a job's cancellation.
-pub(crate) fn cancellation(job: &JobId) -> StoreEntry {
-    StoreEntry {
-        key: format!("{job}{CANCEL_SUFFIX}"),
-        value: vec![1],
-    }
-}
--- a/crates/node/src/writer.rs
+++ b/crates/node/src/writer.rs
@@ -27,6 +27,28 @@
     Unknown,
 }
 
+/// Why a record is not known to be stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, AsRefStr, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum WriteFault {
+    /// It is not stored.
+    NotStored,
+    /// It is not stored, as it exceeds the largest record of the store.
+    TooLarge,
+    /// It may be stored.
+    Unknown,
+}
+
+impl From<WriteFault> for SubmitOutcome {
+    fn from(fault: WriteFault) -> Self {
+        match fault {
+            WriteFault::NotStored => Self::NotStored,
+            WriteFault::TooLarge => Self::TooLarge,
+            WriteFault::Unknown => Self::Unknown,
+        }
+    }
+}
+
 /// Writes submissions and cancellations; clones share the recorded answer times of the store.
 #[derive(Clone)]
 pub struct SubmissionWriter {
@@ -52,15 +74,25 @@
         }
     }
 
-    /// Stores a record; repeats appends without an answer until the submission times out.
-    pub async fn write(&self, shard: ShardNumber, key: String, value: Vec<u8>) -> SubmitOutcome {
+    /// Stores a record; repeats appends without an answer until the submission times out. Returns where
+    /// it is stored; repeats may have stored it elsewhere, too.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the record is not stored, or if that is not known.
+    pub async fn write(
+        &self,
+        shard: ShardNumber,
+        key: String,
+        value: Vec<u8>,
+    ) -> Result<LogOffset, WriteFault> {
         let partition = StorePartition {
             topic: StoreTopic::Submissions,
             shard,
         };
         let entry = StoreEntry { key, value };
         if entry.size() > self.settings.max_record_bytes {
-            return SubmitOutcome::TooLarge;
+            return Err(WriteFault::TooLarge);
         }
         // Each attempt appends the same record, so repeats are harmless.
         let wait = self.settings.append_timeout_max;
@@ -77,10 +109,9 @@
             }
         };
         let outcome = future::or(append, timed_out).await;
-        match outcome.result {
-            Ok(_) => SubmitOutcome::Stored,
-            Err(StoreFault::Rejected(_)) if !outcome.in_doubt => SubmitOutcome::NotStored,
-            Err(_) => SubmitOutcome::Unknown,
-        }
+        outcome.result.map_err(|fault| match fault {
+            StoreFault::Rejected(_) if !outcome.in_doubt => WriteFault::NotStored,
+            _ => WriteFault::Unknown,
+        })
     }
 }
