Leave the runs of a worker that answers alone, whatever an entry says

An entry of another writer, from which fields were missing, named the machine of the worker that ran it.

Cause: decode_entry gave the missing fields a default and took the record for a worker, and update_workers ended the life of a worker as soon as the list named a later one on its machine, though it answered each poll.

A worker with a later one on its machine is polled at once and ends when it does not answer, as one with a later life in its own entry did before.

--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -39,13 +39,7 @@
                         worker.poll_in_flight = false;
                         worker.poll_due = now;
                     }
-                    if worker.has_later_listed_life() {
-                        // The worker itself tells, unless it is silent.
-                        worker.poll_due = now;
-                        if worker.missed_polls > 0 {
-                            ended.push((worker.entry.id.clone(), LifeEnd::Listed));
-                        }
-                    } else {
+                    if !worker.has_later_listed_life() {
                         worker.announced_drain |= worker.entry.phase == WorkerPhase::Draining;
                     }
                 }
@@ -57,25 +51,24 @@
                 }
             }
         }
-        let replaced = self.replaced_workers(lives).into_iter();
-        ended.extend(replaced.map(|id| (id, LifeEnd::Replaced)));
+        for (id, worker) in self.workers.iter_mut() {
+            let machine = worker.entry.machine.as_ref();
+            let later = machine.and_then(|machine| lives.get(machine));
+            let own = worker.life.unwrap_or(worker.entry.life);
+            worker.is_replaced =
+                !worker.listed && !worker.runs.is_empty() && later.is_some_and(|life| *life > own);
+            if worker.is_replaced || worker.has_later_listed_life() {
+                // The worker itself tells, unless it is silent.
+                worker.poll_due = now;
+                ended.extend(worker.listed_end().map(|end| (id.clone(), end)));
+            }
+        }
         for (id, cause) in ended {
             self.end_worker_life(&id, cause, now);
         }
         self.placement_needed = true;
     }
 
-    /// Returns the unlisted workers with runs on whose machine a later worker has started.
-    fn replaced_workers(&self, lives: &IndexMap<MachineId, LifeStart>) -> Vec<WorkerId> {
-        let replaced = self.workers.iter().filter(|(_, worker)| {
-            let machine = worker.entry.machine.as_ref();
-            let later = machine.and_then(|machine| lives.get(machine));
-            let own = worker.life.unwrap_or(worker.entry.life);
-            !worker.listed && !worker.runs.is_empty() && later.is_some_and(|life| *life > own)
-        });
-        replaced.map(|(id, _)| id.clone()).collect()
-    }
-
     /// Sends the polls that are due.
     pub(super) fn send_polls(&mut self, now: Instant) {
         self.refresh_workers();
@@ -170,7 +163,7 @@
                     worker.poll_due = worker.poll_due.min(lease_end.max(now));
                 }
                 let misses = worker.missed_polls;
-                let worker_restarted = worker.has_later_listed_life();
+                let listed_end = worker.listed_end();
                 // A lost worker is polled for seconds; logging only at powers of two keeps the
                 // number of lines low.
                 if misses.is_power_of_two() {
@@ -178,8 +171,8 @@
                     let worker = &*order.worker;
                     tracing::warn!(event, worker, %fault, misses, "worker not heard");
                 }
-                if worker_restarted {
-                    self.end_worker_life(&order.worker, LifeEnd::Listed, now);
+                if let Some(end) = listed_end {
+                    self.end_worker_life(&order.worker, end, now);
                 }
             }
         }
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -157,6 +157,8 @@
     pub full_capacity: ResourceSize,
     /// The latest list of the platform contains the worker.
     pub listed: bool,
+    /// The latest list of the platform names a later worker on the machine.
+    pub is_replaced: bool,
     /// Life of the worker, once it has answered this owner.
     pub life: Option<LifeStart>,
     /// Latest life that has ended.
@@ -222,6 +224,7 @@
             full_capacity: entry.capacity,
             entry,
             listed: true,
+            is_replaced: false,
             life: None,
             ended_life: None,
             ended_lives,
@@ -502,6 +505,19 @@
         self.life.is_some_and(|life| self.entry.life > life)
     }
 
+    /// Returns why the current life has ended according to the list of the platform. Anyone may write an
+    /// entry, so that counts only while the worker does not answer, or can't be asked.
+    pub fn listed_end(&self) -> Option<LifeEnd> {
+        let is_silent = self.missed_polls > 0 || !self.has_address();
+        if !is_silent {
+            None
+        } else if self.has_later_listed_life() {
+            Some(LifeEnd::Listed)
+        } else {
+            self.is_replaced.then_some(LifeEnd::Replaced)
+        }
+    }
+
     /// Returns the current life as far as it is known, from an answer or, after the end of an earlier
     /// one, from the list.
     pub fn known_life(&self) -> Option<LifeStart> {
--- a/crates/control/tests/worker_lives.rs
+++ b/crates/control/tests/worker_lives.rs
@@ -400,6 +400,23 @@
     assert_eq!(starts, [1; 8]);
 }
 
+/// Guards against a task that is started again beside its run (review/11): a record of another writer
+/// names the machine of a worker, which answers all the while.
+#[test]
+fn a_listed_worker_on_the_machine_of_one_that_answers_ends_no_runs() {
+    let mut cluster = long_running_cluster(2);
+    let holder = cluster.starts[0][0].0.clone();
+    let machine = cluster.workers[&holder].entry.machine.clone();
+    cluster.add_worker("other", &machine.expect("a machine"));
+    cluster.owner_mut().cut_off.insert("other".into());
+    cluster.list_workers();
+    cluster.run(seconds(20));
+    assert_eq!(cluster.start_count("job.0.0.0"), 1);
+    cluster.workers[&holder].crashed = true;
+    cluster.run(seconds(5));
+    assert_eq!(cluster.start_count("job.0.0.0"), 2);
+}
+
 /// The store is down for less time than tasks survive.
 #[test]
 fn leases_do_not_lapse_in_an_outage_of_the_store_that_is_shorter_than_the_horizon() {
