Poll an idle worker while a start on it is in doubt

Cause: a worker rejects orders below the highest fence that it has seen, and its later life had seen none, since an owner does not poll a worker without runs.

Change: a worker on which a start went unanswered is polled for 12 s more, the longest delay of late orders, also without runs. A later life answers a poll, and the next one brings it a higher fence.

--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -66,6 +66,9 @@
     pub unhealthy_backoff_max: Duration,
     /// Unanswered starts of a run after which it is stopped instead.
     pub max_start_attempts: u32,
+    /// How long a worker may take to execute a start that went unanswered: the longest delay that the
+    /// platform's operators report.
+    pub late_order_time: Duration,
     /// Longest time that a worker takes to stop a run; the platform's limit.
     pub stop_time: Duration,
     /// Delay between attempts to stop a run.
@@ -108,6 +111,7 @@
             unhealthy_backoff: Duration::from_millis(500),
             unhealthy_backoff_max: Duration::from_secs(4),
             max_start_attempts: 3,
+            late_order_time: Duration::from_secs(12),
             stop_time: Duration::from_secs(1),
             stop_retry: Duration::from_millis(250),
             retention: Duration::from_secs(150),
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -91,7 +91,8 @@
             // workers crash.
             let urgent = worker.counts.solo > 0
                 || self.crashes.is_watched(&worker.entry.pool, now) && worker.has_suspects();
-            let waits = worker.synced && worker.missed_polls == 0 && worker.has_runs() && !urgent;
+            let has_starts = worker.has_runs() || worker.late_start_until.is_some();
+            let waits = worker.synced && worker.missed_polls == 0 && has_starts && !urgent;
             // The next task moves once this one is ready. Readiness does not end a worker's wait,
             // so the wait is short.
             // Nothing ends a wait for a stopped run that never started.
@@ -139,6 +140,7 @@
         worker.answered_poll = Some(order.sent_at);
         worker.poll_in_flight = false;
         worker.poll_due = now + self.settings.poll_gap;
+        worker.late_start_until = worker.late_start_until.filter(|until| now < *until);
         match result {
             Ok(report) => self.apply_report(order, report, answered_at, now),
             // The worker has seen a poll that was sent later.
--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -115,6 +115,7 @@
                     };
                 }
                 worker.poll_due = worker.poll_due.min(now);
+                worker.late_start_until = Some(now + settings.late_order_time);
             }
             StartOutcome::Fenced => {
                 run.phase = RunPhase::Unanswered;
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -201,6 +201,9 @@
     pub missed_polls: u32,
     /// When the last poll that went unanswered was sent.
     pub silent_at: Option<Instant>,
+    /// Until when a later life may execute a start that went unanswered. A life rejects it once it has
+    /// been polled with a higher fence.
+    pub late_start_until: Option<Instant>,
     /// The worker gets no starts before this time.
     pub paused_until: Instant,
     /// Number of consecutive starts that the worker refused as unhealthy.
@@ -247,6 +250,7 @@
             poll_due: now,
             missed_polls: 0,
             silent_at: None,
+            late_start_until: None,
             paused_until: now,
             unhealthy_refusals: 0,
             room_refusal: None,
@@ -545,7 +549,10 @@
     /// Returns whether the worker has to be polled.
     fn needs_poll(&self) -> bool {
         let uncertain = !self.synced || self.missed_polls > 0 || !self.is_described();
-        !self.runs.is_empty() || self.acknowledged_end < self.stored_end || uncertain && self.listed
+        !self.runs.is_empty()
+            || self.acknowledged_end < self.stored_end
+            || self.late_start_until.is_some()
+            || uncertain && self.listed
     }
 
     /// Returns when the next poll is due; `None` while none can be sent or is needed. The address
--- a/crates/control/tests/worker_lives.rs
+++ b/crates/control/tests/worker_lives.rs
@@ -417,6 +417,31 @@
     assert_eq!(cluster.start_count("job.0.0.0"), 2);
 }
 
+/// Guards against a task that runs again after its end (review/4): a start that went unanswered is executed
+/// by a later life of its worker, which has no runs, so that nothing told it of a fence.
+#[test]
+fn a_late_start_on_a_later_life_of_an_idle_worker_is_rejected() {
+    let mut cluster = TestCluster::new(1);
+    let mut first = true;
+    cluster.order_fate = Box::new(move |command| match command {
+        ShardCommand::Start(_) if std::mem::take(&mut first) => OrderFate::Late(seconds(11)),
+        _ => OrderFate::Delivered,
+    });
+    cluster.submit("job", None, vec![step(1)]);
+    assert!(cluster.run_until(seconds(8), |cluster| cluster.status("job") == COMPLETED));
+    let worker = cluster.workers[0].entry.id.clone();
+    cluster.restart_worker(&worker);
+    cluster.list_workers();
+    cluster.run(seconds(15));
+    assert_eq!(cluster.start_count("job.0.0.0"), 1);
+    let polls = cluster.poll_count;
+    cluster.run(seconds(5));
+    assert_eq!(
+        cluster.poll_count, polls,
+        "an idle worker is polled for good"
+    );
+}
+
 /// The store is down for less time than tasks survive.
 #[test]
 fn leases_do_not_lapse_in_an_outage_of_the_store_that_is_shorter_than_the_horizon() {
