Let the members of a gang resume from one checkpoint

Workers that insist on one never let the gang work again, and its job failed.

Cause: each task kept the checkpoint that it had reported last, and a member that is lost with its worker reports none at its end. Starts of one run carried what each member had.

Change: a checkpoint that a member reports is that of the whole gang, a gang is placed with one, and a run keeps the checkpoint of its placement when its start is repeated.

--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -1,5 +1,6 @@
 //! Runs on workers as their owner knows them.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use pw_base::prelude::*;
@@ -31,6 +32,9 @@
 #[derive(Debug, Clone)]
 pub(crate) struct RunRecord {
     pub run: RunNumber,
+    /// Checkpoint from which it resumes. It stays the same when a start is repeated, as all members of a
+    /// gang have to resume from one.
+    pub checkpoint: Option<Arc<str>>,
     /// Resources reserved for the run.
     pub size: ResourceSize,
     pub account: Option<AccountId>,
@@ -88,6 +92,7 @@
     pub fn orphan(run: RunNumber, size: ResourceSize, now: Instant) -> Self {
         Self {
             run,
+            checkpoint: None,
             size,
             account: None,
             phase: RunPhase::Stopping,
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -388,6 +388,7 @@
         let spec = &record.spec.steps[step];
         RunRecord {
             run,
+            checkpoint: None,
             size: reserved_size(spec),
             account: record.account.clone(),
             phase,
--- a/crates/control/src/shard/polling.rs
+++ b/crates/control/src/shard/polling.rs
@@ -389,10 +389,9 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let state = job.state.task_mut(task.occurrence, task.step, task.index);
-        if let Some(state) = state {
-            state.checkpoint = Some(checkpoint.clone());
-        }
+        let position = (task.occurrence, task.step, task.index);
+        let spec = &job.submission.spec;
+        job.state.save_checkpoint(spec, position, checkpoint);
     }
 
     /// Adjusts the pace of best-effort tasks to the tail latency of the serving tasks beside them.
--- a/crates/control/src/shard/run_ends.rs
+++ b/crates/control/src/shard/run_ends.rs
@@ -56,16 +56,16 @@
         } else {
             tracing::warn!(event, %task, run, worker = &**worker, %end, "run ended");
         }
-        if let Some(state) = job.state.task_mut(task.occurrence, task.step, task.index) {
-            if checkpoint.is_some() {
-                state.checkpoint = checkpoint;
-            }
-            if end == RunEnd::Failed {
-                let doubled = FAILURE_PAUSE * (1 << state.failures.min(5));
-                let pause_end = now + doubled.min(FAILURE_PAUSE_MAX);
-                job.retry_after.insert(position, pause_end);
-                self.pause_ends.insert(pause_end);
-            }
+        if let Some(checkpoint) = checkpoint {
+            job.state.save_checkpoint(spec, position, &checkpoint);
+        }
+        if let Some(state) = job.state.task(task.occurrence, task.step, task.index)
+            && end == RunEnd::Failed
+        {
+            let doubled = FAILURE_PAUSE * (1 << state.failures.min(5));
+            let pause_end = now + doubled.min(FAILURE_PAUSE_MAX);
+            job.retry_after.insert(position, pause_end);
+            self.pause_ends.insert(pause_end);
         }
         let step = &spec.steps[task.step as usize];
         if step.long_running {
--- a/crates/control/src/shard/scheduling.rs
+++ b/crates/control/src/shard/scheduling.rs
@@ -255,7 +255,7 @@
         {
             return false;
         }
-        self.align_runs(job, &positions);
+        self.align_tasks(job, &positions);
         let mut placed = Vec::new();
         for position in &positions {
             let worker = self.find_worker(job, *position, spec, &mut UnplaceableSizes::new(), now);
@@ -280,17 +280,22 @@
         fits
     }
 
-    /// Sets the same last run number for all tasks of a gang, so that their next runs share one.
-    fn align_runs(&mut self, job: &JobId, positions: &[TaskPosition]) {
+    /// Sets the same last run number and checkpoint for all tasks of a gang, so that their next runs
+    /// share them.
+    fn align_tasks(&mut self, job: &JobId, positions: &[TaskPosition]) {
         let Some(record) = self.jobs.get_mut(job) else {
             return;
         };
         let state = &mut record.state;
-        let runs = positions.iter().filter_map(|p| state.task(p.0, p.1, p.2));
-        let last = runs.map(|task| task.last_run).max().unwrap_or_default();
+        let tasks = positions.iter().filter_map(|p| state.task(p.0, p.1, p.2));
+        let last = tasks.clone().map(|task| task.last_run).max();
+        let last = last.unwrap_or_default();
+        // They differ in a state that an earlier build has stored.
+        let checkpoint = tasks.filter_map(|task| task.checkpoint.clone()).next();
         for position in positions {
             if let Some(task) = state.task_mut(position.0, position.1, position.2) {
                 task.last_run = last;
+                task.checkpoint.clone_from(&checkpoint);
             }
         }
     }
@@ -383,12 +388,15 @@
             return;
         };
         record.retry_after.remove(&position);
+        let task = record.state.task(position.0, position.1, position.2);
+        let checkpoint = task.and_then(|task| task.checkpoint.clone());
         self.changed_jobs.insert(job.clone());
         let submission = record.submission.clone();
         let step = position.1 as usize;
         let solo = self.is_suspected(job, position, &submission.spec.steps[step]);
         let run_record = RunRecord {
             solo,
+            checkpoint,
             ..self.run_record(&submission, step, run, RunPhase::Planned, now)
         };
         if let Some(account) = &run_record.account {
--- a/crates/control/src/shard/start_stop.rs
+++ b/crates/control/src/shard/start_stop.rs
@@ -34,10 +34,10 @@
         run.since = now;
         run.unconfirmed_since = Some(now);
         let (run_number, long_running) = (run.run, run.long_running);
+        let checkpoint = run.checkpoint.clone();
         let Some(job) = self.jobs.get(&task.job) else {
             return;
         };
-        let state = job.state.task(task.occurrence, task.step, task.index);
         self.commands.push(ShardCommand::Start(StartOrder {
             worker: id.clone(),
             address,
@@ -46,7 +46,7 @@
             run: run_number,
             long_running,
             payload: job.submission.spec.payload.clone(),
-            checkpoint: state.and_then(|state| state.checkpoint.clone()),
+            checkpoint,
             ticket,
             lease_until,
             epoch: self.epoch,
--- a/crates/control/tests/shard.rs
+++ b/crates/control/tests/shard.rs
@@ -2,8 +2,12 @@
 
 mod support;
 
+use std::cell::RefCell;
+use std::rc::Rc;
+
 use pw_control::prelude::*;
 use pw_job::prelude::*;
+use support::network::OrderFate;
 use support::{COMPLETED, TestCluster, long_running, millis, seconds, size, step};
 
 #[test]
@@ -236,6 +240,40 @@
     );
 }
 
+/// Guards against members of a gang that start from different checkpoints (review/13).
+#[test]
+fn the_members_of_a_gang_resume_from_one_checkpoint() {
+    let mut cluster = TestCluster::new(3);
+    cluster.run_time = seconds(10);
+    for worker in cluster.workers.values_mut() {
+        worker.saves_checkpoints = true;
+    }
+    let starts = Rc::new(RefCell::new(Vec::new()));
+    let seen = Rc::clone(&starts);
+    cluster.order_fate = Box::new(move |command| {
+        if let ShardCommand::Start(order) = command {
+            let start = (order.run, order.checkpoint.clone());
+            seen.borrow_mut().push(start);
+        }
+        OrderFate::Delivered
+    });
+    let gang = StepSpec {
+        gang: true,
+        size: size(5000, 1024),
+        ..step(3)
+    };
+    cluster.submit("job", Some("ane"), vec![gang]);
+    cluster.run(seconds(4));
+    let worker = cluster.workers[0].entry.id.clone();
+    cluster.restart_worker(&worker);
+    cluster.list_workers();
+    assert!(cluster.run_until(seconds(30), |cluster| cluster.status("job") == COMPLETED));
+    let starts = starts.borrow();
+    let second: Vec<_> = starts.iter().filter(|(run, _)| *run == 2).collect();
+    assert!(second.len() == 3 && second[0].1.is_some(), "{starts:?}");
+    assert!(second.iter().all(|start| *start == second[0]), "{starts:?}");
+}
+
 #[test]
 fn occurrences_start_when_they_are_due() {
     let mut cluster = TestCluster::new(2);
--- a/crates/control/tests/support/worker.rs
+++ b/crates/control/tests/support/worker.rs
@@ -1,6 +1,7 @@
 //! A fake worker with a lease, a fencing epoch and a list of run ends.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
@@ -46,6 +47,8 @@
     pub address_reused: bool,
     /// Runs end as failed instead of done.
     pub runs_fail: bool,
+    /// Runs save checkpoints, which name their task and how long they have run.
+    pub saves_checkpoints: bool,
     pub fence: OrderFence,
     pub lease_until: u64,
     /// Longest lease that the worker grants.
@@ -108,6 +111,7 @@
             unhealthy: false,
             address_reused: false,
             runs_fail: false,
+            saves_checkpoints: false,
             fence: 0,
             lease_until: 0,
             lease_limit: 10_000,
@@ -296,22 +300,29 @@
         };
         self.rejected_runs.insert(task.clone(), run.run);
         self.end_times.insert(self.next_end, now);
+        let checkpoint = self.checkpoint(task, &run, now);
         self.finished.push(FinishedRun {
             number: self.next_end,
             task: task.clone(),
             run: run.run,
             end,
-            checkpoint: None,
+            checkpoint,
         });
         self.next_end += 1;
     }
 
+    fn checkpoint(&self, task: &TaskName, run: &FakeRun, now: Instant) -> Option<Arc<str>> {
+        let age = now - run.started_at;
+        self.saves_checkpoints
+            .then(|| format!("{task} {age:?}").into())
+    }
+
     pub fn report(&self, now: Instant) -> PollReport {
         let readable = self.running.iter().filter(|_| !self.malformed_rows);
         let running = readable.map(|(task, run)| ActiveRun {
             task: task.clone(),
             run: run.run,
-            checkpoint: None,
+            checkpoint: self.checkpoint(task, run, now),
             percent: if now > run.started_at + Duration::from_millis(300) {
                 100
             } else {
--- a/crates/job/src/state.rs
+++ b/crates/job/src/state.rs
@@ -318,6 +318,25 @@
         true
     }
 
+    /// Saves the checkpoint of a task; that of a gang's member is valid for all of them.
+    pub fn save_checkpoint(
+        &mut self,
+        spec: &JobSpec,
+        (occurrence, step, index): TaskPosition,
+        checkpoint: &Arc<str>,
+    ) {
+        let gang = spec.steps.get(step as usize).is_some_and(|step| step.gang);
+        let mut occurrences = self.occurrences.iter_mut();
+        let tasks = occurrences
+            .find(|o| o.number == occurrence)
+            .and_then(|found| found.steps.get_mut(step as usize));
+        for (number, task) in tasks.into_iter().flatten().enumerate() {
+            if gang || number == index as usize {
+                task.checkpoint = Some(Arc::clone(checkpoint));
+            }
+        }
+    }
+
     /// Returns whether a task is suspected of crashing the workers that start it.
     pub fn is_suspected(&self, task: TaskPosition) -> bool {
         let tally = self.crashes.get(&task);
