--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -201,6 +201,9 @@
     /// The number of machines that a pool needs changed.
     #[strum(message = "The number of machines that a pool needs changed.")]
     PoolSized = 654,
+    /// A completed maintenance wave has another machine.
+    #[strum(message = "A completed maintenance wave has another machine.")]
+    WaveReopened = 655,
     /// A message from a peer was refused.
     #[strum(message = "A message from a peer was refused.")]
     PeerRefused = 700,
--- a/crates/control/src/machines/waves.rs
+++ b/crates/control/src/machines/waves.rs
@@ -158,7 +158,12 @@
         let command = MachineCommand::StoreProgress(wave, progress.clone());
         self.commands.push(command);
         self.reported.swap_remove(&wave);
-        tracing::info!(wave, "completed maintenance wave has another machine");
+        let event = EventCode::WaveReopened.number();
+        tracing::info!(
+            event,
+            wave,
+            "completed maintenance wave has another machine"
+        );
     }
 
     pub(super) fn complete_wave(&mut self, wave: WaveNumber) {
